banyanspur: the whole path as separate processes

Cause: there was nothing yet. A caller's program must run from end to end through separate processes before anything else is worth building.

Change: a replicated log of our own (quorum, store), the ledger of programs and limits, configuration with orders and an audit trail, entry hosts that sequence, route, dispatch and record calls, stand-in targets, and a command that runs them by settings or all in one process.

Ruled out: allotments of the limit to entry hosts.

--- /dev/null
+++ b/cmd/banyanspur/run.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanspur/banyanspur/config"
+	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/host"
+)
+
+type runCommand struct {
+	Settings string        `long:"settings" short:"s" required:"true" description:"Settings file (TOML)"`
+	DrainLag time.Duration `long:"drain-lag" default:"3s" description:"How long callers are still accepted after SIGTERM"`
+}
+
+// Execute runs one host until SIGTERM or SIGINT.
+func (c *runCommand) Execute([]string) error {
+	s, err := readSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	log := event.New(os.Stderr)
+	p := &host.Process{Settings: s, DrainLag: c.DrainLag, Log: log}
+	err = p.Run(ctx)
+	if err != nil {
+		log.Write(event.HostFailed, event.Fields{"host": s.Host, "error": err.Error()})
+	}
+	return err
+}
+
+func readSettings(file string) (config.Settings, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return config.Settings{}, errors.Wrap(err, "banyanspur: read settings")
+	}
+	return config.ParseSettings(file, b)
+}
--- /dev/null
+++ b/entry/metric.go
@@ -0,0 +1,30 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// overloadPause is when to come back to an entry host that sheds load.
+const overloadPause = time.Second
+
+var (
+	metricCallSeconds  = metrics.NewHistogram("banyanspur_entry_call_seconds")
+	metricBeginSeconds = metrics.NewHistogram("banyanspur_entry_begin_seconds")
+	metricCloseSeconds = metrics.NewHistogram("banyanspur_entry_close_seconds")
+	metricTargetTime   = metrics.NewHistogram("banyanspur_entry_target_seconds")
+	metricRetries      = metrics.NewCounter("banyanspur_entry_retries_total")
+	metricUnknown      = metrics.NewCounter("banyanspur_entry_unknown_outcomes_total")
+)
+
+// count counts an answered request by the code of its fault.
+func count(code types.Code) {
+	if code == "" {
+		code = "ok"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("banyanspur_entry_requests_total{code=%q}", string(code))).Inc()
+}
--- /dev/null
+++ b/entry/program.go
@@ -0,0 +1,201 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+	"unicode/utf8"
+
+	"github.com/gorilla/mux"
+
+	"github.com/banyanspur/banyanspur/ctrl"
+	"github.com/banyanspur/banyanspur/ledger"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// openRequest is the body of POST /v1/programs.
+type openRequest struct {
+	// Program is the caller's own id, which makes a resend safe. If it is
+	// empty, an id is made up.
+	Program types.ProgramID `json:"program"`
+	// Parent makes the program a sub-agent.
+	Parent types.ProgramID `json:"parent"`
+	Budget budgetBody      `json:"budget"`
+}
+
+// budgetBody is a budget as callers write it.
+type budgetBody struct {
+	Calls   int64        `json:"calls"`
+	Tokens  types.Tokens `json:"tokens"`
+	Seconds float64      `json:"seconds"`
+	Depth   int          `json:"depth"`
+}
+
+// maxBudgetSeconds bounds a program's time to 30 days.
+const maxBudgetSeconds = 30 * 24 * 3600
+
+func (b budgetBody) budget() ledger.Budget {
+	return ledger.Budget{Calls: b.Calls, Tokens: b.Tokens, Wall: time.Duration(b.Seconds * float64(time.Second)), Depth: b.Depth}
+}
+
+func bodyOf(b ledger.Budget) budgetBody {
+	return budgetBody{Calls: b.Calls, Tokens: b.Tokens, Seconds: b.Wall.Seconds(), Depth: b.Depth}
+}
+
+// programBody tells callers how a program stands.
+type programBody struct {
+	Program  types.ProgramID  `json:"program"`
+	Parent   types.ProgramID  `json:"parent,omitempty"`
+	Budget   budgetBody       `json:"budget"`
+	Left     budgetBody       `json:"left"`
+	NextCall types.CallNumber `json:"nextCall"`
+	Running  bool             `json:"running"`
+	Ended    bool             `json:"ended"`
+}
+
+func describe(s ledger.Summary) programBody {
+	return programBody{
+		Program: s.Program, Parent: s.Parent, Budget: bodyOf(s.Budget), Left: bodyOf(s.Left),
+		NextCall: types.CallNumber(s.Closed + 1), Running: s.Running, Ended: s.Ended,
+	}
+}
+
+func (e *Entry) openProgram(w http.ResponseWriter, r *http.Request) error {
+	c, err := e.authenticate(r)
+	if err != nil {
+		return err
+	}
+	req, err := decodeBody[openRequest](w, r)
+	if err != nil {
+		return err
+	}
+	if req.Program == "" {
+		req.Program = types.ProgramID(types.RandomID())
+	}
+	if err := req.check(); err != nil {
+		return err
+	}
+	open := ledger.Open{Account: c.account, Program: req.Program, Parent: req.Parent, Budget: req.Budget.budget()}
+	return e.answerProgram(w, r, c, http.StatusCreated, ledger.Command{Open: &open})
+}
+
+func (o openRequest) check() error {
+	if !types.ValidName(o.Program) {
+		return types.NewFault(types.CodeBadRequest, "program: %q is not a valid id", o.Program)
+	}
+	if o.Parent != "" && !types.ValidName(o.Parent) {
+		return types.NewFault(types.CodeBadRequest, "parent: %q is not a valid id", o.Parent)
+	}
+	if !(o.Budget.Seconds > 0 && o.Budget.Seconds <= maxBudgetSeconds) {
+		return types.NewFault(types.CodeBadRequest, "budget.seconds: %v is not above 0 and up to %d", o.Budget.Seconds, maxBudgetSeconds)
+	}
+	return nil
+}
+
+// answerProgram gives a command to the ledger and answers with the program.
+func (e *Entry) answerProgram(w http.ResponseWriter, r *http.Request, c caller, status int, cmd ledger.Command) error {
+	ctx, cancel := context.WithTimeout(r.Context(), journalTimeout)
+	defer cancel()
+	result, err := e.Client.Ledger(ctx, c.account, cmd)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, status, describe(*result.Program))
+	return nil
+}
+
+func (e *Entry) endProgram(w http.ResponseWriter, r *http.Request) error {
+	c, err := e.authenticate(r)
+	if err != nil {
+		return err
+	}
+	end := ledger.End{Account: c.account, Program: programOf(r)}
+	return e.answerProgram(w, r, c, http.StatusOK, ledger.Command{End: &end})
+}
+
+func (e *Entry) readProgram(w http.ResponseWriter, r *http.Request) error {
+	c, err := e.authenticate(r)
+	if err != nil {
+		return err
+	}
+	reply, err := e.program(r.Context(), c, programOf(r), false)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, describe(reply.Program))
+	return nil
+}
+
+// historyBody is the answer to GET /v1/programs/{program}/history.
+type historyBody struct {
+	Program types.ProgramID `json:"program"`
+	Calls   []callBody      `json:"calls"`
+}
+
+// callBody is one closed call. Request and response are JSON where they were,
+// else a string.
+type callBody struct {
+	Number   types.CallNumber `json:"number"`
+	Service  types.ServiceID  `json:"service"`
+	Outcome  ledger.Outcome   `json:"outcome"`
+	Status   int              `json:"status,omitempty"`
+	Tokens   types.Tokens     `json:"tokens,omitempty"`
+	Request  json.RawMessage  `json:"request"`
+	Response json.RawMessage  `json:"response,omitempty"`
+	Error    *errorDetail     `json:"error,omitempty"`
+}
+
+func (e *Entry) readHistory(w http.ResponseWriter, r *http.Request) error {
+	c, err := e.authenticate(r)
+	if err != nil {
+		return err
+	}
+	reply, err := e.program(r.Context(), c, programOf(r), true)
+	if err != nil {
+		return err
+	}
+	body := historyBody{Program: reply.Program.Program, Calls: []callBody{}}
+	for _, call := range reply.Calls {
+		body.Calls = append(body.Calls, describeCall(call))
+	}
+	writeJSON(w, http.StatusOK, body)
+	return nil
+}
+
+func describeCall(call ledger.Call) callBody {
+	b := callBody{
+		Number: call.Number, Service: call.Service, Outcome: call.Outcome, Status: call.Status,
+		Tokens: call.Tokens, Request: embed(call.Request),
+	}
+	if len(call.Response) > 0 {
+		b.Response = embed(call.Response)
+	}
+	if call.Fault != nil {
+		d := detailOf(call.Fault)
+		b.Error = &d
+	}
+	return b
+}
+
+// embed returns b as JSON: as it is if it is JSON, as a string if it is text,
+// and in base64 if it is neither.
+func embed(b []byte) json.RawMessage {
+	if json.Valid(b) {
+		return b
+	}
+	var v any = b
+	if utf8.Valid(b) {
+		v = string(b)
+	}
+	encoded, _ := json.Marshal(v) // Strings and bytes always encode.
+	return encoded
+}
+
+func (e *Entry) program(ctx context.Context, c caller, id types.ProgramID, history bool) (ctrl.ProgramReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, journalTimeout)
+	defer cancel()
+	return e.Client.Program(ctx, c.account, id, history)
+}
+
+func programOf(r *http.Request) types.ProgramID { return types.ProgramID(mux.Vars(r)["program"]) }
--- /dev/null
+++ b/entry/respond.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// statusOf maps the codes of faults to those of HTTP.
+var statusOf = map[types.Code]int{
+	types.CodeBadRequest:      http.StatusBadRequest,
+	types.CodeUnauthorized:    http.StatusUnauthorized,
+	types.CodeNotFound:        http.StatusNotFound,
+	types.CodeConflict:        http.StatusConflict,
+	types.CodeOutOfOrder:      http.StatusConflict,
+	types.CodeInProgress:      http.StatusConflict,
+	types.CodeProgramEnded:    http.StatusGone,
+	types.CodeBudgetExceeded:  http.StatusForbidden,
+	types.CodeRateLimited:     http.StatusTooManyRequests,
+	types.CodeQuarantined:     http.StatusUnprocessableEntity,
+	types.CodeNoTarget:        http.StatusServiceUnavailable,
+	types.CodeTargetFailed:    http.StatusBadGateway,
+	types.CodeOutcomeUnknown:  http.StatusBadGateway,
+	types.CodeDeadline:        http.StatusGatewayTimeout,
+	types.CodeUnavailable:     http.StatusServiceUnavailable,
+	types.CodeOverloaded:      http.StatusServiceUnavailable,
+	types.CodeInternal:        http.StatusInternalServerError,
+	types.CodePayloadTooLarge: http.StatusRequestEntityTooLarge,
+}
+
+// errorBody is the body of every error that banyanspur itself answers.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	types.Fault
+	RetryAfterMs int64 `json:"retryAfterMs,omitempty"`
+}
+
+func detailOf(f *types.Fault) errorDetail {
+	return errorDetail{Fault: *f, RetryAfterMs: f.RetryAfter.Milliseconds()}
+}
+
+// writeFault answers with an error.
+func writeFault(w http.ResponseWriter, err error) {
+	f := types.AsFault(err)
+	status, ok := statusOf[f.Code]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+	if f.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt(wholeSeconds(f.RetryAfter), 10))
+	}
+	writeJSON(w, status, errorBody{Error: detailOf(f)})
+}
+
+// wholeSeconds rounds up, since the header knows nothing smaller and coming
+// back too early is refused again.
+func wholeSeconds(d time.Duration) int64 {
+	return int64((d + time.Second - 1) / time.Second)
+}
+
+// writeJSON answers with v in JSON. A caller that is gone is no error.
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/event/catalogue.go
@@ -0,0 +1,46 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// The catalogue. 1xx: life of a process, 2xx: agreement, 3xx: configuration,
+// 4xx: calls, 5xx: targets, 6xx: links between our processes.
+var (
+	HostStarted       = Kind{101, logrus.InfoLevel, "host started"}
+	HostDraining      = Kind{102, logrus.InfoLevel, "host draining"}
+	HostStopped       = Kind{103, logrus.InfoLevel, "host stopped"}
+	HostFailed        = Kind{104, logrus.ErrorLevel, "host failed"}
+	LeaderElected     = Kind{201, logrus.InfoLevel, "replica became leader"}
+	LeaderLost        = Kind{202, logrus.WarnLevel, "replica stopped leading"}
+	TailCut           = Kind{203, logrus.WarnLevel, "incomplete record cut from the end of the log"}
+	StoreCorrupt      = Kind{204, logrus.ErrorLevel, "log is corrupt, replica refuses to serve"}
+	SnapshotWritten   = Kind{205, logrus.InfoLevel, "snapshot written"}
+	SnapshotInstalled = Kind{206, logrus.InfoLevel, "snapshot installed from the leader"}
+	StoreFailed       = Kind{207, logrus.ErrorLevel, "storage failed, replica stops"}
+	OrderApplied      = Kind{301, logrus.InfoLevel, "configuration order decided"}
+	ConfigApplied     = Kind{302, logrus.InfoLevel, "configuration version in force"}
+	LeaseLost         = Kind{303, logrus.WarnLevel, "configuration lease ran out, requests are refused"}
+	LeaseGained       = Kind{304, logrus.InfoLevel, "configuration lease held"}
+	CallUnknown       = Kind{401, logrus.WarnLevel, "outcome of a call that may not be repeated is unknown"}
+	CallQuarantined   = Kind{402, logrus.WarnLevel, "request quarantined after its targets failed"}
+	SessionExpired    = Kind{403, logrus.WarnLevel, "session of an entry host expired"}
+	CloseFailed       = Kind{404, logrus.ErrorLevel, "outcome of a call could not be stored"}
+	TargetFailed      = Kind{501, logrus.WarnLevel, "target failed during a call"}
+	HoldReleased      = Kind{502, logrus.InfoLevel, "memory held for an ended program given back"}
+	ReleaseFailed     = Kind{503, logrus.WarnLevel, "target did not accept a release, will be sent again"}
+	HostListFailed    = Kind{504, logrus.WarnLevel, "host list could not be read"}
+	LinkLost          = Kind{601, logrus.InfoLevel, "link to another host lost"}
+	PeerRefused       = Kind{602, logrus.WarnLevel, "link refused, wrong cluster secret"}
+)
+
+// Catalogue returns every kind of event, in the order of the numbers.
+func Catalogue() []Kind {
+	return []Kind{
+		HostStarted, HostDraining, HostStopped, HostFailed,
+		LeaderElected, LeaderLost, TailCut, StoreCorrupt, SnapshotWritten,
+		SnapshotInstalled, StoreFailed,
+		OrderApplied, ConfigApplied, LeaseLost, LeaseGained,
+		CallUnknown, CallQuarantined, SessionExpired, CloseFailed,
+		TargetFailed, HoldReleased, ReleaseFailed, HostListFailed,
+		LinkLost, PeerRefused,
+	}
+}
--- /dev/null
+++ b/ledger/machine.go
@@ -0,0 +1,96 @@
+package ledger
+
+import (
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// Machine is the state machine of one shard group. Its zero value is empty and
+// ready. It is not safe for concurrent use.
+type Machine struct {
+	state state
+}
+
+// Apply applies one committed command.
+func (m *Machine) Apply(at types.LogTime, c Command) Result {
+	switch {
+	case c.Open != nil:
+		return m.open(at, *c.Open)
+	case c.Begin != nil:
+		return m.begin(at, *c.Begin)
+	case c.Close != nil:
+		return m.close(at, *c.Close)
+	case c.Abandon != nil:
+		return m.abandon(at, *c.Abandon)
+	case c.End != nil:
+		return m.end(at, *c.End)
+	case c.Admit != nil:
+		return m.admit(at, *c.Admit)
+	case c.Expire != nil:
+		return m.expire(at, *c.Expire)
+	case c.Release != nil:
+		return m.release(*c.Release)
+	}
+	return refuse(types.NewFault(types.CodeBadRequest, "the command is empty"))
+}
+
+// Snapshot returns the whole state.
+func (m *Machine) Snapshot() []byte { return types.Encode(m.state) }
+
+// Restore replaces the state.
+func (m *Machine) Restore(snapshot []byte) error {
+	s, err := types.Decode[state](snapshot)
+	if err != nil {
+		return err
+	}
+	m.state = s
+	return nil
+}
+
+func refuse(f *types.Fault) Result { return Result{Fault: f} }
+
+func (m *Machine) account(id types.AccountID) *account {
+	if m.state.Accounts == nil {
+		m.state.Accounts = map[types.AccountID]*account{}
+	}
+	a := m.state.Accounts[id]
+	if a == nil {
+		a = &account{}
+		m.state.Accounts[id] = a
+	}
+	if a.Programs == nil {
+		a.Programs = map[types.ProgramID]*program{}
+	}
+	if a.Crashes == nil {
+		a.Crashes = map[types.Fingerprint]*crashes{}
+	}
+	return a
+}
+
+// program finds a program within its account alone, so that no account can
+// reach into another's.
+func (m *Machine) program(a types.AccountID, id types.ProgramID) (*program, *types.Fault) {
+	if acc := m.state.Accounts[a]; acc != nil {
+		if p := acc.Programs[id]; p != nil {
+			return p, nil
+		}
+	}
+	return nil, types.NewFault(types.CodeNotFound, "no program %q in this client account", id)
+}
+
+// Find returns how a program stands.
+func (m *Machine) Find(a types.AccountID, id types.ProgramID) (*Summary, error) {
+	p, fault := m.program(a, id)
+	if fault != nil {
+		return nil, fault
+	}
+	return p.summary(), nil
+}
+
+// History returns the closed calls of a program, in their order.
+func (m *Machine) History(a types.AccountID, id types.ProgramID) ([]Call, error) {
+	p, fault := m.program(a, id)
+	if fault != nil {
+		return nil, fault
+	}
+	return append([]Call(nil), p.Calls...), nil
+}
--- /dev/null
+++ b/ledger/program.go
@@ -0,0 +1,158 @@
+package ledger
+
+import (
+	"slices"
+
+	"github.com/banyanspur/banyanspur/types"
+)
+
+func (m *Machine) open(at types.LogTime, o Open) Result {
+	a := m.account(o.Account)
+	if p := a.Programs[o.Program]; p != nil {
+		return reopen(p, o)
+	}
+	if fault := checkBudget(o.Budget); fault != nil {
+		return refuse(fault)
+	}
+	p := &program{ID: o.Program, Parent: o.Parent, Budget: o.Budget, Left: o.Budget, Deadline: at.Add(o.Budget.Wall)}
+	if o.Parent != "" {
+		if fault := m.carve(at, a, p); fault != nil {
+			return refuse(fault)
+		}
+	}
+	a.Programs[p.ID] = p
+	return Result{Program: p.summary()}
+}
+
+// reopen answers a repeated Open.
+func reopen(p *program, o Open) Result {
+	if p.Parent != o.Parent || p.Budget != o.Budget {
+		return refuse(types.NewFault(types.CodeConflict, "program %q is open with another budget or parent", p.ID))
+	}
+	return Result{Program: p.summary()}
+}
+
+func checkBudget(b Budget) *types.Fault {
+	if b.Calls <= 0 || b.Wall <= 0 || b.Tokens < 0 || b.Depth < 0 {
+		return types.NewFault(types.CodeBadRequest, "a budget needs calls and time above zero, tokens and depth of zero or more")
+	}
+	return nil
+}
+
+// carve takes a sub-agent's budget out of its parent's.
+func (m *Machine) carve(at types.LogTime, a *account, p *program) *types.Fault {
+	parent := a.Programs[p.Parent]
+	switch {
+	case parent == nil:
+		return types.NewFault(types.CodeNotFound, "no program %q in this client account", p.Parent)
+	case parent.Ended:
+		return types.NewFault(types.CodeProgramEnded, "program %q has ended", parent.ID)
+	case p.Budget.Depth >= parent.Budget.Depth:
+		return types.NewFault(types.CodeBudgetExceeded, "program %q may have %d levels of sub-agents", parent.ID, parent.Budget.Depth)
+	case p.Budget.Calls > parent.Left.Calls || p.Budget.Tokens > parent.Left.Tokens:
+		return types.NewFault(types.CodeBudgetExceeded, "program %q has %d calls and %d tokens left", parent.ID, parent.Left.Calls, parent.Left.Tokens)
+	case at >= parent.Deadline:
+		return types.NewFault(types.CodeBudgetExceeded, "program %q has no time left", parent.ID)
+	}
+	parent.Left.Calls -= p.Budget.Calls
+	parent.Left.Tokens -= p.Budget.Tokens
+	parent.Children = append(parent.Children, p.ID)
+	p.Deadline = min(p.Deadline, parent.Deadline)
+	return nil
+}
+
+func (m *Machine) end(at types.LogTime, e End) Result {
+	p, fault := m.program(e.Account, e.Program)
+	if fault != nil {
+		return refuse(fault)
+	}
+	if e.Overdue && at < p.Deadline {
+		return refuse(types.NewFault(types.CodeConflict, "program %q has time left", p.ID))
+	}
+	if !p.Ended {
+		m.endTree(at, m.account(e.Account), p)
+	}
+	return Result{Program: p.summary()}
+}
+
+// endTree ends the sub-agents first, so that what they return reaches the
+// parent.
+func (m *Machine) endTree(at types.LogTime, a *account, p *program) {
+	for _, id := range p.Children {
+		if child := a.Programs[id]; !child.Ended {
+			m.endTree(at, a, child)
+		}
+	}
+	if p.Current != nil {
+		closeInterrupted(at, p)
+	}
+	p.Ended = true
+	if parent := a.Programs[p.Parent]; parent != nil {
+		parent.Left.Calls += p.Left.Calls
+		parent.Left.Tokens += p.Left.Tokens
+	}
+}
+
+// closeInterrupted closes a call whose program ends. If an attempt was under
+// way, a call that may not be repeated may have run.
+func closeInterrupted(at types.LogTime, p *program) {
+	fault := types.NewFault(types.CodeProgramEnded, "the program ended while the call was under way")
+	outcome := OutcomeFailed
+	if p.Current.Attempt != "" {
+		fault = fault.WithRan(types.Unknown)
+		outcome = OutcomeUnknown
+		p.QuietAt = at.Add(MaxAttempt)
+	}
+	record(p, Close{Attempt: p.Current.Attempt, Outcome: outcome, Fault: fault, Tokens: p.Current.Reserve})
+}
+
+func (m *Machine) release(r Release) Result {
+	p, fault := m.program(r.Account, r.Program)
+	if fault != nil {
+		return refuse(fault)
+	}
+	if !p.Ended {
+		return refuse(types.NewFault(types.CodeConflict, "program %q has not ended", p.ID))
+	}
+	p.Holdings = slices.DeleteFunc(p.Holdings, func(t types.TargetID) bool { return t == r.Target })
+	return Result{Program: p.summary()}
+}
+
+// Holding is memory that a target may keep for a program that has ended.
+type Holding struct {
+	Account types.AccountID
+	Program types.ProgramID
+	Target  types.TargetID
+}
+
+// Owed returns up to most holdings to be given back, in no order.
+func (m *Machine) Owed(at types.LogTime, most int) []Holding {
+	var owed []Holding
+	for aid, a := range m.state.Accounts {
+		for _, p := range a.Programs {
+			if !p.Ended || at < p.QuietAt {
+				continue
+			}
+			for _, t := range p.Holdings {
+				owed = append(owed, Holding{Account: aid, Program: p.ID, Target: t})
+			}
+			if len(owed) >= most {
+				return owed
+			}
+		}
+	}
+	return owed
+}
+
+// Overdue returns up to most programs whose budget of time has run out.
+func (m *Machine) Overdue(at types.LogTime, most int) []End {
+	var overdue []End
+	for aid, a := range m.state.Accounts {
+		for _, p := range a.Programs {
+			if !p.Ended && at >= p.Deadline && len(overdue) < most {
+				overdue = append(overdue, End{Account: aid, Program: p.ID, Overdue: true})
+			}
+		}
+	}
+	return overdue
+}
--- /dev/null
+++ b/quorum/elect.go
@@ -0,0 +1,190 @@
+package quorum
+
+import "github.com/banyanspur/banyanspur/types"
+
+// Tick lets time pass: it starts elections, sends heartbeats and makes a
+// leader that lost its quorum step down.
+func (c *Core) Tick(now types.Mono) {
+	if c.role == Leader {
+		c.tickLeader(now)
+		return
+	}
+	if now < c.deadline {
+		return
+	}
+	c.resetDeadline(now)
+	if !c.Members().IsVoter(c.id) {
+		return
+	}
+	c.campaign(PreCandidate)
+}
+
+func (c *Core) tickLeader(now types.Mono) {
+	if now.Sub(c.quorumAck(now)) > 2*c.timing.ElectionMin && now.Sub(c.heard) > 2*c.timing.ElectionMin {
+		c.follow(now, c.hard.Term, "")
+		return
+	}
+	for id, p := range c.peers {
+		if now.Sub(p.sentAt) >= c.timing.Heartbeat {
+			c.sendAppend(now, id, p)
+		}
+	}
+}
+
+// campaign asks all voters for a vote, or whether they would give one.
+func (c *Core) campaign(role Role) {
+	c.role = role
+	c.leader = ""
+	c.votes = map[ReplicaID]bool{}
+	kind, term := MsgPreVote, c.hard.Term+1
+	if role == Candidate {
+		c.hard = HardState{Term: term, Vote: c.id}
+		kind = MsgVote
+	}
+	lastTerm, _ := c.termAt(c.lastIndex())
+	for _, v := range c.Members().Voters {
+		m := Message{Kind: kind, To: v.ID, Term: term, Index: c.lastIndex(), LogTerm: lastTerm}
+		if v.ID == c.id {
+			// The own vote counts like any other: only after the sync.
+			m = Message{Kind: kind + 1, To: c.id, Term: term}
+		}
+		c.sendAfterSync(m)
+	}
+}
+
+// follow makes the replica a follower in the given term.
+func (c *Core) follow(now types.Mono, term Term, leader ReplicaID) {
+	if term > c.hard.Term {
+		c.hard = HardState{Term: term}
+	}
+	if c.role != Follower {
+		c.resetDeadline(now)
+	}
+	c.role = Follower
+	c.leader = leader
+	c.peers = nil
+	c.votes = nil
+}
+
+// lead makes the replica the leader of its term.
+func (c *Core) lead(now types.Mono) {
+	c.role = Leader
+	c.leader = c.id
+	c.votes = nil
+	c.heard = now
+	c.peers = map[ReplicaID]*progress{}
+	c.syncPeers(now)
+	c.termStart = c.lastIndex() + 1
+	c.append(now, Entry{Kind: KindNoop})
+	c.broadcast(now)
+}
+
+// Step takes one message.
+func (c *Core) Step(now types.Mono, m Message) {
+	if m.To != c.id {
+		return
+	}
+	switch m.Kind {
+	case MsgPreVote, MsgVote:
+		c.stepVote(now, m)
+		return
+	case MsgPreVoteReply:
+		c.stepPreVoteReply(now, m)
+		return
+	}
+	if m.Term < c.hard.Term {
+		c.refuseStale(m)
+		return
+	}
+	if m.Term > c.hard.Term {
+		c.follow(now, m.Term, "")
+	}
+	switch m.Kind {
+	case MsgVoteReply:
+		c.stepVoteReply(now, m)
+	case MsgAppend:
+		c.stepAppend(now, m)
+	case MsgSnapshot:
+		c.stepSnapshot(now, m)
+	case MsgAppendReply:
+		c.stepAppendReply(now, m)
+	}
+}
+
+// refuseStale tells a leader of an earlier term that its reign is over.
+func (c *Core) refuseStale(m Message) {
+	if m.Kind != MsgAppend && m.Kind != MsgSnapshot {
+		return
+	}
+	c.sendAfterSync(Message{Kind: MsgAppendReply, To: m.From, Term: c.hard.Term, Refused: true})
+}
+
+// stepVote answers a request for a vote. While a leader may hold a lease that
+// counts on this replica, the request is ignored.
+func (c *Core) stepVote(now types.Mono, m Message) {
+	if c.role == Leader && now < c.LeaseUntil(now) {
+		return
+	}
+	if c.role != Leader && now.Sub(c.heard) < c.timing.ElectionMin {
+		return
+	}
+	pre := m.Kind == MsgPreVote
+	if !pre && m.Term > c.hard.Term {
+		c.follow(now, m.Term, "")
+	}
+	free := pre && m.Term > c.hard.Term ||
+		!pre && m.Term == c.hard.Term && (c.hard.Vote == "" || c.hard.Vote == m.From)
+	granted := free && c.upToDate(m.Index, m.LogTerm)
+	if granted && !pre {
+		c.hard.Vote = m.From
+		c.resetDeadline(now)
+	}
+	reply := Message{Kind: m.Kind + 1, To: m.From, Term: m.Term, Refused: !granted}
+	if !granted {
+		reply.Term = max(c.hard.Term, 1)
+	}
+	c.sendAfterSync(reply)
+}
+
+// upToDate reports whether a log that ends with the given entry holds all that
+// this replica's log may have committed.
+func (c *Core) upToDate(index Index, term Term) bool {
+	last := c.lastIndex()
+	lastTerm, _ := c.termAt(last)
+	return term > lastTerm || term == lastTerm && index >= last
+}
+
+func (c *Core) stepPreVoteReply(now types.Mono, m Message) {
+	if m.Refused && m.Term > c.hard.Term {
+		c.follow(now, m.Term, "")
+		return
+	}
+	if c.role != PreCandidate || m.Refused || m.Term != c.hard.Term+1 {
+		return
+	}
+	if c.countVote(m.From) {
+		c.campaign(Candidate)
+	}
+}
+
+func (c *Core) stepVoteReply(now types.Mono, m Message) {
+	if c.role != Candidate || m.Refused {
+		return
+	}
+	if c.countVote(m.From) {
+		c.lead(now)
+	}
+}
+
+// countVote notes a vote and reports whether a quorum has been reached.
+func (c *Core) countVote(from ReplicaID) bool {
+	c.votes[from] = true
+	members := c.Members()
+	n := 0
+	for _, v := range members.Voters {
+		if c.votes[v.ID] {
+			n++
+		}
+	}
+	return n >= members.Quorum()
+}
--- /dev/null
+++ b/store/frame.go
@@ -0,0 +1,71 @@
+package store
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+
+	"github.com/cockroachdb/errors"
+)
+
+// frameHeaderBytes holds a magic number, the payload's length and two
+// checksums, four bytes each.
+const frameHeaderBytes = 16
+
+// frameMagic marks the start of a frame, so that a scan can find one.
+const frameMagic uint32 = 0xb5a7_51e9
+
+// MaxFrameBytes bounds a frame's payload, so that a damaged length cannot ask
+// for all memory.
+const MaxFrameBytes = 256 << 20
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// errBadFrame tells that no intact frame starts at the given place.
+var errBadFrame = errors.New("store: no intact frame")
+
+// appendFrame appends the frame that carries payload to dst.
+func appendFrame(dst, payload []byte) []byte {
+	var h [frameHeaderBytes]byte
+	binary.LittleEndian.PutUint32(h[0:], frameMagic)
+	binary.LittleEndian.PutUint32(h[4:], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(h[8:], crc32.Checksum(payload, castagnoli))
+	binary.LittleEndian.PutUint32(h[12:], crc32.Checksum(h[:12], castagnoli))
+	return append(append(dst, h[:]...), payload...)
+}
+
+// readFrame returns the payload of the frame at the start of b and the rest.
+func readFrame(b []byte) (payload, rest []byte, err error) {
+	if len(b) < frameHeaderBytes {
+		return nil, b, errBadFrame
+	}
+	if binary.LittleEndian.Uint32(b) != frameMagic {
+		return nil, b, errBadFrame
+	}
+	if crc32.Checksum(b[:12], castagnoli) != binary.LittleEndian.Uint32(b[12:]) {
+		return nil, b, errBadFrame
+	}
+	n := int(binary.LittleEndian.Uint32(b[4:]))
+	if n > MaxFrameBytes || len(b)-frameHeaderBytes < n {
+		return nil, b, errBadFrame
+	}
+	payload = b[frameHeaderBytes : frameHeaderBytes+n]
+	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(b[8:]) {
+		return nil, b, errBadFrame
+	}
+	return payload, b[frameHeaderBytes+n:], nil
+}
+
+// hasFrame reports whether an intact frame starts anywhere within b.
+func hasFrame(b []byte) bool {
+	var magic [4]byte
+	binary.LittleEndian.PutUint32(magic[:], frameMagic)
+	for i := 0; i+frameHeaderBytes <= len(b); i++ {
+		if [4]byte(b[i:i+4]) != magic {
+			continue
+		}
+		if _, _, err := readFrame(b[i:]); err == nil {
+			return true
+		}
+	}
+	return false
+}
