--- a/host/tend.go
+++ b/host/tend.go
@@ -13,8 +13,6 @@
 const (
 	tendInterval = 200 * time.Millisecond
 	joinTimeout  = time.Second
-	// caughtUp is how many entries a learner may lack when it becomes a voter.
-	caughtUp = 64
 )
 
 // tend keeps the membership of a group in order: a replica that does not
@@ -26,33 +24,13 @@
 			c.askToJoin(ctx, id, s.ID)
 		}
 		if s.Role == quorum.Leader {
-			_ = m.ChangeMembers(ctx, nextMembers(s)) // Refused while a change is pending; tried again.
+			_ = m.ChangeMembers(ctx, s.NextMembers) // Refused while a change is pending; tried again.
 			_ = m.Step(ctx)                          // Fails only when the leader changes.
 		}
 	}
 	return nil
 }
 
-// nextMembers returns the next step on the way to a membership of voters
-// alone. A replica that a learner on the same host replaces goes first: its
-// folder is lost, so that it can never answer again.
-func nextMembers(s quorum.Status) func(quorum.Members) quorum.Members {
-	return func(m quorum.Members) quorum.Members {
-		for _, l := range m.Learners {
-			if s.Match[l.ID]+caughtUp < s.Commit || s.Match[l.ID] == 0 {
-				continue
-			}
-			for _, v := range m.Voters {
-				if v.Host == l.Host {
-					return m.Without(v.ID)
-				}
-			}
-			return m.Promote(l.ID)
-		}
-		return m
-	}
-}
-
 // askToJoin asks every control host; only the leader can act on it.
 func (c *Control) askToJoin(ctx context.Context, id types.GroupID, replica quorum.ReplicaID) {
 	req := ctrl.JoinRequest{Group: id, Member: quorum.Member{ID: replica, Host: c.Settings.Host}}
--- a/quorum/append.go
+++ b/quorum/append.go
@@ -45,16 +45,13 @@
 		return 0, errors.New("quorum: a change may add or remove one voter only")
 	}
 	c.append(now, Entry{Kind: KindMembers, Members: &m})
+	c.members, c.membersAt = m, c.lastIndex()
 	c.syncPeers(now)
 	c.broadcast(now)
 	return c.lastIndex(), nil
 }
 
-func (c *Core) changePending() bool {
-	return slices.ContainsFunc(c.log, func(e Entry) bool {
-		return e.Kind == KindMembers && e.Index > c.commit
-	})
-}
+func (c *Core) changePending() bool { return c.membersAt > c.commit }
 
 func voterDifference(a, b Members) int {
 	n := 0
@@ -206,6 +203,7 @@
 		}
 		c.log = append(c.log[:e.Index-c.snap.Index-1], entries[i:]...)
 		c.saved = min(c.saved, e.Index-1)
+		c.findMembers()
 		return
 	}
 }
--- a/quorum/compact.go
+++ b/quorum/compact.go
@@ -19,6 +19,7 @@
 	c.snap = s
 	c.snap.Data = nil
 	c.log = nil
+	c.findMembers()
 	c.saved = s.Index
 	c.commit = s.Index
 	c.applied = s.Index
@@ -49,6 +50,7 @@
 	c.snap = s
 	c.snap.Data = nil
 	c.log = rest
+	c.findMembers()
 	return rest
 }
 
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -79,9 +79,13 @@
 	hardDone HardState // what Output has reported already
 	snap     Snapshot  // Data is not kept
 	log      []Entry   // log[i].Index == snap.Index+1+i
-	saved    Index     // Output has reported all entries up to here
-	commit   Index     // never falls
-	applied  Index     // applied <= commit; Output has reported entries up to here
+	// members is the newest membership in the log, and membersAt the index of
+	// the entry that holds it.
+	members   Members
+	membersAt Index
+	saved     Index // Output has reported all entries up to here
+	commit    Index // never falls
+	applied   Index // applied <= commit; Output has reported entries up to here
 
 	role      Role
 	leader    ReplicaID
@@ -111,6 +115,7 @@
 	}
 	c.snap.Data = nil
 	c.saved = c.lastIndex()
+	c.findMembers()
 	if n := len(c.log); n > 0 {
 		c.logTime = c.log[n-1].Time
 	}
@@ -150,14 +155,20 @@
 // Commit returns the index of the last entry known to be committed.
 func (c *Core) Commit() Index { return c.commit }
 
-// Members returns the newest membership in the log.
-func (c *Core) Members() Members {
-	for i := len(c.log) - 1; i >= 0; i-- {
-		if c.log[i].Kind == KindMembers {
-			return *c.log[i].Members
+// Members returns the newest membership in the log. Callers must not change
+// it.
+func (c *Core) Members() Members { return c.members }
+
+// findMembers looks the newest membership up after the log was replaced or
+// cut.
+func (c *Core) findMembers() {
+	c.members, c.membersAt = c.snap.Members, c.snap.Index
+	for _, e := range slices.Backward(c.log) {
+		if e.Kind == KindMembers {
+			c.members, c.membersAt = *e.Members, e.Index
+			return
 		}
 	}
-	return c.snap.Members
 }
 
 // Match returns how far replica id is known to have synced, on a leader.
@@ -242,6 +253,15 @@
 	c.deadline = now.Add(c.timing.ElectionMin + spread)
 }
 
+// retryDeadline is for a candidate whose election may fail. It is shorter than
+// the first timeout, since asking again disturbs no leader: the others answer
+// only once they have not heard from one for ElectionMin.
+func (c *Core) retryDeadline(now types.Mono) {
+	base := c.timing.ElectionMin / 5
+	spread := time.Duration(c.rand.Int64N(int64(2 * base)))
+	c.deadline = now.Add(base + spread)
+}
+
 func (c *Core) sendNow(m Message) {
 	m.From = c.id
 	c.out.Now = append(c.out.Now, m)
--- a/quorum/elect.go
+++ b/quorum/elect.go
@@ -12,15 +12,18 @@
 	if now < c.deadline {
 		return
 	}
-	c.resetDeadline(now)
 	if !c.Members().IsVoter(c.id) {
+		c.resetDeadline(now)
 		return
 	}
 	c.campaign(PreCandidate)
+	c.retryDeadline(now)
 }
 
 func (c *Core) tickLeader(now types.Mono) {
-	if now.Sub(c.quorumAck(now)) > 2*c.timing.ElectionMin && now.Sub(c.heard) > 2*c.timing.ElectionMin {
+	if now.Sub(max(c.quorumAck(now), c.heard)) > c.timing.ElectionMin {
+		// The lease has run out. Heartbeats would only keep the others from
+		// electing a leader that hears them.
 		c.follow(now, c.hard.Term, "")
 		return
 	}
@@ -164,6 +167,7 @@
 	}
 	if c.countVote(m.From) {
 		c.campaign(Candidate)
+		c.retryDeadline(now)
 	}
 }
 
--- /dev/null
+++ b/quorum/members.go
@@ -0,0 +1,25 @@
+package quorum
+
+// caughtUp is how many entries a learner may lack when it becomes a voter.
+const caughtUp = 64
+
+// NextMembers returns the next step from m towards a membership of voters
+// alone, as seen by the leader whose status s is, or m if there is none to
+// take. A voter that a learner on the same host replaces goes first: its folder
+// is lost, so that it can never answer again, and counting it would leave the
+// group without a spare for longer.
+func (s Status) NextMembers(m Members) Members {
+	for _, l := range m.Learners {
+		match := s.Match[l.ID]
+		if match == 0 || match+caughtUp < s.Commit {
+			continue
+		}
+		for _, v := range m.Voters {
+			if v.Host == l.Host {
+				return m.Without(v.ID)
+			}
+		}
+		return m.Promote(l.ID)
+	}
+	return m
+}
