--- a/config/place.go
+++ b/config/place.go
@@ -84,32 +84,54 @@
 
 func lineIndex(b []byte) places {
 	lines := places{}
-	counts := map[string]int{}
+	counts := tableCounts{}
 	prefix := ""
 	var parser unstable.Parser
 	parser.Reset(b)
 	for parser.NextExpression() {
 		e := parser.Expression()
-		key, line := keyOf(&parser, e)
+		parts, line := keyOf(&parser, e)
 		switch e.Kind {
 		case unstable.ArrayTable:
-			n := counts[key]
-			counts[key]++
-			prefix = fmt.Sprintf("%s.%d", key, n)
+			prefix = counts.enter(parts)
 			lines[prefix] = line
 		case unstable.Table:
-			prefix = key
+			prefix = counts.within(parts)
 			lines[prefix] = line
 		case unstable.KeyValue:
-			lines[strings.TrimPrefix(prefix+"."+key, ".")] = line
+			lines[strings.TrimPrefix(prefix+"."+strings.Join(parts, "."), ".")] = line
 		}
 	}
 	return lines
 }
 
-// keyOf returns the dotted key of an expression and its line.
-func keyOf(parser *unstable.Parser, e *unstable.Node) (key string, line int) {
-	var parts []string
+// tableCounts holds how many items each array of tables has so far, by its
+// path.
+type tableCounts map[string]int
+
+// within returns the path of a table, which is part of the newest item of
+// every array of tables on the way.
+func (t tableCounts) within(parts []string) string {
+	path := ""
+	for _, part := range parts {
+		path = strings.TrimPrefix(path+"."+part, ".")
+		if n, ok := t[path]; ok {
+			path = fmt.Sprintf("%s.%d", path, n-1)
+		}
+	}
+	return path
+}
+
+// enter starts a new item of an array of tables and returns its path.
+func (t tableCounts) enter(parts []string) string {
+	last := len(parts) - 1
+	path := strings.TrimPrefix(t.within(parts[:last])+"."+parts[last], ".")
+	t[path]++
+	return fmt.Sprintf("%s.%d", path, t[path]-1)
+}
+
+// keyOf returns the parts of an expression's key and its line.
+func keyOf(parser *unstable.Parser, e *unstable.Node) (parts []string, line int) {
 	line = 1
 	for it := e.Key(); it.Next(); {
 		node := it.Node()
@@ -118,5 +140,5 @@
 		}
 		parts = append(parts, string(node.Data))
 	}
-	return strings.Join(parts, "."), line
+	return parts, line
 }
--- a/config/questionnaire.go
+++ b/config/questionnaire.go
@@ -75,6 +75,9 @@
 	var c Change
 	o := origins{}
 	for i, a := range q.Account {
+		if o.knows("accounts", a.Name) {
+			continue // Given twice, which is a finding; the first counts.
+		}
 		c.PutAccounts = append(c.PutAccounts, Account{ID: a.Name, Rate: a.RequestsPerSecond, Burst: a.Burst})
 		path := fmt.Sprintf("account.%d", i)
 		o.add(fmt.Sprintf("accounts.%s", a.Name), path, "rate", "requestsPerSecond")
@@ -84,9 +87,15 @@
 		}
 	}
 	for i, s := range q.Service {
+		if o.knows("services", s.Name) {
+			continue
+		}
 		c.PutServices = append(c.PutServices, Service{ID: s.Name, Kind: s.Kind, Open: s.OpenToAll, NonIdempotent: s.NonIdempotent})
 		o.add(fmt.Sprintf("services.%s", s.Name), fmt.Sprintf("service.%d", i), "", "")
 		for j, t := range s.Target {
+			if o.knows("targets", t.Name) {
+				continue
+			}
 			c.PutTargets = append(c.PutTargets, Target{
 				ID: t.Name, Service: s.Name, Address: t.Address, Zone: t.Zone, Leaving: t.Leaving, Fenced: t.ChecksFencing,
 			})
@@ -126,6 +135,12 @@
 // origins maps the path of a configuration's item to the questionnaire's.
 type origins map[string]string
 
+// knows reports whether an item of the given kind and name has been added.
+func (o origins) knows(kind string, name any) bool {
+	_, ok := o[fmt.Sprintf("%s.%s", kind, name)]
+	return ok
+}
+
 // add maps a path, and below it one field that has another name there.
 func (o origins) add(path, origin, field, originField string) {
 	o[path] = origin
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,6 +35,9 @@
 	// MaxInFlight bounds the requests under way. It defaults to
 	// [DefaultMaxInFlight].
 	MaxInFlight int
+	// HostList is the file with the platform's list of live and leaving hosts.
+	// Empty stands for none.
+	HostList string
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
@@ -43,6 +46,7 @@
 	view     view
 	sessions sessionLeases
 	targets  targetTable
+	leaving  leavingHosts
 	senders  senders
 	retries  route.RetryBudget
 	turn     atomic.Uint64
@@ -89,6 +93,7 @@
 	e.init()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return e.keepLease(ctx) })
+	g.Go(func() error { return e.watchHostList(ctx) })
 	for i := range e.Client.Groups {
 		g.Go(func() error { return e.keepSession(ctx, types.GroupID(i+1)) })
 	}
--- /dev/null
+++ b/entry/fleet_test.go
@@ -0,0 +1,224 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/admin"
+	"github.com/banyanspur/banyanspur/config"
+	"github.com/banyanspur/banyanspur/ctrl"
+	"github.com/banyanspur/banyanspur/fakes"
+	"github.com/banyanspur/banyanspur/host"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+const (
+	choirKey = "key-of-the-choir"
+	bandKey  = "key-of-the-band"
+	secret   = "a-secret-of-the-test-fleet"
+	// patience bounds every wait; it is no target.
+	patience = 30 * time.Second
+)
+
+// fleet is one control host and two entry hosts in this process.
+type fleet struct {
+	t       *testing.T
+	client  *ctrl.Client
+	entries []string
+	stop    []context.CancelFunc // by entry host
+	engine  *fakes.Engine
+	booking *fakes.Service
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	t.Parallel()
+	f := &fleet{t: t, engine: &fakes.Engine{}, booking: &fakes.Service{}, entries: addresses(t, 2)}
+	control := []config.ControlHost{{Host: "control-0", Address: addresses(t, 1)[0]}}
+	ctx, cancel := context.WithCancel(context.Background())
+	g, ctx := errgroup.WithContext(ctx)
+	f.client = &ctrl.Client{Hosts: control, Secret: secret, Groups: 2}
+	g.Go(func() error { return f.client.Run(ctx) })
+	run := func(ctx context.Context, s config.Settings) {
+		s.Control, s.Groups, s.Zone = control, 2, "zone-a"
+		p := &host.Process{Settings: s, Secret: secret, DrainLag: 50 * time.Millisecond}
+		g.Go(func() error { return p.Run(ctx) })
+	}
+	run(ctx, config.Settings{Host: "control-0", Roles: []config.Role{config.RoleControl}, DataDir: t.TempDir(), PeerListen: control[0].Address})
+	for i, a := range f.entries {
+		entryCtx, stop := context.WithCancel(ctx)
+		f.stop = append(f.stop, stop)
+		run(entryCtx, config.Settings{Host: types.HostID(fmt.Sprintf("entry-%d", i)), Roles: []config.Role{config.RoleEntry}, CallerListen: a})
+	}
+	t.Cleanup(func() {
+		cancel()
+		if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	})
+	f.order(f.change())
+	return f
+}
+
+func (f *fleet) change() config.Change {
+	return config.Change{
+		PutAccounts: []config.Account{{ID: "choir", Rate: 10000, Burst: 10000}, {ID: "band", Rate: 10, Burst: 3}},
+		PutKeys:     []config.Key{{Hash: types.HashKey(choirKey), Account: "choir"}, {Hash: types.HashKey(bandKey), Account: "band"}},
+		PutServices: []config.Service{
+			{ID: "assistant", Kind: config.KindModel},
+			{ID: "booking", Kind: config.KindPlain, NonIdempotent: []string{"/deposits"}},
+			{ID: "lobby", Kind: config.KindPlain, Open: true},
+		},
+		PutTargets: []config.Target{
+			{ID: "engine-0", Service: "assistant", Address: f.serve(f.engine.Handler()), Zone: "zone-a"},
+			{ID: "booking-0", Service: "booking", Address: f.serve(f.booking), Zone: "zone-a"},
+			{ID: "lobby-0", Service: "lobby", Address: f.serve(f.booking), Zone: "zone-a"},
+		},
+	}
+}
+
+func (f *fleet) serve(h http.Handler) string {
+	s := httptest.NewServer(h)
+	f.t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// order brings a change into force and waits until it is everywhere.
+func (f *fleet) order(c config.Change) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	id := types.OrderID(types.RandomID())
+	var version types.Version
+	f.eventually("order", func() error {
+		fleet, err := f.client.Fleet(ctx)
+		if err != nil {
+			return err
+		}
+		d, err := f.client.Order(ctx, orderOf(id, fleet.Version, c))
+		if err != nil {
+			return err
+		}
+		if !d.Accepted {
+			f.t.Fatal(d.Reason)
+		}
+		version = d.Version
+		return nil
+	})
+	f.eventually("in force", func() error {
+		reply, err := f.client.InForce(ctx, version)
+		if err == nil && !reply.InForce {
+			err = fmt.Errorf("waiting for %v", reply.Waiting)
+		}
+		return err
+	})
+	for i := range f.entries {
+		f.eventually("entry is ready", func() error {
+			if a := f.ask(i, choirKey, http.MethodGet, "/v1/programs/none", ""); a.status == http.StatusServiceUnavailable || a.err != nil {
+				return fmt.Errorf("%+v", a)
+			}
+			return nil
+		})
+	}
+}
+
+func (f *fleet) eventually(what string, fn func() error) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for {
+		err := fn()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%s: %v", what, err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// reply is an answer to a caller.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// fault is the part of an error that tests look at.
+type fault struct {
+	Code, Ran string
+}
+
+func (r reply) fault() fault {
+	var b struct {
+		Error fault `json:"error"`
+	}
+	_ = json.Unmarshal([]byte(r.body), &b)
+	return b.Error
+}
+
+func (f *fleet) ask(entry int, key, method, path, body string) reply {
+	req, err := http.NewRequest(method, "http://"+f.entries[entry]+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	return f.do(req)
+}
+
+func (f *fleet) do(req *http.Request) reply {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(bytes.TrimSpace(b)), err: err}
+}
+
+// open opens a program for the choir.
+func (f *fleet) open(name string) {
+	f.t.Helper()
+	body := fmt.Sprintf(`{"program":%q,"budget":{"calls":50,"tokens":2000,"seconds":600,"depth":2}}`, name)
+	if a := f.ask(0, choirKey, http.MethodPost, "/v1/programs", body); a.status != http.StatusCreated {
+		f.t.Fatalf("open: %+v", a)
+	}
+}
+
+// call makes a call of the choir's program.
+func (f *fleet) call(entry int, program string, n int, path, body string) reply {
+	return f.ask(entry, choirKey, http.MethodPost, fmt.Sprintf("/v1/programs/%s/calls/%d%s", program, n, path), body)
+}
+
+func addresses(t *testing.T, n int) []string {
+	t.Helper()
+	var list []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		list = append(list, l.Addr().String())
+	}
+	return list
+}
+
+func orderOf(id types.OrderID, base types.Version, c config.Change) admin.Order {
+	return admin.Order{ID: id, Base: base, Change: c, Operator: "tester"}
+}
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -54,9 +54,9 @@
 
 // abandon takes an attempt back before another is made or the caller is told
 // that the call did not run.
-func (e *Entry) abandon(ctx context.Context, k *call, attempt types.AttemptID, notRun, crashed bool) error {
+func (e *Entry) abandon(k *call, attempt types.AttemptID, notRun, crashed bool) error {
 	b := e.abandonment(k, attempt, notRun, crashed)
-	ctx, cancel := context.WithTimeout(ctx, journalTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), journalTimeout)
 	defer cancel()
 	_, err := e.Client.Ledger(ctx, b.Account, ledger.Command{Abandon: &b})
 	return err
--- a/entry/pick.go
+++ b/entry/pick.go
@@ -142,7 +142,7 @@
 func (e *Entry) candidates(fleet config.Fleet, k *call, a affinity, allowed func(types.TargetID) bool) (healthy, ejected []route.Candidate) {
 	now := e.Clock()
 	for id, t := range fleet.Targets {
-		if t.Service != k.service.ID || t.Leaving || !allowed(id) {
+		if t.Service != k.service.ID || t.Leaving || e.leaving.has(t.Address) || !allowed(id) {
 			continue
 		}
 		c, out := e.targets.candidate(id, now)
--- /dev/null
+++ b/entry/promise_test.go
@@ -0,0 +1,391 @@
+package entry_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/config"
+	"github.com/banyanspur/banyanspur/entry"
+	"github.com/banyanspur/banyanspur/fakes"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+const (
+	chatBody  = `{"model":"assistant","max_tokens":8,"messages":[{"role":"user","content":"hello"}]}`
+	crashBody = `{"crash":true}`
+	chatPath  = "/assistant/v1/chat/completions"
+	deposit   = "/booking/deposits"
+	rooms     = "/booking/rooms"
+)
+
+func checkFault(t *testing.T, what string, a reply, status int, want fault) {
+	t.Helper()
+	if diff := cmp.Diff(want, a.fault()); diff != "" || a.status != status {
+		t.Errorf("%s: status %d, want %d; fault (-want +got):\n%s\n%s", what, a.status, status, diff, a.body)
+	}
+}
+
+// TestDepositAtMostOnce lets the target die while it runs a deposit. The
+// outcome is unknown, stays unknown for every resend through any entry host,
+// and the deposit is never sent again.
+func TestDepositAtMostOnce(t *testing.T) {
+	f := newFleet(t)
+	f.open("p")
+	want := fault{Code: "outcomeUnknown", Ran: "unknown"}
+	for i := range 4 {
+		checkFault(t, "deposit", f.call(i%2, "p", 1, deposit, crashBody), http.StatusBadGateway, want)
+	}
+	for id, n := range f.booking.Effects() {
+		if n != 1 {
+			t.Errorf("deposit %s was made %d times", id, n)
+		}
+	}
+	checkFault(t, "without a call number", f.ask(0, choirKey, http.MethodPost, "/v1/services/booking/deposits", "{}"), http.StatusOK, fault{})
+	if a := f.call(0, "p", 2, rooms, "{}"); a.status != http.StatusOK {
+		t.Errorf("the program does not go on: %+v", a)
+	}
+}
+
+// TestNotRunIsTrue makes a call whose target cannot be reached, and the same
+// call again when it can.
+func TestNotRunIsTrue(t *testing.T) {
+	f := newFleet(t)
+	f.open("p")
+	free := addresses(t, 1)[0]
+	f.order(config.Change{PutTargets: []config.Target{{ID: "booking-0", Service: "booking", Address: free, Zone: "zone-a"}}})
+	checkFault(t, "unreachable", f.call(0, "p", 1, deposit, "{}"), http.StatusServiceUnavailable, fault{Code: "noTarget", Ran: "notRun"})
+	l, err := net.Listen("tcp", free)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: f.booking}
+	var g errgroup.Group
+	g.Go(func() error { return server.Serve(l) })
+	t.Cleanup(func() {
+		_ = server.Close()
+		_ = g.Wait()
+	})
+	f.eventually("resend", func() error {
+		if a := f.call(1, "p", 1, deposit, "{}"); a.status != http.StatusOK {
+			return fmt.Errorf("%+v", a)
+		}
+		return nil
+	})
+	if diff := cmp.Diff(1, len(f.booking.Effects())); diff != "" {
+		t.Errorf("effects (-want +got):\n%s", diff)
+	}
+}
+
+// TestQuarantine sends a request that kills its targets, and the caller sends
+// it again in other programs and through another entry host.
+func TestQuarantine(t *testing.T) {
+	f := newFleet(t)
+	var runs atomic.Int64
+	poison := f.serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	}))
+	f.order(config.Change{PutTargets: []config.Target{
+		{ID: "booking-0", Service: "booking", Address: poison, Zone: "zone-a"},
+		{ID: "booking-1", Service: "booking", Address: poison, Zone: "zone-a"},
+		{ID: "booking-2", Service: "booking", Address: poison, Zone: "zone-a"},
+		{ID: "booking-3", Service: "booking", Address: poison, Zone: "zone-a"},
+	}})
+	for i := range 4 {
+		name := fmt.Sprintf("p%d", i)
+		f.open(name)
+		a := f.call(i%2, name, 1, rooms, `{"poison":1}`)
+		if i > 0 {
+			checkFault(t, name, a, http.StatusUnprocessableEntity, fault{Code: "quarantined", Ran: "notRun"})
+		}
+	}
+	if diff := cmp.Diff(int64(2), runs.Load()); diff != "" {
+		t.Errorf("targets that died (-want +got):\n%s", diff)
+	}
+}
+
+// TestNoTargetSeesKey looks for the caller's key in all that targets get.
+func TestNoTargetSeesKey(t *testing.T) {
+	f := newFleet(t)
+	f.open("p")
+	for _, path := range []string{"/v1/services/booking/rooms", "/open/lobby/rooms", "/v1/programs/p/calls/1" + rooms} {
+		req, err := http.NewRequest(http.MethodPost, "http://"+f.entries[0]+path, strings.NewReader("{}"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range []string{"Authorization", "Proxy-Authorization", "X-Api-Key", "Cookie", "Forwarded", "X-Authorization"} {
+			req.Header.Set(name, "Bearer "+choirKey)
+		}
+		if a := f.do(req); a.status != http.StatusOK {
+			t.Fatalf("%s: %+v", path, a)
+		}
+	}
+	seen := fmt.Sprint(f.booking.Headers())
+	if len(f.booking.Headers()) != 3 || strings.Contains(seen, choirKey) || strings.Contains(seen, string(types.HashKey(choirKey))) {
+		t.Errorf("targets saw %s", seen)
+	}
+}
+
+// TestAccountsAreApart reaches for another account's program with a valid key.
+func TestAccountsAreApart(t *testing.T) {
+	f := newFleet(t)
+	f.open("p")
+	if a := f.call(0, "p", 1, chatPath, chatBody); a.status != http.StatusOK {
+		t.Fatalf("call: %+v", a)
+	}
+	notFound := fault{Code: "notFound", Ran: "notRun"}
+	for _, path := range []string{"/v1/programs/p", "/v1/programs/p/history"} {
+		checkFault(t, path, f.ask(0, bandKey, http.MethodGet, path, ""), http.StatusNotFound, notFound)
+	}
+	for _, path := range []string{"/v1/programs/p/end", "/v1/programs/p/calls/2" + rooms} {
+		checkFault(t, path, f.ask(0, bandKey, http.MethodPost, path, "{}"), http.StatusNotFound, notFound)
+	}
+	for _, key := range []string{"", "wrong", string(types.HashKey(choirKey))} {
+		checkFault(t, "key "+key, f.ask(0, key, http.MethodGet, "/v1/programs/p", ""), http.StatusUnauthorized, fault{Code: "unauthorized", Ran: "notRun"})
+	}
+}
+
+// TestWithdrawnKey withdraws a key while its caller is connected and receives
+// a stream. The stream ends and nothing new runs.
+func TestWithdrawnKey(t *testing.T) {
+	f := newFleet(t)
+	slow := &fakes.Engine{TokenTime: 20 * time.Millisecond, AnswerTokens: 500}
+	f.order(config.Change{PutTargets: []config.Target{{ID: "engine-0", Service: "assistant", Address: f.serve(slow.Handler()), Zone: "zone-a"}}})
+	f.open("p")
+	var wg sync.WaitGroup
+	var stream reply
+	wg.Go(func() {
+		stream = f.call(0, "p", 1, chatPath, strings.Replace(chatBody, `"max_tokens":8`, `"stream":true,"max_tokens":500`, 1))
+	})
+	f.eventually("the engine runs", func() error {
+		if computed, _ := slow.Waste(); computed == 0 {
+			return fmt.Errorf("nothing computed")
+		}
+		return nil
+	})
+	f.withdraw(choirKey)
+	checkFault(t, "connected caller", f.ask(0, choirKey, http.MethodGet, "/v1/programs/p", ""), http.StatusUnauthorized, fault{Code: "unauthorized", Ran: "notRun"})
+	wg.Wait()
+	if !strings.Contains(stream.body, "event: error") || strings.Contains(stream.body, "[DONE]") {
+		t.Errorf("the stream went on: %.300s", stream.body)
+	}
+}
+
+// withdraw withdraws a key and waits until it is in force everywhere.
+func (f *fleet) withdraw(key string) {
+	f.t.Helper()
+	ctx := f.t.Context()
+	d, err := f.client.Fleet(ctx)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	id := types.OrderID(types.RandomID())
+	decision, err := f.client.Order(ctx, orderOf(id, d.Version, config.Change{DropKeys: []types.KeyHash{types.HashKey(key)}}))
+	if err != nil || !decision.Accepted {
+		f.t.Fatal(decision, err)
+	}
+	f.eventually("in force", func() error {
+		r, err := f.client.InForce(ctx, decision.Version)
+		if err == nil && !r.InForce {
+			err = fmt.Errorf("waiting for %v", r.Waiting)
+		}
+		return err
+	})
+}
+
+// TestLimitAcrossHosts sends a burst through both entry hosts at once. No more
+// than the burst and what refills meanwhile is admitted, and a refusal tells
+// truly when to come back.
+func TestLimitAcrossHosts(t *testing.T) {
+	f := newFleet(t)
+	start := time.Now()
+	var admitted atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Go(func() {
+			a := f.ask(i%2, bandKey, http.MethodPost, "/v1/services/booking/rooms", "{}")
+			if a.status == http.StatusOK {
+				admitted.Add(1)
+			} else if a.fault() != (fault{Code: "rateLimited", Ran: "notRun"}) || a.header.Get("Retry-After") != "1" {
+				t.Errorf("refusal: %+v", a)
+			}
+		})
+	}
+	wg.Wait()
+	most := 3 + 10*time.Since(start).Seconds()
+	if n := admitted.Load(); n < 3 || float64(n) > most {
+		t.Errorf("%d requests were admitted, not 3 to %.1f", n, most)
+	}
+	time.Sleep(time.Second)
+	if a := f.ask(0, bandKey, http.MethodPost, "/v1/services/booking/rooms", "{}"); a.status != http.StatusOK {
+		t.Errorf("after Retry-After: %+v", a)
+	}
+}
+
+// TestStreamCutShort breaks an engine's stream: the caller gets an error
+// event, never the end of a whole answer, and the journal says so too.
+func TestStreamCutShort(t *testing.T) {
+	f := newFleet(t)
+	broken := f.serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = fmt.Fprint(w, "data: {\"choices\":[]}\n\n")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	f.order(config.Change{PutTargets: []config.Target{{ID: "engine-0", Service: "assistant", Address: broken, Zone: "zone-a"}}})
+	f.open("p")
+	a := f.call(0, "p", 1, chatPath, strings.Replace(chatBody, `"max_tokens":8`, `"stream":true`, 1))
+	if !strings.Contains(a.body, "event: error") || strings.Contains(a.body, "[DONE]") {
+		t.Errorf("stream: %s", a.body)
+	}
+	checkFault(t, "resend", f.call(1, "p", 1, chatPath, strings.Replace(chatBody, `"max_tokens":8`, `"stream":true`, 1)), http.StatusBadGateway, fault{Code: "targetFailed", Ran: "unknown"})
+}
+
+// TestShutdownCutsNothing stops an entry host while it streams.
+func TestShutdownCutsNothing(t *testing.T) {
+	f := newFleet(t)
+	slow := &fakes.Engine{TokenTime: 20 * time.Millisecond, AnswerTokens: 50}
+	f.order(config.Change{PutTargets: []config.Target{{ID: "engine-0", Service: "assistant", Address: f.serve(slow.Handler()), Zone: "zone-a"}}})
+	f.open("p")
+	var wg sync.WaitGroup
+	var stream reply
+	wg.Go(func() {
+		stream = f.call(0, "p", 1, chatPath, strings.Replace(chatBody, `"max_tokens":8`, `"stream":true`, 1))
+	})
+	f.eventually("the engine runs", func() error {
+		if computed, _ := slow.Waste(); computed == 0 {
+			return fmt.Errorf("nothing computed")
+		}
+		return nil
+	})
+	f.stop[0]()
+	wg.Wait()
+	if stream.err != nil || !strings.HasSuffix(stream.body, "data: [DONE]") {
+		t.Errorf("the stream was cut off: %v %s", stream.err, stream.body)
+	}
+	if a := f.call(1, "p", 1, chatPath, strings.Replace(chatBody, `"max_tokens":8`, `"stream":true`, 1)); a.body != stream.body {
+		t.Errorf("the journal holds another answer: %s", a.body)
+	}
+}
+
+// TestMemoryGivenBack ends a program while its engine is away, and looks for
+// its memory when the engine is back.
+func TestMemoryGivenBack(t *testing.T) {
+	f := newFleet(t)
+	var away atomic.Bool
+	handler := f.engine.Handler()
+	gate := f.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if away.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	f.order(config.Change{PutTargets: []config.Target{{ID: "engine-0", Service: "assistant", Address: gate, Zone: "zone-a"}}})
+	f.open("p")
+	f.open("q")
+	for _, p := range []string{"p", "q"} {
+		if a := f.call(0, p, 1, chatPath, chatBody); a.status != http.StatusOK {
+			t.Fatalf("call: %+v", a)
+		}
+	}
+	away.Store(true)
+	if a := f.ask(1, choirKey, http.MethodPost, "/v1/programs/p/end", ""); a.status != http.StatusOK {
+		t.Fatalf("end: %+v", a)
+	}
+	time.Sleep(500 * time.Millisecond)
+	away.Store(false)
+	f.eventually("memory is given back", func() error {
+		if holds := f.engine.Holds(); len(holds) != 1 || holds[entry.HoldName("choir", "q")] == 0 {
+			return fmt.Errorf("holds %v", holds)
+		}
+		return nil
+	})
+}
+
+// TestLeavingTarget marks the only target as leaving: it gets nothing new.
+func TestLeavingTarget(t *testing.T) {
+	f := newFleet(t)
+	f.order(config.Change{PutTargets: []config.Target{{ID: "booking-0", Service: "booking", Address: f.serve(f.booking), Zone: "zone-a", Leaving: true}}})
+	f.open("p")
+	checkFault(t, "leaving", f.call(0, "p", 1, rooms, "{}"), http.StatusServiceUnavailable, fault{Code: "noTarget", Ran: "notRun"})
+}
+
+// TestBudget uses a program's calls and tokens up.
+func TestBudget(t *testing.T) {
+	f := newFleet(t)
+	body := `{"program":"p","budget":{"calls":3,"tokens":10,"seconds":600,"depth":1}}`
+	if a := f.ask(0, choirKey, http.MethodPost, "/v1/programs", body); a.status != http.StatusCreated {
+		t.Fatalf("open: %+v", a)
+	}
+	exceeded := fault{Code: "budgetExceeded", Ran: "notRun"}
+	child := `{"program":"c","parent":"p","budget":{"calls":4,"tokens":0,"seconds":60}}`
+	checkFault(t, "child", f.ask(0, choirKey, http.MethodPost, "/v1/programs", child), http.StatusForbidden, exceeded)
+	if a := f.call(0, "p", 1, chatPath, chatBody); a.status != http.StatusOK {
+		t.Fatalf("call: %+v", a)
+	}
+	checkFault(t, "tokens", f.call(0, "p", 2, chatPath, chatBody), http.StatusForbidden, exceeded)
+	for n := 2; n <= 3; n++ {
+		if a := f.call(n%2, "p", n, rooms, "{}"); a.status != http.StatusOK {
+			t.Fatalf("call: %+v", a)
+		}
+	}
+	checkFault(t, "calls", f.call(0, "p", 4, rooms, "{}"), http.StatusForbidden, exceeded)
+}
+
+// TestBadInput sends what callers should not, and finds that nothing ran.
+func TestBadInput(t *testing.T) {
+	f := newFleet(t)
+	f.open("p")
+	bad := fault{Code: "badRequest", Ran: "notRun"}
+	for _, c := range []struct {
+		name, path, body string
+		status           int
+		want             fault
+	}{
+		{"unknown field", "/v1/programs", `{"budgets":{}}`, 400, bad},
+		{"no budget", "/v1/programs", `{"program":"x"}`, 400, bad},
+		{"bad id", "/v1/programs", `{"program":"../x","budget":{"calls":1,"seconds":1}}`, 400, bad},
+		{"two values", "/v1/programs", `{} {}`, 400, bad},
+		{"no model", "/v1/chat/completions", `{"messages":[]}`, 404, fault{Code: "notFound", Ran: "notRun"}},
+		{"no messages", "/v1/chat/completions", `{"model":"assistant"}`, 400, bad},
+		{"too many tokens", "/v1/chat/completions", strings.Replace(chatBody, "8", "99999999", 1), 400, bad},
+		{"call zero", "/v1/programs/p/calls/0" + rooms, `{}`, 400, bad},
+		{"out of order", "/v1/programs/p/calls/2" + rooms, `{}`, 409, fault{Code: "outOfOrder", Ran: "notRun"}},
+		{"other program", "/v1/programs/q/calls/1" + rooms, `{}`, 404, fault{Code: "notFound", Ran: "notRun"}},
+		{"no service", "/v1/services/none/x", `{}`, 404, fault{Code: "notFound", Ran: "notRun"}},
+		{"not open", "/open/booking/x", `{}`, 404, fault{Code: "notFound", Ran: "notRun"}},
+		{"too large", "/v1/programs/p/calls/1" + rooms, strings.Repeat("x", entry.MaxBodyBytes+1), 413, fault{Code: "payloadTooLarge", Ran: "notRun"}},
+	} {
+		checkFault(t, c.name, f.ask(0, choirKey, http.MethodPost, c.path, c.body), c.status, c.want)
+	}
+	f.cutShort()
+	if n := len(f.booking.Headers()); n != 0 {
+		t.Errorf("%d requests reached a target", n)
+	}
+}
+
+// cutShort sends a body that ends early.
+func (f *fleet) cutShort() {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.entries[0])
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "POST /v1/programs/p/calls/1%s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{}", rooms, choirKey)
+	_ = conn.(*net.TCPConn).CloseWrite()
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	if err == nil && !strings.Contains(line, "400") {
+		f.t.Errorf("a body cut short was answered %s", line)
+	}
+}
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -37,8 +37,8 @@
 		return e.store(t.answered(a), st), nil
 	}
 	e.Log.Write(event.TargetFailed, event.Fields{"target": t.target.ID, "ran": a.ran, "error": a.err.Error()})
-	repeatable := a.ran == types.NotRun || t.idempotent && !a.forwarded
-	if repeatable && ctx.Err() == nil {
+	repeatable := t.idempotent && !a.forwarded && ctx.Err() == nil
+	if repeatable || a.ran == types.NotRun {
 		return e.tryAgain(ctx, t, a, st)
 	}
 	return e.store(e.failed(ctx, t, a), st), nil
@@ -46,11 +46,11 @@
 
 // tryAgain takes the attempt back and tells whether another may be made.
 func (e *Entry) tryAgain(ctx context.Context, t try, a answer, st step) (step, error) {
-	if err := e.abandon(ctx, t.call, t.id, a.ran == types.NotRun, a.crashed); err != nil {
+	if err := e.abandon(t.call, t.id, a.ran == types.NotRun, a.crashed); err != nil {
 		e.abandonLater(t.call, t.id)
 		return st, types.AsFault(err).WithRan(a.ran).After(time.Second)
 	}
-	if t.number < maxAttempts && e.retries.Spend() {
+	if t.number < maxAttempts && ctx.Err() == nil && e.retries.Spend() {
 		st.again = true
 		return st, nil
 	}
--- a/host/control.go
+++ b/host/control.go
@@ -50,12 +50,13 @@
 	// Releaser gives memory back at targets. If nil, holdings stay owed.
 	Releaser Releaser
 
-	once     sync.Once
-	config   *configReplica
-	machine  *admin.Machine
-	ledgers  map[types.GroupID]*accountGroup
-	leases   leaseTable
-	identity map[types.GroupID]quorum.ReplicaID
+	once    sync.Once
+	config  *configReplica
+	machine *admin.Machine
+	ledgers map[types.GroupID]*accountGroup
+	leases  leaseTable
+	// identities returns the identities of the replicas, by group.
+	identities func() (map[types.GroupID]quorum.ReplicaID, error)
 }
 
 // accountGroup is one group of client accounts with what its leader keeps in
@@ -85,7 +86,7 @@
 				Send: c.sender(id), Timing: c.Timing, Clock: c.Clock, Log: c.Log,
 			}}
 		}
-		c.identity = map[types.GroupID]quorum.ReplicaID{}
+		c.identities = sync.OnceValues(c.readIdentities)
 	})
 }
 
--- a/host/form.go
+++ b/host/form.go
@@ -21,13 +21,6 @@
 // one and all of them answer; the host with the lowest name decides. A host
 // whose folder was lost later finds the group founded and never founds another.
 func (c *Control) form(ctx context.Context) error {
-	for _, id := range c.groupIDs() {
-		replica, err := quorum.Identity(c.dir(id), c.Settings.Host)
-		if err != nil {
-			return err
-		}
-		c.identity[id] = replica
-	}
 	for {
 		done, err := c.tryForm(ctx)
 		if done || err != nil {
@@ -106,19 +99,33 @@
 	return m
 }
 
-// groups tells of this host's replicas.
-func (c *Control) groups(context.Context, ctrl.GroupsRequest) (ctrl.GroupsReply, error) {
-	reply := ctrl.GroupsReply{Host: c.Settings.Host, Groups: map[types.GroupID]ctrl.GroupReplica{}}
+// readIdentities reads or makes the identities of this host's replicas, once:
+// other control hosts may ask while this one starts.
+func (c *Control) readIdentities() (map[types.GroupID]quorum.ReplicaID, error) {
+	ids := map[types.GroupID]quorum.ReplicaID{}
 	for _, id := range c.groupIDs() {
 		replica, err := quorum.Identity(c.dir(id), c.Settings.Host)
 		if err != nil {
-			return reply, err
+			return nil, err
 		}
+		ids[id] = replica
+	}
+	return ids, nil
+}
+
+// groups tells of this host's replicas.
+func (c *Control) groups(context.Context, ctrl.GroupsRequest) (ctrl.GroupsReply, error) {
+	reply := ctrl.GroupsReply{Host: c.Settings.Host, Groups: map[types.GroupID]ctrl.GroupReplica{}}
+	identities, err := c.identities()
+	if err != nil {
+		return reply, err
+	}
+	for _, id := range c.groupIDs() {
 		formed, members, err := quorum.Formed(c.dir(id))
 		if err != nil {
 			return reply, err
 		}
-		reply.Groups[id] = ctrl.GroupReplica{ID: replica, Formed: formed, Members: members, Status: c.member(id).Status()}
+		reply.Groups[id] = ctrl.GroupReplica{ID: identities[id], Formed: formed, Members: members, Status: c.member(id).Status()}
 	}
 	return reply, nil
 }
--- a/host/process.go
+++ b/host/process.go
@@ -113,7 +113,9 @@
 		}
 	}
 	if s.Has(config.RoleEntry) {
-		p.entry = &entry.Entry{Host: s.Host, Zone: s.Zone, Client: p.client, Clock: p.clock, Log: p.Log}
+		p.entry = &entry.Entry{
+			Host: s.Host, Zone: s.Zone, Client: p.client, Clock: p.clock, HostList: s.HostListFile, Log: p.Log,
+		}
 	}
 	return nil
 }
@@ -185,7 +187,10 @@
 	if err != nil {
 		return errors.Wrap(err, "host: listen")
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
+	server := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
+		BaseContext: func(net.Listener) context.Context { return ctx }, // WebSocket connections end with it.
+	}
 	g.Go(func() error { return serve(server, listener) })
 	g.Go(func() error {
 		<-ctx.Done()
--- a/host/tend.go
+++ b/host/tend.go
@@ -25,7 +25,7 @@
 		}
 		if s.Role == quorum.Leader {
 			_ = m.ChangeMembers(ctx, s.NextMembers) // Refused while a change is pending; tried again.
-			_ = m.Step(ctx)                          // Fails only when the leader changes.
+			_ = m.Step(ctx)                         // Fails only when the leader changes.
 		}
 	}
 	return nil
--- /dev/null
+++ b/ledger/machine_test.go
@@ -0,0 +1,230 @@
+package ledger_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/banyanspur/banyanspur/ledger"
+	"github.com/banyanspur/banyanspur/limit"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+var bigLimit = limit.Limit{Rate: 1e6, Burst: 1e6, Version: 1}
+
+func session(i int) ledger.Session {
+	return ledger.Session{Host: types.HostID(fmt.Sprintf("entry-%d", i)), Incarnation: "1"}
+}
+
+// world drives a machine and notes what its answers allow.
+type world struct {
+	m        ledger.Machine
+	at       types.LogTime
+	attempts int
+	granted  map[string][]types.AttemptID // by program and call, those that may ask a target
+	returned map[types.AttemptID]bool     // taken back as not run
+}
+
+func newWorld() *world {
+	return &world{granted: map[string][]types.AttemptID{}, returned: map[types.AttemptID]bool{}}
+}
+
+func (w *world) apply(c ledger.Command) ledger.Result {
+	w.at = w.at.Add(time.Millisecond)
+	return w.m.Apply(w.at, c)
+}
+
+func (w *world) open(p types.ProgramID, parent types.ProgramID, b ledger.Budget) ledger.Result {
+	return w.apply(ledger.Command{Open: &ledger.Open{Account: "a", Program: p, Parent: parent, Budget: b}})
+}
+
+// begin begins a call and returns its attempt, or nothing if it was refused.
+func (w *world) begin(p types.ProgramID, n types.CallNumber, entry int, idempotent bool) (types.AttemptID, ledger.Result) {
+	w.attempts++
+	id := types.AttemptID(fmt.Sprintf("attempt-%d", w.attempts))
+	r := w.apply(ledger.Command{Begin: &ledger.Begin{
+		Account: "a", Limit: bigLimit, Program: p, Number: n, Attempt: id, Session: session(entry),
+		Service: "s", Fingerprint: types.Fingerprint(fmt.Sprint(p, n)), Idempotent: idempotent, Reserve: 10, Hold: "t",
+	}})
+	if r.Begun == nil {
+		return "", r
+	}
+	key := fmt.Sprint(p, n)
+	w.granted[key] = append(w.granted[key], id)
+	return id, r
+}
+
+// TestLedgerUnderFaults makes random sequences of calls, resends, lost entry
+// hosts, late and doubled outcomes and ends, and checks after each step that
+// order, budgets and at-most-once hold. Calls with odd numbers may not be
+// repeated.
+func TestLedgerUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		budget := ledger.Budget{Calls: 6, Tokens: 50, Wall: time.Hour, Depth: 2}
+		w.open("p", "", budget)
+		w.open("q", "p", ledger.Budget{Calls: 2, Tokens: 20, Wall: time.Hour, Depth: 1})
+		var known []types.AttemptID
+		numbers := map[types.AttemptID]types.CallNumber{}
+		programs := map[types.AttemptID]types.ProgramID{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			p := rapid.SampledFrom([]types.ProgramID{"p", "q"}).Draw(t, "program")
+			n := types.CallNumber(rapid.IntRange(1, 5).Draw(t, "number"))
+			entry := rapid.IntRange(0, 1).Draw(t, "entry")
+			var id types.AttemptID
+			if len(known) > 0 {
+				id = rapid.SampledFrom(known).Draw(t, "attempt")
+			}
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0, 1:
+				if id, _ := w.begin(p, n, entry, n%2 == 0); id != "" {
+					known = append(known, id)
+					numbers[id], programs[id] = n, p
+				}
+			case 2:
+				w.apply(ledger.Command{Close: &ledger.Close{Account: "a", Program: programs[id], Number: numbers[id], Attempt: id, Outcome: ledger.OutcomeAnswered, Tokens: 7, Target: "t", Holding: true}})
+			case 3:
+				r := w.apply(ledger.Command{Abandon: &ledger.Abandon{Account: "a", Program: programs[id], Number: numbers[id], Attempt: id, NotRun: true}})
+				if r.Fault == nil && id != "" {
+					w.returned[id] = true
+				}
+			case 4:
+				w.apply(ledger.Command{Expire: &ledger.Expire{Session: session(entry)}})
+			case 5:
+				w.apply(ledger.Command{End: &ledger.End{Account: "a", Program: "q"}})
+			}
+			w.check(t, budget)
+		}
+	})
+}
+
+func (w *world) check(t *rapid.T, budget ledger.Budget) {
+	var calls int64
+	var tokens types.Tokens
+	for _, p := range []types.ProgramID{"p", "q"} {
+		history, err := w.m.History("a", p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, c := range history {
+			if c.Number != types.CallNumber(i+1) || c.Fingerprint != types.Fingerprint(fmt.Sprint(p, i+1)) {
+				t.Fatalf("%s: call %d has number %d and request %s", p, i+1, c.Number, c.Fingerprint)
+			}
+			tokens += c.Tokens
+		}
+		calls += int64(len(history))
+		s, _ := w.m.Find("a", p)
+		if s.Left.Calls < 0 || s.Left.Tokens < 0 {
+			t.Fatalf("%s has overdrawn its budget: %+v", p, s.Left)
+		}
+	}
+	if calls > budget.Calls || tokens > budget.Tokens {
+		t.Fatalf("%d calls and %d tokens were used of %+v", calls, tokens, budget)
+	}
+	w.checkOnce(t)
+}
+
+// checkOnce finds at most one attempt at each call that may not be repeated
+// among those that may have run.
+func (w *world) checkOnce(t *rapid.T) {
+	for key, ids := range w.granted {
+		if (key[len(key)-1]-'0')%2 == 0 {
+			continue
+		}
+		var mayRun []types.AttemptID
+		for _, id := range ids {
+			if !w.returned[id] {
+				mayRun = append(mayRun, id)
+			}
+		}
+		if len(mayRun) > 1 {
+			t.Fatalf("call %s was given to %v", key, mayRun)
+		}
+	}
+}
+
+// TestSnapshotKeepsBehaviour replaces the machine by its snapshot at every step
+// of a program's life and finds the same answers.
+func TestSnapshotKeepsBehaviour(t *testing.T) {
+	run := func(swap int) []string {
+		w := newWorld()
+		var got []string
+		note := func(r ledger.Result) {
+			got = append(got, string(types.Encode(r)))
+			if len(got) == swap {
+				snapshot := w.m.Snapshot()
+				w.m = ledger.Machine{}
+				if err := w.m.Restore(snapshot); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		note(w.open("p", "", ledger.Budget{Calls: 4, Tokens: 100, Wall: time.Hour, Depth: 1}))
+		note(w.open("c", "p", ledger.Budget{Calls: 1, Wall: time.Hour}))
+		id, r := w.begin("p", 1, 0, false)
+		note(r)
+		note(w.apply(ledger.Command{Close: &ledger.Close{Account: "a", Program: "p", Number: 1, Attempt: id, Outcome: ledger.OutcomeAnswered, Crashed: true}}))
+		_, r = w.begin("p", 2, 1, true)
+		note(r)
+		note(w.apply(ledger.Command{Expire: &ledger.Expire{Session: session(1)}}))
+		_, r = w.begin("p", 2, 0, true)
+		note(r)
+		note(w.apply(ledger.Command{Admit: &ledger.Admit{Account: "a", Limit: bigLimit, Attempt: "x"}}))
+		note(w.apply(ledger.Command{End: &ledger.End{Account: "a", Program: "p"}}))
+		return got
+	}
+	want := run(0)
+	for swap := 1; swap <= len(want); swap++ {
+		if diff := cmp.Diff(want, run(swap)); diff != "" {
+			t.Errorf("snapshot after step %d (-want +got):\n%s", swap, diff)
+		}
+	}
+}
+
+// TestHoldingsOutliveAttempts ends a program while an attempt is under way: the
+// memory is given back only once the attempt cannot run any more.
+func TestHoldingsOutliveAttempts(t *testing.T) {
+	w := newWorld()
+	w.open("p", "", ledger.Budget{Calls: 4, Tokens: 100, Wall: time.Hour})
+	id, _ := w.begin("p", 1, 0, true)
+	w.apply(ledger.Command{End: &ledger.End{Account: "a", Program: "p"}})
+	owed := func(d time.Duration) int { return len(w.m.Owed(w.at.Add(d), 10)) }
+	if diff := cmp.Diff([]int{0, 0, 1}, []int{owed(0), owed(ledger.MaxAttempt - time.Second), owed(ledger.MaxAttempt)}); diff != "" {
+		t.Errorf("owed while the attempt may run (-want +got):\n%s", diff)
+	}
+	w.apply(ledger.Command{Close: &ledger.Close{Account: "a", Program: "p", Number: 1, Attempt: id, Outcome: ledger.OutcomeAnswered, Target: "u", Holding: true}})
+	if diff := cmp.Diff(2, owed(0)); diff != "" {
+		t.Errorf("owed after its end (-want +got):\n%s", diff)
+	}
+}
+
+// TestBucketWindows admits from random arrivals and checks every window.
+func TestBucketWindows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := limit.Limit{Rate: types.PerSecond(rapid.IntRange(1, 50).Draw(t, "rate")), Burst: rapid.IntRange(1, 20).Draw(t, "burst"), Version: 1}
+		var b limit.Bucket
+		var admitted []types.LogTime
+		var at types.LogTime
+		for range rapid.IntRange(1, 200).Draw(t, "arrivals") {
+			at = at.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "gap")) * time.Millisecond)
+			b.Adjust(at, l)
+			wait := b.Wait(at, 1)
+			if b.Take(at) {
+				admitted = append(admitted, at)
+			} else if c := b; !c.Take(at.Add(wait + time.Microsecond)) {
+				t.Fatalf("nothing is there after the wait of %v", wait)
+			}
+		}
+		for i := range admitted {
+			for j := i; j < len(admitted); j++ {
+				most := float64(l.Burst) + admitted[j].Sub(admitted[i]).Seconds()*float64(l.Rate)
+				if float64(j-i+1) > most+1e-6 {
+					t.Fatalf("%d admitted in %v", j-i+1, admitted[j].Sub(admitted[i]))
+				}
+			}
+		}
+	})
+}
