--- a/fakes/service.go
+++ b/fakes/service.go
@@ -67,11 +67,12 @@
 	if id == "" {
 		return 0
 	}
+	id = r.URL.Path + " " + id
 	s.effects[id]++
 	return s.effects[id]
 }
 
-// Effects returns how often each call had its effect.
+// Effects returns how often each call had its effect, by path and call id.
 func (s *Service) Effects() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
