--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -45,8 +44,8 @@
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	t.Parallel()
-	f := &fleet{t: t, engine: &fakes.Engine{}, booking: &fakes.Service{}, entries: addresses(t, 2)}
-	control := []config.ControlHost{{Host: "control-0", Address: addresses(t, 1)[0]}}
+	f := &fleet{t: t, engine: &fakes.Engine{}, booking: &fakes.Service{}, entries: fakes.FreeAddresses(2)}
+	control := []config.ControlHost{{Host: "control-0", Address: fakes.FreeAddresses(1)[0]}}
 	ctx, cancel := context.WithCancel(context.Background())
 	g, ctx := errgroup.WithContext(ctx)
 	f.client = &ctrl.Client{Hosts: control, Secret: secret, Groups: 2}
@@ -205,20 +204,6 @@
 	return f.ask(entry, choirKey, http.MethodPost, fmt.Sprintf("/v1/programs/%s/calls/%d%s", program, n, path), body)
 }
 
-func addresses(t *testing.T, n int) []string {
-	t.Helper()
-	var list []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		list = append(list, l.Addr().String())
-	}
-	return list
-}
-
 func orderOf(id types.OrderID, base types.Version, c config.Change) admin.Order {
 	return admin.Order{ID: id, Base: base, Change: c, Operator: "tester"}
 }
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -26,6 +26,9 @@
 	start := time.Now()
 	result, err := e.Client.Ledger(ctx, k.caller.account, ledger.Command{Begin: &b})
 	metricBeginSeconds.UpdateDuration(start)
+	if types.IsCode(err, types.CodeQuarantined) {
+		e.Log.Write(event.CallQuarantined, event.Fields{"account": b.Account, "program": b.Program, "call": b.Number, "fingerprint": b.Fingerprint})
+	}
 	if err != nil && types.AsFault(err).Ran == types.Unknown && !types.IsCode(err, types.CodeInProgress) {
 		// The attempt may have been noted. No target was asked, nor will be.
 		e.abandonLater(k, attempt)
--- a/entry/promise_test.go
+++ b/entry/promise_test.go
@@ -61,7 +61,7 @@
 func TestNotRunIsTrue(t *testing.T) {
 	f := newFleet(t)
 	f.open("p")
-	free := addresses(t, 1)[0]
+	free := fakes.FreeAddresses(1)[0]
 	f.order(config.Change{PutTargets: []config.Target{{ID: "booking-0", Service: "booking", Address: free, Zone: "zone-a"}}})
 	checkFault(t, "unreachable", f.call(0, "p", 1, deposit, "{}"), http.StatusServiceUnavailable, fault{Code: "noTarget", Ran: "notRun"})
 	l, err := net.Listen("tcp", free)
--- /dev/null
+++ b/event/event_test.go
@@ -0,0 +1,48 @@
+package event_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/banyanspur/banyanspur/event"
+)
+
+// TestCatalogue finds every event once, in order, and with its text in
+// docs/EVENTS.md.
+func TestCatalogue(t *testing.T) {
+	page, err := os.ReadFile("../docs/EVENTS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want, got []string
+	last := event.Number(0)
+	for _, k := range event.Catalogue() {
+		if k.Number <= last {
+			t.Errorf("event %d follows event %d", k.Number, last)
+		}
+		last = k.Number
+		want = append(want, fmt.Sprintf("| %d | %s | %s |", k.Number, k.Level, k.Text))
+	}
+	for _, line := range strings.Split(string(page), "\n") {
+		if cells := strings.Split(line, "|"); len(cells) > 4 && strings.TrimSpace(cells[1]) != "number" && !strings.HasPrefix(cells[1], "-") {
+			got = append(got, strings.Join(cells[:4], "|")+"|")
+		}
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-code +page):\n%s", diff)
+	}
+}
+
+// Example writes one event.
+func Example() {
+	var b bytes.Buffer
+	log := event.New(&b)
+	log.Write(event.HostStarted, event.Fields{"host": "entry-a"})
+	fmt.Println(strings.Contains(b.String(), `"event":101`))
+	// Output: true
+}
--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -26,6 +25,8 @@
 type fleet struct {
 	t        testing.TB
 	dir      string
+	groups   int
+	metrics  []string // addresses of the entry hosts' metrics
 	hosts    map[string]*exec.Cmd
 	entries  []string // addresses for callers
 	admin    string   // address of the first control host's administration
@@ -50,20 +51,25 @@
 	return file, nil
 })
 
-// newFleet starts control and entry hosts in three availability zones and
-// brings a configuration into force.
+// newFleet starts control and entry hosts in three availability zones, with two
+// groups of client accounts, and brings a configuration into force.
 func newFleet(t testing.TB, control, entries int, engine func() *fakes.Engine) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), hosts: map[string]*exec.Cmd{}, operator: types.RandomID(), booking: &fakes.Service{}}
+	return newFleetOf(t, control, entries, 2, engine)
+}
+
+func newFleetOf(t testing.TB, control, entries, groups int, engine func() *fakes.Engine) *fleet {
+	t.Helper()
+	f := &fleet{t: t, groups: groups, dir: t.TempDir(), hosts: map[string]*exec.Cmd{}, operator: types.RandomID(), booking: &fakes.Service{}}
 	f.writeFile("secret", types.RandomID())
 	f.writeFile("operator", f.operator)
 	var list strings.Builder
-	peers := freeAddresses(t, control)
+	peers := fakes.FreeAddresses(control)
 	for i, p := range peers {
 		fmt.Fprintf(&list, "[[control]]\nhost = \"control-%d\"\naddress = %q\n", i, p)
 	}
 	fmt.Fprintf(&list, "[[operator]]\nname = \"tester\"\nkeyHash = %q\n", types.HashKey(f.operator))
-	f.admin = freeAddresses(t, 1)[0]
+	f.admin = fakes.FreeAddresses(1)[0]
 	for i := range control {
 		extra := fmt.Sprintf("peerListen = %q\ndataDir = %q\n", peers[i], filepath.Join(f.dir, fmt.Sprintf("data-%d", i)))
 		if i == 0 {
@@ -71,9 +77,11 @@
 		}
 		f.settings(fmt.Sprintf("control-%d", i), i, config.RoleControl, extra+list.String())
 	}
-	f.entries = freeAddresses(t, entries)
+	f.entries = fakes.FreeAddresses(entries)
 	for i, a := range f.entries {
-		f.settings(fmt.Sprintf("entry-%d", i), i, config.RoleEntry, fmt.Sprintf("callerListen = %q\n", a)+list.String())
+		f.metrics = append(f.metrics, fakes.FreeAddresses(1)...)
+		extra := fmt.Sprintf("callerListen = %q\nadminListen = %q\n", a, f.metrics[i])
+		f.settings(fmt.Sprintf("entry-%d", i), i, config.RoleEntry, extra+list.String())
 	}
 	f.startTargets(engine)
 	for name := range f.hosts {
@@ -87,8 +95,8 @@
 
 func (f *fleet) settings(name string, i int, role config.Role, extra string) {
 	f.hosts[name] = nil
-	f.writeFile(name+".toml", fmt.Sprintf("host = %q\nzone = \"zone-%d\"\nroles = [%q]\ngroups = 2\nclusterSecretFile = %q\n%s",
-		name, i%3, role, filepath.Join(f.dir, "secret"), extra))
+	f.writeFile(name+".toml", fmt.Sprintf("host = %q\nzone = \"zone-%d\"\nroles = [%q]\ngroups = %d\nclusterSecretFile = %q\n%s",
+		name, i%3, role, f.groups, filepath.Join(f.dir, "secret"), extra))
 }
 
 func (f *fleet) writeFile(name, content string) string {
@@ -251,17 +259,3 @@
 	}
 	return nil, err
 }
-
-func freeAddresses(t testing.TB, n int) []string {
-	t.Helper()
-	var list []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		list = append(list, l.Addr().String())
-	}
-	return list
-}
--- a/host/form_test.go
+++ b/host/form_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/banyanspur/banyanspur/config"
 	"github.com/banyanspur/banyanspur/ctrl"
+	"github.com/banyanspur/banyanspur/fakes"
 	"github.com/banyanspur/banyanspur/host"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
@@ -18,7 +19,7 @@
 // many times at once. All answers name the same identities.
 func TestOneIdentity(t *testing.T) {
 	for range 20 {
-		list := []config.ControlHost{{Host: "control-0", Address: freeAddresses(t, 1)[0]}}
+		list := []config.ControlHost{{Host: "control-0", Address: fakes.FreeAddresses(1)[0]}}
 		settings := config.Settings{
 			Host: "control-0", Zone: "z", Roles: []config.Role{config.RoleControl}, Groups: 4,
 			DataDir: t.TempDir(), PeerListen: list[0].Address, Control: list,
--- a/host/serve.go
+++ b/host/serve.go
@@ -7,6 +7,7 @@
 	"github.com/banyanspur/banyanspur/admin"
 	"github.com/banyanspur/banyanspur/config"
 	"github.com/banyanspur/banyanspur/ctrl"
+	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/ledger"
 	"github.com/banyanspur/banyanspur/quorum"
 	"github.com/banyanspur/banyanspur/types"
@@ -48,7 +49,13 @@
 
 func (c *Control) order(ctx context.Context, req ctrl.OrderRequest) (admin.Decision, error) {
 	req.Order.At = time.Now()
-	return c.config.Propose(ctx, req.Order)
+	d, err := c.config.Propose(ctx, req.Order)
+	if err == nil {
+		c.Log.Write(event.OrderApplied, event.Fields{
+			"order": d.Order, "operator": req.Order.Operator, "accepted": d.Accepted, "version": d.Version, "reason": d.Reason,
+		})
+	}
+	return d, err
 }
 
 func (c *Control) fleet(context.Context, ctrl.FleetRequest) (config.Fleet, error) {
--- /dev/null
+++ b/ledger/bench_test.go
@@ -0,0 +1,87 @@
+package ledger_test
+
+import (
+	"bytes"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/banyanspur/banyanspur/ledger"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// BenchmarkCall applies the begin and the close of one call.
+func BenchmarkCall(b *testing.B) {
+	for _, size := range []int{0, 1 << 10, 16 << 10} {
+		b.Run(fmt.Sprintf("body=%d", size), func(b *testing.B) {
+			w := newWorld()
+			body := bytes.Repeat([]byte("x"), size)
+			b.ReportAllocs()
+			for i := range b.N {
+				p := types.ProgramID(fmt.Sprint("p", i/100))
+				if i%100 == 0 {
+					w.open(p, "", ledger.Budget{Calls: 1000, Tokens: 1e9, Wall: time.Hour})
+				}
+				w.wholeCall(p, types.CallNumber(i%100+1), body)
+			}
+		})
+	}
+}
+
+func (w *world) wholeCall(p types.ProgramID, n types.CallNumber, body []byte) {
+	w.attempts++
+	id := types.AttemptID(fmt.Sprint("attempt-", w.attempts))
+	w.apply(ledger.Command{Begin: &ledger.Begin{
+		Account: "a", Limit: bigLimit, Program: p, Number: n, Attempt: id, Session: session(0), Service: "s",
+		Fingerprint: types.FingerprintOf(body), Idempotent: true, Request: bytes.Clone(body), Hold: "t",
+	}})
+	w.apply(ledger.Command{Close: &ledger.Close{
+		Account: "a", Program: p, Number: n, Attempt: id, Outcome: ledger.OutcomeAnswered, Status: 200,
+		ContentType: "application/json", Response: bytes.Clone(body), Target: "t", Holding: true,
+	}})
+}
+
+// BenchmarkMemory reports the memory of a program and of one of its calls,
+// bodies left out, and the time of a snapshot and of the leader's periodic
+// scans.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{1000, 5000} {
+		for _, calls := range []int{0, 20, 100} {
+			b.Run(fmt.Sprintf("programs=%d/calls=%d", n, calls), func(b *testing.B) {
+				for range b.N {
+					measureMemory(b, n, calls)
+				}
+			})
+		}
+	}
+}
+
+func measureMemory(b *testing.B, programs, calls int) {
+	before := heap()
+	w := newWorld()
+	for i := range programs {
+		p := types.ProgramID(fmt.Sprint("program-", i))
+		w.open(p, "", ledger.Budget{Calls: 1000, Tokens: 1e9, Wall: time.Hour})
+		for n := range calls {
+			w.wholeCall(p, types.CallNumber(n+1), nil)
+		}
+	}
+	b.ReportMetric(float64(heap()-before)/float64(programs), "B/program")
+	start := time.Now()
+	size := len(w.m.Snapshot())
+	b.ReportMetric(float64(time.Since(start).Microseconds())/1000, "snapshot-ms")
+	b.ReportMetric(float64(size)/float64(programs), "snapshot-B/program")
+	start = time.Now()
+	w.m.Owed(w.at, 10)
+	w.m.Overdue(w.at, 10)
+	w.m.Sessions()
+	b.ReportMetric(float64(time.Since(start).Microseconds()), "scan-µs")
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- /dev/null
+++ b/quorum/replica_test.go
@@ -0,0 +1,171 @@
+package quorum_test
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/quorum"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// counter is a state machine that counts bytes and commands.
+type counter struct {
+	Commands int
+	Bytes    int
+}
+
+func (c *counter) Apply(_ types.LogTime, command []byte) int {
+	c.Commands++
+	c.Bytes += len(command)
+	return c.Commands
+}
+
+func (c *counter) Snapshot() []byte { return types.Encode(*c) }
+
+func (c *counter) Restore(b []byte) (err error) {
+	*c, err = types.Decode[counter](b)
+	return err
+}
+
+// trio is a group of three replicas in this process.
+type trio struct {
+	t        testing.TB
+	dir      string
+	mu       sync.Mutex
+	replicas [3]*quorum.Replica[[]byte, int]
+	machines [3]*counter
+	stop     [3]func()
+}
+
+func newTrio(t testing.TB) *trio {
+	t.Helper()
+	g := &trio{t: t, dir: t.TempDir()}
+	var members quorum.Members
+	for i := range g.replicas {
+		id, err := quorum.Identity(g.folder(i), hostName(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		members.Voters = append(members.Voters, quorum.Member{ID: id, Host: hostName(i)})
+	}
+	for i := range g.replicas {
+		if err := quorum.Form(g.folder(i), members); err != nil {
+			t.Fatal(err)
+		}
+		g.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range g.replicas {
+			g.kill(i)
+		}
+	})
+	return g
+}
+
+func hostName(i int) types.HostID { return types.HostID(fmt.Sprint("h", i)) }
+
+func (g *trio) folder(i int) string { return filepath.Join(g.dir, fmt.Sprint(i)) }
+
+func (g *trio) start(i int) {
+	m := &counter{}
+	r := &quorum.Replica[[]byte, int]{Dir: g.folder(i), Host: hostName(i), Machine: m, Send: g.send, Clock: types.NewClock()}
+	g.mu.Lock()
+	g.replicas[i], g.machines[i] = r, m
+	g.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return r.Run(ctx) })
+	g.stop[i] = sync.OnceFunc(func() {
+		cancel()
+		if err := group.Wait(); err != nil {
+			g.t.Error(err)
+		}
+	})
+}
+
+func (g *trio) kill(i int) { g.stop[i]() }
+
+func (g *trio) send(m quorum.Message) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, r := range g.replicas {
+		if m.To.Host() == hostName(i) {
+			r.Deliver(m)
+		}
+	}
+}
+
+// propose proposes to each replica in turn until one accepts.
+func (g *trio) propose(command []byte) {
+	for i := 0; ; i++ {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		_, err := g.replicas[i%3].Propose(ctx, command)
+		cancel()
+		if err == nil {
+			return
+		}
+		if i%3 == 2 {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// TestReplicaRestart restarts a replica that has missed more than the log of
+// the others still holds: it catches up by snapshot and log.
+func TestReplicaRestart(t *testing.T) {
+	g := newTrio(t)
+	const size = 1 << 20
+	command := make([]byte, size)
+	g.propose(command)
+	g.kill(2)
+	const commands = 40
+	for range commands {
+		g.propose(command)
+	}
+	g.start(2)
+	deadline := time.Now().Add(30 * time.Second)
+	for g.replicas[2].Status().Applied < g.replicas[0].Status().Applied || g.replicas[2].Status().Applied == 0 {
+		if time.Now().After(deadline) {
+			t.Fatalf("%+v of %+v", g.replicas[2].Status(), g.replicas[0].Status())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	for i := range g.replicas {
+		g.kill(i)
+	}
+	for i, m := range g.machines {
+		if diff := cmp.Diff(counter{Commands: commands + 1, Bytes: (commands + 1) * size}, *m); diff != "" {
+			t.Errorf("replica %d (-want +got):\n%s", i, diff)
+		}
+	}
+}
+
+// BenchmarkCommit commits commands of 200 bytes from many proposers at once.
+func BenchmarkCommit(b *testing.B) {
+	for _, n := range []int{1, 64, 512} {
+		b.Run(fmt.Sprintf("proposers=%d", n), func(b *testing.B) {
+			g := newTrio(b)
+			command := make([]byte, 200)
+			g.propose(command)
+			b.ResetTimer()
+			var group errgroup.Group
+			for range n {
+				group.Go(func() error {
+					for range b.N / n {
+						g.propose(command)
+					}
+					return nil
+				})
+			}
+			_ = group.Wait()
+			b.ReportMetric(float64(b.N/n*n)/b.Elapsed().Seconds(), "commits/s")
+		})
+	}
+}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 	"golang.org/x/sync/errgroup"
@@ -37,6 +38,12 @@
 	pingInterval = 2 * time.Second
 )
 
+var (
+	sentFrames    = metrics.NewCounter("banyanspur_wire_sent_frames_total")
+	sentBytes     = metrics.NewCounter("banyanspur_wire_sent_bytes_total")
+	receivedBytes = metrics.NewCounter("banyanspur_wire_received_bytes_total")
+)
+
 // secretHeader carries the secret that our processes share.
 const secretHeader = "Banyanspur-Secret"
 
@@ -104,6 +111,8 @@
 }
 
 func (s *stream) write(ctx context.Context, frame []byte) error {
+	sentFrames.Inc()
+	sentBytes.Add(len(frame))
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	return s.conn.Write(ctx, websocket.MessageBinary, frame)
@@ -115,6 +124,7 @@
 		if err != nil {
 			return err
 		}
+		receivedBytes.Add(len(frame))
 		if err := eachEnvelope(frame, receive); err != nil {
 			return err
 		}
