--- /dev/null
+++ b/quorum/linear_test.go
@@ -0,0 +1,127 @@
+package quorum_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/quorum"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// operation is what a client asked for and saw. The group counts commands, so
+// that a command that is committed returns how many there are with it.
+type operation struct {
+	read    bool
+	value   int
+	unknown bool // the client never learned the outcome
+}
+
+// counting is the sequential behaviour that clients must not be able to tell
+// from the group's.
+var counting = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{0} },
+	Step: func(state, _, output any) []any {
+		n, o := state.(int), output.(operation)
+		switch {
+		case o.unknown:
+			return []any{n, n + 1}
+		case o.read && o.value == n:
+			return []any{n}
+		case !o.read && o.value == n+1:
+			return []any{n + 1}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// history collects operations of concurrent clients.
+type history struct {
+	mu    sync.Mutex
+	start time.Time
+	list  []porcupine.Operation
+}
+
+func (h *history) now() int64 { return time.Since(h.start).Nanoseconds() }
+
+func (h *history) add(client int, call int64, o operation) {
+	end := h.now()
+	if o.unknown {
+		end = int64(time.Hour) // It may take effect at any later time.
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.list = append(h.list, porcupine.Operation{ClientId: client, Call: call, Output: o, Return: end})
+}
+
+// TestLinearizable lets clients propose and read through all replicas while
+// leaders are killed, and checks that what they saw fits one order.
+func TestLinearizable(t *testing.T) {
+	g := newTrio(t)
+	h := &history{start: time.Now()}
+	ctx, cancel := context.WithCancel(context.Background())
+	var clients errgroup.Group
+	for c := range 4 {
+		clients.Go(func() error {
+			for i := c; ctx.Err() == nil; i++ {
+				g.operate(h, c, i%3, i%4 == 0)
+				time.Sleep(2 * time.Millisecond)
+			}
+			return nil
+		})
+	}
+	for range 4 {
+		time.Sleep(1500 * time.Millisecond)
+		for i := range g.replicas {
+			if g.replica(i).Status().Role == quorum.Leader {
+				g.kill(i)
+				time.Sleep(100 * time.Millisecond)
+				g.start(i)
+				break
+			}
+		}
+	}
+	cancel()
+	_ = clients.Wait()
+	result := porcupine.CheckOperationsTimeout(counting.ToModel(), h.list, time.Minute)
+	if result != porcupine.Ok {
+		t.Errorf("%d operations: %s", len(h.list), result)
+	}
+	t.Logf("%d operations: %s", len(h.list), result)
+}
+
+func (g *trio) replica(i int) *quorum.Replica[[]byte, int] {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.replicas[i]
+}
+
+// operate proposes to or reads from one replica. What was refused before
+// anything happened is not recorded.
+func (g *trio) operate(h *history, client, replica int, read bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	g.mu.Lock()
+	r, m := g.replicas[replica], g.machines[replica]
+	g.mu.Unlock()
+	call := h.now()
+	if read {
+		value := 0
+		if err := r.Read(func(quorum.Status, types.LogTime) { value = m.Commands }); err == nil {
+			h.add(client, call, operation{read: true, value: value})
+		}
+		return
+	}
+	value, err := r.Propose(ctx, []byte("x"))
+	switch {
+	case err == nil:
+		h.add(client, call, operation{value: value})
+	case types.AsFault(err).Ran == types.Unknown:
+		h.add(client, call, operation{unknown: true})
+	}
+}
--- /dev/null
+++ b/quorum/pairs_test.go
@@ -0,0 +1,48 @@
+package quorum_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of random tests unless one is given with
+// -rapid.seed.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+// TestFaultSequences strikes a group with several faults, one after the other
+// or together; at most one of them takes a disk, since a group of three cannot
+// lose two.
+func TestFaultSequences(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(rapid.Uint64().Draw(t, "seed"), 3)
+		lostDisk := false
+		for range rapid.IntRange(2, 5).Draw(t, "faults") {
+			f := rapid.SampledFrom(faults).Draw(t, "fault")
+			if f.name == "lost disk" {
+				if lostDisk {
+					continue
+				}
+				lostDisk = true
+			}
+			s.at = s.steps + rapid.IntRange(0, 200).Draw(t, "steps until it strikes")
+			s.fault = f.strike
+			s.run(time.Duration(rapid.IntRange(50, 2500).Draw(t, "ms")) * time.Millisecond)
+		}
+		s.fault = nil
+		s.run(matrixRest)
+		if diff := cmp.Diff([]string(nil), s.finish()); diff != "" {
+			t.Errorf("(-want +got):\n%s", diff)
+		}
+	})
+}
