route: per-holder prefixes, stale holdings given back, dearer moves

Every target that had ever held a program counted as holding all of it, so that programs moved for nothing, each move left a copy behind, and the copies pushed out what was in use.

Change: the ledger keeps how much each holder has seen; what an earlier target holds is stale once a call has gone elsewhere, and is given back while the program lives; a missing token costs four times its computation, since it pushes out others'. A request that is answered is no longer blamed for its targets' death. One Sleep instead of five.

--- a/ctrl/client.go
+++ b/ctrl/client.go
@@ -91,7 +91,7 @@
 		}
 		last = err
 		c.noteFailure(group, at, types.AsFault(err).Leader)
-		if !sleep(ctx, retryPause) {
+		if !types.Sleep(ctx, retryPause) {
 			return resp, giveUp(last)
 		}
 	}
@@ -108,17 +108,6 @@
 		WithRan(types.AsFault(err).Ran).After(time.Second)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (c *Client) guess(group types.GroupID) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/alone.go
+++ b/entry/alone.go
@@ -19,7 +19,7 @@
 	s := &sink{w: w}
 	done := attempts{ran: types.NotRun}
 	for {
-		target, err := e.pick(k, affinity{}, done.tried)
+		target, err := e.pick(k, nil, done.tried)
 		if err != nil {
 			return done.blame(err)
 		}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -81,13 +81,13 @@
 	if err != nil {
 		return answer{err: err, ran: types.NotRun}
 	}
-	e.targets.start(t.ID)
+	e.targets.Start(t.ID)
 	start := e.Clock()
 	a := e.exchange(req, k, t, sink)
 	took := e.Clock().Sub(start)
 	metricTargetTime.Update(took.Seconds())
 	failed := a.err != nil && ctx.Err() == nil
-	e.targets.finish(t.ID, took, failed, e.Clock())
+	e.targets.Finish(t.ID, took, failed, e.Clock())
 	if a.err != nil && !handed.Load() {
 		a.ran = types.NotRun
 	}
@@ -101,7 +101,7 @@
 		return answer{err: errors.Wrap(err, "entry: send"), ran: types.Unknown}
 	}
 	defer resp.Body.Close()
-	e.targets.report(t.ID, resp.Header, e.Clock())
+	e.targets.Report(t.ID, resp.Header, e.Clock())
 	a := answer{status: resp.StatusCode, contentType: resp.Header.Get("Content-Type"), ran: types.DidRun}
 	if k.stream && resp.StatusCode == http.StatusOK {
 		e.receiveStream(resp.Body, k, sink, &a)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,7 +45,7 @@
 	session  ledger.Session
 	view     view
 	sessions sessionLeases
-	targets  targetTable
+	targets  route.Table
 	leaving  leavingHosts
 	senders  senders
 	retries  route.RetryBudget
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -13,6 +13,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/banyanspur/banyanspur/event"
+
+	"github.com/banyanspur/banyanspur/types"
 )
 
 // hostListInterval is how often the platform's host list is read.
@@ -58,7 +60,7 @@
 			e.Log.Write(event.HostListFailed, event.Fields{"file": e.HostList, "error": err.Error()})
 		}
 		failed = err != nil
-		sleep(ctx, hostListInterval)
+		types.Sleep(ctx, hostListInterval)
 	}
 	return nil
 }
--- a/entry/promise_test.go
+++ b/entry/promise_test.go
@@ -114,6 +114,29 @@
 	}
 }
 
+// TestQuarantineClears lets a target die once under a request that another
+// target answers, twice over: the request is not blamed.
+func TestQuarantineClears(t *testing.T) {
+	f := newFleet(t)
+	f.open("p")
+	var runs atomic.Int64
+	flaky := f.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if runs.Add(1)%2 == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		f.booking.ServeHTTP(w, r)
+	}))
+	f.order(config.Change{PutTargets: []config.Target{
+		{ID: "booking-0", Service: "booking", Address: flaky, Zone: "zone-a"},
+		{ID: "booking-1", Service: "booking", Address: flaky, Zone: "zone-a"},
+	}})
+	for n := 1; n <= 4; n++ {
+		if a := f.call(n%2, "p", n, rooms, `{"same":1}`); a.status != http.StatusOK {
+			t.Errorf("call %d: %+v", n, a)
+		}
+	}
+}
+
 // TestNoTargetSeesKey looks for the caller's key in all that targets get.
 func TestNoTargetSeesKey(t *testing.T) {
 	f := newFleet(t)
--- a/entry/run.go
+++ b/entry/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/banyanspur/banyanspur/config"
@@ -101,7 +100,7 @@
 
 // attempt makes one attempt at a call.
 func (e *Entry) attempt(ctx context.Context, k *call, s *sink, done attempts) (step, error) {
-	planned, err := e.pick(k, affinity{}, done.tried)
+	planned, err := e.pick(k, nil, done.tried)
 	if err != nil {
 		return step{}, err
 	}
@@ -128,12 +127,14 @@
 // prefer chooses again between the planned target and those that hold the
 // program's prefix. All of them are recorded as holders already.
 func (e *Entry) prefer(k *call, planned config.Target, b *ledger.Begun) config.Target {
-	if len(b.Holders) < 2 || b.Prefix == 0 {
+	if len(b.Holders) < 2 {
 		return planned
 	}
-	isPlanned := func(id types.TargetID) bool { return id == planned.ID }
-	held := slices.DeleteFunc(slices.Clone(b.Holders), isPlanned)
-	t, err := e.pickAmong(k, affinity{holders: held, prefix: b.Prefix}, b.Holders)
+	a := affinity{}
+	for _, h := range b.Holders {
+		a[h.Target] = h.Prefix
+	}
+	t, err := e.pickHolder(k, a)
 	if err != nil {
 		return planned
 	}
--- a/entry/session.go
+++ b/entry/session.go
@@ -34,7 +34,7 @@
 func (e *Entry) keepSession(ctx context.Context, g types.GroupID) error {
 	for ctx.Err() == nil {
 		e.renewSession(ctx, g)
-		sleep(ctx, ctrl.RenewInterval)
+		types.Sleep(ctx, ctrl.RenewInterval)
 	}
 	return nil
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -78,7 +78,7 @@
 			held = now
 			e.noteLease(held)
 		}
-		sleep(ctx, ctrl.RenewInterval)
+		types.Sleep(ctx, ctrl.RenewInterval)
 	}
 	return nil
 }
@@ -105,12 +105,3 @@
 		_, _ = e.Client.Lease(ctx, ctrl.LeaseRequest{Session: e.session, Have: reply.Version})
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/fakes/chat.go
+++ b/fakes/chat.go
@@ -1,9 +1,7 @@
 package fakes
 
 import (
-	"context"
 	"encoding/json"
-	"time"
 )
 
 // completion is an answer in the usual chat-completions shape.
@@ -32,7 +30,7 @@
 }
 
 func (g generation) usage() *usage {
-	return &usage{PromptTokens: g.prompt, CompletionTokens: g.tokens}
+	return &usage{PromptTokens: g.Prompt, CompletionTokens: g.Tokens}
 }
 
 func wholeAnswer(g generation, text string) completion {
@@ -65,18 +63,3 @@
 const bytesPerToken = 4
 
 func countTokens(m json.RawMessage) int { return len(m)/bytesPerToken + 1 }
-
-// pause waits and reports false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"github.com/banyanspur/banyanspur/types"
 )
 
 // Engine stands in for a model engine with continuous batching and a prefix
@@ -112,10 +115,43 @@
 // generation is one call that the engine runs.
 type generation struct {
 	chatRequest
-	call   string
-	hold   string
-	prompt int
-	tokens int
+	Job
+	call string
+}
+
+// Job is what the engine's time model needs to know of a call.
+type Job struct {
+	// Hold is the name under which the prefix is kept; empty for none.
+	Hold string
+	// Prompt and Tokens are the lengths of prompt and answer, in tokens.
+	Prompt, Tokens int
+	// Priority orders the calls that wait; higher goes first.
+	Priority int
+}
+
+// Generate takes the time that a call takes. It reports false if ctx ended
+// first.
+func (e *Engine) Generate(ctx context.Context, j Job) bool {
+	e.init()
+	if !e.admit(ctx, j) {
+		return false
+	}
+	defer e.batch.leave()
+	return types.Sleep(ctx, time.Duration(j.Tokens)*e.step())
+}
+
+// admit waits for a slot and computes the prompt. The caller leaves the slot
+// if it reports true.
+func (e *Engine) admit(ctx context.Context, j Job) bool {
+	if !e.batch.enter(ctx, j.Priority) {
+		return false
+	}
+	e.noteLoad()
+	if !types.Sleep(ctx, e.prefill(j)) {
+		e.batch.leave()
+		return false
+	}
+	return true
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
@@ -124,34 +160,31 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	g.call, g.hold = r.Header.Get("Banyanspur-Call-Id"), r.Header.Get("Banyanspur-Hold")
+	g.call, g.Hold = r.Header.Get("Banyanspur-Call-Id"), r.Header.Get("Banyanspur-Hold")
+	g.Job.Priority = g.chatRequest.Priority
 	for _, m := range g.Messages {
-		g.prompt += countTokens(m)
+		g.Prompt += countTokens(m)
 	}
 	if g.MaxTokens == 0 {
 		g.MaxTokens = defaultMaxTokens
 	}
-	g.tokens = min(e.AnswerTokens, g.MaxTokens)
-	if !e.batch.enter(r.Context(), g.Priority) {
+	g.Tokens = min(e.AnswerTokens, g.MaxTokens)
+	if !e.admit(r.Context(), g.Job) {
 		return
 	}
 	defer e.batch.leave()
-	e.noteLoad()
-	if !pause(r.Context(), e.prefill(g)) {
-		return
-	}
 	e.answer(w, r, g)
 }
 
 // prefill finds out how much of the prompt is cached and returns how long the
 // rest takes.
-func (e *Engine) prefill(g generation) time.Duration {
+func (e *Engine) prefill(j Job) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	cached, seen := e.cache.use(g.hold, g.prompt+g.tokens)
-	missing := max(0, g.prompt-cached)
+	cached, seen := e.cache.use(j.Hold, j.Prompt+j.Tokens)
+	missing := max(0, j.Prompt-cached)
 	e.computed += missing
-	e.recomputed += max(0, min(seen, g.prompt)-cached)
+	e.recomputed += max(0, min(seen, j.Prompt)-cached)
 	if e.PrefillRate == 0 {
 		return 0
 	}
@@ -169,11 +202,11 @@
 func (e *Engine) answer(w http.ResponseWriter, r *http.Request, g generation) {
 	e.reportLoad(w)
 	if !g.Stream {
-		if !pause(r.Context(), time.Duration(g.tokens)*e.step()) {
+		if !types.Sleep(r.Context(), time.Duration(g.Tokens)*e.step()) {
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(wholeAnswer(g, strings.Join(words(g.tokens), " ")))
+		_ = json.NewEncoder(w).Encode(wholeAnswer(g, strings.Join(words(g.Tokens), " ")))
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -187,15 +220,15 @@
 }
 
 func (e *Engine) streamFrom(w http.ResponseWriter, r *http.Request, g generation, first int) {
-	for i, word := range words(g.tokens) {
+	for i, word := range words(g.Tokens) {
 		if i < first {
 			continue
 		}
-		if !pause(r.Context(), e.step()) {
+		if !types.Sleep(r.Context(), e.step()) {
 			return
 		}
 		e.remember(g.call, word)
-		writeEvent(w, chunk(g, word+" ", i == g.tokens-1))
+		writeEvent(w, chunk(g, word+" ", i == g.Tokens-1))
 	}
 	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 }
@@ -221,7 +254,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	e.streamFrom(w, r, generation{call: call, tokens: e.AnswerTokens}, from)
+	e.streamFrom(w, r, generation{call: call, Job: Job{Tokens: e.AnswerTokens}}, from)
 }
 
 func writeEvent(w http.ResponseWriter, v any) {
--- a/fakes/manage.go
+++ b/fakes/manage.go
@@ -43,9 +43,16 @@
 	return calls
 }
 
+// ReportLoad writes the headers by which the engine reports its load, which is
+// as old as LoadLag.
+func (e *Engine) ReportLoad(h http.Header) {
+	e.init()
+	h.Set("Load-Calls", strconv.Itoa(e.lagged()))
+	h.Set("Load-Slots", strconv.Itoa(e.Slots))
+}
+
 func (e *Engine) reportLoad(w http.ResponseWriter) {
-	w.Header().Set("Load-Calls", strconv.Itoa(e.lagged()))
-	w.Header().Set("Load-Slots", strconv.Itoa(e.Slots))
+	e.ReportLoad(w.Header())
 }
 
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
@@ -67,10 +74,16 @@
 
 func (e *Engine) listHolds(w http.ResponseWriter, _ *http.Request) { writeBody(w, e.Holds()) }
 
-func (e *Engine) release(w http.ResponseWriter, r *http.Request) {
+// Release drops what the engine holds under a name.
+func (e *Engine) Release(name string) {
+	e.init()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.cache.drop(mux.Vars(r)["name"])
+	e.cache.drop(name)
+}
+
+func (e *Engine) release(w http.ResponseWriter, r *http.Request) {
+	e.Release(mux.Vars(r)["name"])
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/fakes/service.go
+++ b/fakes/service.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/banyanspur/banyanspur/types"
 )
 
 // Service stands in for a plain service or a tool service. It counts every
@@ -45,7 +47,7 @@
 	var wish Wish
 	_ = json.Unmarshal(body, &wish) // A body that is no wish asks for nothing.
 	n := s.count(r)
-	if !pause(r.Context(), s.Delay+time.Duration(wish.SleepMs)*time.Millisecond) {
+	if !types.Sleep(r.Context(), s.Delay+time.Duration(wish.SleepMs)*time.Millisecond) {
 		return
 	}
 	if wish.Crash {
--- a/host/form.go
+++ b/host/form.go
@@ -26,7 +26,7 @@
 		if done || err != nil {
 			return err
 		}
-		if !sleep(ctx, formInterval) {
+		if !types.Sleep(ctx, formInterval) {
 			return nil
 		}
 	}
@@ -129,14 +129,3 @@
 	}
 	return reply, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/host/process.go
+++ b/host/process.go
@@ -174,7 +174,7 @@
 func (p *Process) drain(ctx context.Context, server *http.Server) error {
 	p.entry.Drain()
 	if p.DrainLag > 0 {
-		sleep(ctx, p.DrainLag)
+		types.Sleep(ctx, p.DrainLag)
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
 	defer cancel()
--- a/host/reap.go
+++ b/host/reap.go
@@ -26,7 +26,7 @@
 // reap ends programs whose time has run out and gives back what ended programs
 // hold, on the leader of a group.
 func (c *Control) reap(ctx context.Context, g *accountGroup) error {
-	for sleep(ctx, reapInterval) {
+	for types.Sleep(ctx, reapInterval) {
 		var overdue []ledger.End
 		var owed []ledger.Holding
 		err := g.Read(func(_ quorum.Status, at types.LogTime) {
--- a/host/tend.go
+++ b/host/tend.go
@@ -18,7 +18,7 @@
 // tend keeps the membership of a group in order: a replica that does not
 // belong asks to join, and the leader makes learners voters.
 func (c *Control) tend(ctx context.Context, id types.GroupID, m member) error {
-	for sleep(ctx, tendInterval) {
+	for types.Sleep(ctx, tendInterval) {
 		s := m.Status()
 		if s.ID != "" && !s.Members.Has(s.ID) {
 			c.askToJoin(ctx, id, s.ID)
--- a/ledger/call.go
+++ b/ledger/call.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"slices"
 	"time"
 
 	"github.com/banyanspur/banyanspur/types"
@@ -36,21 +35,7 @@
 			return refuse(fault)
 		}
 	}
-	return Result{Begun: &Begun{
-		Holders: slices.Clone(p.Holdings),
-		Prefix:  p.lastRequest(b.Service),
-		Left:    p.Deadline.Sub(at),
-	}}
-}
-
-// lastRequest returns the size of the newest closed request to a service.
-func (p *program) lastRequest(id types.ServiceID) types.Bytes {
-	for _, call := range slices.Backward(p.Calls) {
-		if call.Service == id {
-			return types.Bytes(len(call.Request))
-		}
-	}
-	return 0
+	return Result{Begun: &Begun{Holders: p.holders(b.Service), Left: p.Deadline.Sub(at)}}
 }
 
 // replay answers a call that was closed before from the journal.
@@ -104,8 +89,8 @@
 		Fingerprint: b.Fingerprint, Service: b.Service, Request: b.Request, Idempotent: b.Idempotent,
 		Reserve: b.Reserve, Attempt: b.Attempt, Session: b.Session,
 	}
-	if b.Hold != "" && !slices.Contains(p.Holdings, b.Hold) {
-		p.Holdings = append(p.Holdings, b.Hold)
+	if b.Hold != "" {
+		p.hold(b.Hold, b.Service)
 	}
 	return nil
 }
@@ -149,11 +134,15 @@
 	if c.Number != p.next() || p.Current == nil || p.Current.Attempt != c.Attempt {
 		return refuse(staleAttempt(p, c.Number))
 	}
-	if c.Crashed {
-		m.account(c.Account).noteCrash(at, p.Current.Fingerprint)
+	a := m.account(c.Account)
+	switch {
+	case c.Crashed:
+		a.noteCrash(at, p.Current.Fingerprint)
+	case c.Outcome == OutcomeAnswered:
+		delete(a.Crashes, p.Current.Fingerprint) // It was not to blame for its targets' death.
 	}
-	settleHolding(p, c)
 	call := record(p, c)
+	p.settleHolding(c, &call)
 	return Result{Call: &call}
 }
 
@@ -169,7 +158,7 @@
 		return refuse(staleAttempt(p, c.Number))
 	}
 	p.QuietAt = 0 // The attempt is over.
-	settleHolding(p, c)
+	p.settleHolding(c, call)
 	if call.Outcome == OutcomeUnknown && c.Outcome == OutcomeAnswered {
 		fill(call, c)
 	}
@@ -177,16 +166,6 @@
 	return Result{Call: &stored}
 }
 
-// settleHolding notes which target keeps memory after the call.
-func settleHolding(p *program, c Close) {
-	if c.Unused != "" && c.Unused != c.Target {
-		p.Holdings = slices.DeleteFunc(p.Holdings, func(t types.TargetID) bool { return t == c.Unused })
-	}
-	if c.Holding && !slices.Contains(p.Holdings, c.Target) {
-		p.Holdings = append(p.Holdings, c.Target)
-	}
-}
-
 // record moves the current call into the history.
 func record(p *program, c Close) Call {
 	used := min(max(c.Tokens, 0), p.Current.Reserve)
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -79,14 +79,18 @@
 	Hold types.TargetID `json:"hold,omitempty"`
 }
 
+// Holder is a target that may keep memory for a program.
+type Holder struct {
+	Target types.TargetID `json:"target"`
+	// Prefix is how much of the program it had seen after its last call.
+	Prefix types.Bytes `json:"prefix"`
+}
+
 // Begun answers a Begin that took effect.
 type Begun struct {
-	// Holders are the targets that hold memory for the program, Hold among
-	// them.
-	Holders []types.TargetID `json:"holders,omitempty"`
-	// Prefix is the size of the request of the program's last call to the same
-	// service, much of which a holder has cached.
-	Prefix types.Bytes `json:"prefix,omitempty"`
+	// Holders are the targets of the call's service that hold memory for the
+	// program, Hold among them.
+	Holders []Holder `json:"holders,omitempty"`
 	// Left is the time until the program's budget of time ends.
 	Left time.Duration `json:"left"`
 }
@@ -165,7 +169,7 @@
 	Session Session `json:"session"`
 }
 
-// Release notes that a target holds no memory for an ended program any more.
+// Release notes that a target holds no memory for a program any more.
 type Release struct {
 	Account types.AccountID `json:"account"`
 	Program types.ProgramID `json:"program"`
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -228,3 +228,26 @@
 		}
 	})
 }
+
+// TestMovedProgramLetsGo moves a program to another target: what the first one
+// keeps is owed at once, and no more once the program has come back.
+func TestMovedProgramLetsGo(t *testing.T) {
+	w := newWorld()
+	w.open("p", "", ledger.Budget{Calls: 9, Tokens: 100, Wall: time.Hour})
+	closeAt := func(n types.CallNumber, target types.TargetID) {
+		id, _ := w.begin("p", n, 0, true)
+		w.apply(ledger.Command{Close: &ledger.Close{Account: "a", Program: "p", Number: n, Attempt: id, Outcome: ledger.OutcomeAnswered, Target: target, Holding: true}})
+	}
+	closeAt(1, "t")
+	closeAt(2, "u")
+	want := []ledger.Holding{{Account: "a", Program: "p", Target: "t"}}
+	if diff := cmp.Diff(want, w.m.Owed(w.at, 10)); diff != "" {
+		t.Errorf("owed after the move (-want +got):\n%s", diff)
+	}
+	w.begin("p", 3, 0, true) // names t as the target to hold
+	w.apply(ledger.Command{Release: &ledger.Release{Account: "a", Program: "p", Target: "t"}})
+	w.apply(ledger.Command{End: &ledger.End{Account: "a", Program: "p"}})
+	if diff := cmp.Diff(2, len(w.m.Owed(w.at.Add(ledger.MaxAttempt), 10))); diff != "" {
+		t.Errorf("owed after the end (-want +got):\n%s", diff)
+	}
+}
--- a/ledger/program.go
+++ b/ledger/program.go
@@ -1,8 +1,6 @@
 package ledger
 
 import (
-	"slices"
-
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -106,44 +104,6 @@
 	record(p, Close{Attempt: p.Current.Attempt, Outcome: outcome, Fault: fault, Tokens: p.Current.Reserve})
 }
 
-func (m *Machine) release(r Release) Result {
-	p, fault := m.program(r.Account, r.Program)
-	if fault != nil {
-		return refuse(fault)
-	}
-	if !p.Ended {
-		return refuse(types.NewFault(types.CodeConflict, "program %q has not ended", p.ID))
-	}
-	p.Holdings = slices.DeleteFunc(p.Holdings, func(t types.TargetID) bool { return t == r.Target })
-	return Result{Program: p.summary()}
-}
-
-// Holding is memory that a target may keep for a program that has ended.
-type Holding struct {
-	Account types.AccountID
-	Program types.ProgramID
-	Target  types.TargetID
-}
-
-// Owed returns up to most holdings to be given back, in no order.
-func (m *Machine) Owed(at types.LogTime, most int) []Holding {
-	var owed []Holding
-	for aid, a := range m.state.Accounts {
-		for _, p := range a.Programs {
-			if !p.Ended || at < p.QuietAt {
-				continue
-			}
-			for _, t := range p.Holdings {
-				owed = append(owed, Holding{Account: aid, Program: p.ID, Target: t})
-			}
-			if len(owed) >= most {
-				return owed
-			}
-		}
-	}
-	return owed
-}
-
 // Overdue returns up to most programs whose budget of time has run out.
 func (m *Machine) Overdue(at types.LogTime, most int) []End {
 	var overdue []End
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -42,14 +42,24 @@
 	// number is len(Calls)+1.
 	Current *current `json:"current,omitempty"`
 	// Holdings are the targets that may keep memory for the program. They are
-	// recorded before the target is asked and stay until it has let go.
-	Holdings []types.TargetID `json:"holdings,omitempty"`
+	// recorded before the target is asked and stay until it has let go. No
+	// target is listed twice.
+	Holdings []holding `json:"holdings,omitempty"`
 	// QuietAt is when no attempt that was cut loose can run at a target any
 	// more. Holdings are given back only from then on, since a running attempt
 	// would make the target keep memory again.
 	QuietAt types.LogTime `json:"quietAt,omitempty"`
 }
 
+// holding is the memory that one target may keep for a program.
+type holding struct {
+	Holder
+	Service types.ServiceID `json:"service"`
+	// Stale is set once a later call of the program to the same service went
+	// to another target: what is kept here is given back.
+	Stale bool `json:"stale,omitempty"`
+}
+
 // current is a call under way.
 type current struct {
 	Fingerprint types.Fingerprint `json:"fingerprint"`
--- a/route/policy.go
+++ b/route/policy.go
@@ -72,6 +72,10 @@
 	CallTime time.Duration
 	// Slots stands in for a target's number of slots while that is unknown.
 	Slots int
+	// Displaced is how many tokens of other programs are computed again for
+	// each token that a call adds to a target's cache. It makes leaving the
+	// target that holds the prefix as dear as it is for the fleet.
+	Displaced float64
 	// ZoneTime is what it costs to leave the availability zone.
 	ZoneTime time.Duration
 	// ReportLife is the age at which a report of load counts half.
@@ -83,6 +87,7 @@
 	PrefillRate: 8000,
 	CallTime:    500 * time.Millisecond,
 	Slots:       16,
+	Displaced:   3,
 	ZoneTime:    time.Millisecond,
 	ReportLife:  time.Second,
 }
@@ -124,8 +129,8 @@
 }
 
 func (k Costs) prefill(r Request, t Candidate) time.Duration {
-	missing := max(0, r.Prompt-t.Cached)
-	return time.Duration(float64(missing) / k.PrefillRate * float64(time.Second))
+	missing := float64(max(0, r.Prompt-t.Cached)) * (1 + k.Displaced)
+	return time.Duration(missing / k.PrefillRate * float64(time.Second))
 }
 
 func (k Costs) distance(t Candidate) time.Duration {
--- a/wire/link.go
+++ b/wire/link.go
@@ -60,21 +60,12 @@
 		if time.Since(start) > redialLast {
 			wait = redialFirst
 		}
-		pause(ctx, wait)
+		types.Sleep(ctx, wait)
 		wait = min(2*wait, redialLast)
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // connect dials and serves one connection until it ends.
 func (l *Link) connect(ctx context.Context) error {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
