--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,8 +53,6 @@
 	inFlight atomic.Int64
 	draining atomic.Bool
 	closers  errgroup.Group // outcomes that are still to be stored
-	alive    context.Context
-	stop     context.CancelFunc
 }
 
 const (
@@ -83,7 +81,6 @@
 			e.MaxInFlight = DefaultMaxInFlight
 		}
 		e.senders = newSenders()
-		e.alive, e.stop = context.WithCancel(context.Background())
 	})
 }
 
@@ -98,7 +95,6 @@
 		g.Go(func() error { return e.keepSession(ctx, types.GroupID(i+1)) })
 	}
 	err := g.Wait()
-	e.stop()
 	_ = e.closers.Wait()
 	return err
 }
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -39,12 +41,18 @@
 	stop    []context.CancelFunc // by entry host
 	engine  *fakes.Engine
 	booking *fakes.Service
+	// hostList is the platform's list, empty at first.
+	hostList string
 }
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	t.Parallel()
 	f := &fleet{t: t, engine: &fakes.Engine{}, booking: &fakes.Service{}, entries: fakes.FreeAddresses(2)}
+	f.hostList = filepath.Join(t.TempDir(), "hosts")
+	if err := os.WriteFile(f.hostList, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
 	control := []config.ControlHost{{Host: "control-0", Address: fakes.FreeAddresses(1)[0]}}
 	ctx, cancel := context.WithCancel(context.Background())
 	g, ctx := errgroup.WithContext(ctx)
@@ -59,7 +67,7 @@
 	for i, a := range f.entries {
 		entryCtx, stop := context.WithCancel(ctx)
 		f.stop = append(f.stop, stop)
-		run(entryCtx, config.Settings{Host: types.HostID(fmt.Sprintf("entry-%d", i)), Roles: []config.Role{config.RoleEntry}, CallerListen: a})
+		run(entryCtx, config.Settings{Host: types.HostID(fmt.Sprintf("entry-%d", i)), Roles: []config.Role{config.RoleEntry}, CallerListen: a, HostListFile: f.hostList})
 	}
 	t.Cleanup(func() {
 		cancel()
--- a/host/failure_test.go
+++ b/host/failure_test.go
@@ -208,6 +208,35 @@
 	f.apply(strings.Replace(f.answers, "burst = 100000", "burst = 99999", 1))
 }
 
+// TestMemoryGivenBackAfterKill ends programs and kills a control host at once.
+// The engines hold nothing in the end.
+func TestMemoryGivenBackAfterKill(t *testing.T) {
+	f := newFleet(t, 3, 2, idleEngine)
+	const programs = 30
+	for p := range programs {
+		name := programName(p)
+		open := map[string]any{"program": name, "budget": map[string]any{"calls": 1, "tokens": 1024, "seconds": 600}}
+		path, body := testCall(name, 1)
+		for _, step := range []struct {
+			path string
+			body any
+		}{{"/v1/programs", open}, {"/v1/programs/" + name + "/calls/1" + path, body}, {"/v1/programs/" + name + "/end", nil}} {
+			if _, err := f.persist(p, http.MethodPost, step.path, step.body); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	victim := f.leader("1")
+	f.kill(victim)
+	f.start(victim)
+	f.eventually("memory is given back", func() error {
+		if n := len(f.engines[0].Holds()) + len(f.engines[1].Holds()); n > 0 {
+			return fmt.Errorf("%d programs are held", n)
+		}
+		return nil
+	})
+}
+
 // TestWithdrawalWhileFrozen withdraws a key while one entry host is frozen. The
 // withdrawal is reported in force only when the frozen host cannot serve under
 // the old configuration any more; thawed, it refuses the key.
