--- a/host/failure_test.go
+++ b/host/failure_test.go
@@ -264,6 +264,49 @@
 	}
 }
 
+// TestLeaderCutOff cuts a leader off from everyone, silently and for long: the
+// others go on, its links are mended, and it follows with all it missed.
+func TestLeaderCutOff(t *testing.T) {
+	f := newFleetOf(t, 3, 2, 2, true, idleEngine)
+	var acked []string
+	var stop atomic.Bool
+	var g errgroup.Group
+	g.Go(func() error { return f.deposits(0, &stop, &acked) })
+	first := f.leader("1")
+	if first == "control-0" {
+		f.kill("control-0") // Its administration is needed below, so another is to lead.
+		f.start("control-0")
+		f.healthy(0)
+		first = f.leader("1")
+	}
+	f.cutOff(first, true)
+	f.eventually("another leads", func() error {
+		if second := f.leader("1"); second == first {
+			return fmt.Errorf("%s leads", second)
+		}
+		return nil
+	})
+	version := f.change(20)
+	time.Sleep(3 * time.Second)
+	f.cutOff(first, false)
+	f.healthy(int(first[len(first)-1] - '0'))
+	stop.Store(true)
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	f.checkAcked(0, acked)
+	var fleet config.Fleet
+	if err := f.operate(http.MethodGet, "/admin/v1/configuration", nil, &fleet); err != nil || fleet.Version != version {
+		t.Errorf("version %d, want %d: %v", fleet.Version, version, err)
+	}
+	for id, n := range f.booking.Effects() {
+		if n > 1 {
+			t.Errorf("%s was made %d times", id, n)
+		}
+	}
+	t.Logf("%d deposits", len(acked))
+}
+
 // TestMissedChanges changes the configuration a thousand times while one
 // control host is away and an entry host is frozen. Both catch up.
 func TestMissedChanges(t *testing.T) {
--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -16,6 +17,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/banyanspur/banyanspur/config"
 	"github.com/banyanspur/banyanspur/fakes"
 	"github.com/banyanspur/banyanspur/types"
@@ -26,6 +29,9 @@
 	t        testing.TB
 	dir      string
 	groups   int
+	peers    []string // addresses of the control hosts
+	relayed  bool
+	relays   []relayOf
 	metrics  []string // addresses of the entry hosts' metrics
 	hosts    map[string]*exec.Cmd
 	entries  []string // addresses for callers
@@ -55,33 +61,29 @@
 // groups of client accounts, and brings a configuration into force.
 func newFleet(t testing.TB, control, entries int, engine func() *fakes.Engine) *fleet {
 	t.Helper()
-	return newFleetOf(t, control, entries, 2, engine)
+	return newFleetOf(t, control, entries, 2, false, engine)
 }
 
-func newFleetOf(t testing.TB, control, entries, groups int, engine func() *fakes.Engine) *fleet {
+// newFleetOf can put a relay into every link to a control host.
+func newFleetOf(t testing.TB, control, entries, groups int, relayed bool, engine func() *fakes.Engine) *fleet {
 	t.Helper()
-	f := &fleet{t: t, groups: groups, dir: t.TempDir(), hosts: map[string]*exec.Cmd{}, operator: types.RandomID(), booking: &fakes.Service{}}
+	f := &fleet{t: t, groups: groups, relayed: relayed, dir: t.TempDir(), hosts: map[string]*exec.Cmd{}, operator: types.RandomID(), booking: &fakes.Service{}}
 	f.writeFile("secret", types.RandomID())
 	f.writeFile("operator", f.operator)
-	var list strings.Builder
-	peers := fakes.FreeAddresses(control)
-	for i, p := range peers {
-		fmt.Fprintf(&list, "[[control]]\nhost = \"control-%d\"\naddress = %q\n", i, p)
-	}
-	fmt.Fprintf(&list, "[[operator]]\nname = \"tester\"\nkeyHash = %q\n", types.HashKey(f.operator))
+	f.peers = fakes.FreeAddresses(control)
 	f.admin = fakes.FreeAddresses(1)[0]
 	for i := range control {
-		extra := fmt.Sprintf("peerListen = %q\ndataDir = %q\n", peers[i], filepath.Join(f.dir, fmt.Sprintf("data-%d", i)))
+		extra := fmt.Sprintf("peerListen = %q\ndataDir = %q\n", f.peers[i], filepath.Join(f.dir, fmt.Sprintf("data-%d", i)))
 		if i == 0 {
 			extra += fmt.Sprintf("adminListen = %q\n", f.admin)
 		}
-		f.settings(fmt.Sprintf("control-%d", i), i, config.RoleControl, extra+list.String())
+		f.settings(fmt.Sprintf("control-%d", i), i, config.RoleControl, extra)
 	}
 	f.entries = fakes.FreeAddresses(entries)
 	for i, a := range f.entries {
 		f.metrics = append(f.metrics, fakes.FreeAddresses(1)...)
 		extra := fmt.Sprintf("callerListen = %q\nadminListen = %q\n", a, f.metrics[i])
-		f.settings(fmt.Sprintf("entry-%d", i), i, config.RoleEntry, extra+list.String())
+		f.settings(fmt.Sprintf("entry-%d", i), i, config.RoleEntry, extra)
 	}
 	f.startTargets(engine)
 	for name := range f.hosts {
@@ -93,10 +95,57 @@
 	return f
 }
 
+// controlList is the part of a host's settings that lists control hosts and
+// operators.
+func (f *fleet) controlList(name string) string {
+	var list strings.Builder
+	for i, p := range f.peers {
+		if f.relayed {
+			p = f.relay(name, i, p)
+		}
+		fmt.Fprintf(&list, "[[control]]\nhost = \"control-%d\"\naddress = %q\n", i, p)
+	}
+	fmt.Fprintf(&list, "[[operator]]\nname = \"tester\"\nkeyHash = %q\n", types.HashKey(f.operator))
+	return list.String()
+}
+
+// relay starts a relay between a host and a control host.
+func (f *fleet) relay(name string, i int, to string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r := &fakes.Relay{To: to}
+	f.relays = append(f.relays, relayOf{ends: [2]string{name, fmt.Sprintf("control-%d", i)}, Relay: r})
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return r.Run(ctx, l) })
+	f.t.Cleanup(func() {
+		cancel()
+		_ = g.Wait()
+	})
+	return l.Addr().String()
+}
+
+// relayOf is the relay between two hosts.
+type relayOf struct {
+	ends [2]string
+	*fakes.Relay
+}
+
+// cutOff cuts all links of a host to others, silently, or mends them.
+func (f *fleet) cutOff(name string, cut bool) {
+	for _, r := range f.relays {
+		if r.ends[0] != r.ends[1] && (r.ends[0] == name || r.ends[1] == name) {
+			r.Cut(cut)
+		}
+	}
+}
+
 func (f *fleet) settings(name string, i int, role config.Role, extra string) {
 	f.hosts[name] = nil
 	f.writeFile(name+".toml", fmt.Sprintf("host = %q\nzone = \"zone-%d\"\nroles = [%q]\ngroups = %d\nclusterSecretFile = %q\n%s",
-		name, i%3, role, f.groups, filepath.Join(f.dir, "secret"), extra))
+		name, i%3, role, f.groups, filepath.Join(f.dir, "secret"), extra+f.controlList(name)))
 }
 
 func (f *fleet) writeFile(name, content string) string {
--- a/host/idle_test.go
+++ b/host/idle_test.go
@@ -20,7 +20,7 @@
 func BenchmarkIdle(b *testing.B) {
 	for _, c := range []struct{ groups, entries int }{{1, 2}, {4, 2}, {13, 2}, {4, 8}, {4, 16}} {
 		b.Run(fmt.Sprintf("groups=%d/entries=%d", c.groups, c.entries), func(b *testing.B) {
-			f := newFleetOf(b, 3, c.entries, c.groups, idleEngine)
+			f := newFleetOf(b, 3, c.entries, c.groups, false, idleEngine)
 			for range b.N {
 				f.watchIdle(b)
 			}
--- a/host/inforce_test.go
+++ b/host/inforce_test.go
@@ -51,7 +51,7 @@
 // BenchmarkFailover kills the leader of the account's group and reports how
 // long calls fail. The call that was under way counts.
 func BenchmarkFailover(b *testing.B) {
-	f := newFleetOf(b, 3, 1, 1, idleEngine)
+	f := newFleetOf(b, 3, 1, 1, false, idleEngine)
 	h := hdrhistogram.New(1, maxLatencyMicros, histogramDigits)
 	l := f.newLoad(b, f.entries[0], "/booking/rooms", 1000000)
 	b.ResetTimer()
