ctrl: an unknown outcome stays unknown; ledger: attempts lost track of expire

Cause: found by reading. A client that asked several control hosts in turn took the last answer for the whole: after one host had taken a command without an answer and another could not be reached, the fault said 'not run'. An entry host then did not take its attempt back, and since the host lived, the program was held up for good.

Ruled out: a doubled effect. No target is asked without the begin's answer.

Change: one unknown outcome makes the whole unknown; besides, an attempt that is older than twice the longest one is freed, or closed as unknown if it may not be repeated, when the call is begun again.

Measured: TestUnknownStaysUnknown fails without the change (notRun) and passes with it; TestOverdueAttempt covers both kinds of calls.

Conclusion: a program goes on even if its entry host has lost track of it.

--- a/ctrl/client.go
+++ b/ctrl/client.go
@@ -80,7 +80,7 @@
 // ends. The request must be one that may be repeated.
 func ask[Req, Resp any](ctx context.Context, c *Client, group types.GroupID, kind wire.Kind, req Req) (Resp, error) {
 	c.init()
-	var last error
+	ran := types.NotRun
 	for {
 		at := c.guess(group)
 		tryCtx, cancel := context.WithTimeout(ctx, tryTimeout)
@@ -89,10 +89,13 @@
 		if err == nil || !retryable(err) {
 			return resp, err
 		}
-		last = err
-		c.noteFailure(group, at, types.AsFault(err).Leader)
+		f := types.AsFault(err)
+		if f.Ran != types.NotRun {
+			ran = types.Unknown // Whatever later tries come to.
+		}
+		c.noteFailure(group, at, f.Leader)
 		if !types.Sleep(ctx, retryPause) {
-			return resp, giveUp(last)
+			return resp, giveUp(f, ran)
 		}
 	}
 }
@@ -103,9 +106,9 @@
 		types.IsCode(err, types.CodeDeadline) || types.IsCode(err, types.CodeOverloaded)
 }
 
-func giveUp(err error) error {
-	return types.NewFault(types.CodeUnavailable, "the control hosts did not answer in time: %s", types.AsFault(err).Message).
-		WithRan(types.AsFault(err).Ran).After(time.Second)
+func giveUp(last *types.Fault, ran types.Ran) error {
+	return types.NewFault(types.CodeUnavailable, "the control hosts did not answer in time: %s", last.Message).
+		WithRan(ran).After(time.Second)
 }
 
 func (c *Client) guess(group types.GroupID) int {
--- /dev/null
+++ b/ctrl/client_test.go
@@ -0,0 +1,56 @@
+package ctrl_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/config"
+	"github.com/banyanspur/banyanspur/ctrl"
+	"github.com/banyanspur/banyanspur/ledger"
+	"github.com/banyanspur/banyanspur/types"
+	"github.com/banyanspur/banyanspur/wire"
+)
+
+// TestUnknownStaysUnknown has a control host take a command without an answer
+// and then disappear. That it cannot be reached any more does not make the
+// command one that was never taken.
+func TestUnknownStaysUnknown(t *testing.T) {
+	const secret = "the-secret-of-this-test"
+	taken := make(chan struct{}, 1)
+	s := &wire.Server{Secret: secret}
+	wire.Handle(s, ctrl.KindLedger, func(ctx context.Context, _ ctrl.LedgerRequest) (ledger.Result, error) {
+		taken <- struct{}{}
+		<-ctx.Done()
+		return ledger.Result{}, ctx.Err()
+	})
+	alive, die := context.WithCancel(t.Context())
+	server := httptest.NewUnstartedServer(s)
+	server.Config.BaseContext = func(net.Listener) context.Context { return alive }
+	server.Start()
+	c := &ctrl.Client{
+		Hosts:  []config.ControlHost{{Host: "control-0", Address: strings.TrimPrefix(server.URL, "http://")}},
+		Secret: secret, Groups: 1,
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var g errgroup.Group
+	g.Go(func() error { return c.Run(ctx) })
+	g.Go(func() error {
+		<-taken
+		die()
+		return server.Listener.Close()
+	})
+	ask, stop := context.WithTimeout(ctx, 3*time.Second)
+	defer stop()
+	_, err := c.Ledger(ask, "choir", ledger.Command{End: &ledger.End{Account: "choir", Program: "p"}})
+	if f := types.AsFault(err); f.Code != types.CodeUnavailable || f.Ran != types.Unknown {
+		t.Errorf("%v", err)
+	}
+	cancel()
+	_ = g.Wait()
+}
--- a/ledger/call.go
+++ b/ledger/call.go
@@ -24,6 +24,9 @@
 	if fault != nil {
 		return refuse(fault)
 	}
+	if p.Current != nil && p.Current.overdue(at) {
+		expireCall(at, p)
+	}
 	if b.Number < p.next() {
 		return replay(p, b)
 	}
@@ -87,7 +90,7 @@
 	}
 	p.Current = &current{
 		Fingerprint: b.Fingerprint, Service: b.Service, Request: b.Request, Idempotent: b.Idempotent,
-		Reserve: b.Reserve, Attempt: b.Attempt, Session: b.Session,
+		Reserve: b.Reserve, Attempt: b.Attempt, Session: b.Session, Begun: at,
 	}
 	if b.Hold != "" {
 		p.hold(b.Hold, b.Service)
@@ -219,6 +222,13 @@
 	return Result{}
 }
 
+// overdue reports whether the attempt cannot be running any more although its
+// entry host is alive: the host has given it up and could not say so.
+func (c *current) overdue(at types.LogTime) bool {
+	return c.Attempt != "" && at.Sub(c.Begun) > 2*MaxAttempt
+}
+
+// expireCall frees or closes a call whose attempt is lost.
 func expireCall(at types.LogTime, p *program) {
 	p.QuietAt = at.Add(MaxAttempt)
 	if p.Current.Idempotent {
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -251,3 +251,21 @@
 		t.Errorf("owed after the end (-want +got):\n%s", diff)
 	}
 }
+
+// TestOverdueAttempt finds that an attempt which its living entry host lost
+// track of does not hold up the program for ever.
+func TestOverdueAttempt(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		w := newWorld()
+		w.open("p", "", ledger.Budget{Calls: 4, Tokens: 100, Wall: time.Hour})
+		w.begin("p", 1, 0, idempotent)
+		if _, r := w.begin("p", 1, 1, idempotent); !types.IsCode(r.Fault, types.CodeInProgress) {
+			t.Fatalf("a second attempt: %+v", r)
+		}
+		w.at = w.at.Add(2*ledger.MaxAttempt + time.Second)
+		id, r := w.begin("p", 1, 1, idempotent)
+		if idempotent != (id != "") || !idempotent && (r.Call == nil || r.Call.Outcome != ledger.OutcomeUnknown) {
+			t.Errorf("idempotent %v: %+v", idempotent, r)
+		}
+	}
+}
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -70,6 +70,8 @@
 	// Attempt is empty while no attempt is being made.
 	Attempt types.AttemptID `json:"attempt,omitempty"`
 	Session Session         `json:"session"`
+	// Begun is when the attempt was noted.
+	Begun types.LogTime `json:"begun"`
 }
 
 // Call is one closed call of a program's history.
