sched: waiting calls ordered by what their account has been served

Ruled out: routing, which was the same in both.

Change: an entry host counts what each account has been served, halving every 30 s, and sends a priority that falls by 2 with each doubling over the average; a caller's own priority is replaced.

--- a/cmd/banyanspur/local.go
+++ b/cmd/banyanspur/local.go
@@ -36,7 +36,7 @@
 
 var localZones = []types.ZoneID{"zone-a", "zone-b", "zone-c"}
 
-// fleet is a whole fleet in this process.
+// localFleet is a whole fleet in this process.
 type localFleet struct {
 	port     int
 	data     string
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -77,7 +77,8 @@
 func (e *Entry) send(ctx context.Context, k *call, t config.Target, sink *sink) answer {
 	var handed atomic.Bool // a connection was there, so that bytes may have left
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { handed.Store(true) }}
-	req, err := k.outgoing(httptrace.WithClientTrace(ctx, trace), t)
+	priority := e.shares.Priority(k.caller.account, e.Clock())
+	req, err := k.outgoing(httptrace.WithClientTrace(ctx, trace), t, priority)
 	if err != nil {
 		return answer{err: err, ran: types.NotRun}
 	}
@@ -86,6 +87,7 @@
 	a := e.exchange(req, k, t, sink)
 	took := e.Clock().Sub(start)
 	metricTargetTime.Update(took.Seconds())
+	e.shares.Note(k.caller.account, a.tokens, e.Clock())
 	failed := a.err != nil && ctx.Err() == nil
 	e.targets.Finish(t.ID, took, failed, e.Clock())
 	if a.err != nil && !handed.Load() {
@@ -131,10 +133,10 @@
 }
 
 // outgoing builds the request to the target from nothing but what it may see.
-func (k *call) outgoing(ctx context.Context, t config.Target) (*http.Request, error) {
+func (k *call) outgoing(ctx context.Context, t config.Target, priority int) (*http.Request, error) {
 	body := k.body
 	if k.service.Kind == config.KindModel {
-		body = k.withMaxTokens()
+		body = k.forEngine(priority)
 	}
 	req, err := http.NewRequestWithContext(ctx, k.method, "http://"+t.Address+k.path, bytes.NewReader(body))
 	if err != nil {
@@ -166,9 +168,9 @@
 	return string(types.FingerprintOf([]byte(a), []byte(p)))[:32]
 }
 
-// withMaxTokens returns the body with a bound on the answer, if the caller
-// gave none.
-func (k *call) withMaxTokens() []byte {
+// forEngine returns the body with a bound on the answer, if the caller gave
+// none, and with our priority in place of the caller's.
+func (k *call) forEngine(priority int) []byte {
 	var fields map[string]json.RawMessage
 	if json.Unmarshal(k.body, &fields) != nil {
 		return k.body // checkChat has refused anything else.
@@ -176,6 +178,7 @@
 	if fields["max_tokens"] == nil && fields["max_completion_tokens"] == nil {
 		fields["max_tokens"], _ = json.Marshal(k.reserve)
 	}
+	fields["priority"], _ = json.Marshal(priority)
 	body, err := json.Marshal(fields)
 	if err != nil {
 		return k.body
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/ledger"
 	"github.com/banyanspur/banyanspur/route"
+	"github.com/banyanspur/banyanspur/sched"
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -49,6 +50,7 @@
 	leaving  leavingHosts
 	senders  senders
 	retries  route.RetryBudget
+	shares   sched.Fair[types.AccountID]
 	turn     atomic.Uint64
 	inFlight atomic.Int64
 	draining atomic.Bool
--- a/entry/promise_test.go
+++ b/entry/promise_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -159,6 +160,31 @@
 	}
 }
 
+// TestPriorityIsOurs sends a priority of the caller's own: the engine gets ours.
+func TestPriorityIsOurs(t *testing.T) {
+	f := newFleet(t)
+	var mu sync.Mutex
+	var seen []int
+	engine := f.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var body struct{ Priority int }
+		_ = json.NewDecoder(r.Body).Decode(&body)
+		mu.Lock()
+		seen = append(seen, body.Priority)
+		mu.Unlock()
+		_, _ = fmt.Fprint(w, `{"usage":{"completion_tokens":8}}`)
+	}))
+	f.order(config.Change{PutTargets: []config.Target{{ID: "engine-0", Service: "assistant", Address: engine, Zone: "zone-a"}}})
+	for _, key := range []string{choirKey, choirKey, choirKey, choirKey, bandKey} {
+		body := strings.Replace(chatBody, "{", `{"priority":99,`, 1)
+		if a := f.ask(0, key, http.MethodPost, "/v1/chat/completions", body); a.status != http.StatusOK {
+			t.Fatalf("%+v", a)
+		}
+	}
+	if diff := cmp.Diff([]int{0, 0, 0, 0, 8}, seen); diff != "" {
+		t.Errorf("priorities (-want +got):\n%s", diff)
+	}
+}
+
 // TestAccountsAreApart reaches for another account's program with a valid key.
 func TestAccountsAreApart(t *testing.T) {
 	f := newFleet(t)
--- a/route/experiment_test.go
+++ b/route/experiment_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -16,6 +17,7 @@
 
 	"github.com/banyanspur/banyanspur/fakes"
 	"github.com/banyanspur/banyanspur/route"
+	"github.com/banyanspur/banyanspur/sched"
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -36,6 +38,7 @@
 	turn     [2]int        // tokens that a turn adds
 	answer   [2]int
 	cache    int     // tokens that an engine caches
+	slots    int     // calls that an engine batches; 0 stands for its default
 	programs float64 // programs that arrive a second at full load
 }
 
@@ -58,6 +61,8 @@
 	inOrder bool
 	// keepAll leaves what earlier targets hold to their eviction.
 	keepAll bool
+	// fair gives waiting calls the priority of their client account.
+	fair bool
 }
 
 // contenders are the policy in use and its baselines.
@@ -89,14 +94,21 @@
 	latency             *hdrhistogram.Histogram // of whole programs without their pauses, in milliseconds
 	computed, recompute int
 	unfinished          int
+	// slowdown is the latency of programs in hundredths of that of their
+	// decoding alone, by client account.
+	slowdown [accounts]*hdrhistogram.Histogram
 }
 
+// accounts is the number of client accounts.
+const accounts = 8
+
 // arena is one run.
 type arena struct {
 	workload
 	contender
 	engines []*fakes.Engine
 	tables  []*route.Table
+	shares  []*sched.Fair[int]
 	clock   types.Clock
 	mu      sync.Mutex // guards the fields below
 	out     outcome
@@ -119,6 +131,37 @@
 	}
 }
 
+// TestOrder compares the order of waiting calls while one client account has
+// five times the programs of each other.
+func TestOrder(t *testing.T) {
+	if !*experiment {
+		t.Skip("run by hand with -experiment")
+	}
+	for _, w := range []workload{kalahari, ganesh} {
+		w.slots = 8
+		for _, load := range []float64{0.8, 1.2} {
+			for _, fair := range []bool{true, false} {
+				for seed := range *seeds {
+					c := contender{choose: route.Expected(route.DefaultCosts), fair: fair}
+					o := runFor(t, w, load, c, seed, experimentSpan)
+					t.Logf("| %s | %.0f%% | fair %v | %d | %s | %d |", w.title, 100*load, fair, seed, o.shares(), o.latency.ValueAtQuantile(95))
+				}
+			}
+		}
+	}
+}
+
+// shares returns the p95 slowdown of the large client account, and of the
+// others the worst and the median.
+func (o outcome) shares() string {
+	var others []int64
+	for _, h := range o.slowdown[1:] {
+		others = append(others, h.ValueAtQuantile(95))
+	}
+	slices.Sort(others)
+	return fmt.Sprintf("%d | %d | %d", o.slowdown[0].ValueAtQuantile(95), others[len(others)-1], others[len(others)/2])
+}
+
 // TestRoutingSmall runs a short experiment: the policy in use wastes less
 // cache than the baselines that do not know it.
 func TestRoutingSmall(t *testing.T) {
@@ -145,11 +188,15 @@
 		a.out.latency = hdrhistogram.New(1, 3_600_000, 3)
 		for i := range w.engines {
 			a.engines = append(a.engines, &fakes.Engine{
-				PrefillRate: prefillRate, TokenTime: tokenTime, BatchSlowdown: 0.04, CacheTokens: w.cache, LoadLag: experimentLag, Seed: uint64(i),
+				Slots: w.slots, PrefillRate: prefillRate, TokenTime: tokenTime, BatchSlowdown: 0.04, CacheTokens: w.cache, LoadLag: experimentLag, Seed: uint64(i),
 			})
 		}
 		for range w.entries {
 			a.tables = append(a.tables, &route.Table{})
+			a.shares = append(a.shares, &sched.Fair[int]{})
+		}
+		for i := range a.out.slowdown {
+			a.out.slowdown[i] = hdrhistogram.New(1, 1_000_000, 3)
 		}
 		a.arrive(rand.New(rand.NewPCG(seed, 1)), load, span)
 		for _, e := range a.engines {
@@ -180,15 +227,20 @@
 // program runs one program, whose calls go through a random entry host each.
 func (a *arena) program(ctx context.Context, n int, r *rand.Rand) {
 	id := types.ProgramID(fmt.Sprint("program-", n))
+	account := a.accountOf(r)
 	prompt := a.system
 	holders := map[types.TargetID]int{}
-	var busy time.Duration
+	var busy, ideal time.Duration
 	for range between(r, a.turns) {
 		prompt += between(r, a.turn)
 		answer := between(r, a.answer)
 		entry := r.IntN(a.entries)
 		start := a.clock()
-		target, ok := a.call(ctx, r, entry, id, holders, fakes.Job{Hold: string(id), Prompt: prompt, Tokens: answer})
+		job := fakes.Job{Hold: string(id), Prompt: prompt, Tokens: answer}
+		if a.fair {
+			job.Priority = a.shares[entry].Priority(account, start)
+		}
+		target, ok := a.call(ctx, r, entry, id, holders, job)
 		if !ok {
 			a.mu.Lock()
 			a.out.unfinished++
@@ -196,6 +248,8 @@
 			return
 		}
 		busy += a.clock().Sub(start)
+		ideal += time.Duration(answer) * tokenTime
+		a.shares[entry].Note(account, types.Tokens(answer), a.clock())
 		prompt += answer
 		a.letGo(id, target, holders)
 		holders[target] = prompt
@@ -204,6 +258,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	_ = a.out.latency.RecordValue(busy.Milliseconds())
+	_ = a.out.slowdown[account].RecordValue(int64(100 * busy / ideal))
+}
+
+// accountOf draws the program's client account: account 0 has five times the
+// programs of each other.
+func (a *arena) accountOf(r *rand.Rand) int {
+	return max(0, r.IntN(accounts+4)-4)
 }
 
 // letGo gives back what targets other than the newest hold for a program.
