--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -269,3 +269,35 @@
 		}
 	}
 }
+
+// FuzzCommand applies arbitrary bytes as commands, one after the other, between
+// commands that make a program.
+func FuzzCommand(f *testing.F) {
+	for _, c := range []ledger.Command{
+		{End: &ledger.End{Account: "a", Program: "p"}},
+		{Begin: &ledger.Begin{Account: "a", Program: "p", Number: 1, Attempt: "x", Hold: "t"}},
+		{Close: &ledger.Close{Account: "a", Program: "p", Number: 1, Attempt: "attempt-1"}},
+		{Abandon: &ledger.Abandon{Account: "a", Program: "p", Number: 1, Attempt: "attempt-1"}},
+		{Open: &ledger.Open{Account: "a", Program: "c", Parent: "p", Budget: ledger.Budget{Calls: 1, Wall: 1}}},
+		{Admit: &ledger.Admit{Account: "a"}}, {Expire: &ledger.Expire{}}, {Release: &ledger.Release{Account: "a", Program: "p"}},
+	} {
+		f.Add(types.Encode(c))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		w := newWorld()
+		w.open("p", "", ledger.Budget{Calls: 2, Tokens: 20, Wall: time.Hour, Depth: 1})
+		w.begin("p", 1, 0, false)
+		for len(b) > 0 {
+			c, rest, err := types.DecodeFirst[ledger.Command](b)
+			if err != nil {
+				return
+			}
+			w.m.Refusal(w.at, c)
+			w.apply(c)
+			b = rest
+		}
+		if err := w.m.Restore(w.m.Snapshot()); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/quorum/elect.go
+++ b/quorum/elect.go
@@ -84,7 +84,7 @@
 
 // Step takes one message.
 func (c *Core) Step(now types.Mono, m Message) {
-	if m.To != c.id {
+	if m.To != c.id || m.Kind == MsgSnapshot && m.Snapshot == nil {
 		return
 	}
 	switch m.Kind {
