--- a/host/inforce_test.go
+++ b/host/inforce_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -86,3 +87,26 @@
 	})
 	return name
 }
+
+// BenchmarkHandover stops the leader of the account's group in an orderly way
+// and reports how long a call takes that is made at once.
+func BenchmarkHandover(b *testing.B) {
+	f := newFleetOf(b, 3, 1, 1, false, idleEngine)
+	h := hdrhistogram.New(1, maxLatencyMicros, histogramDigits)
+	l := f.newLoad(b, f.entries[0], "/booking/rooms", 1000000)
+	b.ResetTimer()
+	for range b.N {
+		leader := f.leader("1")
+		l.call(b)
+		if err := f.hosts[leader].Process.Signal(syscall.SIGTERM); err != nil {
+			b.Fatal(err)
+		}
+		time.Sleep(5 * time.Millisecond)
+		_ = h.RecordValue(l.call(b).Microseconds())
+		_ = f.hosts[leader].Wait()
+		f.start(leader)
+		f.healthy(int(leader[len(leader)-1] - '0'))
+	}
+	b.ReportMetric(float64(h.ValueAtQuantile(50))/1000, "p50-ms")
+	b.ReportMetric(float64(h.Max())/1000, "max-ms")
+}
--- a/host/process.go
+++ b/host/process.go
@@ -56,15 +56,29 @@
 	if err := p.prepare(); err != nil {
 		return err
 	}
-	// What serves requests outlives ctx until the last request is answered.
-	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
+	// What serves requests outlives ctx until the last request is answered,
+	// and the links outlive the replicas, which hand their lead over.
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
 	g, inner := errgroup.WithContext(inner)
+	controlDone := make(chan struct{})
+	controlCtx, stopControl := context.WithCancel(inner)
+	stop := func() {
+		stopControl()
+		<-controlDone
+		cancel()
+	}
 	g.Go(func() error { return p.client.Run(inner) })
 	if p.control != nil {
 		if err := p.startControl(inner, g); err != nil {
 			return err
 		}
+		g.Go(func() error {
+			defer close(controlDone)
+			return p.control.Run(controlCtx)
+		})
+	} else {
+		close(controlDone)
 	}
 	if err := p.startAdmin(inner, g); err != nil {
 		return err
@@ -128,7 +142,6 @@
 	if err := serveUntilDone(ctx, g, p.Settings.PeerListen, mux); err != nil {
 		return err
 	}
-	g.Go(func() error { return p.control.Run(ctx) })
 	return nil
 }
 
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -279,7 +279,9 @@
 		{Close: &ledger.Close{Account: "a", Program: "p", Number: 1, Attempt: "attempt-1"}},
 		{Abandon: &ledger.Abandon{Account: "a", Program: "p", Number: 1, Attempt: "attempt-1"}},
 		{Open: &ledger.Open{Account: "a", Program: "c", Parent: "p", Budget: ledger.Budget{Calls: 1, Wall: 1}}},
-		{Admit: &ledger.Admit{Account: "a"}}, {Expire: &ledger.Expire{}}, {Release: &ledger.Release{Account: "a", Program: "p"}},
+		{Admit: &ledger.Admit{Account: "a"}},
+		{Expire: &ledger.Expire{}},
+		{Release: &ledger.Release{Account: "a", Program: "p"}},
 	} {
 		f.Add(types.Encode(c))
 	}
--- a/quorum/elect.go
+++ b/quorum/elect.go
@@ -16,7 +16,7 @@
 		c.resetDeadline(now)
 		return
 	}
-	c.campaign(PreCandidate)
+	c.campaign(PreCandidate, false)
 	c.retryDeadline(now)
 }
 
@@ -35,7 +35,7 @@
 }
 
 // campaign asks all voters for a vote, or whether they would give one.
-func (c *Core) campaign(role Role) {
+func (c *Core) campaign(role Role, transfer bool) {
 	c.role = role
 	c.leader = ""
 	c.votes = map[ReplicaID]bool{}
@@ -46,7 +46,7 @@
 	}
 	lastTerm, _ := c.termAt(c.lastIndex())
 	for _, v := range c.Members().Voters {
-		m := Message{Kind: kind, To: v.ID, Term: term, Index: c.lastIndex(), LogTerm: lastTerm}
+		m := Message{Kind: kind, To: v.ID, Term: term, Index: c.lastIndex(), LogTerm: lastTerm, Transfer: transfer}
 		if v.ID == c.id {
 			// The own vote counts like any other: only after the sync.
 			m = Message{Kind: kind + 1, To: c.id, Term: term}
@@ -111,9 +111,42 @@
 		c.stepSnapshot(now, m)
 	case MsgAppendReply:
 		c.stepAppendReply(now, m)
+	case MsgTransfer:
+		c.stepTransfer(now, m)
 	}
 }
 
+// Transfer makes a leader that is about to stop hand its lead over. It gives
+// its lease up first, for good: the replica does not lead in this term again.
+// The shell must publish that before it sends the message.
+func (c *Core) Transfer(now types.Mono) {
+	if c.role != Leader {
+		return
+	}
+	best := ReplicaID("")
+	for _, v := range c.Members().Voters {
+		if v.ID != c.id && (best == "" || c.Match(v.ID) > c.Match(best)) {
+			best = v.ID
+		}
+	}
+	c.follow(now, c.hard.Term, "")
+	if best != "" {
+		c.sendNow(Message{Kind: MsgTransfer, To: best, Term: c.hard.Term})
+	}
+}
+
+// stepTransfer starts an election at once, on behalf of the leader of this
+// term. A message that comes late finds another term and changes nothing: any
+// other leader is elected in the next term or later, in which this replica
+// then cannot win.
+func (c *Core) stepTransfer(now types.Mono, m Message) {
+	if c.role != Follower || c.leader != m.From || !c.Members().IsVoter(c.id) {
+		return
+	}
+	c.campaign(Candidate, true)
+	c.retryDeadline(now)
+}
+
 // refuseStale tells a leader of an earlier term that its reign is over.
 func (c *Core) refuseStale(m Message) {
 	if m.Kind != MsgAppend && m.Kind != MsgSnapshot {
@@ -128,7 +161,7 @@
 	if c.role == Leader && now < c.LeaseUntil(now) {
 		return
 	}
-	if c.role != Leader && now.Sub(c.heard) < c.timing.ElectionMin {
+	if c.role != Leader && !m.Transfer && now.Sub(c.heard) < c.timing.ElectionMin {
 		return
 	}
 	pre := m.Kind == MsgPreVote
@@ -166,7 +199,7 @@
 		return
 	}
 	if c.countVote(m.From) {
-		c.campaign(Candidate)
+		c.campaign(Candidate, false)
 		c.retryDeadline(now)
 	}
 }
--- a/quorum/matrix_test.go
+++ b/quorum/matrix_test.go
@@ -22,6 +22,7 @@
 	{"lost disk", func(h *simHost) { h.dieAt = dieWithDisk }},
 	{"full disk", func(h *simHost) { h.dieAt = dieBeforeSync; h.restart = h.s.now.Add(faultTime) }},
 	{"freeze", func(h *simHost) { h.frozen = h.s.now.Add(faultTime) }},
+	{"stop", func(h *simHost) { h.stops = true }},
 	{"cut in", func(h *simHost) { h.cutIn = h.s.now.Add(faultTime) }},
 	{"cut out", func(h *simHost) { h.cutOut = h.s.now.Add(faultTime) }},
 	{"cut both", func(h *simHost) {
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -129,7 +129,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return r.handOver()
 		case <-ticker.C:
 			r.core.Tick(r.Clock())
 		case step := <-r.inbox:
@@ -143,6 +143,23 @@
 	}
 }
 
+// handOverTime is how long a stopping replica leaves its last messages to the
+// network.
+const handOverTime = 50 * time.Millisecond
+
+// handOver gives the lead to another replica, so that a planned stop is not
+// waited out like a failure. It is best effort.
+func (r *Replica[C, R]) handOver() error {
+	if r.core.Role() != Leader {
+		return nil
+	}
+	r.core.Transfer(r.Clock())
+	r.publish() // The lease is over before another can be elected.
+	err := r.flush()
+	time.Sleep(handOverTime)
+	return err
+}
+
 // drain takes the inputs that are waiting, so that they share one sync.
 func (r *Replica[C, R]) drain() {
 	for range maxStepsPerSync {
--- a/quorum/replica_test.go
+++ b/quorum/replica_test.go
@@ -131,9 +131,9 @@
 	}
 	g.start(2)
 	deadline := time.Now().Add(30 * time.Second)
-	for g.replicas[2].Status().Applied < g.replicas[0].Status().Applied || g.replicas[2].Status().Applied == 0 {
+	for !g.level() {
 		if time.Now().After(deadline) {
-			t.Fatalf("%+v of %+v", g.replicas[2].Status(), g.replicas[0].Status())
+			t.Fatalf("%+v, %+v, %+v", g.replicas[0].Status(), g.replicas[1].Status(), g.replicas[2].Status())
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -147,6 +147,18 @@
 	}
 }
 
+// level reports whether all replicas have applied the same entries, and all
+// that any of them knows to be committed.
+func (g *trio) level() bool {
+	first := g.replicas[0].Status()
+	for _, r := range g.replicas {
+		if s := r.Status(); s.Applied != first.Applied || s.Commit != first.Applied || s.Applied == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // BenchmarkCommit commits commands of 200 bytes from many proposers at once.
 func BenchmarkCommit(b *testing.B) {
 	for _, n := range []int{1, 64, 512} {
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -59,6 +59,7 @@
 	cutOut  types.Mono
 	mangle  func([]packet) []packet // changes what the host sends, once
 	dieAt   diePoint
+	stops   bool // stops in an orderly way after this step
 	wiped   int
 	waiting map[quorum.Index]quorum.Entry // proposals of this replica
 	applied quorum.Index
@@ -174,7 +175,7 @@
 // flush carries out what the core asks for, as the shell does.
 func (h *simHost) flush() {
 	for h.awake() {
-		out := h.core.Take()
+		out := h.core.Take() // A step may end the replica.
 		if out.HardState == nil && len(out.Entries)+len(out.Now)+len(out.AfterSync)+len(out.Committed) == 0 && out.Install == nil {
 			break
 		}
@@ -205,6 +206,20 @@
 	}
 	h.apply(out.Committed)
 	h.send(out.AfterSync)
+	if h.stops {
+		h.stop()
+	}
+}
+
+// stop hands the lead over and ends the replica.
+func (h *simHost) stop() {
+	h.stops = false
+	h.core.Transfer(h.clock())
+	if h.core.LeaseUntil(h.clock()) != 0 {
+		h.s.problem("%s stops with a lease", h.id)
+	}
+	h.send(h.core.Take().Now)
+	h.die(false)
 }
 
 func (h *simHost) dies(at diePoint) bool {
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -133,6 +133,7 @@
 	MsgAppend
 	MsgAppendReply
 	MsgSnapshot
+	MsgTransfer
 )
 
 // Message passes between two replicas of a group.
@@ -149,8 +150,11 @@
 	Commit  Index   `json:"commit,omitempty"`
 	// Refused is set in a reply that says no. Probe then echoes the Index of
 	// the append that was refused.
-	Refused bool  `json:"refused,omitempty"`
-	Probe   Index `json:"probe,omitempty"`
+	Refused bool `json:"refused,omitempty"`
+	// Transfer is set in a request for a vote that the leader of the term
+	// before has asked for. That leader has given its lease up.
+	Transfer bool  `json:"transfer,omitempty"`
+	Probe    Index `json:"probe,omitempty"`
 	// SentAt is the leader's clock when it sent the append; the reply echoes
 	// it, and the lease counts from it.
 	SentAt types.Mono `json:"sentAt,omitempty"`
