quorum, host: repeatable steps, releases of one target do not hold up others

Cause: found by reading. The core sent to its peers in the order of a map, so that the fault matrix was not the same matrix twice. Releases were sent one after the other: an engine that does not answer took 2 s for each of up to 64 holdings and held up all other engines, and the ending of programs.

Ruled out: wrong results; every order is allowed by the protocol.

Change: peers in the order of the membership; releases by target, 16 targets at once, a target that fails waits for the next round. Names that were images (reap, tend, strike, poison, patience, arena) gave way to plain ones.

--- a/cmd/banyanspur/local.go
+++ b/cmd/banyanspur/local.go
@@ -76,7 +76,7 @@
 		if err := f.configure(ctx); err != nil {
 			return err
 		}
-		f.greet()
+		f.printUsage()
 		return nil
 	})
 	return g.Wait()
@@ -188,7 +188,7 @@
 	return nil
 }
 
-func (f *localFleet) greet() {
+func (f *localFleet) printUsage() {
 	fmt.Printf(`
 banyanspur is up: 3 control hosts, 3 entry hosts, 4 stand-in targets.
 
--- a/entry/alone.go
+++ b/entry/alone.go
@@ -21,10 +21,10 @@
 	for {
 		target, err := e.pick(k, nil, done.tried)
 		if err != nil {
-			return done.blame(err)
+			return done.correctRan(err)
 		}
 		if err := e.mayStillSend(k); err != nil {
-			return done.blame(err)
+			return done.correctRan(err)
 		}
 		a := e.send(ctx, k, target, s)
 		if a.err == nil {
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -29,8 +29,8 @@
 	choirKey = "key-of-the-choir"
 	bandKey  = "key-of-the-band"
 	secret   = "a-secret-of-the-test-fleet"
-	// patience bounds every wait; it is no target.
-	patience = 30 * time.Second
+	// waitLimit bounds every wait; it is no target.
+	waitLimit = 30 * time.Second
 )
 
 // fleet is one control host and two entry hosts in this process.
@@ -105,7 +105,7 @@
 // order brings a change into force and waits until it is everywhere.
 func (f *fleet) order(c config.Change) {
 	f.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
 	id := types.OrderID(types.RandomID())
 	var version types.Version
@@ -143,7 +143,7 @@
 
 func (f *fleet) eventually(what string, fn func() error) {
 	f.t.Helper()
-	deadline := time.Now().Add(patience)
+	deadline := time.Now().Add(waitLimit)
 	for {
 		err := fn()
 		if err == nil {
--- a/entry/promise_test.go
+++ b/entry/promise_test.go
@@ -92,20 +92,20 @@
 func TestQuarantine(t *testing.T) {
 	f := newFleet(t)
 	var runs atomic.Int64
-	poison := f.serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+	crashing := f.serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		runs.Add(1)
 		panic(http.ErrAbortHandler)
 	}))
 	f.order(config.Change{PutTargets: []config.Target{
-		{ID: "booking-0", Service: "booking", Address: poison, Zone: "zone-a"},
-		{ID: "booking-1", Service: "booking", Address: poison, Zone: "zone-a"},
-		{ID: "booking-2", Service: "booking", Address: poison, Zone: "zone-a"},
-		{ID: "booking-3", Service: "booking", Address: poison, Zone: "zone-a"},
+		{ID: "booking-0", Service: "booking", Address: crashing, Zone: "zone-a"},
+		{ID: "booking-1", Service: "booking", Address: crashing, Zone: "zone-a"},
+		{ID: "booking-2", Service: "booking", Address: crashing, Zone: "zone-a"},
+		{ID: "booking-3", Service: "booking", Address: crashing, Zone: "zone-a"},
 	}})
 	for i := range 4 {
 		name := fmt.Sprintf("p%d", i)
 		f.open(name)
-		a := f.call(i%2, name, 1, rooms, `{"poison":1}`)
+		a := f.call(i%2, name, 1, rooms, `{"crashing":1}`)
 		if i > 0 {
 			checkFault(t, name, a, http.StatusUnprocessableEntity, fault{Code: "quarantined", Ran: "notRun"})
 		}
--- a/entry/run.go
+++ b/entry/run.go
@@ -42,7 +42,7 @@
 	for {
 		st, err := e.attempt(ctx, k, s, done)
 		if err != nil {
-			return done.blame(err)
+			return done.correctRan(err)
 		}
 		if !st.again {
 			return e.finish(w, s, st)
@@ -65,9 +65,9 @@
 	}
 }
 
-// blame corrects a fault that says "not run" of an attempt when an earlier one
+// correctRan corrects a fault that says "not run" of an attempt when an earlier one
 // may have run.
-func (a *attempts) blame(err error) error {
+func (a *attempts) correctRan(err error) error {
 	f := types.AsFault(err)
 	if f.Ran == types.NotRun {
 		return f.WithRan(a.ran)
--- a/fakes/service.go
+++ b/fakes/service.go
@@ -22,9 +22,9 @@
 	headers []http.Header
 }
 
-// Wish is what a request's body may ask of the stand-in. Any other body is
+// Behaviour is what a request's body may ask of the stand-in. Any other body is
 // answered as it is.
-type Wish struct {
+type Behaviour struct {
 	// SleepMs lengthens the call.
 	SleepMs int `json:"sleepMs"`
 	// Crash breaks the connection after the effect.
@@ -44,13 +44,13 @@
 	if err != nil {
 		return
 	}
-	var wish Wish
-	_ = json.Unmarshal(body, &wish) // A body that is no wish asks for nothing.
+	var behaviour Behaviour
+	_ = json.Unmarshal(body, &behaviour) // A body that names none asks for nothing.
 	n := s.count(r)
-	if !types.Sleep(r.Context(), s.Delay+time.Duration(wish.SleepMs)*time.Millisecond) {
+	if !types.Sleep(r.Context(), s.Delay+time.Duration(behaviour.SleepMs)*time.Millisecond) {
 		return
 	}
-	if wish.Crash {
+	if behaviour.Crash {
 		panic(http.ErrAbortHandler)
 	}
 	writeBody(w, map[string]any{"path": r.URL.Path, "times": n})
--- a/host/control.go
+++ b/host/control.go
@@ -140,10 +140,10 @@
 	for _, id := range c.groupIDs() {
 		m := c.member(id)
 		g.Go(func() error { return m.Run(ctx) })
-		g.Go(func() error { return c.tend(ctx, id, m) })
+		g.Go(func() error { return c.keepMembers(ctx, id, m) })
 	}
 	for _, l := range c.ledgers {
-		g.Go(func() error { return c.reap(ctx, l) })
+		g.Go(func() error { return c.settleEnded(ctx, l) })
 	}
 	return g.Wait()
 }
--- a/host/reap.go
+++ b/host/ended.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/ledger"
 	"github.com/banyanspur/banyanspur/quorum"
@@ -18,20 +20,22 @@
 }
 
 const (
-	reapInterval = 300 * time.Millisecond
-	reapBatch    = 64
-	reapTimeout  = 2 * time.Second
+	endedInterval  = 300 * time.Millisecond
+	endedBatch     = 64
+	releaseTimeout = 2 * time.Second
+	// releaseTargets is how many targets are asked at once.
+	releaseTargets = 16
 )
 
-// reap ends programs whose time has run out and gives back what ended programs
-// hold, on the leader of a group.
-func (c *Control) reap(ctx context.Context, g *accountGroup) error {
-	for types.Sleep(ctx, reapInterval) {
+// settleEnded ends programs whose time has run out and gives back what targets
+// hold for nothing, on the leader of a group.
+func (c *Control) settleEnded(ctx context.Context, g *accountGroup) error {
+	for types.Sleep(ctx, endedInterval) {
 		var overdue []ledger.End
-		var owed []ledger.Holding
+		var owed map[types.TargetID][]ledger.Holding
 		err := g.Read(func(_ quorum.Status, at types.LogTime) {
-			overdue = g.machine.Overdue(at, reapBatch)
-			owed = g.machine.Owed(at, reapBatch)
+			overdue = g.machine.Overdue(at, endedBatch)
+			owed = g.machine.Owed(at, endedBatch)
 		})
 		if err != nil {
 			continue // Another host leads.
@@ -39,31 +43,47 @@
 		for _, e := range overdue {
 			_, _ = g.Propose(ctx, ledger.Command{End: &e}) // Found again if it fails.
 		}
-		for _, h := range owed {
-			c.giveBack(ctx, g, h)
+		if c.Releaser != nil {
+			c.releaseAll(ctx, g, owed)
 		}
 	}
 	return nil
 }
 
-// giveBack asks a target to let go and notes that it has. What fails is found
-// again in the next round.
-func (c *Control) giveBack(ctx context.Context, g *accountGroup, h ledger.Holding) {
-	if c.Releaser == nil {
-		return
+// releaseAll asks several targets at once, each for one holding after the
+// other until it fails. What is left is found again in the next round.
+func (c *Control) releaseAll(ctx context.Context, g *accountGroup, owed map[types.TargetID][]ledger.Holding) {
+	var targets errgroup.Group
+	targets.SetLimit(releaseTargets)
+	for _, holdings := range owed {
+		targets.Go(func() error {
+			for _, h := range holdings {
+				if !c.releaseOne(ctx, g, h) {
+					break
+				}
+			}
+			return nil
+		})
 	}
+	_ = targets.Wait()
+}
+
+// releaseOne asks a target to let go and notes that it has.
+func (c *Control) releaseOne(ctx context.Context, g *accountGroup, h ledger.Holding) bool {
 	fields := event.Fields{"account": h.Account, "program": h.Program, "target": h.Target}
-	releaseCtx, cancel := context.WithTimeout(ctx, reapTimeout)
+	releaseCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	if err := c.Releaser.Release(releaseCtx, h); err != nil {
 		fields["error"] = err.Error()
 		c.Log.Write(event.ReleaseFailed, fields)
-		return
+		return false
 	}
 	r := ledger.Release(h)
-	if _, err := g.Propose(ctx, ledger.Command{Release: &r}); err == nil {
-		c.Log.Write(event.HoldReleased, fields)
+	if _, err := g.Propose(ctx, ledger.Command{Release: &r}); err != nil {
+		return false
 	}
+	c.Log.Write(event.HoldReleased, fields)
+	return true
 }
 
 // expireSessions expires the sessions of entry hosts that were not renewed.
--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -249,12 +249,12 @@
 	}
 }
 
-// patience bounds every wait for a fleet; it is no target.
-const patience = 60 * time.Second
+// waitLimit bounds every wait for a fleet; it is no target.
+const waitLimit = 60 * time.Second
 
 func (f *fleet) eventually(what string, fn func() error) {
 	f.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
 	for {
 		err := fn()
@@ -298,7 +298,7 @@
 // persist sends a request to one entry host after the other until it is
 // answered or its outcome is known to be unknown.
 func (f *fleet) persist(first int, method, path string, body any) (answer []byte, err error) {
-	deadline := time.Now().Add(patience)
+	deadline := time.Now().Add(waitLimit)
 	for i := first; time.Now().Before(deadline); i++ {
 		answer, err = f.ask(f.entries[i%len(f.entries)], method, path, body)
 		if err == nil || strings.Contains(err.Error(), "outcomeUnknown") {
--- a/host/tend.go
+++ b/host/members.go
@@ -11,14 +11,14 @@
 )
 
 const (
-	tendInterval = 200 * time.Millisecond
-	joinTimeout  = time.Second
+	membersInterval = 200 * time.Millisecond
+	joinTimeout     = time.Second
 )
 
-// tend keeps the membership of a group in order: a replica that does not
+// keepMembers keeps the membership of a group in order: a replica that does not
 // belong asks to join, and the leader makes learners voters.
-func (c *Control) tend(ctx context.Context, id types.GroupID, m member) error {
-	for types.Sleep(ctx, tendInterval) {
+func (c *Control) keepMembers(ctx context.Context, id types.GroupID, m member) error {
+	for types.Sleep(ctx, membersInterval) {
 		s := m.Status()
 		if s.ID != "" && !s.Members.Has(s.ID) {
 			c.askToJoin(ctx, id, s.ID)
--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -15,7 +15,7 @@
 func BenchmarkCall(b *testing.B) {
 	for _, size := range []int{0, 1 << 10, 16 << 10} {
 		b.Run(fmt.Sprintf("body=%d", size), func(b *testing.B) {
-			w := newWorld()
+			w := newDriver()
 			body := bytes.Repeat([]byte("x"), size)
 			b.ReportAllocs()
 			for i := range b.N {
@@ -29,7 +29,7 @@
 	}
 }
 
-func (w *world) wholeCall(p types.ProgramID, n types.CallNumber, body []byte) {
+func (w *driver) wholeCall(p types.ProgramID, n types.CallNumber, body []byte) {
 	w.attempts++
 	id := types.AttemptID(fmt.Sprint("attempt-", w.attempts))
 	w.apply(ledger.Command{Begin: &ledger.Begin{
@@ -59,7 +59,7 @@
 
 func measureMemory(b *testing.B, programs, calls int) {
 	before := heap()
-	w := newWorld()
+	w := newDriver()
 	for i := range programs {
 		p := types.ProgramID(fmt.Sprint("program-", i))
 		w.open(p, "", ledger.Budget{Calls: 1000, Tokens: 1e9, Wall: time.Hour})
--- a/ledger/holding.go
+++ b/ledger/holding.go
@@ -65,22 +65,20 @@
 // owes reports whether the target of h is to give the memory back.
 func (p *program) owes(h holding) bool { return p.Ended || h.Stale }
 
-// Owed returns up to most holdings to be given back, in no order.
-func (m *Machine) Owed(at types.LogTime, most int) []Holding {
-	var owed []Holding
+// Owed returns holdings to be given back, by target and in no order, up to most
+// of each target: one that does not answer must not hide the others.
+func (m *Machine) Owed(at types.LogTime, most int) map[types.TargetID][]Holding {
+	owed := map[types.TargetID][]Holding{}
 	for aid, a := range m.state.Accounts {
 		for _, p := range a.Programs {
 			if at < p.QuietAt {
 				continue
 			}
 			for _, h := range p.Holdings {
-				if p.owes(h) {
-					owed = append(owed, Holding{Account: aid, Program: p.ID, Target: h.Target})
+				if p.owes(h) && len(owed[h.Target]) < most {
+					owed[h.Target] = append(owed[h.Target], Holding{Account: aid, Program: p.ID, Target: h.Target})
 				}
 			}
-			if len(owed) >= most {
-				return owed
-			}
 		}
 	}
 	return owed
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -19,8 +19,8 @@
 	return ledger.Session{Host: types.HostID(fmt.Sprintf("entry-%d", i)), Incarnation: "1"}
 }
 
-// world drives a machine and notes what its answers allow.
-type world struct {
+// driver drives a machine and notes what its answers allow.
+type driver struct {
 	m        ledger.Machine
 	at       types.LogTime
 	attempts int
@@ -28,21 +28,21 @@
 	returned map[types.AttemptID]bool     // taken back as not run
 }
 
-func newWorld() *world {
-	return &world{granted: map[string][]types.AttemptID{}, returned: map[types.AttemptID]bool{}}
+func newDriver() *driver {
+	return &driver{granted: map[string][]types.AttemptID{}, returned: map[types.AttemptID]bool{}}
 }
 
-func (w *world) apply(c ledger.Command) ledger.Result {
+func (w *driver) apply(c ledger.Command) ledger.Result {
 	w.at = w.at.Add(time.Millisecond)
 	return w.m.Apply(w.at, c)
 }
 
-func (w *world) open(p types.ProgramID, parent types.ProgramID, b ledger.Budget) ledger.Result {
+func (w *driver) open(p types.ProgramID, parent types.ProgramID, b ledger.Budget) ledger.Result {
 	return w.apply(ledger.Command{Open: &ledger.Open{Account: "a", Program: p, Parent: parent, Budget: b}})
 }
 
 // begin begins a call and returns its attempt, or nothing if it was refused.
-func (w *world) begin(p types.ProgramID, n types.CallNumber, entry int, idempotent bool) (types.AttemptID, ledger.Result) {
+func (w *driver) begin(p types.ProgramID, n types.CallNumber, entry int, idempotent bool) (types.AttemptID, ledger.Result) {
 	w.attempts++
 	id := types.AttemptID(fmt.Sprintf("attempt-%d", w.attempts))
 	r := w.apply(ledger.Command{Begin: &ledger.Begin{
@@ -63,7 +63,7 @@
 // repeated.
 func TestLedgerUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld()
+		w := newDriver()
 		budget := ledger.Budget{Calls: 6, Tokens: 50, Wall: time.Hour, Depth: 2}
 		w.open("p", "", budget)
 		w.open("q", "p", ledger.Budget{Calls: 2, Tokens: 20, Wall: time.Hour, Depth: 1})
@@ -101,7 +101,7 @@
 	})
 }
 
-func (w *world) check(t *rapid.T, budget ledger.Budget) {
+func (w *driver) check(t *rapid.T, budget ledger.Budget) {
 	var calls int64
 	var tokens types.Tokens
 	for _, p := range []types.ProgramID{"p", "q"} {
@@ -129,7 +129,7 @@
 
 // checkOnce finds at most one attempt at each call that may not be repeated
 // among those that may have run.
-func (w *world) checkOnce(t *rapid.T) {
+func (w *driver) checkOnce(t *rapid.T) {
 	for key, ids := range w.granted {
 		if (key[len(key)-1]-'0')%2 == 0 {
 			continue
@@ -150,7 +150,7 @@
 // of a program's life and finds the same answers.
 func TestSnapshotKeepsBehaviour(t *testing.T) {
 	run := func(swap int) []string {
-		w := newWorld()
+		w := newDriver()
 		var got []string
 		note := func(r ledger.Result) {
 			got = append(got, string(types.Encode(r)))
@@ -187,11 +187,11 @@
 // TestHoldingsOutliveAttempts ends a program while an attempt is under way: the
 // memory is given back only once the attempt cannot run any more.
 func TestHoldingsOutliveAttempts(t *testing.T) {
-	w := newWorld()
+	w := newDriver()
 	w.open("p", "", ledger.Budget{Calls: 4, Tokens: 100, Wall: time.Hour})
 	id, _ := w.begin("p", 1, 0, true)
 	w.apply(ledger.Command{End: &ledger.End{Account: "a", Program: "p"}})
-	owed := func(d time.Duration) int { return len(w.m.Owed(w.at.Add(d), 10)) }
+	owed := func(d time.Duration) int { return len(w.m.Owed(w.at.Add(d), 10)) } // targets
 	if diff := cmp.Diff([]int{0, 0, 1}, []int{owed(0), owed(ledger.MaxAttempt - time.Second), owed(ledger.MaxAttempt)}); diff != "" {
 		t.Errorf("owed while the attempt may run (-want +got):\n%s", diff)
 	}
@@ -232,7 +232,7 @@
 // TestMovedProgramLetsGo moves a program to another target: what the first one
 // keeps is owed at once, and no more once the program has come back.
 func TestMovedProgramLetsGo(t *testing.T) {
-	w := newWorld()
+	w := newDriver()
 	w.open("p", "", ledger.Budget{Calls: 9, Tokens: 100, Wall: time.Hour})
 	closeAt := func(n types.CallNumber, target types.TargetID) {
 		id, _ := w.begin("p", n, 0, true)
@@ -240,7 +240,7 @@
 	}
 	closeAt(1, "t")
 	closeAt(2, "u")
-	want := []ledger.Holding{{Account: "a", Program: "p", Target: "t"}}
+	want := map[types.TargetID][]ledger.Holding{"t": {{Account: "a", Program: "p", Target: "t"}}}
 	if diff := cmp.Diff(want, w.m.Owed(w.at, 10)); diff != "" {
 		t.Errorf("owed after the move (-want +got):\n%s", diff)
 	}
@@ -256,7 +256,7 @@
 // track of does not hold up the program for ever.
 func TestOverdueAttempt(t *testing.T) {
 	for _, idempotent := range []bool{true, false} {
-		w := newWorld()
+		w := newDriver()
 		w.open("p", "", ledger.Budget{Calls: 4, Tokens: 100, Wall: time.Hour})
 		w.begin("p", 1, 0, idempotent)
 		if _, r := w.begin("p", 1, 1, idempotent); !types.IsCode(r.Fault, types.CodeInProgress) {
@@ -286,7 +286,7 @@
 		f.Add(types.Encode(c))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		w := newWorld()
+		w := newDriver()
 		w.open("p", "", ledger.Budget{Calls: 2, Tokens: 20, Wall: time.Hour, Depth: 1})
 		w.begin("p", 1, 0, false)
 		for len(b) > 0 {
@@ -303,3 +303,24 @@
 		}
 	})
 }
+
+// TestOwedOfEachTarget ends many programs that one target holds and one that
+// another does: the first does not hide the second.
+func TestOwedOfEachTarget(t *testing.T) {
+	w := newDriver()
+	for i := range 100 {
+		p := types.ProgramID(fmt.Sprint("p", i))
+		target := types.TargetID("silent")
+		if i == 50 {
+			target = "other"
+		}
+		w.open(p, "", ledger.Budget{Calls: 1, Tokens: 10, Wall: time.Hour})
+		id, _ := w.begin(p, 1, 0, true)
+		w.apply(ledger.Command{Close: &ledger.Close{Account: "a", Program: p, Number: 1, Attempt: id, Outcome: ledger.OutcomeAnswered, Target: target, Holding: true, Unused: "t"}})
+		w.apply(ledger.Command{End: &ledger.End{Account: "a", Program: p}})
+	}
+	owed := w.m.Owed(w.at, 8)
+	if diff := cmp.Diff([]int{8, 1, 2}, []int{len(owed["silent"]), len(owed["other"]), len(owed)}); diff != "" {
+		t.Errorf("owed (-want +got):\n%s", diff)
+	}
+}
--- a/quorum/append.go
+++ b/quorum/append.go
@@ -112,9 +112,9 @@
 }
 
 func (c *Core) broadcast(now types.Mono) {
-	for id, p := range c.peers {
-		if !p.waiting {
-			c.sendAppend(now, id, p)
+	for _, m := range c.members.All() { // In their order, so that equal steps have equal outcomes.
+		if p := c.peers[m.ID]; !p.waiting {
+			c.sendAppend(now, m.ID, p)
 		}
 	}
 }
--- a/quorum/elect.go
+++ b/quorum/elect.go
@@ -27,9 +27,9 @@
 		c.follow(now, c.hard.Term, "")
 		return
 	}
-	for id, p := range c.peers {
-		if now.Sub(p.sentAt) >= c.timing.Heartbeat {
-			c.sendAppend(now, id, p)
+	for _, m := range c.members.All() {
+		if p := c.peers[m.ID]; now.Sub(p.sentAt) >= c.timing.Heartbeat {
+			c.sendAppend(now, m.ID, p)
 		}
 	}
 }
--- a/quorum/linear_test.go
+++ b/quorum/linear_test.go
@@ -62,7 +62,7 @@
 // TestLinearizable lets clients propose and read through all replicas while
 // leaders are killed, and checks that what they saw fits one order.
 func TestLinearizable(t *testing.T) {
-	g := newTrio(t)
+	g := newTestGroup(t)
 	h := &history{start: time.Now()}
 	ctx, cancel := context.WithCancel(context.Background())
 	var clients errgroup.Group
@@ -95,7 +95,7 @@
 	t.Logf("%d operations: %s", len(h.list), result)
 }
 
-func (g *trio) replica(i int) *quorum.Replica[[]byte, int] {
+func (g *testGroup) replica(i int) *quorum.Replica[[]byte, int] {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.replicas[i]
@@ -103,7 +103,7 @@
 
 // operate proposes to or reads from one replica. What was refused before
 // anything happened is not recorded.
-func (g *trio) operate(h *history, client, replica int, read bool) {
+func (g *testGroup) operate(h *history, client, replica int, read bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
 	g.mu.Lock()
--- a/quorum/matrix_test.go
+++ b/quorum/matrix_test.go
@@ -7,15 +7,17 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/banyanspur/banyanspur/quorum"
 )
 
 // failoverTarget is the stated bound on the time without a working leader.
 const failoverTarget = 2 * time.Second
 
-// faults are what strikes the host that is about to carry out a step.
+// faults are injected into the host that is about to carry out a step.
 var faults = []struct {
 	name   string
-	strike func(h *simHost)
+	inject func(h *simHost)
 }{
 	{"kill before sync", func(h *simHost) { h.dieAt = dieBeforeSync }},
 	{"kill after sync", func(h *simHost) { h.dieAt = dieAfterSync }},
@@ -46,28 +48,28 @@
 
 const (
 	matrixSeed = 1
-	// matrixSpan is the time whose every step is struck: the first election
+	// matrixSpan is the time whose every step gets each fault: the first election
 	// and some replication.
 	matrixSpan = 1500 * time.Millisecond
 	// matrixRest is the time for recovery.
 	matrixRest = 4 * time.Second
 )
 
-// TestFaultMatrix strikes every step of an election and of replication with
+// TestFaultMatrix injects into every step of an election and of replication
 // every fault, and checks that one leader at a time is elected, that nothing
 // acknowledged is lost, that leases exclude each other, that log time holds,
 // and that the group works again in time.
 func TestFaultMatrix(t *testing.T) {
-	calm := newSim(matrixSeed, 3)
-	calm.run(matrixSpan)
-	steps := calm.steps
+	uninjected := newSim(matrixSeed, 3)
+	uninjected.run(matrixSpan)
+	steps := uninjected.steps
 	var failed atomic.Int64
-	t.Run("strike", func(t *testing.T) {
+	t.Run("inject", func(t *testing.T) {
 		for _, f := range faults {
 			t.Run(f.name, func(t *testing.T) {
 				t.Parallel()
 				for at := range steps {
-					if diff := cmp.Diff([]string(nil), strike(at, f.strike)); diff != "" {
+					if diff := cmp.Diff([]string(nil), inject(at, f.inject)); diff != "" {
 						failed.Add(1)
 						t.Errorf("step %d (-want +got):\n%s", at, diff)
 					}
@@ -80,8 +82,8 @@
 		len(faults), steps, runs, runs-failed.Load(), failed.Load())
 }
 
-// strike runs a group with one fault and returns what did not hold.
-func strike(at int, fault func(*simHost)) []string {
+// inject runs a group with one fault and returns what did not hold.
+func inject(at int, fault func(*simHost)) []string {
 	s := newSim(matrixSeed, 3)
 	s.at, s.fault = at, fault
 	s.run(matrixSpan + matrixRest)
@@ -105,3 +107,16 @@
 		}
 	}
 }
+
+// TestRepeatable runs the same faults twice and finds the same steps.
+func TestRepeatable(t *testing.T) {
+	run := func() map[quorum.Index]quorum.Entry {
+		s := newSim(matrixSeed, 5)
+		s.at, s.fault = 300, func(h *simHost) { h.dieAt = dieWithDisk }
+		s.run(matrixSpan + matrixRest)
+		return s.committed
+	}
+	if diff := cmp.Diff(run(), run()); diff != "" {
+		t.Errorf("(-first +second):\n%s", diff)
+	}
+}
--- a/quorum/pairs_test.go
+++ b/quorum/pairs_test.go
@@ -20,7 +20,7 @@
 	os.Exit(m.Run())
 }
 
-// TestFaultSequences strikes a group with several faults, one after the other
+// TestFaultSequences injects several faults into a group, one after the other
 // or together; at most one of them takes a disk, since a group of three cannot
 // lose two.
 func TestFaultSequences(t *testing.T) {
@@ -35,8 +35,8 @@
 				}
 				lostDisk = true
 			}
-			s.at = s.steps + rapid.IntRange(0, 200).Draw(t, "steps until it strikes")
-			s.fault = f.strike
+			s.at = s.steps + rapid.IntRange(0, 200).Draw(t, "steps until it is injected")
+			s.fault = f.inject
 			s.run(time.Duration(rapid.IntRange(50, 2500).Draw(t, "ms")) * time.Millisecond)
 		}
 		s.fault = nil
--- a/quorum/replica_test.go
+++ b/quorum/replica_test.go
@@ -34,8 +34,8 @@
 	return err
 }
 
-// trio is a group of three replicas in this process.
-type trio struct {
+// testGroup is a group of three replicas in this process.
+type testGroup struct {
 	t        testing.TB
 	dir      string
 	mu       sync.Mutex
@@ -44,9 +44,9 @@
 	stop     [3]func()
 }
 
-func newTrio(t testing.TB) *trio {
+func newTestGroup(t testing.TB) *testGroup {
 	t.Helper()
-	g := &trio{t: t, dir: t.TempDir()}
+	g := &testGroup{t: t, dir: t.TempDir()}
 	var members quorum.Members
 	for i := range g.replicas {
 		id, err := quorum.Identity(g.folder(i), hostName(i))
@@ -71,9 +71,9 @@
 
 func hostName(i int) types.HostID { return types.HostID(fmt.Sprint("h", i)) }
 
-func (g *trio) folder(i int) string { return filepath.Join(g.dir, fmt.Sprint(i)) }
+func (g *testGroup) folder(i int) string { return filepath.Join(g.dir, fmt.Sprint(i)) }
 
-func (g *trio) start(i int) {
+func (g *testGroup) start(i int) {
 	m := &counter{}
 	r := &quorum.Replica[[]byte, int]{Dir: g.folder(i), Host: hostName(i), Machine: m, Send: g.send, Clock: types.NewClock()}
 	g.mu.Lock()
@@ -90,9 +90,9 @@
 	})
 }
 
-func (g *trio) kill(i int) { g.stop[i]() }
+func (g *testGroup) kill(i int) { g.stop[i]() }
 
-func (g *trio) send(m quorum.Message) {
+func (g *testGroup) send(m quorum.Message) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for i, r := range g.replicas {
@@ -103,7 +103,7 @@
 }
 
 // propose proposes to each replica in turn until one accepts.
-func (g *trio) propose(command []byte) {
+func (g *testGroup) propose(command []byte) {
 	for i := 0; ; i++ {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		_, err := g.replicas[i%3].Propose(ctx, command)
@@ -120,7 +120,7 @@
 // TestReplicaRestart restarts a replica that has missed more than the log of
 // the others still holds: it catches up by snapshot and log.
 func TestReplicaRestart(t *testing.T) {
-	g := newTrio(t)
+	g := newTestGroup(t)
 	const size = 1 << 20
 	command := make([]byte, size)
 	g.propose(command)
@@ -149,7 +149,7 @@
 
 // level reports whether all replicas have applied the same entries, and all
 // that any of them knows to be committed.
-func (g *trio) level() bool {
+func (g *testGroup) level() bool {
 	first := g.replicas[0].Status()
 	for _, r := range g.replicas {
 		if s := r.Status(); s.Applied != first.Applied || s.Commit != first.Applied || s.Applied == 0 {
@@ -163,7 +163,7 @@
 func BenchmarkCommit(b *testing.B) {
 	for _, n := range []int{1, 64, 512} {
 		b.Run(fmt.Sprintf("proposers=%d", n), func(b *testing.B) {
-			g := newTrio(b)
+			g := newTestGroup(b)
 			command := make([]byte, 200)
 			g.propose(command)
 			b.ResetTimer()
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -21,14 +21,13 @@
 
 // sim runs the cores of one group over a simulated clock, network and disks.
 type sim struct {
-	now    types.Mono
-	rand   *rand.Rand
-	hosts  []*simHost
-	wires  []packet
-	steps  int // outputs that were carried out so far
-	fault  func(h *simHost)
-	at     int // the step at which the fault strikes; -1 for none
-	struck *simHost
+	now   types.Mono
+	rand  *rand.Rand
+	hosts []*simHost
+	wires []packet
+	steps int // outputs that were carried out so far
+	fault func(h *simHost)
+	at    int // the step at which the fault is injected; -1 for none
 
 	terms     map[quorum.Term]quorum.ReplicaID // the leader of each term
 	committed map[quorum.Index]quorum.Entry    // what any replica applied
@@ -131,7 +130,7 @@
 		if time.Duration(s.now)%proposeGap == 0 {
 			s.propose()
 		}
-		s.tend()
+		s.keepMembers()
 		s.checkLeases()
 		if time.Duration(s.now)%compactGap == 0 {
 			s.hosts[s.rand.IntN(len(s.hosts))].compact()
@@ -189,7 +188,6 @@
 func (h *simHost) carryOut(out quorum.Output) {
 	s := h.s
 	if s.steps == s.at && s.fault != nil {
-		s.struck = h
 		s.fault(h)
 	}
 	s.steps++
@@ -341,9 +339,9 @@
 	}
 }
 
-// tend does what the control host does: replicas that do not belong ask to
+// keepMembers does what the control host does: replicas that do not belong ask to
 // join, and the leader makes learners voters.
-func (s *sim) tend() {
+func (s *sim) keepMembers() {
 	for _, h := range s.hosts {
 		if !h.awake() || h.core.Role() != quorum.Leader || s.now < h.cutIn || s.now < h.cutOut {
 			continue
--- a/route/experiment_test.go
+++ b/route/experiment_test.go
@@ -53,9 +53,9 @@
 	}
 )
 
-// contender is a policy. Entry hosts offer it the targets in random order, or
+// variant is a policy. Entry hosts offer it the targets in random order, or
 // always in the same one.
-type contender struct {
+type variant struct {
 	name    string
 	choose  route.Policy
 	inOrder bool
@@ -65,8 +65,8 @@
 	fair bool
 }
 
-// contenders are the policy in use and its baselines.
-var contenders = []contender{
+// variants are the policy in use and its baselines.
+var variants = []variant{
 	{name: "expected", choose: route.Expected(route.DefaultCosts)},
 	{name: "expected, keep all", choose: route.Expected(route.DefaultCosts), keepAll: true},
 	{name: "displaced 0", choose: route.Expected(displaced(0))},
@@ -102,10 +102,10 @@
 // accounts is the number of client accounts.
 const accounts = 8
 
-// arena is one run.
-type arena struct {
+// experimentRun is one run.
+type experimentRun struct {
 	workload
-	contender
+	variant
 	engines []*fakes.Engine
 	tables  []*route.Table
 	shares  []*sched.Fair[int]
@@ -122,7 +122,7 @@
 	}
 	for _, w := range []workload{kalahari, ganesh} {
 		for _, load := range []float64{0.3, 0.8, 1.2} {
-			for _, p := range contenders {
+			for _, p := range variants {
 				for seed := range *seeds {
 					t.Logf("| %s | %.0f%% | %s | %d | %s |", w.title, 100*load, p.name, seed, run(t, w, load, p, seed))
 				}
@@ -142,7 +142,7 @@
 		for _, load := range []float64{0.8, 1.2} {
 			for _, fair := range []bool{true, false} {
 				for seed := range *seeds {
-					c := contender{choose: route.Expected(route.DefaultCosts), fair: fair}
+					c := variant{choose: route.Expected(route.DefaultCosts), fair: fair}
 					o := runFor(t, w, load, c, seed, experimentSpan)
 					t.Logf("| %s | %.0f%% | fair %v | %d | %s | %d |", w.title, 100*load, fair, seed, o.shares(), o.latency.ValueAtQuantile(95))
 				}
@@ -168,7 +168,7 @@
 	w := kalahari
 	w.engines, w.programs = 4, 0.5
 	wasted := map[string]int{}
-	for _, p := range contenders {
+	for _, p := range variants {
 		wasted[p.name] = runFor(t, w, 0.8, p, 1, time.Minute).recompute
 	}
 	if 2*wasted["expected"] > wasted["roundRobin"] || 2*wasted["expected"] > wasted["leastLoaded"] {
@@ -176,15 +176,15 @@
 	}
 }
 
-func run(t *testing.T, w workload, load float64, p contender, seed uint64) string {
+func run(t *testing.T, w workload, load float64, p variant, seed uint64) string {
 	o := runFor(t, w, load, p, seed, experimentSpan)
 	return fmt.Sprintf("%d | %d | %d | %.1f%% | %d", o.latency.ValueAtQuantile(50), o.latency.ValueAtQuantile(95),
 		o.latency.ValueAtQuantile(99), 100*float64(o.recompute)/float64(o.computed), o.unfinished)
 }
 
-func runFor(t *testing.T, w workload, load float64, p contender, seed uint64, span time.Duration) (o outcome) {
+func runFor(t *testing.T, w workload, load float64, p variant, seed uint64, span time.Duration) (o outcome) {
 	synctest.Test(t, func(*testing.T) {
-		a := &arena{workload: w, contender: p, clock: types.NewClock()}
+		a := &experimentRun{workload: w, variant: p, clock: types.NewClock()}
 		a.out.latency = hdrhistogram.New(1, 3_600_000, 3)
 		for i := range w.engines {
 			a.engines = append(a.engines, &fakes.Engine{
@@ -210,7 +210,7 @@
 }
 
 // arrive starts programs until the span is over, and waits for all.
-func (a *arena) arrive(r *rand.Rand, load float64, span time.Duration) {
+func (a *experimentRun) arrive(r *rand.Rand, load float64, span time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*span)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -225,7 +225,7 @@
 func between(r *rand.Rand, span [2]int) int { return span[0] + r.IntN(span[1]-span[0]+1) }
 
 // program runs one program, whose calls go through a random entry host each.
-func (a *arena) program(ctx context.Context, n int, r *rand.Rand) {
+func (a *experimentRun) program(ctx context.Context, n int, r *rand.Rand) {
 	id := types.ProgramID(fmt.Sprint("program-", n))
 	account := a.accountOf(r)
 	prompt := a.system
@@ -263,12 +263,12 @@
 
 // accountOf draws the program's client account: account 0 has five times the
 // programs of each other.
-func (a *arena) accountOf(r *rand.Rand) int {
+func (a *experimentRun) accountOf(r *rand.Rand) int {
 	return max(0, r.IntN(accounts+4)-4)
 }
 
 // letGo gives back what targets other than the newest hold for a program.
-func (a *arena) letGo(id types.ProgramID, newest types.TargetID, holders map[types.TargetID]int) {
+func (a *experimentRun) letGo(id types.ProgramID, newest types.TargetID, holders map[types.TargetID]int) {
 	if a.keepAll {
 		return
 	}
@@ -281,7 +281,7 @@
 }
 
 // call routes one call as an entry host does and runs it.
-func (a *arena) call(ctx context.Context, r *rand.Rand, entry int, id types.ProgramID, holders map[types.TargetID]int, j fakes.Job) (types.TargetID, bool) {
+func (a *experimentRun) call(ctx context.Context, r *rand.Rand, entry int, id types.ProgramID, holders map[types.TargetID]int, j fakes.Job) (types.TargetID, bool) {
 	table, now := a.tables[entry], a.clock()
 	var list []route.Candidate
 	for i := range a.engines {
--- a/spec/agreement.pml
+++ b/spec/agreement.pml
@@ -83,17 +83,17 @@
   n = t * 4 + whom; votes[n] = votes[n] | (1 << who)
 }
 
-inline calm(r) { leads[r] = false; asks[r] = false }
+inline stepDown(r) { leads[r] = false; asks[r] = false }
 
 /* die loses what was not synced. */
 inline die(r) {
-  calm(r);
+  stepDown(r);
   for (i : 0 .. MAXLOG - 1) { if :: i >= flushed[r] -> rep[r].log[i] = 0 :: else fi }
   rep[r].size = flushed[r]
 }
 
 inline wipe(r) {
-  calm(r);
+  stepDown(r);
   rep[r].term = 0; rep[r].vote = NONE; rep[r].size = 0; flushed[r] = 0;
   for (i : 0 .. MAXLOG - 1) { rep[r].log[i] = 0 }
   ackTerm[r] = 0; ackSize[r] = 0
@@ -104,13 +104,13 @@
 }
 
 inline campaign(r) {
-  calm(r);
+  stepDown(r);
   rep[r].term = rep[r].term + 1; rep[r].vote = r; flushed[r] = rep[r].size; asks[r] = true;
   s = rep[r].term; giveVote(s, r, r)
 }
 
 inline grant(r, c) {
-  calm(r);
+  stepDown(r);
   rep[r].term = rep[c].term; rep[r].vote = c; flushed[r] = rep[r].size;
   s = rep[r].term; giveVote(s, r, c)
 }
@@ -131,7 +131,7 @@
 
 /* follow takes over a leader's log, synced. */
 inline follow(r, l) {
-  calm(r);
+  stepDown(r);
   rep[r].vote = (rep[r].term == rep[l].term -> rep[r].vote : NONE);
   rep[r].term = rep[l].term; rep[r].size = rep[l].size;
   for (i : 0 .. MAXLOG - 1) { rep[r].log[i] = rep[l].log[i] }
