--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -124,13 +124,7 @@
 		version = d.Version
 		return nil
 	})
-	f.eventually("in force", func() error {
-		reply, err := f.client.InForce(ctx, version)
-		if err == nil && !reply.InForce {
-			err = fmt.Errorf("waiting for %v", reply.Waiting)
-		}
-		return err
-	})
+	f.waitInForce(version)
 	for i := range f.entries {
 		f.eventually("entry is ready", func() error {
 			if a := f.ask(i, choirKey, http.MethodGet, "/v1/programs/none", ""); a.status == http.StatusServiceUnavailable || a.err != nil {
@@ -156,6 +150,31 @@
 	}
 }
 
+// waitInForce waits until every entry host serves under the version.
+func (f *fleet) waitInForce(v types.Version) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	f.eventually("in force", func() error {
+		reply, err := f.client.InForce(ctx, v)
+		if err == nil && !reply.InForce {
+			err = fmt.Errorf("waiting for %v", reply.Waiting)
+		}
+		return err
+	})
+}
+
+// waitComputing waits until the engine has begun to run a call.
+func (f *fleet) waitComputing(e *fakes.Engine) {
+	f.t.Helper()
+	f.eventually("the engine runs", func() error {
+		if computed, _ := e.Waste(); computed == 0 {
+			return fmt.Errorf("nothing computed")
+		}
+		return nil
+	})
+}
+
 // reply is an answer to a caller.
 type reply struct {
 	status int
--- a/entry/promise_test.go
+++ b/entry/promise_test.go
@@ -216,12 +216,7 @@
 	wg.Go(func() {
 		stream = f.call(0, "p", 1, chatPath, strings.Replace(chatBody, `"max_tokens":8`, `"stream":true,"max_tokens":500`, 1))
 	})
-	f.eventually("the engine runs", func() error {
-		if computed, _ := slow.Waste(); computed == 0 {
-			return fmt.Errorf("nothing computed")
-		}
-		return nil
-	})
+	f.waitComputing(slow)
 	f.withdraw(choirKey)
 	checkFault(t, "connected caller", f.ask(0, choirKey, http.MethodGet, "/v1/programs/p", ""), http.StatusUnauthorized, fault{Code: "unauthorized", Ran: "notRun"})
 	wg.Wait()
@@ -234,22 +229,16 @@
 func (f *fleet) withdraw(key string) {
 	f.t.Helper()
 	ctx := f.t.Context()
-	d, err := f.client.Fleet(ctx)
+	fleet, err := f.client.Fleet(ctx)
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	id := types.OrderID(types.RandomID())
-	decision, err := f.client.Order(ctx, orderOf(id, d.Version, config.Change{DropKeys: []types.KeyHash{types.HashKey(key)}}))
+	decision, err := f.client.Order(ctx, orderOf(id, fleet.Version, config.Change{DropKeys: []types.KeyHash{types.HashKey(key)}}))
 	if err != nil || !decision.Accepted {
 		f.t.Fatal(decision, err)
 	}
-	f.eventually("in force", func() error {
-		r, err := f.client.InForce(ctx, decision.Version)
-		if err == nil && !r.InForce {
-			err = fmt.Errorf("waiting for %v", r.Waiting)
-		}
-		return err
-	})
+	f.waitInForce(decision.Version)
 }
 
 // TestStreamCutShort breaks an engine's stream: the caller gets an error
@@ -282,12 +271,7 @@
 	wg.Go(func() {
 		stream = f.call(0, "p", 1, chatPath, strings.Replace(chatBody, `"max_tokens":8`, `"stream":true`, 1))
 	})
-	f.eventually("the engine runs", func() error {
-		if computed, _ := slow.Waste(); computed == 0 {
-			return fmt.Errorf("nothing computed")
-		}
-		return nil
-	})
+	f.waitComputing(slow)
 	f.stop[0]()
 	wg.Wait()
 	if stream.err != nil || !strings.HasSuffix(stream.body, "data: [DONE]") {
--- a/fakes/batch.go
+++ b/fakes/batch.go
@@ -84,15 +84,24 @@
 // waitQueue implements heap.Interface.
 type waitQueue []*waiting
 
-func (q waitQueue) Len() int      { return len(q) }
+// Len returns the number of waiting calls.
+func (q waitQueue) Len() int { return len(q) }
+
+// Swap swaps two calls.
 func (q waitQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Less reports whether call i goes before call j.
 func (q waitQueue) Less(i, j int) bool {
 	if q[i].priority != q[j].priority {
 		return q[i].priority > q[j].priority
 	}
 	return q[i].order < q[j].order
 }
+
+// Push adds a call at the end.
 func (q *waitQueue) Push(x any) { *q = append(*q, x.(*waiting)) }
+
+// Pop removes the last call.
 func (q *waitQueue) Pop() any {
 	old := *q
 	w := old[len(old)-1]
--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -44,7 +44,8 @@
 
 // BenchmarkMemory reports the memory of a program and of one of its calls,
 // bodies left out, and the time of a snapshot and of the leader's periodic
-// scans.
+// scans. Run it with -benchtime 1x: what one iteration leaves on the heap would
+// count for the next.
 func BenchmarkMemory(b *testing.B) {
 	for _, n := range []int{1000, 5000} {
 		for _, calls := range []int{0, 20, 100} {
