host: names that say what is started, one wait in place of two

Cause: startControl started a listener and not the control host; the drain's constant stood among the releases of memory; the same wait stood twice.

Change: startPeers, waitEither, the constant beside its use.

Measured: the tests of host, with real processes, pass in 57 s.

Conclusion: no behaviour changed.

--- a/host/process.go
+++ b/host/process.go
@@ -48,6 +48,9 @@
 	// finishTimeout bounds how long requests under way are waited for.
 	finishTimeout = ledger.MaxAttempt + 10*time.Second
 	minSecret     = 16
+	// drainLag is how long a host that is leaving goes on accepting callers,
+	// since the balancer notices late.
+	drainLag = 3 * time.Second
 )
 
 // Run runs the process until ctx ends, then lets every request under way
@@ -70,7 +73,7 @@
 	}
 	g.Go(func() error { return p.client.Run(inner) })
 	if p.control != nil {
-		if err := p.startControl(inner, g); err != nil {
+		if err := p.startPeers(inner, g); err != nil {
 			return err
 		}
 		g.Go(func() error {
@@ -90,10 +93,7 @@
 		}
 	} else {
 		g.Go(func() error {
-			select {
-			case <-ctx.Done():
-			case <-inner.Done():
-			}
+			waitEither(ctx, inner)
 			stop()
 			return nil
 		})
@@ -134,17 +134,16 @@
 	return nil
 }
 
-func (p *Process) startControl(ctx context.Context, g *errgroup.Group) error {
+// startPeers answers our other processes.
+func (p *Process) startPeers(ctx context.Context, g *errgroup.Group) error {
 	server := &wire.Server{Secret: p.Secret, Log: p.Log}
 	p.control.Register(server)
 	mux := http.NewServeMux()
 	mux.Handle("/peer", server)
-	if err := serveUntilDone(ctx, g, p.Settings.PeerListen, mux); err != nil {
-		return err
-	}
-	return nil
+	return serveUntilDone(ctx, g, p.Settings.PeerListen, mux)
 }
 
+// startAdmin answers operators, health checks and metrics.
 func (p *Process) startAdmin(ctx context.Context, g *errgroup.Group) error {
 	if p.Settings.AdminListen == "" {
 		return nil
@@ -174,15 +173,20 @@
 	})
 	g.Go(func() error {
 		defer stopEntry()
-		select {
-		case <-outer.Done():
-		case <-inner.Done():
-		}
+		waitEither(outer, inner)
 		return p.drain(inner, server)
 	})
 	return nil
 }
 
+// waitEither waits until one of the contexts ends.
+func waitEither(a, b context.Context) {
+	select {
+	case <-a.Done():
+	case <-b.Done():
+	}
+}
+
 // drain takes the host out of service without cutting off a request.
 func (p *Process) drain(ctx context.Context, server *http.Server) error {
 	p.entry.Drain()
--- a/host/release.go
+++ b/host/release.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -50,7 +49,3 @@
 	}
 	return errors.Newf("host: release: the target answered %s", resp.Status)
 }
-
-// drainLag is how long a host that is leaving goes on accepting callers, since
-// the balancer notices late.
-const drainLag = 3 * time.Second
