--- /dev/null
+++ b/cmd/banyanspur/join.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanspur/banyanspur/config"
+	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/host"
+	"github.com/banyanspur/banyanspur/platform"
+)
+
+type joinCommand struct {
+	Settings string `long:"settings" short:"s" env:"BANYANSPUR_SETTINGS" required:"true" description:"Settings file (TOML)"`
+	Role     struct {
+		Name host.NodeRole `positional-arg-name:"role" description:"entry, control or store"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute runs one host until SIGTERM or SIGINT.
+func (c *joinCommand) Execute([]string) error {
+	b, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return errors.Wrap(err, "banyanspur: read settings")
+	}
+	settings, err := config.ParseNode(c.Settings, b)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP) // What may change in the file is read at the next start.
+	log := event.New(os.Stdout)
+	n := &host.Node{
+		Role: c.Role.Name, Settings: settings, Names: platform.Names, ReadyPath: platform.ReadyPath,
+		Operators: platform.Operator, Log: log,
+	}
+	if settings.TargetList != "" {
+		n.List = platform.Lister(settings.TargetList)
+	}
+	err = n.Run(ctx)
+	if err != nil {
+		log.Write(event.HostFailed, event.Fields{"host": settings.Host, "error": err.Error()})
+	}
+	return err
+}
--- a/cmd/banyanspur/main.go
+++ b/cmd/banyanspur/main.go
@@ -23,6 +23,7 @@
 type commands struct {
 	Local    localCommand    `command:"local" description:"Run a whole fleet with stand-in targets in this process"`
 	Run      runCommand      `command:"run" description:"Run one host by its settings"`
+	Join     joinCommand     `command:"join" description:"Run one host of a fleet that finds itself"`
 	Check    checkCommand    `command:"check" description:"Check settings files and questionnaires"`
 	Generate generateCommand `command:"generate" description:"Generate the configuration from a questionnaire"`
 	Key      keyCommand      `command:"key" description:"Make a key and print it with its hash"`
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -16,14 +16,30 @@
 	SnapshotWritten   = Kind{205, logrus.InfoLevel, "snapshot written"}
 	SnapshotInstalled = Kind{206, logrus.InfoLevel, "snapshot installed from the leader"}
 	StoreFailed       = Kind{207, logrus.ErrorLevel, "storage failed, replica stops"}
+	StoreRefused      = Kind{208, logrus.WarnLevel, "disk refused a read or a write"}
+	GroupFounded      = Kind{209, logrus.InfoLevel, "group founded"}
+	MembersChanged    = Kind{210, logrus.InfoLevel, "membership of a group changed"}
+	ShardMoved        = Kind{211, logrus.InfoLevel, "stores of a shard changed"}
+	ShardCopied       = Kind{212, logrus.InfoLevel, "shard copied from the other stores"}
+	CopyFailed        = Kind{213, logrus.WarnLevel, "copying a shard failed, will be tried again"}
 	OrderApplied      = Kind{301, logrus.InfoLevel, "configuration order decided"}
 	ConfigApplied     = Kind{302, logrus.InfoLevel, "configuration version in force"}
 	LeaseLost         = Kind{303, logrus.WarnLevel, "configuration lease ran out, requests are refused"}
 	LeaseGained       = Kind{304, logrus.InfoLevel, "configuration lease held"}
+	PlanApplied       = Kind{305, logrus.InfoLevel, "plan in force on this host"}
+	PlanRefused       = Kind{306, logrus.WarnLevel, "plan refused"}
+	TargetsChanged    = Kind{307, logrus.InfoLevel, "list of targets changed"}
+	LeaderReached     = Kind{308, logrus.InfoLevel, "leader of the configuration group reached"}
+	LeaderAway        = Kind{309, logrus.WarnLevel, "leader of the configuration group does not answer"}
 	CallUnknown       = Kind{401, logrus.WarnLevel, "outcome of a call that may not be repeated is unknown"}
 	CallQuarantined   = Kind{402, logrus.WarnLevel, "request quarantined after its targets failed"}
 	SessionExpired    = Kind{403, logrus.WarnLevel, "session of an entry host expired"}
 	CloseFailed       = Kind{404, logrus.ErrorLevel, "outcome of a call could not be stored"}
+	RequestRefused    = Kind{405, logrus.InfoLevel, "request refused"}
+	RequestSent       = Kind{406, logrus.InfoLevel, "request sent to a target"}
+	RequestEnded      = Kind{407, logrus.InfoLevel, "request ended"}
+	TurnKept          = Kind{408, logrus.InfoLevel, "turn durable on a majority of its stores"}
+	BudgetDecided     = Kind{409, logrus.InfoLevel, "budget of a program decided"}
 	TargetFailed      = Kind{501, logrus.WarnLevel, "target failed during a call"}
 	HoldReleased      = Kind{502, logrus.InfoLevel, "memory held for an ended program given back"}
 	ReleaseFailed     = Kind{503, logrus.WarnLevel, "target did not accept a release, will be sent again"}
@@ -37,9 +53,12 @@
 	return []Kind{
 		HostStarted, HostDraining, HostStopped, HostFailed,
 		LeaderElected, LeaderLost, TailCut, StoreCorrupt, SnapshotWritten,
-		SnapshotInstalled, StoreFailed,
-		OrderApplied, ConfigApplied, LeaseLost, LeaseGained,
+		SnapshotInstalled, StoreFailed, StoreRefused, GroupFounded, MembersChanged,
+		ShardMoved, ShardCopied, CopyFailed,
+		OrderApplied, ConfigApplied, LeaseLost, LeaseGained, PlanApplied, PlanRefused,
+		TargetsChanged, LeaderReached, LeaderAway,
 		CallUnknown, CallQuarantined, SessionExpired, CloseFailed,
+		RequestRefused, RequestSent, RequestEnded, TurnKept, BudgetDecided,
 		TargetFailed, HoldReleased, ReleaseFailed, HostListFailed,
 		LinkLost, PeerRefused,
 	}
--- /dev/null
+++ b/fleet/client.go
@@ -0,0 +1,239 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/plan"
+	"github.com/banyanspur/banyanspur/turns"
+	"github.com/banyanspur/banyanspur/types"
+	"github.com/banyanspur/banyanspur/wire"
+)
+
+// Client follows the configuration group from one host. Set the exported
+// fields, then call [Client.Run]; the other methods are safe for concurrent
+// use at any time.
+type Client struct {
+	// Host names this host.
+	Host types.HostID
+	// Store is set on a host that keeps turns.
+	Store *turns.Member
+	// Seeds are the addresses of up to three control hosts.
+	Seeds []string
+	// Peers reaches the control hosts.
+	Peers *wire.Pool
+	// Changed, if set, is called after each change of the view, before the
+	// next one is asked for.
+	Changed func(View)
+	// Log receives events. The zero value discards them.
+	Log event.Log
+
+	view atomic.Pointer[View]
+
+	mu     sync.Mutex
+	known  []string // the control hosts that were last heard of
+	leader string   // where the leader was seen last
+	next   int      // the next of the known hosts to try
+}
+
+// View is what a host knows. It must not be changed.
+type View struct {
+	Plan    *plan.Table // nil until a plan is known
+	Map     *turns.Map  // nil until a map is known
+	Targets []Target
+	Have    Have
+}
+
+const (
+	// syncWait is how long the leader may wait for news before it answers.
+	syncWait = 900 * time.Millisecond
+	// callTimeout bounds one request to one control host, beyond any wait.
+	callTimeout = 600 * time.Millisecond
+	// retryPause spreads attempts while there is no leader.
+	retryPause = 40 * time.Millisecond
+)
+
+// View returns what is known now.
+func (c *Client) View() View {
+	if v := c.view.Load(); v != nil {
+		return *v
+	}
+	return View{}
+}
+
+// Run follows the leader until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	away := false
+	for ctx.Err() == nil {
+		view := c.View()
+		req := SyncRequest{Host: c.Host, Store: c.Store, Have: view.Have, Wait: syncWait}
+		tryCtx, cancel := context.WithTimeout(ctx, syncWait+callTimeout)
+		reply, err := try[SyncRequest, SyncReply](tryCtx, c, KindSync, req)
+		cancel()
+		if err != nil {
+			if !away && ctx.Err() == nil {
+				c.Log.Write(event.LeaderAway, event.Fields{"error": err.Error()})
+			}
+			away = true
+			types.Sleep(ctx, retryPause)
+			continue
+		}
+		if away {
+			c.Log.Write(event.LeaderReached, event.Fields{"version": reply.Have.Version})
+		}
+		away = false
+		c.apply(view, reply)
+	}
+	return nil
+}
+
+func (c *Client) apply(view View, reply SyncReply) {
+	c.mu.Lock()
+	c.known = reply.Control
+	c.mu.Unlock()
+	if reply.Have == view.Have {
+		return
+	}
+	// A plan never goes back on a host, whatever a leader says.
+	if reply.Plan != nil && reply.Plan.Version > view.Have.Version {
+		view.Plan = plan.NewTable(reply.Plan)
+		view.Have.Version = reply.Plan.Version
+		c.Log.Write(event.PlanApplied, event.Fields{"version": reply.Plan.Version})
+	}
+	if reply.Map != nil {
+		view.Map = reply.Map
+		view.Have.Revision = reply.Have.Revision
+	}
+	if reply.Targets != nil {
+		view.Targets = reply.Targets.List
+		view.Have.Targets = reply.Have.Targets
+	}
+	c.view.Store(&view)
+	if c.Changed != nil {
+		c.Changed(view)
+	}
+}
+
+// candidates returns the addresses of all control hosts that were heard of.
+func (c *Client) candidates() []string {
+	all := slices.Concat(c.known, c.Seeds)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// target returns the control host to ask now.
+func (c *Client) target() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader != "" {
+		return c.leader
+	}
+	all := c.candidates()
+	return all[c.next%len(all)]
+}
+
+// noteFailure turns to the leader that was named, or else to the next host.
+func (c *Client) noteFailure(at, leader string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader != "" && c.leader != at {
+		return // Another request has found a leader meanwhile.
+	}
+	c.leader = leader
+	if leader == "" || leader == at {
+		c.leader = ""
+		c.next++
+	}
+}
+
+func (c *Client) noteLeader(at string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = at
+}
+
+// try asks the host that seems to lead, once, and turns elsewhere if that
+// fails.
+func try[Req, Resp any](ctx context.Context, c *Client, kind wire.Kind, req Req) (Resp, error) {
+	at := c.target()
+	link := c.Peers.Link(at)
+	dialCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if !link.Await(dialCtx) {
+		c.noteFailure(at, "")
+		var zero Resp
+		return zero, types.NewFault(types.CodeUnavailable, "no connection to %s", at).After(callTimeout)
+	}
+	resp, err := wire.Call[Req, Resp](ctx, link, kind, req)
+	if err == nil {
+		c.noteLeader(at)
+		return resp, nil
+	}
+	if retryable(err) {
+		c.noteFailure(at, string(types.AsFault(err).Leader))
+	}
+	return resp, err
+}
+
+// retryable reports whether another host, or the same one later, may answer
+// better.
+func retryable(err error) bool {
+	return types.IsCode(err, types.CodeNotLeader) || types.IsCode(err, types.CodeUnavailable) ||
+		types.IsCode(err, types.CodeDeadline) || types.IsCode(err, types.CodeOverloaded)
+}
+
+// ask asks the leader until it answers or ctx ends. The request must be one
+// that may be repeated.
+func ask[Req, Resp any](ctx context.Context, c *Client, kind wire.Kind, req Req) (Resp, error) {
+	ran := types.NotRun
+	for {
+		tryCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+		resp, err := try[Req, Resp](tryCtx, c, kind, req)
+		cancel()
+		if err == nil || !retryable(err) {
+			return resp, err
+		}
+		f := types.AsFault(err)
+		if f.Ran != types.NotRun {
+			ran = types.Unknown // Whatever later tries come to.
+		}
+		if !types.Sleep(ctx, retryPause) {
+			return resp, types.NewFault(types.CodeUnavailable, "the control hosts do not answer: %s", f.Message).WithRan(ran).After(time.Second)
+		}
+	}
+}
+
+// Limits renews this host's allotments.
+func (c *Client) Limits(ctx context.Context, req LimitsRequest) (LimitsReply, error) {
+	return try[LimitsRequest, LimitsReply](ctx, c, KindLimits, req)
+}
+
+// Copied reports for which moves this host's store has copied everything.
+func (c *Client) Copied(ctx context.Context, req CopiedRequest) error {
+	_, err := ask[CopiedRequest, Done](ctx, c, KindCopied, req)
+	return err
+}
+
+// Put brings a plan into force; it returns the version that is in force then.
+func (c *Client) Put(ctx context.Context, req PutPlan) (Result, error) {
+	return ask[PutPlan, Result](ctx, c, KindPut, req)
+}
+
+// Read returns the plan in force, as it was sent.
+func (c *Client) Read(ctx context.Context) (ReadReply, error) {
+	return ask[ReadRequest, ReadReply](ctx, c, KindRead, ReadRequest{})
+}
+
+// Retire begins to empty a store.
+func (c *Client) Retire(ctx context.Context, h types.HostID) (RetireState, error) {
+	return ask[Retire, RetireState](ctx, c, KindRetire, Retire{Host: h})
+}
+
+// Retired tells how far the emptying of a store is.
+func (c *Client) Retired(ctx context.Context, h types.HostID) (RetireState, error) {
+	return ask[Retire, RetireState](ctx, c, KindRetired, Retire{Host: h})
+}
--- /dev/null
+++ b/fleet/form.go
@@ -0,0 +1,131 @@
+package fleet
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/quorum"
+	"github.com/banyanspur/banyanspur/store"
+	"github.com/banyanspur/banyanspur/types"
+	"github.com/banyanspur/banyanspur/wire"
+)
+
+const (
+	// formInterval is how often the seeds are asked.
+	formInterval = 100 * time.Millisecond
+	// helloTimeout bounds one such question.
+	helloTimeout = 500 * time.Millisecond
+	// foundingFile marks a folder that was made when the whole fleet started
+	// for the first time. One that comes later never founds a group.
+	foundingFile = "founding"
+)
+
+// prepare reads or makes the replica's identity. A folder that is damaged is
+// emptied: the replica then joins under a new identity.
+func (c *Control) prepare() error {
+	_, _, err := quorum.Formed(c.dir())
+	if errors.Is(err, store.ErrCorrupt) {
+		c.Log.Write(event.StoreCorrupt, event.Fields{"folder": c.dir(), "error": err.Error()})
+		if err := os.RemoveAll(c.Dir); err != nil {
+			return errors.Wrap(err, "fleet: empty the folder")
+		}
+	}
+	_, err = os.Stat(c.dir())
+	if errors.Is(err, os.ErrNotExist) && c.Founding {
+		if err := store.WriteFile(c.Dir, foundingFile, []byte{1}); err != nil {
+			return err
+		}
+	}
+	id, err := quorum.Identity(c.dir(), types.HostID(c.Address))
+	c.mu.Lock()
+	c.id = id
+	c.mu.Unlock()
+	return err
+}
+
+func (c *Control) mayFound() bool {
+	_, err := os.Stat(filepath.Join(c.Dir, foundingFile))
+	return err == nil
+}
+
+// hello tells of this host's replica.
+func (c *Control) hello(context.Context, HelloRequest) (HelloReply, error) {
+	c.mu.Lock()
+	id := c.id
+	c.mu.Unlock()
+	if id == "" {
+		return HelloReply{}, types.NewFault(types.CodeUnavailable, "the host has not read its folder yet")
+	}
+	formed, members, err := quorum.Formed(c.dir())
+	if s := c.replica.Status(); len(s.Members.Voters) > 0 {
+		members = s.Members
+	}
+	return HelloReply{ID: id, MayFound: c.mayFound(), Formed: formed, Members: members}, err
+}
+
+// form waits until this host's replica belongs to the group, or knows that the
+// group exists without it and that it must join as a learner.
+//
+// The group is founded once, by the seeds, when each of them answers that it
+// belongs to none and that all hosts start for the first time; the one with
+// the lowest address decides. Whoever finds the group founded without itself
+// never founds another.
+func (c *Control) form(ctx context.Context) error {
+	for {
+		done, err := c.tryForm(ctx)
+		if done || err != nil {
+			return err
+		}
+		if !types.Sleep(ctx, formInterval) {
+			return nil
+		}
+	}
+}
+
+func (c *Control) tryForm(ctx context.Context) (done bool, err error) {
+	formed, _, err := quorum.Formed(c.dir())
+	if formed || err != nil {
+		return formed, err
+	}
+	founders := quorum.Members{}
+	all := true
+	for _, seed := range c.Seeds {
+		r, err := c.askHello(ctx, seed)
+		switch {
+		case err != nil:
+			all = false
+		case r.Formed && r.Members.IsVoter(c.id):
+			return true, quorum.Form(c.dir(), r.Members)
+		case r.Formed:
+			return true, nil
+		}
+		all = all && r.MayFound
+		founders.Voters = append(founders.Voters, quorum.Member{ID: r.ID, Host: types.HostID(seed)})
+	}
+	if !all || c.Address != slices.Min(c.Seeds) {
+		return false, nil
+	}
+	slices.SortFunc(founders.Voters, func(a, b quorum.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	c.Log.Write(event.GroupFounded, event.Fields{"group": types.ConfigGroup, "voters": len(founders.Voters)})
+	return true, quorum.Form(c.dir(), founders)
+}
+
+func (c *Control) askHello(ctx context.Context, address string) (HelloReply, error) {
+	if address == c.Address {
+		return c.hello(ctx, HelloRequest{})
+	}
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	link := c.Peers.Link(address)
+	if !link.Await(ctx) {
+		return HelloReply{}, types.NewFault(types.CodeUnavailable, "no connection to %s", address)
+	}
+	return wire.Call[HelloRequest, HelloReply](ctx, link, KindHello, HelloRequest{})
+}
--- /dev/null
+++ b/fleet/members.go
@@ -0,0 +1,88 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/quorum"
+	"github.com/banyanspur/banyanspur/types"
+	"github.com/banyanspur/banyanspur/wire"
+)
+
+const (
+	// membersInterval is how often the membership is looked at.
+	membersInterval = 200 * time.Millisecond
+	joinTimeout     = time.Second
+	// goneAfter is how long a voter may be silent before one that waits to
+	// become a voter takes its place.
+	goneAfter = 2 * time.Second
+)
+
+// keepMembers keeps the membership in order: a replica that does not belong
+// asks to join, and the leader makes learners voters.
+func (c *Control) keepMembers(ctx context.Context) error {
+	for types.Sleep(ctx, membersInterval) {
+		s := c.replica.Status()
+		if s.ID != "" && !s.Members.Has(s.ID) {
+			c.askToJoin(ctx, s)
+		}
+		if s.Role != quorum.Leader {
+			continue
+		}
+		next := s.NextMembers(s.Members, goneAfter)
+		if next.Equal(s.Members) {
+			continue
+		}
+		err := c.replica.ChangeMembers(ctx, func(now quorum.Members) quorum.Members { return s.NextMembers(now, goneAfter) })
+		c.noteMembers(next, err)
+	}
+	return nil
+}
+
+func (c *Control) noteMembers(m quorum.Members, err error) {
+	fields := event.Fields{"voters": len(m.Voters), "learners": len(m.Learners)}
+	if err != nil {
+		fields["error"] = err.Error() // Refused while a change is pending; tried again.
+	}
+	c.Log.Write(event.MembersChanged, fields)
+}
+
+// askToJoin asks every control host that is known; only the leader can act on
+// it.
+func (c *Control) askToJoin(ctx context.Context, s quorum.Status) {
+	req := JoinRequest{Member: quorum.Member{ID: s.ID, Host: types.HostID(c.Address)}}
+	for _, address := range c.known(s) {
+		if address == c.Address {
+			continue
+		}
+		askCtx, cancel := context.WithTimeout(ctx, joinTimeout)
+		_, err := wire.Call[JoinRequest, Done](askCtx, c.Peers.Link(address), KindJoin, req)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+}
+
+// known returns the addresses of the control hosts as far as this one knows.
+func (c *Control) known(s quorum.Status) []string {
+	addresses := slices.Clone(c.Seeds)
+	for _, m := range s.Members.All() {
+		addresses = append(addresses, string(m.Host))
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
+// join takes a replica in as a learner, on the leader.
+func (c *Control) join(ctx context.Context, req JoinRequest) (Done, error) {
+	err := c.replica.ChangeMembers(ctx, func(now quorum.Members) quorum.Members {
+		if now.Has(req.Member.ID) {
+			return now
+		}
+		return now.WithLearner(req.Member)
+	})
+	return Done{}, err
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,125 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/fetch"
+	"github.com/banyanspur/banyanspur/fleet"
+	"github.com/banyanspur/banyanspur/route"
+	"github.com/banyanspur/banyanspur/turns"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// Gate serves callers. Set the exported fields, then call [Gate.Run]; it is an
+// [http.Handler].
+type Gate struct {
+	// Host names this host.
+	Host types.HostID
+	// Zone is the host's zone.
+	Zone types.ZoneID
+	// Names are the deployment's names of header fields.
+	Names Names
+	// Fleet tells plan, targets and allotments.
+	Fleet *fleet.Client
+	// Turns keeps what programs leave behind.
+	Turns *turns.Client
+	// Clock is the process's clock; it must count time spent suspended.
+	Clock types.Clock
+	// Prices weigh targets. The default is [route.DefaultPrices].
+	Prices route.Prices
+	// Log receives events. The zero value discards them.
+	Log event.Log
+
+	pool     fetch.Pool
+	loads    loads
+	shares   shares
+	draining atomic.Bool
+	// late holds what goes on after a caller was answered.
+	late errgroup.Group
+}
+
+var (
+	served    = metrics.NewCounter("banyanspur_gate_requests_total")
+	refused   = metrics.NewCounter("banyanspur_gate_refused_total")
+	failed    = metrics.NewCounter("banyanspur_gate_failed_total")
+	totalTime = metrics.NewHistogram("banyanspur_gate_request_seconds")
+	firstTime = metrics.NewHistogram("banyanspur_gate_first_event_seconds")
+	passTime  = metrics.NewHistogram("banyanspur_gate_event_pass_seconds")
+	turnTime  = metrics.NewHistogram("banyanspur_gate_turn_write_seconds")
+	claimTime = metrics.NewHistogram("banyanspur_gate_claim_seconds")
+	chainTime = metrics.NewHistogram("banyanspur_gate_chain_seconds")
+)
+
+// Run renews allotments until ctx ends and then gives them back.
+func (g *Gate) Run(ctx context.Context) error {
+	if g.Prices == (route.Prices{}) {
+		g.Prices = route.DefaultPrices
+	}
+	g.shares.init(g)
+	err := g.shares.run(ctx)
+	_ = g.late.Wait()
+	return err
+}
+
+// Ready reports whether the host can serve callers and is not about to stop.
+func (g *Gate) Ready() bool {
+	view := g.Fleet.View()
+	return !g.draining.Load() && view.Plan != nil && len(view.Targets) > 0
+}
+
+// Drain makes the host unready; it goes on serving those who come.
+func (g *Gate) Drain() { g.draining.Store(true) }
+
+// TargetsChanged closes connections to targets that are no longer listed.
+func (g *Gate) TargetsChanged(list []fleet.Target) {
+	addresses := map[string]bool{}
+	ids := map[types.TargetID]bool{}
+	for _, t := range list {
+		addresses[t.Address] = true
+		ids[t.ID] = true
+	}
+	g.pool.Forget(addresses)
+	g.loads.forget(ids)
+}
+
+// filter is one step of a request. It returns nil if the next one is to go on.
+type filter func(c *call) *refusal
+
+// filters are the steps of every request, in their order.
+var filters = []filter{
+	(*call).find,
+	(*call).authenticate,
+	(*call).read,
+	(*call).spend,
+	(*call).recall,
+	(*call).dispatch,
+}
+
+// ServeHTTP answers one request.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{
+		gate: g, w: w, r: r, start: time.Now(), id: r.Header.Get(g.Names.RequestID), view: g.Fleet.View(),
+	}
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	served.Inc()
+	for _, f := range filters {
+		if refusal := f(c); refusal != nil {
+			c.refuse(refusal)
+			break
+		}
+	}
+	totalTime.UpdateDuration(c.start)
+	c.finish()
+	if c.broken {
+		panic(http.ErrAbortHandler) // What the caller has must not look complete.
+	}
+}
--- a/host/members.go
+++ b/host/members.go
@@ -24,8 +24,9 @@
 			c.askToJoin(ctx, id, s.ID)
 		}
 		if s.Role == quorum.Leader {
-			_ = m.ChangeMembers(ctx, s.NextMembers) // Refused while a change is pending; tried again.
-			_ = m.Step(ctx)                         // Fails only when the leader changes.
+			// Refused while a change is pending; tried again.
+			_ = m.ChangeMembers(ctx, func(now quorum.Members) quorum.Members { return s.NextMembers(now, 0) })
+			_ = m.Step(ctx) // Fails only when the leader changes.
 		}
 	}
 	return nil
--- a/host/process.go
+++ b/host/process.go
@@ -204,15 +204,7 @@
 	if err != nil {
 		return errors.Wrap(err, "host: listen")
 	}
-	server := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
-		BaseContext: func(net.Listener) context.Context { return ctx }, // WebSocket connections end with it.
-	}
-	g.Go(func() error { return serve(server, listener) })
-	g.Go(func() error {
-		<-ctx.Done()
-		return server.Close()
-	})
+	serveOn(ctx, g, listener, h)
 	return nil
 }
 
--- /dev/null
+++ b/limit/issuer.go
@@ -0,0 +1,225 @@
+package limit
+
+import (
+	"time"
+
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// Holder names one run of a process that holds a part of an account's limit.
+type Holder string
+
+// Allotment is the part of an account's limit that one holder may spend by
+// itself, until it runs out.
+type Allotment struct {
+	// Number rises with each allotment to one holder.
+	Number uint64 `json:"number"`
+	// Rate refills the holder's bucket, which holds Burst at the most.
+	Rate  types.PerSecond `json:"rate"`
+	Burst float64         `json:"burst"`
+	// Tokens are added to the holder's bucket at once.
+	Tokens float64 `json:"tokens"`
+}
+
+// Demand is what a holder tells when it asks for an allotment.
+type Demand struct {
+	Holder Holder `json:"holder"`
+	// Rate is what callers have asked for of late, refused or not.
+	Rate types.PerSecond `json:"rate"`
+	// Tokens is what the holder's bucket holds.
+	Tokens float64 `json:"tokens"`
+	// Held is the newest allotment that the holder has, with Tokens left out.
+	Held Allotment `json:"held"`
+	// Left is how long Held still counts; 0 if the holder has none.
+	Left time.Duration `json:"left"`
+}
+
+const (
+	// AllotmentTime is how long an allotment counts, from when it was asked
+	// for. It is longer than an election takes, so that holders go on while
+	// there is no leader.
+	AllotmentTime = 4 * time.Second
+	// allotmentWait is how long the issuer counts on an allotment; it is
+	// longer by the drift allowed between two clocks.
+	allotmentWait = 5 * time.Second
+	// issuedShare is the part of a limit that is given out at the most. The
+	// rest waits in the issuer's own bucket for those who run short.
+	issuedShare = 0.9
+	// evenShare is the part of what is given out that is divided evenly, so
+	// that a holder without callers so far can serve its first ones.
+	evenShare = 0.3
+	// demandMargin is the part of what its callers ask for that refills a holder's
+	// own bucket. What overflows there while its callers pause is lost to the
+	// account, so the rest is fetched as it is needed.
+	demandMargin = 0.5
+	// burstTime is how long a holder's bucket lasts at the rate that its
+	// callers ask for, and minBurst what it holds at least.
+	burstTime = 700 * time.Millisecond
+	minBurst  = 2
+)
+
+// Issuer divides one account's limit among holders. The sum of the rates that
+// are out and its own refill never exceeds the limit's rate, and the sum of
+// the bursts never its burst, whatever holders lose, miss or report; no window
+// sees more than burst plus rate times its length.
+//
+// What an earlier issuer gave out is known only as far as its holders report
+// it. Until the rest must have run out, holders keep what they report, and
+// others get tokens from the part that no issuer ever gives out. An Issuer is
+// not safe for concurrent use.
+type Issuer struct {
+	limit  Limit
+	since  types.Mono // when this issuer began
+	fresh  bool       // there was no issuer before
+	level  float64
+	at     types.Mono
+	out    map[Holder]*issued
+	demand map[Holder]types.PerSecond
+}
+
+// issued is what one holder may have. Rate and burst are the highest of all
+// allotments that the holder may still act on.
+type issued struct {
+	rate, burst float64
+	last        Allotment
+	until       types.Mono
+}
+
+// NewIssuer returns an issuer that begins at now. Fresh tells that nobody can
+// hold an allotment of an earlier one.
+func NewIssuer(now types.Mono, fresh bool) *Issuer {
+	return &Issuer{since: now, at: now, fresh: fresh, out: map[Holder]*issued{}, demand: map[Holder]types.PerSecond{}}
+}
+
+// Adjust brings a limit into force. Lower limits reach holders with their next
+// allotments.
+func (i *Issuer) Adjust(l Limit, now types.Mono) {
+	if l == i.limit {
+		return
+	}
+	i.refill(now)
+	if i.limit == (Limit{}) && i.fresh {
+		i.level = float64(l.Burst)
+	}
+	i.limit = l
+	i.level = min(i.level, i.room())
+}
+
+// Renew replaces a holder's allotment.
+func (i *Issuer) Renew(d Demand, now types.Mono) Allotment {
+	i.expire(now)
+	i.refill(now)
+	h := i.holder(d, now)
+	i.demand[d.Holder] = d.Rate
+	if d.Held.Number == h.last.Number {
+		h.rate, h.burst = float64(h.last.Rate), h.last.Burst // The holder acts on the newest one.
+	}
+	next := Allotment{Number: h.last.Number + 1, Rate: h.last.Rate, Burst: h.last.Burst}
+	if i.settled(now) {
+		next.Rate, next.Burst = i.size(d)
+	} else if next.Rate == 0 {
+		next.Burst = i.reserve()
+	}
+	h.last = next
+	h.rate, h.burst = max(h.rate, float64(next.Rate)), max(h.burst, next.Burst)
+	h.until = now.Add(allotmentWait)
+	i.level = min(i.level, i.room())
+	next.Tokens = max(0, min(i.level, next.Burst-d.Tokens))
+	i.level -= next.Tokens
+	return next
+}
+
+// settled reports whether everything that is out is known.
+func (i *Issuer) settled(now types.Mono) bool {
+	return i.fresh || now.Sub(i.since) > allotmentWait
+}
+
+// holder returns what a holder may have. One that an earlier issuer gave an
+// allotment to is taken at its word while nothing else is given out.
+func (i *Issuer) holder(d Demand, now types.Mono) *issued {
+	h := i.out[d.Holder]
+	if h != nil {
+		return h
+	}
+	h = &issued{until: now}
+	if d.Left > 0 {
+		h.rate, h.burst, h.last = float64(d.Held.Rate), d.Held.Burst, d.Held
+	}
+	i.out[d.Holder] = h
+	return h
+}
+
+// size returns what a holder should have: a part of what its callers ask for,
+// as far as that leaves their parts to the others. The rest stays in the
+// issuer's bucket, from which a holder is refilled within a round trip.
+func (i *Issuer) size(d Demand) (types.PerSecond, float64) {
+	share := issuedShare * i.share(d.Holder)
+	rates, bursts := i.others(d.Holder)
+	rate := min(demandMargin*float64(d.Rate), share*float64(i.limit.Rate), issuedShare*float64(i.limit.Rate)-rates)
+	burst := min(max(minBurst, burstTime.Seconds()*float64(d.Rate)), max(1, share*float64(i.limit.Burst)), issuedShare*float64(i.limit.Burst)-bursts)
+	return types.PerSecond(max(0, rate)), max(0, burst)
+}
+
+// share returns the part of what is given out that a holder may have.
+func (i *Issuer) share(of Holder) float64 {
+	total := 0.0
+	for h := range i.out {
+		total += float64(i.demand[h])
+	}
+	n := float64(len(i.out))
+	if total <= 0 {
+		return 1 / n
+	}
+	return evenShare/n + (1-evenShare)*float64(i.demand[of])/total
+}
+
+func (i *Issuer) others(than Holder) (rates, bursts float64) {
+	for id, h := range i.out {
+		if id != than {
+			rates += h.rate
+			bursts += h.burst
+		}
+	}
+	return rates, bursts
+}
+
+// room is how much the issuer's own bucket may hold.
+func (i *Issuer) room() float64 {
+	if !i.settled(i.at) {
+		return i.reserve()
+	}
+	_, bursts := i.others("")
+	return max(0, float64(i.limit.Burst)-bursts)
+}
+
+// reserve is the part of the burst that no issuer gives out.
+func (i *Issuer) reserve() float64 { return (1 - issuedShare) * float64(i.limit.Burst) }
+
+func (i *Issuer) refill(now types.Mono) {
+	if now <= i.at {
+		return
+	}
+	rates := issuedShare * float64(i.limit.Rate)
+	if i.settled(now) {
+		rates, _ = i.others("")
+	}
+	i.level += now.Sub(i.at).Seconds() * max(0, float64(i.limit.Rate)-rates)
+	i.at = now
+	i.level = min(i.level, i.room())
+}
+
+func (i *Issuer) expire(now types.Mono) {
+	for id, h := range i.out {
+		if now > h.until {
+			delete(i.out, id)
+			delete(i.demand, id)
+		}
+	}
+}
+
+// Return gives a holder's allotment back.
+func (i *Issuer) Return(h Holder, now types.Mono) {
+	i.refill(now)
+	delete(i.out, h)
+	delete(i.demand, h)
+}
--- /dev/null
+++ b/limit/share.go
@@ -0,0 +1,107 @@
+package limit
+
+import (
+	"time"
+
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// Share is a holder's side of one account's limit: the bucket that its newest
+// allotment fills. The zero value holds nothing. It is not safe for concurrent
+// use.
+type Share struct {
+	held  Allotment
+	until types.Mono
+	level float64 // 0 <= level <= held.Burst
+	at    types.Mono
+
+	asked   float64    // requests since ratedAt
+	ratedAt types.Mono // when rate was last brought up to date
+	rate    float64    // requests a second of late
+	used    types.Mono // when a request came last
+}
+
+// rateTime is the time over which a rate of requests is averaged.
+const rateTime = time.Second
+
+// Put brings a newer allotment into force that was asked for at the given
+// time.
+func (s *Share) Put(a Allotment, asked, now types.Mono) {
+	if a.Number <= s.held.Number && s.Left(now) > 0 {
+		return
+	}
+	s.refill(now)
+	s.held = a
+	s.until = asked.Add(AllotmentTime)
+	s.level = min(s.level+a.Tokens, a.Burst)
+}
+
+// Take spends one request and reports whether there was one to spend.
+func (s *Share) Take(now types.Mono) bool {
+	s.refill(now)
+	if s.Left(now) <= 0 || s.level < 1 {
+		return false
+	}
+	s.level--
+	return true
+}
+
+// Low reports whether the share will not last until its usual renewal.
+func (s *Share) Low(now types.Mono) bool {
+	s.refill(now)
+	return s.level < lowShare*s.held.Burst || s.level < 1
+}
+
+// lowShare is the part of a bucket at which more is asked for.
+const lowShare = 0.4
+
+// Ask notes that a request has come, whether it can be served or not.
+func (s *Share) Ask(now types.Mono) {
+	s.asked++
+	s.used = now
+}
+
+// GiveBack returns a request that was taken and that no target has seen.
+func (s *Share) GiveBack() { s.level = min(s.level+1, s.held.Burst) }
+
+// Wait returns how long it takes until a request can be spent, [Never] if the
+// holder has no allotment.
+func (s *Share) Wait(now types.Mono) time.Duration {
+	s.refill(now)
+	if s.Left(now) <= 0 || s.held.Rate <= 0 || s.held.Burst < 1 {
+		return Never
+	}
+	return time.Duration(max(0, 1-s.level) / float64(s.held.Rate) * float64(time.Second))
+}
+
+// Left returns how long the allotment still counts; 0 if there is none.
+func (s *Share) Left(now types.Mono) time.Duration { return max(0, s.until.Sub(now)) }
+
+// Idle returns how long no request has come.
+func (s *Share) Idle(now types.Mono) time.Duration { return now.Sub(s.used) }
+
+// Demand returns what the holder tells when it asks for an allotment.
+func (s *Share) Demand(h Holder, now types.Mono) Demand {
+	s.refill(now)
+	if past := now.Sub(s.ratedAt); past > 0 {
+		weight := min(1, past.Seconds()/rateTime.Seconds())
+		s.rate += weight * (s.asked/max(past, rateTime/10).Seconds() - s.rate)
+		s.asked, s.ratedAt = 0, now
+	}
+	held := s.held
+	held.Tokens = 0
+	return Demand{Holder: h, Rate: types.PerSecond(s.rate), Tokens: s.level, Held: held, Left: s.Left(now)}
+}
+
+func (s *Share) refill(now types.Mono) {
+	if now <= s.at {
+		return
+	}
+	if s.at < s.until {
+		past := min(now, s.until).Sub(s.at).Seconds()
+		s.level = min(s.level+past*float64(s.held.Rate), s.held.Burst)
+	} else {
+		s.level = 0 // What an allotment leaves over ends with it.
+	}
+	s.at = now
+}
--- a/quorum/append.go
+++ b/quorum/append.go
@@ -35,7 +35,7 @@
 	if c.role != Leader {
 		return 0, ErrNotLeader
 	}
-	if m.equal(c.Members()) {
+	if m.Equal(c.Members()) {
 		return c.lastIndex(), nil
 	}
 	if c.commit < c.termStart || c.changePending() {
@@ -103,7 +103,7 @@
 	}
 	for _, m := range members.All() {
 		if m.ID != c.id && c.peers[m.ID] == nil {
-			c.peers[m.ID] = &progress{next: c.lastIndex() + 1, sentAt: now}
+			c.peers[m.ID] = &progress{next: c.lastIndex() + 1, sentAt: now, since: now}
 		}
 		if m.ID == c.id && c.peers[m.ID] == nil {
 			c.peers[m.ID] = &progress{next: c.lastIndex() + 1}
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -67,6 +67,7 @@
 	sentAt   types.Mono
 	ackedAt  types.Mono // SentAt of the newest append that was answered
 	answered bool       // ackedAt is set
+	since    types.Mono // when the leader began to follow the replica
 }
 
 // Core is the protocol of one replica. It is not safe for concurrent use.
@@ -179,6 +180,16 @@
 	return 0
 }
 
+// Silence returns how long replica id has not answered, on a leader. It counts
+// from the start of the reign at the earliest.
+func (c *Core) Silence(id ReplicaID, now types.Mono) time.Duration {
+	p := c.peers[id]
+	if p == nil || id == c.id {
+		return 0
+	}
+	return now.Sub(max(p.since, p.ackedAt))
+}
+
 // LogTime returns the log time at now: a lower bound of the time that has
 // passed for the group.
 func (c *Core) LogTime(now types.Mono) types.LogTime {
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -85,6 +85,9 @@
 	LogTimeAt types.Mono    `json:"logTimeAt"`
 	// Match holds, on a leader, how far each other replica has synced.
 	Match map[ReplicaID]Index `json:"match,omitempty"`
+	// Silence holds, on a leader, how long each other replica has not
+	// answered, counted from the start of the reign at the earliest.
+	Silence map[ReplicaID]time.Duration `json:"silence,omitempty"`
 }
 
 // waiter is a proposal that has been appended and not yet applied.
@@ -99,8 +102,7 @@
 }
 
 const (
-	tickInterval = 20 * time.Millisecond
-	inboxSize    = 4096
+	inboxSize = 4096
 	// maxStepsPerSync bounds how many inputs share one sync.
 	maxStepsPerSync = 1024
 	// minCompactBytes is the size a log grows to before the first snapshot.
@@ -124,7 +126,7 @@
 	}
 	defer r.store.Close()
 	defer r.failWaiters()
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(r.tick())
 	defer ticker.Stop()
 	for {
 		select {
@@ -143,6 +145,18 @@
 	}
 }
 
+// tick is how often the core learns that time has passed: often enough for
+// heartbeats and elections to be on time.
+func (r *Replica[C, R]) tick() time.Duration {
+	if r.Timing == (Timing{}) {
+		return DefaultTiming.Heartbeat / ticksPerHeartbeat
+	}
+	return r.Timing.Heartbeat / ticksPerHeartbeat
+}
+
+// ticksPerHeartbeat is how many ticks pass between two heartbeats.
+const ticksPerHeartbeat = 3
+
 // handOverTime is how long a stopping replica leaves its last messages to the
 // network.
 const handOverTime = 50 * time.Millisecond
@@ -291,8 +305,10 @@
 	}
 	if s.Role == Leader {
 		s.Match = map[ReplicaID]Index{}
+		s.Silence = map[ReplicaID]time.Duration{}
 		for _, m := range s.Members.All() {
 			s.Match[m.ID] = r.core.Match(m.ID)
+			s.Silence[m.ID] = r.core.Silence(m.ID, now)
 		}
 	}
 	if s.Role != r.lastRole {
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -319,7 +319,7 @@
 			status.Match[l.ID] = h.core.Match(l.ID)
 		}
 		if len(m.Learners) == len(h.core.Members().Learners) {
-			m = status.NextMembers(m)
+			m = status.NextMembers(m, 0)
 		}
 		_, _ = h.core.ProposeMembers(h.clock(), m)
 		h.flush()
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -98,7 +98,8 @@
 	}
 }
 
-func (m Members) equal(o Members) bool {
+// Equal reports whether m and o list the same replicas in the same order.
+func (m Members) Equal(o Members) bool {
 	return slices.Equal(m.Voters, o.Voters) && slices.Equal(m.Learners, o.Learners)
 }
 
--- /dev/null
+++ b/route/place.go
@@ -0,0 +1,151 @@
+package route
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// Option is a target that may run a request.
+type Option struct {
+	ID types.TargetID
+	// SameZone is set if the target is in the zone of this host.
+	SameZone bool
+	// Own is how many requests of this host are under way there.
+	Own int
+	// Running and Waiting are what the target last told of itself, and Age how
+	// long ago that was.
+	Running, Waiting int
+	Age              time.Duration
+	// OwnThen is what Own was when the target told.
+	OwnThen int
+	// Slots is how many requests the target runs at once; 0 if unknown.
+	Slots int
+	// Held is how much of the prompt this host believes the target to hold.
+	Held types.Tokens
+	// Pace is how much slower the target is than its service's usual; 1 is
+	// usual.
+	Pace float64
+	// Failing is set while the target's last answers were failures.
+	Failing bool
+}
+
+// Work is what a request asks of a target.
+type Work struct {
+	// Prompt is the size of the prompt; 0 for plain services.
+	Prompt types.Tokens
+	// Home spreads prompts that share their first part: all hosts rank the
+	// targets alike for it. It is empty if nothing is shared.
+	Home string
+	// Service is how long such a request usually takes.
+	Service time.Duration
+}
+
+// Prices turn what is known of a target into expected time.
+type Prices struct {
+	// PrefillRate is how many prompt tokens an engine reads in a millisecond.
+	PrefillRate float64
+	// Neighbour is what each request that an engine runs beside this one adds
+	// to its time, by the prompts that it brings.
+	Neighbour time.Duration
+	// OtherZone stands for the price of bytes between zones.
+	OtherZone time.Duration
+	// Rank is what each place in the order of homes adds, so that hosts that
+	// know nothing of each other send equal prompts to equal targets.
+	Rank time.Duration
+	// Failure is what a failing target adds.
+	Failure time.Duration
+	// Stale is the age at which a report counts for nothing beside what this
+	// host sees itself.
+	Stale time.Duration
+}
+
+// DefaultPrices suit engines that read some hundred tokens in a millisecond.
+var DefaultPrices = Prices{
+	PrefillRate: 160,
+	Neighbour:   10 * time.Millisecond,
+	OtherZone:   15 * time.Millisecond,
+	Rank:        3 * time.Millisecond,
+	Failure:     2 * time.Second,
+	Stale:       2 * time.Second,
+}
+
+// Place returns the index of the option with the least expected time, or -1 if
+// there is none.
+func Place(options []Option, w Work, p Prices) int {
+	best, least := -1, 0.0
+	ranks := homeRanks(options, w.Home)
+	for i, o := range options {
+		cost := p.expected(o, w) + ranks[i]*p.Rank.Seconds()
+		if best < 0 || cost < least || cost == least && o.ID < options[best].ID {
+			best, least = i, cost
+		}
+	}
+	return best
+}
+
+// expected returns the seconds that a request is expected to take on a target
+// beyond what it takes on an idle one that holds its prompt.
+func (p Prices) expected(o Option, w Work) float64 {
+	busy := p.busy(o)
+	cost := 0.0
+	if !o.SameZone {
+		cost += p.OtherZone.Seconds()
+	}
+	if o.Failing {
+		cost += p.Failure.Seconds()
+	}
+	if w.Prompt > 0 {
+		cost += float64(w.Prompt-min(o.Held, w.Prompt)) / p.PrefillRate / 1000
+		cost += busy * p.Neighbour.Seconds()
+	}
+	if over := busy + 1 - float64(o.Slots); o.Slots > 0 && over > 0 {
+		cost += over / float64(o.Slots) * w.Service.Seconds()
+	}
+	if w.Prompt == 0 && o.Slots > 0 {
+		// A short queue forms before all slots are taken, as calls come in
+		// clumps.
+		load := busy / float64(o.Slots)
+		cost += load * load * w.Service.Seconds()
+	}
+	if o.Pace > 1 {
+		cost += (o.Pace - 1) * w.Service.Seconds()
+	}
+	return cost
+}
+
+// busy estimates how many requests are at a target: what it told, corrected by
+// what this host has sent and got back since, and by nothing but the latter as
+// the report ages.
+func (p Prices) busy(o Option) float64 {
+	own := float64(o.Own)
+	if o.Age >= p.Stale || p.Stale <= 0 {
+		return own
+	}
+	trust := 1 - o.Age.Seconds()/p.Stale.Seconds()
+	others := max(0, float64(o.Running+o.Waiting-o.OwnThen))
+	return own + trust*others
+}
+
+// homeRanks returns the place of each option in the order of homes. Without a
+// home all are equal.
+func homeRanks(options []Option, home string) []float64 {
+	ranks := make([]float64, len(options))
+	if home == "" {
+		return ranks
+	}
+	weights := make([]uint64, len(options))
+	for i, o := range options {
+		weights[i] = xxhash.Sum64String(home + "/" + string(o.ID))
+	}
+	for i := range options {
+		for j := range options {
+			if weights[j] > weights[i] {
+				ranks[i]++
+			}
+		}
+	}
+	return ranks
+}
--- a/store/frame.go
+++ b/store/frame.go
@@ -69,3 +69,10 @@
 	}
 	return false
 }
+
+// lengthBytes is the size of the length before each record of a journal.
+const lengthBytes = 4
+
+func appendLength(b []byte, n uint32) []byte { return binary.LittleEndian.AppendUint32(b, n) }
+
+func getLength(b []byte) uint32 { return binary.LittleEndian.Uint32(b) }
--- /dev/null
+++ b/turns/client.go
@@ -0,0 +1,208 @@
+package turns
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/types"
+	"github.com/banyanspur/banyanspur/wire"
+)
+
+// Client writes to and reads from the stores. Set the exported fields before
+// use; its methods are safe for concurrent use.
+type Client struct {
+	// Peers reaches the stores.
+	Peers *wire.Pool
+	// Map returns the newest map, or nil.
+	Map func() *Map
+	// Zone is read from first.
+	Zone types.ZoneID
+	// CacheBytes bounds the turns kept in memory. The default is 8 MiB.
+	CacheBytes int
+
+	cache cache
+	// background holds the requests that go on after a majority has answered.
+	background errgroup.Group
+}
+
+const (
+	// storeTimeout bounds one request to one store. What a majority lacks by
+	// then is not acknowledged.
+	storeTimeout = 1500 * time.Millisecond
+	// mapPause is how long the client waits for a newer map after a store
+	// refused its epoch.
+	mapPause = 30 * time.Millisecond
+)
+
+// Faults of the client.
+var (
+	errNoStores = types.NewFault(types.CodeUnavailable, "a majority of the shard's stores does not answer").After(time.Second)
+	// errNoTurn is certain: a majority of the stores of each shard denies it.
+	errNoTurn = types.NewFault(types.CodeNotFound, "there is no such turn of this account")
+	// errBudget is certain too.
+	errBudget = types.NewFault(types.CodeBudgetExceeded, "the program's budget does not cover another turn")
+)
+
+// Budget is what a turn asks of its program's budget.
+type Budget struct {
+	Account types.AccountID
+	Program types.ProgramID
+	Attempt types.AttemptID
+	// Limit is what all turns of the program may generate, and Most what this
+	// turn may.
+	Limit, Most types.Tokens
+}
+
+// Reserve claims a turn's share of its program's budget. It returns a
+// budgetExceeded fault if the budget does not cover it, with the claim
+// withdrawn. Once it returns nil, no number of concurrent turns can exceed the
+// budget: of any set of reservations that were granted, the one whose claim
+// was written last has seen all others. A reservation that saw no rival needs
+// no second look, since each rival that it did not see has seen it.
+func (c *Client) Reserve(ctx context.Context, b Budget) error {
+	req := ClaimRequest{
+		Shard: ShardOf(b.Account, b.Program), Account: b.Account, Program: b.Program,
+		Claim: Claim{Attempt: b.Attempt, Most: b.Most},
+	}
+	claims, err := c.claim(ctx, req)
+	if err == nil && claims.Rival(b.Attempt) {
+		req.Claim = Claim{}
+		claims, err = c.claim(ctx, req)
+	}
+	if err != nil {
+		return err
+	}
+	if claims.Spent() <= b.Limit {
+		return nil
+	}
+	c.background.Go(func() error { return c.Settle(context.WithoutCancel(ctx), b, 0, nil) })
+	return errBudget
+}
+
+// claim sends a claim, or looks at the claims if that is empty, and merges
+// what a majority answers.
+func (c *Client) claim(ctx context.Context, req ClaimRequest) (Claims, error) {
+	merged := Claims{}
+	replies, err := askShard[ClaimRequest, ClaimReply](ctx, c, req.Shard, KindClaim, func(to StoreID, e Epoch) ClaimRequest {
+		req.To, req.Epoch = to, e
+		return req
+	})
+	for _, r := range replies {
+		for _, claim := range r.Claims {
+			merged.Add(claim)
+		}
+	}
+	return merged, err
+}
+
+// Settle tells how much an attempt has generated, and writes the turn that
+// came of it, if any. It returns once a majority has both on disk.
+func (c *Client) Settle(ctx context.Context, b Budget, used types.Tokens, t *Turn) error {
+	req := CloseRequest{
+		Shard: ShardOf(b.Account, b.Program), Account: b.Account, Program: b.Program,
+		Claim: Claim{Attempt: b.Attempt, Most: b.Most, Used: used, Settled: true}, Turn: t,
+	}
+	_, err := askShard[CloseRequest, Done](ctx, c, req.Shard, KindClose, func(to StoreID, e Epoch) CloseRequest {
+		req.To, req.Epoch = to, e
+		return req
+	})
+	if err == nil && t != nil {
+		c.cache.put(*t, c.cacheBytes())
+	}
+	return err
+}
+
+func (c *Client) cacheBytes() int {
+	const defaultCacheBytes = 8 << 20
+	if c.CacheBytes > 0 {
+		return c.CacheBytes
+	}
+	return defaultCacheBytes
+}
+
+// result is one store's answer.
+type result[Resp any] struct {
+	from  StoreID
+	reply Resp
+	err   error
+}
+
+// askShard asks all stores of a shard and returns once a majority has
+// answered. The others go on and receive the request as well. If the shard
+// has moved, it asks again under the newer map until ctx ends.
+func askShard[Req, Resp any](ctx context.Context, c *Client, shard Shard, kind wire.Kind, req func(StoreID, Epoch) Req) (map[StoreID]Resp, error) {
+	for {
+		m := c.Map()
+		p := m.Placement(shard)
+		got, moved := askPlacement[Req, Resp](ctx, c, m, p, kind, req)
+		if len(p.Now) > 0 && p.Enough(func(id StoreID) bool { _, ok := got[id]; return ok }) {
+			return got, nil
+		}
+		if !moved || !types.Sleep(ctx, mapPause) {
+			return nil, errNoStores
+		}
+	}
+}
+
+// askPlacement asks the stores of a placement until enough have answered or
+// all have. It reports whether one of them knows another epoch.
+func askPlacement[Req, Resp any](ctx context.Context, c *Client, m *Map, p Placement, kind wire.Kind, req func(StoreID, Epoch) Req) (got map[StoreID]Resp, moved bool) {
+	all := p.All()
+	answers := make(chan result[Resp], len(all))
+	for _, id := range all {
+		link, one := c.Peers.Link(m.Members[id].Address), req(id, p.Epoch)
+		c.background.Go(func() error {
+			// A caller that leaves must not keep a copy from being written.
+			reply, err := askStore[Req, Resp](context.WithoutCancel(ctx), link, kind, one, storeTimeout)
+			answers <- result[Resp]{from: id, reply: reply, err: err}
+			return nil
+		})
+	}
+	got = map[StoreID]Resp{}
+	for range all {
+		select {
+		case a := <-answers:
+			if a.err != nil {
+				moved = moved || isMoved(a.err)
+				continue
+			}
+			got[a.from] = a.reply
+			if p.Enough(func(id StoreID) bool { _, ok := got[id]; return ok }) {
+				return got, false
+			}
+		case <-ctx.Done():
+			return got, false
+		}
+	}
+	return got, moved
+}
+
+func isMoved(err error) bool {
+	return types.IsCode(err, types.CodeConflict) || types.AsFault(err).Message == errNoMap.Message
+}
+
+// near returns the stores with those of the own zone first.
+func (c *Client) near(m *Map) []Member {
+	var members []Member
+	for id, member := range m.Members {
+		if m.Carries(id) {
+			members = append(members, member)
+		}
+	}
+	slices.SortFunc(members, func(a, b Member) int {
+		if (a.Zone == c.Zone) != (b.Zone == c.Zone) {
+			if a.Zone == c.Zone {
+				return -1
+			}
+			return 1
+		}
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return members
+}
--- a/wire/link.go
+++ b/wire/link.go
@@ -25,7 +25,8 @@
 	Log event.Log
 
 	mu      sync.Mutex
-	current *connection // nil while there is none
+	current *connection   // nil while there is none
+	changed chan struct{} // closed when a connection is made; nil if nobody waits
 }
 
 // connection is one connection of a link.
@@ -86,6 +87,31 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.current = c
+	if c != nil && l.changed != nil {
+		close(l.changed)
+		l.changed = nil
+	}
+}
+
+// Await waits until the link is connected and reports whether it is.
+func (l *Link) Await(ctx context.Context) bool {
+	for {
+		l.mu.Lock()
+		if l.current != nil {
+			l.mu.Unlock()
+			return true
+		}
+		if l.changed == nil {
+			l.changed = make(chan struct{})
+		}
+		changed := l.changed
+		l.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
 }
 
 func (l *Link) get() *connection {
