fleet, limit: hosts that hold parts of a limit are known to the group

Ruled out: callers above their limit (arrivals were 60% of it). Change: an issuer gives out half of a limit at most, so that a new one refills its own bucket with the rest at once, and with all of it when every host that the group knows as a holder has reported. Elections after 0.45 s in place of 0.7.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -59,15 +59,18 @@
 	copied  map[turns.StoreID]map[turns.Shard]turns.Epoch
 	targets Targets
 	issuers map[types.AccountID]*limit.Issuer
-	enrolAt types.Mono // when a store was enrolled last
+	// reported holds the hosts that have told what they hold of accounts'
+	// limits in this reign.
+	reported map[types.HostID]bool
+	enrolAt  types.Mono // when a store was enrolled last
 }
 
 // Timing suits control hosts that are a few milliseconds apart and pay for
-// idle messages: a leader is replaced within a second and a half.
+// idle messages: a leader is replaced within a second.
 var Timing = quorum.Timing{
-	Heartbeat:   120 * time.Millisecond,
-	ElectionMin: 700 * time.Millisecond,
-	Lease:       560 * time.Millisecond,
+	Heartbeat:   90 * time.Millisecond,
+	ElectionMin: 450 * time.Millisecond,
+	Lease:       360 * time.Millisecond,
 }
 
 func (c *Control) init() {
@@ -98,6 +101,7 @@
 	c.copied = map[turns.StoreID]map[turns.Shard]turns.Epoch{}
 	c.targets = Targets{}
 	c.issuers = map[types.AccountID]*limit.Issuer{}
+	c.reported = map[types.HostID]bool{}
 	c.enrolAt = reign
 }
 
--- a/fleet/lead.go
+++ b/fleet/lead.go
@@ -103,9 +103,14 @@
 }
 
 // limits renews a host's allotments.
-func (c *Control) limits(_ context.Context, req LimitsRequest) (LimitsReply, error) {
+func (c *Control) limits(ctx context.Context, req LimitsRequest) (LimitsReply, error) {
 	reply := LimitsReply{Allotments: map[types.AccountID]limit.Allotment{}}
+	if err := c.enrolHolder(ctx, req.Host); err != nil {
+		return reply, err
+	}
 	err := c.lead(func(now types.Mono) {
+		c.reported[req.Host] = true
+		known := c.allReported()
 		for id, demand := range req.Demands {
 			issuer := c.issuer(id, now)
 			if issuer == nil {
@@ -116,11 +121,35 @@
 				continue
 			}
 			reply.Allotments[id] = issuer.Renew(demand, now)
+			if known {
+				issuer.Settle(now)
+			}
 		}
 	})
 	return reply, err
 }
 
+// enrolHolder makes an entry host known before it holds anything.
+func (c *Control) enrolHolder(ctx context.Context, h types.HostID) error {
+	known := false
+	if err := c.lead(func(types.Mono) { known = c.machine.Holders()[h] }); err != nil || known {
+		return err
+	}
+	_, err := c.propose(ctx, Command{Holder: &Holder{Host: h}})
+	return err
+}
+
+// allReported reports whether every host that may hold an allotment has told
+// of it in this reign. Callers lead.
+func (c *Control) allReported() bool {
+	for h := range c.machine.Holders() {
+		if !c.reported[h] {
+			return false
+		}
+	}
+	return true
+}
+
 // issuer returns the issuer of an account with its newest limit, or nil if the
 // account has none. Callers lead.
 func (c *Control) issuer(id types.AccountID, now types.Mono) *limit.Issuer {
@@ -134,7 +163,7 @@
 		}
 		issuer := c.issuers[id]
 		if issuer == nil {
-			issuer = limit.NewIssuer(c.reign, false)
+			issuer = limit.NewIssuer(c.reign)
 			c.issuers[id] = issuer
 		}
 		issuer.Adjust(limit.Limit{Rate: a.Rate, Burst: a.Burst, Version: d.Plan.Version}, now)
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -27,6 +27,7 @@
 	Found  *FoundMap `json:"found,omitempty"`
 	Move   *Move     `json:"move,omitempty"`
 	Retire *Retire   `json:"retire,omitempty"`
+	Holder *Holder   `json:"holder,omitempty"`
 }
 
 // PutPlan brings a plan into force if its version is higher than any before.
@@ -63,6 +64,12 @@
 	Host types.HostID `json:"host"`
 }
 
+// Holder makes an entry host known that will hold parts of accounts' limits. A
+// new leader knows from it who may hold some.
+type Holder struct {
+	Host types.HostID `json:"host"`
+}
+
 // Result is what became of a command.
 type Result struct {
 	// Changed is set if the state is another than before.
@@ -77,6 +84,7 @@
 	Revision Revision               `json:"revision"`
 	Gone     map[turns.StoreID]bool `json:"gone,omitempty"`
 	Retiring map[types.HostID]bool  `json:"retiring,omitempty"`
+	Holders  map[types.HostID]bool  `json:"holders,omitempty"`
 	Trail    []audit.Record         `json:"trail,omitempty"`
 }
 
@@ -107,6 +115,8 @@
 		changed = m.move(*c.Move)
 	case c.Retire != nil:
 		changed = m.retire(c.Retire.Host)
+	case c.Holder != nil:
+		m.holder(c.Holder.Host)
 	}
 	if changed && m.Changed != nil {
 		m.Changed()
@@ -202,6 +212,18 @@
 	return true
 }
 
+// holder changes nothing that hosts follow, so that it is no news to them.
+func (m *Machine) holder(h types.HostID) {
+	if m.state.Holders == nil {
+		m.state.Holders = map[types.HostID]bool{}
+	}
+	m.state.Holders[h] = true
+}
+
+// Holders returns the hosts that may hold parts of accounts' limits. It must
+// not be changed.
+func (m *Machine) Holders() map[types.HostID]bool { return m.state.Holders }
+
 // Snapshot returns the whole state.
 func (m *Machine) Snapshot() []byte { return types.Encode(m.state) }
 
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -102,6 +102,7 @@
 
 // LimitsRequest asks for allotments of accounts' limits.
 type LimitsRequest struct {
+	Host    types.HostID                     `json:"host"`
 	Demands map[types.AccountID]limit.Demand `json:"demands"`
 	// Return is set by a host that stops and gives everything back.
 	Return bool `json:"return,omitempty"`
--- a/fleet/targets.go
+++ b/fleet/targets.go
@@ -17,6 +17,9 @@
 	// target that leaves is known within this time and the list's own lag.
 	targetsInterval = time.Second
 	listTimeout     = 2 * time.Second
+	// leadInterval is how often a host looks whether it has begun to lead: the
+	// others wait for its list.
+	leadInterval = 20 * time.Millisecond
 )
 
 // keepTargets reads the list of targets while this host leads.
@@ -26,7 +29,7 @@
 	}
 	pause := targetsInterval
 	for types.Sleep(ctx, pause) {
-		pause = shardsInterval
+		pause = leadInterval
 		if err := c.lead(func(types.Mono) {}); err != nil {
 			continue // Read at once when this host begins to lead.
 		}
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -167,7 +167,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	reply, err := s.gate.Fleet.Limits(ctx, fleet.LimitsRequest{Demands: demands})
+	reply, err := s.gate.Fleet.Limits(ctx, fleet.LimitsRequest{Host: s.gate.Host, Demands: demands})
 	if err != nil {
 		return // What is held goes on until it runs out; the client notes who does not answer.
 	}
@@ -223,5 +223,5 @@
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	// If it is lost, what is held runs out by itself.
-	_, _ = s.gate.Fleet.Limits(ctx, fleet.LimitsRequest{Demands: demands, Return: true})
+	_, _ = s.gate.Fleet.Limits(ctx, fleet.LimitsRequest{Host: s.gate.Host, Demands: demands, Return: true})
 }
--- a/limit/issuer.go
+++ b/limit/issuer.go
@@ -38,20 +38,23 @@
 	// AllotmentTime is how long an allotment counts, from when it was asked
 	// for. It is longer than an election takes, so that holders go on while
 	// there is no leader.
-	AllotmentTime = 4 * time.Second
+	AllotmentTime = 3 * time.Second
 	// allotmentWait is how long the issuer counts on an allotment; it is
 	// longer by the drift allowed between two clocks.
-	allotmentWait = 5 * time.Second
-	// issuedShare is the part of a limit that is given out at the most. The
-	// rest waits in the issuer's own bucket for those who run short.
-	issuedShare = 0.9
+	allotmentWait = 3600 * time.Millisecond
+	// issuedShare is the part of a limit that refills holders' own buckets at
+	// the most. The rest refills the issuer's, from which holders fetch what
+	// they lack. Where callers ask for little, holders get by without the
+	// issuer; where they ask for all there is, what overflows in a holder's
+	// bucket while its callers pause would be lost to the account. A new issuer
+	// can give out the rest at once, since no issuer ever gave out more.
+	issuedShare = 0.5
 	// evenShare is the part of what is given out that is divided evenly, so
 	// that a holder without callers so far can serve its first ones.
 	evenShare = 0.3
-	// demandMargin is the part of what its callers ask for that refills a holder's
-	// own bucket. What overflows there while its callers pause is lost to the
-	// account, so the rest is fetched as it is needed.
-	demandMargin = 0.5
+	// demandMargin is how much more than its callers ask for a holder gets, if
+	// there is enough.
+	demandMargin = 1.25
 	// burstTime is how long a holder's bucket lasts at the rate that its
 	// callers ask for, and minBurst what it holds at least.
 	burstTime = 700 * time.Millisecond
@@ -70,7 +73,7 @@
 type Issuer struct {
 	limit  Limit
 	since  types.Mono // when this issuer began
-	fresh  bool       // there was no issuer before
+	known  bool       // all that is out is known
 	level  float64
 	at     types.Mono
 	out    map[Holder]*issued
@@ -83,12 +86,19 @@
 	rate, burst float64
 	last        Allotment
 	until       types.Mono
+	guest       bool // it came while other holders were not known; its bucket is filled from the reserve
 }
 
-// NewIssuer returns an issuer that begins at now. Fresh tells that nobody can
-// hold an allotment of an earlier one.
-func NewIssuer(now types.Mono, fresh bool) *Issuer {
-	return &Issuer{since: now, at: now, fresh: fresh, out: map[Holder]*issued{}, demand: map[Holder]types.PerSecond{}}
+// NewIssuer returns an issuer that begins at now.
+func NewIssuer(now types.Mono) *Issuer {
+	return &Issuer{since: now, at: now, out: map[Holder]*issued{}, demand: map[Holder]types.PerSecond{}}
+}
+
+// Settle tells that everyone who may hold an allotment of an earlier issuer has
+// reported it.
+func (i *Issuer) Settle(now types.Mono) {
+	i.refill(now)
+	i.known = true
 }
 
 // Adjust brings a limit into force. Lower limits reach holders with their next
@@ -98,9 +108,6 @@
 		return
 	}
 	i.refill(now)
-	if i.limit == (Limit{}) && i.fresh {
-		i.level = float64(l.Burst)
-	}
 	i.limit = l
 	i.level = min(i.level, i.room())
 }
@@ -118,7 +125,8 @@
 	if i.settled(now) {
 		next.Rate, next.Burst = i.size(d)
 	} else if next.Rate == 0 {
-		next.Burst = i.reserve()
+		next.Burst = max(0, min(wantBurst(d), i.reserve()-i.unknown(d.Holder)))
+		h.guest = true
 	}
 	h.last = next
 	h.rate, h.burst = max(h.rate, float64(next.Rate)), max(h.burst, next.Burst)
@@ -131,7 +139,7 @@
 
 // settled reports whether everything that is out is known.
 func (i *Issuer) settled(now types.Mono) bool {
-	return i.fresh || now.Sub(i.since) > allotmentWait
+	return i.known || now.Sub(i.since) > allotmentWait
 }
 
 // holder returns what a holder may have. One that an earlier issuer gave an
@@ -156,7 +164,7 @@
 	share := issuedShare * i.share(d.Holder)
 	rates, bursts := i.others(d.Holder)
 	rate := min(demandMargin*float64(d.Rate), share*float64(i.limit.Rate), issuedShare*float64(i.limit.Rate)-rates)
-	burst := min(max(minBurst, burstTime.Seconds()*float64(d.Rate)), max(1, share*float64(i.limit.Burst)), issuedShare*float64(i.limit.Burst)-bursts)
+	burst := min(wantBurst(d), max(1, share*float64(i.limit.Burst)), issuedShare*float64(i.limit.Burst)-bursts)
 	return types.PerSecond(max(0, rate)), max(0, burst)
 }
 
@@ -173,6 +181,21 @@
 	return evenShare/n + (1-evenShare)*float64(i.demand[of])/total
 }
 
+// wantBurst is what a holder's bucket should hold.
+func wantBurst(d Demand) float64 { return max(minBurst, burstTime.Seconds()*float64(d.Rate)) }
+
+// unknown returns what the buckets of guests hold at the most.
+func (i *Issuer) unknown(than Holder) float64 {
+	sum := 0.0
+	for id, h := range i.out {
+		if id != than && h.guest {
+			sum += h.burst
+		}
+	}
+	return sum
+}
+
+// others returns what all holders but one may have.
 func (i *Issuer) others(than Holder) (rates, bursts float64) {
 	for id, h := range i.out {
 		if id != than {
@@ -186,7 +209,7 @@
 // room is how much the issuer's own bucket may hold.
 func (i *Issuer) room() float64 {
 	if !i.settled(i.at) {
-		return i.reserve()
+		return max(0, i.reserve()-i.unknown(""))
 	}
 	_, bursts := i.others("")
 	return max(0, float64(i.limit.Burst)-bursts)
