turns, wire: stores and hosts that come back are reached at once

Cause: links to hosts that had lost power were found dead after up to 6 s, a request to connect that met no host was waited for 2 s, and a write that met no majority was not tried again. Change: silent connections are checked after 0.6 s, connecting is tried again after 0.4 s, and requests to stores, which may all be repeated, until their time is over.

--- a/gate/turn.go
+++ b/gate/turn.go
@@ -144,7 +144,7 @@
 }
 
 // keepTimeout bounds the writing of a turn. It covers a change of the stores'
-// map.
+// map and a restart of all of them.
 const keepTimeout = 3 * time.Second
 
 // release settles a claim whose turn did not end whole by what the caller was
--- a/turns/client.go
+++ b/turns/client.go
@@ -29,11 +29,11 @@
 }
 
 const (
-	// storeTimeout bounds one request to one store. What a majority lacks by
-	// then is not acknowledged.
-	storeTimeout = 1500 * time.Millisecond
-	// mapPause is how long the client waits for a newer map after a store
-	// refused its epoch.
+	// storeTimeout bounds one request to one store. All that stores are asked
+	// may be repeated, so that a new try over a new connection is soon made.
+	storeTimeout = 500 * time.Millisecond
+	// mapPause is how long the client waits for a newer map, or for stores that
+	// come back, before it asks again.
 	mapPause = 30 * time.Millisecond
 )
 
@@ -131,25 +131,25 @@
 }
 
 // askShard asks all stores of a shard and returns once a majority has
-// answered. The others go on and receive the request as well. If the shard
-// has moved, it asks again under the newer map until ctx ends.
+// answered. The others go on and receive the request as well. If there is no
+// majority or the shard has moved, it asks again until ctx ends.
 func askShard[Req, Resp any](ctx context.Context, c *Client, shard Shard, kind wire.Kind, req func(StoreID, Epoch) Req) (map[StoreID]Resp, error) {
 	for {
 		m := c.Map()
 		p := m.Placement(shard)
-		got, moved := askPlacement[Req, Resp](ctx, c, m, p, kind, req)
+		got := askPlacement[Req, Resp](ctx, c, m, p, kind, req)
 		if len(p.Now) > 0 && p.Enough(func(id StoreID) bool { _, ok := got[id]; return ok }) {
 			return got, nil
 		}
-		if !moved || !types.Sleep(ctx, mapPause) {
+		if !types.Sleep(ctx, mapPause) {
 			return nil, errNoStores
 		}
 	}
 }
 
 // askPlacement asks the stores of a placement until enough have answered or
-// all have. It reports whether one of them knows another epoch.
-func askPlacement[Req, Resp any](ctx context.Context, c *Client, m *Map, p Placement, kind wire.Kind, req func(StoreID, Epoch) Req) (got map[StoreID]Resp, moved bool) {
+// all have.
+func askPlacement[Req, Resp any](ctx context.Context, c *Client, m *Map, p Placement, kind wire.Kind, req func(StoreID, Epoch) Req) map[StoreID]Resp {
 	all := p.All()
 	answers := make(chan result[Resp], len(all))
 	for _, id := range all {
@@ -161,27 +161,22 @@
 			return nil
 		})
 	}
-	got = map[StoreID]Resp{}
+	got := map[StoreID]Resp{}
 	for range all {
 		select {
 		case a := <-answers:
 			if a.err != nil {
-				moved = moved || isMoved(a.err)
 				continue
 			}
 			got[a.from] = a.reply
 			if p.Enough(func(id StoreID) bool { _, ok := got[id]; return ok }) {
-				return got, false
+				return got
 			}
 		case <-ctx.Done():
-			return got, false
+			return got
 		}
 	}
-	return got, moved
-}
-
-func isMoved(err error) bool {
-	return types.IsCode(err, types.CodeConflict) || types.AsFault(err).Message == errNoMap.Message
+	return got
 }
 
 // near returns the stores with those of the own zone first.
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -34,8 +35,10 @@
 	queueLength = 8192
 	// writeTimeout bounds the sending of one frame.
 	writeTimeout = 10 * time.Second
-	// pingInterval is how often an idle connection is checked.
-	pingInterval = 2 * time.Second
+	// pingInterval is how long a connection may be silent before it is checked,
+	// and how long the check may take. A peer that lost power is found within
+	// twice that.
+	pingInterval = 600 * time.Millisecond
 )
 
 var (
@@ -55,11 +58,15 @@
 	conn *websocket.Conn
 	out  chan envelope
 	gone chan struct{} // closed when run returns
+	// heard is when a frame or the answer to a ping came last, in nanoseconds
+	// since began.
+	heard atomic.Int64
+	began time.Time
 }
 
 func newStream(conn *websocket.Conn) *stream {
 	conn.SetReadLimit(maxFrameBytes)
-	return &stream{conn: conn, out: make(chan envelope, queueLength), gone: make(chan struct{})}
+	return &stream{conn: conn, out: make(chan envelope, queueLength), gone: make(chan struct{}), began: time.Now()}
 }
 
 // send queues one envelope. It never blocks.
@@ -124,6 +131,7 @@
 		if err != nil {
 			return err
 		}
+		s.hear()
 		receivedBytes.Add(len(frame))
 		if err := eachEnvelope(frame, receive); err != nil {
 			return err
@@ -146,19 +154,24 @@
 
 // pingAll finds out about a connection that was cut silently.
 func (s *stream) pingAll(ctx context.Context) error {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
+	for types.Sleep(ctx, pingInterval-s.silence()) {
+		if s.silence() < pingInterval {
+			continue // Whatever came shows that the peer is there.
 		}
-		pingCtx, cancel := context.WithTimeout(ctx, 2*pingInterval)
+		pingCtx, cancel := context.WithTimeout(ctx, pingInterval)
 		err := s.conn.Ping(pingCtx)
 		cancel()
 		if err != nil {
 			return errors.Wrap(err, "wire: ping")
 		}
+		s.hear()
 	}
+	return ctx.Err()
+}
+
+func (s *stream) hear() { s.heard.Store(int64(time.Since(s.began))) }
+
+// silence returns how long nothing has come.
+func (s *stream) silence() time.Duration {
+	return time.Since(s.began) - time.Duration(s.heard.Load())
 }
--- a/wire/link.go
+++ b/wire/link.go
@@ -36,9 +36,11 @@
 }
 
 const (
-	dialTimeout = 2 * time.Second
-	redialFirst = 50 * time.Millisecond
-	redialLast  = time.Second
+	// dialTimeout is several round trips between regions. A request to connect
+	// that met a host without power is thus soon followed by another.
+	dialTimeout = 400 * time.Millisecond
+	redialFirst = 25 * time.Millisecond
+	redialLast  = 250 * time.Millisecond
 )
 
 var strayAnswers = metrics.NewCounter("banyanspur_wire_stray_answers_total")
