--- a/fleet/targets.go
+++ b/fleet/targets.go
@@ -27,13 +27,14 @@
 	if c.List == nil {
 		return nil
 	}
-	pause := targetsInterval
+	pause := leadInterval
 	for types.Sleep(ctx, pause) {
 		pause = leadInterval
 		if err := c.lead(func(types.Mono) {}); err != nil {
 			continue // Read at once when this host begins to lead.
 		}
 		pause = targetsInterval
+		asked := time.Now()
 		listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		list, err := c.List(listCtx)
 		cancel()
@@ -41,12 +42,12 @@
 			c.Log.Write(event.HostListFailed, event.Fields{"error": err.Error()})
 			continue
 		}
-		c.setTargets(list)
+		c.setTargets(list, time.Since(asked))
 	}
 	return nil
 }
 
-func (c *Control) setTargets(list []Target) {
+func (c *Control) setTargets(list []Target, took time.Duration) {
 	slices.SortFunc(list, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 	next := Targets{Sum: max(1, xxhash.Sum64(types.Encode(list))), List: list}
 	changed := false
@@ -55,7 +56,7 @@
 		c.targets = next
 	})
 	if err == nil && changed {
-		c.Log.Write(event.TargetsChanged, event.Fields{"targets": len(list), "sum": next.Sum})
+		c.Log.Write(event.TargetsChanged, event.Fields{"targets": len(list), "sum": next.Sum, "tookMs": took.Milliseconds()})
 		c.news.send()
 	}
 }
