--- /dev/null
+++ b/limit/issuer_test.go
@@ -0,0 +1,211 @@
+package limit_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/banyanspur/banyanspur/limit"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// TestMain fixes the seed of random tests unless one is given with
+// -rapid.seed.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+// division is an account's limit divided among hosts, by an issuer that is
+// replaced at times.
+type division struct {
+	limit   limit.Limit
+	now     types.Mono
+	issuer  *limit.Issuer
+	holders map[limit.Holder]*limit.Share
+	spent   []types.Mono
+}
+
+func newDivision(l limit.Limit) *division {
+	d := &division{limit: l, holders: map[limit.Holder]*limit.Share{}}
+	d.replace()
+	return d
+}
+
+// replace begins a new issuer that knows nothing of what the last one did.
+func (d *division) replace() {
+	d.issuer = limit.NewIssuer(d.now)
+	d.issuer.Adjust(d.limit, d.now)
+}
+
+// renew renews one holder's allotment; the answer may be lost on its way.
+func (d *division) renew(h limit.Holder, lost bool) {
+	s := d.holders[h]
+	if s == nil {
+		s = &limit.Share{}
+		d.holders[h] = s
+	}
+	a := d.issuer.Renew(s.Demand(h, d.now), d.now)
+	if !lost {
+		s.Put(a, d.now, d.now)
+	}
+}
+
+func (d *division) take(h limit.Holder) bool {
+	s := d.holders[h]
+	if s == nil {
+		return false
+	}
+	s.Ask(d.now)
+	if !s.Take(d.now) {
+		return false
+	}
+	d.spent = append(d.spent, d.now)
+	return true
+}
+
+// worst returns by how much any window exceeds burst plus rate times its
+// length.
+func (d *division) worst() float64 {
+	over := 0.0
+	for i := range d.spent {
+		for j := i; j < len(d.spent); j++ {
+			allowed := float64(d.limit.Burst) + d.spent[j].Sub(d.spent[i]).Seconds()*float64(d.limit.Rate)
+			over = max(over, float64(j-i+1)-allowed)
+		}
+	}
+	return over
+}
+
+// TestNoWindowAboveLimit lets hosts spend all that they can get while answers
+// are lost, hosts are replaced and issuers change: no window sees more than the
+// limit.
+func TestNoWindowAboveLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDivision(limit.Limit{Rate: types.PerSecond(rapid.IntRange(5, 60).Draw(t, "rate")), Burst: rapid.IntRange(4, 60).Draw(t, "burst")})
+		run := 0
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			d.now = d.now.Add(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
+			h := limit.Holder(fmt.Sprintf("host-%d/%d", rapid.IntRange(0, 3).Draw(t, "host"), run))
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				d.replace()
+			case 1:
+				run++ // All hosts start anew; what the old ones held is lost with them.
+			case 2:
+				d.renew(h, true)
+			default:
+				d.renew(h, false)
+			}
+			for d.take(h) {
+			}
+		}
+		// A request that is begun on a window's edge counts on both sides.
+		if over := d.worst(); over > 1+1e-6 {
+			t.Fatalf("a window sees %.2f requests above the limit", over)
+		}
+	})
+}
+
+// lopsided has one host of eight take nearly all of 36 requests a second of an
+// account that may have 40, and turns to another host at each of the given
+// steps. It returns how many were refused.
+func lopsided(steps int, turns func(step int) bool) (refused int) {
+	d := newDivision(limit.Limit{Rate: 40, Burst: 40})
+	d.now = d.now.Add(10 * time.Second)
+	busy := 0
+	for step := range steps {
+		d.now = d.now.Add(25 * time.Millisecond)
+		if turns(step) {
+			busy = (busy + 1) % 8
+		}
+		if step%40 == 0 {
+			for i := range 8 {
+				d.renew(limit.Holder(fmt.Sprintf("host-%d/0", i)), false)
+			}
+		}
+		if step%10 == 9 {
+			continue
+		}
+		h := limit.Holder(fmt.Sprintf("host-%d/0", busy))
+		if !d.take(h) {
+			d.renew(h, false) // A host that runs short asks before it refuses.
+			if !d.take(h) {
+				refused++
+			}
+		}
+	}
+	return refused
+}
+
+// TestLopsidedCallersGetTheirRate answers the pattern of callers that all come
+// through one host: nothing within the limit is refused.
+func TestLopsidedCallersGetTheirRate(t *testing.T) {
+	if diff := cmp.Diff(0, lopsided(400, func(int) bool { return false })); diff != "" {
+		t.Errorf("refused within the limit (-want +got):\n%s", diff)
+	}
+}
+
+// TestCallersTurnElsewhere answers the pattern of callers that all turn to
+// another host: what is refused is no more than what the former host's bucket
+// refills until its next renewal, a second later: 40 x 0.5 x (0.7 + 0.3/8).
+func TestCallersTurnElsewhere(t *testing.T) {
+	refused := lopsided(400, func(step int) bool { return step == 200 })
+	if refused > 15 {
+		t.Errorf("%d requests were refused within the limit, not 15 at the most", refused)
+	}
+}
+
+// TestNewIssuerGoesOn replaces the issuer while callers ask for six tenths of
+// the limit: hosts that report what they hold go on at once, and a host that
+// held nothing is served from what no issuer gives out.
+func TestNewIssuerGoesOn(t *testing.T) {
+	d := newDivision(limit.Limit{Rate: 60, Burst: 60})
+	d.now = d.now.Add(10 * time.Second)
+	ask := func(h limit.Holder) bool {
+		if d.take(h) {
+			return true
+		}
+		d.renew(h, false)
+		return d.take(h)
+	}
+	served := func(hosts int, steps int) (n int) {
+		for step := range steps {
+			d.now = d.now.Add(28 * time.Millisecond)
+			if ask(limit.Holder(fmt.Sprintf("host-%d/0", step%hosts))) {
+				n++
+			}
+		}
+		return n
+	}
+	served(4, 400)
+	d.replace()
+	if diff := cmp.Diff(40, served(4, 40)); diff != "" {
+		t.Errorf("served by hosts that go on (-want +got):\n%s", diff)
+	}
+	if !ask("host-9/0") {
+		t.Error("a host that held nothing is not served")
+	}
+}
+
+// TestShareEndsWithItsAllotment leaves a host without an issuer.
+func TestShareEndsWithItsAllotment(t *testing.T) {
+	d := newDivision(limit.Limit{Rate: 40, Burst: 40})
+	d.now = d.now.Add(10 * time.Second)
+	d.renew("host-0/0", false)
+	if !d.take("host-0/0") {
+		t.Fatal("an allotment that was just given is not spent")
+	}
+	d.now = d.now.Add(limit.AllotmentTime)
+	if d.take("host-0/0") {
+		t.Error("an allotment is spent after its time")
+	}
+}
