turns: shards are copied from whoever answers first

Cause: a store that takes shards over asked their stores one after the other, the dead one first, a second for each shard: 16.2 s for TestMoveKeepsEverything, against a bound of 4.9 s for catching up. Change: all at once, done when a majority has answered, four shards at a time.

--- a/turns/copy.go
+++ b/turns/copy.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
@@ -15,6 +17,9 @@
 	copyInterval = 50 * time.Millisecond
 	// copyTimeout bounds one request for a part of a shard.
 	copyTimeout = time.Second
+	// copiesAtOnce bounds the shards that are copied at the same time, and so
+	// the memory for their parts.
+	copiesAtOnce = 4
 )
 
 // Copied returns the epochs of the moves for which this store has copied all
@@ -39,14 +44,20 @@
 		if now == nil {
 			continue
 		}
+		var g errgroup.Group
+		g.SetLimit(copiesAtOnce)
 		for shard, p := range now.Shards {
 			if !slices.Contains(p.Next, s.id) || slices.Contains(p.Now, s.id) || s.hasCopied(Shard(shard), p.Epoch) {
 				continue
 			}
-			if err := s.copyShard(ctx, peers, now, Shard(shard)); err != nil {
-				s.Log.Write(event.CopyFailed, event.Fields{"shard": shard, "epoch": p.Epoch, "error": err.Error()})
-			}
+			g.Go(func() error {
+				if err := s.copyShard(ctx, peers, now, Shard(shard)); err != nil {
+					s.Log.Write(event.CopyFailed, event.Fields{"shard": shard, "epoch": p.Epoch, "error": err.Error()})
+				}
+				return nil
+			})
 		}
+		_ = g.Wait() // What failed is tried again.
 	}
 	return nil
 }
@@ -57,33 +68,50 @@
 	return s.whole[shard] == epoch
 }
 
-// copyShard copies a shard from a majority of the stores that carry it now.
-// Each of them has refused older writers before it answered, so that all that
-// was ever acknowledged is on at least one of them or is written here too.
+// copyShard copies a shard from a majority of the stores that carry it now,
+// whichever answer first. Each of them has refused older writers before it
+// answered, so that all that was ever acknowledged is on at least one of them
+// or is written here too.
 func (s *Store) copyShard(ctx context.Context, peers *wire.Pool, m *Map, shard Shard) error {
 	p := m.Placement(shard)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // Ends what goes on when a majority is done.
+	answers := make(chan result[int], len(p.Now))
+	var g errgroup.Group
+	for _, id := range p.Now {
+		link := peers.Link(m.Members[id].Address)
+		g.Go(func() error {
+			n, err := s.copyFrom(ctx, link, CopyRequest{To: id, Shard: shard, Epoch: p.Epoch})
+			answers <- result[int]{from: id, reply: n, err: err}
+			return nil
+		})
+	}
 	from := map[StoreID]bool{}
 	turns := 0
 	var failure error
-	for _, id := range p.Now {
-		n, err := s.copyFrom(ctx, peers.Link(m.Members[id].Address), CopyRequest{To: id, Shard: shard, Epoch: p.Epoch})
-		if err != nil {
-			failure = err
+	for range p.Now {
+		a := <-answers
+		if a.err != nil {
+			failure = a.err
 			continue
 		}
-		from[id] = true
-		turns += n
+		from[a.from] = true
+		turns += a.reply
 		if p.EnoughToDeny(func(id StoreID) bool { return from[id] }) {
-			s.mu.Lock()
-			s.whole[shard] = p.Epoch
-			s.mu.Unlock()
-			s.Log.Write(event.ShardCopied, event.Fields{"shard": shard, "epoch": p.Epoch, "from": len(from), "turns": turns})
+			s.noteCopied(shard, p.Epoch, len(from), turns)
 			return nil
 		}
 	}
 	return failure
 }
 
+func (s *Store) noteCopied(shard Shard, epoch Epoch, from, turns int) {
+	s.mu.Lock()
+	s.whole[shard] = epoch
+	s.mu.Unlock()
+	s.Log.Write(event.ShardCopied, event.Fields{"shard": shard, "epoch": epoch, "from": from, "turns": turns})
+}
+
 func (s *Store) copyFrom(ctx context.Context, link *wire.Link, req CopyRequest) (turns int, err error) {
 	for {
 		part, err := askStore[CopyRequest, CopyReply](ctx, link, KindCopy, req, copyTimeout)
