--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,237 @@
+package fleet_test
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/banyanspur/banyanspur/fleet"
+	"github.com/banyanspur/banyanspur/limit"
+	"github.com/banyanspur/banyanspur/turns"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// TestFoundsInAnyOrder starts the seeds last, and the lowest address last of
+// all.
+func TestFoundsInAnyOrder(t *testing.T) {
+	f := newFleet(t, 5)
+	for i := len(f.controls) - 1; i >= 0; i-- {
+		f.controls[i].run()
+	}
+	c, _ := f.client("entry-1")
+	put(t, c, 3, "choir")
+	if diff := cmp.Diff("3 choir", read(t, c)); diff != "" {
+		t.Errorf("plan read back (-want +got):\n%s", diff)
+	}
+	waitFor(t, "the plan on a host", func() bool { return c.View().Have.Version == 3 })
+	waitFor(t, "the list of targets on a host", func() bool { return len(c.View().Targets) == 1 })
+}
+
+// TestHighestVersionWins puts versions out of order, and other content under a
+// version that is held.
+func TestHighestVersionWins(t *testing.T) {
+	f := newFleet(t, 3)
+	f.runAll()
+	c, _ := f.client("entry-1")
+	var got []types.Version
+	for _, p := range []struct {
+		version types.Version
+		account types.AccountID
+	}{{5, "choir"}, {3, "band"}, {5, "band"}, {9, "temple"}} {
+		got = append(got, put(t, c, p.version, p.account))
+	}
+	if diff := cmp.Diff([]types.Version{5, 5, 5, 9}, got); diff != "" {
+		t.Errorf("version in force after each (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff("9 temple", read(t, c)); diff != "" {
+		t.Errorf("plan read back (-want +got):\n%s", diff)
+	}
+}
+
+// TestPlansOutliveHosts stops control hosts one after the other, wipes one of
+// them, and at last restarts all.
+func TestPlansOutliveHosts(t *testing.T) {
+	f := newFleet(t, 5)
+	f.runAll()
+	c, peers := f.client("entry-1")
+	put(t, c, 1, "choir")
+	f.founding.Store(false)
+	f.settle(peers, 5, f.controls...)
+	version := types.Version(1)
+	for i, p := range f.controls {
+		p.stop()
+		version++
+		put(t, c, version, "choir")
+		if i == 1 {
+			if err := os.RemoveAll(p.dir); err != nil {
+				t.Fatal(err)
+			}
+		}
+		p.run()
+		version++
+		put(t, c, version, "choir")
+		f.settle(peers, 5, f.controls...)
+	}
+	for _, p := range f.controls {
+		p.stop()
+	}
+	f.runAll()
+	if diff := cmp.Diff("11 choir", read(t, c)); diff != "" {
+		t.Errorf("plan read back (-want +got):\n%s", diff)
+	}
+}
+
+// TestEmptyHostsNeverFound starts control hosts whose folders are empty and
+// that are not told that the whole fleet starts for the first time.
+func TestEmptyHostsNeverFound(t *testing.T) {
+	f := newFleet(t, 3)
+	f.founding.Store(false)
+	f.runAll()
+	c, _ := f.client("entry-1")
+	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	defer cancel()
+	if _, err := c.Read(ctx); !types.IsCode(err, types.CodeUnavailable) {
+		t.Errorf("reading from hosts that have lost everything: %v", err)
+	}
+}
+
+// TestControlHostReplacedAtAnotherAddress takes two of five hosts away for good,
+// one after the other, with an empty one in place of each.
+func TestControlHostReplacedAtAnotherAddress(t *testing.T) {
+	f := newFleet(t, 5)
+	f.runAll()
+	c, peers := f.client("entry-1")
+	put(t, c, 1, "choir")
+	f.founding.Store(false)
+	f.settle(peers, 5, f.controls...)
+	for i := range 2 {
+		f.controls[i].stop()
+		f.addControl().run()
+		version := types.Version(2 + i)
+		put(t, c, version, "choir")
+		f.settle(peers, 5, f.controls[i+1:]...)
+	}
+	f.controls[2].stop()
+	f.controls[3].stop()
+	if diff := cmp.Diff("3 choir", read(t, c)); diff != "" {
+		t.Errorf("plan read back with one old host and two new ones (-want +got):\n%s", diff)
+	}
+}
+
+// carriers returns the stores that carry the first shard, if no move is under
+// way anywhere.
+func carriers(v fleet.View) map[types.HostID]bool {
+	if v.Map == nil || len(v.Map.Shards) == 0 {
+		return nil
+	}
+	hosts := map[types.HostID]bool{}
+	for _, p := range v.Map.Shards {
+		if len(p.Next) > 0 {
+			return nil
+		}
+		for _, id := range p.Now {
+			hosts[v.Map.Members[id].Host] = true
+		}
+	}
+	return hosts
+}
+
+func hosts(names ...types.HostID) map[types.HostID]bool {
+	set := map[types.HostID]bool{}
+	for _, n := range names {
+		set[n] = true
+	}
+	return set
+}
+
+// TestShardsFollowTheirStores replaces a store that is gone, wipes another, and
+// empties a third on order; turns written before are there after each step.
+func TestShardsFollowTheirStores(t *testing.T) {
+	f := newFleet(t, 3)
+	f.runAll()
+	a := f.addStore("store-a")
+	b := f.addStore("store-b")
+	f.addStore("store-c")
+	c, peers := f.client("entry-1")
+	waitFor(t, "the first map", func() bool { return cmp.Equal(hosts("store-a", "store-b", "store-c"), carriers(c.View())) })
+	keeper := &turns.Client{Peers: peers, Map: func() *turns.Map { return c.View().Map }}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	budget := turns.Budget{Account: "choir", Program: "p", Attempt: "one", Limit: 100, Most: 10}
+	turn := &turns.Turn{Account: "choir", ID: "one", Shard: turns.ShardOf("choir", "p"), Input: []byte("in")}
+	if err := keeper.Settle(ctx, budget, 5, turn); err != nil {
+		t.Fatal(err)
+	}
+	check := func(step string) {
+		fresh := &turns.Client{Peers: peers, Map: keeper.Map}
+		if _, err := fresh.Chain(ctx, "choir", "one"); err != nil {
+			t.Errorf("the turn after %s: %v", step, err)
+		}
+	}
+
+	a.stop()
+	f.addStore("store-d")
+	waitFor(t, "a store in place of the one that is gone", func() bool {
+		return cmp.Equal(hosts("store-b", "store-c", "store-d"), carriers(c.View()))
+	})
+	check("a store was replaced")
+
+	b.stop()
+	if err := os.RemoveAll(b.dir); err != nil {
+		t.Fatal(err)
+	}
+	before := c.View().Have.Revision
+	b.run()
+	waitFor(t, "a wiped store that carries its shards again", func() bool {
+		return c.View().Have.Revision > before+turns.Shards && cmp.Equal(hosts("store-b", "store-c", "store-d"), carriers(c.View()))
+	})
+	check("a store was wiped")
+
+	if _, err := c.Retire(ctx, "store-c"); !types.IsCode(err, types.CodeConflict) {
+		t.Errorf("emptying one of three stores: %v", err)
+	}
+	f.addStore("store-e")
+	waitFor(t, "the emptying of a store", func() bool {
+		_, err := c.Retire(ctx, "store-c")
+		return err == nil
+	})
+	waitFor(t, "the store to be empty", func() bool {
+		state, err := c.Retired(ctx, "store-c")
+		return err == nil && state.Complete
+	})
+	check("a store was emptied")
+	if _, err := c.Retire(ctx, "store-x"); !types.IsCode(err, types.CodeNotFound) {
+		t.Errorf("emptying an unknown store: %v", err)
+	}
+}
+
+// TestLimitsGoOnUnderANewLeader has a host renew its allotment before and after
+// the leader stops.
+func TestLimitsGoOnUnderANewLeader(t *testing.T) {
+	f := newFleet(t, 3)
+	f.runAll()
+	c, _ := f.client("entry-1")
+	put(t, c, 1, "choir")
+	clock := types.NewClock()
+	share := &limit.Share{}
+	renew := func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		asked := clock()
+		reply, err := c.Limits(ctx, fleet.LimitsRequest{Host: "entry-1", Demands: map[types.AccountID]limit.Demand{"choir": share.Demand("entry-1/x", asked)}})
+		if err == nil {
+			share.Put(reply.Allotments["choir"], asked, clock())
+		}
+		return err == nil
+	}
+	waitFor(t, "a first request within the limit", func() bool { return renew() && share.Take(clock()) })
+	f.founding.Store(false)
+	for _, p := range f.controls {
+		p.stop()
+		waitFor(t, "a request within the limit after a stop", func() bool { return renew() && share.Take(clock()) })
+		p.run()
+	}
+}
--- /dev/null
+++ b/fleet/hosts_test.go
@@ -0,0 +1,234 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/fleet"
+	"github.com/banyanspur/banyanspur/plan"
+	"github.com/banyanspur/banyanspur/turns"
+	"github.com/banyanspur/banyanspur/types"
+	"github.com/banyanspur/banyanspur/wire"
+)
+
+// patience bounds a step that must succeed, however busy the machine is.
+const patience = 30 * time.Second
+
+// process is one host of a test's fleet; it can be stopped and started again.
+type process struct {
+	t       *testing.T
+	address string
+	dir     string
+	start   func(ctx context.Context, g *errgroup.Group, peers *wire.Pool, server *wire.Server)
+	stop    func()
+}
+
+func newProcess(t *testing.T) *process {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return &process{t: t, address: l.Addr().String(), dir: filepath.Join(t.TempDir(), "data")}
+}
+
+// run starts the process; it ends with the test at the latest.
+func (p *process) run() {
+	p.t.Helper()
+	var l net.Listener
+	var err error
+	for range 100 { // The port may still be held by the process before.
+		if l, err = net.Listen("tcp4", p.address); err == nil {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g, inner := errgroup.WithContext(ctx)
+	peers := &wire.Pool{}
+	server := &wire.Server{}
+	p.start(inner, g, peers, server)
+	mux := http.NewServeMux()
+	mux.Handle("/peer", server)
+	s := &http.Server{Handler: mux, BaseContext: func(net.Listener) context.Context { return inner }}
+	g.Go(func() error { return peers.Run(inner) })
+	g.Go(func() error { _ = s.Serve(l); return nil })
+	p.stop = func() {
+		cancel()
+		_ = s.Close()
+		_ = g.Wait()
+		p.stop = func() {}
+	}
+	p.t.Cleanup(func() { p.stop() })
+}
+
+// testFleet is some control hosts and stores.
+type testFleet struct {
+	t        *testing.T
+	seeds    []string
+	controls []*process
+	stores   []*process
+	clients  []*atomic.Pointer[fleet.Client]
+	founding atomic.Bool
+}
+
+func newFleet(t *testing.T, controls int) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t}
+	f.founding.Store(true)
+	for range controls {
+		f.addControl()
+	}
+	for _, c := range f.controls[:min(3, controls)] {
+		f.seeds = append(f.seeds, c.address)
+	}
+	return f
+}
+
+// addControl makes a control host, which is not started yet.
+func (f *testFleet) addControl() *process {
+	p := newProcess(f.t)
+	p.start = func(ctx context.Context, g *errgroup.Group, peers *wire.Pool, server *wire.Server) {
+		c := &fleet.Control{
+			Address: p.address, Seeds: f.seeds, Founding: f.founding.Load(), Dir: p.dir, Losses: 1, Peers: peers, Clock: types.NewClock(),
+			List: func(context.Context) ([]fleet.Target, error) {
+				return []fleet.Target{{ID: "t1", Service: "models", Address: "127.0.0.1:1"}}, nil
+			},
+		}
+		c.Register(server)
+		g.Go(func() error {
+			err := c.Run(ctx)
+			if err != nil {
+				f.t.Logf("control host %s: %v", p.address, err)
+			}
+			return err
+		})
+	}
+	f.controls = append(f.controls, p)
+	return p
+}
+
+// addStore makes and starts a store.
+func (f *testFleet) addStore(host types.HostID) *process {
+	p := newProcess(f.t)
+	p.start = func(ctx context.Context, g *errgroup.Group, peers *wire.Pool, server *wire.Server) {
+		s := &turns.Store{Dir: p.dir, Clock: types.NewClock()}
+		id, err := s.Open()
+		if err != nil {
+			f.t.Error(err)
+			return
+		}
+		s.Register(server)
+		client := &fleet.Client{
+			Host: host, Seeds: f.seeds, Peers: peers, Store: &turns.Member{ID: id, Host: host, Address: p.address},
+			Changed: func(v fleet.View) {
+				if v.Map != nil {
+					s.SetMap(v.Map)
+				}
+			},
+		}
+		g.Go(func() error { return client.Run(ctx) })
+		g.Go(func() error { return s.Run(ctx) })
+		g.Go(func() error { return s.CopyIn(ctx, peers) })
+		g.Go(func() error {
+			for types.Sleep(ctx, 20*time.Millisecond) {
+				_ = client.Copied(ctx, fleet.CopiedRequest{Store: id, Copied: s.Copied()}) // Told again.
+			}
+			return nil
+		})
+	}
+	f.stores = append(f.stores, p)
+	p.run()
+	return p
+}
+
+// client starts a client that follows the fleet.
+func (f *testFleet) client(host types.HostID) (*fleet.Client, *wire.Pool) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	peers := &wire.Pool{}
+	c := &fleet.Client{Host: host, Seeds: f.seeds, Peers: peers}
+	g.Go(func() error { return peers.Run(ctx) })
+	g.Go(func() error { return c.Run(ctx) })
+	f.t.Cleanup(func() {
+		cancel()
+		_ = g.Wait()
+	})
+	return c, peers
+}
+
+func (f *testFleet) runAll() {
+	for _, c := range f.controls {
+		c.run()
+	}
+}
+
+// settle waits until each control host that runs knows the given number of
+// voters, itself among them: a host that was lost counts as lost until then.
+func (f *testFleet) settle(peers *wire.Pool, voters int, running ...*process) {
+	f.t.Helper()
+	for i, p := range running {
+		last := "no answer"
+		f.t.Cleanup(func() {
+			if f.t.Failed() {
+				f.t.Logf("control host %d, %s, said last: %s", i, p.address, last)
+			}
+		})
+		waitFor(f.t, "the membership", func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			link := peers.Link(p.address)
+			if !link.Await(ctx) {
+				return false
+			}
+			r, err := wire.Call[fleet.HelloRequest, fleet.HelloReply](ctx, link, fleet.KindHello, fleet.HelloRequest{})
+			last = fmt.Sprintf("%+v, %v", r, err)
+			return err == nil && len(r.Members.Voters) == voters && r.Members.IsVoter(r.ID)
+		})
+	}
+}
+
+// put brings a plan with the given version and one account into force.
+func put(t *testing.T, c *fleet.Client, version types.Version, account types.AccountID) types.Version {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	p := plan.Plan{Version: version, Accounts: []plan.Account{{Name: account, Rate: 10, Burst: 10}}}
+	result, err := c.Put(ctx, fleet.PutPlan{Document: fleet.Document{Body: []byte(fmt.Sprintf("%d %s", version, account)), Plan: p}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result.Version
+}
+
+func read(t *testing.T, c *fleet.Client) string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	reply, err := c.Read(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(reply.Body)
+}
+
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s does not come about", what)
+		}
+	}
+}
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -49,20 +49,29 @@
 	c.Log.Write(event.MembersChanged, fields)
 }
 
-// askToJoin asks every control host that is known; only the leader can act on
-// it.
+// askToJoin asks the control hosts that are known, and whom they name as the
+// leader: only that one can act on it, and a host that has lost its folder
+// knows no more than the seeds.
 func (c *Control) askToJoin(ctx context.Context, s quorum.Status) {
 	req := JoinRequest{Member: quorum.Member{ID: s.ID, Host: types.HostID(c.Address)}}
-	for _, address := range c.known(s) {
-		if address == c.Address {
+	asked := map[string]bool{c.Address: true}
+	addresses := c.known(s)
+	for len(addresses) > 0 {
+		at := addresses[0]
+		addresses = addresses[1:]
+		if asked[at] {
 			continue
 		}
+		asked[at] = true
 		askCtx, cancel := context.WithTimeout(ctx, joinTimeout)
-		_, err := wire.Call[JoinRequest, Done](askCtx, c.Peers.Link(address), KindJoin, req)
+		_, err := wire.Call[JoinRequest, Done](askCtx, c.Peers.Link(at), KindJoin, req)
 		cancel()
 		if err == nil {
 			return
 		}
+		if leader := types.AsFault(err).Leader; leader != "" {
+			addresses = append(addresses, string(leader))
+		}
 	}
 }
 
