--- a/gate/gate.go
+++ b/gate/gate.go
@@ -17,6 +17,14 @@
 	"github.com/banyanspur/banyanspur/types"
 )
 
+// Fleet is what a gate asks of the fleet; [fleet.Client] answers it.
+type Fleet interface {
+	// View returns what is known now.
+	View() fleet.View
+	// Limits renews this host's allotments of accounts' limits.
+	Limits(ctx context.Context, req fleet.LimitsRequest) (fleet.LimitsReply, error)
+}
+
 // Gate serves callers. Set the exported fields, then call [Gate.Run]; it is an
 // [http.Handler].
 type Gate struct {
@@ -27,7 +35,7 @@
 	// Names are the deployment's names of header fields.
 	Names Names
 	// Fleet tells plan, targets and allotments.
-	Fleet *fleet.Client
+	Fleet Fleet
 	// Turns keeps what programs leave behind.
 	Turns *turns.Client
 	// Clock is the process's clock; it must count time spent suspended.
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -17,12 +17,12 @@
 	return plan.Plan{
 		Version: 3,
 		Routes: []plan.Route{
-			{Name: "all", Host: "a.example", Prefix: "/", Kind: plan.Idempotent, Timeout: time.Second, Backends: []plan.Backend{{"lookups", 1}}},
+			{Name: "all", Host: "a.example", Prefix: "/", Kind: plan.Idempotent, Timeout: time.Second, Backends: []plan.Backend{{Service: "lookups", Weight: 1}}},
 			{
 				Name: "split", Host: "a.example", Prefix: "/chat/", Kind: plan.Streaming, Timeout: time.Second,
-				Backends: []plan.Backend{{"lookups", 3}, {"models", 1}, {"lookups", 0}},
+				Backends: []plan.Backend{{Service: "lookups", Weight: 3}, {Service: "models", Weight: 1}, {Service: "lookups", Weight: 0}},
 			},
-			{Name: "deep", Host: "a.example", Prefix: "/chat/deep/", Kind: plan.NonIdempotent, Timeout: time.Second, Backends: []plan.Backend{{"models", 1}}},
+			{Name: "deep", Host: "a.example", Prefix: "/chat/deep/", Kind: plan.NonIdempotent, Timeout: time.Second, Backends: []plan.Backend{{Service: "models", Weight: 1}}},
 		},
 		Services: []plan.Service{{Name: "lookups"}, {Name: "models"}},
 		Accounts: []plan.Account{
