turns, route: a third copy and another zone only where they are needed

Change: a turn goes to the nearest stores that are a majority, and to the others when one fails or is late; a target in another zone counts 60 ms, near what a shared part takes to read, in place of 15.

--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -145,7 +145,7 @@
 	})
 	c.gate.Log.Write(event.RequestSent, event.Fields{
 		"request": c.id, "target": t.ID, "service": service.Name, "leftMs": left.Milliseconds(), "answered": err == nil,
-		"account": c.accountID(), "planVersion": c.view.Have.Version, "targetsSum": c.view.Have.Targets,
+		"zone": t.Zone, "bytes": len(c.body), "account": c.accountID(), "planVersion": c.view.Have.Version, "targetsSum": c.view.Have.Targets,
 	})
 	if err != nil {
 		return c.judgeError(t, err)
--- a/route/place.go
+++ b/route/place.go
@@ -50,7 +50,9 @@
 	// Neighbour is what each request that an engine runs beside this one adds
 	// to its time, by the prompts that it brings.
 	Neighbour time.Duration
-	// OtherZone stands for the price of bytes between zones.
+	// OtherZone stands for the price of bytes between zones. It is near what a
+	// usual shared part takes to read, so that each zone has homes of its own
+	// and a session stays where its prompt lies.
 	OtherZone time.Duration
 	// Rank is what each place in the order of homes adds, so that hosts that
 	// know nothing of each other send equal prompts to equal targets.
@@ -66,7 +68,7 @@
 var DefaultPrices = Prices{
 	PrefillRate: 160,
 	Neighbour:   10 * time.Millisecond,
-	OtherZone:   15 * time.Millisecond,
+	OtherZone:   60 * time.Millisecond,
 	Rank:        3 * time.Millisecond,
 	Failure:     2 * time.Second,
 	Stale:       2 * time.Second,
--- a/turns/chain.go
+++ b/turns/chain.go
@@ -37,8 +37,8 @@
 	return chain, nil
 }
 
-// fetch asks the stores for a turn, the nearest first. The others are asked
-// once it is late or does not have the turn.
+// fetch asks the stores for a turn one after the other, the nearest first. All
+// are asked once an answer is late.
 func (c *Client) fetch(ctx context.Context, account types.AccountID, id TurnID) ([]Turn, error) {
 	m := c.Map()
 	if m == nil || len(m.Shards) == 0 {
@@ -64,7 +64,7 @@
 				return a.reply.Turns, nil
 			}
 			denied[a.from] = a.err == nil
-			ask(len(members))
+			ask(asked + 1)
 		case <-timer.C:
 			ask(len(members))
 		case <-ctx.Done():
--- a/turns/client.go
+++ b/turns/client.go
@@ -32,6 +32,10 @@
 	// storeTimeout bounds one request to one store. All that stores are asked
 	// may be repeated, so that a new try over a new connection is soon made.
 	storeTimeout = 500 * time.Millisecond
+	// spareDelay is how long a turn may take to be written to a majority before
+	// the other stores get it as well. They would cost as many bytes between
+	// zones again, for a copy that no loss to be borne calls for.
+	spareDelay = 40 * time.Millisecond
 	// mapPause is how long the client waits for a newer map, or for stores that
 	// come back, before it asks again.
 	mapPause = 30 * time.Millisecond
@@ -148,30 +152,42 @@
 }
 
 // askPlacement asks the stores of a placement until enough have answered or
-// all have.
+// all have. The nearest that suffice are asked first if the request is heavy,
+// and the others when one of those fails or is late.
 func askPlacement[Req, Resp any](ctx context.Context, c *Client, m *Map, p Placement, kind wire.Kind, req func(StoreID, Epoch) Req) map[StoreID]Resp {
-	all := p.All()
+	all := c.nearFirst(m, p.All())
 	answers := make(chan result[Resp], len(all))
-	for _, id := range all {
-		link, one := c.Peers.Link(m.Members[id].Address), req(id, p.Epoch)
-		c.background.Go(func() error {
-			// A caller that leaves must not keep a copy from being written.
-			reply, err := askStore[Req, Resp](context.WithoutCancel(ctx), link, kind, one, storeTimeout)
-			answers <- result[Resp]{from: id, reply: reply, err: err}
-			return nil
-		})
+	asked := 0
+	ask := func(n int) {
+		for ; asked < n; asked++ {
+			id := all[asked]
+			link, one := c.Peers.Link(m.Members[id].Address), req(id, p.Epoch)
+			c.background.Go(func() error {
+				// A caller that leaves must not keep a copy from being written.
+				reply, err := askStore[Req, Resp](context.WithoutCancel(ctx), link, kind, one, storeTimeout)
+				answers <- result[Resp]{from: id, reply: reply, err: err}
+				return nil
+			})
+		}
 	}
+	ask(first(p, all, kind))
+	spare := time.NewTimer(spareDelay)
+	defer spare.Stop()
 	got := map[StoreID]Resp{}
-	for range all {
+	for answered := 0; answered < len(all); {
 		select {
 		case a := <-answers:
+			answered++
 			if a.err != nil {
+				ask(len(all))
 				continue
 			}
 			got[a.from] = a.reply
 			if p.Enough(func(id StoreID) bool { _, ok := got[id]; return ok }) {
 				return got
 			}
+		case <-spare.C:
+			ask(len(all))
 		case <-ctx.Done():
 			return got
 		}
@@ -179,6 +195,28 @@
 	return got
 }
 
+// first returns how many of the stores are asked at once: all of them, or just
+// a majority where each copy costs.
+func first(p Placement, all []StoreID, kind wire.Kind) int {
+	if kind != KindClose || len(p.Next) > 0 {
+		return len(all)
+	}
+	return len(all)/2 + 1
+}
+
+// nearFirst returns the stores with those of the own zone first.
+func (c *Client) nearFirst(m *Map, ids []StoreID) []StoreID {
+	var near, far []StoreID
+	for _, id := range ids {
+		if m.Members[id].Zone == c.Zone {
+			near = append(near, id)
+		} else {
+			far = append(far, id)
+		}
+	}
+	return append(near, far...)
+}
+
 // near returns the stores with those of the own zone first.
 func (c *Client) near(m *Map) []Member {
 	var members []Member
