limit, gate: on large fleets each request of an account is asked for

Change: a renewal carries the accounts that lack something; requests that wait are counted and let go at once by the answer; a host whose callers ask for less than one request a second holds nothing if there is no room for a bucket on each host. The limit is asked beside chain and budget.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -10,6 +10,7 @@
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/limit"
+	"github.com/banyanspur/banyanspur/plan"
 	"github.com/banyanspur/banyanspur/quorum"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
@@ -59,6 +60,8 @@
 	copied  map[turns.StoreID]map[turns.Shard]turns.Epoch
 	targets Targets
 	issuers map[types.AccountID]*limit.Issuer
+	// accounts is the plan in force, indexed.
+	accounts *plan.Table
 	// reported holds the hosts that have told what they hold of accounts'
 	// limits in this reign.
 	reported map[types.HostID]bool
@@ -101,6 +104,7 @@
 	c.copied = map[turns.StoreID]map[turns.Shard]turns.Epoch{}
 	c.targets = Targets{}
 	c.issuers = map[types.AccountID]*limit.Issuer{}
+	c.accounts = nil
 	c.reported = map[types.HostID]bool{}
 	c.enrolAt = reign
 }
--- a/fleet/lead.go
+++ b/fleet/lead.go
@@ -6,6 +6,7 @@
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/limit"
+	"github.com/banyanspur/banyanspur/plan"
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -157,19 +158,20 @@
 	if d == nil {
 		return nil
 	}
-	for _, a := range d.Plan.Accounts {
-		if a.Name != id || a.Rate <= 0 {
-			continue
-		}
-		issuer := c.issuers[id]
-		if issuer == nil {
-			issuer = limit.NewIssuer(c.reign)
-			c.issuers[id] = issuer
-		}
-		issuer.Adjust(limit.Limit{Rate: a.Rate, Burst: a.Burst, Version: d.Plan.Version}, now)
-		return issuer
+	if c.accounts == nil || c.accounts.Plan.Version != d.Plan.Version {
+		c.accounts = plan.NewTable(&d.Plan)
+	}
+	a := c.accounts.Account(id)
+	if a == nil || a.Rate <= 0 {
+		return nil
+	}
+	issuer := c.issuers[id]
+	if issuer == nil {
+		issuer = limit.NewIssuer(c.reign)
+		c.issuers[id] = issuer
 	}
-	return nil
+	issuer.Adjust(limit.Limit{Rate: a.Rate, Burst: a.Burst, Version: d.Plan.Version}, now)
+	return issuer
 }
 
 // put brings a plan into force. A plan whose version is not higher than the
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -105,7 +105,6 @@
 	(*call).find,
 	(*call).authenticate,
 	(*call).read,
-	(*call).spend,
 	(*call).recall,
 	(*call).dispatch,
 }
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -19,9 +19,16 @@
 	holder limit.Holder
 	kick   chan struct{} // asks for a renewal at once
 
-	mu   sync.Mutex
-	of   map[types.AccountID]*limit.Share
-	news chan struct{} // closed after each renewal
+	mu sync.Mutex
+	of map[types.AccountID]*account
+}
+
+// account is what this host holds of one account's limit.
+type account struct {
+	limit.Share
+	waiting int           // requests that wait for a renewal
+	short   bool          // more is wanted before the usual renewal
+	news    chan struct{} // closed after each renewal
 }
 
 const (
@@ -29,16 +36,14 @@
 	// their life, so that one lost answer does no harm.
 	renewInterval = time.Second
 	// renewTimeout bounds one renewal.
-	renewTimeout = 800 * time.Millisecond
+	renewTimeout = 500 * time.Millisecond
 	// shortWait is how long a request waits for a renewal when its account's
 	// share is used up, before it is refused.
 	shortWait = 60 * time.Millisecond
-	// kickPause is the least time between two renewals that were asked for.
-	kickPause = 20 * time.Millisecond
-	// manyAccounts is the number of accounts above which a host holds shares
-	// only of those that it has served of late.
-	manyAccounts = 256
-	// shareIdle is how long an unused share is then kept.
+	// kickPause is the least time between two renewals that were asked for; what
+	// falls due meanwhile shares one request.
+	kickPause = 4 * time.Millisecond
+	// shareIdle is how long an unused share is kept.
 	shareIdle = 10 * time.Second
 )
 
@@ -48,8 +53,7 @@
 	s.gate = g
 	s.holder = limit.Holder(string(g.Host) + "/" + types.RandomID())
 	s.kick = make(chan struct{}, 1)
-	s.of = map[types.AccountID]*limit.Share{}
-	s.news = make(chan struct{})
+	s.of = map[types.AccountID]*account{}
 }
 
 // spend takes a request of the account's limit.
@@ -58,17 +62,18 @@
 		return nil
 	}
 	s := &c.gate.shares
-	if s.take(c.account.Name, true) {
+	news, ok := s.take(c.account.Name)
+	if ok {
 		c.spent = true
 		return nil
 	}
+	defer s.leave(c.account.Name)
 	deadline := time.NewTimer(shortWait)
 	defer deadline.Stop()
 	for {
-		news := s.next()
 		select {
 		case <-news:
-			if s.take(c.account.Name, false) {
+			if news, ok = s.retake(c.account.Name); ok {
 				c.spent = true
 				return nil
 			}
@@ -87,11 +92,15 @@
 	defer s.mu.Unlock()
 	wait := limit.Never
 	var demand limit.Demand
-	if share := s.of[c.account.Name]; share != nil {
-		wait = share.Wait(s.gate.Clock())
-		demand = share.Demand(s.holder, s.gate.Clock())
+	if a := s.of[c.account.Name]; a != nil {
+		wait = a.Wait(s.gate.Clock())
+		demand = a.Demand(s.holder, a.waiting, s.gate.Clock())
+	}
+	if wait == limit.Never {
+		// The host has no bucket of its own; what the whole account refills is
+		// shared with others who wait.
+		wait = time.Duration(sharedWait / float64(c.account.Rate) * float64(time.Second))
 	}
-	// Waiting longer than an allotment lives says nothing.
 	wait = max(minRetry, min(wait, limit.AllotmentTime))
 	return &refusal{
 		status: http.StatusTooManyRequests, after: wait, reason: "the account is above its rate",
@@ -99,32 +108,67 @@
 	}
 }
 
-// minRetry is the least time to come back in.
-const minRetry = 50 * time.Millisecond
+const (
+	// minRetry is the least time to come back in.
+	minRetry = 50 * time.Millisecond
+	// sharedWait is how many requests of an account that is above its rate are
+	// taken to be ahead of one that is told to come back.
+	sharedWait = 5
+)
 
-// take spends one request of an account's share, and asks for a renewal if
-// little or nothing is left.
-func (s *shares) take(id types.AccountID, first bool) bool {
+// take spends one request of an account's share. If there is none, the request
+// waits from then on, until leave, and the channel tells of the next renewal.
+func (s *shares) take(id types.AccountID) (news <-chan struct{}, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.gate.Clock()
-	share := s.of[id]
-	if share == nil {
-		share = &limit.Share{}
-		s.of[id] = share
+	a := s.of[id]
+	if a == nil {
+		a = &account{news: make(chan struct{})}
+		s.of[id] = a
 	}
-	if first {
-		share.Ask(now)
+	a.Ask(now)
+	if a.Take(now) {
+		if a.Low(now) {
+			s.wantMore(a)
+		}
+		return nil, true
 	}
-	taken := share.Take(now)
-	if taken && !share.Low(now) {
-		return true
+	a.waiting++
+	s.wantMore(a)
+	return a.news, false
+}
+
+// retake is take for a request that waits already.
+func (s *shares) retake(id types.AccountID) (news <-chan struct{}, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.of[id]
+	if a == nil {
+		return nil, false // The account has no limit any more, or the host stops.
 	}
+	if a.Take(s.gate.Clock()) {
+		return nil, true
+	}
+	s.wantMore(a)
+	return a.news, false
+}
+
+func (s *shares) leave(id types.AccountID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.of[id]; a != nil {
+		a.waiting--
+	}
+}
+
+// wantMore asks for a renewal of one account at once. Callers hold mu.
+func (s *shares) wantMore(a *account) {
+	a.short = true
 	select {
 	case s.kick <- struct{}{}:
 	default: // A renewal is asked for already.
 	}
-	return taken
 }
 
 func (s *shares) giveBack(a *plan.Account) {
@@ -135,13 +179,6 @@
 	}
 }
 
-// next returns a channel that is closed after the next renewal.
-func (s *shares) next() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.news
-}
-
 func (s *shares) run(ctx context.Context) error {
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
@@ -151,18 +188,20 @@
 			s.returnAll(context.WithoutCancel(ctx))
 			return nil
 		case <-ticker.C:
+			s.renew(ctx, func(*account) bool { return true })
 		case <-s.kick:
+			s.renew(ctx, func(a *account) bool { return a.short })
 		}
-		s.renew(ctx)
 		types.Sleep(ctx, kickPause)
 	}
 }
 
-// renew asks for allotments of all accounts of interest.
-func (s *shares) renew(ctx context.Context) {
+// renew asks for allotments of the accounts that are wanted. It is asked also if
+// there are none: a new leader has to hear from everyone who may hold something.
+func (s *shares) renew(ctx context.Context, wanted func(*account) bool) {
 	asked := s.gate.Clock()
-	demands := s.demands(asked)
-	if len(demands) == 0 {
+	demands, limited := s.demands(asked, wanted)
+	if !limited {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
@@ -174,46 +213,45 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.gate.Clock()
-	for id, a := range reply.Allotments {
-		if share := s.of[id]; share != nil {
-			share.Put(a, asked, now)
+	for id, allotment := range reply.Allotments {
+		a := s.of[id]
+		if a == nil {
+			continue
 		}
+		a.Put(allotment, asked, now)
+		close(a.news)
+		a.news = make(chan struct{})
 	}
-	close(s.news)
-	s.news = make(chan struct{})
 }
 
-func (s *shares) demands(now types.Mono) map[types.AccountID]limit.Demand {
+// demands returns what is asked for the accounts that are wanted, and whether
+// any account has a limit at all.
+func (s *shares) demands(now types.Mono, wanted func(*account) bool) (demands map[types.AccountID]limit.Demand, limited bool) {
 	view := s.gate.Fleet.View()
 	if view.Plan == nil {
-		return nil
+		return nil, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	accounts := view.Plan.Plan.Accounts
-	if len(accounts) <= manyAccounts {
-		for _, a := range accounts {
-			if a.Rate > 0 && s.of[a.Name] == nil {
-				s.of[a.Name] = &limit.Share{}
-			}
-		}
-	}
-	demands := map[types.AccountID]limit.Demand{}
-	for id, share := range s.of {
-		a := view.Plan.Account(id)
-		if a == nil || a.Rate <= 0 || len(accounts) > manyAccounts && share.Idle(now) > shareIdle {
+	demands = map[types.AccountID]limit.Demand{}
+	for id, a := range s.of {
+		known := view.Plan.Account(id)
+		if known == nil || known.Rate <= 0 || a.waiting == 0 && a.Idle(now) > shareIdle {
 			delete(s.of, id)
 			continue
 		}
-		demands[id] = share.Demand(s.holder, now)
+		if wanted(a) && (a.waiting > 0 || a.short || a.Holds(now)) {
+			demands[id] = a.Demand(s.holder, a.waiting, now)
+			a.short = false
+		}
 	}
-	return demands
+	return demands, view.Plan.Limited
 }
 
 // returnAll gives everything back, so that others need not wait until it runs
 // out.
 func (s *shares) returnAll(ctx context.Context) {
-	demands := s.demands(s.gate.Clock())
+	demands, _ := s.demands(s.gate.Clock(), func(*account) bool { return true })
 	if len(demands) == 0 {
 		return
 	}
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -20,17 +20,22 @@
 // covers one change of the stores' map.
 const recallTimeout = 900 * time.Millisecond
 
-// recall fetches the chain that a turn continues and reserves its share of the
-// program's budget, both at once.
+// recall takes a request of the account's limit, fetches the chain that a turn
+// continues and reserves its share of the program's budget, all at once.
 func (c *call) recall() *refusal {
 	c.readTurn()
 	if !c.turn.reserved && c.turn.previous == "" {
-		return nil
+		return c.spend()
 	}
 	ctx, cancel := context.WithTimeout(c.r.Context(), min(recallTimeout, c.left()))
 	defer cancel()
+	var limited *refusal
 	var chainErr, budgetErr error
 	var g errgroup.Group
+	g.Go(func() error {
+		limited = c.spend()
+		return nil
+	})
 	if c.turn.previous != "" {
 		g.Go(func() error {
 			defer chainTime.UpdateDuration(time.Now())
@@ -49,7 +54,10 @@
 	if n := len(c.turn.chain); n > 0 {
 		c.turn.last = c.turn.chain[n-1].Target
 	}
-	return c.judgeTurn(chainErr, budgetErr)
+	if r := c.judgeTurn(chainErr, budgetErr); r != nil {
+		return r
+	}
+	return limited
 }
 
 // judgeTurn decides what the answers of the stores mean for the caller.
--- a/limit/issuer.go
+++ b/limit/issuer.go
@@ -18,7 +18,10 @@
 	Rate  types.PerSecond `json:"rate"`
 	Burst float64         `json:"burst"`
 	// Tokens are added to the holder's bucket at once.
-	Tokens float64 `json:"tokens"`
+	Tokens float64 `json:"tokens,omitempty"`
+	// Now is how many of the requests that wait may go at once. It is of no use
+	// later than [NowTime] after it was asked for.
+	Now int `json:"now,omitempty"`
 }
 
 // Demand is what a holder tells when it asks for an allotment.
@@ -28,7 +31,10 @@
 	Rate types.PerSecond `json:"rate"`
 	// Tokens is what the holder's bucket holds.
 	Tokens float64 `json:"tokens"`
-	// Held is the newest allotment that the holder has, with Tokens left out.
+	// Waiting is how many requests wait for the answer.
+	Waiting int `json:"waiting,omitempty"`
+	// Held is the newest allotment that the holder has, with Tokens and Now left
+	// out.
 	Held Allotment `json:"held"`
 	// Left is how long Held still counts; 0 if the holder has none.
 	Left time.Duration `json:"left"`
@@ -39,6 +45,9 @@
 	// for. It is longer than an election takes, so that holders go on while
 	// there is no leader.
 	AllotmentTime = 3 * time.Second
+	// NowTime is how long a request that waits may be let go by an answer,
+	// counted from when it was asked for.
+	NowTime = 200 * time.Millisecond
 	// allotmentWait is how long the issuer counts on an allotment; it is
 	// longer by the drift allowed between two clocks.
 	allotmentWait = 3600 * time.Millisecond
@@ -49,9 +58,6 @@
 	// bucket while its callers pause would be lost to the account. A new issuer
 	// can give out the rest at once, since no issuer ever gave out more.
 	issuedShare = 0.5
-	// evenShare is the part of what is given out that is divided evenly, so
-	// that a holder without callers so far can serve its first ones.
-	evenShare = 0.3
 	// demandMargin is how much more than its callers ask for a holder gets, if
 	// there is enough.
 	demandMargin = 1.25
@@ -59,6 +65,11 @@
 	// callers ask for, and minBurst what it holds at least.
 	burstTime = 700 * time.Millisecond
 	minBurst  = 2
+	// minRate is the rate of a holder's callers below which it gets no bucket of
+	// its own, unless there is room for one on every host: on a large fleet, what
+	// lay in such buckets would be most of the limit. Each of its requests is then
+	// asked for.
+	minRate = 1
 )
 
 // Issuer divides one account's limit among holders. The sum of the rates that
@@ -86,7 +97,6 @@
 	rate, burst float64
 	last        Allotment
 	until       types.Mono
-	guest       bool // it came while other holders were not known; its bucket is filled from the reserve
 }
 
 // NewIssuer returns an issuer that begins at now.
@@ -124,14 +134,13 @@
 	next := Allotment{Number: h.last.Number + 1, Rate: h.last.Rate, Burst: h.last.Burst}
 	if i.settled(now) {
 		next.Rate, next.Burst = i.size(d)
-	} else if next.Rate == 0 {
-		next.Burst = max(0, min(wantBurst(d), i.reserve()-i.unknown(d.Holder)))
-		h.guest = true
 	}
 	h.last = next
 	h.rate, h.burst = max(h.rate, float64(next.Rate)), max(h.burst, next.Burst)
 	h.until = now.Add(allotmentWait)
 	i.level = min(i.level, i.room())
+	next.Now = int(max(0, min(i.level, float64(d.Waiting))))
+	i.level -= float64(next.Now)
 	next.Tokens = max(0, min(i.level, next.Burst-d.Tokens))
 	i.level -= next.Tokens
 	return next
@@ -161,6 +170,9 @@
 // as far as that leaves their parts to the others. The rest stays in the
 // issuer's bucket, from which a holder is refilled within a round trip.
 func (i *Issuer) size(d Demand) (types.PerSecond, float64) {
+	if d.Rate < minRate && issuedShare*float64(i.limit.Burst) < minBurst*float64(len(i.out)) {
+		return 0, 0
+	}
 	share := issuedShare * i.share(d.Holder)
 	rates, bursts := i.others(d.Holder)
 	rate := min(demandMargin*float64(d.Rate), share*float64(i.limit.Rate), issuedShare*float64(i.limit.Rate)-rates)
@@ -174,27 +186,15 @@
 	for h := range i.out {
 		total += float64(i.demand[h])
 	}
-	n := float64(len(i.out))
 	if total <= 0 {
-		return 1 / n
+		return 0
 	}
-	return evenShare/n + (1-evenShare)*float64(i.demand[of])/total
+	return float64(i.demand[of]) / total
 }
 
 // wantBurst is what a holder's bucket should hold.
 func wantBurst(d Demand) float64 { return max(minBurst, burstTime.Seconds()*float64(d.Rate)) }
 
-// unknown returns what the buckets of guests hold at the most.
-func (i *Issuer) unknown(than Holder) float64 {
-	sum := 0.0
-	for id, h := range i.out {
-		if id != than && h.guest {
-			sum += h.burst
-		}
-	}
-	return sum
-}
-
 // others returns what all holders but one may have.
 func (i *Issuer) others(than Holder) (rates, bursts float64) {
 	for id, h := range i.out {
@@ -209,15 +209,12 @@
 // room is how much the issuer's own bucket may hold.
 func (i *Issuer) room() float64 {
 	if !i.settled(i.at) {
-		return max(0, i.reserve()-i.unknown(""))
+		return (1 - issuedShare) * float64(i.limit.Burst)
 	}
 	_, bursts := i.others("")
 	return max(0, float64(i.limit.Burst)-bursts)
 }
 
-// reserve is the part of the burst that no issuer gives out.
-func (i *Issuer) reserve() float64 { return (1 - issuedShare) * float64(i.limit.Burst) }
-
 func (i *Issuer) refill(now types.Mono) {
 	if now <= i.at {
 		return
--- a/limit/share.go
+++ b/limit/share.go
@@ -14,6 +14,8 @@
 	until types.Mono
 	level float64 // 0 <= level <= held.Burst
 	at    types.Mono
+	now   int // requests that may go at once, until nowTo
+	nowTo types.Mono
 
 	asked   float64    // requests since ratedAt
 	ratedAt types.Mono // when rate was last brought up to date
@@ -34,11 +36,16 @@
 	s.held = a
 	s.until = asked.Add(AllotmentTime)
 	s.level = min(s.level+a.Tokens, a.Burst)
+	s.now, s.nowTo = a.Now, asked.Add(NowTime)
 }
 
 // Take spends one request and reports whether there was one to spend.
 func (s *Share) Take(now types.Mono) bool {
 	s.refill(now)
+	if s.now > 0 && now < s.nowTo {
+		s.now--
+		return true
+	}
 	if s.Left(now) <= 0 || s.level < 1 {
 		return false
 	}
@@ -46,10 +53,16 @@
 	return true
 }
 
-// Low reports whether the share will not last until its usual renewal.
+// Low reports whether the share has a bucket that will not last until its usual
+// renewal.
 func (s *Share) Low(now types.Mono) bool {
 	s.refill(now)
-	return s.level < lowShare*s.held.Burst || s.level < 1
+	return s.level < lowShare*s.held.Burst
+}
+
+// Holds reports whether there is anything that an issuer must know of.
+func (s *Share) Holds(now types.Mono) bool {
+	return s.Left(now) > 0 && (s.held.Rate > 0 || s.held.Burst > 0)
 }
 
 // lowShare is the part of a bucket at which more is asked for.
@@ -81,7 +94,7 @@
 func (s *Share) Idle(now types.Mono) time.Duration { return now.Sub(s.used) }
 
 // Demand returns what the holder tells when it asks for an allotment.
-func (s *Share) Demand(h Holder, now types.Mono) Demand {
+func (s *Share) Demand(h Holder, waiting int, now types.Mono) Demand {
 	s.refill(now)
 	if past := now.Sub(s.ratedAt); past > 0 {
 		weight := min(1, past.Seconds()/rateTime.Seconds())
@@ -89,8 +102,8 @@
 		s.asked, s.ratedAt = 0, now
 	}
 	held := s.held
-	held.Tokens = 0
-	return Demand{Holder: h, Rate: types.PerSecond(s.rate), Tokens: s.level, Held: held, Left: s.Left(now)}
+	held.Tokens, held.Now = 0, 0
+	return Demand{Holder: h, Waiting: waiting, Rate: types.PerSecond(s.rate), Tokens: s.level, Held: held, Left: s.Left(now)}
 }
 
 func (s *Share) refill(now types.Mono) {
--- a/plan/table.go
+++ b/plan/table.go
@@ -12,6 +12,8 @@
 type Table struct {
 	// Plan is what the table was made of. It must not be changed.
 	Plan *Plan
+	// Limited is set if any account has a limit.
+	Limited bool
 
 	hosts    map[string][]*Route // the longest prefix first
 	keys     map[types.KeyHash]*Account
@@ -35,6 +37,7 @@
 	for i := range p.Accounts {
 		a := &p.Accounts[i]
 		t.accounts[a.Name] = a
+		t.Limited = t.Limited || a.Rate > 0
 		for _, k := range a.Keys {
 			t.keys[k] = a
 		}
