--- a/config/node.go
+++ b/config/node.go
@@ -17,6 +17,9 @@
 	Zone types.ZoneID `toml:"zone"`
 	// Address is the host's IP number.
 	Address string `toml:"address"`
+	// Bind is the IP number that the host listens on for our own processes, if
+	// that is another than the one at which others reach it.
+	Bind string `toml:"bind"`
 	// PeerPorts are the first and the last port for our own processes. The
 	// same ports are free on every host.
 	PeerPorts []int `toml:"peerPorts"`
@@ -61,6 +64,9 @@
 	if net.ParseIP(n.Address) == nil {
 		found.add("address", "%q is no IP number", n.Address)
 	}
+	if n.Bind != "" && net.ParseIP(n.Bind) == nil {
+		found.add("bind", "%q is no IP number", n.Bind)
+	}
 	if len(n.PeerPorts) != 2 || n.PeerPorts[0] <= 0 || n.PeerPorts[1] <= n.PeerPorts[0] {
 		found.add("peerPorts", "give the first and the last of at least two ports")
 	}
@@ -78,6 +84,14 @@
 // Peer is where this host answers other processes of ours.
 func (n Node) Peer() string { return n.peerAt(n.Address) }
 
+// PeerListen is where this host listens for them.
+func (n Node) PeerListen() string {
+	if n.Bind != "" {
+		return n.peerAt(n.Bind)
+	}
+	return n.Peer()
+}
+
 // SeedPeers is where the seeds do.
 func (n Node) SeedPeers() []string {
 	var peers []string
--- a/host/node.go
+++ b/host/node.go
@@ -124,7 +124,7 @@
 func (n *Node) startPeers(ctx context.Context, g *errgroup.Group) error {
 	mux := http.NewServeMux()
 	mux.Handle("/peer", n.server)
-	return n.serve(ctx, g, n.Settings.Peer(), mux)
+	return n.serve(ctx, g, n.Settings.PeerListen(), mux)
 }
 
 func (n *Node) startMetrics(ctx context.Context, g *errgroup.Group) error {
