--- /dev/null
+++ b/config/node_test.go
@@ -0,0 +1,62 @@
+package config_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/banyanspur/banyanspur/config"
+)
+
+const node = `host = "store-1"
+zone = "zone-a"
+address = "10.1.0.34"
+peerPorts = [7780, 7795]
+seeds = ["10.1.0.35:8367", "10.2.0.41:8367"]
+founding = true
+dataDir = "/data"
+losses = 1
+memoryMB = 324
+graceSeconds = 8.5
+targetList = "10.200.0.99:8362"
+`
+
+func TestParseNode(t *testing.T) {
+	n, err := config.ParseNode("node.toml", []byte(node))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff("10.1.0.34:7780", n.Peer()); diff != "" {
+		t.Errorf("address for others (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"10.1.0.35:7780", "10.2.0.41:7780"}, n.SeedPeers()); diff != "" {
+		t.Errorf("seeds (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff("8.5s", n.Grace().String()); diff != "" {
+		t.Errorf("grace (-want +got):\n%s", diff)
+	}
+}
+
+func TestNodeFindings(t *testing.T) {
+	for name, change := range map[string][2]string{
+		"host":      {`"store-1"`, `""`},
+		"address":   {`"10.1.0.34"`, `"nowhere"`},
+		"peerPorts": {`[7780, 7795]`, `[7795]`},
+		"seeds":     {`["10.1.0.35:8367", "10.2.0.41:8367"]`, `[]`},
+		"seeds.1":   {`"10.2.0.41:8367"`, `"10.2.0.41"`},
+		"losses":    {`losses = 1`, `losses = -1`},
+		"nonsense":  {`losses`, "nonsense = 1\nlosses"},
+	} {
+		_, err := config.ParseNode("node.toml", []byte(strings.Replace(node, change[0], change[1], 1)))
+		var found config.Findings
+		if !errors.As(err, &found) {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if diff := cmp.Diff(name, found[0].Path); diff != "" {
+			t.Errorf("place of the finding (-want +got):\n%s", diff)
+		}
+	}
+}
--- a/route/place.go
+++ b/route/place.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -139,15 +141,14 @@
 		return ranks
 	}
 	weights := make([]uint64, len(options))
+	order := make([]int, len(options))
 	for i, o := range options {
 		weights[i] = xxhash.Sum64String(home + "/" + string(o.ID))
+		order[i] = i
 	}
-	for i := range options {
-		for j := range options {
-			if weights[j] > weights[i] {
-				ranks[i]++
-			}
-		}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(weights[b], weights[a]) })
+	for rank, i := range order {
+		ranks[i] = float64(rank)
 	}
 	return ranks
 }
