event, gate: log lines never wait; keys are not trusted for ever when cut off

Where the platform asks that a withdrawn key end also on hosts that are cut off (strict_revoke), a host that has not heard of a leader for that time answers 503 on routes with keys.

--- a/cmd/banyanspur/join.go
+++ b/cmd/banyanspur/join.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/config"
 	"github.com/banyanspur/banyanspur/event"
@@ -34,7 +35,15 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP) // What may change in the file is read at the next start.
-	log := event.New(os.Stdout)
+	lines := event.NewBounded(os.Stdout)
+	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
+	var logger errgroup.Group
+	logger.Go(func() error { return lines.Run(logCtx) })
+	defer func() {
+		stopLog()
+		_ = logger.Wait() // It returns nil.
+	}()
+	log := event.New(lines)
 	n := &host.Node{
 		Role: c.Role.Name, Settings: settings, Names: platform.Names, ReadyPath: platform.ReadyPath,
 		Operators: platform.Operator, Log: log,
--- a/config/node.go
+++ b/config/node.go
@@ -44,6 +44,10 @@
 	MemoryMB int64 `toml:"memoryMB"`
 	// GraceSeconds is how long the process has from SIGTERM on.
 	GraceSeconds float64 `toml:"graceSeconds"`
+	// KeyStaleMS is how many milliseconds a withdrawn key may go on for on an
+	// entry host that cannot reach the control hosts; 0 stands for as long as
+	// that lasts.
+	KeyStaleMS float64 `toml:"keyStaleMS"`
 	// TargetList is where the platform lists targets, if it does.
 	TargetList string `toml:"targetList"`
 	// SecretFile holds what our processes share; without one, whoever reaches
@@ -119,5 +123,14 @@
 	return time.Duration(n.GraceSeconds * float64(time.Second))
 }
 
+// KeyStale is how old an entry host's knowledge of keys may be; 0 stands for no
+// bound. It is shorter than the setting by the drift allowed between two clocks.
+func (n Node) KeyStale() time.Duration {
+	return time.Duration(clockDrift * n.KeyStaleMS * float64(time.Millisecond))
+}
+
+// clockDrift is how slow one clock may be against another.
+const clockDrift = 0.8
+
 // defaultGrace is what a process gives itself if nothing is said.
 const defaultGrace = 30 * time.Second
--- /dev/null
+++ b/event/bounded_test.go
@@ -0,0 +1,38 @@
+package event_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/banyanspur/banyanspur/event"
+)
+
+// TestBoundedNeverBlocks writes more lines than may wait while nobody writes
+// them out: the first ones are kept, in order.
+func TestBoundedNeverBlocks(t *testing.T) {
+	var out bytes.Buffer
+	b := event.NewBounded(&out)
+	const lines = 10000
+	for i := range lines {
+		if _, err := fmt.Fprintf(b, "line %d\n", i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := b.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	got := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(got) < 1000 || len(got) >= lines {
+		t.Fatalf("%d of %d lines were written", len(got), lines)
+	}
+	if diff := cmp.Diff(fmt.Sprint("line ", len(got)-1), got[len(got)-1]); diff != "" {
+		t.Errorf("the last line (-want +got):\n%s", diff)
+	}
+}
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -26,6 +26,8 @@
 	Seeds []string
 	// Peers reaches the control hosts.
 	Peers *wire.Pool
+	// Clock is the process's clock; it must count time spent suspended.
+	Clock types.Clock
 	// Changed, if set, is called after each change of the view, before the
 	// next one is asked for.
 	Changed func(View)
@@ -33,6 +35,8 @@
 	Log event.Log
 
 	view atomic.Pointer[View]
+	// fresh is when the newest answer of a leader was asked for.
+	fresh atomic.Int64
 
 	mu     sync.Mutex
 	known  []string // the control hosts that were last heard of
@@ -65,11 +69,18 @@
 	return View{}
 }
 
+// Age returns how old the newest word of a leader is: no plan that was put
+// before that is missing from the view.
+func (c *Client) Age() time.Duration {
+	return c.Clock().Sub(types.Mono(c.fresh.Load()))
+}
+
 // Run follows the leader until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
 	away := false
 	for ctx.Err() == nil {
 		view := c.View()
+		asked := c.Clock()
 		req := SyncRequest{Host: c.Host, Store: c.Store, Have: view.Have, Wait: syncWait}
 		tryCtx, cancel := context.WithTimeout(ctx, syncWait+callTimeout)
 		reply, err := try[SyncRequest, SyncReply](tryCtx, c, KindSync, req)
@@ -87,6 +98,7 @@
 		}
 		away = false
 		c.apply(view, reply)
+		c.fresh.Store(int64(asked))
 	}
 	return nil
 }
--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -132,7 +132,7 @@
 		}
 		s.Register(server)
 		client := &fleet.Client{
-			Host: host, Seeds: f.seeds, Peers: peers, Store: &turns.Member{ID: id, Host: host, Address: p.address},
+			Host: host, Seeds: f.seeds, Peers: peers, Clock: types.NewClock(), Store: &turns.Member{ID: id, Host: host, Address: p.address},
 			Changed: func(v fleet.View) {
 				if v.Map != nil {
 					s.SetMap(v.Map)
@@ -159,7 +159,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var g errgroup.Group
 	peers := &wire.Pool{}
-	c := &fleet.Client{Host: host, Seeds: f.seeds, Peers: peers}
+	c := &fleet.Client{Host: host, Seeds: f.seeds, Peers: peers, Clock: types.NewClock()}
 	g.Go(func() error { return peers.Run(ctx) })
 	g.Go(func() error { return c.Run(ctx) })
 	f.t.Cleanup(func() {
--- a/gate/call.go
+++ b/gate/call.go
@@ -98,6 +98,9 @@
 	if c.route.Anonymous || len(c.view.Plan.Plan.Accounts) == 0 {
 		return nil
 	}
+	if g := c.gate; g.MaxAge > 0 && g.Fleet.Age() > g.MaxAge {
+		return &refusal{status: http.StatusServiceUnavailable, after: planPause, reason: "the host has not heard for too long which keys hold"}
+	}
 	scheme, key, _ := strings.Cut(c.r.Header.Get(c.gate.Names.Credential), " ")
 	if strings.EqualFold(scheme, c.gate.Names.Scheme) {
 		c.account = c.view.Plan.Holder(types.HashKey(strings.TrimSpace(key)))
--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -35,6 +35,7 @@
 	view    fleet.View
 	issuers map[types.AccountID]*limit.Issuer
 	clock   types.Clock
+	age     time.Duration
 }
 
 func (s *stub) View() fleet.View {
@@ -43,6 +44,12 @@
 	return s.view
 }
 
+func (s *stub) Age() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.age
+}
+
 func (s *stub) Limits(_ context.Context, req fleet.LimitsRequest) (fleet.LimitsReply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,7 +101,7 @@
 	g.Go(func() error { return peers.Run(ctx) })
 	b.startStore(ctx, g)
 	gt := &gate.Gate{
-		Host: "entry-1", Zone: "zone-a", Names: names, Fleet: b.stub, Clock: b.stub.clock,
+		Host: "entry-1", Zone: "zone-a", Names: names, Fleet: b.stub, Clock: b.stub.clock, MaxAge: time.Minute,
 		Turns: &turns.Client{Peers: peers, Map: func() *turns.Map { return b.stub.View().Map }},
 	}
 	g.Go(func() error { return gt.Run(ctx) })
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -21,6 +21,8 @@
 type Fleet interface {
 	// View returns what is known now.
 	View() fleet.View
+	// Age returns how old the newest word of a leader is.
+	Age() time.Duration
 	// Limits renews this host's allotments of accounts' limits.
 	Limits(ctx context.Context, req fleet.LimitsRequest) (fleet.LimitsReply, error)
 }
@@ -36,6 +38,10 @@
 	Names Names
 	// Fleet tells plan, targets and allotments.
 	Fleet Fleet
+	// MaxAge is how old the newest word of a leader may be for a request that
+	// needs a key; 0 stands for no bound. It is what a withdrawn key may go on
+	// for on a host that is cut off.
+	MaxAge time.Duration
 	// Turns keeps what programs leave behind.
 	Turns *turns.Client
 	// Clock is the process's clock; it must count time spent suspended.
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -100,6 +100,22 @@
 	}
 }
 
+// TestHostThatIsCutOffStopsTrustingKeys has heard of no leader for longer than
+// a withdrawn key may go on.
+func TestHostThatIsCutOffStopsTrustingKeys(t *testing.T) {
+	b := newBed(t)
+	b.addTarget("plain", fine)
+	b.stub.mu.Lock()
+	b.stub.age = 2 * time.Minute
+	b.stub.mu.Unlock()
+	if code, _ := b.status(ask{path: "/lookup/", key: "choir-key"}); code != http.StatusServiceUnavailable {
+		t.Errorf("with a key: %d", code)
+	}
+	if code, _ := b.status(ask{path: "/open/"}); code != http.StatusOK {
+		t.Errorf("on an anonymous route: %d", code)
+	}
+}
+
 func TestRejectedRequestGoesElsewhere(t *testing.T) {
 	b := newBed(t)
 	var rejected, ran atomic.Int32
--- a/host/entry.go
+++ b/host/entry.go
@@ -33,7 +33,7 @@
 // startEntry runs an entry host.
 func (n *Node) startEntry(ctx, inner context.Context, g *errgroup.Group, stop func()) error {
 	gate := &gate.Gate{
-		Host: n.Settings.Host, Zone: n.Settings.Zone, Names: n.Names, Fleet: n.client, Clock: n.clock, Log: n.Log,
+		Host: n.Settings.Host, Zone: n.Settings.Zone, Names: n.Names, Fleet: n.client, Clock: n.clock, MaxAge: n.Settings.KeyStale(), Log: n.Log,
 		Turns: &turns.Client{Peers: n.peers, Zone: n.Settings.Zone, Map: func() *turns.Map { return n.client.View().Map }},
 	}
 	n.client.Changed = func(v fleet.View) { gate.TargetsChanged(v.Targets) }
--- a/host/node.go
+++ b/host/node.go
@@ -116,7 +116,7 @@
 	n.clock = types.NewBootClock()
 	n.peers = &wire.Pool{Secret: secret, Log: n.Log}
 	n.server = &wire.Server{Secret: secret, Log: n.Log}
-	n.client = &fleet.Client{Host: n.Settings.Host, Seeds: n.Settings.SeedPeers(), Peers: n.peers, Log: n.Log}
+	n.client = &fleet.Client{Host: n.Settings.Host, Seeds: n.Settings.SeedPeers(), Peers: n.peers, Clock: n.clock, Log: n.Log}
 	return nil
 }
 
