route, fleet, gate: hosts tell each other what they see of targets

Change: every 0.3 s a host tells the leader how many of its requests are at each target and how long that takes for a unit of work, and hears the sum and the mean of the others; a target's pace is its time against the median.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -59,6 +59,7 @@
 	heard   map[turns.StoreID]types.Mono
 	copied  map[turns.StoreID]map[turns.Shard]turns.Epoch
 	targets Targets
+	table   loadTable
 	issuers map[types.AccountID]*limit.Issuer
 	// accounts is the plan in force, indexed.
 	accounts *plan.Table
@@ -103,6 +104,7 @@
 	c.heard = map[turns.StoreID]types.Mono{}
 	c.copied = map[turns.StoreID]map[turns.Shard]turns.Epoch{}
 	c.targets = Targets{}
+	c.table = loadTable{}
 	c.issuers = map[types.AccountID]*limit.Issuer{}
 	c.accounts = nil
 	c.reported = map[types.HostID]bool{}
@@ -121,6 +123,7 @@
 	wire.Handle(server, KindSync, c.sync)
 	wire.Handle(server, KindCopied, c.noteCopied)
 	wire.Handle(server, KindLimits, c.limits)
+	wire.Handle(server, KindLoads, c.loads)
 	wire.Handle(server, KindPut, c.put)
 	wire.Handle(server, KindRead, c.read)
 	wire.Handle(server, KindRetire, c.retire)
--- /dev/null
+++ b/fleet/loads_test.go
@@ -0,0 +1,42 @@
+package fleet_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/banyanspur/banyanspur/fleet"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// TestHostsHearOfEachOthersLoads exchanges the reports of two hosts, of which
+// one replaces its own and the other falls silent.
+func TestHostsHearOfEachOthersLoads(t *testing.T) {
+	f := newFleet(t, 1)
+	f.runAll()
+	c, _ := f.client("entry-1")
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	exchange := func(host types.HostID, loads map[types.TargetID]fleet.Load) map[types.TargetID]fleet.Load {
+		var reply fleet.LoadsReply
+		waitFor(t, "an exchange of loads", func() bool {
+			var err error
+			reply, err = c.Loads(ctx, fleet.LoadsRequest{Host: host, Loads: loads})
+			return err == nil
+		})
+		return reply.Loads
+	}
+	exchange("entry-1", map[types.TargetID]fleet.Load{"t1": {Busy: 9}})
+	exchange("entry-1", map[types.TargetID]fleet.Load{"t1": {Busy: 2, Unit: 0.02}, "t2": {Busy: 1}})
+	exchange("entry-3", map[types.TargetID]fleet.Load{"t1": {Busy: 1, Unit: 0.04}})
+	want := map[types.TargetID]fleet.Load{"t1": {Busy: 3, Unit: 0.03}, "t2": {Busy: 1}}
+	if diff := cmp.Diff(want, exchange("entry-2", map[types.TargetID]fleet.Load{"t1": {Busy: 50}})); diff != "" {
+		t.Errorf("what the third host hears (-want +got):\n%s", diff)
+	}
+	waitFor(t, "the end of reports that are not renewed", func() bool {
+		time.Sleep(200 * time.Millisecond)
+		return len(exchange("entry-2", nil)) == 0
+	})
+}
--- a/gate/call.go
+++ b/gate/call.go
@@ -28,11 +28,12 @@
 	body    []byte
 	until   time.Time // when the caller must have its final answer
 
-	spent  bool // a request of the account's limit
-	sent   bool // a target may have run it
-	runs   int  // targets that may have run it
-	status int  // what the caller was answered
-	broken bool // the answer was cut off
+	spent  bool      // a request of the account's limit
+	sent   bool      // a target may have run it
+	runs   int       // targets that may have run it
+	sentAt time.Time // when it was sent to a target last
+	status int       // what the caller was answered
+	broken bool      // the answer was cut off
 	target types.TargetID
 
 	turn turnState
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -110,17 +110,20 @@
 	}
 	var targets []fleet.Target
 	var options []route.Option
+	var units []float64
 	for _, t := range c.gate.Fleet.View().Targets {
 		if t.Service != service.Name || t.Leaving || tried[t.ID] {
 			continue
 		}
-		o := c.gate.loads.option(t, parts, c.gate.Zone)
+		o, unit := c.gate.loads.option(t, parts, c.gate.Zone)
 		if t.ID == c.turn.last && work.Prompt > 0 {
 			o.Held = work.Prompt // All but the newest input, which any target has to read.
 		}
 		targets = append(targets, t)
 		options = append(options, o)
+		units = append(units, unit)
 	}
+	route.SetPaces(options, units)
 	i := route.Place(options, work, c.gate.Prices)
 	if i < 0 {
 		return fleet.Target{}, false
@@ -134,7 +137,7 @@
 	if left <= 0 {
 		return outOfTime
 	}
-	c.target = t.ID
+	c.target, c.sentAt = t.ID, time.Now()
 	ctx, cancel := c.attemptContext(left)
 	defer cancel()
 	c.gate.loads.begin(t.ID)
--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -50,6 +50,10 @@
 	return s.age
 }
 
+func (s *stub) Loads(context.Context, fleet.LoadsRequest) (fleet.LoadsReply, error) {
+	return fleet.LoadsReply{}, nil
+}
+
 func (s *stub) Limits(_ context.Context, req fleet.LimitsRequest) (fleet.LimitsReply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -25,6 +25,8 @@
 	Age() time.Duration
 	// Limits renews this host's allotments of accounts' limits.
 	Limits(ctx context.Context, req fleet.LimitsRequest) (fleet.LimitsReply, error)
+	// Loads tells what this host sees of targets and returns what others see.
+	Loads(ctx context.Context, req fleet.LoadsRequest) (fleet.LoadsReply, error)
 }
 
 // Gate serves callers. Set the exported fields, then call [Gate.Run]; it is an
@@ -77,11 +79,34 @@
 		g.Prices = route.DefaultPrices
 	}
 	g.shares.init(g)
-	err := g.shares.run(ctx)
+	running, ctx := errgroup.WithContext(ctx)
+	running.Go(func() error { return g.shares.run(ctx) })
+	running.Go(func() error { return g.exchangeLoads(ctx) })
+	err := running.Wait()
 	_ = g.late.Wait()
 	return err
 }
 
+const (
+	// loadsInterval is how often hosts tell each other what they see of targets.
+	loadsInterval = 300 * time.Millisecond
+	// loadsTimeout bounds one exchange.
+	loadsTimeout = 500 * time.Millisecond
+)
+
+// exchangeLoads tells what this host sees of targets and hears what others see.
+func (g *Gate) exchangeLoads(ctx context.Context) error {
+	for types.Sleep(ctx, loadsInterval) {
+		askCtx, cancel := context.WithTimeout(ctx, loadsTimeout)
+		reply, err := g.Fleet.Loads(askCtx, fleet.LoadsRequest{Host: g.Host, Loads: g.loads.report()})
+		cancel()
+		if err == nil { // Else what the host sees itself must do.
+			g.loads.hear(reply.Loads)
+		}
+	}
+	return nil
+}
+
 // Ready reports whether the host can serve callers and is not about to stop.
 func (g *Gate) Ready() bool {
 	view := g.Fleet.View()
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -29,6 +29,10 @@
 	failures int // in a row
 	failedAt time.Time
 	held     map[string]time.Time // parts of prompts, and when they were used last
+	unit     float64              // seconds for a unit of work, as this host sees it
+	unitAt   time.Time
+	others   fleet.Load // what the other hosts saw at othersAt
+	othersAt time.Time
 }
 
 const (
@@ -36,6 +40,11 @@
 	// with each further one in a row up to maxFailurePause.
 	failurePause    = 500 * time.Millisecond
 	maxFailurePause = 4 * time.Second
+	// unitWeight is what one more unit of work counts for in the average.
+	unitWeight = 0.15
+	// unitLife is how long a target that is slow is taken to be slow without
+	// having been tried again.
+	unitLife = 6 * time.Second
 	// maxHeld bounds the parts of prompts that are remembered for a target.
 	maxHeld = 2048
 )
@@ -52,18 +61,87 @@
 	return t
 }
 
-// option returns what is known of a target for a prompt of the given parts.
-func (l *loads) option(t fleet.Target, parts []part, zone types.ZoneID) route.Option {
+// option returns what is known of a target for a prompt of the given parts, and
+// how long it takes for a unit of its work.
+func (l *loads) option(t fleet.Target, parts []part, zone types.ZoneID) (o route.Option, unit float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k := l.get(t.ID)
-	slots := k.slots
-	if slots == 0 {
-		slots = t.Slots
-	}
-	return route.Option{
+	o = route.Option{
 		ID: t.ID, SameZone: t.Zone == zone, Own: k.own, Running: k.running, Waiting: k.waiting, Age: time.Since(k.toldAt),
-		OwnThen: k.ownThen, Slots: slots, Held: k.heldOf(parts), Failing: k.failing(time.Now()), Pace: 1,
+		OwnThen: k.ownThen, Slots: k.slots, Held: k.heldOf(parts), Failing: k.failing(time.Now()), Pace: 1,
+	}
+	if o.Slots == 0 {
+		o.Slots = t.Slots
+	}
+	if age := time.Since(k.othersAt); age < o.Age {
+		// What all other hosts saw is newer than what the target told.
+		o.Running, o.Waiting, o.OwnThen, o.Age = k.others.Busy, 0, 0, age
+	}
+	return o, k.unitNow()
+}
+
+// unitNow returns the target's time for a unit of work, 0 if it is not known.
+// The other hosts' view counts for as much as the own one.
+func (k *load) unitNow() float64 {
+	sum, n := 0.0, 0.0
+	if k.unit > 0 && time.Since(k.unitAt) < unitLife {
+		sum, n = k.unit, 1
+	}
+	if k.others.Unit > 0 && time.Since(k.othersAt) < unitLife {
+		sum, n = sum+k.others.Unit, n+1
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / n
+}
+
+// worked notes how long a target took for a unit of its work.
+func (l *loads) worked(id types.TargetID, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := l.get(id)
+	if k.unit == 0 || time.Since(k.unitAt) > unitLife {
+		k.unit = took.Seconds()
+	}
+	k.unit += unitWeight * (took.Seconds() - k.unit)
+	k.unitAt = time.Now()
+}
+
+// report returns what this host sees of the targets that it works with.
+func (l *loads) report() map[types.TargetID]fleet.Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := map[types.TargetID]fleet.Load{}
+	for id, k := range l.of {
+		seen := fleet.Load{Busy: k.own}
+		if time.Since(k.unitAt) < unitLife {
+			seen.Unit = k.unit
+		}
+		if seen != (fleet.Load{}) {
+			list[id] = seen
+		}
+	}
+	return list
+}
+
+// hear notes what the other hosts see. A target that they do not name is idle
+// for all that they know.
+func (l *loads) hear(others map[types.TargetID]fleet.Load) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for id := range others {
+		l.get(id)
+	}
+	for id, k := range l.of {
+		unit := k.others.Unit
+		k.others = others[id]
+		if k.others.Unit == 0 {
+			k.others.Unit = unit // It runs out with unitLife.
+		}
+		k.othersAt = now
 	}
 }
 
--- a/gate/reply.go
+++ b/gate/reply.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fetch"
@@ -24,6 +25,7 @@
 		return c.judgeError(t, err)
 	}
 	whole := len(start) < replyBuffer
+	c.gate.loads.worked(t.ID, time.Since(c.sentAt))
 	h := c.w.Header()
 	copyHeader(h, resp.Header)
 	if whole {
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -68,7 +68,8 @@
 	call   *call
 	in     *bufio.Reader
 	stride types.Tokens
-	began  bool // the caller has got the head
+	began  bool      // the caller has got the head
+	last   time.Time // when the last event came
 	events int
 	output bytes.Buffer // the data of all events, a line feed behind each
 }
@@ -86,6 +87,10 @@
 			return err
 		}
 		came := time.Now()
+		if s.began {
+			s.call.gate.loads.worked(t.ID, came.Sub(s.last))
+		}
+		s.last = came
 		if !s.began {
 			firstTime.UpdateDuration(s.call.start)
 			s.call.gate.loads.read(t.ID, parsePrompt(s.call.r.Header.Get(s.call.gate.Names.Prompt)))
--- a/route/place.go
+++ b/route/place.go
@@ -90,6 +90,31 @@
 	return best
 }
 
+// slowPace is how much slower than usual a target must be to count as slow: what
+// targets do differs from request to request.
+const slowPace = 1.6
+
+// SetPaces sets each option's pace by how long its target takes for a unit of
+// work against the median of all; 0 stands for unknown.
+func SetPaces(options []Option, units []float64) {
+	var known []float64
+	for _, u := range units {
+		if u > 0 {
+			known = append(known, u)
+		}
+	}
+	if len(known) == 0 {
+		return
+	}
+	slices.Sort(known)
+	usual := known[(len(known)-1)/2]
+	for i, u := range units {
+		if pace := u / usual; pace > slowPace {
+			options[i].Pace = pace
+		}
+	}
+}
+
 // expected returns the seconds that a request is expected to take on a target
 // beyond what it takes on an idle one that holds its prompt.
 func (p Prices) expected(o Option, w Work) float64 {
@@ -103,10 +128,10 @@
 	}
 	if w.Prompt > 0 {
 		cost += float64(w.Prompt-min(o.Held, w.Prompt)) / p.PrefillRate / 1000
-		cost += busy * p.Neighbour.Seconds()
+		cost += busy * p.Neighbour.Seconds() * max(1, o.Pace)
 	}
 	if over := busy + 1 - float64(o.Slots); o.Slots > 0 && over > 0 {
-		cost += over / float64(o.Slots) * w.Service.Seconds()
+		cost += over / float64(o.Slots) * w.Service.Seconds() * max(1, o.Pace)
 	}
 	if w.Prompt == 0 && o.Slots > 0 {
 		// A short queue forms before all slots are taken, as calls come in
--- a/route/place_test.go
+++ b/route/place_test.go
@@ -104,6 +104,20 @@
 	}
 }
 
+// TestPacesAgainstTheUsual has targets that differ a little, one that is four
+// times slower, and one that nobody has tried.
+func TestPacesAgainstTheUsual(t *testing.T) {
+	list := engines(5)
+	route.SetPaces(list, []float64{0.020, 0.024, 0.080, 0, 0.018})
+	var got []float64
+	for _, o := range list {
+		got = append(got, o.Pace)
+	}
+	if diff := cmp.Diff([]float64{1, 1, 4, 1, 1}, got); diff != "" {
+		t.Errorf("paces (-want +got):\n%s", diff)
+	}
+}
+
 // TestOldReportsCountForLess has a target that reported many requests a while
 // ago.
 func TestOldReportsCountForLess(t *testing.T) {
