turns, wire, gate: stores that cannot be reached are asked last; bounded stop

Ruled out: engines (queues were short), the configuration group (no election). One entry host was still there at the end of its grace: it waited up to 3 s for claims to be settled. Change: stores without a connection come last; a gate that stops gives what still goes on 0.3 s; a link that stays lost is logged once.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,12 +54,15 @@
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
+	once     sync.Once
 	pool     fetch.Pool
 	loads    loads
 	shares   shares
 	draining atomic.Bool
-	// late holds what goes on after a caller was answered.
-	late errgroup.Group
+	// late holds what goes on after a caller was answered, under lateCtx.
+	late     errgroup.Group
+	lateCtx  context.Context //nolint:containedctx // It ends a while after Run's.
+	stopLate context.CancelFunc
 }
 
 var (
@@ -73,21 +77,32 @@
 	chainTime = metrics.NewHistogram("banyanspur_gate_chain_seconds")
 )
 
+func (g *Gate) init() {
+	g.once.Do(func() {
+		if g.Prices == (route.Prices{}) {
+			g.Prices = route.DefaultPrices
+		}
+		g.shares.init(g)
+		g.lateCtx, g.stopLate = context.WithCancel(context.Background())
+	})
+}
+
 // Run renews allotments until ctx ends and then gives them back.
 func (g *Gate) Run(ctx context.Context) error {
-	if g.Prices == (route.Prices{}) {
-		g.Prices = route.DefaultPrices
-	}
-	g.shares.init(g)
+	g.init()
+	defer g.stopLate()
 	running, ctx := errgroup.WithContext(ctx)
 	running.Go(func() error { return g.shares.run(ctx) })
 	running.Go(func() error { return g.exchangeLoads(ctx) })
 	err := running.Wait()
-	_ = g.late.Wait()
+	time.AfterFunc(lateTime, g.stopLate) // What does not get settled stays claimed at its most.
+	_ = g.late.Wait()                    // What failed has been logged.
 	return err
 }
 
 const (
+	// lateTime is how long a gate that stops waits for what still goes on.
+	lateTime = 300 * time.Millisecond
 	// loadsInterval is how often hosts tell each other what they see of targets.
 	loadsInterval = 300 * time.Millisecond
 	// loadsTimeout bounds one exchange.
@@ -142,6 +157,7 @@
 
 // ServeHTTP answers one request.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.init()
 	c := &call{
 		gate: g, w: w, r: r, start: time.Now(), id: r.Header.Get(g.Names.RequestID), view: g.Fleet.View(),
 	}
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -163,7 +163,7 @@
 	}
 	budget, handed := c.turn.budget, c.turn.handed
 	c.gate.late.Go(func() error {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(c.r.Context()), keepTimeout)
+		ctx, cancel := context.WithTimeout(c.gate.lateCtx, keepTimeout)
 		defer cancel()
 		if err := c.gate.Turns.Settle(ctx, budget, handed, nil); err != nil {
 			c.gate.Log.Write(event.TurnKept, event.Fields{"request": c.id, "program": budget.Program, "error": err.Error()})
--- a/host/entry.go
+++ b/host/entry.go
@@ -21,8 +21,8 @@
 	// stop still takes new requests, since the balancer notices late.
 	drainShare = 0.35
 	// stopShare is the part of the grace after which what is still under way
-	// is given up.
-	stopShare = 0.93
+	// is given up. The rest is for giving allotments back.
+	stopShare = 0.85
 	// gateHeaderTimeout bounds the header of a request.
 	gateHeaderTimeout = 10 * time.Second
 	// gateIdle is how long a caller's connection may be idle. It is longer
--- a/turns/chain.go
+++ b/turns/chain.go
@@ -44,7 +44,7 @@
 	if m == nil || len(m.Shards) == 0 {
 		return nil, errNoStores
 	}
-	members := c.near(m)
+	members := c.carriers(m)
 	answers := make(chan result[ChainReply], len(members))
 	asked := 0
 	ask := func(n int) {
--- a/turns/client.go
+++ b/turns/client.go
@@ -1,6 +1,7 @@
 package turns
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -204,38 +205,35 @@
 	return len(all)/2 + 1
 }
 
-// nearFirst returns the stores with those of the own zone first.
+// nearFirst returns the stores with those of the own zone first, and those to
+// which there is no connection last.
 func (c *Client) nearFirst(m *Map, ids []StoreID) []StoreID {
-	var near, far []StoreID
-	for _, id := range ids {
-		if m.Members[id].Zone == c.Zone {
-			near = append(near, id)
-		} else {
-			far = append(far, id)
+	distance := func(id StoreID) int {
+		switch member := m.Members[id]; {
+		case !c.Peers.Link(member.Address).Up():
+			return 2
+		case member.Zone != c.Zone:
+			return 1
 		}
+		return 0
 	}
-	return append(near, far...)
+	sorted := slices.Clone(ids)
+	slices.SortStableFunc(sorted, func(a, b StoreID) int { return cmp.Compare(distance(a), distance(b)) })
+	return sorted
 }
 
-// near returns the stores with those of the own zone first.
-func (c *Client) near(m *Map) []Member {
-	var members []Member
-	for id, member := range m.Members {
+// carriers returns the stores that carry any shard, the nearest first.
+func (c *Client) carriers(m *Map) []Member {
+	var ids []StoreID
+	for id := range m.Members {
 		if m.Carries(id) {
-			members = append(members, member)
+			ids = append(ids, id)
 		}
 	}
-	slices.SortFunc(members, func(a, b Member) int {
-		if (a.Zone == c.Zone) != (b.Zone == c.Zone) {
-			if a.Zone == c.Zone {
-				return -1
-			}
-			return 1
-		}
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.Sort(ids)
+	var members []Member
+	for _, id := range c.nearFirst(m, ids) {
+		members = append(members, m.Members[id])
+	}
 	return members
 }
--- a/turns/stores_test.go
+++ b/turns/stores_test.go
@@ -91,9 +91,10 @@
 	s.server = httptest.NewUnstartedServer(server)
 	s.server.Config.BaseContext = func(net.Listener) context.Context { return ctx } // Links end with it.
 	s.server.Start()
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return s.Run(ctx) })
-	g.Go(func() error { return s.CopyIn(ctx, c.peers) })
+	g, running := errgroup.WithContext(ctx)
+	store := s.Store
+	g.Go(func() error { return store.Run(running) })
+	g.Go(func() error { return store.CopyIn(running, c.peers) })
 	s.stop = func() {
 		cancel()
 		s.server.Close()
--- a/wire/link.go
+++ b/wire/link.go
@@ -55,11 +55,14 @@
 // Run keeps the link connected until ctx ends.
 func (l *Link) Run(ctx context.Context) error {
 	wait := redialFirst
+	lost := false
 	for ctx.Err() == nil {
 		start := time.Now()
-		if err := l.connect(ctx); err != nil && ctx.Err() == nil {
-			l.Log.Write(event.LinkLost, event.Fields{"address": l.Address, "error": err.Error()})
+		connected, err := l.connect(ctx)
+		if (connected || !lost) && ctx.Err() == nil {
+			l.Log.Write(event.LinkLost, event.Fields{"address": l.Address, "connected": connected, "error": err.Error()})
 		}
+		lost = true // What follows until it is connected again is no news.
 		if time.Since(start) > redialLast {
 			wait = redialFirst
 		}
@@ -69,20 +72,21 @@
 	return nil
 }
 
-// connect dials and serves one connection until it ends.
-func (l *Link) connect(ctx context.Context) error {
+// connect dials and serves one connection until it ends. It reports whether
+// there was one, and always returns an error.
+func (l *Link) connect(ctx context.Context) (connected bool, err error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	header := http.Header{secretHeader: {l.Secret}}
 	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.Address+"/peer", &websocket.DialOptions{HTTPHeader: header})
 	if err != nil {
-		return errors.Wrap(err, "wire: dial")
+		return false, errors.Wrap(err, "wire: dial")
 	}
 	c := &connection{stream: newStream(conn), pending: pending{calls: map[uint64]chan envelope{}}}
 	l.set(c)
 	defer c.pending.fail()
 	defer l.set(nil)
-	return c.stream.run(ctx, c.receive)
+	return true, c.stream.run(ctx, c.receive)
 }
 
 func (l *Link) set(c *connection) {
