soak: a loss is over when the fleet says so, not after a fixed time

A fixed pause would overlap losses on a busy machine, which the promises do not cover. Control hosts must know themselves as voters and stores carry all shards before the next fault of a host with a disk.

--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -80,7 +80,6 @@
 	seeds    []string
 	controls []*process
 	stores   []*process
-	clients  []*atomic.Pointer[fleet.Client]
 	founding atomic.Bool
 }
 
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -10,7 +10,9 @@
 	"testing"
 	"time"
 
+	follow "github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/host"
+	"github.com/banyanspur/banyanspur/wire"
 )
 
 // machine is one host: a process that can be killed and started again, its
@@ -33,6 +35,8 @@
 	list     string // where targets are listed
 	machines []*machine
 	rand     *rand.Rand
+	peers    *wire.Pool
+	client   *follow.Client // follows the fleet as a host does
 }
 
 // The ports of each host, on its own addresses.
@@ -75,6 +79,7 @@
 	for _, m := range f.machines {
 		f.start(m, true)
 	}
+	f.follow()
 	return f
 }
 
@@ -215,9 +220,6 @@
 	}
 }
 
-// catchUp is how long a host with a disk counts as lost after it is back.
-const catchUp = 3 * time.Second
-
 // playFaults plays faults one after the other for a while; no two hosts with a
 // disk are lost at once, except when all are killed together.
 func (f *fleet) playFaults(d time.Duration) {
@@ -232,7 +234,7 @@
 		f.t.Logf("%s: %s for %v", m.name, x.name, length)
 		x.play(f, m, length)
 		if m.role != host.NodeEntry {
-			time.Sleep(catchUp)
+			f.settle()
 		}
 	}
 }
@@ -250,5 +252,5 @@
 	for _, m := range f.machines[:6] {
 		f.start(m, false)
 	}
-	time.Sleep(catchUp)
+	f.settle()
 }
