quorum: who leads is told from within the loop

Cause: ChangeMembers read the core after its step, outside the loop that owns it (race detector, TestControlHostReplacedAtAnotherAddress, 2 of 4 runs).

--- a/quorum/propose.go
+++ b/quorum/propose.go
@@ -60,7 +60,7 @@
 	reply := make(chan error, 1)
 	step := func(now types.Mono) {
 		_, err := r.core.ProposeMembers(now, change(r.core.Members()))
-		reply <- err
+		reply <- r.notLeader(err) // Here, since it reads the core, which belongs to the loop.
 	}
 	select {
 	case r.inbox <- step:
@@ -69,7 +69,7 @@
 	}
 	select {
 	case err := <-reply:
-		return r.notLeader(err)
+		return err
 	case <-ctx.Done():
 		return ctx.Err()
 	}
