--- a/fetch/do.go
+++ b/fetch/do.go
@@ -150,6 +150,7 @@
 // body notes whether the answer was read to its end.
 type body struct{ resp *Response }
 
+// Read reads from the answer.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.resp.raw.Body.Read(p)
 	if err == io.EOF {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -158,7 +158,7 @@
 	c, peers := f.client("entry-1")
 	waitFor(t, "the first map", func() bool { return cmp.Equal(hosts("store-a", "store-b", "store-c"), carriers(c.View())) })
 	keeper := &turns.Client{Peers: peers, Map: func() *turns.Map { return c.View().Map }}
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
 	budget := turns.Budget{Account: "choir", Program: "p", Attempt: "one", Limit: 100, Most: 10}
 	turn := &turns.Turn{Account: "choir", ID: "one", Shard: turns.ShardOf("choir", "p"), Input: []byte("in")}
--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -19,8 +19,8 @@
 	"github.com/banyanspur/banyanspur/wire"
 )
 
-// patience bounds a step that must succeed, however busy the machine is.
-const patience = 30 * time.Second
+// stepTimeout bounds a step that must succeed, however busy the machine is.
+const stepTimeout = 30 * time.Second
 
 // process is one host of a test's fleet; it can be stopped and started again.
 type process struct {
@@ -202,7 +202,7 @@
 // put brings a plan with the given version and one account into force.
 func put(t *testing.T, c *fleet.Client, version types.Version, account types.AccountID) types.Version {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
 	p := plan.Plan{Version: version, Accounts: []plan.Account{{Name: account, Rate: 10, Burst: 10}}}
 	result, err := c.Put(ctx, fleet.PutPlan{Document: fleet.Document{Body: []byte(fmt.Sprintf("%d %s", version, account)), Plan: p}})
@@ -214,7 +214,7 @@
 
 func read(t *testing.T, c *fleet.Client) string {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
 	reply, err := c.Read(ctx)
 	if err != nil {
@@ -225,7 +225,7 @@
 
 func waitFor(t *testing.T, what string, done func() bool) {
 	t.Helper()
-	for deadline := time.Now().Add(patience); !done(); time.Sleep(5 * time.Millisecond) {
+	for deadline := time.Now().Add(stepTimeout); !done(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatalf("%s does not come about", what)
 		}
--- a/fleet/loads_test.go
+++ b/fleet/loads_test.go
@@ -17,7 +17,7 @@
 	f := newFleet(t, 1)
 	f.runAll()
 	c, _ := f.client("entry-1")
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
 	exchange := func(host types.HostID, loads map[types.TargetID]fleet.Load) map[types.TargetID]fleet.Load {
 		var reply fleet.LoadsReply
--- a/fleet/shards.go
+++ b/fleet/shards.go
@@ -19,8 +19,8 @@
 	// foundingRest is how long no new store may have come before the first
 	// map is made.
 	foundingRest = 700 * time.Millisecond
-	// foundingPatience is how long fewer stores than wanted are waited for.
-	foundingPatience = 5 * time.Second
+	// foundingWait is how long fewer stores than wanted are waited for.
+	foundingWait = 5 * time.Second
 	// minStores is the fewest stores that bear a loss.
 	minStores = 3
 )
@@ -68,7 +68,7 @@
 func (c *Control) foundMap(candidates []turns.Candidate, now types.Mono) []Command {
 	wanted := 2*c.Losses + 1
 	rest := now.Sub(c.enrolAt)
-	if len(candidates) == 0 || rest < foundingRest || len(candidates) < wanted && rest < foundingPatience {
+	if len(candidates) == 0 || rest < foundingRest || len(candidates) < wanted && rest < foundingWait {
 		return nil
 	}
 	found := FoundMap{}
--- a/soak/play_test.go
+++ b/soak/play_test.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// patience bounds what must come about once all faults are over.
-	patience = 40 * time.Second
+	// stepTimeout bounds what must come about once all faults are over.
+	stepTimeout = 40 * time.Second
 	// programsAtOnce is how many programs run side by side.
 	programsAtOnce = 4
 )
@@ -66,7 +66,7 @@
 
 func waitFor(t *testing.T, what string, done func() bool) {
 	t.Helper()
-	for deadline := time.Now().Add(patience); !done(); time.Sleep(50 * time.Millisecond) {
+	for deadline := time.Now().Add(stepTimeout); !done(); time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatalf("%s does not come about", what)
 		}
--- a/turns/stores_test.go
+++ b/turns/stores_test.go
@@ -165,8 +165,8 @@
 	return ctx
 }
 
-// patience bounds a step that must succeed, however busy the machine is.
-const patience = 20 * time.Second
+// stepTimeout bounds a step that must succeed, however busy the machine is.
+const stepTimeout = 20 * time.Second
 
 // keep writes one turn of a program.
 func keep(t *testing.T, c *turns.Client, account types.AccountID, program types.ProgramID, id, previous turns.TurnID) {
@@ -176,7 +176,7 @@
 		Account: account, ID: id, Previous: previous, Shard: turns.ShardOf(account, program),
 		Input: []byte("in " + id), Output: []byte("out " + id),
 	}
-	if err := c.Settle(within(t, patience), b, 5, turn); err != nil {
+	if err := c.Settle(within(t, stepTimeout), b, 5, turn); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/turns/turns_test.go
+++ b/turns/turns_test.go
@@ -22,7 +22,7 @@
 	keep(t, w, "choir", "p", "one", "")
 	keep(t, w, "choir", "p", "two", "one")
 	keep(t, w, "choir", "other", "three", "two") // Another program goes on from it.
-	chain, err := c.client().Chain(within(t, patience), "choir", "three")
+	chain, err := c.client().Chain(within(t, stepTimeout), "choir", "three")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -37,7 +37,7 @@
 func TestTurnOfAnotherAccountIsNotFound(t *testing.T) {
 	c := newCluster(t, 3)
 	keep(t, c.client(), "choir", "p", "one", "")
-	_, err := c.client().Chain(within(t, patience), "band", "one")
+	_, err := c.client().Chain(within(t, stepTimeout), "band", "one")
 	if !types.IsCode(err, types.CodeNotFound) {
 		t.Errorf("another account's turn: %v", err)
 	}
@@ -54,10 +54,10 @@
 			s.halt()
 		}
 	}
-	if _, err := c.client().Chain(within(t, patience), "choir", "one"); err != nil {
+	if _, err := c.client().Chain(within(t, stepTimeout), "choir", "one"); err != nil {
 		t.Errorf("a turn that one store has: %v", err)
 	}
-	_, err := c.client().Chain(within(t, patience), "choir", "none")
+	_, err := c.client().Chain(within(t, stepTimeout), "choir", "none")
 	if !types.IsCode(err, types.CodeUnavailable) {
 		t.Errorf("a turn that one of three stores denies: %v", err)
 	}
@@ -87,7 +87,7 @@
 	m := *c.now.Load()
 	m.Members = map[turns.StoreID]turns.Member{c.stores[i].id: m.Members[c.stores[i].id]}
 	alone := &turns.Client{Peers: c.peers, Map: func() *turns.Map { return &m }}
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
 	_, err := alone.Chain(ctx, "choir", id)
 	return err == nil
@@ -95,7 +95,7 @@
 
 func waitFor(t *testing.T, done func() bool) {
 	t.Helper()
-	for deadline := time.Now().Add(patience); !done(); time.Sleep(5 * time.Millisecond) {
+	for deadline := time.Now().Add(stepTimeout); !done(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("it does not come about")
 		}
@@ -114,7 +114,7 @@
 		c.restart(i)
 	}
 	for i := range 20 {
-		if _, err := c.client().Chain(within(t, patience), "choir", turns.TurnID(fmt.Sprint(i))); err != nil {
+		if _, err := c.client().Chain(within(t, stepTimeout), "choir", turns.TurnID(fmt.Sprint(i))); err != nil {
 			t.Errorf("turn %d: %v", i, err)
 		}
 	}
@@ -135,7 +135,7 @@
 		for i := range rivals / 3 {
 			g.Go(func() error {
 				b := turns.Budget{Account: "choir", Program: "p", Attempt: types.AttemptID(fmt.Sprintf("%d-%d", host, i)), Limit: limit, Most: most}
-				if err := w.Reserve(within(t, patience), b); err == nil {
+				if err := w.Reserve(within(t, stepTimeout), b); err == nil {
 					mu.Lock()
 					granted += most
 					mu.Unlock()
@@ -168,11 +168,11 @@
 		}
 		w := c.client()
 		b := turns.Budget{Account: "choir", Program: "p", Attempt: types.AttemptID(fmt.Sprint(i)), Limit: 100, Most: 10}
-		if err := w.Reserve(within(t, patience), b); err != nil {
+		if err := w.Reserve(within(t, stepTimeout), b); err != nil {
 			continue
 		}
 		granted++
-		if err := w.Settle(within(t, patience), b, 5, nil); err != nil {
+		if err := w.Settle(within(t, stepTimeout), b, 5, nil); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -209,7 +209,7 @@
 			}
 		}
 	}
-	if _, err := c.client().Chain(within(t, patience), "choir", "before7"); err != nil {
+	if _, err := c.client().Chain(within(t, stepTimeout), "choir", "before7"); err != nil {
 		t.Errorf("a turn from before the move: %v", err)
 	}
 }
@@ -252,7 +252,7 @@
 	m.Members[old] = impostor
 	c.setMap(&m)
 	c.stores[1].halt()
-	_, err := c.client().Chain(within(t, patience), "choir", "none")
+	_, err := c.client().Chain(within(t, stepTimeout), "choir", "none")
 	if !types.IsCode(err, types.CodeUnavailable) {
 		t.Errorf("a turn that a wiped store would deny: %v", err)
 	}
