gate: a caller that closes its half gets no empty success

Cause: where a request was refused after its connection had been closed for sending, nothing was written, and net/http ends such an answer as an empty 200 (TestCallerThatClosesItsHalfGetsNoEmptySuccess). Change: the connection is ended without an answer.

--- a/gate/call.go
+++ b/gate/call.go
@@ -142,7 +142,8 @@
 	c.gate.Log.Write(event.RequestRefused, fields)
 	refused.Inc()
 	if c.r.Context().Err() != nil {
-		return // Nobody is there to read it.
+		c.broken = true // Whoever still reads must not take the end for an answer.
+		return
 	}
 	h := c.w.Header()
 	if r.after > 0 {
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -207,6 +209,29 @@
 	}
 }
 
+// TestCallerThatClosesItsHalfGetsNoEmptySuccess has a caller that closes its
+// sending half while no target answers: it must not be given a success.
+func TestCallerThatClosesItsHalfGetsNoEmptySuccess(t *testing.T) {
+	b := newBed(t)
+	b.addTarget("plain", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	conn, err := net.Dial("tcp4", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /lookup/ HTTP/1.1\r\nHost: a.example\r\nId: half\r\nAuthorization: Bearer choir-key\r\n\r\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	answer, _ := io.ReadAll(conn) // A reset ends it as well.
+	if strings.HasPrefix(string(answer), "HTTP/1.1 2") {
+		t.Errorf("the caller was answered %q", answer)
+	}
+}
+
 // TestLimitIsSpentAndRefused sends more than an account's burst at once.
 func TestLimitIsSpentAndRefused(t *testing.T) {
 	b := newBed(t)
