fetch: a connection is kept although its answer overtakes its request's end

Change: the end of an answer waits up to 20 ms for that note; it is missing only where a target answered early.

--- a/fetch/do.go
+++ b/fetch/do.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,7 +54,7 @@
 	address string
 	conn    *conn
 	raw     *http.Response
-	written *atomic.Bool
+	written chan struct{} // closed once the whole request was handed over
 	stop    func() bool
 	odd     bool // an answer to another request was in the way
 	whole   bool // the body has been read to its end
@@ -66,6 +65,9 @@
 	maxStray = 64 << 10
 	// maxStrays bounds how many of them are skipped for one request.
 	maxStrays = 3
+	// handOverTime is how long the end of an answer waits for the end of its
+	// request, which has been handed over by then unless the answer came early.
+	handOverTime = 20 * time.Millisecond
 )
 
 // Do sends a request once and returns the answer's head. The connection ends
@@ -76,7 +78,7 @@
 		return nil, &Error{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	resp := &Response{pool: p, address: address, conn: c, written: &atomic.Bool{}, stop: stop}
+	resp := &Response{pool: p, address: address, conn: c, written: make(chan struct{}), stop: stop}
 	var writer errgroup.Group
 	writer.Go(func() error { return write(c, r, resp.written) })
 	if err := resp.readHead(r); err != nil {
@@ -90,7 +92,7 @@
 
 // write sends head and body. A target may answer without having read all of
 // it, so a failure shows in the answer alone.
-func write(c *conn, r *Request, written *atomic.Bool) error {
+func write(c *conn, r *Request, written chan<- struct{}) error {
 	var b bytes.Buffer
 	b.Grow(len(r.Body) + 1<<10)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
@@ -105,7 +107,7 @@
 	if _, err := c.Write(b.Bytes()); err != nil {
 		return err
 	}
-	written.Store(true)
+	close(written)
 	return nil
 }
 
@@ -163,12 +165,22 @@
 // otherwise; a target that is still at work then stops.
 func (resp *Response) Close() {
 	undisturbed := resp.stop()
-	reusable := undisturbed && resp.whole && !resp.odd && !resp.raw.Close && resp.written.Load() &&
+	reusable := undisturbed && resp.whole && !resp.odd && !resp.raw.Close &&
 		resp.conn.in.Buffered() == 0 && resp.conn.idleFor > 0
-	if !reusable {
+	if !reusable || !resp.handedOver() {
 		_ = resp.conn.Close()
 		return
 	}
 	_ = resp.conn.SetDeadline(time.Time{})
 	resp.pool.put(resp.address, resp.conn)
 }
+
+// handedOver reports whether the whole request was handed to the connection.
+func (resp *Response) handedOver() bool {
+	select {
+	case <-resp.written:
+		return true
+	case <-time.After(handOverTime):
+		return false
+	}
+}
