--- a/fleet/form.go
+++ b/fleet/form.go
@@ -78,15 +78,7 @@
 // the lowest address decides. Whoever finds the group founded without itself
 // never founds another.
 func (c *Control) form(ctx context.Context) error {
-	for {
-		done, err := c.tryForm(ctx)
-		if done || err != nil {
-			return err
-		}
-		if !types.Sleep(ctx, formInterval) {
-			return nil
-		}
-	}
+	return types.Poll(ctx, formInterval, c.tryForm)
 }
 
 func (c *Control) tryForm(ctx context.Context) (done bool, err error) {
--- a/host/form.go
+++ b/host/form.go
@@ -21,15 +21,7 @@
 // one and all of them answer; the host with the lowest name decides. A host
 // whose folder was lost later finds the group founded and never founds another.
 func (c *Control) form(ctx context.Context) error {
-	for {
-		done, err := c.tryForm(ctx)
-		if done || err != nil {
-			return err
-		}
-		if !types.Sleep(ctx, formInterval) {
-			return nil
-		}
-	}
+	return types.Poll(ctx, formInterval, c.tryForm)
 }
 
 func (c *Control) tryForm(ctx context.Context) (done bool, err error) {
