--- a/gate/names.go
+++ b/gate/names.go
@@ -24,27 +24,17 @@
 	Load string
 	// Priority ranks a request at the target, 0 first.
 	Priority string
-	// Affinity is the cookie that names the object of a request.
-	Affinity string
 	// Prompt lists the parts of the prompt, as ID:TOKENS.
 	Prompt string
 	// Tokens holds the size of the prompt and the most that is generated.
 	Tokens string
-	// Program, Line and Finish name a request's program, its line of turns,
-	// and the milliseconds left until the program should end.
+	// Program names a request's program.
 	Program string
-	Line    string
-	Finish  string
 	// Budget is what all turns of the program may generate.
 	Budget string
 	// Previous names the turn that this one continues.
 	Previous string
-	// ResumeAfter names the last event that a caller has.
-	ResumeAfter string
 	// Internal lists the fields that only hosts of ours may set towards a
 	// target; a caller's are dropped.
 	Internal []string
-	// Versions, in lower case, begins an event's first line at which the
-	// target's weights change.
-	Versions string
 }
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -229,8 +229,9 @@
 	})
 }
 
-// TestMovedProgramLetsGo moves a program to another target: what the first one
-// keeps is owed at once, and no more once the program has come back.
+// TestMovedProgramLetsGo moves a program to another target: the memory that the
+// first one holds is to be released at once, and no longer once the program has
+// come back to it.
 func TestMovedProgramLetsGo(t *testing.T) {
 	w := newDriver()
 	w.open("p", "", ledger.Budget{Calls: 9, Tokens: 100, Wall: time.Hour})
