gate: a silent target is left in time, and a first plan is waited for

Ruled out: sending every request twice (load of a slow service would double); the second send takes from the budget of retries.

Change: 1.5 times the objective, then another target; up to 1 s, or half of what the caller waits, for the first plan. The log tells what decided a choice of target and when a stream's first and last event came.

--- a/gate/call.go
+++ b/gate/call.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"maps"
 	"net/http"
 	"strconv"
@@ -28,13 +29,15 @@
 	body    []byte
 	until   time.Time // when the caller must have its final answer
 
-	spent  bool      // a request of the account's limit
-	sent   bool      // a target may have run it
-	runs   int       // targets that may have run it
-	sentAt time.Time // when it was sent to a target last
-	status int       // what the caller was answered
-	broken bool      // the answer was cut off
-	target types.TargetID
+	spent   bool      // a request of the account's limit
+	sent    bool      // a target may have run it
+	runs    int       // targets that may have run it
+	sentAt  time.Time // when it was sent to a target last
+	firstAt time.Time // when the first event of a stream came
+	lastAt  time.Time // when the last one came
+	status  int       // what the caller was answered
+	broken  bool      // the answer was cut off
+	target  types.TargetID
 
 	turn turnState
 }
@@ -58,6 +61,30 @@
 	fields event.Fields // what else decided it
 }
 
+// await waits a moment for the plan on a host that has just started: it comes
+// with the next leader, and callers would lose more by coming back.
+func (c *call) await() *refusal {
+	known := func() bool { return c.view.Plan != nil && len(c.view.Targets) > 0 }
+	if known() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(c.r.Context(), min(planWait, c.asked()/2))
+	defer cancel()
+	for !known() && types.Sleep(ctx, planPoll) {
+		c.view = c.gate.Fleet.View()
+	}
+	return nil
+}
+
+// asked returns how long the caller says that it waits.
+func (c *call) asked() time.Duration {
+	ms, err := strconv.ParseInt(c.r.Header.Get(c.gate.Names.Deadline), 10, 64)
+	if err != nil || ms <= 0 {
+		return time.Hour // Whatever else bounds the request.
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // find looks up the route.
 func (c *call) find() *refusal {
 	if c.view.Plan == nil {
@@ -68,11 +95,7 @@
 	if c.route == nil {
 		return &refusal{status: http.StatusNotFound, reason: "no route matches"}
 	}
-	wait := c.route.Timeout
-	if ms, err := strconv.ParseInt(c.r.Header.Get(c.gate.Names.Deadline), 10, 64); err == nil && ms > 0 {
-		wait = min(wait, time.Duration(ms)*time.Millisecond)
-	}
-	c.until = c.start.Add(wait)
+	c.until = c.start.Add(min(c.route.Timeout, c.asked()))
 	return nil
 }
 
@@ -88,6 +111,11 @@
 	// planPause is how long a host that has just started takes to learn the
 	// plan.
 	planPause = 300 * time.Millisecond
+	// planWait is how long a request waits for the first plan: as long as the
+	// control hosts take to elect a leader after all have been down.
+	planWait = time.Second
+	// planPoll is how often it looks.
+	planPoll = 10 * time.Millisecond
 	// busyPause is when a place at a busy service is likely to be free.
 	busyPause = 150 * time.Millisecond
 )
@@ -166,6 +194,10 @@
 	if c.route != nil {
 		fields["route"] = c.route.Name
 	}
+	if !c.firstAt.IsZero() {
+		fields["firstMs"] = c.firstAt.Sub(c.start).Milliseconds()
+		fields["eventsMs"] = c.lastAt.Sub(c.firstAt).Milliseconds()
+	}
 	if c.broken {
 		fields["broken"] = true
 		failed.Inc()
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -52,13 +52,14 @@
 	}
 	tried := map[types.TargetID]bool{}
 	rejected := 0
+	c.gate.retries.Earn()
 	for {
-		target, ok := c.pick(service, tried)
+		chosen, ok := c.pick(service, tried)
 		if !ok || rejected >= maxRejections {
 			return c.giveUp("no target takes the request")
 		}
-		tried[target.ID] = true
-		switch c.send(service, target) {
+		tried[chosen.ID] = true
+		switch c.send(service, chosen, c.anotherThan(tried, service)) {
 		case answered:
 			return nil
 		case outOfTime:
@@ -96,7 +97,7 @@
 }
 
 // pick chooses among the targets that have not been tried.
-func (c *call) pick(service *plan.Service, tried map[types.TargetID]bool) (fleet.Target, bool) {
+func (c *call) pick(service *plan.Service, tried map[types.TargetID]bool) (choice, bool) {
 	parts := parsePrompt(c.r.Header.Get(c.gate.Names.Prompt))
 	work := route.Work{Service: serviceTime}
 	if service.Engine != nil {
@@ -112,7 +113,7 @@
 	var options []route.Option
 	var units []float64
 	for _, t := range c.gate.Fleet.View().Targets {
-		if t.Service != service.Name || t.Leaving || tried[t.ID] {
+		if !usable(t, service, tried) {
 			continue
 		}
 		o, unit := c.gate.loads.option(t, parts, c.gate.Zone)
@@ -126,19 +127,38 @@
 	route.SetPaces(options, units)
 	i := route.Place(options, work, c.gate.Prices)
 	if i < 0 {
-		return fleet.Target{}, false
+		return choice{}, false
 	}
-	return targets[i], true
+	return choice{Target: targets[i], seen: options[i], prompt: work.Prompt, among: len(targets)}, true
 }
 
-// send sends the request to one target and passes the answer on.
-func (c *call) send(service *plan.Service, t fleet.Target) verdict {
-	left := c.left()
+// choice is the target that was picked and what decided it.
+type choice struct {
+	fleet.Target
+	seen   route.Option
+	prompt types.Tokens // size of the request's prompt
+	among  int          // targets that were compared
+}
+
+// note adds what decided the choice to an event.
+func (c choice) note(f event.Fields) {
+	f["target"], f["zone"], f["among"] = c.ID, c.Zone, c.among
+	f["own"], f["running"], f["waiting"], f["loadAgeMs"] = c.seen.Own, c.seen.Running, c.seen.Waiting, c.seen.Age.Milliseconds()
+	f["pace"], f["failing"] = c.seen.Pace, c.seen.Failing
+	if c.prompt > 0 {
+		f["promptTokens"], f["heldTokens"] = c.prompt, c.seen.Held
+	}
+}
+
+// send sends the request to one target and passes the answer on; others tells
+// whether there are further targets for it.
+func (c *call) send(service *plan.Service, chosen choice, others bool) verdict {
+	t, left := chosen.Target, c.left()
 	if left <= 0 {
 		return outOfTime
 	}
 	c.target, c.sentAt = t.ID, time.Now()
-	ctx, cancel := c.attemptContext(left)
+	ctx, settled, cancel := c.attemptContext(left, others)
 	defer cancel()
 	c.gate.loads.begin(t.ID)
 	defer c.gate.loads.end(t.ID)
@@ -146,11 +166,16 @@
 		Method: c.r.Method, Target: c.requestTarget(), Host: c.r.Host, Header: c.header(t, left), Body: c.prompt(),
 		ID: c.id, IDField: c.gate.Names.RequestID,
 	})
-	c.gate.Log.Write(event.RequestSent, event.Fields{
-		"request": c.id, "target": t.ID, "service": service.Name, "leftMs": left.Milliseconds(), "answered": err == nil,
-		"zone": t.Zone, "bytes": len(c.body), "account": c.accountID(), "planVersion": c.view.Have.Version, "targetsSum": c.view.Have.Targets,
-	})
+	fields := event.Fields{
+		"request": c.id, "service": service.Name, "leftMs": left.Milliseconds(), "answered": err == nil,
+		"bytes": len(c.body), "account": c.accountID(), "planVersion": c.view.Have.Version, "targetsSum": c.view.Have.Targets,
+	}
+	chosen.note(fields)
+	c.gate.Log.Write(event.RequestSent, fields)
 	if err != nil {
+		if cause := context.Cause(ctx); errors.Is(cause, errImpatient) {
+			err = errors.CombineErrors(err, cause)
+		}
 		return c.judgeError(t, err)
 	}
 	defer resp.Close()
@@ -162,17 +187,7 @@
 	if c.route.Kind == plan.Streaming && resp.Status < http.StatusMultipleChoices {
 		return c.stream(service, t, resp)
 	}
-	return c.reply(t, resp)
-}
-
-// attemptContext bounds one send. A request that may not be repeated goes on
-// when its caller leaves: to break it off would leave its outcome unknown.
-func (c *call) attemptContext(left time.Duration) (context.Context, context.CancelFunc) {
-	ctx := c.r.Context()
-	if c.route.Kind == plan.NonIdempotent {
-		ctx = context.WithoutCancel(ctx)
-	}
-	return context.WithTimeout(ctx, left)
+	return c.reply(t, resp, settled)
 }
 
 // judgeError decides what a failure to get an answer means.
--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,6 +37,22 @@
 	issuers map[types.AccountID]*limit.Issuer
 	clock   types.Clock
 	age     time.Duration
+	// silentTo is when limits are answered again; callers of Limits wait.
+	silentTo time.Time
+}
+
+// silence lets nothing be told of limits for a while.
+func (s *stub) silence(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentTo = time.Now().Add(d)
+}
+
+// show replaces what the host knows.
+func (s *stub) show(v fleet.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = v
 }
 
 func (s *stub) View() fleet.View {
@@ -54,7 +71,13 @@
 	return fleet.LoadsReply{}, nil
 }
 
-func (s *stub) Limits(_ context.Context, req fleet.LimitsRequest) (fleet.LimitsReply, error) {
+func (s *stub) Limits(ctx context.Context, req fleet.LimitsRequest) (fleet.LimitsReply, error) {
+	s.mu.Lock()
+	silent := time.Until(s.silentTo)
+	s.mu.Unlock()
+	if silent > 0 && !types.Sleep(ctx, silent) {
+		return fleet.LimitsReply{}, ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reply := fleet.LimitsReply{Allotments: map[types.AccountID]limit.Allotment{}}
@@ -84,7 +107,7 @@
 	p := &plan.Plan{
 		Version: 1,
 		Routes: []plan.Route{
-			{Name: "lookup", Host: "a.example", Prefix: "/lookup/", Kind: plan.Idempotent, Timeout: 5 * time.Second, Attempts: 2, Priority: 2, Backends: []plan.Backend{{Service: "plain", Weight: 1}}},
+			{Name: "lookup", Host: "a.example", Prefix: "/lookup/", Kind: plan.Idempotent, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond, Attempts: 2, Priority: 2, Backends: []plan.Backend{{Service: "plain", Weight: 1}}},
 			{Name: "charge", Host: "a.example", Prefix: "/charge/", Kind: plan.NonIdempotent, Timeout: 5 * time.Second, Attempts: 3, Backends: []plan.Backend{{Service: "plain", Weight: 1}}},
 			{Name: "brief", Host: "a.example", Prefix: "/brief/", Kind: plan.NonIdempotent, Timeout: 150 * time.Millisecond, Backends: []plan.Backend{{Service: "plain", Weight: 1}}},
 			{Name: "open", Host: "a.example", Prefix: "/open/", Kind: plan.Idempotent, Timeout: 5 * time.Second, Anonymous: true, Backends: []plan.Backend{{Service: "plain", Weight: 1}}},
@@ -165,19 +188,27 @@
 	header          map[string]string
 }
 
-var asked int
+var asked atomic.Int64
 
 // do sends a request and returns the answer's head; the body is for the caller
 // to read and close.
 func (b *bed) do(ctx context.Context, a ask) *http.Response {
 	b.t.Helper()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+a.path, strings.NewReader(a.body))
+	resp, err := b.try(ctx, a)
 	if err != nil {
 		b.t.Fatal(err)
 	}
+	return resp
+}
+
+// try is like do for requests that may fail.
+func (b *bed) try(ctx context.Context, a ask) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+a.path, strings.NewReader(a.body))
+	if err != nil {
+		return nil, err
+	}
 	req.Host = "a.example"
-	asked++
-	req.Header.Set("Id", fmt.Sprint("id-", asked))
+	req.Header.Set("Id", fmt.Sprint("id-", asked.Add(1)))
 	if a.key != "" {
 		req.Header.Set("Authorization", "Bearer "+a.key)
 	}
@@ -186,8 +217,8 @@
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		b.t.Fatal(err)
+		return nil, err
 	}
 	b.t.Cleanup(func() { _ = resp.Body.Close() })
-	return resp
+	return resp, nil
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -58,6 +58,7 @@
 	pool     fetch.Pool
 	loads    loads
 	shares   shares
+	retries  route.RetryBudget
 	draining atomic.Bool
 	// late holds what goes on after a caller was answered, under lateCtx.
 	late     errgroup.Group
@@ -148,6 +149,7 @@
 
 // filters are the steps of every request, in their order.
 var filters = []filter{
+	(*call).await,
 	(*call).find,
 	(*call).authenticate,
 	(*call).read,
--- a/gate/reply.go
+++ b/gate/reply.go
@@ -15,8 +15,9 @@
 // it: an answer that fits can still be asked for elsewhere if it breaks off.
 const replyBuffer = 256 << 10
 
-// reply passes an answer on that is no stream.
-func (c *call) reply(t fleet.Target, resp *fetch.Response) verdict {
+// reply passes an answer on that is no stream. It calls settled once as much of
+// the answer is there as is read before the caller gets any of it.
+func (c *call) reply(t fleet.Target, resp *fetch.Response, settled func() bool) verdict {
 	if v, bad := c.checkSignature(t, resp); bad {
 		return v
 	}
@@ -24,6 +25,7 @@
 	if err != nil {
 		return c.judgeError(t, err)
 	}
+	settled()
 	whole := len(start) < replyBuffer
 	c.gate.loads.worked(t.ID, time.Since(c.sentAt))
 	h := c.w.Header()
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -90,8 +90,9 @@
 		if s.began {
 			s.call.gate.loads.worked(t.ID, came.Sub(s.last))
 		}
-		s.last = came
+		s.last, s.call.lastAt = came, came
 		if !s.began {
+			s.call.firstAt = came
 			firstTime.UpdateDuration(s.call.start)
 			s.call.gate.loads.read(t.ID, parsePrompt(s.call.r.Header.Get(s.call.gate.Names.Prompt)))
 		}
