gate, fleet, limit: requests within the rate outlast an election

Requests that waited did not see what their host's own bucket refilled meanwhile. The new leader was elected after 0.6 s but found only after 0.9 to 1.2 s, since the wait for news hung on the old one and renewals waited 0.5 s and did not follow the name of a leader at once.

Ruled out: larger parts on hosts; they take from what others may ask for.

Change: while no issuer answers, a request waits up to 1.2 s or half of its time; it looks at the host's own bucket as that refills; once the issuer has said no it is refused in 60 ms as before. Renewals time out after 0.2 s and follow redirects; a wait for news ends when another host turns out to lead.

--- a/fleet/client.go
+++ b/fleet/client.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/plan"
 	"github.com/banyanspur/banyanspur/turns"
@@ -28,6 +30,9 @@
 	Peers *wire.Pool
 	// Clock is the process's clock; it must count time spent suspended.
 	Clock types.Clock
+	// Wait is how long the leader may wait for news before it answers. The
+	// default is [DefaultWait].
+	Wait time.Duration
 	// Changed, if set, is called after each change of the view, before the
 	// next one is asked for.
 	Changed func(View)
@@ -42,6 +47,7 @@
 	known  []string // the control hosts that were last heard of
 	leader string   // where the leader was seen last
 	next   int      // the next of the known hosts to try
+	moved  func()   // ends the wait for news of a host that does not lead any more
 }
 
 // View is what a host knows. It must not be changed.
@@ -53,8 +59,9 @@
 }
 
 const (
-	// syncWait is how long the leader may wait for news before it answers.
-	syncWait = 900 * time.Millisecond
+	// DefaultWait is several round trips between regions, and less than the time
+	// for which a host may go on without a word of a leader.
+	DefaultWait = 900 * time.Millisecond
 	// callTimeout bounds one request to one control host, beyond any wait.
 	callTimeout = 600 * time.Millisecond
 	// retryPause spreads attempts while there is no leader.
@@ -81,10 +88,15 @@
 	for ctx.Err() == nil {
 		view := c.View()
 		asked := c.Clock()
-		req := SyncRequest{Host: c.Host, Store: c.Store, Have: view.Have, Wait: syncWait}
-		tryCtx, cancel := context.WithTimeout(ctx, syncWait+callTimeout)
+		req := SyncRequest{Host: c.Host, Store: c.Store, Have: view.Have, Wait: c.wait()}
+		tryCtx, cancel := context.WithTimeout(ctx, c.wait()+callTimeout)
+		c.onMove(cancel)
 		reply, err := try[SyncRequest, SyncReply](tryCtx, c, KindSync, req)
+		moved := errors.Is(tryCtx.Err(), context.Canceled)
 		cancel()
+		if err != nil && moved && ctx.Err() == nil {
+			continue // Another host leads.
+		}
 		if err != nil {
 			if !away && ctx.Err() == nil {
 				c.Log.Write(event.LeaderAway, event.Fields{"error": err.Error()})
@@ -103,6 +115,13 @@
 	return nil
 }
 
+func (c *Client) wait() time.Duration {
+	if c.Wait > 0 {
+		return c.Wait
+	}
+	return DefaultWait
+}
+
 func (c *Client) apply(view View, reply SyncReply) {
 	c.mu.Lock()
 	c.known = reply.Control
@@ -148,6 +167,14 @@
 	return all[c.next%len(all)]
 }
 
+// onMove sets what ends the wait for news when another host turns out to lead:
+// the one that was asked may be silent for as long as the wait lasts.
+func (c *Client) onMove(end func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.moved = end
+}
+
 // noteFailure turns to the leader that was named, or else to the next host.
 func (c *Client) noteFailure(at, leader string) {
 	c.mu.Lock()
@@ -162,9 +189,14 @@
 	}
 }
 
+// noteLeader notes who has answered as leader.
 func (c *Client) noteLeader(at string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if at != c.leader && c.moved != nil {
+		c.moved()
+		c.moved = nil
+	}
 	c.leader = at
 }
 
@@ -191,6 +223,21 @@
 	return resp, err
 }
 
+// follow is try for requests that are of use now or not at all: it asks at once
+// again where a host names the leader.
+func follow[Req, Resp any](ctx context.Context, c *Client, kind wire.Kind, req Req) (resp Resp, err error) {
+	for range maxRedirects {
+		resp, err = try[Req, Resp](ctx, c, kind, req)
+		if !types.IsCode(err, types.CodeNotLeader) || types.AsFault(err).Leader == "" {
+			return resp, err
+		}
+	}
+	return resp, err
+}
+
+// maxRedirects bounds how often one request follows the name of a leader.
+const maxRedirects = 3
+
 // retryable reports whether another host, or the same one later, may answer
 // better.
 func retryable(err error) bool {
@@ -221,7 +268,7 @@
 
 // Limits renews this host's allotments.
 func (c *Client) Limits(ctx context.Context, req LimitsRequest) (LimitsReply, error) {
-	return try[LimitsRequest, LimitsReply](ctx, c, KindLimits, req)
+	return follow[LimitsRequest, LimitsReply](ctx, c, KindLimits, req)
 }
 
 // Copied reports for which moves this host's store has copied everything.
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -108,5 +108,5 @@
 
 // Loads tells what this host sees of targets and returns what the others see.
 func (c *Client) Loads(ctx context.Context, req LoadsRequest) (LoadsReply, error) {
-	return try[LoadsRequest, LoadsReply](ctx, c, KindLoads, req)
+	return follow[LoadsRequest, LoadsReply](ctx, c, KindLoads, req)
 }
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -39,11 +39,15 @@
 	// reportInterval is how often a host that holds nothing says so: a new leader
 	// has to hear from everyone who may hold something.
 	reportInterval = time.Second
-	// renewTimeout bounds one renewal.
-	renewTimeout = 500 * time.Millisecond
+	// renewTimeout bounds one renewal: many round trips between zones, and less
+	// than an election takes, so that the new leader is found soon.
+	renewTimeout = 200 * time.Millisecond
 	// shortWait is how long a request waits for a renewal when its account's
 	// share is used up, before it is refused.
 	shortWait = 60 * time.Millisecond
+	// silentWait is how long it waits while no issuer answers: as long as an
+	// election and its discovery take. It is within its rate for all that is known.
+	silentWait = 1200 * time.Millisecond
 	// kickPause is the least time between two renewals that were asked for; what
 	// falls due meanwhile shares one request.
 	kickPause = 4 * time.Millisecond
@@ -72,23 +76,48 @@
 		return nil
 	}
 	defer s.leave(c.account.Name)
-	deadline := time.NewTimer(shortWait)
-	defer deadline.Stop()
+	wait := shareWait{end: time.Now().Add(min(silentWait, c.left()/2))}
 	for {
 		select {
 		case <-news:
-			if news, ok = s.retake(c.account.Name); ok {
-				c.spent = true
-				return nil
-			}
-		case <-deadline.C:
-			return c.limited()
+			wait.heard()
+		case <-time.After(wait.next(s.refilled(c.account.Name))):
 		case <-c.r.Context().Done():
 			return c.limited()
 		}
+		if news, ok = s.retake(c.account.Name); ok {
+			c.spent = true
+			return nil
+		}
+		if news == nil || time.Now().After(wait.end) {
+			return c.limited()
+		}
 	}
 }
 
+// shareWait is how long a request waits for a part of its account's limit.
+type shareWait struct {
+	end  time.Time
+	told bool // the issuer has answered
+}
+
+// heard notes an answer of the issuer.
+func (w *shareWait) heard() {
+	if w.told {
+		return
+	}
+	w.told = true
+	if soon := time.Now().Add(shortWait); soon.Before(w.end) {
+		w.end = soon
+	}
+}
+
+// next returns how long to wait for news at the most; the host's own bucket has
+// a token after refilled.
+func (w *shareWait) next(refilled time.Duration) time.Duration {
+	return min(time.Until(w.end), max(refilled, kickPause))
+}
+
 // limited refuses a request that is beyond its account's limit.
 func (c *call) limited() *refusal {
 	s := &c.gate.shares
@@ -159,6 +188,18 @@
 	return a.news, false
 }
 
+// refilled returns when the host's own bucket has a token if the issuer stays
+// silent, [limit.Never] if the host has none.
+func (s *shares) refilled(id types.AccountID) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.of[id]
+	if a == nil {
+		return limit.Never
+	}
+	return a.Alone(s.gate.Clock())
+}
+
 func (s *shares) leave(id types.AccountID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/limit/share.go
+++ b/limit/share.go
@@ -93,6 +93,16 @@
 	return time.Duration(max(0, 1-s.level) / float64(s.held.Rate) * float64(time.Second))
 }
 
+// Alone returns how long it takes until a request can be spent while the issuer
+// stays silent, [Never] if the holder does not refill itself.
+func (s *Share) Alone(now types.Mono) time.Duration {
+	wait := s.Wait(now)
+	if wait == Never {
+		return Never
+	}
+	return max(0, s.heard.Add(StandbyTime).Sub(now)) + wait
+}
+
 // Left returns how long the allotment still counts; 0 if there is none.
 func (s *Share) Left(now types.Mono) time.Duration { return max(0, s.until.Sub(now)) }
 
