limit, gate: requests wait for their turn within their account's limit

(2) Whether small buckets fit on all hosts was asked for the hosts that had come so far: the first of 60 hosts got two tokens each of an account whose burst is nine. (3) A request was refused after 60 ms, although its turn was near: such accounts refill a token in 30 to 120 ms.

--- a/fleet/lead.go
+++ b/fleet/lead.go
@@ -121,6 +121,7 @@
 				issuer.Return(demand.Holder, now)
 				continue
 			}
+			issuer.Hosts = len(c.machine.Holders())
 			reply.Allotments[id] = issuer.Renew(demand, now)
 			if known {
 				issuer.Settle(now)
--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -117,6 +117,7 @@
 		Accounts: []plan.Account{
 			{Name: "choir", Keys: []types.KeyHash{types.HashKey("choir-key")}},
 			{Name: "band", Keys: []types.KeyHash{types.HashKey("band-key")}, Priority: 1, Ranked: true},
+			{Name: "mid", Keys: []types.KeyHash{types.HashKey("mid-key")}, Rate: 43, Burst: 43},
 			{Name: "small", Keys: []types.KeyHash{types.HashKey("small-key")}, Rate: 5, Burst: 5},
 		},
 	}
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
-	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/limit"
 	"github.com/banyanspur/banyanspur/plan"
@@ -42,12 +40,6 @@
 	// renewTimeout bounds one renewal: many round trips between zones, and less
 	// than an election takes, so that the new leader is found soon.
 	renewTimeout = 200 * time.Millisecond
-	// shortWait is how long a request waits for a renewal when its account's
-	// share is used up, before it is refused.
-	shortWait = 60 * time.Millisecond
-	// silentWait is how long it waits while no issuer answers: as long as an
-	// election and its discovery take. It is within its rate for all that is known.
-	silentWait = 1200 * time.Millisecond
 	// kickPause is the least time between two renewals that were asked for; what
 	// falls due meanwhile shares one request.
 	kickPause = 4 * time.Millisecond
@@ -64,95 +56,10 @@
 	s.of = map[types.AccountID]*account{}
 }
 
-// spend takes a request of the account's limit.
-func (c *call) spend() *refusal {
-	if c.account == nil || c.account.Rate <= 0 {
-		return nil
-	}
-	s := &c.gate.shares
-	news, ok := s.take(c.account.Name)
-	if ok {
-		c.spent = true
-		return nil
-	}
-	defer s.leave(c.account.Name)
-	wait := shareWait{end: time.Now().Add(min(silentWait, c.left()/2))}
-	for {
-		select {
-		case <-news:
-			wait.heard()
-		case <-time.After(wait.next(s.refilled(c.account.Name))):
-		case <-c.r.Context().Done():
-			return c.limited()
-		}
-		if news, ok = s.retake(c.account.Name); ok {
-			c.spent = true
-			return nil
-		}
-		if news == nil || time.Now().After(wait.end) {
-			return c.limited()
-		}
-	}
-}
-
-// shareWait is how long a request waits for a part of its account's limit.
-type shareWait struct {
-	end  time.Time
-	told bool // the issuer has answered
-}
-
-// heard notes an answer of the issuer.
-func (w *shareWait) heard() {
-	if w.told {
-		return
-	}
-	w.told = true
-	if soon := time.Now().Add(shortWait); soon.Before(w.end) {
-		w.end = soon
-	}
-}
-
-// next returns how long to wait for news at the most; the host's own bucket has
-// a token after refilled.
-func (w *shareWait) next(refilled time.Duration) time.Duration {
-	return min(time.Until(w.end), max(refilled, kickPause))
-}
-
-// limited refuses a request that is beyond its account's limit.
-func (c *call) limited() *refusal {
-	s := &c.gate.shares
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	wait := limit.Never
-	var held limit.Allotment
-	tokens := 0.0
-	if a := s.of[c.account.Name]; a != nil {
-		wait = a.Wait(s.gate.Clock())
-		held, tokens = a.Held(s.gate.Clock())
-	}
-	if wait == limit.Never {
-		// The host has no bucket of its own; what the whole account refills is
-		// shared with others who wait.
-		wait = time.Duration(sharedWait / float64(c.account.Rate) * float64(time.Second))
-	}
-	wait = max(minRetry, min(wait, limit.AllotmentTime))
-	return &refusal{
-		status: http.StatusTooManyRequests, after: wait, reason: "the account is above its rate",
-		fields: event.Fields{"rate": c.account.Rate, "burst": c.account.Burst, "held": held, "tokens": tokens},
-	}
-}
-
-const (
-	// minRetry is the least time to come back in.
-	minRetry = 50 * time.Millisecond
-	// sharedWait is how many requests of an account that is above its rate are
-	// taken to be ahead of one that is told to come back.
-	sharedWait = 5
-)
-
 // take spends one request of an account's share. If there is none, the request
-// waits from then on, until leave, and the channel tells of the next renewal.
-func (s *shares) take(id types.AccountID) (news <-chan struct{}, ok bool) {
+// waits from then on behind some others of this host, until leave, and the
+// channel tells of the next renewal.
+func (s *shares) take(id types.AccountID) (news <-chan struct{}, ahead int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.gate.Clock()
@@ -166,11 +73,11 @@
 		if a.Low(now) {
 			s.wantMore(a)
 		}
-		return nil, true
+		return nil, 0, true
 	}
 	a.waiting++
 	s.wantMore(a)
-	return a.news, false
+	return a.news, a.waiting - 1, false
 }
 
 // retake is take for a request that waits already.
@@ -188,18 +95,6 @@
 	return a.news, false
 }
 
-// refilled returns when the host's own bucket has a token if the issuer stays
-// silent, [limit.Never] if the host has none.
-func (s *shares) refilled(id types.AccountID) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	a := s.of[id]
-	if a == nil {
-		return limit.Never
-	}
-	return a.Alone(s.gate.Clock())
-}
-
 func (s *shares) leave(id types.AccountID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -217,6 +112,15 @@
 	}
 }
 
+// ask asks for a renewal of one account at once.
+func (s *shares) ask(id types.AccountID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.of[id]; a != nil {
+		s.wantMore(a)
+	}
+}
+
 func (s *shares) giveBack(a *plan.Account) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/limit/issuer.go
+++ b/limit/issuer.go
@@ -23,6 +23,8 @@
 	// Now is how many of the requests that wait may go at once. It is of no use
 	// later than [NowTime] after it was asked for.
 	Now int `json:"now,omitempty"`
+	// Queue is how many requests wait at other holders.
+	Queue int `json:"queue,omitempty"`
 }
 
 // Demand is what a holder tells when it asks for an allotment.
@@ -37,8 +39,8 @@
 	Back float64 `json:"back,omitempty"`
 	// Waiting is how many requests wait for the answer.
 	Waiting int `json:"waiting,omitempty"`
-	// Held is the newest allotment that the holder has, with Tokens and Now left
-	// out.
+	// Held is the newest allotment that the holder has, with Tokens, Now and Queue
+	// left out.
 	Held Allotment `json:"held"`
 	// Left is how long Held still counts; 0 if the holder has none.
 	Left time.Duration `json:"left"`
@@ -78,6 +80,10 @@
 	// lay in such buckets would be most of the limit. Each of its requests is then
 	// asked for.
 	minRate = 3
+	// queueTime is how long a holder that has not asked again counts as having
+	// requests that wait. It is longer than the pause between two renewals of one
+	// that has.
+	queueTime = 150 * time.Millisecond
 )
 
 // Issuer divides one account's limit among holders. Its own refill and the rates
@@ -91,6 +97,9 @@
 // others get tokens from the part that no issuer ever gives out. An Issuer is
 // not safe for concurrent use.
 type Issuer struct {
+	// Hosts is how many hosts may come to ask; 0 stands for those that have.
+	Hosts int
+
 	limit  Limit
 	since  types.Mono // when this issuer began
 	known  bool       // all that is out is known
@@ -107,6 +116,7 @@
 	last        Allotment
 	heard       types.Mono // when the holder asked last
 	until       types.Mono
+	waiting     int // requests that were left waiting when it asked last
 }
 
 // NewIssuer returns an issuer that begins at now.
@@ -153,9 +163,22 @@
 	i.level -= float64(next.Now)
 	next.Tokens = max(0, min(i.level, next.Burst-d.Tokens))
 	i.level -= next.Tokens
+	h.waiting = d.Waiting - next.Now
+	next.Queue = i.queue(d.Holder, now)
 	return next
 }
 
+// queue returns how many requests wait at all holders but one.
+func (i *Issuer) queue(than Holder, now types.Mono) int {
+	n := 0
+	for id, h := range i.out {
+		if id != than && now.Sub(h.heard) < queueTime {
+			n += h.waiting
+		}
+	}
+	return n
+}
+
 // settled reports whether everything that is out is known.
 func (i *Issuer) settled(now types.Mono) bool {
 	return i.known || now.Sub(i.since) > allotmentWait
@@ -180,7 +203,7 @@
 // as far as that leaves their parts to the others. The rest stays in the
 // issuer's bucket, from which a holder is refilled within a round trip.
 func (i *Issuer) size(d Demand) (types.PerSecond, float64) {
-	if d.Rate < minRate && issuedShare*float64(i.limit.Burst) < minBurst*float64(len(i.out)) {
+	if d.Rate < minRate && issuedShare*float64(i.limit.Burst) < minBurst*float64(max(i.Hosts, len(i.out))) {
 		return 0, 0
 	}
 	share := issuedShare * i.share(d.Holder)
--- a/limit/issuer_test.go
+++ b/limit/issuer_test.go
@@ -309,3 +309,39 @@
 		t.Errorf("refused within the limit (-want +got):\n%s", diff)
 	}
 }
+
+// TestTokenThatWasNotUsedGoesBack has a holder without a bucket of its own give
+// back what was let go at once: a program that goes on after its budget is spent
+// must not use up its account's limit.
+func TestTokenThatWasNotUsedGoesBack(t *testing.T) {
+	d := newDivision(limit.Limit{Rate: 1, Burst: 8})
+	d.issuer.Hosts = 60
+	d.issuer.Settle(0)
+	d.now = d.now.Add(8 * time.Second)
+	for i := range 40 {
+		h := limit.Holder(fmt.Sprint("entry-", i%20))
+		d.renew(h, 1, false)
+		if !d.holders[h].Take(d.now) {
+			t.Fatalf("request %d found nothing, although none has been used", i)
+		}
+		d.holders[h].GiveBack()
+		d.renew(h, 0, false)
+	}
+}
+
+// TestQueueTellsWhoWaitsElsewhere has requests wait on some hosts of an account
+// that has nothing left.
+func TestQueueTellsWhoWaitsElsewhere(t *testing.T) {
+	d := newDivision(limit.Limit{Rate: 10, Burst: 2})
+	d.renew("entry-1", 3, false)
+	d.renew("entry-2", 4, false)
+	d.renew("entry-3", 1, false)
+	if diff := cmp.Diff(800*time.Millisecond, d.holders["entry-3"].Queue(0, 10)); diff != "" {
+		t.Errorf("wait on the third host (-want +got):\\n%s", diff)
+	}
+	d.now = d.now.Add(time.Second)
+	d.renew("entry-3", 0, false)
+	if diff := cmp.Diff(100*time.Millisecond, d.holders["entry-3"].Queue(0, 10)); diff != "" {
+		t.Errorf("wait after the others have gone (-want +got):\\n%s", diff)
+	}
+}
--- a/limit/share.go
+++ b/limit/share.go
@@ -71,6 +71,16 @@
 	return s.Left(now) > 0 && (s.held.Rate > 0 || s.held.Burst > 0 || s.back > 0)
 }
 
+// Queue returns how long a request has to wait behind those of all holders, as
+// far as the issuer knows, if ahead of this holder's own are before it and the
+// account's limit has the given rate.
+func (s *Share) Queue(ahead int, rate types.PerSecond) time.Duration {
+	if rate <= 0 {
+		return Never
+	}
+	return time.Duration(float64(s.held.Queue+ahead+1) / float64(rate) * float64(time.Second))
+}
+
 // lowShare is the part of a bucket at which more is asked for.
 const lowShare = 0.5
 
@@ -80,8 +90,15 @@
 	s.used = now
 }
 
-// GiveBack returns a request that was taken and that no target has seen.
-func (s *Share) GiveBack() { s.level = min(s.level+1, s.held.Burst) }
+// GiveBack returns a request that was taken and that no target has seen. What
+// the bucket does not hold goes back to the issuer with the next demand.
+func (s *Share) GiveBack() {
+	s.level++
+	if over := s.level - s.held.Burst; over > 0 {
+		s.level -= over
+		s.back += over
+	}
+}
 
 // Wait returns how long it takes until a request can be spent, [Never] if the
 // holder has no allotment.
@@ -127,7 +144,7 @@
 		s.asked, s.ratedAt = 0, now
 	}
 	held := s.held
-	held.Tokens, held.Now = 0, 0
+	held.Tokens, held.Now, held.Queue = 0, 0, 0
 	back := s.back
 	s.back = 0 // If the demand is lost, so is this; nothing is ever given back twice.
 	return Demand{Holder: h, Back: back, Waiting: waiting, Rate: types.PerSecond(s.rate), Tokens: s.level, Held: held, Left: s.Left(now)}
