route: a request counts what it costs those who run beside it

The prices counted a quarter of the one and nothing of the other.

Change: 40 ms for each request beside it, and reading counts twice for each.

--- a/route/place.go
+++ b/route/place.go
@@ -49,9 +49,13 @@
 type Prices struct {
 	// PrefillRate is how many prompt tokens an engine reads in a millisecond.
 	PrefillRate float64
-	// Neighbour is what each request that an engine runs beside this one adds
-	// to its time, by the prompts that it brings.
+	// Neighbour is what a request and each one that an engine runs beside it add
+	// to each other's time.
 	Neighbour time.Duration
+	// Stall is how many times the reading of a prompt counts for each request that
+	// runs on the engine: it stands still meanwhile, and what the engine drops to
+	// make room is read again later.
+	Stall float64
 	// OtherZone stands for the price of bytes between zones. It is near what a
 	// usual shared part takes to read, so that each zone has homes of its own
 	// and a session stays where its prompt lies.
@@ -69,7 +73,8 @@
 // DefaultPrices suit engines that read some hundred tokens in a millisecond.
 var DefaultPrices = Prices{
 	PrefillRate: 160,
-	Neighbour:   10 * time.Millisecond,
+	Stall:       2,
+	Neighbour:   40 * time.Millisecond,
 	OtherZone:   60 * time.Millisecond,
 	Rank:        3 * time.Millisecond,
 	Failure:     2 * time.Second,
@@ -127,8 +132,7 @@
 		cost += p.Failure.Seconds()
 	}
 	if w.Prompt > 0 {
-		cost += float64(w.Prompt-min(o.Held, w.Prompt)) / p.PrefillRate / 1000
-		cost += busy * p.Neighbour.Seconds() * max(1, o.Pace)
+		cost += p.engine(o, w, busy)
 	}
 	if over := busy + 1 - float64(o.Slots); o.Slots > 0 && over > 0 {
 		cost += over / float64(o.Slots) * w.Service.Seconds() * max(1, o.Pace)
@@ -145,6 +149,18 @@
 	return cost
 }
 
+// engine returns what a request costs on an engine, counting what it costs the
+// requests that run there: each token that is generated takes longer for all,
+// and what has to be read first holds all of them up.
+func (p Prices) engine(o Option, w Work, busy float64) float64 {
+	running := busy
+	if o.Slots > 0 {
+		running = min(busy, float64(o.Slots))
+	}
+	read := float64(w.Prompt-min(o.Held, w.Prompt)) / p.PrefillRate / 1000
+	return read*(1+p.Stall*running) + running*p.Neighbour.Seconds()*max(1, o.Pace)
+}
+
 // busy estimates how many requests are at a target: what it told, corrected by
 // what this host has sent and got back since, and by nothing but the latter as
 // the report ages.
