fleet, gate, route, trial: hosts tell each other what targets hold, and look at some of them

Cause: each host knew only what it had sent itself. And all hosts heard at the same time which target was idle and sent there: the busiest engine ran 48 requests where the mean ran 6, the ninth decile 18.

Change: with the loads, hosts tell which shared parts targets have read; each is told once, and again while it is used. A host looks at the target that holds most of a prompt, two random ones of those that hold most of it and one of the others. The price of a neighbour is 10 ms again.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -60,6 +60,7 @@
 	copied  map[turns.StoreID]map[turns.Shard]turns.Epoch
 	targets Targets
 	table   loadTable
+	holds   holdTable
 	issuers map[types.AccountID]*limit.Issuer
 	// accounts is the plan in force, indexed.
 	accounts *plan.Table
@@ -104,7 +105,7 @@
 	c.heard = map[turns.StoreID]types.Mono{}
 	c.copied = map[turns.StoreID]map[turns.Shard]turns.Epoch{}
 	c.targets = Targets{}
-	c.table = loadTable{}
+	c.table, c.holds = loadTable{}, holdTable{}
 	c.issuers = map[types.AccountID]*limit.Issuer{}
 	c.accounts = nil
 	c.reported = map[types.HostID]bool{}
--- /dev/null
+++ b/fleet/holds_test.go
@@ -0,0 +1,49 @@
+package fleet_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/banyanspur/banyanspur/fleet"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// TestHostsHearWhatTargetsHold has hosts report what targets have read, one of
+// them twice, and another host that comes late hear all of it once.
+func TestHostsHearWhatTargetsHold(t *testing.T) {
+	f := newFleet(t, 1)
+	f.runAll()
+	c, _ := f.client("entry-1")
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	defer cancel()
+	exchange := func(host types.HostID, held fleet.Holdings, heard fleet.Mark) (fleet.Holdings, fleet.Mark) {
+		var reply fleet.LoadsReply
+		waitFor(t, "an exchange", func() bool {
+			var err error
+			reply, err = c.Loads(ctx, fleet.LoadsRequest{Host: host, Held: held, Heard: heard})
+			return err == nil
+		})
+		return reply.Held, reply.Mark
+	}
+	_, first := exchange("entry-1", fleet.Holdings{"t1": {7}}, fleet.Mark{})
+	exchange("entry-1", fleet.Holdings{"t1": {7}}, first)
+	exchange("entry-2", fleet.Holdings{"t2": {7, 9}}, fleet.Mark{})
+	news, _ := exchange("entry-1", nil, first)
+	if diff := cmp.Diff(fleet.Holdings{"t2": {7, 9}}, news); diff != "" {
+		t.Errorf("news since the first exchange (-want +got):\n%s", diff)
+	}
+	all, mark := exchange("entry-3", nil, fleet.Mark{})
+	if diff := cmp.Diff(fleet.Holdings{"t1": {7}, "t2": {7, 9}}, all); diff != "" {
+		t.Errorf("what a new host hears (-want +got):\n%s", diff)
+	}
+	none, _ := exchange("entry-3", nil, mark)
+	if diff := cmp.Diff(fleet.Holdings(nil), none); diff != "" {
+		t.Errorf("news since then (-want +got):\n%s", diff)
+	}
+	other, _ := exchange("entry-3", nil, fleet.Mark{Table: "an earlier leader", Next: 99})
+	if diff := cmp.Diff(fleet.Holdings{"t1": {7}, "t2": {7, 9}}, other); diff != "" {
+		t.Errorf("what a host hears that knows another leader's table (-want +got):\n%s", diff)
+	}
+}
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -24,12 +24,20 @@
 type LoadsRequest struct {
 	Host  types.HostID            `json:"host"`
 	Loads map[types.TargetID]Load `json:"loads"`
+	// Held are the shared parts of prompts that targets have read for this host
+	// since its last report.
+	Held Holdings `json:"held,omitempty"`
+	// Heard is up to where the host knows what targets hold.
+	Heard Mark `json:"heard"`
 }
 
 // LoadsReply tells what all other hosts see: the sum of Busy and the mean of
 // Unit.
 type LoadsReply struct {
 	Loads map[types.TargetID]Load `json:"loads"`
+	// Held is what has become known since the mark of the request.
+	Held Holdings `json:"held,omitempty"`
+	Mark Mark     `json:"mark"`
 }
 
 // loadsLife is how long a host's report counts.
@@ -102,7 +110,11 @@
 // loads takes a host's report, on the leader.
 func (c *Control) loads(_ context.Context, req LoadsRequest) (LoadsReply, error) {
 	var reply LoadsReply
-	err := c.lead(func(now types.Mono) { reply.Loads = c.table.exchange(req, now) })
+	err := c.lead(func(now types.Mono) {
+		reply.Loads = c.table.exchange(req, now)
+		c.holds.note(req.Held, now)
+		reply.Held, reply.Mark = c.holds.since(req.Heard)
+	})
 	return reply, err
 }
 
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -125,7 +126,7 @@
 		units = append(units, unit)
 	}
 	route.SetPaces(options, units)
-	i := route.Place(options, work, c.gate.Prices)
+	i := route.Place(options, work, c.gate.Prices, rand.IntN)
 	if i < 0 {
 		return choice{}, false
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -112,13 +112,19 @@
 
 // exchangeLoads tells what this host sees of targets and hears what others see.
 func (g *Gate) exchangeLoads(ctx context.Context) error {
+	var heard fleet.Mark
 	for types.Sleep(ctx, loadsInterval) {
 		askCtx, cancel := context.WithTimeout(ctx, loadsTimeout)
-		reply, err := g.Fleet.Loads(askCtx, fleet.LoadsRequest{Host: g.Host, Loads: g.loads.report()})
+		reply, err := g.Fleet.Loads(askCtx, fleet.LoadsRequest{
+			Host: g.Host, Loads: g.loads.report(), Held: g.loads.holdings(), Heard: heard,
+		})
 		cancel()
-		if err == nil { // Else what the host sees itself must do.
-			g.loads.hear(reply.Loads)
+		if err != nil {
+			continue // What the host sees itself must do.
 		}
+		g.loads.hear(reply.Loads)
+		g.loads.hearHoldings(reply.Held)
+		heard = reply.Mark
 	}
 	return nil
 }
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -1,11 +1,14 @@
 package gate
 
 import (
+	"maps"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/route"
 	"github.com/banyanspur/banyanspur/types"
@@ -28,8 +31,9 @@
 	toldAt   time.Time
 	failures int // in a row
 	failedAt time.Time
-	held     map[string]time.Time // parts of prompts, and when they were used last
-	unit     float64              // seconds for a unit of work, as this host sees it
+	held     map[types.PartHash]time.Time // parts of prompts, and when they were used or heard of last
+	news     map[types.PartHash]bool      // shared parts that other hosts have not been told of
+	unit     float64                      // seconds for a unit of work, as this host sees it
 	unitAt   time.Time
 	others   fleet.Load // what the other hosts saw at othersAt
 	othersAt time.Time
@@ -55,7 +59,7 @@
 		if l.of == nil {
 			l.of = map[types.TargetID]*load{}
 		}
-		t = &load{held: map[string]time.Time{}}
+		t = &load{held: map[types.PartHash]time.Time{}, news: map[types.PartHash]bool{}}
 		l.of[id] = t
 	}
 	return t
@@ -153,11 +157,11 @@
 	return now.Sub(k.failedAt) < pause
 }
 
-// heldOf returns the size of the leading parts that the target has read.
+// heldOf returns the size of the leading parts that the target holds.
 func (k *load) heldOf(parts []part) types.Tokens {
 	var sum types.Tokens
 	for _, p := range parts {
-		if _, ok := k.held[p.id]; !ok {
+		if used, ok := k.held[p.hash]; !ok || time.Since(used) > fleet.HoldingLife {
 			return sum
 		}
 		sum += p.tokens
@@ -208,30 +212,59 @@
 	k.failures++
 	k.failedAt = time.Now()
 	clear(k.held) // A target that failed may have started anew.
+	clear(k.news)
 }
 
-// read notes that a target has read a prompt of the given parts.
+// read notes that a target has read a prompt of the given parts. The last one
+// is the request's own; other hosts are told of those before it.
 func (l *loads) read(id types.TargetID, parts []part) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k := l.get(id)
 	now := time.Now()
-	for _, p := range parts {
-		k.held[p.id] = now
+	for i, p := range parts {
+		k.held[p.hash] = now
+		if i < len(parts)-1 {
+			k.news[p.hash] = true
+		}
+	}
+	k.trim(now)
+}
+
+// trim drops parts that have not been used for too long, if there are many.
+func (k *load) trim(now time.Time) {
+	if len(k.held) <= maxHeld {
+		return
 	}
-	for len(k.held) > maxHeld {
-		k.dropOldest()
+	maps.DeleteFunc(k.held, func(_ types.PartHash, used time.Time) bool { return now.Sub(used) > fleet.HoldingLife/3 })
+}
+
+// holdings returns what other hosts have not been told of.
+func (l *loads) holdings() fleet.Holdings {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := fleet.Holdings{}
+	for id, k := range l.of {
+		for part := range k.news {
+			held[id] = append(held[id], part)
+		}
+		clear(k.news)
 	}
+	return held
 }
 
-func (k *load) dropOldest() {
-	oldest, at := "", time.Time{}
-	for id, used := range k.held {
-		if oldest == "" || used.Before(at) {
-			oldest, at = id, used
+// hearHoldings notes what targets hold as other hosts tell.
+func (l *loads) hearHoldings(held fleet.Holdings) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for id, parts := range held {
+		k := l.get(id)
+		for _, part := range parts {
+			k.held[part] = now
 		}
+		k.trim(now)
 	}
-	delete(k.held, oldest)
 }
 
 // forget drops what is known of targets that are no longer listed and have
@@ -249,6 +282,7 @@
 // part is one part of a prompt.
 type part struct {
 	id     string
+	hash   types.PartHash
 	tokens types.Tokens
 }
 
@@ -261,7 +295,7 @@
 		if !ok || err != nil || n < 0 {
 			return parts
 		}
-		parts = append(parts, part{id: id, tokens: types.Tokens(n)})
+		parts = append(parts, part{id: id, hash: types.PartHash(xxhash.Sum64String(id)), tokens: types.Tokens(n)})
 	}
 	return parts
 }
--- a/route/place.go
+++ b/route/place.go
@@ -49,13 +49,17 @@
 type Prices struct {
 	// PrefillRate is how many prompt tokens an engine reads in a millisecond.
 	PrefillRate float64
-	// Neighbour is what a request and each one that an engine runs beside it add
-	// to each other's time.
+	// Neighbour is what each request that an engine runs beside this one adds
+	// to its time.
 	Neighbour time.Duration
 	// Stall is how many times the reading of a prompt counts for each request that
 	// runs on the engine: it stands still meanwhile, and what the engine drops to
 	// make room is read again later.
 	Stall float64
+	// Holders is how many random ones of the targets are looked at that hold most
+	// of a prompt, besides the one that holds most of it, and Others how many of
+	// those that do not.
+	Holders, Others int
 	// OtherZone stands for the price of bytes between zones. It is near what a
 	// usual shared part takes to read, so that each zone has homes of its own
 	// and a session stays where its prompt lies.
@@ -74,27 +78,85 @@
 var DefaultPrices = Prices{
 	PrefillRate: 160,
 	Stall:       2,
-	Neighbour:   40 * time.Millisecond,
+	Neighbour:   10 * time.Millisecond,
+	Holders:     2,
+	Others:      1,
 	OtherZone:   60 * time.Millisecond,
 	Rank:        3 * time.Millisecond,
 	Failure:     2 * time.Second,
 	Stale:       2 * time.Second,
 }
 
-// Place returns the index of the option with the least expected time, or -1 if
-// there is none.
-func Place(options []Option, w Work, p Prices) int {
+// Place returns the index of the option with the least expected time among
+// those that are looked at, or -1 if there is none. Draw returns a random number
+// below n; if it is nil, all options are looked at.
+func Place(options []Option, w Work, p Prices, draw func(n int) int) int {
 	best, least := -1, 0.0
 	ranks := homeRanks(options, w.Home)
-	for i, o := range options {
-		cost := p.expected(o, w) + ranks[i]*p.Rank.Seconds()
-		if best < 0 || cost < least || cost == least && o.ID < options[best].ID {
+	look := func(i int) {
+		cost := p.expected(options[i], w) + ranks[i]*p.Rank.Seconds()
+		if best < 0 || cost < least || cost == least && options[i].ID < options[best].ID {
 			best, least = i, cost
 		}
 	}
+	if draw == nil || w.Prompt == 0 {
+		for i := range options {
+			look(i)
+		}
+		return best
+	}
+	for _, i := range p.candidates(options, w, ranks, draw) {
+		look(i)
+	}
 	return best
 }
 
+// candidates returns some of the options for a prompt. Hosts hear of each
+// other's requests only now and then: if all looked at all targets, all would
+// send to the one that was idle last.
+func (p Prices) candidates(options []Option, w Work, ranks []float64, draw func(n int) int) []int {
+	sound := indices(options, func(o Option) bool { return !o.Failing })
+	if len(sound) == 0 {
+		sound = indices(options, func(Option) bool { return true })
+	}
+	var holders, others []int
+	for _, i := range sound {
+		if 2*options[i].Held >= w.Prompt {
+			holders = append(holders, i)
+		} else {
+			others = append(others, i)
+		}
+	}
+	var list []int
+	if len(holders) == 0 { // Hosts that know nothing agree on its homes.
+		slices.SortFunc(others, func(a, b int) int { return cmp.Compare(ranks[a], ranks[b]) })
+		list = append(list, others[:min(p.Holders, len(others))]...)
+	} else {
+		list = append(list, slices.MaxFunc(holders, func(a, b int) int { return cmp.Compare(options[a].Held, options[b].Held) }))
+		list = append(list, some(holders, p.Holders, draw)...)
+	}
+	return append(list, some(others, p.Others, draw)...)
+}
+
+func indices(options []Option, keep func(Option) bool) []int {
+	var list []int
+	for i, o := range options {
+		if keep(o) {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// some draws n of a list; it may draw one of them twice.
+func some(list []int, n int, draw func(n int) int) []int {
+	var drawn []int
+	for range min(n, len(list)) {
+		drawn = append(drawn, list[draw(len(list))])
+	}
+	return drawn
+}
+
 // slowPace is how much slower than usual a target must be to count as slow: what
 // targets do differs from request to request.
 const slowPace = 1.6
--- /dev/null
+++ b/trial/choosers.go
@@ -0,0 +1,47 @@
+package trial
+
+import (
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/banyanspur/banyanspur/route"
+)
+
+// Choosers are the decision in use, a version of it that looks at all targets,
+// and the baselines, by name.
+var Choosers = map[string]Chooser{
+	"expected": func(options []route.Option, w route.Work, r *rand.Rand) int {
+		return route.Place(options, w, route.DefaultPrices, r.IntN)
+	},
+	"expectedOfAll": func(options []route.Option, w route.Work, _ *rand.Rand) int {
+		return route.Place(options, w, route.DefaultPrices, nil)
+	},
+	"leastLoaded": leastLoaded,
+	"sticky":      sticky,
+	"random": func(options []route.Option, _ route.Work, r *rand.Rand) int {
+		return r.IntN(len(options))
+	},
+}
+
+// leastLoaded takes the target that seems to run the fewest requests.
+func leastLoaded(options []route.Option, _ route.Work, r *rand.Rand) int {
+	best := r.IntN(len(options))
+	for i, o := range options {
+		if o.Own+o.Running < options[best].Own+options[best].Running {
+			best = i
+		}
+	}
+	return best
+}
+
+// sticky takes the home of the shared part, whatever runs there.
+func sticky(options []route.Option, w route.Work, _ *rand.Rand) int {
+	best, weight := 0, uint64(0)
+	for i, o := range options {
+		if x := xxhash.Sum64String(w.Home + "/" + string(o.ID)); x >= weight {
+			best, weight = i, x
+		}
+	}
+	return best
+}
--- a/types/units.go
+++ b/types/units.go
@@ -23,6 +23,9 @@
 // Sub returns the time from o to t.
 func (t LogTime) Sub(o LogTime) time.Duration { return time.Duration(t - o) }
 
+// PartHash names a part of prompts among those that hosts know.
+type PartHash uint64
+
 // Tokens counts tokens of a model.
 type Tokens int64
 
