--- a/cmd/banyanspur/main.go
+++ b/cmd/banyanspur/main.go
@@ -27,6 +27,7 @@
 	Check    checkCommand    `command:"check" description:"Check settings files and questionnaires"`
 	Generate generateCommand `command:"generate" description:"Generate the configuration from a questionnaire"`
 	Key      keyCommand      `command:"key" description:"Make a key and print it with its hash"`
+	Trace    traceCommand    `command:"trace" description:"Print what logs say of one request"`
 	Admin    adminCommand    `command:"admin" description:"Administer a running fleet"`
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -23,6 +23,10 @@
 // key or a request's content.
 type Fields = logrus.Fields
 
+// timeFormat has milliseconds, so that lines of several hosts can be put in
+// their order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Log writes events. The zero value discards them. A Log is safe for
 // concurrent use.
 type Log struct {
@@ -33,7 +37,7 @@
 func New(w io.Writer) Log {
 	out := logrus.New()
 	out.SetOutput(w)
-	out.SetFormatter(&logrus.JSONFormatter{})
+	out.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	out.SetLevel(logrus.InfoLevel)
 	return Log{out: out}
 }
--- a/route/place.go
+++ b/route/place.go
@@ -58,7 +58,8 @@
 	Stall float64
 	// Holders is how many random ones of the targets are looked at that hold most
 	// of a prompt, besides the one that holds most of it, and Others how many of
-	// those that do not.
+	// those that do not; those of the own zone come first. One more is drawn from
+	// all zones.
 	Holders, Others int
 	// OtherZone stands for the price of bytes between zones. It is near what a
 	// usual shared part takes to read, so that each zone has homes of its own
@@ -133,9 +134,25 @@
 		list = append(list, others[:min(p.Holders, len(others))]...)
 	} else {
 		list = append(list, slices.MaxFunc(holders, func(a, b int) int { return cmp.Compare(options[a].Held, options[b].Held) }))
-		list = append(list, some(holders, p.Holders, draw)...)
+		list = append(list, some(near(options, holders), p.Holders, draw)...)
 	}
-	return append(list, some(others, p.Others, draw)...)
+	list = append(list, some(near(options, others), p.Others, draw)...)
+	return append(list, sound[draw(len(sound))]) // Its zone may be less busy.
+}
+
+// near returns those of a list that are in the zone of this host, or all if none
+// is.
+func near(options []Option, list []int) []int {
+	var same []int
+	for _, i := range list {
+		if options[i].SameZone {
+			same = append(same, i)
+		}
+	}
+	if len(same) == 0 {
+		return list
+	}
+	return same
 }
 
 func indices(options []Option, keep func(Option) bool) []int {
--- a/route/place_test.go
+++ b/route/place_test.go
@@ -181,3 +181,43 @@
 		t.Errorf("requests by target: %v", sent)
 	}
 }
+
+// TestOtherZonesHelpWhenOneIsFull has callers crowd in one zone.
+func TestOtherZonesHelpWhenOneIsFull(t *testing.T) {
+	list := engines(12)
+	for i := range list {
+		list[i].Held = prompt.Prompt
+		if list[i].SameZone {
+			list[i].Own = 14
+		}
+	}
+	draw := rand.New(rand.NewPCG(1, 1)).IntN
+	elsewhere := 0
+	for range 60 {
+		if i := route.Place(list, prompt, route.DefaultPrices, draw); !list[i].SameZone {
+			elsewhere++
+		}
+	}
+	if elsewhere < 20 {
+		t.Errorf("%d of 60 requests went to the other zone", elsewhere)
+	}
+}
+
+// TestPromptsStayInTheirZone has holders in both zones: bytes between zones are
+// dear.
+func TestPromptsStayInTheirZone(t *testing.T) {
+	list := engines(12)
+	for i := range list {
+		list[i].Held = prompt.Prompt
+	}
+	draw := rand.New(rand.NewPCG(1, 1)).IntN
+	same := 0
+	for range 60 {
+		if list[route.Place(list, prompt, route.DefaultPrices, draw)].SameZone {
+			same++
+		}
+	}
+	if same < 54 {
+		t.Errorf("%d of 60 requests stayed", same)
+	}
+}
