wire: a lost link is dialled again sooner

Cause: after the last fault a leader is elected 0.33 s after the last control host has started: a request to connect that met a host without power waits 0.4 s, and up to 0.25 s lie between two. Now 0.25 and 0.1 s.

--- a/quorum/types.go
+++ b/quorum/types.go
@@ -160,7 +160,7 @@
 	Cold bool `json:"cold,omitempty"`
 	// Voters identifies the voters that the sender of a cold request knows.
 	Voters uint64 `json:"voters,omitempty"`
-	Probe    Index `json:"probe,omitempty"`
+	Probe  Index  `json:"probe,omitempty"`
 	// SentAt is the leader's clock when it sent the append; the reply echoes
 	// it, and the lease counts from it.
 	SentAt types.Mono `json:"sentAt,omitempty"`
--- a/wire/link.go
+++ b/wire/link.go
@@ -36,11 +36,12 @@
 }
 
 const (
-	// dialTimeout is several round trips between regions. A request to connect
-	// that met a host without power is thus soon followed by another.
-	dialTimeout = 400 * time.Millisecond
+	// dialTimeout is two round trips between regions. A request to connect that
+	// met a host without power is thus soon followed by another: what is lost of
+	// it is sent again only after a second.
+	dialTimeout = 250 * time.Millisecond
 	redialFirst = 25 * time.Millisecond
-	redialLast  = 250 * time.Millisecond
+	redialLast  = 100 * time.Millisecond
 )
 
 var strayAnswers = metrics.NewCounter("banyanspur_wire_stray_answers_total")
