--- a/gate/spend.go
+++ b/gate/spend.go
@@ -38,6 +38,13 @@
 		return nil
 	}
 	defer s.leave(c.account.Name)
+	return c.awaitTurn(news, ahead)
+}
+
+// awaitTurn waits behind some others of this host until a renewal, or the
+// host's own bucket, has something for the request.
+func (c *call) awaitTurn(news <-chan struct{}, ahead int) *refusal {
+	s := &c.gate.shares
 	end := time.Now().Add(min(silentWait, c.left()/2))
 	for told := false; ; {
 		queue, refilled := s.wait(c.account.Name, ahead, c.account.Rate)
@@ -55,10 +62,12 @@
 		case <-c.r.Context().Done():
 			return c.limited(queue)
 		}
-		if news, ok = s.retake(c.account.Name); ok {
+		next, ok := s.retake(c.account.Name)
+		if ok {
 			c.spent = true
 			return nil
 		}
+		news = next
 		if news == nil || !time.Now().Before(end) {
 			return c.limited(queue)
 		}
