--- a/event/metrics_test.go
+++ b/event/metrics_test.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	name := regexp.MustCompile(`metrics\.[A-Za-z]+\("(banyanspur_[a-z_]+)`)
+	name := regexp.MustCompile("[\"`](banyanspur_[a-z_]+)")
 	root := os.DirFS("..")
 	found := 0
 	err = fs.WalkDir(root, ".", func(path string, d fs.DirEntry, err error) error {
