--- a/gate/patience.go
+++ b/gate/attempt.go
@@ -9,13 +9,13 @@
 	"github.com/banyanspur/banyanspur/plan"
 )
 
-// patienceFactor is how many times its route's objective a request waits for
+// attemptFactor is how many times its route's objective a request waits for
 // one target before it goes to another: an answer that is that late has missed
 // its aim, and a second target can still save the caller's.
-const patienceFactor = 1.5
+const attemptFactor = 1.5
 
-// errImpatient ends a send whose target has not answered in time.
-var errImpatient = errors.New("gate: the target has not answered within the route's patience")
+// errAttemptTimeout ends a send whose target has not answered in time.
+var errAttemptTimeout = errors.New("gate: the target has not answered within the time of an attempt")
 
 // attemptContext bounds one send. A request that may not be repeated goes on
 // when its caller leaves: to break it off would leave its outcome unknown. One
@@ -28,14 +28,14 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, stop := context.WithTimeout(ctx, left)
-	wait := time.Duration(patienceFactor * float64(c.route.Objective))
+	wait := time.Duration(attemptFactor * float64(c.route.Objective))
 	if c.route.Kind != plan.Idempotent || !others || c.runs+1 >= c.route.Attempts || wait <= 0 || left <= 2*wait {
 		return ctx, func() bool { return true }, stop
 	}
 	ctx, abort := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(wait, func() {
 		if c.gate.retries.Spend() {
-			abort(errImpatient)
+			abort(errAttemptTimeout)
 		}
 	})
 	return ctx, timer.Stop, func() {
--- a/gate/silent_test.go
+++ b/gate/attempt_test.go
@@ -45,9 +45,9 @@
 	}
 }
 
-// TestImpatienceHasABudget has silent targets only: not every request may be
+// TestRetriesOfSilentTargetsHaveABudget has silent targets only: not every request may be
 // sent twice, or a service that is slow gets twice its load.
-func TestImpatienceHasABudget(t *testing.T) {
+func TestRetriesOfSilentTargetsHaveABudget(t *testing.T) {
 	b := newBed(t)
 	var sent atomic.Int32
 	for range 4 {
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -114,7 +114,7 @@
 	chosen.note(fields)
 	c.gate.Log.Write(event.RequestSent, fields)
 	if err != nil {
-		if cause := context.Cause(ctx); errors.Is(cause, errImpatient) {
+		if cause := context.Cause(ctx); errors.Is(cause, errAttemptTimeout) {
 			err = errors.CombineErrors(err, cause)
 		}
 		return c.judgeError(t, err)
--- a/spec/cold.pml
+++ b/spec/cold.pml
@@ -4,8 +4,8 @@
  * A leader's lease counts on replicas that have answered it. One that votes in
  * the usual way has heard of no leader for longer than a lease lasts, so no lease
  * counts on it any more. A cold replica has heard of no leader since its start;
- * it asks all others, and with the word of all of them it asks for votes at once.
- * A replica that is still cold and gave its word to the same question votes,
+ * it asks all others, and once all of them have confirmed it asks for votes at once.
+ * A replica that is still cold and has confirmed the same question votes,
  * whatever it promised before its end.
  *
  * A message to a process does not outlive the process: it comes over a connection.
@@ -14,8 +14,8 @@
  * Checked: no two replicas hold a lease at once. By symmetry it is replica 1
  * that asks.
  *
- * Mutants: MAJORITY needs the word of a majority only. FORGET gives a vote
- * whatever question the word was given to.
+ * Mutants: MAJORITY needs the confirmation of a majority only. FORGET gives a vote
+ * whatever question it has confirmed.
  */
 #define N 3
 #define MAJ 2
@@ -39,11 +39,11 @@
 bool leads[N];
 byte acks[N];       /* whose answers the lease of a leader counts on */
 byte asked[N];      /* the question that the replica asked last */
-byte word[N];       /* who has given its word to it */
+byte confirmed[N];       /* who has confirmed it */
 byte cand[N];       /* the term in which the replica asks for votes, or 0 */
 byte votes[N];
 byte question[9];   /* on its way to j from i, at j * N + i */
-byte gave[9];       /* the question of i that j gave its word to, at j * N + i */
+byte confirmedTo[9];       /* the question of i that j confirmed last, at j * N + i */
 byte request[9];    /* the term of a request for a vote on its way */
 byte requestAsked[9]; /* the question that it relies on, or 0 */
 byte questions;
@@ -55,14 +55,14 @@
 
 inline restart(i) {
   deaths++;
-  cold[i] = true; leads[i] = false; acks[i] = 0; asked[i] = 0; word[i] = 0; cand[i] = 0; votes[i] = 0;
-  for (k : 0 .. N - 1) { gave[i * N + k] = 0; question[i * N + k] = 0; request[i * N + k] = 0; requestAsked[i * N + k] = 0 }
+  cold[i] = true; leads[i] = false; acks[i] = 0; asked[i] = 0; confirmed[i] = 0; cand[i] = 0; votes[i] = 0;
+  for (k : 0 .. N - 1) { confirmedTo[i * N + k] = 0; question[i * N + k] = 0; request[i * N + k] = 0; requestAsked[i * N + k] = 0 }
 }
 
 inline ask(i) {
   questions++;
   asked[i] = questions;
-  word[i] = BIT(i);
+  confirmed[i] = BIT(i);
   for (k : 0 .. N - 1) { if :: k != i -> question[k * N + i] = questions :: else fi }
 }
 
@@ -70,10 +70,10 @@
   q = question[j * N + i]; question[j * N + i] = 0;
   if
   :: cold[j] && !leads[j] ->
-     gave[j * N + i] = q;
+     confirmedTo[j * N + i] = q;
      if
      :: cold[i] && !leads[i] && asked[i] == q ->
-        word[i] = word[i] | BIT(j);
+        confirmed[i] = confirmed[i] | BIT(j);
         if :: term[j] > term[i] -> term[i] = term[j]; cand[i] = 0 :: else fi
      :: else
      fi
@@ -103,7 +103,7 @@
 #ifdef FORGET
   :: !LEASE(j) && cold[j] && requestAsked[j * N + i] != 0 -> give(j, i)
 #else
-  :: !LEASE(j) && cold[j] && requestAsked[j * N + i] != 0 && requestAsked[j * N + i] == gave[j * N + i] -> give(j, i)
+  :: !LEASE(j) && cold[j] && requestAsked[j * N + i] != 0 && requestAsked[j * N + i] == confirmedTo[j * N + i] -> give(j, i)
 #endif
   :: !LEASE(j) -> unleash(j); give(j, i) /* it has heard of no leader for long */
   :: !LEASE(j) /* it has heard of one */
@@ -112,11 +112,11 @@
 }
 
 inline lead(i) {
-  leads[i] = true; cold[i] = false; cand[i] = 0; votes[i] = 0; acks[i] = BIT(i); word[i] = 0
+  leads[i] = true; cold[i] = false; cand[i] = 0; votes[i] = 0; acks[i] = BIT(i); confirmed[i] = 0
 }
 
 inline hear(j, i) {
-  term[j] = term[i]; cold[j] = false; leads[j] = false; cand[j] = 0; word[j] = 0;
+  term[j] = term[i]; cold[j] = false; leads[j] = false; cand[j] = 0; confirmed[j] = 0;
   acks[i] = acks[i] | BIT(j);
   assert(!(LEASE(0) && LEASE(1)) && !(LEASE(0) && LEASE(2)) && !(LEASE(1) && LEASE(2)))
 }
@@ -137,9 +137,9 @@
   :: atomic { select(i : 0 .. 2); select(j : 0 .. 2);
        if :: question[j * N + i] != 0 -> answer(j, i) :: else fi; i = 0; j = 0 }
 #ifdef MAJORITY
-  :: atomic { cold[1] && !leads[1] && COUNT(word[1]) >= MAJ && term[1] < MAXTERM -> campaign(1, asked[1]); word[1] = 0; k = 0 }
+  :: atomic { cold[1] && !leads[1] && COUNT(confirmed[1]) >= MAJ && term[1] < MAXTERM -> campaign(1, asked[1]); confirmed[1] = 0; k = 0 }
 #else
-  :: atomic { cold[1] && !leads[1] && word[1] == ALL && term[1] < MAXTERM -> campaign(1, asked[1]); word[1] = 0; k = 0 }
+  :: atomic { cold[1] && !leads[1] && confirmed[1] == ALL && term[1] < MAXTERM -> campaign(1, asked[1]); confirmed[1] = 0; k = 0 }
 #endif
   :: atomic { select(i : 0 .. 2);
        if :: !leads[i] && term[i] < MAXTERM -> unleash(i); campaign(i, 0) :: else fi; i = 0; k = 0 }
