--- a/trial/trial.go
+++ b/trial/trial.go
@@ -288,8 +288,10 @@
 	do    func()
 }
 
+// events is a heap with the earliest event in front.
 type events []event
 
+// Len, Less, Swap, Push and Pop are those of [heap.Interface].
 func (e events) Len() int { return len(e) }
 func (e events) Less(i, j int) bool {
 	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
