--- a/trial/trial.go
+++ b/trial/trial.go
@@ -293,6 +293,7 @@
 
 // Len, Less, Swap, Push and Pop are those of [heap.Interface].
 func (e events) Len() int { return len(e) }
+
 func (e events) Less(i, j int) bool {
 	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
 }
