--- a/trial/engine.go
+++ b/trial/engine.go
@@ -26,8 +26,7 @@
 type turn struct {
 	program *program
 	host    *host
-	shared  int          // the shared part that its prompt begins with
-	own     types.Tokens // the size of the rest
+	own     types.Tokens // the size of its prompt behind the shared part
 	answer  types.Tokens // tokens to generate
 
 	sent, first time.Duration
@@ -52,20 +51,20 @@
 func (e *engine) load() int { return len(e.running) + len(e.waiting) }
 
 // admit fills free slots.
-func (e *engine) admit(now time.Duration) {
+func (e *engine) admit() {
 	for len(e.waiting) > 0 && len(e.running) < e.kind.Slots {
 		t := e.waiting[0]
 		e.waiting = e.waiting[1:]
 		t.unread = e.missing(t)
-		e.cache.use(part{shared: t.shared}, t.program.shared, now)
-		e.cache.use(part{program: t.program.id}, t.own, now)
+		e.cache.use(part{shared: t.program.part}, t.program.shared)
+		e.cache.use(part{program: t.program.id}, t.own)
 		e.running = append(e.running, t)
 	}
 }
 
 // missing returns how much of a prompt has to be read.
 func (e *engine) missing(t *turn) types.Tokens {
-	shared := t.program.shared - e.cache.size(part{shared: t.shared})
+	shared := t.program.shared - e.cache.size(part{shared: t.program.part})
 	if shared > 0 {
 		e.read += shared + t.own
 		e.reread += shared
@@ -79,7 +78,7 @@
 // step lets one token time pass and returns how long it took and which requests
 // have ended.
 func (e *engine) step(now time.Duration) (took time.Duration, ended []*turn) {
-	e.admit(now)
+	e.admit()
 	if len(e.running) == 0 {
 		return 0, nil
 	}
@@ -100,7 +99,7 @@
 			t.first = now
 		}
 		if t.made >= t.answer {
-			e.cache.use(part{program: t.program.id}, t.own+t.answer, now)
+			e.cache.use(part{program: t.program.id}, t.own+t.answer)
 			ended = append(ended, t)
 			continue
 		}
@@ -137,7 +136,8 @@
 	return 0
 }
 
-func (c *cache) use(p part, size types.Tokens, _ time.Duration) {
+// use makes a part the one used last and drops others that do not fit any more.
+func (c *cache) use(p part, size types.Tokens) {
 	if e := c.of[p]; e != nil {
 		k := e.Value.(*kept)
 		c.used += size - k.size
--- a/trial/host.go
+++ b/trial/host.go
@@ -60,7 +60,7 @@
 	for i, e := range h.engines {
 		options[i] = h.option(i, e, t)
 	}
-	w := route.Work{Prompt: t.program.shared + t.own, Home: fmt.Sprint("part", t.shared), Service: 300 * time.Millisecond}
+	w := route.Work{Prompt: t.program.shared + t.own, Home: fmt.Sprint("part", t.program.part), Service: 300 * time.Millisecond}
 	i := h.Choose(options, w, h.rand)
 	h.known[i].own++
 	h.sent[i]++
@@ -74,7 +74,7 @@
 	if age := h.now - k.heardAt; age < o.Age {
 		o.Running, o.OwnThen, o.Age = k.others, 0, age
 	}
-	if used, ok := k.held[t.shared]; ok && h.now-used < holdingLife {
+	if used, ok := k.held[t.program.part]; ok && h.now-used < holdingLife {
 		o.Held = t.program.shared + k.sessions[t.program.id]
 	}
 	return o
@@ -89,8 +89,8 @@
 		k := &h.known[i]
 		k.own--
 		h.sent[i]--
-		h.held[i][t.shared] = h.now
-		k.held[t.shared] = h.now
+		h.held[i][t.program.part] = h.now
+		k.held[t.program.part] = h.now
 		k.sessions[t.program.id] = t.own + t.answer
 		k.told, k.ownThen, k.toldAt = e.load(), k.own, h.now
 	}
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -103,10 +103,10 @@
 
 type program struct {
 	id     int
-	part   int
-	shared types.Tokens
-	own    types.Tokens
-	left   int
+	part   int          // the shared part that its prompts begin with
+	shared types.Tokens // the size of that part
+	own    types.Tokens // the size of what it has said and got so far
+	left   int          // turns to come
 	host   *host
 	began  time.Duration
 	ideal  time.Duration
@@ -197,7 +197,7 @@
 // next sends a program's next turn.
 func (p *play) next(pr *program) {
 	pr.own += p.Load.New
-	t := &turn{program: pr, host: pr.host, shared: pr.part, own: pr.own, answer: p.Load.Answer, sent: p.now}
+	t := &turn{program: pr, host: pr.host, own: pr.own, answer: p.Load.Answer, sent: p.now}
 	e := pr.host.send(t)
 	if e.zone == pr.host.zone {
 		p.same++
@@ -288,17 +288,24 @@
 	do    func()
 }
 
-// events is a heap with the earliest event in front.
+// events is a heap with the earliest event in front, for container/heap.
 type events []event
 
-// Len, Less, Swap, Push and Pop are those of [heap.Interface].
+// Len returns how many events are due.
 func (e events) Len() int { return len(e) }
 
+// Less orders events by time, and those of one time by their drawn order.
 func (e events) Less(i, j int) bool {
 	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
 }
+
+// Swap exchanges two events.
 func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+
+// Push appends an event.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop removes the last event.
 func (e *events) Pop() any {
 	last := (*e)[len(*e)-1]
 	*e = (*e)[:len(*e)-1]
