--- a/quorum/cold.go
+++ b/quorum/cold.go
@@ -94,7 +94,7 @@
 		}
 	}
 	c.cold.next = now.Add(c.timing.ElectionMin / 2) // Votes need a sync.
-	c.campaign(Candidate, false, true)
+	c.campaign(Candidate, basisCold)
 	c.cold.best = false // Once for each question.
 	c.retryDeadline(now)
 }
--- a/quorum/elect.go
+++ b/quorum/elect.go
@@ -17,7 +17,7 @@
 		c.resetDeadline(now)
 		return
 	}
-	c.campaign(PreCandidate, false, false)
+	c.campaign(PreCandidate, basisNone)
 	c.retryDeadline(now)
 }
 
@@ -35,8 +35,18 @@
 	}
 }
 
+// basis is why replicas may vote for a candidate although a leader may have been
+// heard of within ElectionMin.
+type basis uint8
+
+const (
+	basisNone     basis = iota // they may not
+	basisTransfer              // the leader has given its lease up
+	basisCold                  // all voters have just started, see cold.go
+)
+
 // campaign asks all voters for a vote, or whether they would give one.
-func (c *Core) campaign(role Role, transfer, cold bool) {
+func (c *Core) campaign(role Role, basis basis) {
 	c.role = role
 	c.leader = ""
 	c.votes = map[ReplicaID]bool{}
@@ -47,7 +57,10 @@
 	}
 	lastTerm, _ := c.termAt(c.lastIndex())
 	for _, v := range c.Members().Voters {
-		m := Message{Kind: kind, To: v.ID, Term: term, Index: c.lastIndex(), LogTerm: lastTerm, Transfer: transfer, Cold: cold, Voters: c.voters(), SentAt: c.cold.asked}
+		m := Message{Kind: kind, To: v.ID, Term: term, Index: c.lastIndex(), LogTerm: lastTerm, Transfer: basis == basisTransfer, Cold: basis == basisCold}
+		if m.Cold {
+			m.Voters, m.SentAt = c.voters(), c.cold.asked
+		}
 		if v.ID == c.id {
 			// The own vote counts like any other: only after the sync.
 			m = Message{Kind: kind + 1, To: c.id, Term: term}
@@ -151,7 +164,7 @@
 	if c.role != Follower || c.leader != m.From || !c.Members().IsVoter(c.id) {
 		return
 	}
-	c.campaign(Candidate, true, false)
+	c.campaign(Candidate, basisTransfer)
 	c.retryDeadline(now)
 }
 
@@ -207,7 +220,7 @@
 		return
 	}
 	if c.countVote(m.From) {
-		c.campaign(Candidate, false, false)
+		c.campaign(Candidate, basisNone)
 		c.retryDeadline(now)
 	}
 }
