gate: a silent issuer is not called the account's fault

Read as a newcomer: a request that waited 1.2 s for an issuer that did not answer was told, and logged, that its account is above its rate, which nobody knew; OPERATIONS would have led an operator to the account. A test fails before (429) and passes after. Both statuses promise that nothing has run.

--- a/gate/away_test.go
+++ b/gate/away_test.go
@@ -28,6 +28,19 @@
 	}
 }
 
+// TestSilentIssuerIsNotCalledTheAccountsFault has nobody who tells what is left
+// of a limit, for longer than an election takes: the refusal must not say that
+// the account is above its rate, which nobody knows.
+func TestSilentIssuerIsNotCalledTheAccountsFault(t *testing.T) {
+	b := newBed(t)
+	b.addTarget("plain", fine)
+	b.stub.silence(time.Minute)
+	resp := b.do(t.Context(), ask{path: "/lookup/", key: "small-key"})
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, come back after %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+}
+
 // TestClumpBeyondTheRate sends eight times what an account's burst allows at once.
 // Those whose turn comes soon wait for it, and the rest is told at once when to
 // come back.
--- a/gate/spend.go
+++ b/gate/spend.go
@@ -68,7 +68,11 @@
 			return nil
 		}
 		news = next
-		if news == nil || !time.Now().Before(end) {
+		over := !time.Now().Before(end)
+		if over && !told {
+			return &refusal{status: http.StatusServiceUnavailable, after: limitWait, reason: "nobody tells what is left of the account's limit"}
+		}
+		if over || news == nil {
 			return c.limited(queue)
 		}
 	}
