--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/banyanspur/banyanspur/limit"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
+	"github.com/banyanspur/banyanspur/wire"
 )
 
 // TestFoundsInAnyOrder starts the seeds last, and the lowest address last of
@@ -51,15 +52,23 @@
 	}
 }
 
-// TestPlansOutliveHosts stops control hosts one after the other, wipes one of
-// them, and at last restarts all.
-func TestPlansOutliveHosts(t *testing.T) {
+// settledFleet returns five control hosts that have been founded and hold a plan,
+// and a client of theirs.
+func settledFleet(t *testing.T) (*testFleet, *fleet.Client, *wire.Pool) {
+	t.Helper()
 	f := newFleet(t, 5)
 	f.runAll()
 	c, peers := f.client("entry-1")
 	put(t, c, 1, "choir")
 	f.founding.Store(false)
 	f.settle(peers, 5, f.controls...)
+	return f, c, peers
+}
+
+// TestPlansOutliveHosts stops control hosts one after the other, wipes one of
+// them, and at last restarts all.
+func TestPlansOutliveHosts(t *testing.T) {
+	f, c, peers := settledFleet(t)
 	version := types.Version(1)
 	for i, p := range f.controls {
 		p.stop()
@@ -101,12 +110,7 @@
 // TestControlHostReplacedAtAnotherAddress takes two of five hosts away for good,
 // one after the other, with an empty one in place of each.
 func TestControlHostReplacedAtAnotherAddress(t *testing.T) {
-	f := newFleet(t, 5)
-	f.runAll()
-	c, peers := f.client("entry-1")
-	put(t, c, 1, "choir")
-	f.founding.Store(false)
-	f.settle(peers, 5, f.controls...)
+	f, c, peers := settledFleet(t)
 	for i := range 2 {
 		f.controls[i].stop()
 		f.addControl().run()
--- a/fleet/holds_test.go
+++ b/fleet/holds_test.go
@@ -19,12 +19,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
 	exchange := func(host types.HostID, held fleet.Holdings, heard fleet.Mark) (fleet.Holdings, fleet.Mark) {
-		var reply fleet.LoadsReply
-		waitFor(t, "an exchange", func() bool {
-			var err error
-			reply, err = c.Loads(ctx, fleet.LoadsRequest{Host: host, Held: held, Heard: heard})
-			return err == nil
-		})
+		reply := exchangeLoads(ctx, t, c, fleet.LoadsRequest{Host: host, Held: held, Heard: heard})
 		return reply.Held, reply.Mark
 	}
 	_, first := exchange("entry-1", fleet.Holdings{"t1": {7}}, fleet.Mark{})
--- a/fleet/loads_test.go
+++ b/fleet/loads_test.go
@@ -11,6 +11,17 @@
 	"github.com/banyanspur/banyanspur/types"
 )
 
+// exchangeLoads tells the leader what a host sees as soon as there is one.
+func exchangeLoads(ctx context.Context, t *testing.T, c *fleet.Client, req fleet.LoadsRequest) (reply fleet.LoadsReply) {
+	t.Helper()
+	waitFor(t, "an exchange of loads", func() bool {
+		var err error
+		reply, err = c.Loads(ctx, req)
+		return err == nil
+	})
+	return reply
+}
+
 // TestHostsHearOfEachOthersLoads exchanges the reports of two hosts, of which
 // one replaces its own and the other falls silent.
 func TestHostsHearOfEachOthersLoads(t *testing.T) {
@@ -20,13 +31,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
 	exchange := func(host types.HostID, loads map[types.TargetID]fleet.Load) map[types.TargetID]fleet.Load {
-		var reply fleet.LoadsReply
-		waitFor(t, "an exchange of loads", func() bool {
-			var err error
-			reply, err = c.Loads(ctx, fleet.LoadsRequest{Host: host, Loads: loads})
-			return err == nil
-		})
-		return reply.Loads
+		return exchangeLoads(ctx, t, c, fleet.LoadsRequest{Host: host, Loads: loads}).Loads
 	}
 	exchange("entry-1", map[types.TargetID]fleet.Load{"t1": {Busy: 9}})
 	exchange("entry-1", map[types.TargetID]fleet.Load{"t1": {Busy: 2, Unit: 0.02}, "t2": {Busy: 1}})
