gate: log which request was interrupted and whether its target ended

Callers saw requests fail with 502 while their targets ended. The log could not tell whether the attempts of different request IDs were the same request, nor whether a target had ended or had only broken off its response.

Event 501 has the request's fingerprint (account, method, host, path, body).

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -45,6 +45,7 @@
 	CachedPrefixReleased = Kind{502, logrus.InfoLevel, "memory held for an ended program given back"}
 	ReleaseFailed        = Kind{503, logrus.WarnLevel, "target did not accept a release, will be sent again"}
 	HostListFailed       = Kind{504, logrus.WarnLevel, "host list could not be read"}
+	TargetProbed         = Kind{505, logrus.InfoLevel, "target probed after an interrupted request"}
 	LinkLost             = Kind{601, logrus.InfoLevel, "link to another host lost"}
 	PeerRefused          = Kind{602, logrus.WarnLevel, "link refused, wrong cluster secret"}
 )
@@ -60,7 +61,7 @@
 		TargetsChanged, LeaderReached, LeaderUnreachable,
 		CallOutcomeUnknown, CallQuarantined, SessionExpired, CallCloseFailed,
 		RequestRefused, RequestSent, RequestEnded, TurnDurable, BudgetDecided,
-		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed,
+		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed,
 		LinkLost, PeerRefused,
 	}
 }
--- a/fetch/pool.go
+++ b/fetch/pool.go
@@ -75,6 +75,17 @@
 	return newConn(nc), nil
 }
 
+// Probe checks whether the target at address accepts a new connection, and keeps the
+// connection for later requests.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.connect(ctx, address, true)
+	if err != nil {
+		return err
+	}
+	p.putIdle(address, c)
+	return nil
+}
+
 func (p *Pool) dialTimeout() time.Duration {
 	if p.DialTimeout > 0 {
 		return p.DialTimeout
--- a/gate/call.go
+++ b/gate/call.go
@@ -39,6 +39,8 @@
 	truncated    bool      // the response was cut off or never written
 	target       types.TargetID
 
+	cachedFingerprint types.Fingerprint // set by the first call of fingerprint
+
 	turn turnState
 }
 
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -145,7 +145,10 @@
 	canceled := c.r.Context().Err() != nil && c.route.Kind != plan.NonIdempotent
 	if !canceled && c.remaining() > 0 {
 		c.gate.targets.recordFailure(t.ID)
-		c.gate.Log.Write(event.TargetFailed, event.Fields{"request": c.id, "target": t.ID, "sent": mayHaveReached, "error": err.Error()})
+		c.logTargetFailed(t, event.Fields{"sent": mayHaveReached, "error": err.Error()})
+	}
+	if mayHaveReached && !canceled {
+		c.recordInterrupted(t)
 	}
 	switch {
 	case !mayHaveReached && c.remaining() > 0 && !canceled:
@@ -156,6 +159,12 @@
 	return outcomeMayHaveRun
 }
 
+// logTargetFailed logs a failed attempt with the given additional fields.
+func (c *call) logTargetFailed(t fleet.Target, fields event.Fields) {
+	fields["request"], fields["target"], fields["fingerprint"] = c.id, t.ID, c.fingerprint()
+	c.gate.Log.Write(event.TargetFailed, fields)
+}
+
 // classifyHead reports whether the head of a response says that the target did not
 // run the request, by the header for that or by status 421.
 func (c *call) classifyHead(t fleet.Target, resp *fetch.Response) (outcome sendOutcome, rejected bool) {
@@ -167,7 +176,7 @@
 	} else {
 		c.gate.targets.recordResponse(t.ID, resp.Header.Get(c.gate.HeaderNames.Load))
 	}
-	c.gate.Log.Write(event.TargetFailed, event.Fields{"request": c.id, "target": t.ID, "sent": true, "status": resp.Status, "notRun": true})
+	c.logTargetFailed(t, event.Fields{"sent": true, "status": resp.Status, "notRun": true})
 	return outcomeNotRun, true
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -65,6 +65,7 @@
 	targets     targetTracker
 	limits      limitShares
 	retryBudget route.RetryBudget
+	crashes     crashDetector
 	draining    atomic.Bool
 	// background runs the work that continues after the caller has its response,
 	// under backgroundCtx.
--- a/gate/reply.go
+++ b/gate/reply.go
@@ -43,6 +43,9 @@
 	}
 	if _, err := io.Copy(c.w, resp.Body); err != nil {
 		c.truncated = true
+		if c.r.Context().Err() == nil {
+			c.recordInterrupted(t)
+		}
 	}
 	return outcomeForwarded
 }
@@ -58,7 +61,7 @@
 		return outcomeForwarded, false
 	}
 	c.gate.targets.recordFailure(t.ID)
-	c.gate.Log.Write(event.TargetFailed, event.Fields{"request": c.id, "target": t.ID, "sent": true, "status": resp.Status, "signed": signature != ""})
+	c.logTargetFailed(t, event.Fields{"sent": true, "status": resp.Status, "signed": signature != ""})
 	return outcomeMayHaveRun, true
 }
 
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -45,6 +45,9 @@
 		return c.classifyError(t, err)
 	}
 	c.runs++
+	if err != nil && c.r.Context().Err() == nil {
+		c.recordInterrupted(t)
+	}
 	if err == nil {
 		err = c.commitTurn(s.output.Bytes(), types.Tokens(s.eventCount)*tokensPerEvent)
 	}
@@ -62,9 +65,7 @@
 	if c.r.Context().Err() == nil && c.remaining() > 0 {
 		c.gate.targets.recordFailure(t.ID)
 	}
-	c.gate.Log.Write(event.TargetFailed, event.Fields{
-		"request": c.id, "target": t.ID, "sent": true, "events": events, "error": err.Error(), "callerGone": c.r.Context().Err() != nil,
-	})
+	c.logTargetFailed(t, event.Fields{"sent": true, "events": events, "error": err.Error(), "callerGone": c.r.Context().Err() != nil})
 }
 
 // streamForwarder forwards the event stream of a target to the caller.
