--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -1,11 +1,13 @@
 package soak_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -22,7 +24,8 @@
 	mu      sync.Mutex
 	runs    map[string][]run // by request ID
 	list    []map[string]any
-	servers []io.Closer
+	servers []*targetServer // in the order of list, then the server of the list
+	crashes []time.Time     // when a target ended because it ran crashingInput
 }
 
 // turnOutput returns the output events of a turn. They depend only on the request
@@ -62,17 +65,81 @@
 }
 
 func (t *targets) serve(l net.Listener, h http.HandlerFunc) {
-	s := &http.Server{Handler: h}
+	s := &targetServer{address: l.Addr().String()}
+	s.handler = func(w http.ResponseWriter, r *http.Request) {
+		h(w, r.WithContext(context.WithValue(r.Context(), serverKey{}, s)))
+	}
+	s.serveOn(l)
 	t.servers = append(t.servers, s)
-	go func() { _ = s.Serve(l) }()
 }
 
 func (t *targets) close() {
-	for _, c := range t.servers {
-		_ = c.Close()
+	for _, s := range t.servers {
+		s.stop()
 	}
 }
 
+// serverKey is the context key of the [targetServer] that serves a request.
+type serverKey struct{}
+
+// targetServer is the process of one target, which can end and start again.
+type targetServer struct {
+	address string
+	handler http.HandlerFunc
+
+	mu      sync.Mutex
+	server  *http.Server // nil while the process is down
+	stopped bool         // for good
+}
+
+func (s *targetServer) serveOn(l net.Listener) {
+	server := &http.Server{Handler: s.handler}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		_ = l.Close()
+		return
+	}
+	s.server = server
+	go func() { _ = server.Serve(l) }()
+}
+
+// crash ends the process, which closes its listener and all connections, and starts
+// it again after d.
+func (s *targetServer) crash(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.server == nil {
+		return
+	}
+	_ = s.server.Close()
+	s.server = nil
+	time.AfterFunc(d, func() {
+		l, err := net.Listen("tcp4", s.address)
+		if err != nil {
+			panic(err) // The port stays reserved for this test by its loopback address.
+		}
+		s.serveOn(l)
+	})
+}
+
+// stop ends the process for good.
+func (s *targetServer) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	if s.server != nil {
+		_ = s.server.Close()
+	}
+}
+
+// crashingInput is the body of a request that ends the process of each target that
+// runs it, for crashDowntime.
+const (
+	crashingInput = "crash;"
+	crashDowntime = time.Second
+)
+
 // recordRun records that a request runs and sets the response headers that
 // identify it.
 func (t *targets) recordRun(w http.ResponseWriter, r *http.Request) (id string, ok bool) {
@@ -85,7 +152,15 @@
 	t.runs[id] = append(t.runs[id], run{
 		id: id, account: r.Header.Get("X-Tenant"), key: r.Header.Get("Authorization"), path: r.URL.Path, body: string(body), startedAt: time.Now(),
 	})
+	crashing := strings.HasSuffix(string(body), crashingInput)
+	if crashing {
+		t.crashes = append(t.crashes, time.Now())
+	}
 	t.mu.Unlock()
+	if crashing {
+		r.Context().Value(serverKey{}).(*targetServer).crash(crashDowntime)
+		return "", false
+	}
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Response-Signature", "signed "+id)
 	return id, true
