fetch, gate: cut off a target whose response does not end

Callers would have seen an entry host run out of memory and end, or its link filled, since a target sent bytes that are no response until its connection was closed.

Cause: sizes of what targets send were limited for the body of a stray response and for one event only. net/http limits neither the status line nor the header of a response that http.ReadResponse parses; a plain body was forwarded until the deadline; a stateful stream was also collected in memory for as long.

A head has at most 64 KiB, a body 8 MiB, an event 128 KiB instead of 1 MiB, and a turn one event more than its request allows tokens for, which also protects the budget.

--- a/fetch/conn.go
+++ b/fetch/conn.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -18,12 +19,44 @@
 	reader      *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration // reused only if it was idle for less
+	// headBytes is how many more bytes may be read while readingHead is set.
+	headBytes   int
+	readingHead bool
 }
 
-const readBufferSize = 4 << 10
+const (
+	readBufferSize = 4 << 10
+	// maxHeadBytes is the maximum size of the head of a response.
+	maxHeadBytes = 64 << 10
+)
+
+var errHeadTooLong = errors.New("fetch: the head of the response is too long")
 
 func newConn(nc net.Conn) *conn {
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferSize), idleTimeout: defaultIdleTimeout}
+	c := &conn{Conn: nc, idleTimeout: defaultIdleTimeout}
+	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	return c
+}
+
+// readHead reads the head of a response to a request with the given method. It fails
+// if the head is longer than maxHeadBytes, which the parser does not limit.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.headBytes, c.readingHead = maxHeadBytes, true
+	defer func() { c.readingHead = false }()
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
+}
+
+// Read reads from the connection.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.readingHead {
+		return c.Conn.Read(p)
+	}
+	if c.headBytes <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headBytes)])
+	c.headBytes -= n
+	return n, err
 }
 
 // usable reports whether an idle connection may be reused: it has not been idle
--- a/fetch/do.go
+++ b/fetch/do.go
@@ -28,6 +28,9 @@
 	// field is accepted.
 	ID       string
 	IDHeader string
+	// MaxBodyBytes is the maximum size of the response's body; a longer one is an
+	// error. 0 means no limit.
+	MaxBodyBytes int64
 	// NewConnection prevents the reuse of an idle connection.
 	NewConnection bool
 }
@@ -120,7 +123,7 @@
 // responses and responses to other requests.
 func (resp *Response) readHead(r *Request) error {
 	for range maxSkippedHeads + 1 {
-		raw, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: r.Method})
+		raw, err := resp.conn.readHead(r.Method)
 		if err != nil {
 			return errors.Wrap(err, "read response")
 		}
@@ -136,7 +139,7 @@
 			continue
 		}
 		resp.raw, resp.Status, resp.Header = raw, raw.StatusCode, raw.Header
-		resp.Body = &bodyReader{resp}
+		resp.Body = &bodyReader{resp: resp, limit: r.MaxBodyBytes}
 		resp.conn.parseKeepAlive(raw.Header)
 		return nil
 	}
@@ -156,11 +159,24 @@
 }
 
 // bodyReader reads a response's body and records whether it was read to its end.
-type bodyReader struct{ resp *Response }
+type bodyReader struct {
+	resp  *Response
+	limit int64 // maximum size of the body, 0 for none
+	n     int64 // bytes read
+}
+
+var errBodyTooLong = errors.New("fetch: the body of the response is too long")
 
 // Read reads from the body.
 func (b *bodyReader) Read(p []byte) (int, error) {
+	if b.limit > 0 && b.n >= b.limit {
+		p = p[:min(len(p), 1)] // Whether a body of the maximum size ends here.
+	}
 	n, err := b.resp.raw.Body.Read(p)
+	b.n += int64(n)
+	if b.limit > 0 && b.n > b.limit {
+		return max(0, n-int(b.n-b.limit)), errBodyTooLong
+	}
 	if err == io.EOF {
 		b.resp.complete = true
 	}
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -112,7 +112,7 @@
 	defer c.gate.targets.requestEnded(t.ID)
 	resp, err := c.gate.pool.Do(ctx, t.Address, &fetch.Request{
 		Method: c.r.Method, RequestTarget: c.requestURI(), Host: c.r.Host, Header: c.targetHeader(t, remaining), Body: c.buildPrompt(),
-		ID: c.id, IDHeader: c.gate.HeaderNames.RequestID,
+		ID: c.id, IDHeader: c.gate.HeaderNames.RequestID, MaxBodyBytes: maxResponseBytes,
 	})
 	fields := event.Fields{
 		"request": c.id, "service": service.Name, "leftMs": remaining.Milliseconds(), "answered": err == nil,
--- a/gate/reply.go
+++ b/gate/reply.go
@@ -16,6 +16,9 @@
 // request can still be retried on another target.
 const responseBufferSize = 256 << 10
 
+// maxResponseBytes is the maximum size of the body of a response, streams included.
+const maxResponseBytes = 8 << 20
+
 // forwardResponse forwards a response that is not a stream to the caller. It calls
 // stopTimer once the response is buffered, completely or up to
 // responseBufferSize.
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -21,12 +21,17 @@
 	// several reads.
 	eventBufferSize = 8 << 10
 	// maxEventBytes is the maximum size of one event.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 128 << 10
 )
 
-// errIncompleteEvent is returned for a stream that ends within an event or has one
-// of more than maxEventBytes.
-var errIncompleteEvent = errors.New("gate: incomplete or oversized event in stream")
+var (
+	// errIncompleteEvent is returned for a stream that ends within an event or has
+	// one of more than maxEventBytes.
+	errIncompleteEvent = errors.New("gate: incomplete or oversized event in stream")
+	// errTooManyEvents is returned for a stream with more tokens than its request
+	// allows.
+	errTooManyEvents = errors.New("gate: target generates more tokens than the request allows")
+)
 
 // forwardStream forwards the events of a response as they arrive. The end of the
 // stream is sent only after the turn was stored.
@@ -38,7 +43,9 @@
 	if service.Engine != nil {
 		tokensPerEvent = service.Engine.TokensPerEvent
 	}
-	s := &streamForwarder{call: c, events: bufio.NewReaderSize(resp.Body, eventBufferSize), tokensPerEvent: tokensPerEvent}
+	s := &streamForwarder{
+		call: c, events: bufio.NewReaderSize(resp.Body, eventBufferSize), tokensPerEvent: tokensPerEvent, maxEvents: maxEvents(c.turn.budget.MaxTokens, tokensPerEvent),
+	}
 	err := s.run(t, resp)
 	c.turn.delivered += types.Tokens(s.eventCount) * tokensPerEvent
 	if !s.headSent && err != nil {
@@ -59,6 +66,15 @@
 	return outcomeForwarded
 }
 
+// maxEvents returns the maximum number of events of a turn that may generate the given
+// number of tokens, 0 if there is none. It allows for a last event without tokens.
+func maxEvents(maxTokens, tokensPerEvent types.Tokens) int {
+	if maxTokens <= 0 || tokensPerEvent <= 0 {
+		return 0
+	}
+	return int((maxTokens+tokensPerEvent-1)/tokensPerEvent) + 1
+}
+
 // recordTruncation logs a stream that was truncated after the given number of
 // events. It counts against the target unless the deadline passed or the caller
 // disconnected.
@@ -74,6 +90,7 @@
 	call           *call
 	events         *bufio.Reader // body of the target's response
 	tokensPerEvent types.Tokens
+	maxEvents      int          // 0 means no limit
 	headSent       bool         // the response header was sent to the caller
 	lastEventAt    time.Time    // when the last event was received
 	eventCount     int          // events forwarded
@@ -92,6 +109,9 @@
 		if err != nil {
 			return err
 		}
+		if s.maxEvents > 0 && s.eventCount >= s.maxEvents {
+			return errTooManyEvents
+		}
 		receivedAt := time.Now()
 		if s.headSent {
 			s.call.gate.targets.recordUnitTime(t.ID, receivedAt.Sub(s.lastEventAt))
