entry: cut off an engine that sends an event without end

Callers of the older interface would have seen the entry host run out of memory: an event was collected until its blank line, and only then compared with the limit of a response. The reader is limited now, and response headers to 64 KiB.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -36,15 +36,18 @@
 	headerCallID       = "Banyanspur-Call-Id"
 	headerHold         = "Banyanspur-Hold"
 	responseBufferLen  = 32 << 10
+	maxHeaderBytes     = 64 << 10 // of a response
 )
 
 func newTargetClients() targetClients {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	keepAlive := &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout: idleTimeout, DisableCompression: true,
+		IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+	singleUse := &http.Transport{
+		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	singleUse := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return targetClients{
 		keepAlive: &http.Client{Transport: keepAlive, CheckRedirect: noRedirect},
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -62,7 +62,7 @@
 // them to sent.body and forwards them to the caller. It sets sent.err if the
 // stream ends without [DONE] or exceeds maxResponseBytes.
 func (e *Entry) receiveStream(body io.Reader, c *call, stream *eventStream, sent *sendResult) {
-	reader := bufio.NewReaderSize(body, responseBufferLen)
+	reader := bufio.NewReaderSize(io.LimitReader(body, maxResponseBytes+1), responseBufferLen) // Also bounds an event without end.
 	var event []byte
 	for {
 		line, err := reader.ReadBytes('\n')
