--- a/soak/doc.go
+++ b/soak/doc.go
@@ -4,7 +4,8 @@
 // The package consists of tests only. Faults are injected from outside the
 // processes: SIGKILL, SIGSTOP, graceful stops, lost data directories, torn writes,
 // and a relay in front of each host that delays traffic, resets connections, drops
-// all traffic or drops one direction. The seed determines everything except the
+// all traffic or drops one direction. Each run ends with the loss of all processes and
+// of one data directory at the same moment. Targets end too. The seed determines everything except the
 // timing of the machine.
 //
 // To run many seeds, start the tests in the root directory of the module without
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -273,3 +273,23 @@
 	}
 	f.waitRecovered()
 }
+
+// losePower kills all hosts at the same time, deletes the data directory of one of them,
+// leaves an incomplete frame in the logs of the others, and restarts all after d.
+func (f *fleet) losePower(wiped *testHost, d time.Duration) {
+	f.t.Logf("all hosts: killed for %v, %s loses its data directory", d, wiped.name)
+	for _, h := range f.hosts {
+		_ = h.process.Process.Kill() // The process may have exited already.
+	}
+	for _, h := range f.hosts {
+		h.stop(syscall.SIGKILL)
+		f.appendTornFrame(h)
+	}
+	if err := os.RemoveAll(filepath.Join(wiped.dir, "data")); err != nil {
+		f.t.Error(err)
+	}
+	time.Sleep(d)
+	for _, h := range f.hosts {
+		f.start(h, false)
+	}
+}
--- a/soak/guarantees_test.go
+++ b/soak/guarantees_test.go
@@ -58,7 +58,9 @@
 		}
 		return nil
 	})
+	g.Go(func() error { tg.endRandomly(ctx, seed); return nil })
 	f.injectFaults(*duration)
+	f.losePower(f.hosts[r.IntN(6)], time.Second) // While callers and the operator go on.
 	cancel()
 	_ = g.Wait() // All goroutines always return nil.
 	checkConfiguration(t, f, int(acked.Load()))
@@ -67,6 +69,7 @@
 	checkBudgets(t, c)
 	checkRateLimit(t, tg)
 	checkTurnsRetained(t, c)
+	checkNotBlamed(t, c)
 }
 
 // waitFor polls done until it returns true, and fails the test after waitTimeout.
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -5,11 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/banyanspur/banyanspur/types"
 )
 
 // run is one execution of a request by a target.
@@ -123,6 +126,20 @@
 	})
 }
 
+// endRandomly ends single targets, and all targets of a zone at once, until ctx ends.
+func (t *targets) endRandomly(ctx context.Context, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 6))
+	for types.Sleep(ctx, time.Duration(500+r.IntN(1500))*time.Millisecond) {
+		first, step := r.IntN(len(t.list)), len(t.list)
+		if r.IntN(2) == 0 {
+			first, step = r.IntN(3), 3 // Target i is in zone i modulo 3.
+		}
+		for i := first; i < len(t.list); i += step {
+			t.servers[i].crash(crashDowntime / 2)
+		}
+	}
+}
+
 // stop ends the process for good.
 func (s *targetServer) stop() {
 	s.mu.Lock()
