turns: a client without a shard map refuses instead of ending the process

Cause: the number of stores to send a close to at first was a majority of none, one. Chain already handles the missing map, and Reserve sends to all of none. The number is at most that of the stores now, and the client tries again until its context ends.

--- a/turns/client.go
+++ b/turns/client.go
@@ -218,7 +218,7 @@
 	if kind != KindClose || len(p.Next) > 0 {
 		return len(stores)
 	}
-	return len(stores)/2 + 1
+	return min(len(stores), len(stores)/2+1) // 0 as long as there is no shard map.
 }
 
 // sortByDistance returns the stores sorted stably: first those in the client's
