poison, fleet: the cost of suspects after the loss of a zone

Each exchange of loads went through all suspects and all targets on the leader. At the aimed size, 1,290 exchanges a second met 2,700 suspects and 1,800 targets. The table keeps the few with repeated crashes apart, and the sizes of zones are counted when the list of targets changes.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -64,6 +64,7 @@
 	lastSeen    map[turns.StoreID]types.Mono                  // time of each store's last request
 	copied      map[turns.StoreID]map[turns.Shard]turns.Epoch // each store's last report of copied shards
 	targets     Targets
+	zoneSizes   poison.ZoneSizes // of targets
 	loadReports loadTable
 	cachedParts cachedPartTable
 	crashes     poison.Table
@@ -117,7 +118,7 @@
 	c.leaderSince = leaderSince
 	c.lastSeen = map[turns.StoreID]types.Mono{}
 	c.copied = map[turns.StoreID]map[turns.Shard]turns.Epoch{}
-	c.targets = Targets{}
+	c.targets, c.zoneSizes = Targets{}, nil
 	c.loadReports, c.cachedParts, c.crashes = loadTable{}, cachedPartTable{}, poison.Table{}
 	c.completed, c.changingQuarantine = map[types.Fingerprint]bool{}, false
 	c.issuers = map[types.AccountID]*limit.Issuer{}
--- a/fleet/targets.go
+++ b/fleet/targets.go
@@ -59,7 +59,7 @@
 	changed := false
 	err := c.asLeader(func(types.Mono) {
 		changed = next.Checksum != c.targets.Checksum
-		c.targets = next
+		c.targets, c.zoneSizes = next, ZoneSizes(list)
 	})
 	if err == nil && changed {
 		c.Log.Write(event.TargetsChanged, event.Fields{"targets": len(list), "sum": next.Checksum, "tookMs": took.Milliseconds()})
--- a/poison/table.go
+++ b/poison/table.go
@@ -57,8 +57,11 @@
 // not safe for concurrent use.
 type Table struct {
 	suspects map[types.Fingerprint][]Crash // ordered by EndedAt
-	ends     []targetEnd                   // ordered by time
-	expireAt types.Mono                    // when expired crashes are removed next
+	// repeated contains the suspects with at least WatchThreshold crashes. After the
+	// loss of a zone, these are few.
+	repeated map[types.Fingerprint]bool
+	ends     []targetEnd // ordered by time
+	expireAt types.Mono  // when expired crashes are removed next
 }
 
 // targetEnd is the end of a target, which may have run several suspects.
@@ -79,7 +82,7 @@
 		return
 	}
 	if t.suspects == nil {
-		t.suspects = map[types.Fingerprint][]Crash{}
+		t.suspects, t.repeated = map[types.Fingerprint][]Crash{}, map[types.Fingerprint]bool{}
 	}
 	if len(list) == 0 && len(t.suspects) >= maxSuspects {
 		t.evictOldest()
@@ -87,6 +90,9 @@
 	list = append(list, c)
 	slices.SortStableFunc(list, func(a, b Crash) int { return cmp.Compare(a.EndedAt, b.EndedAt) })
 	t.suspects[c.Fingerprint] = list
+	if len(list) >= WatchThreshold {
+		t.repeated[c.Fingerprint] = true
+	}
 	t.recordEnd(targetEnd{target: c.Target, zone: c.Zone, at: c.EndedAt})
 }
 
@@ -101,7 +107,10 @@
 }
 
 // Clear removes the crashes of a request that has completed.
-func (t *Table) Clear(f types.Fingerprint) { delete(t.suspects, f) }
+func (t *Table) Clear(f types.Fingerprint) {
+	delete(t.suspects, f)
+	delete(t.repeated, f)
+}
 
 // Empty reports whether no request has crashes.
 func (t *Table) Empty() bool { return len(t.suspects) == 0 }
@@ -132,10 +141,8 @@
 // ended at least WatchThreshold targets. Both lists are sorted.
 func (t *Table) Verdicts(zones ZoneSizes, now types.Mono) (poisonous, watched []types.Fingerprint) {
 	t.expire(now)
-	for f, list := range t.suspects {
-		if len(list) < WatchThreshold {
-			continue
-		}
+	for f := range t.repeated {
+		list := t.suspects[f]
 		n := t.count(f, zones)
 		switch {
 		case n >= Threshold && now.Sub(list[len(list)-1].EndedAt) >= settleTime:
@@ -202,10 +209,13 @@
 	for f, list := range t.suspects {
 		list = slices.DeleteFunc(list, func(c Crash) bool { return now.Sub(c.EndedAt) > retention })
 		if len(list) == 0 {
-			delete(t.suspects, f)
+			t.Clear(f)
 			continue
 		}
 		t.suspects[f] = list
+		if len(list) < WatchThreshold {
+			delete(t.repeated, f)
+		}
 	}
 	t.ends = slices.DeleteFunc(t.ends, func(e targetEnd) bool { return now.Sub(e.at) > retention })
 }
@@ -219,7 +229,7 @@
 			oldest, at = f, last
 		}
 	}
-	delete(t.suspects, oldest)
+	t.Clear(oldest)
 }
 
 func distance(a, b types.Mono) time.Duration { return a.Sub(b).Abs() }
