quorum: a restart keeps the log of a replica that joined by appends

On a restart, its host found itself among the voters that a seed named, and bootstrapped the replica as the seeds do at the founding: log and votes were emptied. With one disk lost, what was acknowledged was on no host that could still vote against the old log.

Ruled out: stale leases and reads (the leader's term shows an election), votes of the host with the empty disk (new identity), the cold start (not all voters had started).

A replica whose log contains anything belongs to a group now, and Bootstrap refuses to empty it. That serves both interfaces, as host bootstraps its groups in the same way.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -93,6 +93,26 @@
 	}
 }
 
+// TestJoinedVotersKeepAcknowledgedPlan guards against a plan that is lost with one disk,
+// since voters that had joined the group by appends alone emptied their logs on a restart:
+// two seeds miss a plan, then all hosts stop and the third seed loses its directory.
+func TestJoinedVotersKeepAcknowledgedPlan(t *testing.T) {
+	f, c, _ := newBootstrappedFleet(t)
+	f.controls[1].stop()
+	f.controls[2].stop()
+	putPlan(t, c, 2, "choir")
+	for _, p := range f.controls {
+		p.stop()
+	}
+	if err := os.RemoveAll(f.controls[0].dir); err != nil {
+		t.Fatal(err)
+	}
+	f.runAll()
+	if diff := cmp.Diff("2 choir", readPlan(t, c)); diff != "" {
+		t.Errorf("plan read back (-want +got):\n%s", diff)
+	}
+}
+
 // TestEmptyHostsDoNotBootstrap starts control hosts with empty data directories
 // and without AllowBootstrap, as after the loss of all directories. They must
 // not bootstrap a new group.
--- a/quorum/durable.go
+++ b/quorum/durable.go
@@ -34,12 +34,17 @@
 }
 
 // ReadMembers reports whether the replica in dir belongs to a group, and returns
-// the group's membership as of the replica's last snapshot.
+// the group's membership as of the replica's last snapshot. A replica that joined
+// the group has no snapshot, and so no membership here, until its log is compacted.
 func ReadMembers(dir string) (bool, Members, error) {
 	b, err := store.ReadSnapshot(dir)
-	if err != nil || b == nil {
+	if err != nil {
 		return false, Members{}, err
 	}
+	if b == nil {
+		joined, err := store.HasFrames(dir)
+		return joined, Members{}, err
+	}
 	s, err := types.Decode[Snapshot](b)
 	return err == nil, s.Members, err
 }
@@ -52,7 +57,7 @@
 		return err
 	}
 	defer l.Close()
-	if recovered.Snapshot != nil {
+	if recovered.Snapshot != nil || len(recovered.Frames) > 0 {
 		return errors.New("quorum: the replica already belongs to a group")
 	}
 	return l.Reset(types.Encode(Snapshot{Members: members}), types.Encode(logRecord{Hard: &HardState{}}))
--- a/quorum/replica_test.go
+++ b/quorum/replica_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/quorum"
+	"github.com/banyanspur/banyanspur/store"
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -193,3 +194,28 @@
 		})
 	}
 }
+
+// TestBootstrapKeepsLog guards against emptying the log of a replica that has joined a
+// group and has no snapshot yet.
+func TestBootstrapKeepsLog(t *testing.T) {
+	dir := t.TempDir()
+	l, _, err := store.Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Append([]byte("an acknowledged entry")); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if joined, _, err := quorum.ReadMembers(dir); err != nil || !joined {
+		t.Errorf("the replica does not belong to a group: %v", err)
+	}
+	if err := quorum.Bootstrap(dir, quorum.Members{}); err == nil {
+		t.Error("the replica was bootstrapped again")
+	}
+	if _, recovered, err := store.Open(dir); err != nil || len(recovered.Frames) != 1 {
+		t.Errorf("frames in the log: %d, %v", len(recovered.Frames), err)
+	}
+}
--- a/store/log.go
+++ b/store/log.go
@@ -65,6 +65,29 @@
 	return l, r, nil
 }
 
+// HasFrames reports whether the log in directory dir contains anything, without
+// opening it. The directory need not exist.
+func HasFrames(dir string) (bool, error) {
+	segments, err := listSegments(dir)
+	if errors.Is(err, os.ErrNotExist) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	l := &Log{dir: dir}
+	for _, segment := range segments {
+		info, err := os.Stat(l.segmentPath(segment))
+		if err != nil && !errors.Is(err, os.ErrNotExist) { // Removed meanwhile by a reset.
+			return false, errors.Wrap(err, "store: stat segment")
+		}
+		if err == nil && info.Size() > 0 {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
 // recover reads the snapshot and all frames, and removes an incomplete last
 // frame.
 func (l *Log) recover(segments []uint64) (Recovered, error) {
