--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -113,6 +113,38 @@
 	}
 }
 
+// TestGroupOfJoinedVotersRestarts guards against a group that does not start again since
+// all of its voters joined by appends: two hosts lose their directories one after the
+// other, then all hosts stop and the third loses its directory.
+func TestGroupOfJoinedVotersRestarts(t *testing.T) {
+	f := newFleet(t, 3)
+	f.runAll()
+	c, peers := f.client("entry-1")
+	putPlan(t, c, 1, "choir")
+	f.allowBootstrap.Store(false)
+	f.waitForVoters(peers, 3, f.controls...)
+	wipe := func(p *process) {
+		p.stop()
+		if err := os.RemoveAll(p.dir); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, p := range []*process{f.controls[2], f.controls[0]} {
+		wipe(p)
+		p.run()
+		f.waitForVoters(peers, 3, f.controls...)
+	}
+	putPlan(t, c, 2, "choir")
+	for _, p := range f.controls {
+		p.stop()
+	}
+	wipe(f.controls[1])
+	f.runAll()
+	if diff := cmp.Diff("2 choir", readPlan(t, c)); diff != "" {
+		t.Errorf("plan read back (-want +got):\n%s", diff)
+	}
+}
+
 // TestEmptyHostsDoNotBootstrap starts control hosts with empty data directories
 // and without AllowBootstrap, as after the loss of all directories. They must
 // not bootstrap a new group.
