gate: a target that falls silent with a request counts as ended

A request whose targets fall silent instead of closing their connections was not counted if its caller left before the deadline, which callers of streams do after two seconds. The request is interrupted by its target if the target had been silent for a second; the probe then tells whether the target has ended. One that has is also avoided by the next requests, as after a failure of its own.

TestSilentEndIsReported waited forever before for a report.

--- a/gate/crash.go
+++ b/gate/crash.go
@@ -20,6 +20,10 @@
 // times, and takes longer than this to start again.
 const probeDelay = 100 * time.Millisecond
 
+// silentTime is how long a target must have been silent when the caller disconnects
+// for the request to count as interrupted by the target.
+const silentTime = time.Second
+
 var (
 	targetEndsTotal = metrics.NewCounter("banyanspur_gate_target_ends_total")
 	poisonousTotal  = metrics.NewCounter("banyanspur_gate_poisonous_total")
@@ -84,6 +88,17 @@
 	return d.listed[f] || d.proven[f]
 }
 
+// interruptedByTarget reports whether a request without a complete response was
+// interrupted by its target: the caller is still there, or left after the target had
+// been silent for silentTime.
+func (c *call) interruptedByTarget() bool {
+	lastActivity := c.lastSentAt
+	if c.lastEventAt.After(lastActivity) {
+		lastActivity = c.lastEventAt
+	}
+	return c.r.Context().Err() == nil || time.Since(lastActivity) >= silentTime
+}
+
 // recordInterrupted records that the target's response to this request ended without
 // being complete, and has the target probed.
 func (c *call) recordInterrupted(t fleet.Target) {
@@ -139,6 +154,7 @@
 		return
 	}
 	targetEndsTotal.Inc()
+	g.targets.recordFailure(t.ID)
 	g.crashes.record(crashes, g.Clock())
 }
 
--- a/gate/crash_test.go
+++ b/gate/crash_test.go
@@ -34,15 +34,18 @@
 }
 
 // reportedCrashes waits for the given number of crash reports and returns all of them.
-func (f *fakeFleet) reportedCrashes(n int) []fleet.CrashReport {
-	for {
-		f.mu.Lock()
-		crashes := f.crashes
-		f.mu.Unlock()
+func (b *testbed) reportedCrashes(n int) []fleet.CrashReport {
+	b.t.Helper()
+	for start := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		b.fleet.mu.Lock()
+		crashes := b.fleet.crashes
+		b.fleet.mu.Unlock()
 		if len(crashes) >= n {
 			return crashes
 		}
-		time.Sleep(10 * time.Millisecond)
+		if time.Since(start) > 30*time.Second {
+			b.t.Fatalf("%d crashes were reported, want %d", len(crashes), n)
+		}
 	}
 }
 
@@ -61,7 +64,7 @@
 		}
 		time.Sleep(150 * time.Millisecond) // Until the target is known to be down.
 	}
-	crashes := b.fleet.reportedCrashes(2)
+	crashes := b.reportedCrashes(2)
 	if len(crashes) != 2 || crashes[0].Fingerprint != crashes[1].Fingerprint || crashes[0].Target == crashes[1].Target || crashes[0].Attempt == crashes[1].Attempt {
 		t.Errorf("reported crashes: %+v", crashes)
 	}
@@ -72,6 +75,34 @@
 	}
 }
 
+// TestSilentEndIsReported guards against missing that a target went silent for good while it
+// ran a request whose caller does not wait until the deadline.
+func TestSilentEndIsReported(t *testing.T) {
+	for _, path := range []string{"/lookup/", "/chat/"} {
+		b := newTestbed(t)
+		service := types.ServiceID("plain")
+		if path == "/chat/" {
+			service = "models"
+		}
+		var server *httptest.Server
+		server = httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_ = server.Listener.Close() // The connection stays open.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		}))
+		t.Cleanup(server.Close)
+		b.addListedTarget(service, server)
+		ctx, cancel := context.WithTimeout(context.Background(), 1300*time.Millisecond)
+		defer cancel()
+		if _, err := b.tryDo(ctx, testRequest{path: path, key: "choir-key", body: "poison"}); err == nil {
+			t.Errorf("%s: the caller has a response", path)
+		}
+		if crash := b.reportedCrashes(1)[0]; crash.SentAgo < time.Second {
+			t.Errorf("%s: reported crash %+v", path, crash)
+		}
+	}
+}
+
 // TestPoisonousRequestIsRefused guards against sending on a request that the leader
 // lists as poisonous, and against refusing others of the same caller, path or body.
 func TestPoisonousRequestIsRefused(t *testing.T) {
@@ -79,7 +110,7 @@
 	b.addCrashingTarget("plain")
 	poisonous := testRequest{path: "/charge/x?y=1", key: "choir-key", body: "poison"}
 	b.send(poisonous)
-	crash := b.fleet.reportedCrashes(1)[0]
+	crash := b.reportedCrashes(1)[0]
 	b.addTarget("plain", respondOK)
 	b.fleet.setLoadsReply(fleet.LoadsReply{Suspects: &fleet.Suspects{Checksum: 1, Poisonous: []types.Fingerprint{crash.Fingerprint}}})
 	resp := b.do(context.Background(), poisonous)
@@ -106,7 +137,7 @@
 	b.addCrashingTarget("plain")
 	suspect := testRequest{path: "/charge/", key: "choir-key", body: "suspect"}
 	b.send(suspect)
-	crash := b.fleet.reportedCrashes(1)[0]
+	crash := b.reportedCrashes(1)[0]
 	b.addTarget("plain", respondOK)
 	for _, list := range []*fleet.Suspects{nil, {Checksum: 1, Watched: []types.Fingerprint{crash.Fingerprint}}} {
 		b.fleet.setLoadsReply(fleet.LoadsReply{Suspects: list})
@@ -135,14 +166,14 @@
 	b.addCrashingTarget("plain")
 	b.fleet.setLoadsReply(fleet.LoadsReply{Cursor: fleet.Cursor{TableID: "first"}})
 	b.send(testRequest{path: "/charge/", key: "choir-key", body: "poison"})
-	first := b.fleet.reportedCrashes(1)[0]
+	first := b.reportedCrashes(1)[0]
 	b.fleet.setLoadsReply(fleet.LoadsReply{Cursor: fleet.Cursor{TableID: "second"}})
-	second := b.fleet.reportedCrashes(2)[1]
+	second := b.reportedCrashes(2)[1]
 	if first.Attempt != second.Attempt || first.Target != second.Target {
 		t.Errorf("reports to the first and the second leader: %+v, %+v", first, second)
 	}
 	time.Sleep(time.Second) // Several exchanges.
-	if n := len(b.fleet.reportedCrashes(2)); n != 2 {
+	if n := len(b.reportedCrashes(2)); n != 2 {
 		t.Errorf("the crash was reported %d times", n)
 	}
 }
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -150,7 +150,7 @@
 		c.gate.targets.recordFailure(t.ID)
 		c.logTargetFailed(t, event.Fields{"sent": mayHaveReached, "error": err.Error()})
 	}
-	if mayHaveReached && !canceled {
+	if mayHaveReached && (!canceled || c.interruptedByTarget()) {
 		c.recordInterrupted(t)
 	}
 	switch {
--- a/gate/reply.go
+++ b/gate/reply.go
@@ -49,7 +49,7 @@
 	}
 	if _, err := io.Copy(c.w, resp.Body); err != nil {
 		c.truncated = true
-		if c.r.Context().Err() == nil {
+		if c.interruptedByTarget() {
 			c.recordInterrupted(t)
 		}
 	}
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -52,7 +52,7 @@
 		return c.classifyError(t, err)
 	}
 	c.runs++
-	if err != nil && c.r.Context().Err() == nil {
+	if err != nil && c.interruptedByTarget() {
 		c.recordInterrupted(t)
 	}
 	if err == nil {
