gate: the planned end of a target is no crash

A request could be blamed for targets that were replaced one after the other: a target that was drained and removed from the list ends with the requests that it still runs. Only the end of a target that is listed and not draining counts now; before, only the latter was checked.

--- a/gate/crash.go
+++ b/gate/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -24,6 +25,10 @@
 // for the request to count as interrupted by the target.
 const silentTime = time.Second
 
+// maxUnreported limits the crashes that are kept for the next report while the leader
+// does not respond. The oldest are dropped.
+const maxUnreported = 4096
+
 var (
 	targetEndsTotal = metrics.NewCounter("banyanspur_gate_target_ends_total")
 	poisonousTotal  = metrics.NewCounter("banyanspur_gate_poisonous_total")
@@ -139,18 +144,18 @@
 
 // probe connects to a target after probeDelay. If the target does not accept the
 // connection, its process is taken to have ended with the interrupted requests. The
-// end of a draining target is planned and no crash.
+// end of a target that is draining or no longer listed is planned and no crash.
 func (g *Gate) probe(ctx context.Context, t fleet.Target) {
 	types.Sleep(ctx, probeDelay)
 	err := g.pool.Probe(ctx, t.Address)
 	crashes := g.crashes.takeInterrupted(t.ID)
-	draining := slices.ContainsFunc(g.Fleet.View().Targets, func(o fleet.Target) bool { return o.ID == t.ID && o.Draining })
-	fields := event.Fields{"target": t.ID, "zone": t.Zone, "reachable": err == nil, "draining": draining, "requests": len(crashes)}
+	inService := slices.ContainsFunc(g.Fleet.View().Targets, func(o fleet.Target) bool { return o.ID == t.ID && !o.Draining })
+	fields := event.Fields{"target": t.ID, "zone": t.Zone, "reachable": err == nil, "inService": inService, "requests": len(crashes)}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
 	g.Log.Write(event.TargetProbed, fields)
-	if err == nil || ctx.Err() != nil || draining {
+	if err == nil || ctx.Err() != nil || !inService {
 		return
 	}
 	targetEndsTotal.Inc()
@@ -166,6 +171,9 @@
 		d.table.Record(c, now)
 	}
 	d.unreported = append(d.unreported, crashes...)
+	if n := len(d.unreported) - maxUnreported; n > 0 {
+		d.unreported = d.unreported[n:]
+	}
 }
 
 // recordCompleted records that a target has completed the request, so that the request
@@ -221,7 +229,7 @@
 func (d *crashDetector) reported(r crashReport, tableID string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.unreported = d.unreported[len(r.crashes):]
+	d.unreported = d.unreported[min(len(r.crashes), len(d.unreported)):]
 	for _, f := range r.completed {
 		delete(d.completed, f)
 	}
@@ -247,7 +255,7 @@
 		}
 	}
 	proven, _ := d.table.Verdicts(fleet.ZoneSizes(g.Fleet.View().Targets), g.Clock())
-	if list == nil && len(proven) == len(d.proven) {
+	if list == nil && maps.Equal(setOf(proven), d.proven) {
 		return
 	}
 	d.proven = setOf(proven)
