poison: the crashes of one attempt all count

An idempotent request is sent to the next target milliseconds after a crash, within the error of the hosts' clocks, so the crashes of one attempt counted as one: six targets instead of three ended before the quarantine. An attempt runs on one target at a time, so its crashes follow each other whatever their times.

TestRepeatsOfOneAttemptCount failed before.

--- a/poison/table.go
+++ b/poison/table.go
@@ -159,20 +159,24 @@
 // count returns the number of targets that a request has ended one after the other.
 func (t *Table) count(f types.Fingerprint, zones ZoneSizes) int {
 	n := 0
-	var last types.Mono // end of the last target counted
+	var last Crash // the last one counted
 	for _, c := range t.suspects[f] {
-		if t.inOutage(c, zones) {
+		if t.inOutage(c, zones) || n > 0 && !c.follows(last) {
 			continue
 		}
-		if n > 0 && (c.SentAt < last.Add(-clockError) || c.EndedAt <= last.Add(clockError)) {
-			continue // Sent before the last target ended, so both may have ended together.
-		}
 		n++
-		last = c.EndedAt
+		last = c
 	}
 	return n
 }
 
+// follows reports whether the request was sent to c's target after the end of the
+// target of an earlier crash. Otherwise both may have ended together. An attempt runs
+// on one target at a time, so the crashes of one attempt follow each other.
+func (c Crash) follows(earlier Crash) bool {
+	return c.Attempt == earlier.Attempt || c.SentAt >= earlier.EndedAt.Add(-clockError) && c.EndedAt > earlier.EndedAt.Add(clockError)
+}
+
 // inOutage reports whether more than half of the targets of the crashed target's zone
 // ended at about the same time, at least minOutage of them without this request.
 func (t *Table) inOutage(c Crash, zones ZoneSizes) bool {
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -71,6 +71,18 @@
 	}
 }
 
+// TestRepeatsOfOneAttemptCount guards against counting the crashes of an attempt that is
+// sent to the next target at once as one, since they are only milliseconds apart.
+func TestRepeatsOfOneAttemptCount(t *testing.T) {
+	var table poison.Table
+	first, second, third := crash("p", "a", 0, 0, 3), crash("p", "b", 1, 3, 6), crash("p", "c", 0, 400, 403)
+	second.Attempt = first.Attempt
+	got := verdicts(&table, 2000, first, second, third)
+	if diff := cmp.Diff([2]fingerprints{{"p"}, nil}, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
 // TestSimultaneousEndsCountOnce guards against blaming a request that many callers send
 // for the loss of a group of targets that ran it at the same time.
 func TestSimultaneousEndsCountOnce(t *testing.T) {
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -132,12 +132,14 @@
 	route := func(prefix, kind, service string, stateful bool) map[string]any {
 		return map[string]any{
 			"name": "r" + prefix, "hostname": "soak.example", "path_prefix": prefix, "route_kind": kind, "timeout_ms": 4000,
-			"target_latency_ms": 200, "service": service, "max_attempts": 1, "stateful": stateful, "keep_s": 60,
+			"target_latency_ms": 200, "service": service, "max_attempts": 2, "stateful": stateful, "keep_s": 60,
 		}
 	}
 	b, err := json.Marshal(map[string]any{
 		"version": version,
-		"routes":  []any{route("/turn/", "streaming", "models", true), route("/charge/", "non_idempotent", "plain", false)},
+		"routes": []any{
+			route("/turn/", "streaming", "models", true), route("/charge/", "non_idempotent", "plain", false), route("/lookup/", "idempotent", "plain", false),
+		},
 		"services": []any{
 			map[string]any{"name": "models", "engine": map[string]any{"slots": 50, "stride": tokensPerEvent}}, map[string]any{"name": "plain"},
 		},
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -28,7 +28,7 @@
 // contactTime ago, also after an entry host, the leader of the configuration group
 // or all control hosts have been killed. Other requests are not refused for it.
 func TestCrashingRequestIsRefusedByAllHosts(t *testing.T) {
-	for _, path := range []string{"/turn/", "/charge/"} {
+	for _, path := range []string{"/turn/", "/charge/", "/lookup/"} {
 		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
 			c, tg := startServing(t, 3, crashTargets, crashTargets)
 			ctx, cancel := context.WithCancel(context.Background())
