gate: a target that the list drops without draining has crashed

The list drops targets that have crashed, after some seconds. A target that fell silent was found to have ended only when its callers left, and its end was then taken for a planned one, as it was no longer listed. Which targets were listed as draining is kept for a minute instead.

--- a/gate/crash.go
+++ b/gate/crash.go
@@ -42,6 +42,8 @@
 	// interrupted holds, for each target that is being probed, the requests that
 	// were interrupted there since the last probe started.
 	interrupted map[types.TargetID][]poison.Crash
+	// draining holds when each target was last listed as draining.
+	draining map[types.TargetID]time.Time
 	// table holds the crashes that this host has observed. It decides alone while
 	// the leader does not respond.
 	table poison.Table
@@ -142,20 +144,50 @@
 	return list
 }
 
+// drainingRetention is how long a target that was listed as draining is expected to end.
+const drainingRetention = time.Minute
+
+// recordDraining records which targets are listed as draining.
+func (d *crashDetector) recordDraining(list []fleet.Target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(d.draining, func(_ types.TargetID, at time.Time) bool { return now.Sub(at) > drainingRetention })
+	for _, t := range list {
+		if !t.Draining {
+			delete(d.draining, t.ID) // It has started again.
+			continue
+		}
+		if d.draining == nil {
+			d.draining = map[types.TargetID]time.Time{}
+		}
+		d.draining[t.ID] = now
+	}
+}
+
+// wasDraining reports whether a target was listed as draining lately.
+func (d *crashDetector) wasDraining(id types.TargetID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, ok := d.draining[id]
+	return ok && time.Since(at) <= drainingRetention
+}
+
 // probe connects to a target after probeDelay. If the target does not accept the
 // connection, its process is taken to have ended with the interrupted requests. The
-// end of a target that is draining or no longer listed is planned and no crash.
+// end of a target that was draining is planned and no crash. One that is no longer
+// listed counts, since the list drops targets that have crashed.
 func (g *Gate) probe(ctx context.Context, t fleet.Target) {
 	types.Sleep(ctx, probeDelay)
 	err := g.pool.Probe(ctx, t.Address)
 	crashes := g.crashes.takeInterrupted(t.ID)
-	inService := slices.ContainsFunc(g.Fleet.View().Targets, func(o fleet.Target) bool { return o.ID == t.ID && !o.Draining })
-	fields := event.Fields{"target": t.ID, "zone": t.Zone, "reachable": err == nil, "inService": inService, "requests": len(crashes)}
+	planned := g.crashes.wasDraining(t.ID)
+	fields := event.Fields{"target": t.ID, "zone": t.Zone, "reachable": err == nil, "planned": planned, "requests": len(crashes)}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
 	g.Log.Write(event.TargetProbed, fields)
-	if err == nil || ctx.Err() != nil || !inService {
+	if err == nil || ctx.Err() != nil || planned {
 		return
 	}
 	targetEndsTotal.Inc()
--- a/gate/crash_test.go
+++ b/gate/crash_test.go
@@ -81,32 +81,31 @@
 }
 
 // TestPlannedEndIsNoCrash guards against blaming the requests of a target that ends after
-// it was announced as draining, or was removed from the list.
+// it was listed as draining, also if it is no longer listed by then, and against missing the
+// crash of a target that the list drops without that.
 func TestPlannedEndIsNoCrash(t *testing.T) {
-	b := newTestbed(t)
-	setTargets := func(change func([]fleet.Target) []fleet.Target) {
-		v := b.fleet.View()
-		v.Targets = change(slices.Clone(v.Targets))
-		b.fleet.setView(v)
-	}
-	drain := func(list []fleet.Target) []fleet.Target {
-		list[0].Draining = true
-		return list
-	}
-	remove := func([]fleet.Target) []fleet.Target { return nil }
-	for _, change := range []func([]fleet.Target) []fleet.Target{drain, remove} {
-		setTargets(remove)
-		b.addEndingTarget("plain", func() { setTargets(change) })
-		b.send(testRequest{path: "/charge/", key: "choir-key", body: "planned"})
+	for _, draining := range []bool{true, false} {
+		b := newTestbed(t)
+		b.addEndingTarget("plain", func() {
+			v := b.fleet.View()
+			list := slices.Clone(v.Targets)
+			list[0].Draining = draining
+			b.gate.TargetsChanged(list)
+			v.Targets = nil
+			b.fleet.setView(v)
+			b.gate.TargetsChanged(nil)
+		})
+		b.send(testRequest{path: "/charge/", key: "choir-key", body: "first"})
 		time.Sleep(150 * time.Millisecond) // Until the target is probed.
-	}
-	setTargets(remove)
-	b.addCrashingTarget("plain")
-	b.send(testRequest{path: "/charge/", key: "choir-key", body: "crash"})
-	b.reportedCrashes(1)
-	time.Sleep(time.Second) // Several exchanges.
-	if n := len(b.reportedCrashes(1)); n != 1 {
-		t.Errorf("%d crashes were reported, want only the one that was not planned", n)
+		b.addCrashingTarget("plain")       // Under the same ID.
+		b.gate.TargetsChanged(b.fleet.View().Targets)
+		b.send(testRequest{path: "/charge/", key: "choir-key", body: "second"})
+		want := map[bool]int{true: 1, false: 2}[draining]
+		b.reportedCrashes(want)
+		time.Sleep(time.Second) // Several exchanges.
+		if diff := cmp.Diff(want, len(b.reportedCrashes(want))); diff != "" {
+			t.Errorf("draining %t: reported crashes (-want +got):\n%s", draining, diff)
+		}
 	}
 }
 
--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -133,6 +133,7 @@
 type testbed struct {
 	t     *testing.T
 	fleet *fakeFleet
+	gate  *gate.Gate
 	url   string
 }
 
@@ -166,6 +167,7 @@
 		Host: "entry-1", Zone: "zone-a", HeaderNames: headerNames, Fleet: b.fleet, Clock: b.fleet.clock, MaxPlanStaleness: time.Minute,
 		Turns: &turns.Client{Peers: peers, Map: func() *turns.Map { return b.fleet.View().Map }},
 	}
+	b.gate = gt
 	g.Go(func() error { return gt.Run(ctx) })
 	server := httptest.NewServer(gt)
 	b.url = server.URL
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -167,6 +167,7 @@
 		addresses[t.Address] = true
 		ids[t.ID] = true
 	}
+	g.crashes.recordDraining(list)
 	g.pool.CloseIdleExcept(addresses)
 	g.targets.removeUnlisted(ids)
 }
