soak, docs: a named function kills and restarts a host

The crash test took the fault by its index in the list, which says nothing to a reader and would change with the list.

--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -46,7 +46,7 @@
 			})
 			time.Sleep(6 * time.Second)
 			entry, controls := c.fleet.hosts[6], c.fleet.hosts[:3]
-			faults[0].inject(c.fleet, entry, 200*time.Millisecond)
+			c.fleet.killAndRestart(entry, 200*time.Millisecond)
 			c.fleet.killControlHosts(controls, 100*time.Millisecond)
 			time.Sleep(4 * time.Second)
 			cancel()
@@ -61,7 +61,7 @@
 func (f *fleet) killControlHosts(hosts []*testHost, d time.Duration) {
 	var g sync.WaitGroup
 	for _, h := range hosts {
-		g.Go(func() { faults[0].inject(f, h, d) })
+		g.Go(func() { f.killAndRestart(h, d) })
 	}
 	g.Wait()
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -179,11 +179,7 @@
 }
 
 var faults = []fault{
-	{"killed", func(f *fleet, h *testHost, d time.Duration) {
-		h.stop(syscall.SIGKILL)
-		time.Sleep(d)
-		f.start(h, false)
-	}},
+	{"killed", (*fleet).killAndRestart},
 	{"stopped gracefully", func(f *fleet, h *testHost, d time.Duration) {
 		h.stop(syscall.SIGTERM)
 		time.Sleep(d / 4)
@@ -215,6 +211,13 @@
 	}},
 }
 
+// killAndRestart kills a host and restarts it after d.
+func (f *fleet) killAndRestart(h *testHost, d time.Duration) {
+	h.stop(syscall.SIGKILL)
+	time.Sleep(d)
+	f.start(h, false)
+}
+
 // appendTornFrame appends an incomplete frame to the newest log segments of a host,
 // as left behind by a write that a power loss interrupted before it was
 // acknowledged: a frame's magic number, a payload length of 200 and three bytes of
