gate, limit, event: log the limits that targets name

Event 506 tells which limit a target names on which host, event 406 whether a request is sent to such a target. No decision changes.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -49,6 +49,7 @@
 	ReleaseFailed        = Kind{503, logrus.WarnLevel, "target did not accept a release, will be sent again"}
 	HostListFailed       = Kind{504, logrus.WarnLevel, "host list could not be read"}
 	TargetProbed         = Kind{505, logrus.InfoLevel, "target probed after an interrupted request"}
+	TargetLimited        = Kind{506, logrus.InfoLevel, "limit that a target names has changed"}
 	LinkLost             = Kind{601, logrus.InfoLevel, "link to another host lost"}
 	PeerRefused          = Kind{602, logrus.WarnLevel, "link refused, wrong cluster secret"}
 )
@@ -65,7 +66,7 @@
 		CallOutcomeUnknown, CallQuarantined, SessionExpired, CallCloseFailed,
 		RequestRefused, RequestSent, RequestEnded, TurnDurable, BudgetDecided,
 		QuarantineEnded, QuarantineFailed, SuspectsChanged,
-		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed,
+		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited,
 		LinkLost, PeerRefused,
 	}
 }
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -108,6 +108,7 @@
 	c.target, c.lastSentAt = t.ID, time.Now()
 	ctx, stopTimer, cancel := c.attemptContext(remaining, hasAlternative)
 	defer cancel()
+	sentAt := c.gate.Clock()
 	c.gate.targets.requestStarted(t.ID)
 	defer c.gate.targets.requestEnded(t.ID)
 	resp, err := c.gate.pool.Do(ctx, t.Address, &fetch.Request{
@@ -119,6 +120,10 @@
 		"bytes": len(c.body), "account": c.accountID(), "planVersion": c.view.Versions.Plan, "targetsSum": c.view.Versions.Targets,
 	}
 	choice.addFields(fields)
+	if rate, ok := c.gate.targetLimits.rate(t.ID); ok {
+		fields["limit"] = rate
+		limitedSendsTotal.Inc()
+	}
 	c.gate.Log.Write(event.RequestSent, fields)
 	if err != nil {
 		if cause := context.Cause(ctx); errors.Is(cause, errAttemptTimeout) {
@@ -127,6 +132,7 @@
 		return c.classifyError(t, err)
 	}
 	defer resp.Close()
+	c.recordNotice(t, resp.Header, sentAt)
 	if outcome, rejected := c.classifyHead(t, resp); rejected {
 		return outcome
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -60,13 +60,14 @@
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
-	initOnce    sync.Once
-	pool        fetch.Pool
-	targets     targetTracker
-	limits      limitShares
-	retryBudget route.RetryBudget
-	crashes     crashDetector
-	draining    atomic.Bool
+	initOnce     sync.Once
+	pool         fetch.Pool
+	targets      targetTracker
+	limits       limitShares
+	retryBudget  route.RetryBudget
+	crashes      crashDetector
+	targetLimits targetLimits
+	draining     atomic.Bool
 	// background runs the work that continues after the caller has its response,
 	// under backgroundCtx.
 	background       errgroup.Group
--- a/gate/names.go
+++ b/gate/names.go
@@ -23,6 +23,9 @@
 	NotRun string
 	// Load is a target's load report: running requests, waiting requests, slots.
 	Load string
+	// TargetLimit is set by a target that accepts only so many requests per second
+	// from all hosts together.
+	TargetLimit string
 	// Priority is the priority of a request at the target; 0 is the most urgent.
 	Priority string
 	// PromptParts lists the parts of the prompt as comma-separated ID:TOKENS.
