--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -29,6 +30,10 @@
 	list    []map[string]any
 	servers []*targetServer // in the order of list, then the server of the list
 	crashes []time.Time     // when a target ended because it ran crashingInput
+	// limits holds the limits that targets name, and arrivals when each target got
+	// a request, both by target ID.
+	limits   map[string]float64
+	arrivals map[string][]time.Time
 }
 
 // turnOutput returns the output events of a turn. They depend only on the request
@@ -41,7 +46,7 @@
 // startTargets starts the given numbers of targets of the services "models" and
 // "plain". It returns them and the address of the server that lists them.
 func startTargets(models, plain int) (*targets, string, error) {
-	t := &targets{runs: map[string][]run{}}
+	t := &targets{runs: map[string][]run{}, arrivals: map[string][]time.Time{}}
 	for i := range models + plain {
 		service, handler := "models", t.serveTurn
 		if i >= models {
@@ -165,7 +170,12 @@
 		return "", false
 	}
 	id = r.Header.Get("X-Request-Id")
+	target := r.Header.Get("X-Target-Instance")
 	t.mu.Lock()
+	t.arrivals[target] = append(t.arrivals[target], time.Now())
+	if rate, ok := t.limits[target]; ok {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(rate, 'f', -1, 64))
+	}
 	t.runs[id] = append(t.runs[id], run{
 		id: id, account: r.Header.Get("X-Tenant"), key: r.Header.Get("Authorization"), path: r.URL.Path, body: string(body), startedAt: time.Now(),
 	})
