limit, fleet, gate: divide the limits that targets name among all hosts

The leader now divides such a limit among hosts with the issuer that divides the limits of accounts. Each request to such a target takes a part of the limit before it is sent, second attempts too; a request that finds none goes to another target, and is refused at once if there is none. Half of an issuer's bucket is kept for turns whose prompt the target has cached.

Two faults that the tests found on the way: a bucket of less than one token kept the issuer's own bucket from holding one, so that limits below 2 per second admitted nothing (limit TestLowTargetLimitIsUsed); hosts that stop using a share now give it back.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -50,6 +50,7 @@
 	HostListFailed       = Kind{504, logrus.WarnLevel, "host list could not be read"}
 	TargetProbed         = Kind{505, logrus.InfoLevel, "target probed after an interrupted request"}
 	TargetLimited        = Kind{506, logrus.InfoLevel, "limit that a target names has changed"}
+	TargetFull           = Kind{507, logrus.InfoLevel, "target is at the limit that it names"}
 	LinkLost             = Kind{601, logrus.InfoLevel, "link to another host lost"}
 	PeerRefused          = Kind{602, logrus.WarnLevel, "link refused, wrong cluster secret"}
 )
@@ -66,7 +67,7 @@
 		CallOutcomeUnknown, CallQuarantined, SessionExpired, CallCloseFailed,
 		RequestRefused, RequestSent, RequestEnded, TurnDurable, BudgetDecided,
 		QuarantineEnded, QuarantineFailed, SuspectsChanged,
-		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited,
+		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull,
 		LinkLost, PeerRefused,
 	}
 }
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -75,6 +75,11 @@
 	changingQuarantine bool
 	logTime            types.LogTime // at the start of the last asLeader
 	issuers            map[types.AccountID]*limit.Issuer
+	// notices are the limits that targets name, noticesID identifies them among those
+	// of other leaders, and targetIssuers divide these limits among hosts.
+	notices       limit.Notices
+	noticesID     string
+	targetIssuers map[types.TargetID]*limit.Issuer
 	// planTable indexes the plan in force, or an older one until the next use.
 	planTable *plan.Table
 	// reportedHosts contains the hosts that have reported their allotments to
@@ -122,6 +127,8 @@
 	c.loadReports, c.cachedParts, c.crashes = loadTable{}, cachedPartTable{}, poison.Table{}
 	c.completed, c.changingQuarantine = map[types.Fingerprint]bool{}, false
 	c.issuers = map[types.AccountID]*limit.Issuer{}
+	c.notices, c.noticesID = limit.Notices{}, types.RandomID()
+	c.targetIssuers = map[types.TargetID]*limit.Issuer{}
 	c.planTable = nil
 	c.reportedHosts = map[types.HostID]bool{}
 	c.lastRegistration = leaderSince
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -125,12 +125,17 @@
 				issuer.Return(demand.Holder, now)
 				continue
 			}
+			if demand.Release {
+				issuer.Release(demand, now)
+				continue
+			}
 			issuer.HostCount = len(c.machine.Holders())
 			reply.Allotments[id] = issuer.Renew(demand, now)
 			if complete {
 				issuer.MarkAllReported(now)
 			}
 		}
+		c.targetLimits(req, &reply, complete, now)
 	})
 	return reply, err
 }
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -30,6 +30,11 @@
 	CachedParts CachedParts `json:"held,omitempty"`
 	// Since is the Cursor of the last reply that the host received.
 	Since Cursor `json:"heard"`
+	// Notices are the limits that targets have named to this host since its last
+	// report. A new leader receives all that the host knows. NoticesSince is the
+	// NoticesCursor of the last reply that the host received.
+	Notices      TargetNotices `json:"notices,omitempty"`
+	NoticesSince Cursor        `json:"noticesHeard"`
 	// Crashes lists the targets that have ended while they ran requests of this
 	// host, since its last report. A new leader receives all of the last minutes.
 	Crashes []CrashReport `json:"crashes,omitempty"`
@@ -50,6 +55,10 @@
 	CachedParts CachedParts `json:"held,omitempty"`
 	// Cursor is the value of Since for the next request.
 	Cursor Cursor `json:"mark"`
+	// Notices are the limits of targets that have changed since the position in the
+	// request, and NoticesCursor is the value of NoticesSince for the next request.
+	Notices       TargetNotices `json:"notices,omitempty"`
+	NoticesCursor Cursor        `json:"noticesMark"`
 	// Suspects are the requests that have ended targets. It is nil if the host
 	// already has them.
 	Suspects *Suspects `json:"suspects,omitempty"`
@@ -137,6 +146,7 @@
 		reply.Loads = c.loadReports.exchange(req, now)
 		c.cachedParts.record(req.CachedParts, now)
 		reply.CachedParts, reply.Cursor = c.cachedParts.since(req.Since)
+		reply.Notices, reply.NoticesCursor = c.exchangeNotices(req, now)
 		c.recordSuspects(req, now)
 		var list Suspects
 		list, quarantine = c.suspects(now)
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -108,6 +108,10 @@
 type LimitsRequest struct {
 	Host    types.HostID                     `json:"host"`
 	Demands map[types.AccountID]limit.Demand `json:"demands"`
+	// TargetDemands are the demands for the limits that targets name, and
+	// TargetNotices what the host knows of these.
+	TargetDemands map[types.TargetID]limit.Demand `json:"targetDemands,omitempty"`
+	TargetNotices TargetNotices                   `json:"targetNotices,omitempty"`
 	// Return is set if the host is shutting down and returns its allotments.
 	Return bool `json:"return,omitempty"`
 }
@@ -115,6 +119,10 @@
 // LimitsReply holds an allotment for each requested account that has a limit.
 type LimitsReply struct {
 	Allotments map[types.AccountID]limit.Allotment `json:"allotments"`
+	// TargetAllotments holds an allotment for each requested target that names a
+	// limit, and TargetNotices what the leader knows of the others.
+	TargetAllotments map[types.TargetID]limit.Allotment `json:"targetAllotments,omitempty"`
+	TargetNotices    TargetNotices                      `json:"targetNotices,omitempty"`
 }
 
 // ReadRequest requests the plan in force.
--- /dev/null
+++ b/fleet/target_limits.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/banyanspur/banyanspur/limit"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// TargetNotice is a [limit.Notice] with its age instead of its time, since hosts have
+// different clocks.
+type TargetNotice struct {
+	Rate   types.PerSecond `json:"rate,omitempty"`
+	Lifted bool            `json:"lifted,omitempty"`
+	Ago    time.Duration   `json:"ago"`
+}
+
+// TargetNotices holds notices by target.
+type TargetNotices map[types.TargetID]TargetNotice
+
+// NewTargetNotices returns the given notices as they are sent now.
+func NewTargetNotices(notices map[types.TargetID]limit.Notice, now types.Mono) TargetNotices {
+	if len(notices) == 0 {
+		return nil
+	}
+	sent := TargetNotices{}
+	for id, n := range notices {
+		sent[id] = TargetNotice{Rate: n.Rate, Lifted: n.Lifted, Ago: now.Sub(n.At)}
+	}
+	return sent
+}
+
+// Received returns the notice as received now.
+func (n TargetNotice) Received(now types.Mono) limit.Notice {
+	return limit.Notice{Rate: n.Rate, Lifted: n.Lifted, At: now.Add(-n.Ago)}
+}
+
+// exchangeNotices records the limits that targets have named to a host, and returns
+// those that have changed since its last exchange. It must be called within asLeader.
+func (c *Control) exchangeNotices(req LoadsRequest, now types.Mono) (TargetNotices, Cursor) {
+	c.recordNotices(req.Notices, now)
+	since := uint64(0)
+	if req.NoticesSince.TableID == c.noticesID {
+		since = req.NoticesSince.Next
+	}
+	changed, revision := c.notices.Since(since)
+	return NewTargetNotices(changed, now), Cursor{TableID: c.noticesID, Next: revision}
+}
+
+func (c *Control) recordNotices(notices TargetNotices, now types.Mono) {
+	for id, n := range notices {
+		c.notices.Add(id, n.Received(now))
+	}
+}
+
+// targetLimits renews or returns a host's allotments of the limits that targets name.
+// complete reports whether all allotments of earlier leaders are known. It must be
+// called within asLeader.
+func (c *Control) targetLimits(req LimitsRequest, reply *LimitsReply, complete bool, now types.Mono) {
+	c.recordNotices(req.TargetNotices, now)
+	reply.TargetAllotments = map[types.TargetID]limit.Allotment{}
+	lifted := map[types.TargetID]limit.Notice{}
+	for id, demand := range req.TargetDemands {
+		n, known := c.notices.Get(id)
+		issuer := c.targetIssuers[id]
+		switch {
+		case issuer != nil && req.Return:
+			issuer.Return(demand.Holder, now)
+			continue
+		case issuer != nil && demand.Release:
+			issuer.Release(demand, now)
+			continue
+		case known && n.Lifted:
+			lifted[id] = n
+			continue
+		case !known || req.Return || demand.Release:
+			continue
+		case issuer == nil:
+			issuer = limit.NewIssuer(c.leaderSince)
+			issuer.PerRequest = true
+			c.targetIssuers[id] = issuer
+		}
+		issuer.SetLimit(limit.TargetLimit(n.Rate), now)
+		issuer.HostCount = len(c.machine.Holders())
+		reply.TargetAllotments[id] = issuer.Renew(demand, now)
+		if complete {
+			issuer.MarkAllReported(now)
+		}
+	}
+	reply.TargetNotices = NewTargetNotices(lifted, now)
+}
+
+// expireTargetLimits removes the limits of targets that no host has used for a while.
+// It must be called within asLeader.
+func (c *Control) expireTargetLimits(now types.Mono) {
+	c.notices.Expire(now)
+	for id := range c.targetIssuers {
+		if _, known := c.notices.Get(id); !known {
+			delete(c.targetIssuers, id)
+		}
+	}
+}
--- a/fleet/targets.go
+++ b/fleet/targets.go
@@ -57,7 +57,8 @@
 	slices.SortFunc(list, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 	next := Targets{Checksum: max(1, xxhash.Sum64(types.Encode(list))), List: list}
 	changed := false
-	err := c.asLeader(func(types.Mono) {
+	err := c.asLeader(func(now types.Mono) {
+		c.expireTargetLimits(now)
 		changed = next.Checksum != c.targets.Checksum
 		c.targets, c.zoneSizes = next, ZoneSizes(list)
 	})
--- a/gate/call.go
+++ b/gate/call.go
@@ -193,7 +193,7 @@
 // the budget claim, and logs the end of the request.
 func (c *call) finish() {
 	if c.limitTaken && !c.mayHaveRun {
-		c.gate.limits.refund(c.account)
+		c.gate.limits.accounts.refund(c.account.Name)
 	}
 	c.releaseClaim()
 	fields := event.Fields{
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -57,9 +57,12 @@
 		}
 		choice, ok := c.pickTarget(service, tried)
 		if !ok || rejected >= maxRejections {
-			return c.dispatchError("no target accepted the request")
+			return c.noTarget(service)
 		}
 		tried[choice.ID] = true
+		if !c.takeFromTargetLimit(choice.ID, c.lowPrecedence(service, choice.ID)) {
+			continue
+		}
 		switch c.send(service, choice, c.hasUntried(tried, service)) {
 		case outcomeForwarded:
 			return nil
@@ -88,6 +91,19 @@
 	return &errorResponse{status: http.StatusBadGateway, reason: reason}
 }
 
+// noTarget returns the error response for a request that no target has accepted.
+func (c *call) noTarget(service *plan.Service) *errorResponse {
+	wait, limited := c.limitedFor(service)
+	if !limited {
+		return c.dispatchError("no target accepted the request")
+	}
+	resp := c.dispatchError("the targets that could run the request are at the limits that they name")
+	if !c.mayHaveRun {
+		resp.retryAfter = max(resp.retryAfter, wait)
+	}
+	return resp
+}
+
 // backendKey returns the hash that selects one of the route's weighted backends.
 // It is the same for all requests of a program.
 func (c *call) backendKey() uint64 {
@@ -161,6 +177,7 @@
 	}
 	switch {
 	case !mayHaveReached && c.remaining() > 0 && !canceled:
+		c.gate.limits.targets.refund(t.ID)
 		return outcomeNotRun
 	case c.remaining() <= 0 || canceled:
 		return outcomeExpired
--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -26,18 +26,20 @@
 // headerNames are the header fields that callers and targets use in these tests.
 var headerNames = gate.HeaderNames{
 	RequestID: "Id", Deadline: "Deadline", Credential: "Authorization", CredentialScheme: "Bearer", Account: "Account", Target: "Target",
-	Signature: "Proof", NotRun: "Not-Run", Load: "Load", Priority: "Rank", PromptParts: "Prompt", Tokens: "Tokens", Program: "Program",
+	Signature: "Proof", NotRun: "Not-Run", Load: "Load", TargetLimit: "Limit", Priority: "Rank", PromptParts: "Prompt", Tokens: "Tokens", Program: "Program",
 	Budget: "Budget", PreviousTurn: "Previous", Internal: []string{"Internal", "Rank", "Target"},
 }
 
 // fakeFleet is a [gate.Fleet] whose replies are set by the test.
 type fakeFleet struct {
-	mu         sync.Mutex
-	view       fleet.View
-	issuers    map[types.AccountID]*limit.Issuer
-	clock      types.Clock
-	staleness  time.Duration
-	loadsReply fleet.LoadsReply // reply to every exchange of load reports
+	mu      sync.Mutex
+	view    fleet.View
+	issuers map[types.AccountID]*limit.Issuer
+	// targetIssuers divide the limits that targets name.
+	targetIssuers map[types.TargetID]*limit.Issuer
+	clock         types.Clock
+	staleness     time.Duration
+	loadsReply    fleet.LoadsReply // reply to every exchange of load reports
 	// reportedParts collects the cached parts that were reported, and exchanges
 	// counts the exchanges of load reports.
 	reportedParts fleet.CachedParts
@@ -126,6 +128,22 @@
 		issuer.SetLimit(limit.Limit{Rate: a.Rate, Burst: a.Burst}, f.clock())
 		reply.Allotments[id] = issuer.Renew(demand, f.clock())
 	}
+	reply.TargetAllotments = map[types.TargetID]limit.Allotment{}
+	for id, demand := range req.TargetDemands {
+		issuer := f.targetIssuers[id]
+		if issuer == nil {
+			issuer = limit.NewIssuer(0)
+			issuer.PerRequest = true
+			issuer.MarkAllReported(0)
+			f.targetIssuers[id] = issuer
+		}
+		if demand.Release {
+			issuer.Release(demand, f.clock())
+			continue
+		}
+		issuer.SetLimit(limit.TargetLimit(req.TargetNotices[id].Rate), f.clock())
+		reply.TargetAllotments[id] = issuer.Renew(demand, f.clock())
+	}
 	return reply, nil
 }
 
@@ -156,7 +174,7 @@
 			{Name: "small", Keys: []types.KeyHash{types.HashKey("small-key")}, Rate: 5, Burst: 5},
 		},
 	}
-	b := &testbed{t: t, fleet: &fakeFleet{issuers: map[types.AccountID]*limit.Issuer{}, clock: types.NewClock()}}
+	b := &testbed{t: t, fleet: &fakeFleet{issuers: map[types.AccountID]*limit.Issuer{}, targetIssuers: map[types.TargetID]*limit.Issuer{}, clock: types.NewClock()}}
 	b.fleet.view.Plan = plan.NewTable(p)
 	ctx, cancel := context.WithCancel(context.Background())
 	g, ctx := errgroup.WithContext(ctx)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -132,6 +132,7 @@
 	for types.Sleep(ctx, interval) {
 		exchangeCtx, cancel := context.WithTimeout(ctx, loadExchangeTimeout)
 		req := fleet.LoadsRequest{Host: g.Host, Loads: g.targets.localLoads(), CachedParts: g.targets.takeUnreportedParts(), Since: cursor}
+		req.Notices, req.NoticesSince = g.targetLimits.report(g.Clock())
 		crashes := g.crashes.nextReport()
 		crashes.addTo(&req, g.Clock())
 		reply, err := g.Fleet.Loads(exchangeCtx, req)
@@ -142,6 +143,7 @@
 		}
 		interval = loadExchangeInterval
 		g.crashes.reported(crashes, reply.Cursor.TableID)
+		g.targetLimits.reported(req.Notices, reply, g.Clock())
 		g.targets.setOtherLoads(reply.Loads)
 		g.targets.addCachedParts(reply.CachedParts)
 		cursor = reply.Cursor
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -35,8 +35,9 @@
 	var targets []fleet.Target
 	var options []route.Option
 	var unitSeconds []float64
+	now := c.gate.Clock()
 	for _, t := range c.gate.Fleet.View().Targets {
-		if !eligible(t, service, tried) {
+		if !eligible(t, service, tried) || c.gate.targetLimits.fullFor(t.ID, c.lowPrecedence(service, t.ID), now) > 0 {
 			continue
 		}
 		o, unit := c.gate.targets.routeOption(t, parts, c.gate.Zone)
@@ -77,8 +78,9 @@
 // hasUntried reports whether the service has an eligible target that has not been
 // tried.
 func (c *call) hasUntried(tried map[types.TargetID]bool, service *plan.Service) bool {
+	now := c.gate.Clock()
 	for _, t := range c.gate.Fleet.View().Targets {
-		if eligible(t, service, tried) {
+		if eligible(t, service, tried) && c.gate.targetLimits.fullFor(t.ID, c.lowPrecedence(service, t.ID), now) == 0 {
 			return true
 		}
 	}
--- a/gate/rate_limit.go
+++ b/gate/rate_limit.go
@@ -6,7 +6,6 @@
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/limit"
-	"github.com/banyanspur/banyanspur/types"
 )
 
 const (
@@ -33,12 +32,12 @@
 		return nil
 	}
 	s := &c.gate.limits
-	renewed, ahead, ok := s.tryTake(c.account.Name)
+	renewed, ahead, ok := s.accounts.tryTake(c.account.Name, false)
 	if ok {
 		c.limitTaken = true
 		return nil
 	}
-	defer s.stopWaiting(c.account.Name)
+	defer s.accounts.stopWaiting(c.account.Name, false)
 	return c.awaitLimit(renewed, ahead)
 }
 
@@ -49,7 +48,7 @@
 	s := &c.gate.limits
 	deadline := time.Now().Add(min(silentIssuerWait, c.remaining()/2))
 	for issuerReplied := false; ; {
-		queueWait, refillWait := s.waitTimes(c.account.Name, ahead, c.account.Rate)
+		queueWait, refillWait := s.accounts.waitTimes(c.account.Name, ahead, c.account.Rate)
 		if issuerReplied && queueWait > maxLimitWait {
 			return c.rateLimited(queueWait)
 		}
@@ -60,11 +59,11 @@
 				deadline = earlier(deadline, time.Now().Add(maxLimitWait))
 			}
 		case <-time.After(min(time.Until(deadline), refillWait, max(minRenewalPoll, min(queueWait/2, maxRenewalPoll)))):
-			s.requestRenewal(c.account.Name)
+			s.accounts.requestRenewal(c.account.Name)
 		case <-c.r.Context().Done():
 			return c.rateLimited(queueWait)
 		}
-		next, ok := s.retryTake(c.account.Name)
+		next, ok := s.accounts.retryTake(c.account.Name, false)
 		if ok {
 			c.limitTaken = true
 			return nil
@@ -88,31 +87,10 @@
 	return a
 }
 
-// waitTimes returns the estimated time until a request with the given number of
-// requests of this host ahead of it is admitted, and the time until this host's
-// bucket refills by itself if the issuer does not respond, [limit.Never] if the
-// bucket does not refill.
-func (s *limitShares) waitTimes(id types.AccountID, ahead int, rate types.PerSecond) (queueWait, refillWait time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	a := s.accounts[id]
-	if a == nil {
-		return 0, limit.Never
-	}
-	return a.QueueWait(min(ahead, a.waiting-1), rate), max(a.WaitWithoutIssuer(s.gate.Clock()), minRenewalPoll)
-}
-
 // rateLimited returns the error response for a request above its account's rate
 // limit. queueWait is the estimated time until the request would be admitted.
 func (c *call) rateLimited(queueWait time.Duration) *errorResponse {
-	s := &c.gate.limits
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var allotment limit.Allotment
-	tokens := 0.0
-	if a := s.accounts[c.account.Name]; a != nil {
-		allotment, tokens = a.Held(s.gate.Clock())
-	}
+	allotment, tokens := c.gate.limits.accounts.held(c.account.Name)
 	return &errorResponse{
 		status: http.StatusTooManyRequests, retryAfter: max(minRetryAfter, min(queueWait, limit.AllotmentTime)), reason: "the account is above its rate",
 		logFields: event.Fields{"rate": c.account.Rate, "burst": c.account.Burst, "held": allotment, "tokens": tokens, "queueMs": queueWait.Milliseconds()},
--- a/gate/target_limit.go
+++ b/gate/target_limit.go
@@ -5,51 +5,42 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/limit"
+	"github.com/banyanspur/banyanspur/plan"
 	"github.com/banyanspur/banyanspur/types"
 )
 
-var limitedSendsTotal = metrics.NewCounter("banyanspur_gate_limited_sends_total")
-
-// targetLimits holds the limits that targets name in their responses. The zero value
-// is ready to use. It is safe for concurrent use.
-type targetLimits struct {
-	mu      sync.Mutex
-	notices limit.Notices
-}
+var (
+	limitedSendsTotal = metrics.NewCounter("banyanspur_gate_limited_sends_total")
+	fullTargetsTotal  = metrics.NewCounter("banyanspur_gate_full_targets_total")
+)
 
-// rate returns the limit that a target names, and false if it names none.
-func (l *targetLimits) rate(id types.TargetID) (types.PerSecond, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n, ok := l.notices.Get(id)
-	return n.Rate, ok && !n.Lifted
-}
+const (
+	// targetLimitWait is how long a request waits for a part of a target's limit. It
+	// covers a few round trips to the issuer; after that another target is tried.
+	targetLimitWait = 60 * time.Millisecond
+	// maxIssuerSilence is the silence of the issuer after which requests no longer
+	// wait for it.
+	maxIssuerSilence = 50 * time.Millisecond
+	// targetRenewals is how many renewals may leave a request without a part of the
+	// limit. The first one may have been requested before the request came.
+	targetRenewals = 2
+)
 
-// recordNotice records the limit in a response of a target. A response without a limit
-// lifts an earlier one only if its request was sent after the limit was last named,
-// since responses on different connections may overtake each other.
+// recordNotice records the limit in a response of a target.
 func (c *call) recordNotice(t fleet.Target, h http.Header, sentAt types.Mono) {
 	rate, named, err := parseRate(h.Get(c.gate.HeaderNames.TargetLimit))
 	if err != nil {
 		c.gate.Log.Write(event.TargetLimited, event.Fields{"target": t.ID, "request": c.id, "error": err.Error()})
 		return
 	}
-	l := &c.gate.targetLimits
-	l.mu.Lock()
-	previous, known := l.notices.Get(t.ID)
-	changed := false
-	if named || known && sentAt >= previous.At {
-		changed = l.notices.Add(t.ID, limit.Notice{Rate: rate, Lifted: !named, At: c.gate.Clock()})
-	}
-	l.mu.Unlock()
-	if changed {
+	if c.gate.targetLimits.observe(t.ID, rate, named, sentAt, c.gate.Clock()) {
 		c.gate.Log.Write(event.TargetLimited, event.Fields{"target": t.ID, "request": c.id, "limit": rate, "lifted": !named})
 	}
 }
@@ -66,3 +57,84 @@
 	}
 	return types.PerSecond(f), err == nil, err
 }
+
+// lowPrecedence reports whether a request leaves the limit of a target to others: to the
+// turns whose prompt is in the target's cache. On another target each of these would have
+// to be prefilled again, at the cost of the requests that run there.
+func (c *call) lowPrecedence(service *plan.Service, id types.TargetID) bool {
+	return service.Engine != nil && id != c.turn.lastTarget
+}
+
+// takeFromTargetLimit deducts one request from the limit that a target names, if it
+// names one. If the limit is used up, it returns false, and the target gets no such
+// requests of this host for a while. low is set if the request has low precedence.
+func (c *call) takeFromTargetLimit(id types.TargetID, low bool) bool {
+	l, s := &c.gate.targetLimits, &c.gate.limits
+	rate, limited := l.rate(id)
+	if !limited {
+		return true
+	}
+	renewed, _, ok := s.targets.tryTake(id, low)
+	if !ok {
+		ok = c.awaitTargetLimit(id, low, renewed)
+		defer s.targets.stopWaiting(id, low)
+	}
+	if ok {
+		return true
+	}
+	queueWait, refillWait := s.targets.waitTimes(id, 0, max(rate, limit.TargetLimit(rate).Rate))
+	if s.issuerSilence() > maxIssuerSilence {
+		queueWait = refillWait
+	}
+	l.setFull(id, low, queueWait, c.gate.Clock())
+	fullTargetsTotal.Inc()
+	allotment, tokens := s.targets.held(id)
+	c.gate.Log.Write(event.TargetFull, event.Fields{
+		"request": c.id, "target": id, "limit": rate, "low": low, "held": allotment, "tokens": tokens, "queueMs": queueWait.Milliseconds(), "issuerSilentMs": s.issuerSilence().Milliseconds(),
+	})
+	return false
+}
+
+// awaitTargetLimit waits for a part of a target's limit from the issuer. renewed is
+// closed after the next renewal.
+func (c *call) awaitTargetLimit(id types.TargetID, low bool, renewed <-chan struct{}) bool {
+	s := &c.gate.limits
+	timeout := time.NewTimer(min(targetLimitWait, c.remaining()/2))
+	defer timeout.Stop()
+	for range targetRenewals {
+		if s.issuerSilence() > maxIssuerSilence {
+			return false
+		}
+		select {
+		case <-renewed:
+		case <-timeout.C:
+			return false
+		case <-c.r.Context().Done():
+			return false
+		}
+		next, ok := s.targets.retryTake(id, low)
+		if _, limited := c.gate.targetLimits.rate(id); ok || !limited {
+			return true
+		}
+		if next == nil {
+			return false
+		}
+		renewed = next
+	}
+	return false
+}
+
+// limitedFor returns the time until a target of the service that is at its limit may
+// accept a request, and false if there is no such target.
+func (c *call) limitedFor(service *plan.Service) (wait time.Duration, limited bool) {
+	now := c.gate.Clock()
+	for _, t := range c.gate.Fleet.View().Targets {
+		if !eligible(t, service, nil) {
+			continue
+		}
+		if d := c.gate.targetLimits.fullFor(t.ID, c.lowPrecedence(service, t.ID), now); d > 0 && (!limited || d < wait) {
+			wait, limited = d, true
+		}
+	}
+	return wait, limited
+}
--- a/limit/issuer.go
+++ b/limit/issuer.go
@@ -19,11 +19,18 @@
 	// capacity of that bucket.
 	Rate  types.PerSecond `json:"rate"`
 	Burst float64         `json:"burst"`
+	// SilentTokens is what a holder without a Burst may spend once it has had no
+	// reply for [IssuerTimeout]; from then on it earns Rate, up to one token. It is 0
+	// if the holder may spend nothing then. It differs between holders, so that they
+	// do not all spend their tokens at the same time.
+	SilentTokens float64 `json:"silent,omitempty"`
 	// Tokens are added to the holder's bucket on receipt.
 	Tokens float64 `json:"tokens,omitempty"`
-	// AdmitNow is how many of the waiting requests are admitted at once. It is
-	// valid for [AdmitTime] from the time of the demand.
+	// AdmitNow is how many of the waiting requests are admitted at once, and AdmitLow
+	// how many of those with low precedence. Both are valid for [AdmitTime] from the
+	// time of the demand.
 	AdmitNow int `json:"now,omitempty"`
+	AdmitLow int `json:"low,omitempty"`
 	// QueueLength is the number of requests that wait at other holders.
 	QueueLength int `json:"queue,omitempty"`
 }
@@ -38,13 +45,18 @@
 	// Returned is the number of tokens that overflowed the holder's bucket and
 	// are returned to the issuer.
 	Returned float64 `json:"back,omitempty"`
-	// Waiting is the number of requests that wait for the allotment.
+	// Waiting is the number of requests that wait for the allotment. Low is the
+	// number of further ones that have low precedence: the issuer keeps a part of
+	// its bucket for the others.
 	Waiting int `json:"waiting,omitempty"`
+	Low     int `json:"low,omitempty"`
 	// Held is the newest allotment that the holder has received, without
-	// Tokens, AdmitNow and QueueLength.
+	// Tokens, AdmitNow, AdmitLow and QueueLength.
 	Held Allotment `json:"held"`
 	// TimeLeft is the time until Held expires; 0 if the holder has none.
 	TimeLeft time.Duration `json:"left"`
+	// Release is set if the holder gives Held back instead of renewing it.
+	Release bool `json:"release,omitempty"`
 }
 
 const (
@@ -85,6 +97,9 @@
 	// host: in a large fleet, the unused tokens in such buckets would be most of
 	// the limit. A holder without a bucket sends a demand for each request.
 	minRate = 3
+	// lowReserve is the part of the issuer's bucket that requests with low precedence
+	// cannot use.
+	lowReserve = 0.5
 	// queueReportTime is how long a holder's reported number of waiting requests
 	// counts. It is longer than the interval between renewals of a holder with
 	// waiting requests.
@@ -106,6 +121,11 @@
 	// HostCount is the number of hosts that may send demands. If it is less than the
 	// number of holders with an unexpired allotment, that number is used instead.
 	HostCount int
+	// PerRequest makes holders ask for each request. They have no buckets of their
+	// own, but a part of the limit for the time in which the issuer does not reply.
+	// In that time, and while the allotments of an earlier issuer are not known, up to
+	// one request more than the limit allows may be sent by all holders together.
+	PerRequest bool
 
 	limit       Limit
 	startedAt   types.Mono // when this issuer was created
@@ -158,8 +178,12 @@
 	if d.Held.Number == h.last.Number {
 		h.rate, h.burst = float64(h.last.Rate), h.last.Burst // The holder uses the newest allotment.
 	}
-	next := Allotment{Number: h.last.Number + 1, Rate: h.last.Rate, Burst: h.last.Burst}
-	if i.outstandingKnown(now) {
+	next := Allotment{Number: h.last.Number + 1, Rate: h.last.Rate, Burst: h.last.Burst, SilentTokens: h.last.SilentTokens}
+	switch {
+	case !i.outstandingKnown(now): // The holder keeps what it has.
+	case i.PerRequest:
+		next.Rate, next.SilentTokens = i.silentShare(d.Holder)
+	default:
 		next.Rate, next.Burst = i.allotmentSize(d)
 	}
 	h.last = next
@@ -168,9 +192,11 @@
 	i.level = min(i.level+d.Returned, i.capacity())
 	next.AdmitNow = int(max(0, min(i.level, float64(d.Waiting))))
 	i.level -= float64(next.AdmitNow)
+	next.AdmitLow = int(max(0, min(i.level-i.reserve(), float64(d.Low))))
+	i.level -= float64(next.AdmitLow)
 	next.Tokens = max(0, min(i.level, next.Burst-d.Tokens))
 	i.level -= next.Tokens
-	h.waiting = d.Waiting - next.AdmitNow
+	h.waiting = d.Waiting - next.AdmitNow + d.Low - next.AdmitLow
 	next.QueueLength = i.queueLength(d.Holder, now)
 	return next
 }
@@ -186,6 +212,10 @@
 	return n
 }
 
+// reserve is the level of the issuer's bucket that it keeps from requests with low
+// precedence, such that a full bucket admits at least one.
+func (i *Issuer) reserve() float64 { return max(0, (i.capacity()-1)*lowReserve) }
+
 // outstandingKnown reports whether the issuer knows all unexpired allotments:
 // those of earlier issuers have been reported or must have expired.
 func (i *Issuer) outstandingKnown(now types.Mono) bool {
@@ -223,6 +253,22 @@
 	return types.PerSecond(max(0, rate)), max(0, burst)
 }
 
+// silentShare returns the rate of a holder without a bucket and its tokens at the
+// moment at which the issuer falls silent. If all holders notice the silence at the same
+// time, they spend at most one token more than the sum of their rates.
+func (i *Issuer) silentShare(of Holder) (rate types.PerSecond, tokens float64) {
+	holders := float64(max(i.HostCount, len(i.outstanding)))
+	rates, _ := i.sumOthers(of)
+	rate = types.PerSecond(max(0, min(allottedShare*float64(i.limit.Rate)/holders, allottedShare*float64(i.limit.Rate)-rates)))
+	rank := 1
+	for h := range i.outstanding {
+		if h < of {
+			rank++
+		}
+	}
+	return rate, float64(rank) / holders
+}
+
 // demandShare returns a holder's fraction of the total demand.
 func (i *Issuer) demandShare(of Holder) float64 {
 	total := 0.0
@@ -252,7 +298,11 @@
 // capacity returns the capacity of the issuer's own bucket.
 func (i *Issuer) capacity() float64 {
 	if !i.outstandingKnown(i.updatedAt) {
-		return (1 - allottedShare) * float64(i.limit.Burst)
+		capacity := (1 - allottedShare) * float64(i.limit.Burst)
+		if i.PerRequest {
+			capacity = max(1, capacity)
+		}
+		return capacity
 	}
 	_, bursts := i.sumOthers("")
 	return max(0, float64(i.limit.Burst)-bursts)
@@ -283,6 +333,14 @@
 	}
 }
 
+// Release returns the allotment that a holder gives back, unless the issuer has renewed
+// it since.
+func (i *Issuer) Release(d Demand, now types.Mono) {
+	if h := i.outstanding[d.Holder]; h != nil && h.last.Number == d.Held.Number {
+		i.Return(d.Holder, now)
+	}
+}
+
 // Return releases a holder's allotment before it expires.
 func (i *Issuer) Return(h Holder, now types.Mono) {
 	i.refill(now)
--- a/limit/issuer_test.go
+++ b/limit/issuer_test.go
@@ -32,6 +32,9 @@
 	issuer     *limit.Issuer
 	holders    map[limit.Holder]*limit.Share
 	admittedAt []types.Mono
+	// perRequest and hosts are the fields of the issuer.
+	perRequest bool
+	hosts      int
 }
 
 func newLimitedAccount(l limit.Limit) *limitedAccount {
@@ -43,6 +46,7 @@
 // replaceIssuer creates a new issuer without any state of the previous one.
 func (acct *limitedAccount) replaceIssuer() {
 	acct.issuer = limit.NewIssuer(acct.now)
+	acct.issuer.PerRequest, acct.issuer.HostCount = acct.perRequest, acct.hosts
 	acct.issuer.SetLimit(acct.limit, acct.now)
 }
 
--- a/limit/share.go
+++ b/limit/share.go
@@ -17,6 +17,7 @@
 	updatedAt  types.Mono
 	returning  float64 // tokens to return with the next demand
 	admitNow   int     // requests admitted at once, until admitUntil
+	admitLow   int     // the same with low precedence
 	admitUntil types.Mono
 
 	requests      float64    // since rateUpdatedAt
@@ -35,6 +36,9 @@
 		return
 	}
 	s.refill(now)
+	if s.allotment.SilentTokens > 0 {
+		s.level = 0 // Tokens of the silence that this reply ends.
+	}
 	s.allotment, s.repliedAt = a, now
 	s.expiresAt = demandedAt.Add(AllotmentTime)
 	s.level += a.Tokens
@@ -42,7 +46,20 @@
 		s.level = a.Burst
 		s.returning += overflow
 	}
-	s.admitNow, s.admitUntil = a.AdmitNow, demandedAt.Add(AdmitTime)
+	s.admitNow, s.admitLow, s.admitUntil = a.AdmitNow, a.AdmitLow, demandedAt.Add(AdmitTime)
+}
+
+// TakeLow is Take for a request with low precedence, which leaves what was admitted for
+// others to them.
+func (s *Share) TakeLow(now types.Mono) bool {
+	if s.admitLow > 0 && now < s.admitUntil {
+		s.admitLow--
+		return true
+	}
+	others := s.admitNow
+	s.admitNow = 0
+	defer func() { s.admitNow = others }()
+	return s.Take(now)
 }
 
 // Take admits one request, by AdmitNow of the newest allotment or with a token of
@@ -108,7 +125,7 @@
 // on. It returns [Never] if the holder has no valid allotment with a bucket.
 func (s *Share) Wait(now types.Mono) time.Duration {
 	s.refill(now)
-	if s.TimeLeft(now) <= 0 || s.allotment.Rate <= 0 || s.allotment.Burst < 1 {
+	if s.TimeLeft(now) <= 0 || s.allotment.Rate <= 0 || s.capacity() < 1 {
 		return Never
 	}
 	return time.Duration(max(0, 1-s.level) / float64(s.allotment.Rate) * float64(time.Second))
@@ -149,19 +166,31 @@
 		s.requests, s.rateUpdatedAt = 0, now
 	}
 	last := s.allotment
-	last.Tokens, last.AdmitNow, last.QueueLength = 0, 0, 0
+	last.Tokens, last.AdmitNow, last.AdmitLow, last.QueueLength = 0, 0, 0, 0
 	returned := s.returning
 	s.returning = 0
 	return Demand{Holder: h, Returned: returned, Waiting: waiting, Rate: types.PerSecond(s.rate), Tokens: s.level, Held: last, TimeLeft: s.TimeLeft(now)}
 }
 
+// capacity returns the capacity of the bucket.
+func (s *Share) capacity() float64 {
+	if s.allotment.SilentTokens > 0 {
+		return 1
+	}
+	return s.allotment.Burst
+}
+
 func (s *Share) refill(now types.Mono) {
 	if now <= s.updatedAt {
 		return
 	}
 	if s.updatedAt < s.expiresAt {
-		selfRefill := min(now, s.expiresAt).Sub(max(s.updatedAt, s.repliedAt.Add(IssuerTimeout)))
-		s.level = min(s.level+max(0, selfRefill.Seconds())*float64(s.allotment.Rate), s.allotment.Burst)
+		silentFrom := s.repliedAt.Add(IssuerTimeout)
+		if s.updatedAt <= silentFrom && now > silentFrom && s.allotment.SilentTokens > 0 {
+			s.level = s.allotment.SilentTokens
+		}
+		selfRefill := min(now, s.expiresAt).Sub(max(s.updatedAt, silentFrom))
+		s.level = min(s.level+max(0, selfRefill.Seconds())*float64(s.allotment.Rate), s.capacity())
 	} else {
 		s.level = 0 // Unspent tokens expire with the allotment.
 	}
--- a/soak/limit_test.go
+++ b/soak/limit_test.go
@@ -164,4 +164,3 @@
 		}
 	}
 }
-
