--- a/fetch/pool.go
+++ b/fetch/pool.go
@@ -17,6 +17,9 @@
 	// DialTimeout limits the time to establish a connection. The default is
 	// [DefaultDialTimeout].
 	DialTimeout time.Duration
+	// Dial opens a connection to an address. By default, it is a TCP connection that
+	// breaks if sent data remain unacknowledged for ackTimeout.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address; the most recently used one is last
@@ -64,17 +67,28 @@
 		_ = c.Close()
 	}
 	dials.Inc()
-	dialer := net.Dialer{
-		Timeout: p.dialTimeout(), Control: setAckTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+	dial := p.Dial
+	if dial == nil {
+		dial = dialTCP
 	}
-	nc, err := dialer.DialContext(ctx, "tcp4", address)
+	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout())
+	defer cancel()
+	nc, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	return newConn(nc), nil
 }
 
+// dialTCP is the default of [Pool.Dial].
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Control:         setAckTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+	}
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
 // Probe checks whether the target at address accepts a new connection, and keeps the
 // connection for later requests.
 func (p *Pool) Probe(ctx context.Context, address string) error {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -51,6 +52,9 @@
 	MaxPlanStaleness time.Duration
 	// Turns accesses the stores that hold turns and budget claims.
 	Turns *turns.Client
+	// DialTarget opens a connection to the address of a target. The default is that of
+	// [fetch.Pool.Dial].
+	DialTarget func(ctx context.Context, address string) (net.Conn, error)
 	// Clock is the clock of the process. It must include time during which the
 	// machine was suspended.
 	Clock types.Clock
@@ -93,6 +97,7 @@
 			g.PlacementCosts = route.DefaultPlacementCosts
 		}
 		g.limits.init(g)
+		g.pool.Dial = g.DialTarget
 		g.backgroundCtx, g.cancelBackground = context.WithCancel(context.Background())
 	})
 }
--- a/host/entry.go
+++ b/host/entry.go
@@ -38,7 +38,8 @@
 func (n *Node) startEntry(ctx, serveCtx context.Context, g *errgroup.Group, stop func()) error {
 	gate := &gate.Gate{
 		Host: n.Settings.Host, Zone: n.Settings.Zone, HeaderNames: n.HeaderNames, Fleet: n.client, Clock: n.clock, MaxPlanStaleness: n.Settings.MaxKeyStaleness(), Log: n.Log,
-		Turns: &turns.Client{Peers: n.peers, Zone: n.Settings.Zone, Map: func() *turns.Map { return n.client.View().Map }},
+		DialTarget: n.DialTarget,
+		Turns:      &turns.Client{Peers: n.peers, Zone: n.Settings.Zone, Map: func() *turns.Map { return n.client.View().Map }},
 	}
 	n.client.OnChange = func(v fleet.View) { gate.TargetsChanged(v.Targets) }
 	listener, err := listen(ctx, n.Settings.CallerListen)
--- a/host/node.go
+++ b/host/node.go
@@ -48,6 +48,9 @@
 	// ListTargets reads the platform's list of targets, on a control host. It may be
 	// nil.
 	ListTargets func(ctx context.Context) ([]fleet.Target, error)
+	// DialTarget opens connections of an entry host to targets. The default is that of
+	// [fetch.Pool.Dial].
+	DialTarget func(ctx context.Context, address string) (net.Conn, error)
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -33,7 +33,8 @@
 	status                         int  // 0 if there was no response
 	complete                       bool // the response body was read to its end
 	responseBody                   string
-	endedAt                        time.Time
+	sentAt, endedAt                time.Time
+	entry                          string // name of the entry host
 }
 
 // guaranteesNotRun reports whether the status guarantees that no target has run
@@ -68,7 +69,8 @@
 	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
 	defer cancel()
 	a.id = c.newID()
-	entry := c.fleet.hosts[6+r.IntN(2)]
+	entry := c.fleet.hosts[6+r.IntN(len(c.fleet.hosts)-6)]
+	a.entry, a.sentAt = entry.name, time.Now()
 	url := fmt.Sprintf("http://%s:%d%s", c.fleet.address(entry), callerPort, a.path)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(a.requestBody))
 	if err != nil {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -29,7 +29,7 @@
 	log     *os.File
 }
 
-// fleet is a fleet under test: 3 control hosts, 3 stores and 2 entry hosts, in this
+// fleet is a fleet under test: 3 control hosts, 3 stores and 3 entry hosts, in this
 // order.
 type fleet struct {
 	t           *testing.T
@@ -57,7 +57,7 @@
 func newFleet(t *testing.T, seed uint64, listAddress, binary string) *fleet {
 	t.Helper()
 	f := &fleet{t: t, netPrefix: fmt.Sprintf("127.%d", 20+os.Getpid()%200), listAddress: listAddress, rand: rand.New(rand.NewPCG(seed, 1))}
-	for i := range 8 {
+	for i := range 9 {
 		h := &testHost{t: t, number: i + 1, dir: t.TempDir(), binary: binary}
 		switch {
 		case i < 3:
@@ -119,7 +119,7 @@
 func (f *fleet) start(h *testHost, founding bool) {
 	settings := f.writeSettings(h, founding)
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), settingsEnv+"="+settings, roleEnv+"="+string(h.role), "GOMAXPROCS=1")
+	cmd.Env = append(os.Environ(), settingsEnv+"="+settings, roleEnv+"="+string(h.role), partitionEnv+"="+h.partition().file, "GOMAXPROCS=1")
 	if h.binary != "" {
 		cmd = exec.Command(h.binary, "join", string(h.role), "--settings", settings)
 		cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
--- a/soak/main_test.go
+++ b/soak/main_test.go
@@ -23,10 +23,12 @@
 )
 
 // Environment variables that make the test binary run one host instead of the
-// tests: the path of the settings file and the role.
+// tests: the path of the settings file, the role, and
+// the file that a [partition] reads.
 const (
-	settingsEnv = "SOAK_SETTINGS"
-	roleEnv     = "SOAK_ROLE"
+	settingsEnv  = "SOAK_SETTINGS"
+	roleEnv      = "SOAK_ROLE"
+	partitionEnv = "SOAK_PARTITION"
 )
 
 // TestMain runs the tests, or one host if settingsEnv is set.
@@ -57,6 +59,7 @@
 	n := &host.Node{
 		Role: role, Settings: settings, HeaderNames: platform.HeaderNames, ReadyPath: platform.ReadyPath, OperatorHandler: platform.NewOperatorHandler,
 		ListTargets: platform.NewTargetLister(settings.TargetListAddress), Log: event.New(os.Stdout),
+		DialTarget: partition{file: os.Getenv(partitionEnv)}.dial,
 	}
 	return n.Run(ctx)
 }
