relay, gate, fleet, host, fetch: reach targets through other hosts

Cause: a host's own connections were its only way to targets. The logs show 3,240 dials that timed out on the five hosts and none on the others; being taken out of rotation would not help the callers of a zone whose hosts are all cut off.

A host now connects to a target through another entry host if it cannot itself. The host that serves the caller still decides everything, so limits, budgets, order and blame do not depend on the way; the other one only forwards bytes. A target counts as ended only if another host cannot connect to it either.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -51,6 +51,10 @@
 	TargetProbed         = Kind{505, logrus.InfoLevel, "target probed after an interrupted request"}
 	TargetLimited        = Kind{506, logrus.InfoLevel, "limit that a target names has changed"}
 	TargetFull           = Kind{507, logrus.InfoLevel, "target is at the limit that it names"}
+	PathCut              = Kind{508, logrus.WarnLevel, "target cannot be reached directly, its connections go through another host"}
+	PathHealed           = Kind{509, logrus.InfoLevel, "target can be reached directly again"}
+	ConnectionRelayed    = Kind{510, logrus.InfoLevel, "connection to a target relayed for another host"}
+	RelaysChanged        = Kind{511, logrus.InfoLevel, "hosts that relay connections changed"}
 	LinkLost             = Kind{601, logrus.InfoLevel, "link to another host lost"}
 	PeerRefused          = Kind{602, logrus.WarnLevel, "link refused, wrong cluster secret"}
 )
@@ -67,7 +71,7 @@
 		CallOutcomeUnknown, CallQuarantined, SessionExpired, CallCloseFailed,
 		RequestRefused, RequestSent, RequestEnded, TurnDurable, BudgetDecided,
 		QuarantineEnded, QuarantineFailed, SuspectsChanged,
-		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull,
+		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull, PathCut, PathHealed, ConnectionRelayed, RelaysChanged,
 		LinkLost, PeerRefused,
 	}
 }
--- a/fetch/conn.go
+++ b/fetch/conn.go
@@ -65,9 +65,13 @@
 	if now.Sub(c.idleSince) >= c.idleTimeout || c.reader.Buffered() > 0 {
 		return false
 	}
+	q, quiet := c.Conn.(interface{ Quiet() bool })
+	if quiet && !q.Quiet() {
+		return false
+	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return quiet
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
@@ -82,6 +86,13 @@
 	return err == nil && idle
 }
 
+// setBusy tells the connection whether a request is in flight, if it wants to know.
+func (c *conn) setBusy(busy bool) {
+	if b, ok := c.Conn.(interface{ SetBusy(busy bool) }); ok {
+		b.SetBusy(busy)
+	}
+}
+
 // parseKeepAlive sets the idle timeout from the Keep-Alive header of a response,
 // if it has one, less idleMargin.
 func (c *conn) parseKeepAlive(h http.Header) {
--- a/fetch/do.go
+++ b/fetch/do.go
@@ -84,12 +84,14 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	c.setBusy(true)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	resp := &Response{pool: p, address: address, conn: c, written: make(chan struct{}), stopCancel: stop}
 	var writer errgroup.Group
 	writer.Go(func() error { return writeRequest(c, r, resp.written) })
 	if err := resp.readHead(r); err != nil {
 		stop()
+		c.setBusy(false)
 		_ = c.Close()
 		_ = writer.Wait() // It ends since the connection is closed.
 		return nil, &Error{Sent: true, Err: err}
@@ -188,6 +190,7 @@
 // processing.
 func (resp *Response) Close() {
 	notCanceled := resp.stopCancel()
+	resp.conn.setBusy(false)
 	reusable := notCanceled && resp.complete && !resp.skippedStray && !resp.raw.Close &&
 		resp.conn.reader.Buffered() == 0 && resp.conn.idleTimeout > 0
 	if !reusable || !resp.requestWritten() {
--- a/fetch/pool.go
+++ b/fetch/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -14,11 +15,7 @@
 // Pool is a pool of connections to targets. The zero value is ready to use. It is
 // safe for concurrent use.
 type Pool struct {
-	// DialTimeout limits the time to establish a connection. The default is
-	// [DefaultDialTimeout].
-	DialTimeout time.Duration
-	// Dial opens a connection to an address. By default, it is a TCP connection that
-	// breaks if sent data remain unacknowledged for ackTimeout.
+	// Dial opens a connection to an address. The default is [DialTCP].
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu   sync.Mutex
@@ -36,9 +33,9 @@
 	idleMargin = 700 * time.Millisecond
 	// maxIdle limits the idle connections to one target.
 	maxIdle = 16
-	// ackTimeout is how long sent data may remain unacknowledged before the
-	// connection is closed.
-	ackTimeout = 1500 * time.Millisecond
+	// silenceTimeout is how long sent data may remain unacknowledged before the
+	// connection breaks.
+	silenceTimeout = 1500 * time.Millisecond
 	// probeIdle, probeInterval and probeCount are the parameters of the TCP
 	// keepalive probes, which detect a lost target while no data is sent to it.
 	probeIdle     = 2 * time.Second
@@ -69,10 +66,8 @@
 	dials.Inc()
 	dial := p.Dial
 	if dial == nil {
-		dial = dialTCP
+		dial = DialTCP
 	}
-	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout())
-	defer cancel()
 	nc, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
@@ -80,10 +75,11 @@
 	return newConn(nc), nil
 }
 
-// dialTCP is the default of [Pool.Dial].
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+// DialTCP opens a TCP connection within [DefaultDialTimeout]. The connection breaks if
+// the peer has been silent for silenceTimeout.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
-		Control:         setAckTimeout,
+		Timeout: DefaultDialTimeout, Control: setAckTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 	}
 	return dialer.DialContext(ctx, "tcp4", address)
@@ -100,17 +96,29 @@
 	return nil
 }
 
-func (p *Pool) dialTimeout() time.Duration {
-	if p.DialTimeout > 0 {
-		return p.DialTimeout
+// Keep adds a connection that was opened elsewhere to the idle connections to address.
+func (p *Pool) Keep(address string, c net.Conn) { p.putIdle(address, newConn(c)) }
+
+// CloseIdle closes the idle connections to address that match.
+func (p *Pool) CloseIdle(address string, match func(net.Conn) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[address] = slices.DeleteFunc(p.idle[address], func(c *conn) bool {
+		if !match(c.Conn) {
+			return false
+		}
+		_ = c.Close()
+		return true
+	})
+	if len(p.idle[address]) == 0 {
+		delete(p.idle, address)
 	}
-	return DefaultDialTimeout
 }
 
 func setAckTimeout(_, _ string, raw syscall.RawConn) error {
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -35,6 +35,11 @@
 	// NoticesCursor of the last reply that the host received.
 	Notices      TargetNotices `json:"notices,omitempty"`
 	NoticesSince Cursor        `json:"noticesHeard"`
+	// Zone is the host's availability zone. Relay is set if the host relays connections
+	// to targets for others, and RelaysChecksum is that of the hosts that it may ask to.
+	Zone           types.ZoneID `json:"zone,omitempty"`
+	Relay          *RelayHost   `json:"relay,omitempty"`
+	RelaysChecksum uint64       `json:"relaysSum,omitempty"`
 	// Crashes lists the targets that have ended while they ran requests of this
 	// host, since its last report. A new leader receives all of the last minutes.
 	Crashes []CrashReport `json:"crashes,omitempty"`
@@ -59,6 +64,9 @@
 	// request, and NoticesCursor is the value of NoticesSince for the next request.
 	Notices       TargetNotices `json:"notices,omitempty"`
 	NoticesCursor Cursor        `json:"noticesMark"`
+	// Relays are the hosts that the host may ask to relay connections to targets. It is
+	// nil if the host already has them.
+	Relays *Relays `json:"relays,omitempty"`
 	// Suspects are the requests that have ended targets. It is nil if the host
 	// already has them.
 	Suspects *Suspects `json:"suspects,omitempty"`
@@ -78,6 +86,7 @@
 type hostReport struct {
 	at    types.Mono
 	loads map[types.TargetID]Load
+	relay *RelayHost // nil if the host does not relay connections
 }
 
 // loadTotal is the sum of all reports on one target.
@@ -118,7 +127,7 @@
 		}
 		others[id] = l
 	}
-	t.reports[req.Host] = hostReport{at: now, loads: req.Loads}
+	t.reports[req.Host] = hostReport{at: now, loads: req.Loads, relay: req.Relay}
 	t.add(req.Loads, 1)
 	return others
 }
@@ -144,6 +153,9 @@
 	var quarantine *Quarantine
 	err := c.asLeader(func(now types.Mono) {
 		reply.Loads = c.loadReports.exchange(req, now)
+		if relays := c.loadReports.relaysFor(req.Host, req.Zone); relays.Checksum != req.RelaysChecksum {
+			reply.Relays = &relays
+		}
 		c.cachedParts.record(req.CachedParts, now)
 		reply.CachedParts, reply.Cursor = c.cachedParts.since(req.Since)
 		reply.Notices, reply.NoticesCursor = c.exchangeNotices(req, now)
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/poison"
+	"github.com/banyanspur/banyanspur/relay"
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -174,7 +176,8 @@
 }
 
 // probe connects to a target after probeDelay. If the target does not accept the
-// connection, its process is taken to have ended with the interrupted requests. The
+// connection, from another host neither if there is any, its process is taken to have
+// ended with the interrupted requests. The
 // end of a target that was draining is planned and no crash. One that is no longer
 // listed counts, since the list drops targets that have crashed.
 func (g *Gate) probe(ctx context.Context, t fleet.Target) {
@@ -182,12 +185,13 @@
 	err := g.pool.Probe(ctx, t.Address)
 	crashes := g.crashes.takeInterrupted(t.ID)
 	planned := g.crashes.wasDraining(t.ID)
+	unconfirmed := g.dialer.HasHosts() && !errors.Is(err, relay.ErrUnreachable)
 	fields := event.Fields{"target": t.ID, "zone": t.Zone, "reachable": err == nil, "planned": planned, "requests": len(crashes)}
 	if err != nil {
-		fields["error"] = err.Error()
+		fields["error"], fields["confirmed"] = err.Error(), !unconfirmed
 	}
 	g.Log.Write(event.TargetProbed, fields)
-	if err == nil || ctx.Err() != nil || planned {
+	if err == nil || ctx.Err() != nil || planned || unconfirmed {
 		return
 	}
 	targetEndsTotal.Inc()
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/banyanspur/banyanspur/fetch"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/plan"
+	"github.com/banyanspur/banyanspur/relay"
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -169,7 +170,9 @@
 	c.mayHaveRun = c.mayHaveRun || mayHaveReached
 	canceled := c.r.Context().Err() != nil && c.route.Kind != plan.NonIdempotent
 	if !canceled && c.remaining() > 0 {
-		c.gate.targets.recordFailure(t.ID)
+		if !errors.Is(err, relay.ErrHostLost) {
+			c.gate.targets.recordFailure(t.ID)
+		}
 		c.logTargetFailed(t, event.Fields{"sent": mayHaveReached, "error": err.Error()})
 	}
 	if mayHaveReached && (!canceled || c.interruptedByTarget()) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -14,6 +14,7 @@
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fetch"
 	"github.com/banyanspur/banyanspur/fleet"
+	"github.com/banyanspur/banyanspur/relay"
 	"github.com/banyanspur/banyanspur/route"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
@@ -50,10 +51,15 @@
 	// maximum. It bounds how long a revoked key keeps working on a host that has
 	// lost contact with the leader.
 	MaxPlanStaleness time.Duration
+	// RelayAddress is the address at which other hosts reach [Gate.RelayHandler]. If it is
+	// empty, this host relays no connections for others.
+	RelayAddress string
+	// Secret authenticates hosts that relay connections to each other.
+	Secret string
 	// Turns accesses the stores that hold turns and budget claims.
 	Turns *turns.Client
-	// DialTarget opens a connection to the address of a target. The default is that of
-	// [fetch.Pool.Dial].
+	// DialTarget opens this host's own connection to the address of a target. The
+	// default is [fetch.DialTCP].
 	DialTarget func(ctx context.Context, address string) (net.Conn, error)
 	// Clock is the clock of the process. It must include time during which the
 	// machine was suspended.
@@ -66,6 +72,8 @@
 
 	initOnce     sync.Once
 	pool         fetch.Pool
+	dialer       relay.Dialer
+	relaysSum    uint64 // checksum of the hosts that dialer asks; used by exchangeLoads only
 	targets      targetTracker
 	limits       limitShares
 	retryBudget  route.RetryBudget
@@ -97,7 +105,7 @@
 			g.PlacementCosts = route.DefaultPlacementCosts
 		}
 		g.limits.init(g)
-		g.pool.Dial = g.DialTarget
+		g.initRelay()
 		g.backgroundCtx, g.cancelBackground = context.WithCancel(context.Background())
 	})
 }
@@ -111,6 +119,7 @@
 	workers, ctx := errgroup.WithContext(ctx)
 	workers.Go(func() error { return g.limits.run(ctx) })
 	workers.Go(func() error { return g.exchangeLoads(ctx) })
+	workers.Go(func() error { return g.dialer.Run(ctx) })
 	err := workers.Wait()
 	time.AfterFunc(backgroundGrace, g.cancelBackground) // A claim that is not settled by then keeps its maximum.
 	_ = g.background.Wait()                             // Failures were logged.
@@ -137,6 +146,7 @@
 	for types.Sleep(ctx, interval) {
 		exchangeCtx, cancel := context.WithTimeout(ctx, loadExchangeTimeout)
 		req := fleet.LoadsRequest{Host: g.Host, Loads: g.targets.localLoads(), CachedParts: g.targets.takeUnreportedParts(), Since: cursor}
+		req.Zone, req.Relay, req.RelaysChecksum = g.Zone, g.offerRelay(), g.relaysSum
 		req.Notices, req.NoticesSince = g.targetLimits.report(g.Clock())
 		crashes := g.crashes.nextReport()
 		crashes.addTo(&req, g.Clock())
@@ -148,6 +158,7 @@
 		}
 		interval = loadExchangeInterval
 		g.crashes.reported(crashes, reply.Cursor.TableID)
+		g.setRelays(reply.Relays)
 		g.targetLimits.reported(req.Notices, reply, g.Clock())
 		g.targets.setOtherLoads(reply.Loads)
 		g.targets.addCachedParts(reply.CachedParts)
@@ -177,6 +188,7 @@
 	}
 	g.crashes.recordDraining(list)
 	g.pool.CloseIdleExcept(addresses)
+	g.dialer.KeepOnly(addresses)
 	g.targets.removeUnlisted(ids)
 }
 
--- a/host/entry.go
+++ b/host/entry.go
@@ -12,6 +12,7 @@
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/gate"
+	"github.com/banyanspur/banyanspur/relay"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -38,14 +39,17 @@
 func (n *Node) startEntry(ctx, serveCtx context.Context, g *errgroup.Group, stop func()) error {
 	gate := &gate.Gate{
 		Host: n.Settings.Host, Zone: n.Settings.Zone, HeaderNames: n.HeaderNames, Fleet: n.client, Clock: n.clock, MaxPlanStaleness: n.Settings.MaxKeyStaleness(), Log: n.Log,
-		DialTarget: n.DialTarget,
-		Turns:      &turns.Client{Peers: n.peers, Zone: n.Settings.Zone, Map: func() *turns.Map { return n.client.View().Map }},
+		DialTarget: n.DialTarget, RelayAddress: n.Settings.PeerAddress(), Secret: n.secret,
+		Turns: &turns.Client{Peers: n.peers, Zone: n.Settings.Zone, Map: func() *turns.Map { return n.client.View().Map }},
 	}
 	n.client.OnChange = func(v fleet.View) { gate.TargetsChanged(v.Targets) }
 	listener, err := listen(ctx, n.Settings.CallerListen)
 	if err != nil {
 		return err
 	}
+	if err := n.startPeerServer(serveCtx, g, map[string]http.Handler{relay.Path: gate.RelayHandler()}); err != nil {
+		return err
+	}
 	if err := n.startReadinessServer(serveCtx, g, gate); err != nil {
 		return err
 	}
--- a/host/node.go
+++ b/host/node.go
@@ -48,12 +48,13 @@
 	// ListTargets reads the platform's list of targets, on a control host. It may be
 	// nil.
 	ListTargets func(ctx context.Context) ([]fleet.Target, error)
-	// DialTarget opens connections of an entry host to targets. The default is that of
-	// [fetch.Pool.Dial].
+	// DialTarget opens connections of an entry host to targets. The default is
+	// [fetch.DialTCP].
 	DialTarget func(ctx context.Context, address string) (net.Conn, error)
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
+	secret     string
 	peers      *wire.Pool
 	client     *fleet.Client
 	clock      types.Clock
@@ -119,6 +120,7 @@
 	if mb := n.Settings.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(mb<<20)))
 	}
+	n.secret = secret
 	n.clock = types.NewBootClock()
 	n.peers = &wire.Pool{Secret: secret, Log: n.Log}
 	n.peerServer = &wire.Server{Secret: secret, Log: n.Log}
@@ -126,10 +128,14 @@
 	return nil
 }
 
-// startPeerServer serves connections from other processes of the fleet.
-func (n *Node) startPeerServer(ctx context.Context, g *errgroup.Group) error {
+// startPeerServer serves connections from other processes of the fleet, and the given
+// handlers by path.
+func (n *Node) startPeerServer(ctx context.Context, g *errgroup.Group, handlers map[string]http.Handler) error {
 	mux := http.NewServeMux()
 	mux.Handle("/peer", n.peerServer)
+	for path, h := range handlers {
+		mux.Handle(path, h)
+	}
 	return n.serve(ctx, g, n.Settings.PeerListen(), mux)
 }
 
@@ -174,7 +180,7 @@
 		Losses: n.Settings.Losses, Peers: n.peers, Clock: n.clock, ListTargets: n.ListTargets, Log: n.Log,
 	}
 	control.Register(n.peerServer)
-	if err := n.startPeerServer(serveCtx, g); err != nil {
+	if err := n.startPeerServer(serveCtx, g, nil); err != nil {
 		return err
 	}
 	g.Go(func() error { return n.client.Run(serveCtx) })
--- a/host/store.go
+++ b/host/store.go
@@ -26,7 +26,7 @@
 		return err
 	}
 	store.Register(n.peerServer)
-	if err := n.startPeerServer(serveCtx, g); err != nil {
+	if err := n.startPeerServer(serveCtx, g, nil); err != nil {
 		return err
 	}
 	n.client.Store = &turns.Member{ID: id, Host: n.Settings.Host, Zone: n.Settings.Zone, Address: n.Settings.PeerAddress()}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,415 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/fetch"
+	"github.com/banyanspur/banyanspur/relay"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// target is a TCP server that sends back what it receives, until it receives "end" or
+// "break", upon which it closes or resets the connection.
+type target struct {
+	address  string
+	accepted atomic.Int32
+}
+
+func newTarget(t *testing.T) *target {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tg := &target{address: l.Addr().String()}
+	var g errgroup.Group
+	g.Go(func() error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil // The test has ended.
+			}
+			tg.accepted.Add(1)
+			g.Go(func() error { return echo(c.(*net.TCPConn)) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		_ = g.Wait() // The connections of the test have been closed by then.
+	})
+	return tg
+}
+
+func echo(c *net.TCPConn) error {
+	defer c.Close()
+	b := make([]byte, 64<<10)
+	for {
+		n, err := c.Read(b)
+		if err != nil {
+			return err
+		}
+		switch string(b[:n]) {
+		case "end":
+			return nil
+		case "break":
+			return c.SetLinger(0)
+		}
+		if _, err := c.Write(b[:n]); err != nil {
+			return err
+		}
+	}
+}
+
+// network is what a host can reach: all addresses, or none.
+type network struct {
+	mu  sync.Mutex
+	cut error // nil if nothing is cut
+}
+
+func (n *network) setCut(err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = err
+}
+
+func (n *network) dial(ctx context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	cut := n.cut
+	n.mu.Unlock()
+	if errors.Is(cut, errSilent) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if cut != nil {
+		return nil, cut
+	}
+	return fetch.DialTCP(ctx, address)
+}
+
+// errSilent makes dials hang.
+var errSilent = errors.New("silent")
+
+// relayingHost is a host that relays connections.
+type relayingHost struct {
+	network network
+	server  *httptest.Server
+	host    relay.Host
+
+	mu    sync.Mutex
+	conns []net.Conn // from other hosts
+}
+
+// lose closes all connections from other hosts, as when the process is killed.
+func (h *relayingHost) lose() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.conns {
+		_ = c.Close()
+	}
+}
+
+const secret = "s3"
+
+func newRelayingHost(t *testing.T, id types.HostID, sameZone bool, tg *target) *relayingHost {
+	h := &relayingHost{}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.server = httptest.NewUnstartedServer(&relay.Server{
+		Secret: secret, IsTarget: func(address string) bool { return address == tg.address }, Accepting: func() bool { return true },
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, relay.TargetTimeout)
+			defer cancel()
+			return h.network.dial(ctx, address)
+		},
+	})
+	h.server.Config.BaseContext = func(net.Listener) context.Context { return ctx }
+	h.server.Config.ConnState = func(c net.Conn, s http.ConnState) {
+		if s == http.StateHijacked {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.conns = append(h.conns, c)
+		}
+	}
+	h.server.Start()
+	t.Cleanup(func() {
+		cancel()
+		h.server.CloseClientConnections()
+		h.server.Close()
+	})
+	h.host = relay.Host{ID: id, Address: strings.TrimPrefix(h.server.URL, "http://"), SameZone: sameZone}
+	return h
+}
+
+// dialer is a [relay.Dialer] with the connections that it was given to keep and the
+// changes of paths that it has reported.
+type dialer struct {
+	*relay.Dialer
+	network network
+	mu      sync.Mutex
+	changes []string
+}
+
+func newDialer(t *testing.T, hosts ...*relayingHost) *dialer {
+	d := &dialer{}
+	change := func(what string) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.changes = append(d.changes, what)
+	}
+	d.Dialer = &relay.Dialer{
+		ID: "entry-1", Secret: secret, Direct: d.network.dial, Keep: func(_ string, c net.Conn) { _ = c.Close() },
+		OnCut: func(_ string, silent bool) {
+			if silent {
+				change("cut silently")
+			} else {
+				change("cut")
+			}
+		},
+		OnHeal: func(string) { change("healed") },
+	}
+	var list []relay.Host
+	for _, h := range hosts {
+		list = append(list, h.host)
+	}
+	d.SetHosts(list)
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return d.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		_ = g.Wait() // Run always returns nil.
+	})
+	return d
+}
+
+// awaitChanges waits until the dialer has reported the given changes.
+func (d *dialer) awaitChanges(t *testing.T, want ...string) {
+	t.Helper()
+	var got []string
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		d.mu.Lock()
+		got = append([]string(nil), d.changes...)
+		d.mu.Unlock()
+		if cmp.Equal(want, got) {
+			return
+		}
+	}
+	t.Errorf("changes of the path (-want +got):\n%s", cmp.Diff(want, got))
+}
+
+// exchange sends a text on a connection and returns what comes back.
+func exchange(t *testing.T, c net.Conn, text string) (string, error) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		return "", err
+	}
+	b := make([]byte, len(text))
+	n, err := io.ReadFull(c, b)
+	return string(b[:n]), err
+}
+
+// dialThrough returns a connection through another host.
+func (d *dialer) dialThrough(t *testing.T, tg *target) *relay.Conn {
+	t.Helper()
+	c, err := d.Dial(context.Background(), tg.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	relayed, ok := c.(*relay.Conn)
+	if !ok {
+		t.Fatalf("connection %T, want a relayed one", c)
+	}
+	return relayed
+}
+
+// TestTargetIsReachedThroughAnotherHost checks that connections go through another host
+// while this one cannot reach the target, whichever way its own ones fail, and that they
+// are its own ones again afterwards.
+func TestTargetIsReachedThroughAnotherHost(t *testing.T) {
+	for _, c := range []struct {
+		cut    error
+		change string
+	}{{syscall.ECONNREFUSED, "cut"}, {syscall.ECONNRESET, "cut"}, {errSilent, "cut silently"}} {
+		t.Run(c.cut.Error(), func(t *testing.T) {
+			tg := newTarget(t)
+			d := newDialer(t, newRelayingHost(t, "entry-2", true, tg))
+			d.network.setCut(c.cut)
+			long := strings.Repeat("x", 50_000) // More than a frame.
+			if got, err := exchange(t, d.dialThrough(t, tg), long); got != long || err != nil {
+				t.Errorf("%d bytes came back, %v", len(got), err)
+			}
+			d.awaitChanges(t, c.change)
+			d.dialThrough(t, tg)
+			d.network.setCut(nil)
+			d.awaitChanges(t, c.change, "healed")
+			conn, err := d.Dial(context.Background(), tg.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, ok := conn.(*relay.Conn); ok {
+				t.Error("the connection goes through another host after the path has healed")
+			}
+		})
+	}
+}
+
+// TestZoneWithoutPathUsesAnotherZone guards against hosts of a zone that only ask each
+// other, although a partition has cut off all of them.
+func TestZoneWithoutPathUsesAnotherZone(t *testing.T) {
+	for _, cut := range []error{syscall.ECONNREFUSED, errSilent} {
+		tg := newTarget(t)
+		var hosts []*relayingHost
+		for _, id := range []types.HostID{"entry-2", "entry-3", "entry-4"} {
+			h := newRelayingHost(t, id, true, tg)
+			h.network.setCut(cut)
+			hosts = append(hosts, h)
+		}
+		d := newDialer(t, append(hosts, newRelayingHost(t, "entry-5", false, tg))...)
+		d.network.setCut(cut)
+		for range 5 {
+			if diff := cmp.Diff(types.HostID("entry-5"), d.dialThrough(t, tg).Host()); diff != "" {
+				t.Errorf("relaying host (-want +got):\n%s", diff)
+			}
+		}
+	}
+}
+
+// TestEndOfRelayedConnection checks that the three ways in which a relayed connection can
+// end are told apart. If the end of the relaying host looked like that of the target's
+// connection, a truncated response without a length would look complete.
+func TestEndOfRelayedConnection(t *testing.T) {
+	tg := newTarget(t)
+	h := newRelayingHost(t, "entry-2", true, tg)
+	d := newDialer(t, h)
+	d.network.setCut(syscall.ECONNREFUSED)
+	for text, want := range map[string]error{"end": io.EOF, "break": syscall.ECONNRESET} {
+		c := d.dialThrough(t, tg)
+		if _, err := exchange(t, c, "a"); err != nil || !c.Quiet() {
+			t.Errorf("exchange: %v, quiet %t", err, c.Quiet())
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(c); !errors.Is(err, want) && !(want == io.EOF && err == nil) {
+			t.Errorf("after %q: error %v, want %v", text, err, want)
+		}
+		if c.Quiet() {
+			t.Errorf("after %q: a connection that has ended is quiet", text)
+		}
+	}
+	c := d.dialThrough(t, tg)
+	h.lose()
+	if _, err := io.ReadAll(c); !errors.Is(err, relay.ErrHostLost) {
+		t.Errorf("after the loss of the relaying host: error %v, want %v", err, relay.ErrHostLost)
+	}
+}
+
+// TestUnreachableTarget checks that a target that no host reaches is told apart from one
+// to which only the way is missing: only the former has ended.
+func TestUnreachableTarget(t *testing.T) {
+	tg := newTarget(t)
+	h := newRelayingHost(t, "entry-2", true, tg)
+	d := newDialer(t, h)
+	d.network.setCut(syscall.ECONNREFUSED)
+	h.network.setCut(syscall.ECONNREFUSED)
+	if _, err := d.Dial(context.Background(), tg.address); !errors.Is(err, relay.ErrUnreachable) {
+		t.Errorf("no host reaches the target: error %v, want %v", err, relay.ErrUnreachable)
+	}
+	h.server.Close()
+	if _, err := d.Dial(context.Background(), tg.address); err == nil || errors.Is(err, relay.ErrUnreachable) {
+		t.Errorf("no host relays: error %v", err)
+	}
+	d.awaitChanges(t)
+}
+
+// TestRelayRefusesOthers checks that a host relays only for hosts with the secret, and
+// only to targets.
+func TestRelayRefusesOthers(t *testing.T) {
+	tg := newTarget(t)
+	h := newRelayingHost(t, "entry-2", true, tg)
+	for _, c := range []struct {
+		secret, address string
+		want            int
+	}{
+		{"wrong", tg.address, http.StatusUnauthorized},
+		{"", tg.address, http.StatusUnauthorized},
+		{secret, "127.0.0.1:22", http.StatusNotFound},
+		{secret, "", http.StatusNotFound},
+	} {
+		req, err := http.NewRequest(http.MethodGet, h.server.URL+relay.Path+"?target="+c.address, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Banyanspur-Relay-Secret", c.secret)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if diff := cmp.Diff(c.want, resp.StatusCode); diff != "" {
+			t.Errorf("secret %q, target %q: status (-want +got):\n%s", c.secret, c.address, diff)
+		}
+	}
+	if n := tg.accepted.Load(); n != 0 {
+		t.Errorf("the target got %d connections", n)
+	}
+}
+
+// TestSilentTargetIsNotCut guards against a sound target that is silent for a while being
+// taken for one that cannot be reached.
+func TestSilentTargetIsNotCut(t *testing.T) {
+	tg := newTarget(t)
+	d := newDialer(t, newRelayingHost(t, "entry-2", true, tg))
+	c, err := d.Dial(context.Background(), tg.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.(interface{ SetBusy(bool) }).SetBusy(true)
+	time.Sleep(1200 * time.Millisecond)
+	d.awaitChanges(t)
+	if got, err := exchange(t, c, "late"); got != "late" || err != nil {
+		t.Errorf("%q came back, %v", got, err)
+	}
+}
+
+// TestSilentPathIsFound guards against requests on connections that hang: the path to a
+// target that sends nothing is checked, and idle connections to others are not reused
+// until these were heard from.
+func TestSilentPathIsFound(t *testing.T) {
+	first, second := newTarget(t), newTarget(t)
+	d := newDialer(t, newRelayingHost(t, "entry-2", true, first))
+	var conns []net.Conn
+	for _, tg := range []*target{first, second} {
+		c, err := d.Dial(context.Background(), tg.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns = append(conns, c)
+	}
+	d.network.setCut(errSilent)
+	quiet := func(c net.Conn) bool { return c.(interface{ Quiet() bool }).Quiet() }
+	if !quiet(conns[1]) {
+		t.Error("the idle connection counts as hanging before the cut was found")
+	}
+	conns[0].(interface{ SetBusy(bool) }).SetBusy(true)
+	d.awaitChanges(t, "cut silently")
+	if quiet(conns[1]) {
+		t.Error("the idle connection to the other target is reused")
+	}
+}
