fetch: a target may be silent for a second

A connection with an unanswered keepalive probe broke half a second after the probe, since the kernel applies TCP_USER_TIMEOUT (1.5 s here) to the last byte received, whatever the number of probes: one that had been quiet for 2 s broke after 0.5 s of real silence. Now the last byte must be 2.5 s old, and probes start after 1 s, so that a break takes 1.5 s of silence after a probe at least.

--- a/fetch/pool.go
+++ b/fetch/pool.go
@@ -33,13 +33,17 @@
 	idleMargin = 700 * time.Millisecond
 	// maxIdle limits the idle connections to one target.
 	maxIdle = 16
-	// silenceTimeout is how long sent data may remain unacknowledged before the
-	// connection breaks.
-	silenceTimeout = 1500 * time.Millisecond
-	// probeIdle, probeInterval and probeCount are the parameters of the TCP
-	// keepalive probes, which detect a lost target while no data is sent to it.
-	probeIdle     = 2 * time.Second
-	probeInterval = 500 * time.Millisecond
+	// silenceTimeout is how long sent data or keepalive probes may remain
+	// unacknowledged before the connection breaks. A sound target may be silent for a
+	// second or so.
+	silenceTimeout = 2500 * time.Millisecond
+	// probeIdle and probeInterval are the parameters of the TCP keepalive probes,
+	// which detect a lost target while no data is sent to it. The kernel counts in
+	// whole seconds. It breaks a connection with an unanswered probe as soon as the
+	// last byte is silenceTimeout old, whatever the number of probes, so that
+	// probeIdle must be well below.
+	probeIdle     = time.Second
+	probeInterval = time.Second
 	probeCount    = 3
 )
 
