route: no target for a prompt is no panic

Callers whose turn no target of an engine service could take got a closed connection instead of 503 with Retry-After: Place drew a random one of no options, which panics. Present since placement by sampling; before the limits it took four rejections of one request.

TestNoOptionForPrompt failed before (panic: invalid argument to IntN).

--- a/route/place.go
+++ b/route/place.go
@@ -100,6 +100,9 @@
 // intN, which returns a random number in [0, n). If intN is nil or the request
 // has no prompt, it compares all options.
 func Place(options []Option, w Work, p PlacementCosts, intN func(n int) int) int {
+	if len(options) == 0 {
+		return -1
+	}
 	best, bestCost := -1, 0.0
 	ranks := rendezvousRanks(options, w.AffinityKey)
 	consider := func(i int) {
--- a/route/place_test.go
+++ b/route/place_test.go
@@ -229,3 +229,12 @@
 		t.Errorf("%d of 60 requests stayed in their zone, want at least 54", sameZone)
 	}
 }
+
+// TestNoOptionForPrompt guards against a panic, and so a response that is missing, if no
+// target can take a prompt.
+func TestNoOptionForPrompt(t *testing.T) {
+	intN := rand.New(rand.NewPCG(1, 1)).IntN
+	if diff := cmp.Diff(-1, route.Place(nil, typicalTurn, route.DefaultPlacementCosts, intN)); diff != "" {
+		t.Errorf("place without options (-want +got):\n%s", diff)
+	}
+}
