gate, route: requests beyond limits do not queue elsewhere

A request that some target does not accept by its limit now goes to another one only if it would wait there for 0.3 s at most, and is refused at once otherwise.

TestRequestsBeyondLimitsDoNotQueueElsewhere failed before.

--- a/gate/call.go
+++ b/gate/call.go
@@ -30,6 +30,7 @@
 	deadline time.Time // when the caller must have the final response
 
 	limitTaken   bool      // one request was deducted from the account's rate limit
+	limited      bool      // a target did not accept the request by the limit that it names
 	mayHaveRun   bool      // a target may have run the request
 	runs         int       // number of targets that may have run the request
 	lastSentAt   time.Time // when the request was last sent to a target
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -62,6 +62,7 @@
 		}
 		tried[choice.ID] = true
 		if !c.takeFromTargetLimit(choice.ID, c.lowPrecedence(service, choice.ID)) {
+			c.limited = true
 			continue
 		}
 		switch c.send(service, choice, c.hasUntried(tried, service)) {
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -35,9 +35,14 @@
 	var targets []fleet.Target
 	var options []route.Option
 	var unitSeconds []float64
+	limited := false // a target that could run the request is at the limit that it names
 	now := c.gate.Clock()
 	for _, t := range c.gate.Fleet.View().Targets {
-		if !eligible(t, service, tried) || c.gate.targetLimits.fullFor(t.ID, c.lowPrecedence(service, t.ID), now) > 0 {
+		if !eligible(t, service, tried) {
+			continue
+		}
+		if c.gate.targetLimits.fullFor(t.ID, c.lowPrecedence(service, t.ID), now) > 0 {
+			limited = true
 			continue
 		}
 		o, unit := c.gate.targets.routeOption(t, parts, c.gate.Zone)
@@ -49,6 +54,9 @@
 		unitSeconds = append(unitSeconds, unit)
 	}
 	route.SetPaces(options, unitSeconds)
+	if limited || c.limited {
+		targets, options = withoutQueue(c.gate.PlacementCosts, work, targets, options)
+	}
 	i := route.Place(options, work, c.gate.PlacementCosts, rand.IntN)
 	if i < 0 {
 		return targetChoice{}, false
@@ -56,6 +64,23 @@
 	return targetChoice{Target: targets[i], option: options[i], promptTokens: work.Prompt, candidates: len(targets)}, true
 }
 
+// maxOverflowWait is how long a request that other targets do not accept by their limits
+// may have to wait for a slot of the remaining ones. If all such requests queued there,
+// most of them would not be served in time.
+const maxOverflowWait = 300 * time.Millisecond
+
+// withoutQueue returns the targets at which a request waits for at most maxOverflowWait.
+func withoutQueue(costs route.PlacementCosts, work route.Work, targets []fleet.Target, options []route.Option) ([]fleet.Target, []route.Option) {
+	var keptTargets []fleet.Target
+	var kept []route.Option
+	for i, o := range options {
+		if costs.QueueTime(o, work) <= maxOverflowWait {
+			keptTargets, kept = append(keptTargets, targets[i]), append(kept, o)
+		}
+	}
+	return keptTargets, kept
+}
+
 // targetChoice is a selected target and the inputs of the selection.
 type targetChoice struct {
 	fleet.Target
--- a/gate/target_limit_test.go
+++ b/gate/target_limit_test.go
@@ -165,3 +165,26 @@
 		t.Errorf("the target with a limit of 1 per second got %d requests", n)
 	}
 }
+
+// TestRequestsBeyondLimitsDoNotQueueElsewhere guards against requests that one target does
+// not accept by its limit and that then wait at the other one, which is full, until their
+// callers give up.
+func TestRequestsBeyondLimitsDoNotQueueElsewhere(t *testing.T) {
+	b := newTestbed(t)
+	var limited, full atomic.Int32
+	b.addTarget("plain", nameLimit(&limited, newRate("0.5"), respondOK))
+	b.addTarget("plain", countRequests(&full, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Load", "6,90,6") // Running, waiting, slots.
+		respondOK(w, r)
+	}))
+	refused := 0
+	for range 40 {
+		if code, _ := b.send(testRequest{path: "/charge/", key: "choir-key"}); code == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	// The first response of each target tells its state.
+	if n := full.Load(); n > 3 || refused < 30 {
+		t.Errorf("of 40 requests, %d went to the full target, %d to the limited one, and %d were refused", n, limited.Load(), refused)
+	}
+}
--- a/route/place.go
+++ b/route/place.go
@@ -123,6 +123,16 @@
 	return best
 }
 
+// QueueTime returns the time that a request is expected to wait for a slot of an option's
+// target.
+func (p PlacementCosts) QueueTime(o Option, w Work) time.Duration {
+	excess := p.estimatedLoad(o) + 1 - float64(o.Slots)
+	if o.Slots <= 0 || excess <= 0 {
+		return 0
+	}
+	return time.Duration(excess / float64(o.Slots) * float64(w.ServiceTime) * max(1, o.Pace))
+}
+
 // minSlowPace is the pace above which a target counts as slow. Smaller
 // differences are within the variation between requests.
 const minSlowPace = 1.6
@@ -163,9 +173,7 @@
 	if w.Prompt > 0 {
 		cost += p.engineCost(o, w, load)
 	}
-	if excess := load + 1 - float64(o.Slots); o.Slots > 0 && excess > 0 {
-		cost += excess / float64(o.Slots) * w.ServiceTime.Seconds() * max(1, o.Pace)
-	}
+	cost += p.QueueTime(o, w).Seconds()
 	if w.Prompt == 0 && o.Slots > 0 {
 		// Calls arrive in bursts, so a short queue forms before all slots are
 		// in use.
