--- a/gate/crash.go
+++ b/gate/crash.go
@@ -176,10 +176,9 @@
 }
 
 // probe connects to a target after probeDelay. If the target does not accept the
-// connection, from another host neither if there is any, its process is taken to have
-// ended with the interrupted requests. The
-// end of a target that was draining is planned and no crash. One that is no longer
-// listed counts, since the list drops targets that have crashed.
+// connection, and not from another host either, its process is taken to have ended with
+// the interrupted requests. The end of a target that was draining is planned and no crash.
+// One that is no longer listed counts, since the list drops targets that have crashed.
 func (g *Gate) probe(ctx context.Context, t fleet.Target) {
 	types.Sleep(ctx, probeDelay)
 	err := g.pool.Probe(ctx, t.Address)
--- a/gate/target_limit.go
+++ b/gate/target_limit.go
@@ -82,7 +82,7 @@
 	if ok {
 		return true
 	}
-	queueWait, refillWait := s.targets.waitTimes(id, 0, max(rate, limit.TargetLimit(rate).Rate))
+	queueWait, refillWait := s.targets.waitTimes(id, 0, limit.TargetLimit(rate).Rate)
 	if s.issuerSilence() > maxIssuerSilence {
 		queueWait = refillWait
 	}
--- a/gate/target_notices.go
+++ b/gate/target_notices.go
@@ -59,7 +59,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	previous, known := l.notices.Get(id)
-	if !named && (!known || sentAt < previous.At) {
+	if !named && (!known || previous.Lifted || sentAt < previous.At) {
 		return false
 	}
 	if l.unreported == nil {
--- a/limit/notice.go
+++ b/limit/notice.go
@@ -23,8 +23,8 @@
 }
 
 const (
-	// NoticeTime is how long a notice counts. Until then a target that still names a
-	// limit has got another request, see [TargetLimit].
+	// NoticeTime is how long a notice counts. A target that still names its limit gets
+	// another request in that time, see [TargetLimit].
 	NoticeTime = time.Minute
 	// noticeRefresh is the age from which a notice is distributed again although the
 	// limit has not changed.
--- a/relay/path.go
+++ b/relay/path.go
@@ -5,11 +5,14 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"github.com/banyanspur/banyanspur/event"
 )
 
+var cutPaths = metrics.NewCounter("banyanspur_relay_cut_paths_total")
+
 // path is the state of this host's own way to the address of a target.
 type path struct {
 	cut       bool      // the target is reached through other hosts
