--- a/entry/guarantees_test.go
+++ b/entry/guarantees_test.go
@@ -279,10 +279,18 @@
 	f.openProgram("p")
 	var wg sync.WaitGroup
 	var stream response
+	ended := make(chan struct{})
 	wg.Go(func() {
+		defer close(ended)
 		stream = f.call(0, "p", 1, chatPath, strings.Replace(chatBody, `"max_tokens":8`, `"stream":true`, 1))
 	})
-	f.waitEngineBusy(slow)
+	for computed := 0; computed == 0; computed, _ = slow.PrefillTokens() {
+		select {
+		case <-ended:
+			t.Fatalf("the call ended before the engine had it: %+v", stream)
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
 	f.stopEntry[0]()
 	wg.Wait()
 	if stream.err != nil || !strings.HasSuffix(stream.body, "data: [DONE]") {
