limit, gate, soak: read once more

TakeLow set admitNow aside and restored it; both kinds of requests now take tokens by one function. The map of unreported notices is created in one place. Comments of the soak say what holds with three entry hosts.

--- a/gate/target_notices.go
+++ b/gate/target_notices.go
@@ -62,11 +62,16 @@
 	if !named && (!known || previous.Lifted || sentAt < previous.At) {
 		return false
 	}
+	l.markUnreported(id)
+	return l.add(id, limit.Notice{Rate: rate, Lifted: !named, At: now})
+}
+
+// markUnreported makes the next report include a target's notice. The caller must hold mu.
+func (l *targetLimits) markUnreported(id types.TargetID) {
 	if l.unreported == nil {
 		l.unreported = map[types.TargetID]bool{}
 	}
 	l.unreported[id] = true
-	return l.add(id, limit.Notice{Rate: rate, Lifted: !named, At: now})
 }
 
 // merge records notices of other hosts.
@@ -120,10 +125,7 @@
 	if reply.NoticesCursor.TableID != l.cursor.TableID {
 		all, _ := l.notices.Since(0)
 		for id := range all {
-			if l.unreported == nil {
-				l.unreported = map[types.TargetID]bool{}
-			}
-			l.unreported[id] = true
+			l.markUnreported(id)
 		}
 	}
 	l.cursor = reply.NoticesCursor
--- a/limit/share.go
+++ b/limit/share.go
@@ -6,14 +6,14 @@
 	"github.com/banyanspur/banyanspur/types"
 )
 
-// Share is a holder's part of one account's limit: a token bucket that is sized
+// Share is a holder's part of the limit of one account or target: a token bucket that is sized
 // and filled by the newest allotment. The zero value has no allotment. It is not
 // safe for concurrent use.
 type Share struct {
 	allotment  Allotment
 	repliedAt  types.Mono // time of the issuer's newest reply
 	expiresAt  types.Mono
-	level      float64 // 0 <= level <= allotment.Burst
+	level      float64 // 0 <= level <= capacity()
 	updatedAt  types.Mono
 	returning  float64 // tokens to return with the next demand
 	admitNow   int     // requests admitted at once, until admitUntil
@@ -56,20 +56,22 @@
 		s.admitLow--
 		return true
 	}
-	others := s.admitNow
-	s.admitNow = 0
-	defer func() { s.admitNow = others }()
-	return s.Take(now)
+	return s.takeToken(now)
 }
 
 // Take admits one request, by AdmitNow of the newest allotment or with a token of
 // the bucket, and reports whether it could.
 func (s *Share) Take(now types.Mono) bool {
-	s.refill(now)
 	if s.admitNow > 0 && now < s.admitUntil {
 		s.admitNow--
 		return true
 	}
+	return s.takeToken(now)
+}
+
+// takeToken admits one request with a token of the bucket.
+func (s *Share) takeToken(now types.Mono) bool {
+	s.refill(now)
 	if s.TimeLeft(now) <= 0 || s.level < 1 {
 		return false
 	}
--- a/soak/limit_test.go
+++ b/soak/limit_test.go
@@ -31,7 +31,7 @@
 	for _, rate := range []float64{0.75, 6} {
 		t.Run(fmt.Sprint(rate, " per second"), func(t *testing.T) {
 			c, tg := startServing(t, 5, 4, 2)
-			// The targets of "models" in the zones of the entry hosts, and all of "plain".
+			// The targets of "models" in two of the three zones, and all of "plain".
 			limited := []string{"t1", "t2", "t4", "t5"}
 			ctx, cancel := context.WithCancel(context.Background())
 			var g errgroup.Group
@@ -80,8 +80,7 @@
 	}
 }
 
-// restartUnderLoad stops one entry host, kills the other one, and kills all control
-// hosts.
+// restartUnderLoad stops one entry host, kills another one, and kills all control hosts.
 func (f *fleet) restartUnderLoad() {
 	f.hosts[6].stop(syscall.SIGTERM)
 	f.start(f.hosts[6], false)
@@ -128,7 +127,7 @@
 			if end.Sub(namedAt) < contactTime {
 				continue
 			}
-			// Hosts that the target has told of its limit for half a second count.
+			// In the first second, hosts need not have known the limit for long enough.
 			first := slices.IndexFunc(arrivals, func(a time.Time) bool {
 				return end.Sub(a) < limitWindow && a.Sub(namedAt) > time.Second
 			})
@@ -154,8 +153,8 @@
 	}
 }
 
-// checkUnlimitedTargetsServe checks that the given targets, which are in zones without
-// an entry host, serve what the limited ones do not accept.
+// checkUnlimitedTargetsServe checks that the given targets serve what the limited ones do
+// not accept.
 func checkUnlimitedTargetsServe(t *testing.T, tg *targets, ids ...string) {
 	t.Helper()
 	for _, id := range ids {
