relay, fetch: read once more

A relayed connection that loses against a direct one was kept for reuse, and so would have taken the longer way later; it is closed now. The interfaces that connections may implement have names and comments in fetch.

--- a/fetch/conn.go
+++ b/fetch/conn.go
@@ -24,6 +24,14 @@
 	readingHead bool
 }
 
+// quieter is implemented by connections that know whether they can be reused: they are
+// expected to work, and nothing has been received that was not read.
+type quieter interface{ Quiet() bool }
+
+// busySetter is implemented by connections that want to know whether a request is in
+// flight on them.
+type busySetter interface{ SetBusy(busy bool) }
+
 const (
 	readBufferSize = 4 << 10
 	// maxHeadBytes is the maximum size of the head of a response.
@@ -65,13 +73,13 @@
 	if now.Sub(c.idleSince) >= c.idleTimeout || c.reader.Buffered() > 0 {
 		return false
 	}
-	q, quiet := c.Conn.(interface{ Quiet() bool })
-	if quiet && !q.Quiet() {
+	q, ok := c.Conn.(quieter)
+	if ok && !q.Quiet() {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return quiet
+	sc, isSocket := c.Conn.(syscall.Conn)
+	if !isSocket {
+		return ok
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
@@ -88,7 +96,7 @@
 
 // setBusy tells the connection whether a request is in flight, if it wants to know.
 func (c *conn) setBusy(busy bool) {
-	if b, ok := c.Conn.(interface{ SetBusy(busy bool) }); ok {
+	if b, ok := c.Conn.(busySetter); ok {
 		b.SetBusy(busy)
 	}
 }
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -111,6 +111,7 @@
 // outcome tells whether the path is cut.
 func (d *Dialer) dialEither(ctx context.Context, address string) (net.Conn, error) {
 	direct := d.start(context.WithoutCancel(ctx), address, d.dialDirect)
+	keep := func(c net.Conn) { d.Keep(address, c) }
 	hedge := time.NewTimer(hedgeDelay)
 	defer hedge.Stop()
 	select {
@@ -120,7 +121,7 @@
 		}
 		return d.relayAfter(ctx, address, r.err)
 	case <-ctx.Done():
-		d.keepWhenDone(address, direct)
+		d.whenDone(direct, keep)
 		return nil, ctx.Err()
 	case <-hedge.C:
 	}
@@ -130,7 +131,7 @@
 	case r := <-direct:
 		if r.err == nil {
 			cancel()
-			d.keepWhenDone(address, relayed)
+			d.whenDone(relayed, func(c net.Conn) { _ = c.Close() })
 			return r.conn, nil
 		}
 		defer cancel()
@@ -138,13 +139,13 @@
 	case r := <-relayed:
 		cancel()
 		if r.err != nil {
-			return d.awaitDirect(ctx, address, direct, r.err)
+			return d.awaitDirect(ctx, address, direct, r.err, keep)
 		}
 		d.background.Go(func() error {
 			if late := <-direct; late.err != nil {
 				d.setCut(address, late.err)
 			} else {
-				d.Keep(address, late.conn)
+				keep(late.conn)
 			}
 			return nil
 		})
@@ -170,8 +171,9 @@
 	return nil, directErr
 }
 
-// awaitDirect returns the outcome of the direct dial after the relayed one has failed.
-func (d *Dialer) awaitDirect(ctx context.Context, address string, direct <-chan dialed, relayErr error) (net.Conn, error) {
+// awaitDirect returns the outcome of the direct dial after the relayed one has failed. If
+// ctx ends first, keep gets its connection.
+func (d *Dialer) awaitDirect(ctx context.Context, address string, direct <-chan dialed, relayErr error, keep func(net.Conn)) (net.Conn, error) {
 	select {
 	case r := <-direct:
 		if r.err != nil {
@@ -179,16 +181,17 @@
 		}
 		return r.conn, nil
 	case <-ctx.Done():
-		d.keepWhenDone(address, direct)
+		d.whenDone(direct, keep)
 		return nil, ctx.Err()
 	}
 }
 
-// keepWhenDone keeps the connection of a dial that is no longer waited for.
-func (d *Dialer) keepWhenDone(address string, done <-chan dialed) {
+// whenDone calls use with the connection of a dial that is no longer waited for, if there
+// is one.
+func (d *Dialer) whenDone(done <-chan dialed, use func(net.Conn)) {
 	d.background.Go(func() error {
 		if r := <-done; r.err == nil {
-			d.Keep(address, r.conn)
+			use(r.conn)
 		}
 		return nil
 	})
