poison: judge a request once the crash that reaches the threshold has settled

Callers: a request that ends its targets kept reaching further ones for as long as its attempts followed each other within 0.5 s.

Cause: Verdicts waited until the latest crash was 0.5 s old, and each new one set it back. Ruled out: late probes and reports (all 22 ends were confirmed in time).

Evidence: TestFastAttemptsDoNotDelayVerdict, attempts every 150 ms: never judged in 3 s before, judged 500 ms after the third crash now.

Change: the crash that reaches the threshold has to be 0.5 s old. The reports that the pause waits for are those on the crashes that are counted.

--- a/poison/table.go
+++ b/poison/table.go
@@ -19,8 +19,8 @@
 	QuarantineTime = time.Hour
 	// retention is how long a crash counts.
 	retention = 10 * time.Minute
-	// settleTime is the age of a request's latest crash from which on the request
-	// may be poisonous. By then, the hosts have reported the other targets that
+	// settleTime is the age of the crash that reaches Threshold from which on the
+	// request is poisonous. By then, the hosts have reported the other targets that
 	// ended with it.
 	settleTime = 500 * time.Millisecond
 	// clockError bounds the difference between the times of crashes that different
@@ -142,10 +142,9 @@
 func (t *Table) Verdicts(zones ZoneSizes, now types.Mono) (poisonous, watched []types.Fingerprint) {
 	t.expire(now)
 	for f := range t.repeated {
-		list := t.suspects[f]
-		n := t.count(f, zones)
+		n, reachedAt := t.count(f, zones)
 		switch {
-		case n >= Threshold && now.Sub(list[len(list)-1].EndedAt) >= settleTime:
+		case n >= Threshold && now.Sub(reachedAt) >= settleTime:
 			poisonous = append(poisonous, f)
 		case n >= WatchThreshold:
 			watched = append(watched, f)
@@ -156,9 +155,9 @@
 	return poisonous, watched
 }
 
-// count returns the number of targets that a request has ended one after the other.
-func (t *Table) count(f types.Fingerprint, zones ZoneSizes) int {
-	n := 0
+// count returns the number of targets that a request has ended one after the other, and
+// when the end of the one that reached Threshold was, if it has.
+func (t *Table) count(f types.Fingerprint, zones ZoneSizes) (n int, reachedAt types.Mono) {
 	var last Crash // the last one counted
 	for _, c := range t.suspects[f] {
 		if t.inOutage(c, zones) || n > 0 && !c.follows(last) {
@@ -166,8 +165,11 @@
 		}
 		n++
 		last = c
+		if n == Threshold {
+			reachedAt = c.EndedAt
+		}
 	}
-	return n
+	return n, reachedAt
 }
 
 // follows reports whether the request was sent to c's target after the end of the
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -61,6 +61,23 @@
 	}
 }
 
+// TestFastAttemptsDoNotDelayVerdict guards against a request that stays unjudged for as
+// long as its attempts follow each other faster than the reports settle.
+func TestFastAttemptsDoNotDelayVerdict(t *testing.T) {
+	var table poison.Table
+	judgedAt := -1
+	for at := 0; at <= 3000 && judgedAt < 0; at += 150 {
+		got := verdicts(&table, at+20, crash("p", string(rune('a'+at/150%3)), at/450%6, at, at+10))
+		if len(got[0]) > 0 {
+			judgedAt = at + 20
+		}
+	}
+	// The third crash is at 310 ms, and 500 ms later the reports of other hosts are there.
+	if judgedAt < 810 || judgedAt > 810+150 {
+		t.Errorf("the request was judged at %d ms, want 810 to 960 ms", judgedAt)
+	}
+}
+
 // TestSameTargetEndedRepeatedly guards against a poison request that is sent to a
 // service with a single target, which starts again under the same ID.
 func TestSameTargetEndedRepeatedly(t *testing.T) {
