drain, gate, fleet: targets that announce that they drain get no new requests

Callers: since the release of a target shows in the platform's list up to 2 s late, its hosts sent it requests until then, and for as long as the list did not show it.

Cause: nothing read the header that a draining target puts in all its responses.

Change: the host that hears it excludes the target at once and reports it with the next exchange of loads; the leader shows it as draining in the list of all hosts. Package drain decides when an announcement ends. A service whose targets have all announced it keeps them for 1.5 s. A success without signature, a 421 and other values count for nothing.

The soak drains targets at random beside its other faults.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -55,6 +55,8 @@
 	PathHealed           = Kind{509, logrus.InfoLevel, "target can be reached directly again"}
 	ConnectionRelayed    = Kind{510, logrus.InfoLevel, "connection to a target relayed for another host"}
 	RelaysChanged        = Kind{511, logrus.InfoLevel, "hosts that relay connections changed"}
+	TargetDraining       = Kind{512, logrus.InfoLevel, "target announced that it drains"}
+	TargetDrainEnded     = Kind{513, logrus.InfoLevel, "announcement that a target drains ended"}
 	LinkLost             = Kind{601, logrus.InfoLevel, "link to another host lost"}
 	PeerRefused          = Kind{602, logrus.WarnLevel, "link refused, wrong cluster secret"}
 )
@@ -72,6 +74,7 @@
 		RequestRefused, RequestSent, RequestEnded, TurnDurable, BudgetDecided,
 		QuarantineEnded, QuarantineFailed, SuspectsChanged,
 		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull, PathCut, PathHealed, ConnectionRelayed, RelaysChanged,
+		TargetDraining, TargetDrainEnded,
 		LinkLost, PeerRefused,
 	}
 }
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/banyanspur/banyanspur/drain"
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/limit"
 	"github.com/banyanspur/banyanspur/plan"
@@ -63,11 +64,15 @@
 	members     quorum.Members
 	lastSeen    map[turns.StoreID]types.Mono                  // time of each store's last request
 	copied      map[turns.StoreID]map[turns.Shard]turns.Epoch // each store's last report of copied shards
-	targets     Targets
-	zoneSizes   poison.ZoneSizes // of targets
-	loadReports loadTable
-	cachedParts cachedPartTable
-	crashes     poison.Table
+	// platformTargets is the platform's list, sorted by ID. targets is that list
+	// together with what targets have announced.
+	platformTargets []Target
+	targets         Targets
+	draining        drain.Table
+	zoneSizes       poison.ZoneSizes // of targets
+	loadReports     loadTable
+	cachedParts     cachedPartTable
+	crashes         poison.Table
 	// completed contains the requests in quarantine that have completed, until the
 	// quarantine is lifted.
 	completed map[types.Fingerprint]bool
@@ -123,7 +128,8 @@
 	c.leaderSince = leaderSince
 	c.lastSeen = map[turns.StoreID]types.Mono{}
 	c.copied = map[turns.StoreID]map[turns.Shard]turns.Epoch{}
-	c.targets, c.zoneSizes = Targets{}, nil
+	c.platformTargets, c.targets, c.zoneSizes = nil, Targets{}, nil
+	c.draining = drain.Table{}
 	c.loadReports, c.cachedParts, c.crashes = loadTable{}, cachedPartTable{}, poison.Table{}
 	c.completed, c.changingQuarantine = map[types.Fingerprint]bool{}, false
 	c.issuers = map[types.AccountID]*limit.Issuer{}
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -48,6 +48,9 @@
 	Completed []types.Fingerprint `json:"completed,omitempty"`
 	// SuspectsChecksum is the checksum of the suspects that the host has.
 	SuspectsChecksum uint64 `json:"suspectsSum,omitempty"`
+	// Draining holds the targets that have announced to this host that they drain, and
+	// how long ago, unless the leader's list already shows it.
+	Draining map[types.TargetID]time.Duration `json:"draining,omitempty"`
 }
 
 // LoadsReply holds the combined observations of all other hosts.
@@ -151,6 +154,7 @@
 func (c *Control) loads(ctx context.Context, req LoadsRequest) (LoadsReply, error) {
 	var reply LoadsReply
 	var quarantine *Quarantine
+	targetsChanged := false
 	err := c.asLeader(func(now types.Mono) {
 		reply.Loads = c.loadReports.exchange(req, now)
 		if relays := c.loadReports.relaysFor(req.Host, req.Zone); relays.Checksum != req.RelaysChecksum {
@@ -159,6 +163,7 @@
 		c.cachedParts.record(req.CachedParts, now)
 		reply.CachedParts, reply.Cursor = c.cachedParts.since(req.Since)
 		reply.Notices, reply.NoticesCursor = c.exchangeNotices(req, now)
+		targetsChanged = c.recordDraining(req.Draining, now)
 		c.recordSuspects(req, now)
 		var list Suspects
 		list, quarantine = c.suspects(now)
@@ -166,6 +171,9 @@
 			reply.Suspects = &list
 		}
 	})
+	if err == nil && targetsChanged {
+		c.changes.notify()
+	}
 	if quarantine != nil {
 		c.proposeQuarantine(ctx, *quarantine)
 	}
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -35,6 +35,9 @@
 	Slots   int             `json:"slots"`
 	// Draining targets receive no new requests.
 	Draining bool `json:"leaving,omitempty"`
+	// Announced is set if the target has announced to a host that it drains, and the
+	// platform's list does not show it yet. Draining is set, too.
+	Announced bool `json:"announced,omitempty"`
 }
 
 // Targets is a snapshot of the list of targets.
--- a/fleet/targets.go
+++ b/fleet/targets.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -55,15 +53,19 @@
 // sync requests if it has changed.
 func (c *Control) setTargets(list []Target, took time.Duration) {
 	slices.SortFunc(list, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
-	next := Targets{Checksum: max(1, xxhash.Sum64(types.Encode(list))), List: list}
+	var checksum uint64
 	changed := false
 	err := c.asLeader(func(now types.Mono) {
 		c.expireTargetLimits(now)
-		changed = next.Checksum != c.targets.Checksum
-		c.targets, c.zoneSizes = next, ZoneSizes(list)
+		previous := c.targets.Checksum
+		c.platformTargets, c.zoneSizes = list, ZoneSizes(list)
+		LogDrainsEnded(c.Log, c.draining.Update(DrainStates(list), now))
+		c.mergeTargets()
+		checksum = c.targets.Checksum
+		changed = checksum != previous
 	})
 	if err == nil && changed {
-		c.Log.Write(event.TargetsChanged, event.Fields{"targets": len(list), "sum": next.Checksum, "tookMs": took.Milliseconds()})
+		c.Log.Write(event.TargetsChanged, event.Fields{"targets": len(list), "sum": checksum, "tookMs": took.Milliseconds()})
 		c.changes.notify()
 	}
 }
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -183,7 +183,7 @@
 	types.Sleep(ctx, probeDelay)
 	err := g.pool.Probe(ctx, t.Address)
 	crashes := g.crashes.takeInterrupted(t.ID)
-	planned := g.crashes.wasDraining(t.ID)
+	planned := g.crashes.wasDraining(t.ID) || g.draining.has(t.ID)
 	unconfirmed := g.dialer.HasHosts() && !errors.Is(err, relay.ErrUnreachable)
 	fields := event.Fields{"target": t.ID, "zone": t.Zone, "reachable": err == nil, "planned": planned, "requests": len(crashes)}
 	if err != nil {
--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -26,7 +26,7 @@
 // headerNames are the header fields that callers and targets use in these tests.
 var headerNames = gate.HeaderNames{
 	RequestID: "Id", Deadline: "Deadline", Credential: "Authorization", CredentialScheme: "Bearer", Account: "Account", Target: "Target",
-	Signature: "Proof", NotRun: "Not-Run", Load: "Load", TargetLimit: "Limit", Priority: "Rank", PromptParts: "Prompt", Tokens: "Tokens", Program: "Program",
+	Signature: "Proof", NotRun: "Not-Run", Load: "Load", TargetLimit: "Limit", Draining: "Leaving", Priority: "Rank", PromptParts: "Prompt", Tokens: "Tokens", Program: "Program",
 	Budget: "Budget", PreviousTurn: "Previous", Internal: []string{"Internal", "Rank", "Target"},
 }
 
@@ -47,6 +47,8 @@
 	// crashes and completed collect what was reported of suspects.
 	crashes   []fleet.CrashReport
 	completed []types.Fingerprint
+	// draining is what the last exchange reported of targets that drain.
+	draining map[types.TargetID]time.Duration
 	// silentUntil is the time until which calls of Limits block.
 	silentUntil time.Time
 }
@@ -88,10 +90,18 @@
 	}
 	f.crashes = append(f.crashes, req.Crashes...)
 	f.completed = append(f.completed, req.Completed...)
+	f.draining = req.Draining
 	f.exchanges++
 	return f.loadsReply, nil
 }
 
+// reportedDraining returns what the last exchange reported of targets that drain.
+func (f *fakeFleet) reportedDraining() map[types.TargetID]time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.draining
+}
+
 // setLoadsReply sets the reply to exchanges of load reports and waits until the
 // host has received it.
 func (f *fakeFleet) setLoadsReply(reply fleet.LoadsReply) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -79,7 +79,9 @@
 	retryBudget  route.RetryBudget
 	crashes      crashDetector
 	targetLimits targetLimits
-	draining     atomic.Bool
+	draining     drainTracker
+	// shuttingDown is set when this host drains itself.
+	shuttingDown atomic.Bool
 	// background runs the work that continues after the caller has its response,
 	// under backgroundCtx.
 	background       errgroup.Group
@@ -147,6 +149,8 @@
 		exchangeCtx, cancel := context.WithTimeout(ctx, loadExchangeTimeout)
 		req := fleet.LoadsRequest{Host: g.Host, Loads: g.targets.localLoads(), CachedParts: g.targets.takeUnreportedParts(), Since: cursor}
 		req.Zone, req.Relay, req.RelaysChecksum = g.Zone, g.offerRelay(), g.relaysSum
+		g.updateDraining()
+		req.Draining = g.draining.report(g.Fleet.View().Targets, g.Clock())
 		req.Notices, req.NoticesSince = g.targetLimits.report(g.Clock())
 		crashes := g.crashes.nextReport()
 		crashes.addTo(&req, g.Clock())
@@ -170,12 +174,12 @@
 // Ready reports whether the host has a plan and targets and is not draining.
 func (g *Gate) Ready() bool {
 	view := g.Fleet.View()
-	return !g.draining.Load() && view.Plan != nil && len(view.Targets) > 0
+	return !g.shuttingDown.Load() && view.Plan != nil && len(view.Targets) > 0
 }
 
 // Drain makes [Gate.Ready] return false. Requests are still served, and responses
 // ask callers to close their connections.
-func (g *Gate) Drain() { g.draining.Store(true) }
+func (g *Gate) Drain() { g.shuttingDown.Store(true) }
 
 // TargetsChanged closes idle connections to targets that are not in list and
 // drops the state of those without requests in flight.
@@ -187,6 +191,7 @@
 		ids[t.ID] = true
 	}
 	g.crashes.recordDraining(list)
+	fleet.LogDrainsEnded(g.Log, g.draining.update(list, g.Clock()))
 	g.pool.CloseIdleExcept(addresses)
 	g.dialer.KeepOnly(addresses)
 	g.targets.removeUnlisted(ids)
@@ -214,7 +219,7 @@
 	c := &call{
 		gate: g, w: w, r: r, start: time.Now(), id: r.Header.Get(g.HeaderNames.RequestID), view: g.Fleet.View(),
 	}
-	if g.draining.Load() {
+	if g.shuttingDown.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	requestsTotal.Inc()
--- a/gate/names.go
+++ b/gate/names.go
@@ -26,6 +26,8 @@
 	// TargetLimit is set by a target that accepts only so many requests per second
 	// from all hosts together.
 	TargetLimit string
+	// Draining is "1" in the responses of a target that drains.
+	Draining string
 	// Priority is the priority of a request at the target; 0 is the most urgent.
 	Priority string
 	// PromptParts lists the parts of the prompt as comma-separated ID:TOKENS.
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -37,10 +37,7 @@
 	var unitSeconds []float64
 	limited := false // a target that could run the request is at the limit that it names
 	now := c.gate.Clock()
-	for _, t := range c.gate.Fleet.View().Targets {
-		if !eligible(t, service, tried) {
-			continue
-		}
+	for _, t := range c.candidates(service, tried) {
 		if c.gate.targetLimits.fullFor(t.ID, c.lowPrecedence(service, t.ID), now) > 0 {
 			limited = true
 			continue
@@ -100,20 +97,13 @@
 	}
 }
 
-// hasUntried reports whether the service has an eligible target that has not been
-// tried.
+// hasUntried reports whether the call may be sent to another target.
 func (c *call) hasUntried(tried map[types.TargetID]bool, service *plan.Service) bool {
 	now := c.gate.Clock()
-	for _, t := range c.gate.Fleet.View().Targets {
-		if eligible(t, service, tried) && c.gate.targetLimits.fullFor(t.ID, c.lowPrecedence(service, t.ID), now) == 0 {
+	for _, t := range c.candidates(service, tried) {
+		if c.gate.targetLimits.fullFor(t.ID, c.lowPrecedence(service, t.ID), now) == 0 {
 			return true
 		}
 	}
 	return false
 }
-
-// eligible reports whether a request for the service may be sent to the target: it
-// serves that service, is not draining and has not been tried.
-func eligible(t fleet.Target, service *plan.Service, tried map[types.TargetID]bool) bool {
-	return t.Service == service.Name && !t.Draining && !tried[t.ID]
-}
--- a/gate/reply.go
+++ b/gate/reply.go
@@ -59,18 +59,21 @@
 // checkSignature reports a successful response as invalid if it lacks the target's
 // signature header or echoes another request ID. Other statuses need no signature.
 func (c *call) checkSignature(t fleet.Target, resp *fetch.Response) (outcome sendOutcome, invalid bool) {
-	if resp.Status >= http.StatusMultipleChoices {
-		return outcomeForwarded, false
-	}
-	signature := resp.Header.Get(c.gate.HeaderNames.Signature)
-	if signature != "" && resp.Header.Get(c.gate.HeaderNames.RequestID) == c.id {
+	if c.isGenuine(resp) {
 		return outcomeForwarded, false
 	}
 	c.gate.targets.recordFailure(t.ID)
-	c.logTargetFailed(t, event.Fields{"sent": true, "status": resp.Status, "signed": signature != ""})
+	c.logTargetFailed(t, event.Fields{"sent": true, "status": resp.Status, "signed": resp.Header.Get(c.gate.HeaderNames.Signature) != ""})
 	return outcomeMayHaveRun, true
 }
 
+// isGenuine reports whether a response can be the target's own: a success must have its
+// signature and echo the request ID.
+func (c *call) isGenuine(resp *fetch.Response) bool {
+	return resp.Status >= http.StatusMultipleChoices ||
+		resp.Header.Get(c.gate.HeaderNames.Signature) != "" && resp.Header.Get(c.gate.HeaderNames.RequestID) == c.id
+}
+
 // copyHeader copies the header of a target's response without hop-by-hop fields.
 // A Connection field that is already set in dst is kept.
 func copyHeader(dst, src http.Header) {
--- a/gate/target_limit.go
+++ b/gate/target_limit.go
@@ -128,10 +128,7 @@
 // accept a request, and false if there is no such target.
 func (c *call) limitedFor(service *plan.Service) (wait time.Duration, limited bool) {
 	now := c.gate.Clock()
-	for _, t := range c.gate.Fleet.View().Targets {
-		if !eligible(t, service, nil) {
-			continue
-		}
+	for _, t := range c.candidates(service, nil) {
 		if d := c.gate.targetLimits.fullFor(t.ID, c.lowPrecedence(service, t.ID), now); d > 0 && (!limited || d < wait) {
 			wait, limited = d, true
 		}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -27,6 +27,8 @@
 	binary  string // banyanspur binary to run; empty for the build under test
 	process *exec.Cmd
 	log     *os.File
+	// disturbedAt is when the process was last started or a fault of the host ended.
+	disturbedAt time.Time
 }
 
 // fleet is a fleet under test: 3 control hosts, 3 stores and 3 entry hosts, in this
@@ -128,7 +130,7 @@
 	if err := cmd.Start(); err != nil {
 		f.t.Fatal(err)
 	}
-	h.process = cmd
+	h.process, h.disturbedAt = cmd, time.Now()
 }
 
 // stop sends a signal to a host's process and waits for the process to exit.
@@ -254,6 +256,7 @@
 		selected := faults[f.rand.IntN(len(faults))]
 		f.t.Logf("%s: %s for %v", h.name, selected.name, length)
 		selected.inject(f, h, length)
+		h.disturbedAt = time.Now()
 		if h.role != host.NodeEntry {
 			f.waitRecovered()
 		}
--- a/soak/guarantees_test.go
+++ b/soak/guarantees_test.go
@@ -45,6 +45,7 @@
 		return nil
 	})
 	g.Go(func() error { tg.endRandomly(ctx, seed); return nil })
+	g.Go(func() error { tg.drainRandomly(ctx, seed); return nil })
 	f.injectFaults(*duration)
 	f.losePower(f.hosts[r.IntN(6)], time.Second) // While callers and the operator go on.
 	cancel()
@@ -56,6 +57,7 @@
 	checkRateLimit(t, tg)
 	checkTurnsRetained(t, c)
 	checkNotBlamed(t, c)
+	checkDrains(t, c, tg)
 }
 
 // startServing starts a fleet with the given numbers of targets of the services "models"
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -19,6 +19,7 @@
 // run is one execution of a request by a target.
 type run struct {
 	id, account, key, path, body string
+	target                       string
 	startedAt                    time.Time
 }
 
@@ -34,6 +35,10 @@
 	// a request, both by target ID.
 	limits   map[string]float64
 	arrivals map[string][]time.Time
+	// draining holds whether targets announce that they drain, by ID, and drains when
+	// they have done so.
+	draining map[string]bool
+	drains   []drainPeriod
 }
 
 // turnOutput returns the output events of a turn. They depend only on the request
@@ -46,7 +51,7 @@
 // startTargets starts the given numbers of targets of the services "models" and
 // "plain". It returns them and the address of the server that lists them.
 func startTargets(models, plain int) (*targets, string, error) {
-	t := &targets{runs: map[string][]run{}, arrivals: map[string][]time.Time{}}
+	t := &targets{runs: map[string][]run{}, arrivals: map[string][]time.Time{}, draining: map[string]bool{}}
 	for i := range models + plain {
 		service, handler := "models", t.serveTurn
 		if i >= models {
@@ -67,6 +72,8 @@
 		return nil, "", err
 	}
 	t.serve(l, func(w http.ResponseWriter, _ *http.Request) {
+		t.mu.Lock()
+		defer t.mu.Unlock()
 		_ = json.NewEncoder(w).Encode(map[string]any{"instances": t.list, "next": nil})
 	})
 	return t, l.Addr().String(), nil
@@ -176,8 +183,11 @@
 	if rate, ok := t.limits[target]; ok {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(rate, 'f', -1, 64))
 	}
+	if t.draining[target] {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	t.runs[id] = append(t.runs[id], run{
-		id: id, account: r.Header.Get("X-Tenant"), key: r.Header.Get("Authorization"), path: r.URL.Path, body: string(body), startedAt: time.Now(),
+		id: id, target: target, account: r.Header.Get("X-Tenant"), key: r.Header.Get("Authorization"), path: r.URL.Path, body: string(body), startedAt: time.Now(),
 	})
 	crashing := strings.HasSuffix(string(body), crashingInput)
 	if crashing {
