--- a/wire/frame.go
+++ b/wire/frame.go
@@ -47,8 +47,23 @@
 	sentFrames    = metrics.NewCounter("banyanspur_wire_sent_frames_total")
 	sentBytes     = metrics.NewCounter("banyanspur_wire_sent_bytes_total")
 	receivedBytes = metrics.NewCounter("banyanspur_wire_received_bytes_total")
+	pings         = metrics.NewCounter("banyanspur_wire_pings_total")
 )
 
+// kindCounters count the messages of one kind that this process handles.
+type kindCounters struct {
+	requests, requestBytes, replyBytes *metrics.Counter
+}
+
+func newKindCounters(kind Kind) kindCounters {
+	counter := func(name string) *metrics.Counter {
+		return metrics.GetOrCreateCounter(name + `{kind="` + string(kind) + `"}`)
+	}
+	return kindCounters{
+		requests: counter("banyanspur_wire_requests_total"), requestBytes: counter("banyanspur_wire_request_bytes_total"), replyBytes: counter("banyanspur_wire_reply_bytes_total"),
+	}
+}
+
 // secretHeader is the HTTP header with the secret that all processes of the
 // fleet share.
 const secretHeader = "Banyanspur-Secret"
@@ -165,6 +180,7 @@
 		if s.idleTime() < pingInterval {
 			continue // The peer is alive: a frame was received in the meantime.
 		}
+		pings.Inc()
 		pingCtx, cancel := context.WithTimeout(ctx, pingInterval)
 		err := s.conn.Ping(pingCtx)
 		cancel()
--- a/wire/server.go
+++ b/wire/server.go
@@ -33,7 +33,10 @@
 // Handle registers fn as the handler of messages of the given kind. fn must be
 // safe for concurrent use.
 func Handle[Req, Resp any](s *Server, kind Kind, fn func(ctx context.Context, req Req) (Resp, error)) {
+	counters := newKindCounters(kind)
 	s.register(kind, func(ctx context.Context, body []byte) ([]byte, error) {
+		counters.requests.Inc()
+		counters.requestBytes.Add(len(body))
 		req, err := types.Decode[Req](body)
 		if err != nil {
 			return nil, types.NewFault(types.CodeBadRequest, "%v", err)
@@ -42,7 +45,9 @@
 		if err != nil {
 			return nil, err
 		}
-		return types.Encode(reply), nil
+		encoded := types.Encode(reply)
+		counters.replyBytes.Add(len(encoded))
+		return encoded, nil
 	})
 }
 
