wire: the memory of a send queue follows the messages in it

Cause: each connection allocated a channel for 8,192 envelopes, 512 KB of heap that is never touched.

Evidence: wire TestIdleConnectionsNeedLittleMemory: 1,082,086 bytes for both ends of an idle connection before, at most 81,920 allowed.

Change: the queue is a slice that grows with the messages in it, up to the same number.

--- a/wire/frame.go
+++ b/wire/frame.go
@@ -32,7 +32,7 @@
 	// batchBytes is the size from which on no further message is added to a
 	// frame.
 	batchBytes = 256 << 10
-	// queueLength is the capacity of the send queue of one connection, in
+	// queueLength is the maximum length of the send queue of one connection, in
 	// messages.
 	queueLength = 8192
 	// writeTimeout bounds the writing of one frame.
@@ -75,7 +75,7 @@
 // stream sends and receives envelopes over one WebSocket connection.
 type stream struct {
 	conn  *websocket.Conn
-	queue chan envelope
+	queue *queue[envelope]
 	done  chan struct{} // closed when run returns
 	// lastReceived is when a frame or a pong was last received, in nanoseconds
 	// since start.
@@ -85,18 +85,16 @@
 
 func newStream(conn *websocket.Conn) *stream {
 	conn.SetReadLimit(maxFrameBytes)
-	return &stream{conn: conn, queue: make(chan envelope, queueLength), done: make(chan struct{}), start: time.Now()}
+	return &stream{conn: conn, queue: newQueue[envelope](queueLength), done: make(chan struct{}), start: time.Now()}
 }
 
 // send queues one envelope. It never blocks and returns errQueueFull if the
 // queue is full.
 func (s *stream) send(e envelope) error {
-	select {
-	case s.queue <- e:
-		return nil
-	default:
+	if !s.queue.put(e) {
 		return errQueueFull
 	}
+	return nil
 }
 
 // run reads and writes until the connection fails or ctx ends. It calls receive
@@ -116,26 +114,30 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case e := <-s.queue:
-			if err := s.write(ctx, s.batch(e)); err != nil {
+		case <-s.queue.ready:
+			if err := s.writeQueued(ctx); err != nil {
 				return err
 			}
 		}
 	}
 }
 
-// batch encodes e and the envelopes queued after it into one frame.
-func (s *stream) batch(e envelope) []byte {
-	frame := types.Encode(e)
-	for len(frame) < batchBytes {
-		select {
-		case next := <-s.queue:
-			frame = append(frame, types.Encode(next)...)
-		default:
-			return frame
+// writeQueued writes the queued envelopes, as many as possible in one frame.
+func (s *stream) writeQueued(ctx context.Context) error {
+	envelopes := s.queue.take()
+	defer s.queue.reuse(envelopes)
+	var frame []byte
+	for i, e := range envelopes {
+		frame = append(frame, types.Encode(e)...)
+		if len(frame) < batchBytes && i < len(envelopes)-1 {
+			continue
 		}
+		if err := s.write(ctx, frame); err != nil {
+			return err
+		}
+		frame = nil
 	}
-	return frame
+	return nil
 }
 
 func (s *stream) write(ctx context.Context, frame []byte) error {
