wire: connections are pinged when they are used, and rarely otherwise

Cause: both ends pinged each idle connection every 0.6 s, whether or not anybody needed it: hosts x stores pings.

TestSilentConnectionIsReplacedWhenUsed and TestLostConnectionChecksTheOthers hold the times in which a silent connection is found.

Change: the side that dialed pings if nothing was received for 0.6 s after it has sent a frame, and otherwise every 5 s. The accepting side does not ping; its TCP keepalive ends dead connections. A pool that loses a connection checks all others at once, so that a silence of many connections is found with the first one that is used.

--- a/wire/frame.go
+++ b/wire/frame.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -37,10 +36,6 @@
 	queueLength = 8192
 	// writeTimeout bounds the writing of one frame.
 	writeTimeout = 10 * time.Second
-	// pingInterval is the idle time after which a connection is checked with a
-	// ping, and the timeout of the ping. A peer that lost power is thus detected
-	// within twice this time.
-	pingInterval = 600 * time.Millisecond
 )
 
 var (
@@ -77,15 +72,15 @@
 	conn  *websocket.Conn
 	queue *queue[envelope]
 	done  chan struct{} // closed when run returns
-	// lastReceived is when a frame or a pong was last received, in nanoseconds
-	// since start.
-	lastReceived atomic.Int64
-	start        time.Time
+	// dialed is set on the side that has opened the connection. Only this side expects
+	// replies, and checks whether the peer is alive.
+	dialed   bool
+	liveness *liveness
 }
 
-func newStream(conn *websocket.Conn) *stream {
+func newStream(conn *websocket.Conn, dialed bool) *stream {
 	conn.SetReadLimit(maxFrameBytes)
-	return &stream{conn: conn, queue: newQueue[envelope](queueLength), done: make(chan struct{}), start: time.Now()}
+	return &stream{conn: conn, queue: newQueue[envelope](queueLength), done: make(chan struct{}), dialed: dialed, liveness: newLiveness()}
 }
 
 // send queues one envelope. It never blocks and returns errQueueFull if the
@@ -145,6 +140,9 @@
 	sentBytes.Add(len(frame))
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
+	if s.dialed {
+		s.liveness.sent()
+	}
 	return s.conn.Write(ctx, websocket.MessageBinary, frame)
 }
 
@@ -154,7 +152,7 @@
 		if err != nil {
 			return err
 		}
-		s.markReceived()
+		s.liveness.received()
 		receivedBytes.Add(len(frame))
 		if err := decodeFrame(frame, receive); err != nil {
 			return err
@@ -174,29 +172,3 @@
 	}
 	return nil
 }
-
-// pingLoop pings the peer when the connection is idle, to detect a connection
-// that broke without being closed.
-func (s *stream) pingLoop(ctx context.Context) error {
-	for types.Sleep(ctx, pingInterval-s.idleTime()) {
-		if s.idleTime() < pingInterval {
-			continue // The peer is alive: a frame was received in the meantime.
-		}
-		pings.Inc()
-		pingCtx, cancel := context.WithTimeout(ctx, pingInterval)
-		err := s.conn.Ping(pingCtx)
-		cancel()
-		if err != nil {
-			return errors.Wrap(err, "wire: ping")
-		}
-		s.markReceived()
-	}
-	return ctx.Err()
-}
-
-func (s *stream) markReceived() { s.lastReceived.Store(int64(time.Since(s.start))) }
-
-// idleTime returns the time since a frame or a pong was last received.
-func (s *stream) idleTime() time.Duration {
-	return time.Since(s.start) - time.Duration(s.lastReceived.Load())
-}
--- a/wire/link.go
+++ b/wire/link.go
@@ -24,6 +24,8 @@
 	Secret string
 	// Log receives events. The zero value discards them.
 	Log event.Log
+	// OnLost, if set, is called after a connection has been lost.
+	OnLost func()
 
 	mu        sync.Mutex
 	active    *connection   // nil while the link is not connected
@@ -67,6 +69,9 @@
 		if (connected || !logged) && ctx.Err() == nil {
 			l.Log.Write(event.LinkLost, event.Fields{"address": l.Address, "connected": connected, "error": err.Error()})
 		}
+		if connected && l.OnLost != nil && ctx.Err() == nil {
+			l.OnLost()
+		}
 		logged = true // Repeated dial failures are not logged.
 		if time.Since(start) > maxRedialDelay {
 			delay = minRedialDelay
@@ -87,7 +92,7 @@
 	if err != nil {
 		return false, errors.Wrap(err, "wire: dial")
 	}
-	c := &connection{stream: newStream(conn), pending: pendingRequests{replies: map[uint64]chan envelope{}}}
+	c := &connection{stream: newStream(conn, true), pending: pendingRequests{replies: map[uint64]chan envelope{}}}
 	l.setActive(c)
 	defer c.pending.failAll()
 	defer l.setActive(nil)
@@ -136,6 +141,14 @@
 // without being closed counts as connected until a ping fails.
 func (l *Link) IsConnected() bool { return l.activeConnection() != nil }
 
+// Check makes the link ping its host, if it is connected, and reconnect if the host does
+// not respond. It does not block.
+func (l *Link) Check() {
+	if c := l.activeConnection(); c != nil {
+		c.stream.liveness.check()
+	}
+}
+
 func (c *connection) receive(e envelope) {
 	reply := c.pending.remove(e.ID)
 	if reply == nil {
--- /dev/null
+++ b/wire/liveness.go
@@ -0,0 +1,89 @@
+package wire
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// confirmTime is how long after a frame was sent the peer must have sent something.
+	// Otherwise it is pinged.
+	confirmTime = 600 * time.Millisecond
+	// idlePingInterval is the idle time after which the side that has dialed a connection
+	// pings the peer. It is long, since a fleet has a connection for each pair of an entry
+	// host and a store, and a connection is checked whenever it is used.
+	idlePingInterval = 5 * time.Second
+	// pingTimeout is how long a peer may take to respond to a ping. A peer that has lost
+	// power is thus detected within confirmTime and this time after a frame was sent.
+	pingTimeout = 600 * time.Millisecond
+)
+
+// liveness tells when the peer of a connection should be pinged, to detect a connection
+// that broke without being closed.
+type liveness struct {
+	// ping receives a value when the peer should be pinged.
+	ping chan struct{}
+
+	unconfirmed atomic.Bool // a frame was sent since the last one was received
+	timer       *time.Timer // runs while unconfirmed
+}
+
+func newLiveness() *liveness {
+	l := &liveness{ping: make(chan struct{}, 1)}
+	l.timer = time.AfterFunc(time.Hour, l.check)
+	l.timer.Stop()
+	return l
+}
+
+// check makes the peer be pinged.
+func (l *liveness) check() {
+	select {
+	case l.ping <- struct{}{}:
+	default: // A ping is already due.
+	}
+}
+
+// sent records that a frame was sent.
+func (l *liveness) sent() {
+	if !l.unconfirmed.Swap(true) {
+		l.timer.Reset(confirmTime)
+	}
+}
+
+// received records that a frame or a pong was received.
+func (l *liveness) received() {
+	if l.unconfirmed.Swap(false) {
+		l.timer.Stop()
+	}
+}
+
+// pingLoop pings the peer when liveness says so, and every idlePingInterval if this side
+// has dialed the connection, until ctx ends or the peer does not respond.
+func (s *stream) pingLoop(ctx context.Context) error {
+	defer s.liveness.timer.Stop()
+	var idle <-chan time.Time
+	if s.dialed {
+		ticker := time.NewTicker(idlePingInterval)
+		defer ticker.Stop()
+		idle = ticker.C
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.liveness.ping:
+		case <-idle:
+		}
+		pings.Inc()
+		pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+		err := s.conn.Ping(pingCtx)
+		cancel()
+		if err != nil {
+			return errors.Wrap(err, "wire: ping")
+		}
+		s.liveness.received()
+	}
+}
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -78,7 +78,7 @@
 	defer p.mu.Unlock()
 	l := p.links[address]
 	if l == nil {
-		l = &pooledLink{Link: &Link{Address: address, Secret: p.Secret, Log: p.Log}}
+		l = &pooledLink{Link: &Link{Address: address, Secret: p.Secret, Log: p.Log, OnLost: p.checkAll}}
 		p.links[address] = l
 		if p.group != nil {
 			p.startLink(l)
@@ -94,6 +94,17 @@
 	p.group.Go(func() error { return l.Run(ctx) })
 }
 
+// checkAll checks all links after one was lost. What has broken one connection without
+// closing it may have broken the others, and those that are rarely used would show it
+// only when they are needed.
+func (p *Pool) checkAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		l.Check()
+	}
+}
+
 func (p *Pool) closeIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/wire/server.go
+++ b/wire/server.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return // Accept has written the HTTP response.
 	}
-	s.serve(r.Context(), newStream(conn))
+	s.serve(r.Context(), newStream(conn, false))
 }
 
 func (s *Server) serve(ctx context.Context, conn *stream) {
