soak, deploy, docs: the release before runs beside this one, built from the history

Change: the upgrade tests build a commit of this repository's history (by default the one in service, -production for another), and run it in place in both directions, and rolling: one host of each role within it, all to this build, one of each role back and forth.

--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -14,11 +14,11 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// otherBuild is the absolute path of the banyanspur binary of another build,
-// usually the last release:
+// production is the commit whose build the upgrade tests run beside this one, usually the
+// last release:
 //
-//	go test ./soak -run Upgrade -other /path/to/banyanspur
-var otherBuild = flag.String("other", "", "absolute path of the banyanspur binary of another build, for the upgrade tests")
+//	go test ./soak -run 'Upgrade|Downgrade' -production COMMIT
+var production = flag.String("production", "2f6b658053d5afe47d9633acf1a7f802cf1dd6c5", "commit of the build that the upgrade tests run beside this one")
 
 // upgradeTest is a fleet that starts with one build, with its targets and callers.
 type upgradeTest struct {
@@ -47,15 +47,6 @@
 	return u
 }
 
-// requireOtherBuild returns the path of the other build's binary, or skips the test
-// if none was given.
-func requireOtherBuild(t *testing.T) string {
-	if *otherBuild == "" {
-		t.Skip("needs the binary of another build: -other PATH")
-	}
-	return *otherBuild
-}
-
 // sendUntil sends a request repeatedly until the response has the given status. A
 // response with status 200 must also be complete.
 func (u *upgradeTest) sendUntil(what string, a attempt, status int) attempt {
@@ -100,12 +91,20 @@
 	checkTurnsRetained(u.t, u.callers)
 }
 
-// TestUpgradeInPlace stops a fleet of the other build and starts this build with
+// TestUpgradeInPlace stops a fleet of the production build and starts this build with
 // the same settings and data directories. It fails if a storage format has changed
 // incompatibly: a turn, a budget, the configuration or a key is then lost or
 // refused.
-func TestUpgradeInPlace(t *testing.T) {
-	u := newUpgradeTest(t, requireOtherBuild(t))
+func TestUpgradeInPlace(t *testing.T) { restartWith(t, buildProduction(t), "") }
+
+// TestDowngradeInPlace goes back: it starts the production build on what this build has
+// written.
+func TestDowngradeInPlace(t *testing.T) { restartWith(t, "", buildProduction(t)) }
+
+// restartWith starts a fleet with one binary, stops all hosts and starts them with
+// another one.
+func restartWith(t *testing.T, before, after string) {
+	u := newUpgradeTest(t, before)
 	for i := range 20 {
 		u.runProgram(fmt.Sprintf("p%d", i), 1+i%programTurns)
 	}
@@ -117,11 +116,11 @@
 		h.stop(syscall.SIGTERM)
 	}
 	for _, h := range u.fleet.hosts {
-		h.binary = ""
+		h.binary = after
 		u.fleet.start(h, false)
 	}
 	u.fleet.waitRecovered()
-	u.sendUntil("a turn on this build", attempt{account: unlimitedAccount, path: "/turn/", requestBody: "first;", program: "new"}, http.StatusOK)
+	u.sendUntil("a turn after the restart", attempt{account: unlimitedAccount, path: "/turn/", requestBody: "first;", program: "new"}, http.StatusOK)
 	if a := u.callers.send(context.Background(), u.rand, spent); a.status != http.StatusPaymentRequired {
 		t.Errorf("a program with its budget spent received status %d after the restart", a.status)
 	}
@@ -131,18 +130,19 @@
 	u.checkGuarantees(1)
 }
 
-// TestUpgradeRolling replaces the hosts of a fleet under load one at a time: first
-// all of them within the other build, then all of them by this build, and finally
-// one host of each role by the other build again. It fails if the two builds cannot
-// read each other's messages. The first round is the baseline: it shows how many
-// requests a replacement costs without a change of build.
+// TestUpgradeRolling replaces the hosts of a fleet under load one at a time: first one
+// host of each role within the production build, then all of them by this build, and
+// finally one host of each role by the production build and by this one again. It fails
+// if the two builds cannot read each other's messages. The first round is the baseline:
+// it shows how many requests a replacement costs without a change of build.
 func TestUpgradeRolling(t *testing.T) {
-	other := requireOtherBuild(t)
-	u := newUpgradeTest(t, other)
-	u.replaceAll("other build by other build", u.fleet.hosts, other)
-	u.replaceAll("other build by this build", u.fleet.hosts, "")
+	old := buildProduction(t)
+	u := newUpgradeTest(t, old)
 	one := []*testHost{u.fleet.hosts[0], u.fleet.hosts[3], u.fleet.hosts[6]}
-	u.replaceAll("one of each role back to the other build", one, other)
+	u.replaceAll("one of each role within the production build", one, old)
+	u.replaceAll("production build by this build", u.fleet.hosts, "")
+	u.replaceAll("one of each role back to the production build", one, old)
+	u.replaceAll("one of each role by this build again", one, "")
 	u.checkGuarantees(1)
 }
 
