route, gate, fleet: targets that accept no connections are learned once for all hosts

Cause: each of 61 hosts learned by its own requests which engines were down, and tried them again with a request after 0.5 to 4 s. Engines that had crashed looked idle, so that they were chosen first. Each refused connection was also tried through two other hosts.

Change: a host that cannot connect to a target reports it with its loads (0.3 s) and checks it every 0.5 s until it connects; no request has to find out. Others avoid a target that two hosts report. Refused connections no longer count among the four rejections of a request, but up to eight by themselves.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -57,6 +57,8 @@
 	RelaysChanged        = Kind{511, logrus.InfoLevel, "hosts that relay connections changed"}
 	TargetDraining       = Kind{512, logrus.InfoLevel, "target announced that it drains"}
 	TargetDrainEnded     = Kind{513, logrus.InfoLevel, "announcement that a target drains ended"}
+	TargetUnreachable    = Kind{514, logrus.WarnLevel, "target accepts no connections"}
+	TargetReachable      = Kind{515, logrus.InfoLevel, "target accepts connections again"}
 	LinkLost             = Kind{601, logrus.InfoLevel, "link to another host lost"}
 	PeerRefused          = Kind{602, logrus.WarnLevel, "link refused, wrong cluster secret"}
 )
@@ -74,7 +76,7 @@
 		RequestRefused, RequestSent, RequestEnded, TurnDurable, BudgetDecided,
 		QuarantineEnded, QuarantineFailed, SuspectsChanged,
 		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull, PathCut, PathHealed, ConnectionRelayed, RelaysChanged,
-		TargetDraining, TargetDrainEnded,
+		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable,
 		LinkLost, PeerRefused,
 	}
 }
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -18,6 +18,8 @@
 	// UnitSeconds is the time in seconds that the target takes for a unit of work:
 	// the gap between two events of a stream, or a whole call. 0 means unknown.
 	UnitSeconds float64 `json:"u,omitempty"`
+	// Unreachable is the number of hosts that cannot connect to the target.
+	Unreachable int `json:"d,omitempty"`
 }
 
 // LoadsRequest reports the loads that a host observes, and requests those that
@@ -55,8 +57,8 @@
 
 // LoadsReply holds the combined observations of all other hosts.
 type LoadsReply struct {
-	// Loads holds, for each target, the sum of the requests in flight and the
-	// mean of the unit times.
+	// Loads holds, for each target, the sum of the requests in flight and of the hosts
+	// that cannot connect to it, and the mean of the unit times.
 	Loads map[types.TargetID]Load `json:"loads"`
 	// CachedParts lists the cached parts that hosts have reported since the
 	// position in the request.
@@ -97,11 +99,13 @@
 	inFlight    int
 	unitSeconds float64
 	unitReports int // number of reports with a known unit time
+	unreachable int
 }
 
 // plus returns t with l added if sign is 1, or subtracted if sign is -1.
 func (t loadTotal) plus(l Load, sign int) loadTotal {
 	t.inFlight += sign * l.InFlight
+	t.unreachable += sign * min(1, l.Unreachable)
 	if l.UnitSeconds > 0 {
 		t.unitSeconds += float64(sign) * l.UnitSeconds
 		t.unitReports += sign
@@ -124,7 +128,7 @@
 	}
 	others := map[types.TargetID]Load{}
 	for id, total := range t.totals {
-		l := Load{InFlight: total.inFlight}
+		l := Load{InFlight: total.inFlight, Unreachable: total.unreachable}
 		if total.unitReports > 0 {
 			l.UnitSeconds = total.unitSeconds / float64(total.unitReports)
 		}
@@ -140,7 +144,7 @@
 func (t *loadTable) add(loads map[types.TargetID]Load, sign int) {
 	for id, l := range loads {
 		total := t.totals[id].plus(l, sign)
-		if total.inFlight == 0 && total.unitReports == 0 {
+		if total.inFlight == 0 && total.unitReports == 0 && total.unreachable == 0 {
 			delete(t.totals, id)
 			continue
 		}
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -195,6 +195,7 @@
 	}
 	targetEndsTotal.Inc()
 	g.targets.recordFailure(t.ID)
+	g.recordUnreachable(t)
 	g.crashes.record(crashes, g.Clock())
 }
 
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -31,14 +31,18 @@
 	// outcomeMayHaveRun means that the target sent no valid response but may have
 	// run the request.
 	outcomeMayHaveRun
+	// outcomeUnreachable means that no connection to the target could be opened.
+	outcomeUnreachable
 	// outcomeExpired means that the deadline passed or the caller disconnected.
 	outcomeExpired
 )
 
 const (
-	// maxRejections is how many targets may reject a request, or be unreachable,
-	// before the caller gets an error response.
-	maxRejections = 4
+	// maxRejections is how many targets may reject a request, and maxUnreachable how many
+	// may be unreachable, before the caller gets an error response. A refused connection
+	// costs a round trip only.
+	maxRejections  = 4
+	maxUnreachable = 8
 )
 
 // dispatch sends the request to a target and retries on other targets after a
@@ -51,13 +55,13 @@
 		return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: busyRetryAfter, reason: "the route has no service"}
 	}
 	tried := map[types.TargetID]bool{}
-	rejected := 0
+	rejected, unreachable := 0, 0
 	for {
 		if c.poisonous() {
 			return c.dispatchError(poisonousReason)
 		}
 		choice, ok := c.pickTarget(service, tried)
-		if !ok || rejected >= maxRejections {
+		if !ok || rejected >= maxRejections || unreachable >= maxUnreachable {
 			return c.noTarget(service)
 		}
 		tried[choice.ID] = true
@@ -72,6 +76,8 @@
 			return c.dispatchError("the deadline of the request has passed")
 		case outcomeNotRun:
 			rejected++
+		case outcomeUnreachable:
+			unreachable++
 		case outcomeMayHaveRun:
 			c.runs++
 			if !c.route.Repeatable() || c.runs >= max(1, c.route.Attempts) || c.r.Context().Err() != nil {
@@ -183,7 +189,10 @@
 	switch {
 	case !mayHaveReached && c.remaining() > 0 && !canceled:
 		c.gate.limits.targets.refund(t.ID)
-		return outcomeNotRun
+		if !errors.Is(err, relay.ErrHostLost) {
+			c.gate.recordUnreachable(t)
+		}
+		return outcomeUnreachable
 	case c.remaining() <= 0 || canceled:
 		return outcomeExpired
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -107,6 +107,7 @@
 			g.PlacementCosts = route.DefaultPlacementCosts
 		}
 		g.limits.init(g)
+		g.targets.clock = g.Clock
 		g.initRelay()
 		g.backgroundCtx, g.cancelBackground = context.WithCancel(context.Background())
 	})
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -15,11 +15,14 @@
 )
 
 // targetTracker holds the load, health, speed and prompt cache contents of targets
-// as far as this host knows them. The zero value is ready to use. It is safe for
-// concurrent use.
+// as far as this host knows them. It is safe for concurrent use after its clock is set.
 type targetTracker struct {
+	// clock is the clock of the process. It must be set before use.
+	clock types.Clock
+
 	mu     sync.Mutex
 	states map[types.TargetID]*targetState
+	reach  route.Reachability
 }
 
 // targetState is the state of one target in a [targetTracker].
@@ -77,7 +80,8 @@
 	s := t.getOrCreate(target.ID)
 	o = route.Option{
 		ID: target.ID, SameZone: target.Zone == zone, InFlight: s.inFlight, Running: s.running, Waiting: s.waiting, ReportAge: time.Since(s.reportedAt),
-		InFlightAtReport: s.inFlightAtReport, Slots: s.slots, Cached: s.cachedTokens(parts), Failing: s.inBackoff(time.Now()), Pace: 1,
+		InFlightAtReport: s.inFlightAtReport, Slots: s.slots, Cached: s.cachedTokens(parts), Pace: 1,
+		Failing: s.inBackoff(time.Now()) || t.reach.Unreachable(target.ID, t.clock()),
 	}
 	if o.Slots == 0 {
 		o.Slots = target.Slots
@@ -118,8 +122,8 @@
 	s.avgUnitAt = time.Now()
 }
 
-// localLoads returns this host's load report: the requests in flight and the
-// average unit time of each target that has either.
+// localLoads returns this host's load report: the requests in flight, the average unit
+// time and whether the target is unreachable, of each target that has any of these.
 func (t *targetTracker) localLoads() map[types.TargetID]fleet.Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -129,6 +133,9 @@
 		if time.Since(s.avgUnitAt) < unitTimeTTL {
 			local.UnitSeconds = s.avgUnitSeconds
 		}
+		if t.reach.FoundUnreachable(id) {
+			local.Unreachable = 1
+		}
 		if local != (fleet.Load{}) {
 			loads[id] = local
 		}
@@ -142,9 +149,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	for id := range others {
+	unreachable := map[types.TargetID]int{}
+	for id, l := range others {
 		t.getOrCreate(id)
+		if l.Unreachable > 0 {
+			unreachable[id] = l.Unreachable
+		}
 	}
+	t.reach.SetReports(unreachable, t.clock())
 	for id, s := range t.states {
 		previousUnit := s.otherHosts.UnitSeconds
 		s.otherHosts = others[id]
@@ -199,6 +211,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.getOrCreate(id)
+	t.reach.RecordReachable(id)
 	s.consecutiveFailures = 0
 	numbers := strings.Split(report, ",")
 	if len(numbers) != 3 {
@@ -289,6 +302,7 @@
 	for id, s := range t.states {
 		if !listed[id] && s.inFlight == 0 {
 			delete(t.states, id)
+			t.reach.RecordReachable(id)
 		}
 	}
 }
