limit, gate: programs that have begun precede new ones within their account's limit

Cause: a request waited up to 0.4 s for its account's limit whatever it was, and the first turn of a program took the token that a call of a running one needed.

Change: the first turn of a program has low precedence: it leaves half of the bucket to others and is refused after 0.1 s, at once if the queue is longer; other requests wait up to 0.6 s. A host knows a program by its earlier turn, or since it has served one of its requests.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -78,6 +78,7 @@
 	limits       limitShares
 	retryBudget  route.RetryBudget
 	crashes      crashDetector
+	begun        begunPrograms
 	targetLimits targetLimits
 	draining     drainTracker
 	// shuttingDown is set when this host drains itself.
--- a/gate/rate_limit.go
+++ b/gate/rate_limit.go
@@ -9,14 +9,12 @@
 )
 
 const (
-	// maxLimitWait is how long a request waits for its account's rate limit. For
-	// the caller such a wait is cheaper than a retry. A request that would have to
-	// wait longer is refused immediately.
-	maxLimitWait = 400 * time.Millisecond
 	// silentIssuerWait is how long a request waits while the issuer of allotments
 	// does not respond. It covers an election and the discovery of the new leader.
 	// As far as this host knows, the request is within the rate.
 	silentIssuerWait = 1200 * time.Millisecond
+	// silentIssuerRetryAfter is the Retry-After value after such a wait.
+	silentIssuerRetryAfter = 400 * time.Millisecond
 	// minRenewalPoll and maxRenewalPoll bound the pause after which a waiting
 	// request triggers another renewal.
 	minRenewalPoll = 10 * time.Millisecond
@@ -31,47 +29,55 @@
 	if c.account == nil || c.account.Rate <= 0 {
 		return nil
 	}
-	s := &c.gate.limits
-	renewed, ahead, ok := s.accounts.tryTake(c.account.Name, false)
-	if ok {
-		c.limitTaken = true
-		return nil
+	s, low := &c.gate.limits, c.startsProgram()
+	renewed, ahead, ok := s.accounts.tryTake(c.account.Name, low)
+	if !ok {
+		defer s.accounts.stopWaiting(c.account.Name, low)
+		if resp := c.awaitLimit(renewed, ahead, low); resp != nil {
+			return resp
+		}
 	}
-	defer s.accounts.stopWaiting(c.account.Name, false)
-	return c.awaitLimit(renewed, ahead)
+	c.limitTaken = true
+	if key, ok := c.programKey(); ok {
+		c.gate.begun.add(key)
+	}
+	return nil
 }
 
 // awaitLimit waits until a renewal or the refill of this host's bucket admits the
-// request. ahead is the number of requests of this host that wait before it, and
-// renewed is closed after the next renewal.
-func (c *call) awaitLimit(renewed <-chan struct{}, ahead int) *errorResponse {
-	s := &c.gate.limits
+// request. A request that would have to wait for too long is refused immediately. ahead
+// is the number of requests of this host that wait before it, renewed is closed after the
+// next renewal, and low is set if the request has low precedence.
+func (c *call) awaitLimit(renewed <-chan struct{}, ahead int, low bool) *errorResponse {
+	s, maxWait := &c.gate.limits, limit.MaxWait
+	if low {
+		maxWait = limit.MaxStartWait
+	}
 	deadline := time.Now().Add(min(silentIssuerWait, c.remaining()/2))
 	for issuerReplied := false; ; {
 		queueWait, refillWait := s.accounts.waitTimes(c.account.Name, ahead, c.account.Rate)
-		if issuerReplied && queueWait > maxLimitWait {
+		if issuerReplied && queueWait > maxWait {
 			return c.rateLimited(queueWait)
 		}
 		select {
 		case <-renewed:
 			if !issuerReplied {
 				issuerReplied = true
-				deadline = earlier(deadline, time.Now().Add(maxLimitWait))
+				deadline = earlier(deadline, time.Now().Add(maxWait))
 			}
 		case <-time.After(min(time.Until(deadline), refillWait, max(minRenewalPoll, min(queueWait/2, maxRenewalPoll)))):
 			s.accounts.requestRenewal(c.account.Name)
 		case <-c.r.Context().Done():
 			return c.rateLimited(queueWait)
 		}
-		next, ok := s.accounts.retryTake(c.account.Name, false)
+		next, ok := s.accounts.retryTake(c.account.Name, low)
 		if ok {
-			c.limitTaken = true
 			return nil
 		}
 		renewed = next
 		timedOut := !time.Now().Before(deadline)
 		if timedOut && !issuerReplied {
-			return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: maxLimitWait, reason: "the account's rate limit cannot be checked, its issuer does not respond"}
+			return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: silentIssuerRetryAfter, reason: "the account's rate limit cannot be checked, its issuer does not respond"}
 		}
 		if timedOut || renewed == nil {
 			return c.rateLimited(queueWait)
@@ -93,6 +99,6 @@
 	allotment, tokens := c.gate.limits.accounts.held(c.account.Name)
 	return &errorResponse{
 		status: http.StatusTooManyRequests, retryAfter: max(minRetryAfter, min(queueWait, limit.AllotmentTime)), reason: "the account is above its rate",
-		logFields: event.Fields{"rate": c.account.Rate, "burst": c.account.Burst, "held": allotment, "tokens": tokens, "queueMs": queueWait.Milliseconds()},
+		logFields: event.Fields{"rate": c.account.Rate, "burst": c.account.Burst, "held": allotment, "tokens": tokens, "queueMs": queueWait.Milliseconds(), "starts": c.startsProgram()},
 	}
 }
--- a/limit/share.go
+++ b/limit/share.go
@@ -26,6 +26,16 @@
 	lastRequestAt types.Mono // time of the newest request
 }
 
+const (
+	// MaxWait is how long a request of a program that has begun should wait for its
+	// account's limit. A refusal could end the program, and all that was spent on it
+	// would be lost.
+	MaxWait = 600 * time.Millisecond
+	// MaxStartWait is how long the first request of a program should wait. If it is
+	// refused, nothing is lost, and the programs that have begun keep what is left.
+	MaxStartWait = 100 * time.Millisecond
+)
+
 // rateWindow is the time over which the rate of requests is averaged.
 const rateWindow = time.Second
 
@@ -50,13 +60,13 @@
 }
 
 // TakeLow is Take for a request with low precedence, which leaves what was admitted for
-// others to them.
+// others, and a part of the bucket, to them.
 func (s *Share) TakeLow(now types.Mono) bool {
 	if s.admitLow > 0 && now < s.admitUntil {
 		s.admitLow--
 		return true
 	}
-	return s.takeToken(now)
+	return s.takeToken(now, max(0, (s.allotment.Burst-1)*lowReserve))
 }
 
 // Take admits one request, by AdmitNow of the newest allotment or with a token of
@@ -66,13 +76,14 @@
 		s.admitNow--
 		return true
 	}
-	return s.takeToken(now)
+	return s.takeToken(now, 0)
 }
 
-// takeToken admits one request with a token of the bucket.
-func (s *Share) takeToken(now types.Mono) bool {
+// takeToken admits one request with a token of the bucket, unless that would leave less
+// than reserve.
+func (s *Share) takeToken(now types.Mono, reserve float64) bool {
 	s.refill(now)
-	if s.TimeLeft(now) <= 0 || s.level < 1 {
+	if s.TimeLeft(now) <= 0 || s.level < 1+reserve {
 		return false
 	}
 	s.level--
