route, fetch, gate: calls prefer targets with an open connection, and do not herd

Cause: 61 hosts spread 650 calls a second over 56 targets each, so that a pair met once in 5 s while a connection is kept for 4 s; and of targets that look equally idle, which is most of them, all hosts selected the one with the lowest ID until the next exchange.

Change: a target without an idle connection costs 4 ms more, and of equal targets for a request without a prompt a random one is selected.

--- a/fetch/pool.go
+++ b/fetch/pool.go
@@ -130,6 +130,19 @@
 	return sockErr
 }
 
+// HasIdle reports whether there is an idle connection to address that is not too old to be
+// reused. It may turn out to be unusable all the same.
+func (p *Pool) HasIdle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return false
+	}
+	newest := list[len(list)-1]
+	return time.Since(newest.idleSince) < newest.idleTimeout
+}
+
 func (p *Pool) takeIdle(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -46,6 +46,7 @@
 		if t.ID == c.turn.lastTarget && work.Prompt > 0 {
 			o.Cached = work.Prompt // Includes the new input, which every target has to prefill.
 		}
+		o.Connected = c.gate.pool.HasIdle(t.Address)
 		targets = append(targets, t)
 		options = append(options, o)
 		unitSeconds = append(unitSeconds, unit)
--- a/route/place.go
+++ b/route/place.go
@@ -30,6 +30,8 @@
 	// Pace is the target's time per unit of work relative to the median of its
 	// service; 1 unless the target is slow, see [SetPaces].
 	Pace float64
+	// Connected is true if this host has an idle connection to the target.
+	Connected bool
 	// Failing is true for a while after the target's last requests failed.
 	Failing bool
 }
@@ -74,6 +76,8 @@
 	// without load or cache information about each other send equal prompts to
 	// the same targets.
 	RankPenalty time.Duration
+	// ConnectCost is added for a target to which a connection would have to be opened.
+	ConnectCost time.Duration
 	// FailurePenalty is added for a failing target.
 	FailurePenalty time.Duration
 	// MaxReportAge is the age from which a load report is ignored and only this
@@ -91,6 +95,7 @@
 	UncachedSamples:     1,
 	CrossZonePenalty:    60 * time.Millisecond,
 	RankPenalty:         3 * time.Millisecond,
+	ConnectCost:         4 * time.Millisecond,
 	FailurePenalty:      2 * time.Second,
 	MaxReportAge:        2 * time.Second,
 }
@@ -98,17 +103,29 @@
 // Place returns the index of the option with the lowest expected time, or -1 if
 // there are no options. It compares a random sample of the options, drawn with
 // intN, which returns a random number in [0, n). If intN is nil or the request
-// has no prompt, it compares all options.
+// has no prompt, it compares all options. Of equal options it then selects a random one, so
+// that hosts with the same view do not all select the same; otherwise, and if intN is nil,
+// the one with the lowest ID.
 func Place(options []Option, w Work, p PlacementCosts, intN func(n int) int) int {
 	if len(options) == 0 {
 		return -1
 	}
-	best, bestCost := -1, 0.0
+	best, bestCost, equal := -1, 0.0, 0
 	ranks := rendezvousRanks(options, w.AffinityKey)
 	consider := func(i int) {
 		cost := p.expectedCost(options[i], w) + ranks[i]*p.RankPenalty.Seconds()
-		if best < 0 || cost < bestCost || cost == bestCost && options[i].ID < options[best].ID {
-			best, bestCost = i, cost
+		switch {
+		case best < 0 || cost < bestCost:
+			best, bestCost, equal = i, cost, 1
+		case cost > bestCost:
+		case intN == nil || w.Prompt > 0:
+			if options[i].ID < options[best].ID {
+				best = i
+			}
+		default:
+			if equal++; intN(equal) == 0 {
+				best = i
+			}
 		}
 	}
 	if intN == nil || w.Prompt == 0 {
@@ -167,6 +184,9 @@
 	if !o.SameZone {
 		cost += p.CrossZonePenalty.Seconds()
 	}
+	if !o.Connected {
+		cost += p.ConnectCost.Seconds()
+	}
 	if o.Failing {
 		cost += p.FailurePenalty.Seconds()
 	}
