--- a/gate/reach.go
+++ b/gate/reach.go
@@ -13,9 +13,14 @@
 	"github.com/banyanspur/banyanspur/types"
 )
 
-// reachCheckInterval is the mean pause between two checks whether a target accepts
-// connections again.
-const reachCheckInterval = 500 * time.Millisecond
+const (
+	// reachCheckInterval is the mean pause between two checks whether a target accepts
+	// connections again.
+	reachCheckInterval = 500 * time.Millisecond
+	// relayedChecks is the share of the checks, as one in so many, for which other hosts
+	// are asked, too, if this host cannot connect.
+	relayedChecks = 6
+)
 
 var unreachableTotal = metrics.NewCounter("banyanspur_gate_unreachable_targets_total")
 
@@ -38,9 +43,9 @@
 // target is no longer listed, a request has reached it, or ctx ends.
 func (g *Gate) checkUntilReachable(ctx context.Context, t fleet.Target) {
 	since := time.Now()
-	for types.Sleep(ctx, reachCheckInterval/2+rand.N(reachCheckInterval)) {
+	for n := 1; types.Sleep(ctx, reachCheckInterval/2+rand.N(reachCheckInterval)); n++ {
 		listed := slices.ContainsFunc(g.Fleet.View().Targets, func(o fleet.Target) bool { return o.ID == t.ID })
-		if listed && g.targets.foundUnreachable(t.ID) && g.pool.Probe(ctx, t.Address) != nil {
+		if listed && g.targets.foundUnreachable(t.ID) && g.checkReachable(ctx, t.Address, n%relayedChecks == 0) != nil {
 			continue
 		}
 		g.targets.recordReachable(t.ID)
@@ -49,6 +54,20 @@
 	}
 }
 
+// checkReachable connects to the target at address and keeps the connection for later
+// requests. relayed is set if the connection may go through another host.
+func (g *Gate) checkReachable(ctx context.Context, address string, relayed bool) error {
+	if relayed {
+		return g.pool.Probe(ctx, address)
+	}
+	c, err := g.DialTarget(ctx, address)
+	if err != nil {
+		return err
+	}
+	g.pool.Keep(address, c)
+	return nil
+}
+
 // recordUnreachable records that this host could not connect to a target, and reports
 // whether it was reachable before.
 func (t *targetTracker) recordUnreachable(id types.TargetID) (first bool) {
