--- a/route/place.go
+++ b/route/place.go
@@ -150,6 +150,9 @@
 	return time.Duration(excess / float64(o.Slots) * float64(w.ServiceTime) * max(1, o.Pace))
 }
 
+// assumedSlots is the number of slots of a target that does not tell it.
+const assumedSlots = 4
+
 // minSlowPace is the pace above which a target counts as slow. Smaller
 // differences are within the variation between requests.
 const minSlowPace = 1.6
@@ -194,10 +197,14 @@
 		cost += p.engineCost(o, w, load)
 	}
 	cost += p.QueueTime(o, w).Seconds()
-	if w.Prompt == 0 && o.Slots > 0 {
+	if w.Prompt == 0 {
 		// Calls arrive in bursts, so a short queue forms before all slots are
 		// in use.
-		utilization := load / float64(o.Slots)
+		slots := o.Slots
+		if slots == 0 {
+			slots = assumedSlots
+		}
+		utilization := load / float64(slots)
 		cost += utilization * utilization * w.ServiceTime.Seconds()
 	}
 	if o.Pace > 1 {
