fleet: an exchange of loads costs the leader the same in a fleet of any size

Cause: for each exchange the leader chose the hosts anew that the sender may ask to relay connections, hashing and sorting all 171; and it looked through all reports for expired ones.

Change: relays are chosen when the hosts that relay have changed; expired reports are removed every 0.2 s.

--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -25,7 +25,7 @@
 
 // process is a host of a test fleet that can be stopped and restarted.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	address string
 	dir     string
 	// start registers the host's handlers with server and starts its goroutines
@@ -35,7 +35,7 @@
 	stop func()
 }
 
-func newProcess(t *testing.T) *process {
+func newProcess(t testing.TB) *process {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -80,14 +80,14 @@
 
 // testFleet is a set of control hosts and stores.
 type testFleet struct {
-	t              *testing.T
+	t              testing.TB
 	seeds          []string
 	controls       []*process
 	stores         []*process
 	allowBootstrap atomic.Bool // value of fleet.Control.AllowBootstrap for control hosts started from now on
 }
 
-func newFleet(t *testing.T, controls int) *testFleet {
+func newFleet(t testing.TB, controls int) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t}
 	f.allowBootstrap.Store(true)
@@ -232,7 +232,7 @@
 
 // waitFor polls done until it returns true, and fails the test after
 // stepTimeout.
-func waitFor(t *testing.T, what string, done func() bool) {
+func waitFor(t testing.TB, what string, done func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(stepTimeout); !done(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -85,13 +85,18 @@
 type loadTable struct {
 	reports map[types.HostID]hostReport
 	totals  map[types.TargetID]loadTotal // sums over reports
+	// expireAt is when expired reports are removed next.
+	expireAt types.Mono
+	relays   relayTable
 }
 
+// expireInterval is the pause between two removals of expired load reports.
+const expireInterval = 200 * time.Millisecond
+
 // hostReport is the last load report of a host.
 type hostReport struct {
 	at    types.Mono
 	loads map[types.TargetID]Load
-	relay *RelayHost // nil if the host does not relay connections
 }
 
 // loadTotal is the sum of all reports on one target.
@@ -120,12 +125,8 @@
 		t.reports = map[types.HostID]hostReport{}
 		t.totals = map[types.TargetID]loadTotal{}
 	}
-	for h, r := range t.reports {
-		if h == req.Host || now.Sub(r.at) > loadReportTTL {
-			t.add(r.loads, -1)
-			delete(t.reports, h)
-		}
-	}
+	t.remove(req.Host)
+	t.expire(now)
 	others := map[types.TargetID]Load{}
 	for id, total := range t.totals {
 		l := Load{InFlight: total.inFlight, Unreachable: total.unreachable}
@@ -134,11 +135,34 @@
 		}
 		others[id] = l
 	}
-	t.reports[req.Host] = hostReport{at: now, loads: req.Loads, relay: req.Relay}
+	t.reports[req.Host] = hostReport{at: now, loads: req.Loads}
 	t.add(req.Loads, 1)
+	t.relays.set(req.Host, req.Relay)
 	return others
 }
 
+// remove removes a host's report.
+func (t *loadTable) remove(h types.HostID) {
+	if r, ok := t.reports[h]; ok {
+		t.add(r.loads, -1)
+		delete(t.reports, h)
+	}
+}
+
+// expire removes expired reports, once every expireInterval.
+func (t *loadTable) expire(now types.Mono) {
+	if now < t.expireAt {
+		return
+	}
+	t.expireAt = now.Add(expireInterval)
+	for h, r := range t.reports {
+		if now.Sub(r.at) > loadReportTTL {
+			t.remove(h)
+			t.relays.set(h, nil)
+		}
+	}
+}
+
 // add adds the loads of one report to the totals if sign is 1, or subtracts
 // them if sign is -1.
 func (t *loadTable) add(loads map[types.TargetID]Load, sign int) {
@@ -161,7 +185,7 @@
 	targetsChanged := false
 	err := c.asLeader(func(now types.Mono) {
 		reply.Loads = c.loadReports.exchange(req, now)
-		if relays := c.loadReports.relaysFor(req.Host, req.Zone); relays.Checksum != req.RelaysChecksum {
+		if relays := c.loadReports.relays.chosenFor(req.Host, req.Zone); relays.Checksum != req.RelaysChecksum {
 			reply.Relays = &relays
 		}
 		c.cachedParts.record(req.CachedParts, now)
--- a/fleet/relays.go
+++ b/fleet/relays.go
@@ -31,31 +31,76 @@
 	relaysElsewhere = 4
 )
 
-// relaysFor returns the hosts that a host may ask to relay connections. They differ
-// between hosts, so that each relays for about as many.
-func (t *loadTable) relaysFor(h types.HostID, zone types.ZoneID) Relays {
+// relayTable holds the hosts that relay connections. The zero value is ready to use. It is
+// not safe for concurrent use.
+type relayTable struct {
+	hosts    map[types.HostID]RelayHost
+	revision uint64 // of the newest change of hosts
+	chosen   map[types.HostID]chosenRelays
+}
+
+// chosenRelays are the relays of one host as of a revision.
+type chosenRelays struct {
+	Relays
+	revision uint64
+}
+
+// set records that a host relays connections, or that it does not if r is nil.
+func (t *relayTable) set(h types.HostID, r *RelayHost) {
+	if r == nil {
+		delete(t.chosen, h)
+	}
+	known, ok := t.hosts[h]
+	switch {
+	case r == nil && ok:
+		delete(t.hosts, h)
+	case r != nil && known != *r:
+		if t.hosts == nil {
+			t.hosts, t.chosen = map[types.HostID]RelayHost{}, map[types.HostID]chosenRelays{}
+		}
+		t.hosts[h] = *r
+	default:
+		return
+	}
+	t.revision++
+}
+
+// chosenFor returns the hosts that a host may ask to relay connections. They differ
+// between hosts, so that each relays for about as many. They are chosen anew only if the
+// hosts that relay have changed, since a host asks several times a second.
+func (t *relayTable) chosenFor(h types.HostID, zone types.ZoneID) Relays {
+	if c, ok := t.chosen[h]; ok && c.revision == t.revision {
+		return c.Relays
+	}
 	var near, far []RelayHost
-	for id, r := range t.reports {
+	for id, r := range t.hosts {
 		switch {
-		case r.relay == nil || id == h:
-		case r.relay.Zone == zone:
-			near = append(near, *r.relay)
+		case id == h:
+		case r.Zone == zone:
+			near = append(near, r)
 		default:
-			far = append(far, *r.relay)
+			far = append(far, r)
 		}
 	}
-	list := slices.Concat(chooseRelays(near, h, relaysInZone), chooseRelays(far, h, relaysElsewhere))
-	if len(list) == 0 {
-		return Relays{}
+	var chosen Relays
+	if list := slices.Concat(chooseRelays(near, h, relaysInZone), chooseRelays(far, h, relaysElsewhere)); len(list) > 0 {
+		chosen = Relays{Checksum: max(1, xxhash.Sum64(types.Encode(list))), List: list}
+	}
+	if t.chosen == nil {
+		t.chosen = map[types.HostID]chosenRelays{}
 	}
-	return Relays{Checksum: max(1, xxhash.Sum64(types.Encode(list))), List: list}
+	t.chosen[h] = chosenRelays{chosen, t.revision}
+	return chosen
 }
 
 // chooseRelays returns the first n hosts in the rendezvous order of a host.
 func chooseRelays(list []RelayHost, of types.HostID, n int) []RelayHost {
-	weight := func(r RelayHost) uint64 { return xxhash.Sum64String(string(of) + "/" + string(r.Host)) }
+	weights := make(map[types.HostID]uint64, len(list))
+	for _, r := range list {
+		weights[r.Host] = xxhash.Sum64String(string(of) + "/" + string(r.Host))
+	}
 	slices.SortFunc(list, func(a, b RelayHost) int {
-		return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a.Host, b.Host))
+		return cmp.Or(cmp.Compare(weights[a.Host], weights[b.Host]), cmp.Compare(a.Host, b.Host))
 	})
 	return list[:min(n, len(list))]
 }
