--- a/route/connect_test.go
+++ b/route/connect_test.go
@@ -1,10 +1,11 @@
 package route_test
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,18 +51,6 @@
 	host, target int
 }
 
-type callEnds []callEnd
-
-func (e callEnds) Len() int           { return len(e) }
-func (e callEnds) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e callEnds) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *callEnds) Push(x any)        { *e = append(*e, x.(callEnd)) }
-func (e *callEnds) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 func (l callLoad) run(seed uint64) callResult {
 	r := rand.New(rand.NewPCG(seed, 1))
 	views := make([][]callView, l.hosts)
@@ -72,12 +61,13 @@
 	for i := range targets {
 		targets[i].slotFree = make([]time.Duration, l.slots)
 	}
-	var ends callEnds
+	var ends []callEnd // ordered by time
 	var result callResult
 	var waited, exchanged time.Duration
 	for now := time.Duration(0); now < l.duration; now += time.Duration(-math.Log(1-r.Float64()) / l.perSecond * float64(time.Second)) {
 		for len(ends) > 0 && ends[0].at <= now {
-			e := heap.Pop(&ends).(callEnd)
+			e := ends[0]
+			ends = ends[1:]
 			v := &views[e.host][e.target]
 			v.inFlight--
 			v.idle = append(v.idle, e.at)
@@ -99,7 +89,9 @@
 		start := targets[t].start(now, l.serviceTime)
 		result.calls++
 		waited += start - now
-		heap.Push(&ends, callEnd{start + l.serviceTime, h, t})
+		end := callEnd{start + l.serviceTime, h, t}
+		at, _ := slices.BinarySearchFunc(ends, end, func(a, b callEnd) int { return cmp.Compare(a.at, b.at) })
+		ends = slices.Insert(ends, at, end)
 	}
 	for _, t := range targets {
 		result.skew = max(result.skew, float64(t.calls)*float64(l.targets)/float64(result.calls))
