--- a/gate/reach_test.go
+++ b/gate/reach_test.go
@@ -32,6 +32,9 @@
 	address := strings.TrimPrefix(ended.URL, "http://")
 	b.addListedTarget("plain", ended)
 	ended.Close()
+	if code, _ := b.send(testRequest{path: "/charge/", key: "choir-key"}); code != http.StatusServiceUnavailable {
+		t.Errorf("status %d while the only target is down", code)
+	}
 	b.addTarget("plain", respondOK)
 	for range 20 {
 		if code, body := b.send(testRequest{path: "/charge/", key: "choir-key"}); code != http.StatusOK {
