soak, docs: the first round of the rolling upgrade replaces all hosts again

The round within the production build had been cut to one host of each role to save some seconds. It is the baseline for what a replacement costs, so it replaces as many hosts as the round that is compared with it.

--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -130,16 +130,15 @@
 	u.checkGuarantees(1)
 }
 
-// TestUpgradeRolling replaces the hosts of a fleet under load one at a time: first one
-// host of each role within the production build, then all of them by this build, and
-// finally one host of each role by the production build and by this one again. It fails
+// TestUpgradeRolling replaces the hosts of a fleet under load one at a time: first all of
+// them within the production build, then all of them by this build, and finally one host of each role by the production build and by this one again. It fails
 // if the two builds cannot read each other's messages. The first round is the baseline:
 // it shows how many requests a replacement costs without a change of build.
 func TestUpgradeRolling(t *testing.T) {
 	old := buildProduction(t)
 	u := newUpgradeTest(t, old)
 	one := []*testHost{u.fleet.hosts[0], u.fleet.hosts[3], u.fleet.hosts[6]}
-	u.replaceAll("one of each role within the production build", one, old)
+	u.replaceAll("production build by production build", u.fleet.hosts, old)
 	u.replaceAll("production build by this build", u.fleet.hosts, "")
 	u.replaceAll("one of each role back to the production build", one, old)
 	u.replaceAll("one of each role by this build again", one, "")
