drain, fleet, gate, route: read once more

Nothing that a caller sees changes. A host that offers no relaying had its relays chosen anew with each exchange, since it was forgotten each time; it is forgotten when it no longer reports. Learn returned a value that nobody used. Three functions named recordDraining were three things: those about announcements say so. The selection of candidates stands beside the selection of the target. reportedAt is a time, reports was not one. Tests of drain and route, and those of gate and fleet on this, pass.

--- a/drain/table.go
+++ b/drain/table.go
@@ -61,14 +61,11 @@
 	return !known
 }
 
-// Learn records that others have heard a target announce that it drains. It reports
-// whether the target was not known to drain.
-func (t *Table) Learn(id types.TargetID, now types.Mono) (first bool) {
-	if _, known := t.entries[id]; known {
-		return false
+// Learn records that others have heard a target announce that it drains.
+func (t *Table) Learn(id types.TargetID, now types.Mono) {
+	if !t.Has(id) {
+		t.put(id, entry{since: now})
 	}
-	t.put(id, entry{since: now})
-	return true
 }
 
 func (t *Table) put(id types.TargetID, e entry) {
--- a/fleet/draining.go
+++ b/fleet/draining.go
@@ -34,9 +34,9 @@
 	}
 }
 
-// recordDraining records which targets have announced to a host that they drain, and
+// recordAnnouncements records which targets have announced to a host that they drain, and
 // reports whether one was not known to. It must be called within asLeader.
-func (c *Control) recordDraining(ages map[types.TargetID]time.Duration, now types.Mono) (changed bool) {
+func (c *Control) recordAnnouncements(ages map[types.TargetID]time.Duration, now types.Mono) (changed bool) {
 	for id, age := range ages {
 		heardAt := now.Add(-age)
 		if age >= drain.ConfirmTime || !c.listed(id) || !c.draining.Announce(id, heardAt, heardAt) {
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -158,7 +158,7 @@
 	for h, r := range t.reports {
 		if now.Sub(r.at) > loadReportTTL {
 			t.remove(h)
-			t.relays.set(h, nil)
+			t.relays.forget(h)
 		}
 	}
 }
@@ -191,7 +191,7 @@
 		c.cachedParts.record(req.CachedParts, now)
 		reply.CachedParts, reply.Cursor = c.cachedParts.since(req.Since)
 		reply.Notices, reply.NoticesCursor = c.exchangeNotices(req, now)
-		targetsChanged = c.recordDraining(req.Draining, now)
+		targetsChanged = c.recordAnnouncements(req.Draining, now)
 		c.recordSuspects(req, now)
 		var list Suspects
 		list, quarantine = c.suspects(now)
--- a/fleet/relays.go
+++ b/fleet/relays.go
@@ -35,8 +35,8 @@
 // not safe for concurrent use.
 type relayTable struct {
 	hosts    map[types.HostID]RelayHost
-	revision uint64 // of the newest change of hosts
-	chosen   map[types.HostID]chosenRelays
+	revision uint64                        // of the newest change of hosts
+	chosen   map[types.HostID]chosenRelays // what each host that asks was told last
 }
 
 // chosenRelays are the relays of one host as of a revision.
@@ -47,16 +47,13 @@
 
 // set records that a host relays connections, or that it does not if r is nil.
 func (t *relayTable) set(h types.HostID, r *RelayHost) {
-	if r == nil {
-		delete(t.chosen, h)
-	}
 	known, ok := t.hosts[h]
 	switch {
 	case r == nil && ok:
 		delete(t.hosts, h)
 	case r != nil && known != *r:
 		if t.hosts == nil {
-			t.hosts, t.chosen = map[types.HostID]RelayHost{}, map[types.HostID]chosenRelays{}
+			t.hosts = map[types.HostID]RelayHost{}
 		}
 		t.hosts[h] = *r
 	default:
@@ -65,6 +62,12 @@
 	t.revision++
 }
 
+// forget removes a host that no longer reports.
+func (t *relayTable) forget(h types.HostID) {
+	t.set(h, nil)
+	delete(t.chosen, h)
+}
+
 // chosenFor returns the hosts that a host may ask to relay connections. They differ
 // between hosts, so that each relays for about as many. They are chosen anew only if the
 // hosts that relay have changed, since a host asks several times a second.
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -157,7 +157,7 @@
 	}
 	defer resp.Close()
 	c.recordNotice(t, resp.Header, sentAt)
-	c.recordDraining(t, resp, sentAt)
+	c.recordAnnouncement(t, resp, sentAt)
 	if outcome, rejected := c.classifyHead(t, resp); rejected {
 		return outcome
 	}
--- a/gate/draining.go
+++ b/gate/draining.go
@@ -13,7 +13,6 @@
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fetch"
 	"github.com/banyanspur/banyanspur/fleet"
-	"github.com/banyanspur/banyanspur/plan"
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -92,21 +91,10 @@
 	return inGrace
 }
 
-// candidates returns the targets of a service to which the call may be sent next.
-func (c *call) candidates(service *plan.Service, tried map[types.TargetID]bool) []fleet.Target {
-	var targets []fleet.Target
-	for _, t := range c.gate.Fleet.View().Targets {
-		if t.Service == service.Name && !tried[t.ID] {
-			targets = append(targets, t)
-		}
-	}
-	return c.gate.draining.open(targets, c.gate.Clock())
-}
-
-// recordDraining records that a target drains if its response says so. A response that
+// recordAnnouncement records that a target drains if its response says so. A response that
 // another process may have sent counts for nothing: one from an address that is in use
 // again, or a success without the target's signature.
-func (c *call) recordDraining(t fleet.Target, resp *fetch.Response, sentAt types.Mono) {
+func (c *call) recordAnnouncement(t fleet.Target, resp *fetch.Response, sentAt types.Mono) {
 	value := strings.TrimSpace(resp.Header.Get(c.gate.HeaderNames.Draining))
 	if value == "" || resp.Status == http.StatusMisdirectedRequest || !c.isGenuine(resp) {
 		return
--- a/gate/draining_test.go
+++ b/gate/draining_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -44,12 +45,14 @@
 	return resp.StatusCode, string(body)
 }
 
-// setTargets replaces the list of targets and tells the gate.
-func (b *testbed) setTargets(list []fleet.Target) {
+// setFirstTarget sets whether the list shows the first target as draining, and whether
+// only since it has announced it, and tells the gate.
+func (b *testbed) setFirstTarget(draining, announced bool) {
 	view := b.fleet.View()
-	view.Targets = list
+	view.Targets = slices.Clone(view.Targets)
+	view.Targets[0].Draining, view.Targets[0].Announced = draining, announced
 	b.fleet.setView(view)
-	b.gate.TargetsChanged(list)
+	b.gate.TargetsChanged(view.Targets)
 }
 
 // TestAnnouncedDrainEndsRequests guards against requests that are sent to a target after
@@ -154,11 +157,8 @@
 	}))
 	request := testRequest{path: "/charge/", key: "choir-key"}
 	b.send(request)
-	list := b.fleet.View().Targets
 	for _, draining := range []bool{true, false} {
-		list = append([]fleet.Target(nil), list...)
-		list[0].Draining = draining
-		b.setTargets(list)
+		b.setFirstTarget(draining, false)
 		if code, _ := b.send(request); (code == http.StatusOK) == draining {
 			t.Errorf("status %d, listed as draining: %t", code, draining)
 		}
@@ -176,9 +176,7 @@
 	var got, other atomic.Int32
 	b.addTarget("plain", countRequests(&got, respondOK))
 	b.addTarget("plain", countRequests(&other, respondOK))
-	list := append([]fleet.Target(nil), b.fleet.View().Targets...)
-	list[0].Draining, list[0].Announced = true, true
-	b.setTargets(list)
+	b.setFirstTarget(true, true)
 	for range 5 {
 		b.send(testRequest{path: "/charge/", key: "choir-key"})
 	}
@@ -198,9 +196,7 @@
 	if ages := b.fleet.reportedDraining(); len(ages) != 1 || ages["t0"] <= 0 || ages["t0"] > drain.ConfirmTime {
 		t.Errorf("reported %v, want the age of the announcement of t0", ages)
 	}
-	list := append([]fleet.Target(nil), b.fleet.View().Targets...)
-	list[0].Draining, list[0].Announced = true, true
-	b.setTargets(list)
+	b.setFirstTarget(true, true)
 	b.fleet.setLoadsReply(fleet.LoadsReply{})
 	if ages := b.fleet.reportedDraining(); len(ages) != 0 {
 		t.Errorf("reported %v again", ages)
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -18,6 +18,17 @@
 	typicalTurnTime = 300 * time.Millisecond
 )
 
+// candidates returns the targets of a service to which the call may be sent next.
+func (c *call) candidates(service *plan.Service, tried map[types.TargetID]bool) []fleet.Target {
+	var targets []fleet.Target
+	for _, t := range c.gate.Fleet.View().Targets {
+		if t.Service == service.Name && !tried[t.ID] {
+			targets = append(targets, t)
+		}
+	}
+	return c.gate.draining.open(targets, c.gate.Clock())
+}
+
 // pickTarget selects a target of the service that has not been tried. It returns
 // false if there is none.
 func (c *call) pickTarget(service *plan.Service, tried map[types.TargetID]bool) (targetChoice, bool) {
--- a/route/reach.go
+++ b/route/reach.go
@@ -19,9 +19,9 @@
 // a check connects to it, so that no request has to find out. The zero value is ready to
 // use. It is not safe for concurrent use.
 type Reachability struct {
-	own     map[types.TargetID]bool
-	others  map[types.TargetID]int // number of other hosts that report the target
-	reports types.Mono             // when others was set
+	own        map[types.TargetID]bool // that this host could not connect to
+	others     map[types.TargetID]int  // number of other hosts that report the target
+	reportedAt types.Mono              // when others was set
 }
 
 // RecordUnreachable records that this host could not connect to a target. It reports
@@ -47,10 +47,10 @@
 
 // SetReports sets how many other hosts report that they cannot connect to each target.
 func (r *Reachability) SetReports(others map[types.TargetID]int, now types.Mono) {
-	r.others, r.reports = others, now
+	r.others, r.reportedAt = others, now
 }
 
 // Unreachable reports whether requests should avoid a target.
 func (r *Reachability) Unreachable(id types.TargetID, now types.Mono) bool {
-	return r.own[id] || r.others[id] >= minReports && now.Sub(r.reports) < maxReportsAge
+	return r.own[id] || r.others[id] >= minReports && now.Sub(r.reportedAt) < maxReportsAge
 }
--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -131,9 +131,10 @@
 }
 
 // TestUpgradeRolling replaces the hosts of a fleet under load one at a time: first all of
-// them within the production build, then all of them by this build, and finally one host of each role by the production build and by this one again. It fails
-// if the two builds cannot read each other's messages. The first round is the baseline:
-// it shows how many requests a replacement costs without a change of build.
+// them within the production build, then all of them by this build, and finally one host
+// of each role by the production build and by this one again. It fails if the two builds
+// cannot read each other's messages. The first round is the baseline: it shows how many
+// requests a replacement costs without a change of build.
 func TestUpgradeRolling(t *testing.T) {
 	old := buildProduction(t)
 	u := newUpgradeTest(t, old)
