--- a/wire/frame.go
+++ b/wire/frame.go
@@ -45,20 +45,6 @@
 	pings         = metrics.NewCounter("banyanspur_wire_pings_total")
 )
 
-// kindCounters count the messages of one kind that this process handles.
-type kindCounters struct {
-	requests, requestBytes, replyBytes *metrics.Counter
-}
-
-func newKindCounters(kind Kind) kindCounters {
-	counter := func(name string) *metrics.Counter {
-		return metrics.GetOrCreateCounter(name + `{kind="` + string(kind) + `"}`)
-	}
-	return kindCounters{
-		requests: counter("banyanspur_wire_requests_total"), requestBytes: counter("banyanspur_wire_request_bytes_total"), replyBytes: counter("banyanspur_wire_reply_bytes_total"),
-	}
-}
-
 // secretHeader is the HTTP header with the secret that all processes of the
 // fleet share.
 const secretHeader = "Banyanspur-Secret"
--- a/wire/server.go
+++ b/wire/server.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/coder/websocket"
 	"golang.org/x/sync/errgroup"
 
@@ -30,6 +31,20 @@
 // maxConcurrentRequests bounds the requests in flight on one connection.
 const maxConcurrentRequests = 4096
 
+// kindCounters count the messages of one kind that this process handles.
+type kindCounters struct {
+	requests, requestBytes, replyBytes *metrics.Counter
+}
+
+func newKindCounters(kind Kind) kindCounters {
+	counter := func(name string) *metrics.Counter {
+		return metrics.GetOrCreateCounter(name + `{kind="` + string(kind) + `"}`)
+	}
+	return kindCounters{
+		requests: counter("banyanspur_wire_requests_total"), requestBytes: counter("banyanspur_wire_request_bytes_total"), replyBytes: counter("banyanspur_wire_reply_bytes_total"),
+	}
+}
+
 // Handle registers fn as the handler of messages of the given kind. fn must be
 // safe for concurrent use.
 func Handle[Req, Resp any](s *Server, kind Kind, fn func(ctx context.Context, req Req) (Resp, error)) {
