limit, gate: new programs wait for a limit that is not scarce

Cause: an issuer that has just started has an empty bucket and may use half of the rate. A first turn leaves half of the bucket to others and is refused after 0.1 s, so that for half a second or more no program starts at all. Change: the issuer tells whether the limit is scarce (demand above half of it); only then first turns leave a reserve and wait less. Test: its simulation now keeps the order of events at the same time; replies that arrived in another order lost admissions, and its figures were too bad for all policies.

--- a/gate/rate_limit.go
+++ b/gate/rate_limit.go
@@ -49,21 +49,18 @@
 // is the number of requests of this host that wait before it, renewed is closed after the
 // next renewal, and low is set if the request has low precedence.
 func (c *call) awaitLimit(renewed <-chan struct{}, ahead int, low bool) *errorResponse {
-	s, maxWait := &c.gate.limits, limit.MaxWait
-	if low {
-		maxWait = limit.MaxStartWait
-	}
+	s := &c.gate.limits
 	deadline := time.Now().Add(min(silentIssuerWait, c.remaining()/2))
 	for issuerReplied := false; ; {
 		queueWait, refillWait := s.accounts.waitTimes(c.account.Name, ahead, c.account.Rate)
-		if issuerReplied && queueWait > maxWait {
+		if issuerReplied && queueWait > s.accounts.maxWait(c.account.Name, low) {
 			return c.rateLimited(queueWait)
 		}
 		select {
 		case <-renewed:
 			if !issuerReplied {
 				issuerReplied = true
-				deadline = earlier(deadline, time.Now().Add(maxWait))
+				deadline = earlier(deadline, time.Now().Add(s.accounts.maxWait(c.account.Name, low)))
 			}
 		case <-time.After(min(time.Until(deadline), refillWait, max(minRenewalPoll, min(queueWait/2, maxRenewalPoll)))):
 			s.accounts.requestRenewal(c.account.Name)
--- a/gate/share_table.go
+++ b/gate/share_table.go
@@ -125,6 +125,17 @@
 	}
 }
 
+// maxWait is how long a request should wait for a share. low is set if it has low
+// precedence.
+func (t *shareTable[K]) maxWait(id K, low bool) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.shares[id]; s != nil {
+		return s.MaxWait(low)
+	}
+	return 0
+}
+
 // waitTimes returns the estimated time until a request with the given number of
 // requests of this host ahead of it is admitted, and the time until this host's bucket
 // refills by itself if the issuer does not respond, [limit.Never] if the bucket does
--- a/limit/issuer.go
+++ b/limit/issuer.go
@@ -31,6 +31,9 @@
 	// time of the demand.
 	AdmitNow int `json:"now,omitempty"`
 	AdmitLow int `json:"low,omitempty"`
+	// Scarce is set while the demand of all holders together is near the limit or above.
+	// Only then does a holder keep a part of its bucket from requests with low precedence.
+	Scarce bool `json:"scarce,omitempty"`
 	// QueueLength is the number of requests that wait at other holders.
 	QueueLength int `json:"queue,omitempty"`
 }
@@ -46,12 +49,12 @@
 	// are returned to the issuer.
 	Returned float64 `json:"back,omitempty"`
 	// Waiting is the number of requests that wait for the allotment. Low is the
-	// number of further ones that have low precedence: the issuer keeps a part of
-	// its bucket for the others.
+	// number of further ones that have low precedence: while the limit is scarce, the
+	// issuer keeps a part of its bucket for the others.
 	Waiting int `json:"waiting,omitempty"`
 	Low     int `json:"low,omitempty"`
 	// Held is the newest allotment that the holder has received, without
-	// Tokens, AdmitNow, AdmitLow and QueueLength.
+	// Tokens, AdmitNow, AdmitLow, Scarce and QueueLength.
 	Held Allotment `json:"held"`
 	// TimeLeft is the time until Held expires; 0 if the holder has none.
 	TimeLeft time.Duration `json:"left"`
@@ -97,6 +100,9 @@
 	// host: in a large fleet, the unused tokens in such buckets would be most of
 	// the limit. A holder without a bucket sends a demand for each request.
 	minRate = 3
+	// scarceDemand is the ratio of the demand to the limit above which the limit counts as
+	// scarce. It is below 1 since the measured demand follows a rising one by a second.
+	scarceDemand = 0.5
 	// lowReserve is the part of the issuer's bucket that requests with low precedence
 	// cannot use.
 	lowReserve = 0.5
@@ -122,7 +128,8 @@
 	// number of holders with an unexpired allotment, that number is used instead.
 	HostCount int
 	// PerRequest makes holders ask for each request. They have no buckets of their
-	// own, but a part of the limit for the time in which the issuer does not reply.
+	// own, but a part of the limit for the time in which the issuer does not reply. The
+	// limit counts as scarce at all times.
 	// In that time, and while the allotments of an earlier issuer are not known, up to
 	// one request more than the limit allows may be sent by all holders together.
 	PerRequest bool
@@ -178,7 +185,7 @@
 	if d.Held.Number == h.last.Number {
 		h.rate, h.burst = float64(h.last.Rate), h.last.Burst // The holder uses the newest allotment.
 	}
-	next := Allotment{Number: h.last.Number + 1, Rate: h.last.Rate, Burst: h.last.Burst, SilentTokens: h.last.SilentTokens}
+	next := Allotment{Number: h.last.Number + 1, Rate: h.last.Rate, Burst: h.last.Burst, SilentTokens: h.last.SilentTokens, Scarce: i.scarce()}
 	switch {
 	case !i.outstandingKnown(now): // The holder keeps what it has.
 	case i.PerRequest:
@@ -192,7 +199,11 @@
 	i.level = min(i.level+d.Returned, i.capacity())
 	next.AdmitNow = int(max(0, min(i.level, float64(d.Waiting))))
 	i.level -= float64(next.AdmitNow)
-	next.AdmitLow = int(max(0, min(i.level-i.reserve(), float64(d.Low))))
+	reserve := 0.0
+	if next.Scarce {
+		reserve = i.reserve()
+	}
+	next.AdmitLow = int(max(0, min(i.level-reserve, float64(d.Low))))
 	i.level -= float64(next.AdmitLow)
 	next.Tokens = max(0, min(i.level, next.Burst-d.Tokens))
 	i.level -= next.Tokens
@@ -212,6 +223,19 @@
 	return n
 }
 
+// scarce reports whether requests with high precedence need a reserve. Without need it only
+// delays the others: the bucket of an issuer that has just started is empty, and takes
+// seconds to fill.
+func (i *Issuer) scarce() bool { return i.PerRequest || i.totalDemand() > scarceDemand*i.limit.Rate }
+
+// totalDemand returns the sum of the rates that the holders ask for.
+func (i *Issuer) totalDemand() (total types.PerSecond) {
+	for h := range i.outstanding {
+		total += i.demandRate[h]
+	}
+	return total
+}
+
 // reserve is the level of the issuer's bucket that it keeps from requests with low
 // precedence, such that a full bucket admits at least one.
 func (i *Issuer) reserve() float64 { return max(0, (i.capacity()-1)*lowReserve) }
@@ -271,14 +295,11 @@
 
 // demandShare returns a holder's fraction of the total demand.
 func (i *Issuer) demandShare(of Holder) float64 {
-	total := 0.0
-	for h := range i.outstanding {
-		total += float64(i.demandRate[h])
-	}
+	total := i.totalDemand()
 	if total <= 0 {
 		return 0
 	}
-	return float64(i.demandRate[of]) / total
+	return float64(i.demandRate[of] / total)
 }
 
 // targetBurst returns the desired capacity of a holder's bucket.
--- a/limit/programs_test.go
+++ b/limit/programs_test.go
@@ -17,13 +17,15 @@
 type admission struct {
 	// startsAreLow gives the first request of a program low precedence.
 	startsAreLow bool
-	// startWait and wait are how long the first and the other requests of a program may
-	// wait before they are refused.
-	startWait, wait time.Duration
+	// maxWait is how long a request may wait before it is refused.
+	maxWait func(s *limit.Share, low bool) time.Duration
 }
 
 // formerAdmission treats all requests alike.
-var formerAdmission = admission{wait: 400 * time.Millisecond, startWait: 400 * time.Millisecond}
+var formerAdmission = admission{maxWait: func(*limit.Share, bool) time.Duration { return 400 * time.Millisecond }}
+
+// presentAdmission is that of package gate.
+var presentAdmission = admission{startsAreLow: true, maxWait: (*limit.Share).MaxWait}
 
 // programLoad simulates the programs of one account on many hosts. Each program runs a
 // chain of turns with parallel calls after each, on one host.
@@ -33,29 +35,36 @@
 	hosts      int
 	perSecond  float64 // programs, twice as many from burstFrom to burstTo
 	burst      [2]time.Duration
+	atOnce     int  // further programs that start at the beginning
+	newIssuer  bool // the allotments of an earlier issuer are not known
 	duration   time.Duration
 	rand       *rand.Rand // of arrivals
 	now        types.Mono
 	issuer     *limit.Issuer
 	shares     []*limit.Share
 	queue      eventQueue
+	events     int // ever queued
 	started    int
 	ended      int // programs that ended
 	inTime     int
 	failedLate int // programs that failed after their first turn
+	refused    int // attempts
 }
 
 type event struct {
-	at  types.Mono
-	run func()
+	at    types.Mono
+	order int // among events at the same time
+	run   func()
 }
 
 type eventQueue []event
 
-func (q eventQueue) Len() int           { return len(q) }
-func (q eventQueue) Less(i, j int) bool { return q[i].at < q[j].at }
-func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
 func (q *eventQueue) Pop() any {
 	last := (*q)[len(*q)-1]
 	*q = (*q)[:len(*q)-1]
@@ -63,7 +72,8 @@
 }
 
 func (l *programLoad) after(d time.Duration, run func()) {
-	heap.Push(&l.queue, event{l.now.Add(d), run})
+	l.events++
+	heap.Push(&l.queue, event{at: l.now.Add(d), order: l.events, run: run})
 }
 
 // programRun is one program.
@@ -91,10 +101,15 @@
 	l.issuer = limit.NewIssuer(0)
 	l.issuer.HostCount = l.hosts
 	l.issuer.SetLimit(l.limit, 0)
-	l.issuer.MarkAllReported(0)
+	if !l.newIssuer {
+		l.issuer.MarkAllReported(0)
+	}
 	for range l.hosts {
 		l.shares = append(l.shares, &limit.Share{})
 	}
+	for range l.atOnce {
+		l.start()
+	}
 	l.after(0, l.arrive)
 	for len(l.queue) > 0 {
 		e := heap.Pop(&l.queue).(event)
@@ -109,9 +124,7 @@
 	if at >= l.duration {
 		return
 	}
-	l.started++
-	p := &programRun{programLoad: l, host: l.rand.IntN(l.hosts), turns: 3 + l.rand.IntN(6), startedAt: l.now, rand: rand.New(rand.NewPCG(l.rand.Uint64(), 2))}
-	p.turn()
+	l.start()
 	rate := l.perSecond
 	if at >= l.burst[0] && at < l.burst[1] {
 		rate *= 2.2
@@ -119,6 +132,12 @@
 	l.after(time.Duration(-math.Log(1-l.rand.Float64())/rate*float64(time.Second)), l.arrive)
 }
 
+func (l *programLoad) start() {
+	l.started++
+	p := &programRun{programLoad: l, host: l.rand.IntN(l.hosts), turns: 3 + l.rand.IntN(6), startedAt: l.now, rand: rand.New(rand.NewPCG(l.rand.Uint64(), 2))}
+	p.turn()
+}
+
 // turn sends the next turn, at most three times with two attempts each.
 func (p *programRun) turn() {
 	tries := 0
@@ -192,10 +211,6 @@
 	}
 	s, sentAt := p.shares[p.host], p.now
 	low := start && p.startsAreLow
-	wait := p.wait
-	if start {
-		wait = p.startWait
-	}
 	s.CountRequest(p.now)
 	take := func() bool {
 		if low {
@@ -223,11 +238,12 @@
 				done(true)
 				return
 			}
-			queueWait := s.QueueWait(0, p.limit.Rate)
+			queueWait, wait := s.QueueWait(0, p.limit.Rate), p.maxWait(s, low)
 			if queueWait <= wait && p.now.Sub(sentAt) < wait {
 				p.after(max(10*time.Millisecond, min(queueWait/2, 60*time.Millisecond)), try)
 				return
 			}
+			p.refused++
 			if attempts == 1 {
 				done(false)
 				return
@@ -243,7 +259,6 @@
 // need more than twice its limit for 6 of 34 s. At most half as many as before may fail
 // after their first turn, and no fewer may end in time.
 func TestBegunProgramsPrecedeNewOnes(t *testing.T) {
-	present := admission{startsAreLow: true, startWait: limit.MaxStartWait, wait: limit.MaxWait}
 	for _, hosts := range []int{171, 7} {
 		for _, rate := range []float64{5, 8, 40} {
 			t.Run(fmt.Sprint(hosts, " hosts, ", rate, " per second"), func(t *testing.T) {
@@ -258,7 +273,7 @@
 					}
 					return sum
 				}
-				former, now := run(formerAdmission), run(present)
+				former, now := run(formerAdmission), run(presentAdmission)
 				t.Logf("of %d programs, before: %d ended, %d in time, %d failed midway; now: %d, %d, %d", now.started,
 					former.ended, former.inTime, former.failedLate, now.ended, now.inTime, now.failedLate)
 				if now.failedLate > former.failedLate/2 {
@@ -271,3 +286,26 @@
 		}
 	}
 }
+
+// TestNewProgramsWaitForNewIssuer guards against new programs that are refused although
+// their account's limit is far above its demand: all hosts have just started, so that no
+// part of the limit has been earned yet, and the programs that callers could not start in
+// the meantime come at once. The programs that have begun need no reserve then.
+func TestNewProgramsWaitForNewIssuer(t *testing.T) {
+	for _, hosts := range []int{171, 7} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			refused, started := 0, 0
+			for seed := range uint64(16) {
+				l := programLoad{
+					admission: presentAdmission, hosts: hosts, limit: limit.Limit{Rate: 400, Burst: 400}, perSecond: 1,
+					newIssuer: true, atOnce: 20, duration: 3 * time.Second,
+				}
+				r := l.simulate(seed)
+				refused, started = refused+r.refused, started+r.started
+			}
+			if refused > 0 {
+				t.Errorf("%d requests of %d programs were refused, want 0", refused, started)
+			}
+		})
+	}
+}
--- a/limit/share.go
+++ b/limit/share.go
@@ -27,13 +27,14 @@
 }
 
 const (
-	// MaxWait is how long a request of a program that has begun should wait for its
+	// maxWait is how long a request of a program that has begun should wait for its
 	// account's limit. A refusal could end the program, and all that was spent on it
 	// would be lost.
-	MaxWait = 600 * time.Millisecond
-	// MaxStartWait is how long the first request of a program should wait. If it is
-	// refused, nothing is lost, and the programs that have begun keep what is left.
-	MaxStartWait = 100 * time.Millisecond
+	maxWait = 600 * time.Millisecond
+	// maxLowWait is how long the first request of a program should wait while the limit
+	// is scarce. If it is refused, nothing is lost, and the programs that have begun
+	// keep what is left.
+	maxLowWait = 100 * time.Millisecond
 )
 
 // rateWindow is the time over which the rate of requests is averaged.
@@ -59,13 +60,25 @@
 	s.admitNow, s.admitLow, s.admitUntil = a.AdmitNow, a.AdmitLow, demandedAt.Add(AdmitTime)
 }
 
+// MaxWait is how long a request should wait for its account's limit before it is refused.
+// low is set if it has low precedence.
+func (s *Share) MaxWait(low bool) time.Duration {
+	if low && s.allotment.Scarce {
+		return maxLowWait
+	}
+	return maxWait
+}
+
 // TakeLow is Take for a request with low precedence, which leaves what was admitted for
-// others, and a part of the bucket, to them.
+// others, and while the limit is scarce a part of the bucket, to them.
 func (s *Share) TakeLow(now types.Mono) bool {
 	if s.admitLow > 0 && now < s.admitUntil {
 		s.admitLow--
 		return true
 	}
+	if !s.allotment.Scarce {
+		return s.takeToken(now, 0)
+	}
 	return s.takeToken(now, max(0, (s.allotment.Burst-1)*lowReserve))
 }
 
@@ -179,7 +192,7 @@
 		s.requests, s.rateUpdatedAt = 0, now
 	}
 	last := s.allotment
-	last.Tokens, last.AdmitNow, last.AdmitLow, last.QueueLength = 0, 0, 0, 0
+	last.Tokens, last.AdmitNow, last.AdmitLow, last.QueueLength, last.Scarce = 0, 0, 0, 0, false
 	returned := s.returning
 	s.returning = 0
 	return Demand{Holder: h, Returned: returned, Waiting: waiting, Rate: types.PerSecond(s.rate), Tokens: s.level, Held: last, TimeLeft: s.TimeLeft(now)}
