wire, host: a link dials again as soon as its host connects

Cause: the first election after a common start needs an answer of each control host. The one that would lead had dialed the last one 0.09 s before that had started; the connection request was lost, and the dial ended by its timeout of 0.25 s only (link lost at 36.197 s), though the last host had connected to it at once. Change: a process tells its own address when it connects; whoever is told ends a dial to it and dials again. A dial that was caused so is not ended again, so that two hosts cannot end each other's dials in turn.

--- a/wire/frame.go
+++ b/wire/frame.go
@@ -49,6 +49,10 @@
 // fleet share.
 const secretHeader = "Banyanspur-Secret"
 
+// addressHeader is the HTTP header with the address at which the process that dials
+// accepts connections itself. Earlier builds do not send it.
+const addressHeader = "Banyanspur-Address"
+
 // errQueueFull is returned if messages are sent faster than the connection can
 // write them.
 var errQueueFull = errors.New("wire: the send queue of the connection is full")
--- a/wire/link.go
+++ b/wire/link.go
@@ -24,12 +24,21 @@
 	Secret string
 	// Log receives events. The zero value discards them.
 	Log event.Log
+	// Own, if not empty, is the address of this process, which the host is told: it
+	// then knows that this process is up.
+	Own string
+	// DialTimeout is how long a dial may take. The default is 250 ms.
+	DialTimeout time.Duration
 	// OnLost, if set, is called after a connection has been lost.
 	OnLost func()
 
 	mu        sync.Mutex
 	active    *connection   // nil while the link is not connected
 	connected chan struct{} // closed when a connection is established; nil if no WaitConnected is blocked
+	// abort ends the present dial, or the pause before the next one. It is nil while the
+	// link is connected and during a dial that [Link.Redial] has caused.
+	abort    context.CancelFunc
+	redialed bool // Redial has ended the last dial or pause
 }
 
 // connection is one established connection of a link.
@@ -39,10 +48,11 @@
 }
 
 const (
-	// dialTimeout is the time of two round trips between regions. It is this
+	// defaultDialTimeout is the time of two round trips between regions. It is this
 	// short because a lost connection request, as to a host without power, is
 	// retransmitted only after a second; a new dial is made sooner.
-	dialTimeout    = 250 * time.Millisecond
+	defaultDialTimeout = 250 * time.Millisecond
+
 	minRedialDelay = 25 * time.Millisecond
 	maxRedialDelay = 100 * time.Millisecond
 )
@@ -65,7 +75,8 @@
 	logged := false
 	for ctx.Err() == nil {
 		start := time.Now()
-		connected, err := l.connect(ctx)
+		attempt, cancel := l.beginAttempt(ctx)
+		connected, err := l.connect(ctx, attempt)
 		if (connected || !logged) && ctx.Err() == nil {
 			l.Log.Write(event.LinkLost, event.Fields{"address": l.Address, "connected": connected, "error": err.Error()})
 		}
@@ -76,18 +87,51 @@
 		if time.Since(start) > maxRedialDelay {
 			delay = minRedialDelay
 		}
-		types.Sleep(ctx, delay)
+		types.Sleep(attempt, delay)
+		cancel()
 		delay = min(2*delay, maxRedialDelay)
 	}
 	return nil
 }
 
+// beginAttempt returns the context of one dial and the pause after it, which
+// [Link.Redial] may end. It may not end two in a row: each of two hosts would end the
+// dial of the other one again and again.
+func (l *Link) beginAttempt(ctx context.Context) (attempt context.Context, cancel context.CancelFunc) {
+	attempt, cancel = context.WithCancel(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.abort = cancel
+	if l.redialed {
+		l.abort, l.redialed = nil, false
+	}
+	return attempt, cancel
+}
+
+// Redial makes a link that is not connected dial now: its host is known to be up. A dial
+// that is under way may have been sent before that, and would only time out.
+func (l *Link) Redial() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.abort != nil {
+		l.abort()
+		l.abort, l.redialed = nil, true
+	}
+}
+
 // connect dials and serves one connection until it ends. It reports whether the
-// dial succeeded, and always returns an error.
-func (l *Link) connect(ctx context.Context) (connected bool, err error) {
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+// dial succeeded, and always returns an error. attempt is the context of the dial.
+func (l *Link) connect(ctx, attempt context.Context) (connected bool, err error) {
+	timeout := l.DialTimeout
+	if timeout <= 0 {
+		timeout = defaultDialTimeout
+	}
+	dialCtx, cancel := context.WithTimeout(attempt, timeout)
 	defer cancel()
 	header := http.Header{secretHeader: {l.Secret}}
+	if l.Own != "" {
+		header.Set(addressHeader, l.Own)
+	}
 	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.Address+"/peer", &websocket.DialOptions{HTTPHeader: header})
 	if err != nil {
 		return false, errors.Wrap(err, "wire: dial")
@@ -103,7 +147,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.active = c
-	if c != nil && l.connected != nil {
+	if c == nil {
+		return
+	}
+	l.abort = nil
+	if l.connected != nil {
 		close(l.connected)
 		l.connected = nil
 	}
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -18,6 +18,9 @@
 	Secret string
 	// Log receives events. The zero value discards them.
 	Log event.Log
+	// Own and DialTimeout are those of the links.
+	Own         string
+	DialTimeout time.Duration
 
 	mu    sync.Mutex
 	links map[string]*pooledLink
@@ -78,7 +81,7 @@
 	defer p.mu.Unlock()
 	l := p.links[address]
 	if l == nil {
-		l = &pooledLink{Link: &Link{Address: address, Secret: p.Secret, Log: p.Log, OnLost: p.checkAll}}
+		l = &pooledLink{Link: &Link{Address: address, Secret: p.Secret, Log: p.Log, Own: p.Own, DialTimeout: p.DialTimeout, OnLost: p.checkAll}}
 		p.links[address] = l
 		if p.group != nil {
 			p.startLink(l)
@@ -94,6 +97,17 @@
 	p.group.Go(func() error { return l.Run(ctx) })
 }
 
+// Redial makes the link to an address, if there is one, dial now unless it is connected.
+// The host there is known to be up, as after it has connected to this process.
+func (p *Pool) Redial(address string) {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.links[address]; l != nil {
+		l.Link.Redial()
+	}
+}
+
 // checkAll checks all links after one was lost. What has broken one connection without
 // closing it may have broken the others, and those that are rarely used would show it
 // only when they are needed.
--- a/wire/server.go
+++ b/wire/server.go
@@ -21,6 +21,9 @@
 	Secret string
 	// Log receives events. The zero value discards them.
 	Log event.Log
+	// OnPeer, if set, is called with the address of a process that has connected, if
+	// it told one. It must not block.
+	OnPeer func(address string)
 
 	handlers map[Kind]handler
 }
@@ -85,6 +88,9 @@
 	if err != nil {
 		return // Accept has written the HTTP response.
 	}
+	if address := r.Header.Get(addressHeader); address != "" && s.OnPeer != nil {
+		s.OnPeer(address)
+	}
 	s.serve(r.Context(), newStream(conn, false))
 }
 
