fleet, wire: a host asks the control hosts that are up first

Cause: a host without a leader asked one control host at a time and waited for its connection; the request to one that had not started yet was lost, and 0.25 s later the next one was tried, though three others were up. Change: while the leader is unknown, links to all control hosts are dialed; the next one that is connected is asked, or whichever connects first. A host does not end its own dial to itself any more. Test: a client whose first control hosts accept no connection; its request failed before.

--- a/fleet/client.go
+++ b/fleet/client.go
@@ -161,16 +161,38 @@
 	return slices.Compact(addresses)
 }
 
-// selectHost returns the address of the leader, if known, or else of the next
-// control host to try.
-func (c *Client) selectHost() string {
+// selectHosts returns the address of the leader, if known, or else those of all control
+// hosts, the next one to try first.
+func (c *Client) selectHosts() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader != "" {
-		return c.leader
+		return []string{c.leader}
 	}
 	addresses := c.candidates()
-	return addresses[c.nextCandidate%len(addresses)]
+	next := c.nextCandidate % len(addresses)
+	return slices.Concat(addresses[next:], addresses[:next])
+}
+
+// connect returns the link to the leader, if known, or else to the next control host to
+// try, once it is connected. A control host that cannot be connected to is passed over if
+// there is another one. address is that of the host, or of the first one that was tried.
+// It returns nil if ctx ends first.
+func (c *Client) connect(ctx context.Context) (link *wire.Link, address string) {
+	addresses := c.selectHosts()
+	var links []*wire.Link
+	for _, a := range addresses {
+		links = append(links, c.Peers.Link(a))
+	}
+	for _, l := range links {
+		if l.IsConnected() {
+			return l, l.Address
+		}
+	}
+	if l := wire.WaitAny(ctx, links); l != nil {
+		return l, l.Address
+	}
+	return nil, addresses[0]
 }
 
 // setCancelSync sets the function that cancels the current sync request when
@@ -212,11 +234,10 @@
 // callOnce sends one request to the presumed leader. If that fails with a
 // retryable error, it selects another host for the next request.
 func callOnce[Req, Resp any](ctx context.Context, c *Client, kind wire.Kind, req Req) (Resp, error) {
-	address := c.selectHost()
-	link := c.Peers.Link(address)
 	dialCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if !link.WaitConnected(dialCtx) {
+	link, address := c.connect(dialCtx)
+	if link == nil {
 		c.recordFailure(address, "")
 		var zero Resp
 		return zero, types.NewFault(types.CodeUnavailable, "no connection to %s", address).WithRetryAfter(callTimeout)
--- a/fleet/client_test.go
+++ b/fleet/client_test.go
@@ -83,3 +83,36 @@
 	})
 	waitFor(t, "a sync with the new leader", func() bool { return elected.syncs.Load() > 0 })
 }
+
+// TestClientPassesOverControlHostsThatAreDown guards against requests that wait for the
+// connection to a control host that has no power while the others are up: after a power
+// failure of all hosts each would hold up every entry host.
+func TestClientPassesOverControlHostsThatAreDown(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	defer func() {
+		cancel()
+		_ = g.Wait()
+	}()
+	var seeds []string
+	for range 2 {
+		l, err := net.Listen("tcp4", "127.0.0.1:0") // It never accepts.
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		seeds = append(seeds, l.Addr().String())
+	}
+	leader := &controlStub{}
+	leader.leading.Store(true)
+	seeds = append(seeds, leader.start(ctx, t))
+	peers := &wire.Pool{DialTimeout: time.Hour}
+	g.Go(func() error { return peers.Run(ctx) })
+	for range 3 { // In any order of the addresses, at least one that is down comes first.
+		c := &fleet.Client{Host: "entry-1", Seeds: seeds, Peers: peers, Clock: types.NewClock()}
+		if _, err := c.Limits(ctx, fleet.LimitsRequest{Host: "entry-1"}); err != nil {
+			t.Errorf("a control host is up: %v", err)
+		}
+		seeds = append(seeds[1:], seeds[0])
+	}
+}
--- a/wire/link.go
+++ b/wire/link.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/types"
@@ -179,6 +180,27 @@
 	}
 }
 
+// WaitAny waits until one of the links is connected and returns it, or nil if ctx ends
+// first.
+func WaitAny(ctx context.Context, links []*Link) *Link {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	connected := make(chan *Link, len(links))
+	var g errgroup.Group
+	for _, l := range links {
+		g.Go(func() error {
+			if l.WaitConnected(ctx) {
+				connected <- l
+				cancel()
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	close(connected)
+	return <-connected
+}
+
 func (l *Link) activeConnection() *connection {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -103,7 +103,7 @@
 	p.init()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l := p.links[address]; l != nil {
+	if l := p.links[address]; l != nil && address != p.Own {
 		l.Link.Redial()
 	}
 }
