--- a/wire/link.go
+++ b/wire/link.go
@@ -25,9 +25,9 @@
 	Secret string
 	// Log receives events. The zero value discards them.
 	Log event.Log
-	// Own, if not empty, is the address of this process, which the host is told: it
-	// then knows that this process is up.
-	Own string
+	// OwnAddress, if not empty, is where this process accepts connections. The host is
+	// told it, and then knows that this process is up.
+	OwnAddress string
 	// DialTimeout is how long a dial may take. The default is 250 ms.
 	DialTimeout time.Duration
 	// OnLost, if set, is called after a connection has been lost.
@@ -130,8 +130,8 @@
 	dialCtx, cancel := context.WithTimeout(attempt, timeout)
 	defer cancel()
 	header := http.Header{secretHeader: {l.Secret}}
-	if l.Own != "" {
-		header.Set(addressHeader, l.Own)
+	if l.OwnAddress != "" {
+		header.Set(addressHeader, l.OwnAddress)
 	}
 	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.Address+"/peer", &websocket.DialOptions{HTTPHeader: header})
 	if err != nil {
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -18,8 +18,8 @@
 	Secret string
 	// Log receives events. The zero value discards them.
 	Log event.Log
-	// Own and DialTimeout are those of the links.
-	Own         string
+	// OwnAddress and DialTimeout are those of the links.
+	OwnAddress  string
 	DialTimeout time.Duration
 
 	mu    sync.Mutex
@@ -81,7 +81,7 @@
 	defer p.mu.Unlock()
 	l := p.links[address]
 	if l == nil {
-		l = &pooledLink{Link: &Link{Address: address, Secret: p.Secret, Log: p.Log, Own: p.Own, DialTimeout: p.DialTimeout, OnLost: p.checkAll}}
+		l = &pooledLink{Link: &Link{Address: address, Secret: p.Secret, Log: p.Log, OwnAddress: p.OwnAddress, DialTimeout: p.DialTimeout, OnLost: p.checkAll}}
 		p.links[address] = l
 		if p.group != nil {
 			p.startLink(l)
@@ -97,13 +97,14 @@
 	p.group.Go(func() error { return l.Run(ctx) })
 }
 
-// Redial makes the link to an address, if there is one, dial now unless it is connected.
-// The host there is known to be up, as after it has connected to this process.
+// Redial makes the link to another process, if there is one to its address, dial now
+// unless it is connected. That process is known to be up, as after it has connected to
+// this one.
 func (p *Pool) Redial(address string) {
 	p.init()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l := p.links[address]; l != nil && address != p.Own {
+	if l := p.links[address]; l != nil && address != p.OwnAddress {
 		l.Link.Redial()
 	}
 }
--- a/wire/redial_test.go
+++ b/wire/redial_test.go
@@ -78,7 +78,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var g errgroup.Group
 	defer func() { cancel(); _ = g.Wait() }()
-	pool := &wire.Pool{Own: strings.TrimPrefix(ownServer.URL, "http://"), DialTimeout: time.Hour}
+	pool := &wire.Pool{OwnAddress: strings.TrimPrefix(ownServer.URL, "http://"), DialTimeout: time.Hour}
 	own.OnPeer = pool.Redial
 	g.Go(func() error { return pool.Run(ctx) })
 	link := pool.Link(host.address)
@@ -90,9 +90,9 @@
 	}
 
 	host.started.Store(true)
-	back := &wire.Pool{Own: host.address, DialTimeout: time.Hour}
+	back := &wire.Pool{OwnAddress: host.address, DialTimeout: time.Hour}
 	g.Go(func() error { return back.Run(ctx) })
-	back.Link(pool.Own)
+	back.Link(pool.OwnAddress)
 	waitCtx, stop := context.WithTimeout(ctx, 20*time.Second)
 	defer stop()
 	if !link.WaitConnected(waitCtx) {
