--- a/limit/issuer_test.go
+++ b/limit/issuer_test.go
@@ -89,12 +89,15 @@
 // maxExcess returns the largest number of requests by which a time window exceeds
 // burst plus rate times its length.
 func (acct *limitedAccount) maxExcess() float64 {
-	excess := 0.0
-	for i := range acct.admittedAt {
-		for j := i; j < len(acct.admittedAt); j++ {
-			allowed := float64(acct.limit.Burst) + acct.admittedAt[j].Sub(acct.admittedAt[i]).Seconds()*float64(acct.limit.Rate)
-			excess = max(excess, float64(j-i+1)-allowed)
+	// The window with the largest excess that ends with a request starts with the one at which the sum of
+	// what was admitted less what the rate allows was last 0.
+	excess, sum := 0.0, 0.0
+	for i, at := range acct.admittedAt {
+		if i > 0 {
+			sum = max(0, sum-at.Sub(acct.admittedAt[i-1]).Seconds()*float64(acct.limit.Rate))
 		}
+		sum++
+		excess = max(excess, sum-float64(acct.limit.Burst))
 	}
 	return excess
 }
