--- a/limit/issuer.go
+++ b/limit/issuer.go
@@ -128,10 +128,10 @@
 	// number of holders with an unexpired allotment, that number is used instead.
 	HostCount int
 	// PerRequest makes holders ask for each request. They have no buckets of their
-	// own, but a part of the limit for the time in which the issuer does not reply. The
-	// limit counts as scarce at all times.
+	// own, but a part of the limit for the time in which the issuer does not reply.
 	// In that time, and while the allotments of an earlier issuer are not known, up to
-	// one request more than the limit allows may be sent by all holders together.
+	// one request more than the limit allows may be sent by all holders together. The
+	// limit always counts as scarce.
 	PerRequest bool
 
 	limit       Limit
