relay: a test waits until the host knows the connection that it loses

Cause: the test closes the connections that the host's server has recorded. A client gets the response 101 before the server records the connection as taken over, so that the last one could be missed and stay open. No fault of the product. The test exchanges bytes first, as in its other cases.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -94,6 +94,9 @@
 		}
 	}
 	c := d.dialThrough(t, tg)
+	if _, err := exchange(t, c, "a"); err != nil { // From here on, the host knows the connection.
+		t.Errorf("exchange: %v", err)
+	}
 	h.lose()
 	if _, err := io.ReadAll(c); !errors.Is(err, relay.ErrHostLost) {
 		t.Errorf("after the loss of the relaying host: error %v, want %v", err, relay.ErrHostLost)
