fleet, wire, limit: read once more

Cause: names, repeated set-up and one message that misled. A request without a connection to any control host named only the first one as not connected; now it names all that were tried, and Client.connect records the failure itself instead of handing the address out. What is admitted and which host is asked are as before.

--- a/fleet/client.go
+++ b/fleet/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -176,9 +177,8 @@
 
 // connect returns the link to the leader, if known, or else to the next control host to
 // try, once it is connected. A control host that cannot be connected to is passed over if
-// there is another one. address is that of the host, or of the first one that was tried.
-// It returns nil if ctx ends first.
-func (c *Client) connect(ctx context.Context) (link *wire.Link, address string) {
+// there is another one.
+func (c *Client) connect(ctx context.Context) (*wire.Link, error) {
 	addresses := c.selectHosts()
 	var links []*wire.Link
 	for _, a := range addresses {
@@ -186,13 +186,14 @@
 	}
 	for _, l := range links {
 		if l.IsConnected() {
-			return l, l.Address
+			return l, nil
 		}
 	}
 	if l := wire.WaitAny(ctx, links); l != nil {
-		return l, l.Address
+		return l, nil
 	}
-	return nil, addresses[0]
+	c.recordFailure(addresses[0], "")
+	return nil, types.NewFault(types.CodeUnavailable, "no connection to %s", strings.Join(addresses, ", ")).WithRetryAfter(callTimeout)
 }
 
 // setCancelSync sets the function that cancels the current sync request when
@@ -236,19 +237,18 @@
 func callOnce[Req, Resp any](ctx context.Context, c *Client, kind wire.Kind, req Req) (Resp, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	link, address := c.connect(dialCtx)
-	if link == nil {
-		c.recordFailure(address, "")
+	link, err := c.connect(dialCtx)
+	if err != nil {
 		var zero Resp
-		return zero, types.NewFault(types.CodeUnavailable, "no connection to %s", address).WithRetryAfter(callTimeout)
+		return zero, err
 	}
 	reply, err := wire.Call[Req, Resp](ctx, link, kind, req)
 	if err == nil {
-		c.recordLeader(address)
+		c.recordLeader(link.Address)
 		return reply, nil
 	}
 	if retryable(err) {
-		c.recordFailure(address, string(types.AsFault(err).Leader))
+		c.recordFailure(link.Address, string(types.AsFault(err).Leader))
 	}
 	return reply, err
 }
--- a/fleet/size_test.go
+++ b/fleet/size_test.go
@@ -19,29 +19,47 @@
 	next    []fleet.LoadsRequest // by host
 }
 
-func newManyHosts(ctx context.Context, t *testing.T, c *fleet.Client, hosts, targets int) *manyHosts {
+// newManyHosts starts a leader and returns hosts that have exchanged loads with it twice,
+// so that each knows those of all.
+func newManyHosts(t *testing.T, hosts, targets int) *manyHosts {
+	t.Helper()
+	f := newFleet(t, 1)
+	f.runAll()
+	c, _ := f.client("entry-0")
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	t.Cleanup(cancel)
 	m := &manyHosts{ctx: ctx, t: t, client: c, targets: targets}
 	for i := range hosts {
 		m.next = append(m.next, exchangeRequest(i, targets))
 	}
+	m.exchangeAll()
+	m.exchangeAll()
 	return m
 }
 
+// exchange lets one host exchange loads and returns what it has sent and received.
+func (m *manyHosts) exchange(i int) (fleet.LoadsRequest, fleet.LoadsReply) {
+	m.t.Helper()
+	req := m.next[i]
+	reply := exchangeLoads(m.ctx, m.t, m.client, req)
+	next := exchangeRequest(i, m.targets)
+	next.Since, next.NoticesSince, next.RelaysChecksum, next.SuspectsChecksum = reply.Cursor, reply.NoticesCursor, req.RelaysChecksum, req.SuspectsChecksum
+	if reply.Relays != nil {
+		next.RelaysChecksum = reply.Relays.Checksum
+	}
+	if reply.Suspects != nil {
+		next.SuspectsChecksum = reply.Suspects.Checksum
+	}
+	m.next[i] = next
+	return req, reply
+}
+
 // exchangeAll lets each host exchange loads once and returns the replies.
 func (m *manyHosts) exchangeAll() []fleet.LoadsReply {
 	m.t.Helper()
 	var replies []fleet.LoadsReply
-	for i, req := range m.next {
-		reply := exchangeLoads(m.ctx, m.t, m.client, req)
-		next := exchangeRequest(i, m.targets)
-		next.Since, next.NoticesSince, next.RelaysChecksum, next.SuspectsChecksum = reply.Cursor, reply.NoticesCursor, req.RelaysChecksum, req.SuspectsChecksum
-		if reply.Relays != nil {
-			next.RelaysChecksum = reply.Relays.Checksum
-		}
-		if reply.Suspects != nil {
-			next.SuspectsChecksum = reply.Suspects.Checksum
-		}
-		m.next[i] = next
+	for i := range m.next {
+		_, reply := m.exchange(i)
 		replies = append(replies, reply)
 	}
 	return replies
@@ -51,15 +69,7 @@
 // next exchange what single ones have seen: a target's limit, and a shared part of a
 // prompt in a cache.
 func TestReportsReachLargeFleetInOneExchange(t *testing.T) {
-	f := newFleet(t, 1)
-	f.runAll()
-	c, _ := f.client("entry-0")
-	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
-	defer cancel()
-	m := newManyHosts(ctx, t, c, 200, 71)
-	m.exchangeAll()
-	m.exchangeAll()
-
+	m := newManyHosts(t, 200, 71)
 	m.next[17].Notices = fleet.TargetNotices{"i-00000003": {Rate: 4}}
 	m.next[42].CachedParts = fleet.CachedParts{"i-00000005": {1}}
 	first := m.exchangeAll() // Hosts after those that report may learn it here.
@@ -89,21 +99,12 @@
 // exchange follows the number of targets, not of the other hosts.
 func TestExchangeDoesNotGrowWithHosts(t *testing.T) {
 	bytes := func(hosts int) (sent, received int) {
-		f := newFleet(t, 1)
-		f.runAll()
-		c, _ := f.client("entry-0")
-		ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
-		defer cancel()
-		m := newManyHosts(ctx, t, c, hosts, 71)
-		m.exchangeAll()
-		m.exchangeAll()
+		m := newManyHosts(t, hosts, 71)
 		for {
-			req := m.next[hosts/2]
-			reply := exchangeLoads(ctx, t, c, req)
+			req, reply := m.exchange(hosts / 2)
 			if reply.Relays == nil { // Relaying hosts are sent only when they change.
 				return len(types.Encode(req)), len(types.Encode(reply))
 			}
-			m.next[hosts/2].RelaysChecksum = reply.Relays.Checksum
 		}
 	}
 	fewSent, fewReceived := bytes(25)
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -14,7 +14,7 @@
 // which spends all that it can get.
 type fleetAccount struct {
 	*limitedAccount
-	hosts    []limit.Holder
+	ids      []limit.Holder // of the hosts
 	nextAt   []types.Mono   // when each host renews next
 	reported map[int]bool   // hosts that have reported to the present issuer
 	zoneCut  func(int) bool // whether a zone has lost contact to the issuer
@@ -29,11 +29,11 @@
 
 func newFleetAccount(l limit.Limit, seed uint64) *fleetAccount {
 	f := &fleetAccount{limitedAccount: newLimitedAccount(l), reported: map[int]bool{}, zoneCut: func(int) bool { return false }}
-	f.limitedAccount.hosts = fleetHosts
+	f.hosts = fleetHosts
 	f.replaceIssuer()
 	random := rand.New(rand.NewPCG(seed, 1))
 	for i := range fleetHosts {
-		f.hosts = append(f.hosts, limit.Holder(fmt.Sprintf("host-%d/0", i)))
+		f.ids = append(f.ids, limit.Holder(fmt.Sprintf("host-%d/0", i)))
 		f.nextAt = append(f.nextAt, types.Mono(random.Int64N(int64(renewal))))
 	}
 	return f
@@ -52,7 +52,7 @@
 func (f *fleetAccount) run(d time.Duration) (admitted int) {
 	before := len(f.admittedAt)
 	for end := f.now.Add(d); f.now < end; f.now = f.now.Add(20 * time.Millisecond) {
-		for i, h := range f.hosts {
+		for i, h := range f.ids {
 			if f.now >= f.nextAt[i] && !f.zoneCut(i%fleetZones) {
 				f.nextAt[i] = f.now.Add(renewal)
 				if f.uses(i) {
--- a/limit/issuer.go
+++ b/limit/issuer.go
@@ -103,8 +103,8 @@
 	// scarceDemand is the ratio of the demand to the limit above which the limit counts as
 	// scarce. It is below 1 since the measured demand follows a rising one by a second.
 	scarceDemand = 0.5
-	// lowReserve is the part of the issuer's bucket that requests with low precedence
-	// cannot use.
+	// lowReserve is the part of a bucket, the issuer's or a holder's, that requests with
+	// low precedence cannot use while the limit is scarce.
 	lowReserve = 0.5
 	// queueReportTime is how long a holder's reported number of waiting requests
 	// counts. It is longer than the interval between renewals of a holder with
--- a/limit/share.go
+++ b/limit/share.go
@@ -76,10 +76,11 @@
 		s.admitLow--
 		return true
 	}
-	if !s.allotment.Scarce {
-		return s.takeToken(now, 0)
+	reserve := 0.0
+	if s.allotment.Scarce {
+		reserve = max(0, (s.allotment.Burst-1)*lowReserve)
 	}
-	return s.takeToken(now, max(0, (s.allotment.Burst-1)*lowReserve))
+	return s.takeToken(now, reserve)
 }
 
 // Take admits one request, by AdmitNow of the newest allotment or with a token of
--- a/wire/silent_test.go
+++ b/wire/silent_test.go
@@ -94,6 +94,17 @@
 	p.silence = make(chan struct{})
 }
 
+// silenceNew sets whether connections are silent from the start, as those to a host that
+// has no power.
+func (p *proxy) silenceNew(silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silence = make(chan struct{})
+	if silent {
+		close(p.silence)
+	}
+}
+
 // startEchoServer starts a server that echoes numbers and returns its address.
 func startEchoServer(t *testing.T) string {
 	t.Helper()
@@ -104,10 +115,9 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// startPool runs a pool until the test ends.
-func startPool(t *testing.T) *wire.Pool {
+// startPool runs a pool until the test ends, and returns it.
+func startPool(t *testing.T, p *wire.Pool) *wire.Pool {
 	t.Helper()
-	p := &wire.Pool{}
 	ctx, cancel := context.WithCancel(context.Background())
 	var g errgroup.Group
 	g.Go(func() error { return p.Run(ctx) })
@@ -122,7 +132,7 @@
 // say to each other: 171 entry hosts and 24 stores pinged each other 13,000 times a second.
 func TestIdleLinkIsQuiet(t *testing.T) {
 	p := newProxy(t, startEchoServer(t))
-	l := startPool(t).Link(p.address)
+	l := startPool(t, &wire.Pool{}).Link(p.address)
 	waitConnected(t, l)
 	if _, err := wire.Call[echoRequest, int](t.Context(), l, echo, echoRequest{}); err != nil {
 		t.Fatal(err)
@@ -138,7 +148,7 @@
 // silent without being closed: once it is used, it must be replaced within some 1.2 s.
 func TestSilentConnectionIsReplacedWhenUsed(t *testing.T) {
 	p := newProxy(t, startEchoServer(t))
-	l := startPool(t).Link(p.address)
+	l := startPool(t, &wire.Pool{}).Link(p.address)
 	waitConnected(t, l)
 	p.silenceAll()
 	callUntilReply(t, l)
@@ -166,7 +176,7 @@
 func TestLostConnectionChecksTheOthers(t *testing.T) {
 	server := startEchoServer(t)
 	used, idle := newProxy(t, server), newProxy(t, server)
-	pool := startPool(t)
+	pool := startPool(t, &wire.Pool{})
 	waitConnected(t, pool.Link(used.address))
 	waitConnected(t, pool.Link(idle.address))
 	used.silenceAll()
