Review: entry hosts that wake from a freeze deny turns that exist

Cause: a chain is looked for on the stores of an outdated shard map, and stores that no longer have the shard count towards the majority that lacks the turn.

Change: a script case; hosts of the stand-ins are named after their zone.

--- a/review/testdata/standin/fleet.go
+++ b/review/testdata/standin/fleet.go
@@ -27,10 +27,10 @@
 
 // host is one process of the system.
 type host struct {
-	name, role, ip, settings, dir string
-	spare                         bool // not started with the others
-	cmd                           *exec.Cmd
-	log                           *os.File
+	name, role, zone, ip, settings, dir string
+	spare                               bool // not started with the others
+	cmd                                 *exec.Cmd
+	log                                 *os.File
 }
 
 // fleet is a small deployment on loopback addresses: control hosts, stores and entry
@@ -78,7 +78,8 @@
 	add := func(role string, n int) {
 		for i := range n {
 			number := len(f.hosts) + 1
-			h := &host{name: fmt.Sprintf("%s-%s-%d", role, zones[i%3], i), role: role, ip: fmt.Sprintf("%s.%d", f.prefix, number)}
+			zone := zones[len(f.hosts)%len(zones)]
+			h := &host{name: fmt.Sprintf("%s-%s-%d", role, zone, i), role: role, zone: zone, ip: fmt.Sprintf("%s.%d", f.prefix, number)}
 			h.dir = filepath.Join(dir, h.name)
 			check(os.MkdirAll(h.dir, 0o700))
 			f.hosts = append(f.hosts, h)
@@ -87,20 +88,20 @@
 	add("control", control)
 	add("store", stores)
 	add("entry", entries)
-	for i, h := range f.hosts {
-		h.settings = f.settings(h, zones[i%3])
+	for _, h := range f.hosts {
+		h.settings = f.settings(h)
 	}
 	return f
 }
 
 // settings returns the settings of a host, in the form of deploy/settings.toml.tmpl.
-func (f *fleet) settings(h *host, zone string) string {
+func (f *fleet) settings(h *host) string {
 	var seeds []string
 	for _, s := range f.role("control")[:3] {
 		seeds = append(seeds, strconv.Quote(fmt.Sprintf("%s:%d", s.ip, f.operator)))
 	}
 	text := fmt.Sprintf("host = %q\nzone = %q\naddress = %q\npeerPorts = [%d,%d]\nseeds = [%s]\nlosses = 1\nmemoryMB = 164\ngraceSeconds = %d\ntargetList = %q\n",
-		h.name, zone, h.ip, f.peerPort, f.metrics, strings.Join(seeds, ","), graceSeconds, f.listAddr)
+		h.name, h.zone, h.ip, f.peerPort, f.metrics, strings.Join(seeds, ","), graceSeconds, f.listAddr)
 	switch h.role {
 	case "entry":
 		text += fmt.Sprintf("callerListen = \"%s:%d\"\nreadyListen = \"%s:%d\"\n", h.ip, f.front, h.ip, f.ready)
--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -26,6 +26,8 @@
 		code = runDrain(binary, dir, rec, trouble)
 	case "retire":
 		code = runRetire(binary, dir, rec, trouble)
+	case "stale":
+		code = runStale(binary, dir, rec, trouble)
 	case "crash":
 		code = runCrash(binary, dir, rec, trouble)
 	default:
--- a/review/testdata/standin/retire.go
+++ b/review/testdata/standin/retire.go
@@ -174,14 +174,17 @@
 		_ = resp.Body.Close()
 		return resp.StatusCode == http.StatusOK
 	}, "the order to retire a store is not acknowledged")
-	f.await(func() bool {
-		resp, err := shortClient.Get(url)
-		if err != nil {
-			return false
-		}
-		defer resp.Body.Close()
-		var state struct{ State string }
-		return json.NewDecoder(resp.Body).Decode(&state) == nil && state.State == "complete"
-	}, "the store is not emptied")
+	f.await(func() bool { return f.retired(url) }, "the store is not emptied")
 	rec.line("complete %s", h.name)
 }
+
+// retired reports whether an order to retire a store is complete.
+func (*fleet) retired(url string) bool {
+	resp, err := shortClient.Get(url)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	var state struct{ State string }
+	return json.NewDecoder(resp.Body).Decode(&state) == nil && state.State == "complete"
+}
