--- a/review/testdata/standin/retire.go
+++ b/review/testdata/standin/retire.go
@@ -58,14 +58,17 @@
 		writers = append(writers, f.newChat(h, rec))
 	}
 	var kept []turn
+	lastAdded := time.Now()
 	for i, s := range stores[1 : 1+rounds] {
 		kept = append(kept, f.retireUnderLoad(fmt.Sprintf("r%d", i), s, writers, rec, trouble)...)
 		if i < rounds-1 {
 			rec.line("added    %s", stores[4+i].name)
 			f.start(stores[4+i], false)
+			lastAdded = time.Now()
 			time.Sleep(2 * time.Second)
 		}
 	}
+	time.Sleep(time.Until(lastAdded.Add(catchUp)))
 	return f.askAll(kept, []*host{stores[0], stores[1+rounds], stores[2+rounds]}, entries[3:], rec)
 }
 
