Review: the stand-ins look for free ports on loopback addresses only

Cause: ports were probed on the wildcard address, which is not a loopback address.

Change: each port is probed on the fleet's own addresses in 127.0.0.0/8.

--- a/review/testdata/standin/fleet.go
+++ b/review/testdata/standin/fleet.go
@@ -47,31 +47,41 @@
 	hosts    []*host
 }
 
-// freePorts returns n ports that are free on all loopback addresses. They lie below the
-// ephemeral range, so that no outgoing connection takes one before it is used.
-func freePorts(n int) []int {
+// freePorts returns n ports that are free on the loopback addresses prefix.1 to
+// prefix.hosts. They lie below the ephemeral range, so that no outgoing connection takes one
+// before it is used.
+func freePorts(n int, prefix string, hosts int) []int {
 	const first, count = 20000, 12000
 	var ports []int
 	for i := 0; len(ports) < n; i++ {
 		if i == count {
 			fail("no free port")
 		}
-		port := first + (os.Getpid()*97+i)%count
-		l, err := net.Listen("tcp4", fmt.Sprintf("0.0.0.0:%d", port))
+		if port := first + (os.Getpid()*97+i)%count; isFree(port, prefix, hosts) {
+			ports = append(ports, port)
+		}
+	}
+	return ports
+}
+
+// isFree reports whether a port is free on the loopback addresses prefix.1 to prefix.hosts.
+func isFree(port int, prefix string, hosts int) bool {
+	for h := range hosts {
+		l, err := net.Listen("tcp4", fmt.Sprintf("%s.%d:%d", prefix, h+1, port))
 		if err != nil {
-			continue
+			return false
 		}
 		_ = l.Close() // Only opened to check that the port is free.
-		ports = append(ports, port)
 	}
-	return ports
+	return true
 }
 
 // newFleet prepares a fleet. Its processes are not started yet.
 func newFleet(binary, dir, listAddr string, control, stores, entries int) *fleet {
-	ports := freePorts(5)
+	prefix := fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 1+os.Getpid()/200%250)
+	ports := freePorts(5, prefix, control+stores+entries)
 	f := &fleet{
-		binary: binary, listAddr: listAddr, prefix: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 1+os.Getpid()/200%250),
+		binary: binary, listAddr: listAddr, prefix: prefix,
 		peerPort: ports[0], metrics: ports[1], front: ports[2], ready: ports[3], operator: ports[4],
 	}
 	zones := []string{"zone-a", "zone-b", "zone-c"}
