turns: stores at another epoch prove no turn missing

A 404 ends the program.

Cause: a search asked the stores of the map with which it began, and took a majority of each shard's stores in that map as proof that the turn does not exist. A store that a shard has left lacks its turns, and during a move a majority of the current stores may lack what was written after the move had ended elsewhere.

Change: stores that lack a turn reply with their epochs, read before the look-up. Only stores at exactly the epochs of the client's map count, and a majority of both lists is needed during a move. A search asks the stores that a newer map adds as soon as it is there, and is repeated while maps differ; otherwise the caller gets 503. Two consecutive epochs share a list of stores, and an epoch ends only after a majority of its current stores has left it, so such a quorum meets that of any acknowledged write.

--- a/gate/turn.go
+++ b/gate/turn.go
@@ -70,11 +70,15 @@
 			"request": c.id, "program": c.turn.budget.Program, "limit": c.turn.budget.Limit, "most": c.turn.budget.MaxTokens, "granted": false,
 		})
 	}
+	chainFields := event.Fields{"previous": c.turn.previous, "viewAgeMs": c.gate.Fleet.Staleness().Milliseconds()}
 	switch {
 	case types.IsCode(chainErr, types.CodeNotFound):
-		return &errorResponse{status: http.StatusNotFound, reason: "there is no such turn"}
+		return &errorResponse{status: http.StatusNotFound, reason: "there is no such turn", logFields: chainFields}
 	case chainErr != nil:
-		return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: busyRetryAfter, reason: "cannot fetch the chain of turns: " + chainErr.Error()}
+		return &errorResponse{
+			status: http.StatusServiceUnavailable, retryAfter: busyRetryAfter, logFields: chainFields,
+			reason: "cannot fetch the chain of turns: " + chainErr.Error(),
+		}
 	case types.IsCode(budgetErr, types.CodeBudgetExceeded):
 		return &errorResponse{status: http.StatusPaymentRequired, reason: "the program's budget does not cover this turn"}
 	case budgetErr != nil:
--- a/turns/chain.go
+++ b/turns/chain.go
@@ -13,9 +13,9 @@
 const chainHedgeDelay = 20 * time.Millisecond
 
 // Chain returns a turn and all turns before it, oldest first. It returns a
-// notFound fault only if, for every shard, a majority of the stores has replied
-// that it lacks a turn of the chain, and an unavailable fault if too few stores
-// have replied to be certain.
+// notFound fault only if, for every shard, enough stores have replied that they
+// lack a turn of the chain (see [Placement.HasQuorum]), and an unavailable
+// fault if too few stores have replied to be certain.
 func (c *Client) Chain(ctx context.Context, account types.AccountID, id TurnID) ([]Turn, error) {
 	var chain []Turn
 	for id != "" {
@@ -24,7 +24,7 @@
 			id = t.Previous
 			continue
 		}
-		part, err := c.fetchChain(ctx, account, id)
+		part, err := c.fetchChain(ctx, ChainRequest{Account: account, Turn: id})
 		if err != nil {
 			return nil, err
 		}
@@ -38,65 +38,143 @@
 	return chain, nil
 }
 
-// fetchChain requests a turn and those before it from the stores, nearest
-// first. It sends the request to the next store whenever one fails or lacks the
-// turn, and to all stores after [chainHedgeDelay]. It returns the turns of the
-// first reply that has any, newest first.
-func (c *Client) fetchChain(ctx context.Context, account types.AccountID, id TurnID) ([]Turn, error) {
-	m := c.Map()
-	if m == nil || len(m.Shards) == 0 {
-		return nil, errNoQuorum
-	}
-	members := c.assignedMembers(m)
-	results := make(chan storeResult[ChainReply], len(members))
-	sent := 0
-	send := func(n int) {
-		for ; sent < min(n, len(members)); sent++ {
-			c.requestChain(ctx, members[sent], ChainRequest{Account: account, Turn: id}, results)
+// fetchChain requests a turn and those before it from the stores and returns
+// them, newest first. If no store has the turn, but some stores and this client
+// have different maps, it retries until ctx ends.
+func (c *Client) fetchChain(ctx context.Context, req ChainRequest) ([]Turn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // Ends the requests whose replies are no longer of use.
+	for {
+		s := chainSearch{client: c, req: req, shardMap: c.Map(), lacking: map[StoreID][]Epoch{}, results: make(chan storeResult[ChainReply])}
+		found := s.run(ctx)
+		switch {
+		case len(found) > 0:
+			return found, nil
+		case s.provesMissing():
+			return nil, errTurnNotFound
+		case !s.mapsDiffer() || !types.Sleep(ctx, retryInterval):
+			return nil, s.uncertainError()
 		}
 	}
-	send(1)
-	timer := time.NewTimer(chainHedgeDelay)
-	defer timer.Stop()
-	lacking := map[StoreID]bool{}
-	for received := 0; received < len(members); {
+}
+
+// chainSearch requests a turn from all stores to which shards are assigned.
+type chainSearch struct {
+	client   *Client
+	req      ChainRequest
+	shardMap *Map // the newest that the client had during the search, or nil
+	// members are the stores of shardMap, nearest first, followed by those that
+	// were added during the search. The first sent of them got the request.
+	members []Member
+	sent    int
+	results chan storeResult[ChainReply]
+	// lacking contains the stores that lack the turn, with their epochs.
+	lacking map[StoreID][]Epoch
+}
+
+// run sends the request to the nearest store first, to the next one whenever one
+// fails or lacks the turn, and to all stores after [chainHedgeDelay]. It returns
+// the turns of the first reply that has any. Otherwise it returns nil once all
+// stores have replied or failed, or ctx ends.
+func (s *chainSearch) run(ctx context.Context) []Turn {
+	s.addMembers()
+	s.send(ctx, 1)
+	hedge := time.NewTimer(chainHedgeDelay)
+	defer hedge.Stop()
+	mapPoll := time.NewTicker(retryInterval)
+	defer mapPoll.Stop()
+	for received := 0; received < len(s.members); {
 		select {
-		case result := <-results:
+		case result := <-s.results:
 			received++
 			if result.err == nil && len(result.reply.Turns) > 0 {
-				return result.reply.Turns, nil
+				return result.reply.Turns
+			}
+			if result.err == nil {
+				s.lacking[result.store] = result.reply.Epochs
+			}
+			s.send(ctx, s.sent+1)
+		case <-hedge.C:
+			s.send(ctx, len(s.members))
+		case <-mapPoll.C: // A store that is down must not delay the requests to those that have replaced it.
+			if m := s.client.Map(); m != s.shardMap {
+				s.shardMap = m
+				s.addMembers()
+				s.send(ctx, len(s.members))
 			}
-			lacking[result.store] = result.err == nil
-			send(sent + 1)
-		case <-timer.C:
-			send(len(members))
 		case <-ctx.Done():
-			return nil, errNoQuorum
+			return nil
 		}
 	}
-	return nil, missingTurnError(m, lacking)
+	return nil
 }
 
-// missingTurnError returns the error for a turn that no store returned:
-// notFound if a majority of the stores of every shard is in denied, the stores
-// that replied without the turn, and unavailable otherwise.
-func missingTurnError(m *Map, lacking map[StoreID]bool) error {
-	for _, p := range m.Shards {
-		if !p.HasReadQuorum(func(id StoreID) bool { return lacking[id] }) {
-			return errNoQuorum
+// addMembers adds the stores of the map that are not in the search yet.
+func (s *chainSearch) addMembers() {
+	if s.shardMap == nil {
+		return
+	}
+	for _, member := range s.client.assignedMembers(s.shardMap) {
+		if !slices.ContainsFunc(s.members, func(m Member) bool { return m.ID == member.ID }) {
+			s.members = append(s.members, member)
 		}
 	}
-	return errTurnNotFound
 }
 
-// requestChain sends a chain request to one store in the background and sends
-// the outcome to results.
-func (c *Client) requestChain(ctx context.Context, member Member, req ChainRequest, results chan<- storeResult[ChainReply]) {
-	link := c.Peers.Link(member.Address)
-	req.To = member.ID
-	c.background.Go(func() error {
-		reply, err := callStore[ChainRequest, ChainReply](ctx, link, KindChain, req, storeTimeout)
-		results <- storeResult[ChainReply]{store: member.ID, reply: reply, err: err}
-		return nil
-	})
+// send sends the request to members in the background until n of them have got
+// it.
+func (s *chainSearch) send(ctx context.Context, n int) {
+	for ; s.sent < min(n, len(s.members)); s.sent++ {
+		member, req := s.members[s.sent], s.req
+		link := s.client.Peers.Link(member.Address)
+		req.To = member.ID
+		s.client.background.Go(func() error {
+			reply, err := callStore[ChainRequest, ChainReply](ctx, link, KindChain, req, storeTimeout)
+			select {
+			case s.results <- storeResult[ChainReply]{store: member.ID, reply: reply, err: err}:
+			case <-ctx.Done():
+			}
+			return nil
+		})
+	}
+}
+
+// provesMissing reports whether no acknowledged write contains the turn: for
+// every shard, a quorum of its stores lacks it. The reply of a store with another epoch
+// of a shard does not count: with a newer one, the turn may have been written to
+// stores that shardMap does not list.
+func (s *chainSearch) provesMissing() bool {
+	if s.shardMap == nil || len(s.shardMap.Shards) == 0 {
+		return false
+	}
+	for shard, p := range s.shardMap.Shards {
+		lacks := func(id StoreID) bool {
+			epochs := s.lacking[id]
+			return shard < len(epochs) && epochs[shard] == p.Epoch
+		}
+		if !p.HasQuorum(lacks) {
+			return false
+		}
+	}
+	return true
+}
+
+// uncertainError returns the fault for a turn that no store has returned and
+// that is not proven missing.
+func (s *chainSearch) uncertainError() error {
+	return types.NewFault(types.CodeUnavailable, "of %d stores, %d lack the turn, and the shard maps differ: %t", len(s.members), len(s.lacking), s.mapsDiffer()).
+		WithRetryAfter(time.Second)
+}
+
+// mapsDiffer reports whether a store that lacks the turn has another map than
+// shardMap, so that a later search may prove more.
+func (s *chainSearch) mapsDiffer() bool {
+	for _, epochs := range s.lacking {
+		for shard, epoch := range epochs {
+			if epoch != s.shardMap.Placement(Shard(shard)).Epoch {
+				return true
+			}
+		}
+	}
+	return false
 }
--- a/turns/client.go
+++ b/turns/client.go
@@ -156,7 +156,7 @@
 		m := c.Map()
 		p := m.Placement(shard)
 		replies := callPlacement[Req, Resp](ctx, c, m, p, kind, newRequest)
-		if len(p.Current) > 0 && p.HasWriteQuorum(func(id StoreID) bool { _, ok := replies[id]; return ok }) {
+		if len(p.Current) > 0 && p.HasQuorum(func(id StoreID) bool { _, ok := replies[id]; return ok }) {
 			return replies, nil
 		}
 		if !types.Sleep(ctx, retryInterval) {
@@ -199,7 +199,7 @@
 				continue
 			}
 			replies[result.store] = result.reply
-			if p.HasWriteQuorum(func(id StoreID) bool { _, ok := replies[id]; return ok }) {
+			if p.HasQuorum(func(id StoreID) bool { _, ok := replies[id]; return ok }) {
 				return replies
 			}
 		case <-hedge.C:
--- a/turns/copy.go
+++ b/turns/copy.go
@@ -97,7 +97,7 @@
 		}
 		copiedFrom[result.store] = true
 		turnCount += result.reply
-		if p.HasReadQuorum(func(id StoreID) bool { return copiedFrom[id] }) {
+		if p.HasCopyQuorum(func(id StoreID) bool { return copiedFrom[id] }) {
 			s.markCopied(shard, p.Epoch, len(copiedFrom), turnCount)
 			return nil
 		}
--- a/turns/map.go
+++ b/turns/map.go
@@ -48,16 +48,20 @@
 	return all
 }
 
-// HasWriteQuorum reports whether the stores for which replied returns true
-// include a majority of each list.
-func (p Placement) HasWriteQuorum(replied func(StoreID) bool) bool {
+// HasQuorum reports whether the stores for which replied returns true include a
+// majority of each list. A write needs it, and so does the proof that there was
+// no write: if stores that all have this placement's epoch lack a record, no
+// acknowledged write contains it. During a move that proof needs a majority of
+// Next too, because the move may have ended on other stores, whose later writes
+// are only on Next.
+func (p Placement) HasQuorum(replied func(StoreID) bool) bool {
 	return majority(p.Current, replied) && (len(p.Next) == 0 || majority(p.Next, replied))
 }
 
-// HasReadQuorum reports whether the stores for which replied returns true
-// include a majority of the current stores. Every acknowledged write is then
-// on at least one of them.
-func (p Placement) HasReadQuorum(replied func(StoreID) bool) bool {
+// HasCopyQuorum reports whether the stores for which replied returns true
+// include a majority of the current stores. Every write that was acknowledged
+// before the move began is then on at least one of them.
+func (p Placement) HasCopyQuorum(replied func(StoreID) bool) bool {
 	return majority(p.Current, replied)
 }
 
--- a/turns/messages.go
+++ b/turns/messages.go
@@ -59,6 +59,9 @@
 // It is empty if the store lacks the requested turn.
 type ChainReply struct {
 	Turns []Turn `json:"turns,omitempty"`
+	// Epochs are the epochs of all shards in the store's map. They are empty if
+	// the reply contains turns or the store has no map.
+	Epochs []Epoch `json:"epochs,omitempty"`
 }
 
 // CopyRequest requests a store's data of a shard, starting at a position.
--- a/turns/serve.go
+++ b/turns/serve.go
@@ -67,12 +67,13 @@
 const maxChainBytes = 1 << 20
 
 // handleChain returns a turn and the turns before it, newest first, as far as
-// this store has them.
+// this store has them. If it lacks the turn, it returns its epochs.
 func (s *Store) handleChain(_ context.Context, req ChainRequest) (ChainReply, error) {
 	var reply ChainReply
 	if req.To != s.id {
 		return reply, errWrongStore
 	}
+	epochs := s.epochs() // Before the turn is looked up: afterwards, the epoch may be that of a copy that has added it.
 	size := 0
 	for id := req.Turn; id != "" && size < maxChainBytes; {
 		t, ok, err := s.readTurn(turnKey{req.Account, id})
@@ -86,9 +87,27 @@
 		size += len(t.Input) + len(t.Output)
 		id = t.Previous
 	}
+	if len(reply.Turns) == 0 {
+		reply.Epochs = epochs
+	}
 	return reply, nil
 }
 
+// epochs returns the epochs of all shards in the store's map, or nil if it has
+// none.
+func (s *Store) epochs() []Epoch {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.shardMap == nil {
+		return nil
+	}
+	epochs := make([]Epoch, 0, len(s.shardMap.Shards))
+	for _, p := range s.shardMap.Shards {
+		epochs = append(epochs, p.Epoch)
+	}
+	return epochs
+}
+
 // readTurn reads a turn from the journal. ok is false if the store lacks it.
 func (s *Store) readTurn(key turnKey) (t Turn, ok bool, err error) {
 	s.mu.RLock()
