turns: a write that its shard has left behind is not acknowledged

Cause: a store checked the epoch of a close, waited for the disk, and acknowledged. While it waited, the shard went to the next epoch, and the store answered a copy from its index, which has a turn only after the sync. The move ended without the turn, and the writer counted the acknowledgements of the old epoch, one of them from the store that was retired.

Evidence: TestWriteThatWaitsForDiskIsNotLostByMove holds the disks of two stores while the shards move.

Change: the epoch is checked again once the write is durable; if it has changed, the writer is told so and repeats the write, which does not write a turn again that is there. An acknowledgement then says that the turn was in the index before the store answered any copy, and a copy needs a majority of the stores, so that one of them sends it.

--- a/turns/cluster_test.go
+++ b/turns/cluster_test.go
@@ -34,6 +34,8 @@
 	dir    string
 	server *httptest.Server
 	stop   func() // nil while the store is stopped
+	// diskResumed delays all writes to the disk until it is closed, unless it is nil.
+	diskResumed chan struct{}
 }
 
 // newCluster starts the given number of stores and assigns all shards to all of
@@ -98,7 +100,16 @@
 	s.server.Start()
 	g, runCtx := errgroup.WithContext(ctx)
 	store := s.Store
-	g.Go(func() error { return store.Run(runCtx) })
+	diskResumed := s.diskResumed
+	g.Go(func() error {
+		if diskResumed != nil {
+			select {
+			case <-diskResumed:
+			case <-runCtx.Done():
+			}
+		}
+		return store.Run(runCtx)
+	})
 	g.Go(func() error { return store.CopyShards(runCtx, c.peers) })
 	s.stop = func() {
 		cancel()
@@ -132,6 +143,18 @@
 	c.setMap(&m)
 }
 
+// pauseDisk restarts a store whose writes wait for the disk until resumeDisk.
+func (c *cluster) pauseDisk(i int) {
+	c.stores[i].shutDown()
+	c.stores[i].diskResumed = make(chan struct{})
+	c.restartStore(i)
+}
+
+func (s *testStore) resumeDisk() {
+	close(s.diskResumed)
+	s.diskResumed = nil
+}
+
 // setMap installs a shard map in all running stores and for all clients.
 func (c *cluster) setMap(m *turns.Map) {
 	c.shardMap.Store(m)
@@ -145,6 +168,11 @@
 // updatePlacements applies change to the placement of every shard and increments
 // its epoch.
 func (c *cluster) updatePlacements(change func(p *turns.Placement)) {
+	c.setMap(c.changedMap(change))
+}
+
+// changedMap returns the map that updatePlacements installs.
+func (c *cluster) changedMap(change func(p *turns.Placement)) *turns.Map {
 	m := *c.shardMap.Load()
 	shards := make([]turns.Placement, len(m.Shards))
 	copy(shards, m.Shards)
@@ -157,7 +185,7 @@
 		shards[i].Epoch++
 	}
 	m.Shards = shards
-	c.setMap(&m)
+	return &m
 }
 
 // client returns a new client with an empty cache.
@@ -181,14 +209,18 @@
 // writeTurn writes one turn of a program and requires success.
 func writeTurn(t *testing.T, c *turns.Client, account types.AccountID, program types.ProgramID, id, previous turns.TurnID) {
 	t.Helper()
+	if err := settleTurn(withTimeout(t, stepTimeout), c, account, program, id, previous); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// settleTurn writes one turn of a program.
+func settleTurn(ctx context.Context, c *turns.Client, account types.AccountID, program types.ProgramID, id, previous turns.TurnID) error {
 	b := turns.Budget{Account: account, Program: program, Attempt: types.AttemptID(id), Limit: 1000, MaxTokens: 10}
-	turn := &turns.Turn{
+	return c.Settle(ctx, b, 5, &turns.Turn{
 		Account: account, ID: id, Previous: previous, Shard: turns.ShardOf(account, program),
 		Input: []byte("in " + id), Output: []byte("out " + id),
-	}
-	if err := c.Settle(withTimeout(t, stepTimeout), b, 5, turn); err != nil {
-		t.Fatal(err)
-	}
+	})
 }
 
 func turnIDs(chain []turns.Turn) []turns.TurnID {
--- a/turns/copy.go
+++ b/turns/copy.go
@@ -69,9 +69,10 @@
 }
 
 // copyShard copies a shard from the first majority of its current stores to
-// finish. Before its first reply, each of them has the map of the move and
-// rejects writers with an older one, so every acknowledged write is on at least
-// one of them or is also sent to this store.
+// finish. Before its first reply, each of them has the map of the move, and from
+// then on acknowledges no write of an older epoch, not even one that it accepted
+// before. So every acknowledged write is in the index of at least one of them
+// before it replies, or is also sent to this store.
 func (s *Store) copyShard(ctx context.Context, peers *wire.Pool, m *Map, shard Shard) error {
 	p := m.Placement(shard)
 	ctx, cancel := context.WithCancel(ctx)
@@ -139,7 +140,7 @@
 	var records []record
 	s.mu.Lock()
 	for _, t := range part.Turns {
-		if _, ok := s.index.turns[turnKey{t.Account, t.ID}]; !ok {
+		if !s.index.hasTurn(t) {
 			records = append(records, record{Turn: &t})
 		}
 	}
--- a/turns/index.go
+++ b/turns/index.go
@@ -70,6 +70,12 @@
 	}
 }
 
+// hasTurn reports whether the turn is indexed, and so durable.
+func (x *index) hasTurn(t Turn) bool {
+	_, ok := x.turns[turnKey{t.Account, t.ID}]
+	return ok
+}
+
 // addClaims merges claims into those of a program, which it creates if needed,
 // and returns the result.
 func (x *index) addClaims(key programKey, claims []Claim, now types.Mono) *programClaims {
--- /dev/null
+++ b/turns/moving_write_test.go
@@ -0,0 +1,79 @@
+package turns_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/turns"
+	"github.com/banyanspur/banyanspur/types"
+	"github.com/banyanspur/banyanspur/wire"
+)
+
+// claimCount returns how many claims of a program of account "choir" store i has.
+func (c *cluster) claimCount(i int, program types.ProgramID) int {
+	shard := turns.ShardOf("choir", program)
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	defer cancel()
+	link := c.peers.Link(c.member(i).Address)
+	if !link.WaitConnected(ctx) {
+		return 0
+	}
+	reply, err := wire.Call[turns.ClaimRequest, turns.ClaimReply](ctx, link, turns.KindClaim, turns.ClaimRequest{
+		To: c.stores[i].id, Shard: shard, Epoch: c.shardMap.Load().Placement(shard).Epoch, Account: "choir", Program: program,
+	})
+	if err != nil {
+		return 0
+	}
+	return len(reply.Claims)
+}
+
+// TestWriteThatWaitsForDiskIsNotLostByMove guards against turns that are acknowledged although
+// a move has left them behind: their writes wait for the disks of two stores while the shard
+// moves from one of these to an added store, whose copy does not contain them yet. The turns
+// are then on one of the three stores only.
+func TestWriteThatWaitsForDiskIsNotLostByMove(t *testing.T) {
+	c := newCluster(t, 3)
+	c.addStore()
+	const programs = 20
+	c.pauseDisk(0)
+	c.pauseDisk(1)
+	moving := c.movingMap(1, 2, 3)
+	c.stores[2].SetMap(moving) // It rejects the writes, whose sender does not know of the move yet.
+	var writes errgroup.Group
+	w := c.client()
+	for i := range programs {
+		program, id := types.ProgramID(fmt.Sprint("p", i)), turns.TurnID(fmt.Sprint("turn", i))
+		writes.Go(func() error { return settleTurn(withTimeout(t, stepTimeout), w, "choir", program, id, "") })
+	}
+	waitFor(t, func() bool { // All writes wait for the disks.
+		for i := range programs {
+			if program := types.ProgramID(fmt.Sprint("p", i)); c.claimCount(0, program) == 0 || c.claimCount(1, program) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	c.setMap(moving)
+	c.endMove(3)
+	c.stores[0].resumeDisk()
+	c.stores[1].resumeDisk()
+	if err := writes.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	c.stores[0].shutDown()
+	for i := range programs {
+		id := turns.TurnID(fmt.Sprint("turn", i))
+		replicas := 0
+		for n := range c.stores[1:] {
+			if c.hasTurn(n+1, id) {
+				replicas++
+			}
+		}
+		if replicas < 2 {
+			t.Errorf("%s was acknowledged with %d replicas in the stores that its shard moved to, want 2", id, replicas)
+		}
+	}
+}
--- a/turns/serve.go
+++ b/turns/serve.go
@@ -44,22 +44,32 @@
 }
 
 // handleClose settles a claim and writes the turn of the request, if any. It
-// replies once both are durable.
+// replies once both are durable. It fails if the shard has moved on meanwhile:
+// while the turn waits for the disk, the index does not contain it, so the copies
+// of a move that has begun may lack it.
 func (s *Store) handleClose(ctx context.Context, req CloseRequest) (EmptyReply, error) {
+	records := []record{{Program: &Program{Account: req.Account, Program: req.Program, Claims: []Claim{req.Claim}}}}
 	s.mu.Lock()
 	err := s.checkRequest(req.To, req.Shard, req.Epoch)
 	if err == nil {
 		s.index.addClaims(programKey{req.Account, req.Program}, []Claim{req.Claim}, s.Clock())
+		if req.Turn != nil && !s.index.hasTurn(*req.Turn) { // A repeated request finds the turn written.
+			records = append(records, record{Turn: req.Turn})
+		}
 	}
 	s.mu.Unlock()
 	if err != nil {
 		return EmptyReply{}, err
 	}
-	records := []record{{Program: &Program{Account: req.Account, Program: req.Program, Claims: []Claim{req.Claim}}}}
-	if req.Turn != nil {
-		records = append(records, record{Turn: req.Turn})
+	if err := s.persist(ctx, records...); err != nil {
+		return EmptyReply{}, err
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if err := s.checkRequest(req.To, req.Shard, req.Epoch); err != nil {
+		return EmptyReply{}, types.AsFault(err).WithRan(types.MayHaveRun)
 	}
-	return EmptyReply{}, s.persist(ctx, records...)
+	return EmptyReply{}, nil
 }
 
 // maxChainBytes is the size of inputs and outputs at which a reply to a chain
--- a/turns/stale_map_test.go
+++ b/turns/stale_map_test.go
@@ -11,21 +11,26 @@
 	"github.com/banyanspur/banyanspur/types"
 )
 
-// moveAll moves all shards from the stores that they are assigned to now to the given ones.
+// moveAll moves all shards to the given stores, the last of which was added.
 func (c *cluster) moveAll(stores ...int) {
 	c.t.Helper()
-	before := c.shardMap.Load()
+	c.setMap(c.movingMap(stores...))
+	c.endMove(stores[len(stores)-1])
+}
+
+// movingMap returns the map with which all shards begin to move to the given stores.
+func (c *cluster) movingMap(stores ...int) *turns.Map {
 	var next []turns.StoreID
 	for _, i := range stores {
 		next = append(next, c.stores[i].id)
 	}
-	c.updatePlacements(func(p *turns.Placement) { p.Next = next })
-	for _, i := range stores {
-		if before.IsAssigned(c.stores[i].id) {
-			continue
-		}
-		waitFor(c.t, func() bool { return len(c.stores[i].CopiedShards()) == turns.ShardCount })
-	}
+	return c.changedMap(func(p *turns.Placement) { p.Next = next })
+}
+
+// endMove waits until a store has copied all shards, and ends the move.
+func (c *cluster) endMove(added int) {
+	c.t.Helper()
+	waitFor(c.t, func() bool { return len(c.stores[added].CopiedShards()) == turns.ShardCount })
 	c.updatePlacements(func(p *turns.Placement) { p.Current, p.Next = p.Next, nil })
 }
 
@@ -92,14 +97,9 @@
 func TestMoveInProgressProvesNoTurnMissing(t *testing.T) {
 	c := newCluster(t, 3)
 	c.addStore()
-	var next []turns.StoreID
-	for _, i := range []int{0, 2, 3} {
-		next = append(next, c.stores[i].id)
-	}
-	c.updatePlacements(func(p *turns.Placement) { p.Next = next })
-	moving := c.shardMap.Load()
-	waitFor(t, func() bool { return len(c.stores[3].CopiedShards()) == turns.ShardCount })
-	c.updatePlacements(func(p *turns.Placement) { p.Current, p.Next = p.Next, nil })
+	moving := c.movingMap(0, 2, 3)
+	c.setMap(moving)
+	c.endMove(3)
 	for _, i := range []int{1, 2} { // Their newer map is delayed.
 		c.stores[i].SetMap(moving)
 	}
