gate: a stale plan proves no route missing

Callers would see 404 from a host that wakes from a freeze for a route that was added in the meantime; a 404 is final. Cause: the age of the plan was checked for keys only, and routes are looked up before.

A request that no route matches gets 503 with Retry-After while the plan is older than the bound for keys. TestStalePlanProvesNoRouteMissing got 404 before, and passes now.

--- a/gate/call.go
+++ b/gate/call.go
@@ -97,6 +97,9 @@
 	}
 	path, _, _ := strings.Cut(c.requestURI(), "?")
 	c.route = c.view.Plan.Route(c.r.Host, path)
+	if c.route == nil && c.planIsStale() {
+		return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: planRetryAfter, reason: "no route matches, but the plan on this host is too stale to be certain"}
+	}
 	if c.route == nil {
 		return &errorResponse{status: http.StatusNotFound, reason: "no route matches"}
 	}
@@ -104,6 +107,13 @@
 	return nil
 }
 
+// planIsStale reports whether the plan is too old to decide by it what does not exist or
+// is not allowed, as on a host that was frozen or is cut off.
+func (c *call) planIsStale() bool {
+	g := c.gate
+	return g.MaxPlanStaleness > 0 && g.Fleet.Staleness() > g.MaxPlanStaleness
+}
+
 // requestURI returns the path and query exactly as the caller sent them.
 func (c *call) requestURI() string {
 	if strings.HasPrefix(c.r.RequestURI, "/") {
@@ -133,7 +143,7 @@
 	if c.route.Anonymous || len(c.view.Plan.Plan.Accounts) == 0 {
 		return nil
 	}
-	if g := c.gate; g.MaxPlanStaleness > 0 && g.Fleet.Staleness() > g.MaxPlanStaleness {
+	if c.planIsStale() {
 		return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: planRetryAfter, reason: "the plan on this host is too stale to check keys"}
 	}
 	scheme, key, _ := strings.Cut(c.r.Header.Get(c.gate.HeaderNames.Credential), " ")
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -120,6 +120,19 @@
 	}
 }
 
+// TestStalePlanProvesNoRouteMissing guards against a host that wakes from a freeze and
+// answers 404, which is final, for a route that was added in the meantime.
+func TestStalePlanProvesNoRouteMissing(t *testing.T) {
+	b := newTestbed(t)
+	b.fleet.mu.Lock()
+	b.fleet.staleness = 2 * time.Minute
+	b.fleet.mu.Unlock()
+	resp := b.do(context.Background(), testRequest{path: "/nowhere/", key: "choir-key"})
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q, want 503 and a time", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+}
+
 func TestRejectedRequestIsRetriedElsewhere(t *testing.T) {
 	b := newTestbed(t)
 	var rejected, ran atomic.Int32
