gate, fetch: a refusal is believed only with the ID of its request

Cause: only successes had to echo the request ID. A rejection was believed by its header alone, or by status 421, and a 503, 429 or 408 without the target's guarantee was forwarded, which callers take as a guarantee.

Change: a response of any status must echo the ID; otherwise the outcome is unknown, 502, or another target where the request may be repeated, and the connection is closed.

--- a/fetch/conn.go
+++ b/fetch/conn.go
@@ -17,6 +17,7 @@
 type conn struct {
 	net.Conn
 	reader      *bufio.Reader
+	used        bool // a request was sent
 	idleSince   time.Time
 	idleTimeout time.Duration // reused only if it was idle for less
 	// headBytes is how many more bytes may be read while readingHead is set.
--- a/fetch/do.go
+++ b/fetch/do.go
@@ -55,6 +55,9 @@
 	Header http.Header
 	// Body returns io.EOF only if the response is complete.
 	Body io.Reader
+	// Reused is set if the connection has carried other requests before. A target may
+	// then send a response to one of these once more.
+	Reused bool
 
 	pool         *Pool
 	address      string
@@ -86,7 +89,8 @@
 	}
 	c.setBusy(true)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	resp := &Response{pool: p, address: address, conn: c, written: make(chan struct{}), stopCancel: stop}
+	resp := &Response{Reused: c.used, pool: p, address: address, conn: c, written: make(chan struct{}), stopCancel: stop}
+	c.used = true
 	var writer errgroup.Group
 	writer.Go(func() error { return writeRequest(c, r, resp.written) })
 	if err := resp.readHead(r); err != nil {
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -205,19 +205,35 @@
 	c.gate.Log.Write(event.TargetFailed, fields)
 }
 
-// classifyHead reports whether the head of a response says that the target did not
-// run the request, by the header for that or by status 421.
-func (c *call) classifyHead(t fleet.Target, resp *fetch.Response) (outcome sendOutcome, rejected bool) {
-	if resp.Header.Get(c.gate.HeaderNames.NotRun) == "" && resp.Status != http.StatusMisdirectedRequest {
+// classifyHead returns the outcome of a response that is not forwarded, which its head
+// tells: the target did not run the request, or the response cannot be believed.
+func (c *call) classifyHead(t fleet.Target, resp *fetch.Response) (outcome sendOutcome, final bool) {
+	rejected := resp.Header.Get(c.gate.HeaderNames.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest
+	genuine := c.isGenuine(resp)
+	if genuine && !rejected && !guaranteesNotRun(resp.Status) {
 		return outcomeForwarded, false
 	}
-	if resp.Status == http.StatusMisdirectedRequest {
-		c.gate.targets.recordFailure(t.ID) // The address now belongs to another target.
-	} else {
+	if genuine && rejected && resp.Status != http.StatusMisdirectedRequest {
 		c.gate.targets.recordResponse(t.ID, resp.Header.Get(c.gate.HeaderNames.Load))
+	} else {
+		c.gate.targets.recordFailure(t.ID) // With status 421, the address now belongs to another target.
+	}
+	c.logTargetFailed(t, event.Fields{
+		"sent": true, "status": resp.Status, "notRun": rejected, "echoed": c.echoed(resp), "reused": resp.Reused,
+		"signed": resp.Header.Get(c.gate.HeaderNames.Signature) != "",
+	})
+	if genuine && rejected {
+		return outcomeNotRun, true
 	}
-	c.logTargetFailed(t, event.Fields{"sent": true, "status": resp.Status, "notRun": true})
-	return outcomeNotRun, true
+	c.mayHaveRun = true
+	return outcomeMayHaveRun, true
+}
+
+// guaranteesNotRun reports whether callers take the status as a guarantee that no target
+// runs the request. A target's response must not be forwarded with it, since only its
+// header can guarantee that.
+func guaranteesNotRun(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
 }
 
 // hopByHopHeaders lists the header fields that apply to a single connection and
--- a/gate/reply.go
+++ b/gate/reply.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fetch"
 	"github.com/banyanspur/banyanspur/fleet"
 )
@@ -23,9 +22,6 @@
 // stopTimer once the response is buffered, completely or up to
 // responseBufferSize.
 func (c *call) forwardResponse(t fleet.Target, resp *fetch.Response, stopTimer func() bool) sendOutcome {
-	if outcome, invalid := c.checkSignature(t, resp); invalid {
-		return outcome
-	}
 	buffered, err := io.ReadAll(io.LimitReader(resp.Body, responseBufferSize))
 	if err != nil {
 		return c.classifyError(t, err)
@@ -56,22 +52,16 @@
 	return outcomeForwarded
 }
 
-// checkSignature reports a successful response as invalid if it lacks the target's
-// signature header or echoes another request ID. Other statuses need no signature.
-func (c *call) checkSignature(t fleet.Target, resp *fetch.Response) (outcome sendOutcome, invalid bool) {
-	if c.isGenuine(resp) {
-		return outcomeForwarded, false
-	}
-	c.gate.targets.recordFailure(t.ID)
-	c.logTargetFailed(t, event.Fields{"sent": true, "status": resp.Status, "signed": resp.Header.Get(c.gate.HeaderNames.Signature) != ""})
-	return outcomeMayHaveRun, true
+// isGenuine reports whether a response can be the target's own response to the request: it
+// must echo the request ID, since a target may send an earlier response once more, and a
+// success must have the target's signature.
+func (c *call) isGenuine(resp *fetch.Response) bool {
+	return c.echoed(resp) && (resp.Status >= http.StatusMultipleChoices || resp.Header.Get(c.gate.HeaderNames.Signature) != "")
 }
 
-// isGenuine reports whether a response can be the target's own: a success must have its
-// signature and echo the request ID.
-func (c *call) isGenuine(resp *fetch.Response) bool {
-	return resp.Status >= http.StatusMultipleChoices ||
-		resp.Header.Get(c.gate.HeaderNames.Signature) != "" && resp.Header.Get(c.gate.HeaderNames.RequestID) == c.id
+// echoed reports whether a response echoes the request ID, and so belongs to the request.
+func (c *call) echoed(resp *fetch.Response) bool {
+	return resp.Header.Get(c.gate.HeaderNames.RequestID) == c.id
 }
 
 // copyHeader copies the header of a target's response without hop-by-hop fields.
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -36,9 +36,6 @@
 // forwardStream forwards the events of a response as they arrive. The end of the
 // stream is sent only after the turn was stored.
 func (c *call) forwardStream(service *plan.Service, t fleet.Target, resp *fetch.Response) sendOutcome {
-	if outcome, invalid := c.checkSignature(t, resp); invalid {
-		return outcome
-	}
 	var tokensPerEvent types.Tokens
 	if service.Engine != nil {
 		tokensPerEvent = service.Engine.TokensPerEvent
