gate, fetch: an unframed stream without events has been broken off

Callers would get 200 with an empty body, framed as whole, if a target stopped after the head of a stream that has neither a length nor chunks and closed the connection; the turn was stored without output.

Cause: a stream without events was valid whatever its framing, and without a mark of its end the close of a process that ends looks the same. Now it is an error, 502, as a close within an event was before.

Evidence: TestUnframedResponses, one of seven forms failed before.

--- a/fetch/do.go
+++ b/fetch/do.go
@@ -58,6 +58,10 @@
 	// Reused is set if the connection has carried other requests before. A target may
 	// then send a response to one of these once more.
 	Reused bool
+	// Unframed is set if the response has neither a length nor chunks and ends with its
+	// connection. It looks complete also if the target has broken it off and then closed
+	// the connection in order.
+	Unframed bool
 
 	pool         *Pool
 	address      string
@@ -145,6 +149,7 @@
 			continue
 		}
 		resp.raw, resp.Status, resp.Header = raw, raw.StatusCode, raw.Header
+		resp.Unframed = raw.ContentLength < 0 && len(raw.TransferEncoding) == 0
 		resp.Body = &bodyReader{resp: resp, limit: r.MaxBodyBytes}
 		resp.conn.parseKeepAlive(raw.Header)
 		return nil
--- a/gate/refusal_test.go
+++ b/gate/refusal_test.go
@@ -16,7 +16,7 @@
 )
 
 // addRawTarget starts a target that writes to a kept connection what respond returns for
-// each request. It closes the connection after an empty response.
+// each request. It closes the connection after a response without a length.
 func (b *testbed) addRawTarget(service types.ServiceID, respond func(id string) string) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, buffered, err := http.NewResponseController(w).Hijack()
@@ -28,7 +28,7 @@
 		for {
 			_, _ = io.Copy(io.Discard, r.Body) // A request that breaks off is answered as far as it has come.
 			response := respond(r.Header.Get("Id"))
-			if _, err := io.WriteString(conn, response); err != nil || response == "" {
+			if _, err := io.WriteString(conn, response); err != nil || !strings.Contains(response, "Content-Length") {
 				return
 			}
 			if r, err = http.ReadRequest(buffered.Reader); err != nil {
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -25,8 +25,8 @@
 )
 
 var (
-	// errIncompleteEvent is returned for a stream that ends within an event or has
-	// one of more than maxEventBytes.
+	// errIncompleteEvent is returned for a stream that ends within an event, or before
+	// the first one without a mark of its end, or has one of more than maxEventBytes.
 	errIncompleteEvent = errors.New("gate: incomplete or oversized event in stream")
 	// errTooManyEvents is returned for a stream with more tokens than its request
 	// allows.
@@ -99,6 +99,9 @@
 func (s *streamForwarder) run(t fleet.Target, resp *fetch.Response) error {
 	for {
 		raw, err := s.nextEvent()
+		if err == io.EOF && s.eventCount == 0 && resp.Unframed {
+			return errIncompleteEvent // The target may have stopped after the head.
+		}
 		if err == io.EOF {
 			s.sendHead(resp) // A stream without events is valid.
 			return nil
