gate, route, turns: numbers beyond any target or turn are not believed

A target that reports loads near the largest number would look idle and get all requests; callers who name a negative number of tokens, or two near the largest, would get more turns than their program's budget covers. Found while numbers in the target list were looked at: the same cause, sums and durations that overflow, on related paths.

Change: loads are added as floating-point numbers, and the queueing time has a maximum; a negative claim counts nothing, and a sum beyond the largest number is the largest number; parts of prompts above 2^32 tokens are invalid.

--- a/gate/loads.go
+++ b/gate/loads.go
@@ -314,6 +314,10 @@
 	tokens types.Tokens
 }
 
+// maxPartTokens is the largest size of a part of a prompt that is believed, beyond any
+// model's context. It keeps the sum of all parts from overflowing.
+const maxPartTokens = 1 << 32
+
 // parsePromptParts parses a comma-separated list of ID:TOKENS, up to the first
 // invalid item.
 func parsePromptParts(list string) []promptPart {
@@ -321,7 +325,7 @@
 	for _, item := range strings.Split(list, ",") {
 		id, size, ok := strings.Cut(strings.TrimSpace(item), ":")
 		n, err := strconv.ParseInt(size, 10, 64)
-		if !ok || err != nil || n < 0 {
+		if !ok || err != nil || n < 0 || n > maxPartTokens {
 			return parts
 		}
 		parts = append(parts, promptPart{id: id, hash: types.PartHash(xxhash.Sum64String(id)), tokens: types.Tokens(n)})
--- a/route/place.go
+++ b/route/place.go
@@ -147,9 +147,13 @@
 	if o.Slots <= 0 || excess <= 0 {
 		return 0
 	}
-	return time.Duration(excess / float64(o.Slots) * float64(w.ServiceTime) * max(1, o.Pace))
+	return time.Duration(min(float64(maxQueueTime), excess/float64(o.Slots)*float64(w.ServiceTime)*max(1, o.Pace)))
 }
 
+// maxQueueTime is the longest time that [PlacementCosts.QueueTime] returns. A target may
+// report any number of requests.
+const maxQueueTime = time.Hour
+
 // assumedSlots is the number of slots of a target that does not tell it.
 const assumedSlots = 4
 
@@ -234,6 +238,6 @@
 		return own
 	}
 	weight := 1 - o.ReportAge.Seconds()/p.MaxReportAge.Seconds()
-	others := max(0, float64(o.Running+o.Waiting-o.InFlightAtReport))
+	others := max(0, float64(o.Running)+float64(o.Waiting)-float64(o.InFlightAtReport))
 	return own + weight*others
 }
--- a/turns/turn.go
+++ b/turns/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -80,11 +81,16 @@
 }
 
 // TotalCharge returns the number of tokens that all claims together take from
-// the budget.
+// the budget, or the largest number if there are more. Claims have the numbers
+// that callers name.
 func (c Claims) TotalCharge() types.Tokens {
 	var sum types.Tokens
 	for _, claim := range c {
-		sum += claim.charge()
+		charge := max(0, claim.charge())
+		if charge > math.MaxInt64-sum {
+			return math.MaxInt64
+		}
+		sum += charge
 	}
 	return sum
 }
