gate: a limit in another request's response is not recorded

Requests would be refused for a limit that a target no longer names, if it wrote an earlier response once more: limits were read before the response was found to belong to another request. TestLimitOfAnotherResponseIsNotRecorded got 503 before. The response to a turn whose chain cannot be fetched is built only in that case.

--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -156,9 +156,11 @@
 		return c.classifyError(t, err)
 	}
 	defer resp.Close()
-	c.recordNotice(t, resp.Header, sentAt)
+	if c.echoed(resp) {
+		c.recordNotice(t, resp.Header, sentAt)
+	}
 	c.recordAnnouncement(t, resp, sentAt)
-	if outcome, rejected := c.classifyHead(t, resp); rejected {
+	if outcome, unusable := c.classifyHead(t, resp); unusable {
 		return outcome
 	}
 	c.mayHaveRun = true
@@ -205,9 +207,10 @@
 	c.gate.Log.Write(event.TargetFailed, fields)
 }
 
-// classifyHead returns the outcome of a response that is not forwarded, which its head
-// tells: the target did not run the request, or the response cannot be believed.
-func (c *call) classifyHead(t fleet.Target, resp *fetch.Response) (outcome sendOutcome, final bool) {
+// classifyHead reports whether a response must not be forwarded, and returns the outcome in
+// that case: the target says that it did not run the request, or the response cannot be
+// believed, so that it may have run it.
+func (c *call) classifyHead(t fleet.Target, resp *fetch.Response) (outcome sendOutcome, unusable bool) {
 	rejected := resp.Header.Get(c.gate.HeaderNames.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest
 	genuine := c.isGenuine(resp)
 	if genuine && !rejected && !guaranteesNotRun(resp.Status) {
--- a/gate/refusal_test.go
+++ b/gate/refusal_test.go
@@ -122,3 +122,23 @@
 		}
 	}
 }
+
+// TestLimitOfAnotherResponseIsNotRecorded guards against a limit that a target named to
+// another request: as part of an earlier response that it writes once more, it may no longer
+// hold.
+func TestLimitOfAnotherResponseIsNotRecorded(t *testing.T) {
+	b := newTestbed(t)
+	var served atomic.Int32
+	b.addRawTarget("plain", func(id string) string {
+		if served.Add(1) == 1 {
+			return rawResponse("503 Service Unavailable", "Not-Run: 1\r\nLimit: 0\r\n", "")
+		}
+		return rawResponse("200 OK", "Id: "+id+"\r\nProof: p\r\n", "fine")
+	})
+	for _, want := range []int{http.StatusBadGateway, http.StatusOK} {
+		code, body := b.send(testRequest{path: "/charge/", key: "choir-key"})
+		if diff := cmp.Diff(want, code); diff != "" {
+			t.Errorf("status (-want +got):\n%s%s", diff, body)
+		}
+	}
+}
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -70,15 +70,9 @@
 			"request": c.id, "program": c.turn.budget.Program, "limit": c.turn.budget.Limit, "most": c.turn.budget.MaxTokens, "granted": false,
 		})
 	}
-	chainFields := event.Fields{"previous": c.turn.previous, "viewAgeMs": c.gate.Fleet.Staleness().Milliseconds()}
 	switch {
-	case types.IsCode(chainErr, types.CodeNotFound):
-		return &errorResponse{status: http.StatusNotFound, reason: "there is no such turn", logFields: chainFields}
 	case chainErr != nil:
-		return &errorResponse{
-			status: http.StatusServiceUnavailable, retryAfter: busyRetryAfter, logFields: chainFields,
-			reason: "cannot fetch the chain of turns: " + chainErr.Error(),
-		}
+		return c.chainError(chainErr)
 	case types.IsCode(budgetErr, types.CodeBudgetExceeded):
 		return &errorResponse{status: http.StatusPaymentRequired, reason: "the program's budget does not cover this turn"}
 	case budgetErr != nil:
@@ -87,6 +81,18 @@
 	return nil
 }
 
+// chainError returns the error response for an error of fetching the chain.
+func (c *call) chainError(err error) *errorResponse {
+	fields := event.Fields{"previous": c.turn.previous, "viewAgeMs": c.gate.Fleet.Staleness().Milliseconds()}
+	if types.IsCode(err, types.CodeNotFound) {
+		return &errorResponse{status: http.StatusNotFound, reason: "there is no such turn", logFields: fields}
+	}
+	return &errorResponse{
+		status: http.StatusServiceUnavailable, retryAfter: busyRetryAfter, logFields: fields,
+		reason: "cannot fetch the chain of turns: " + err.Error(),
+	}
+}
+
 // parseTurnHeaders sets the previous turn and the budget of the call from the
 // request header. A turn without a program gets a program of its own.
 func (c *call) parseTurnHeaders() {
