soak: stores are replaced while entry hosts are frozen, targets write stray refusals

The soak replaced no store on purpose, froze hosts for too short a time to outdate their shard map, and noticed a 404 only at the end of a run. Now a store is added, another one is retired and a third is killed while an entry host is frozen, which wakes up and is asked for turns that were written meanwhile; a 404 for such a turn fails the run at any time.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // The accounts of the fleet and their limits.
@@ -66,10 +68,14 @@
 
 // send sends one request to a random entry host and records the outcome.
 func (c *callers) send(ctx context.Context, r *rand.Rand, a attempt) attempt {
+	return c.sendTo(ctx, c.fleet.hosts[6+r.IntN(len(c.fleet.hosts)-6)], a)
+}
+
+// sendTo sends one request to an entry host and records the outcome.
+func (c *callers) sendTo(ctx context.Context, entry *testHost, a attempt) attempt {
 	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
 	defer cancel()
 	a.id = c.newID()
-	entry := c.fleet.hosts[6+r.IntN(len(c.fleet.hosts)-6)]
 	a.entry, a.sentAt = entry.name, time.Now()
 	url := fmt.Sprintf("http://%s:%d%s", c.fleet.address(entry), callerPort, a.path)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(a.requestBody))
@@ -101,6 +107,19 @@
 	return a
 }
 
+// runInBackground runs programs concurrently until stop is called.
+func (c *callers) runInBackground(seed uint64) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	for i := range uint64(concurrentPrograms) {
+		g.Go(func() error { c.runPrograms(ctx, seed*100+i); return nil })
+	}
+	return func() {
+		cancel()
+		_ = g.Wait() // The goroutines always return nil.
+	}
+}
+
 // runPrograms runs programs one after another until ctx ends. Each turn is followed
 // by a non-idempotent call.
 func (c *callers) runPrograms(ctx context.Context, seed uint64) {
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -4,11 +4,15 @@
 // The package consists of tests only. Faults are injected from outside the
 // processes: SIGKILL, SIGSTOP, graceful stops, lost data directories, torn writes,
 // and a relay in front of each host that delays traffic, resets connections, drops
-// all traffic or drops one direction. Each run ends with the loss of all processes and
-// of one data directory at the same moment. Targets end too, and name limits, and
-// entry hosts lose their paths to targets: that cut is made within the process, where it
-// opens connections, since single processes have no network of their own. The seed determines everything except the
-// timing of the machine.
+// all traffic or drops one direction. Stores are retired and replaced while an entry
+// host is frozen. Each run ends with the loss of all processes and of one data
+// directory at the same moment.
+//
+// Targets end too, name limits and write refusals of other requests, the list of
+// targets has an odd entry, and entry hosts lose their paths to targets: that cut is
+// made within the process, where it opens connections, since single processes have no
+// network of their own. The seed determines everything except the timing of the
+// machine.
 //
 // To run many seeds, start the tests in the root directory of the module without
 // the default timeout of 10 minutes:
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -74,14 +74,7 @@
 	}
 	t.Cleanup(f.stopAll)
 	for _, h := range f.hosts {
-		r, err := newRelay(fmt.Sprintf("%s:%d", f.address(h), peerPort), fmt.Sprintf("%s.2.%d:%d", f.netPrefix, h.number, peerPort))
-		if err != nil {
-			t.Fatal(err)
-		}
-		h.relay = r
-		if h.log, err = os.Create(filepath.Join(h.dir, "log")); err != nil {
-			t.Fatal(err)
-		}
+		f.startRelay(h)
 	}
 	for _, h := range f.hosts {
 		f.start(h, true)
@@ -90,6 +83,19 @@
 	return f
 }
 
+// startRelay starts the relay in front of a host and creates the host's log.
+func (f *fleet) startRelay(h *testHost) {
+	f.t.Helper()
+	r, err := newRelay(fmt.Sprintf("%s:%d", f.address(h), peerPort), fmt.Sprintf("%s.2.%d:%d", f.netPrefix, h.number, peerPort))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	h.relay = r
+	if h.log, err = os.Create(filepath.Join(h.dir, "log")); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 // writeSettings writes the settings file of a host and returns its path.
 func (f *fleet) writeSettings(h *testHost, founding bool) string {
 	address := f.address(h)
@@ -245,13 +251,18 @@
 // injectFaults injects random faults one after another for duration d. It never
 // takes down two hosts with a disk at once, except when it kills all of them
 // together.
-func (f *fleet) injectFaults(d time.Duration) {
+func (c *callers) injectFaults(d time.Duration) {
+	f := c.fleet
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		length := time.Duration(200+f.rand.IntN(1800)) * time.Millisecond
 		if f.rand.IntN(8) == 0 {
 			f.killDiskHosts(length / 4)
 			continue
 		}
+		if f.rand.IntN(8) == 0 {
+			c.replaceStore(3+f.rand.IntN(3), 0, length)
+			continue
+		}
 		h := f.hosts[f.rand.IntN(len(f.hosts))]
 		selected := faults[f.rand.IntN(len(faults))]
 		f.t.Logf("%s: %s for %v", h.name, selected.name, length)
--- a/soak/guarantees_test.go
+++ b/soak/guarantees_test.go
@@ -25,13 +25,12 @@
 // guarantees of the fleet.
 func runSeed(t *testing.T, seed uint64) {
 	c, tg := startServing(t, seed, 3, 2)
+	tg.faulty.Store(true)
 	f, r := c.fleet, rand.New(rand.NewPCG(seed, 4))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	stop := c.runInBackground(seed)
 	var g errgroup.Group
-	for i := range uint64(concurrentPrograms) {
-		g.Go(func() error { c.runPrograms(ctx, seed*100+i); return nil })
-	}
 	g.Go(func() error { c.exceedRateLimit(ctx, seed); return nil })
 	var acked atomic.Int64
 	acked.Store(1)
@@ -46,10 +45,11 @@
 	})
 	g.Go(func() error { tg.endRandomly(ctx, seed); return nil })
 	g.Go(func() error { tg.drainRandomly(ctx, seed); return nil })
-	f.injectFaults(*duration)
+	c.injectFaults(*duration)
 	f.losePower(f.hosts[r.IntN(6)], time.Second) // While callers and the operator go on.
 	cancel()
 	_ = g.Wait() // All goroutines always return nil.
+	stop()
 	checkConfiguration(t, f, int(acked.Load()))
 	checkRuns(t, c, tg)
 	checkPrompts(t, c, tg)
@@ -113,8 +113,9 @@
 
 // checkRuns compares the responses that callers received with the runs that targets
 // recorded. It checks that no request runs more than once or in spite of a status
-// that rules it out, that complete responses are those of the target, and that
-// targets receive the right account and no caller's key. At least one in 20
+// that rules it out, that complete responses are those of the target, that turns with a
+// complete response are found, and that targets receive the right account and no caller's
+// key. At least one in 20
 // requests must be served.
 func checkRuns(t *testing.T, c *callers, tg *targets) {
 	t.Helper()
@@ -127,6 +128,9 @@
 		if a.guaranteesNotRun() && len(runs) > 0 {
 			t.Errorf("%s %s ran despite its response status %d", a.path, a.id, a.status)
 		}
+		if a.status == http.StatusNotFound && a.previous != "" {
+			t.Errorf("turn %s had a complete response and is not found by %s on %s at %v", a.previous, a.id, a.entry, a.sentAt)
+		}
 		if a.status == http.StatusOK && a.complete {
 			served++
 			want := "done " + a.id
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/banyanspur/banyanspur/types"
@@ -39,6 +40,9 @@
 	// they have done so.
 	draining map[string]bool
 	drains   []drainPeriod
+	// faulty is set if targets write refusals of other requests and the list has an odd
+	// entry.
+	faulty atomic.Bool
 }
 
 // turnOutput returns the output events of a turn. They depend only on the request
@@ -74,6 +78,10 @@
 	t.serve(l, func(w http.ResponseWriter, _ *http.Request) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
+		if t.faulty.Load() {
+			writeFaultyList(w, t.list)
+			return
+		}
 		_ = json.NewEncoder(w).Encode(map[string]any{"instances": t.list, "next": nil})
 	})
 	return t, l.Addr().String(), nil
@@ -205,10 +213,16 @@
 
 // serveCall handles a request to the service "plain".
 func (t *targets) serveCall(w http.ResponseWriter, r *http.Request) {
-	if id, ok := t.recordRun(w, r); ok {
-		time.Sleep(5 * time.Millisecond)
-		_, _ = io.WriteString(w, "done "+id)
+	id, ok := t.recordRun(w, r)
+	if !ok {
+		return
+	}
+	time.Sleep(5 * time.Millisecond)
+	if t.faulty.Load() && writesStrayRefusal(id) {
+		respondAfterRefusal(w, id, "done "+id)
+		return
 	}
+	_, _ = io.WriteString(w, "done "+id)
 }
 
 // serveTurn handles a turn for the service "models" and streams its output.
