--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -18,7 +18,7 @@
 // last release:
 //
 //	go test ./soak -run 'Upgrade|Downgrade' -production COMMIT
-var production = flag.String("production", "2f6b658053d5afe47d9633acf1a7f802cf1dd6c5", "commit of the build that the upgrade tests run beside this one")
+var production = flag.String("production", "ac87e9b17c85b9eb87919f4886b4764f4c552ab6", "commit of the build that the upgrade tests run beside this one")
 
 // upgradeTest is a fleet that starts with one build, with its targets and callers.
 type upgradeTest struct {
