--- a/turns/cluster_test.go
+++ b/turns/cluster_test.go
@@ -188,6 +188,62 @@
 	return &m
 }
 
+// moveAll moves all shards to the given stores, the last of which was added.
+func (c *cluster) moveAll(stores ...int) {
+	c.t.Helper()
+	c.setMap(c.movingMap(stores...))
+	c.endMove(stores[len(stores)-1])
+}
+
+// movingMap returns the map with which all shards begin to move to the given stores.
+func (c *cluster) movingMap(stores ...int) *turns.Map {
+	var next []turns.StoreID
+	for _, i := range stores {
+		next = append(next, c.stores[i].id)
+	}
+	return c.changedMap(func(p *turns.Placement) { p.Next = next })
+}
+
+// endMove waits until a store has copied all shards, and ends the move.
+func (c *cluster) endMove(added int) {
+	c.t.Helper()
+	waitFor(c.t, func() bool { return len(c.stores[added].CopiedShards()) == turns.ShardCount })
+	c.updatePlacements(func(p *turns.Placement) { p.Current, p.Next = p.Next, nil })
+}
+
+// writeTurnTo writes a turn to the given stores only, which must be a majority of those that
+// its shard is assigned to.
+func (c *cluster) writeTurnTo(id turns.TurnID, stores ...int) {
+	c.t.Helper()
+	m := *c.shardMap.Load()
+	m.Shards = append([]turns.Placement(nil), m.Shards...)
+	for i := range m.Shards {
+		m.Shards[i].Current, m.Shards[i].Next = nil, nil
+		for _, n := range stores {
+			m.Shards[i].Current = append(m.Shards[i].Current, c.stores[n].id)
+		}
+	}
+	writeTurn(c.t, &turns.Client{Peers: c.peers, Map: func() *turns.Map { return &m }}, "choir", "p", id, "")
+}
+
+// claimCount returns how many claims of a program of account "choir" store i has.
+func (c *cluster) claimCount(i int, program types.ProgramID) int {
+	shard := turns.ShardOf("choir", program)
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	defer cancel()
+	link := c.peers.Link(c.member(i).Address)
+	if !link.WaitConnected(ctx) {
+		return 0
+	}
+	reply, err := wire.Call[turns.ClaimRequest, turns.ClaimReply](ctx, link, turns.KindClaim, turns.ClaimRequest{
+		To: c.stores[i].id, Shard: shard, Epoch: c.shardMap.Load().Placement(shard).Epoch, Account: "choir", Program: program,
+	})
+	if err != nil {
+		return 0
+	}
+	return len(reply.Claims)
+}
+
 // client returns a new client with an empty cache.
 func (c *cluster) client() *turns.Client {
 	return &turns.Client{Peers: c.peers, Map: c.shardMap.Load}
--- a/turns/moving_write_test.go
+++ b/turns/moving_write_test.go
@@ -1,7 +1,6 @@
 package turns_test
 
 import (
-	"context"
 	"fmt"
 	"testing"
 
@@ -9,27 +8,8 @@
 
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
-	"github.com/banyanspur/banyanspur/wire"
 )
 
-// claimCount returns how many claims of a program of account "choir" store i has.
-func (c *cluster) claimCount(i int, program types.ProgramID) int {
-	shard := turns.ShardOf("choir", program)
-	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
-	defer cancel()
-	link := c.peers.Link(c.member(i).Address)
-	if !link.WaitConnected(ctx) {
-		return 0
-	}
-	reply, err := wire.Call[turns.ClaimRequest, turns.ClaimReply](ctx, link, turns.KindClaim, turns.ClaimRequest{
-		To: c.stores[i].id, Shard: shard, Epoch: c.shardMap.Load().Placement(shard).Epoch, Account: "choir", Program: program,
-	})
-	if err != nil {
-		return 0
-	}
-	return len(reply.Claims)
-}
-
 // TestWriteThatWaitsForDiskIsNotLostByMove guards against turns that are acknowledged although
 // a move has left them behind: their writes wait for the disks of two stores while the shard
 // moves from one of these to an added store, whose copy does not contain them yet. The turns
--- a/turns/stale_map_test.go
+++ b/turns/stale_map_test.go
@@ -11,44 +11,6 @@
 	"github.com/banyanspur/banyanspur/types"
 )
 
-// moveAll moves all shards to the given stores, the last of which was added.
-func (c *cluster) moveAll(stores ...int) {
-	c.t.Helper()
-	c.setMap(c.movingMap(stores...))
-	c.endMove(stores[len(stores)-1])
-}
-
-// movingMap returns the map with which all shards begin to move to the given stores.
-func (c *cluster) movingMap(stores ...int) *turns.Map {
-	var next []turns.StoreID
-	for _, i := range stores {
-		next = append(next, c.stores[i].id)
-	}
-	return c.changedMap(func(p *turns.Placement) { p.Next = next })
-}
-
-// endMove waits until a store has copied all shards, and ends the move.
-func (c *cluster) endMove(added int) {
-	c.t.Helper()
-	waitFor(c.t, func() bool { return len(c.stores[added].CopiedShards()) == turns.ShardCount })
-	c.updatePlacements(func(p *turns.Placement) { p.Current, p.Next = p.Next, nil })
-}
-
-// writeTurnTo writes a turn to the given stores only, which must be a majority of those that
-// its shard is assigned to.
-func (c *cluster) writeTurnTo(id turns.TurnID, stores ...int) {
-	c.t.Helper()
-	m := *c.shardMap.Load()
-	m.Shards = append([]turns.Placement(nil), m.Shards...)
-	for i := range m.Shards {
-		m.Shards[i].Current, m.Shards[i].Next = nil, nil
-		for _, n := range stores {
-			m.Shards[i].Current = append(m.Shards[i].Current, c.stores[n].id)
-		}
-	}
-	writeTurn(c.t, &turns.Client{Peers: c.peers, Map: func() *turns.Map { return &m }}, "choir", "p", id, "")
-}
-
 // TestOutdatedMapProvesNoTurnMissing guards against a turn that is answered notFound by a host
 // whose shard map is outdated, as after a freeze: of the stores of that map, one is down, and
 // the others lack the turn since the shard has moved to a store that the map does not list.
