gate: the tests of refusals share the response of a sound target

Read once more: the same response was written out three times. No case or bound has changed; the tests of refusals and of unframed responses pass.

--- a/gate/refusal_test.go
+++ b/gate/refusal_test.go
@@ -46,11 +46,15 @@
 	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
 }
 
+// rawOK returns a signed response to the request with the given ID.
+func rawOK(id string) string {
+	return rawResponse("200 OK", "Id: "+id+"\r\nProof: p\r\n", "fine")
+}
+
 // TestEarlierRefusalIsNotBelieved guards against a target that writes an earlier refusal once
 // more on a kept connection, just before the response to a request that it has run: callers
 // would be told that the request was not run, or it would run at a second target.
 func TestEarlierRefusalIsNotBelieved(t *testing.T) {
-	ok := func(id string) string { return rawResponse("200 OK", "Id: "+id+"\r\nProof: p\r\n", "fine") }
 	for name, c := range map[string]struct {
 		refusal string
 		code    int // that a caller gets whose request may not be repeated
@@ -68,9 +72,9 @@
 			var ran atomic.Int32
 			b.addRawTarget("plain", func(id string) string {
 				if ran.Add(1) == 1 {
-					return ok(id)
+					return rawOK(id)
 				}
-				return c.refusal + ok(id)
+				return c.refusal + rawOK(id)
 			})
 			charge := testRequest{path: "/charge/", key: "choir-key"}
 			if code, body := b.send(charge); code != http.StatusOK {
@@ -113,7 +117,7 @@
 func TestEarlierRefusalOfIdempotentRequest(t *testing.T) {
 	b := newTestbed(t)
 	b.addRawTarget("plain", func(id string) string {
-		return rawResponse("503 Service Unavailable", "Not-Run: 1\r\n", "") + rawResponse("200 OK", "Id: "+id+"\r\nProof: p\r\n", "fine")
+		return rawResponse("503 Service Unavailable", "Not-Run: 1\r\n", "") + rawOK(id)
 	})
 	b.addTarget("plain", respondOK)
 	for range 4 {
@@ -133,7 +137,7 @@
 		if served.Add(1) == 1 {
 			return rawResponse("503 Service Unavailable", "Not-Run: 1\r\nLimit: 0\r\n", "")
 		}
-		return rawResponse("200 OK", "Id: "+id+"\r\nProof: p\r\n", "fine")
+		return rawOK(id)
 	})
 	for _, want := range []int{http.StatusBadGateway, http.StatusOK} {
 		code, body := b.send(testRequest{path: "/charge/", key: "choir-key"})
