poison: attempts that run at the same time count each

A crash counted only if its attempt was sent after the end of the target counted before, so copies of a crashing request that ran at the same time counted as one crash, and three waves of copies reached targets before the verdict.

On the leader, each attempt counts that an end of a target interrupted; three attempts and two ends make a request poisonous. If a target that did not run the request ended within 0.2 s, attempts that ran at the same time count once, and the loss of a zone counts for nothing, as before. The verdict on such attempts waits for 1.2 s, until copies on other targets could complete and be reported. A single host counts as before, since it does not know which other targets ended.

A completion between a crash and the probe of its target was forgotten and the crash reported (gate); now it is reported with the crash.

Tests: TestLostZonesBlameNoRequest and TestPoisonIsFoundAmongOthers check the verdict of the leader, too; the latter also checks that nothing is watched.

--- a/fleet/suspects.go
+++ b/fleet/suspects.go
@@ -134,7 +134,7 @@
 // within asLeader.
 func (c *Control) suspects(now types.Mono) (Suspects, *Quarantine) {
 	quarantined := c.machine.Quarantined(c.logTime)
-	poisonous, watched := c.crashes.Verdicts(c.zoneSizes, now)
+	poisonous, watched := c.crashes.FleetVerdicts(c.zoneSizes, now)
 	q := Quarantine{Add: without(poisonous, quarantined), Remove: slices.Sorted(maps.Keys(c.completed))}
 	list := newSuspects(quarantined, without(watched, quarantined))
 	if c.changingQuarantine || len(q.Add) == 0 && len(q.Remove) == 0 {
--- a/fleet/suspects_test.go
+++ b/fleet/suspects_test.go
@@ -80,6 +80,25 @@
 	}
 }
 
+// TestCopiesOnSeveralHostsAreQuarantined guards against missing a request whose copies crash
+// three targets at the same time, each seen by another host.
+func TestCopiesOnSeveralHostsAreQuarantined(t *testing.T) {
+	f := newFleet(t, 3)
+	f.runAll()
+	c, _ := f.client("entry-1")
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	defer cancel()
+	for _, host := range []types.HostID{"entry-1", "entry-2", "entry-3"} {
+		exchangeLoads(ctx, t, c, fleet.LoadsRequest{Host: host, Crashes: []fleet.CrashReport{{
+			Fingerprint: "p", Attempt: types.AttemptID(host), Target: types.TargetID("t-" + host), Zone: "zone-a", SentAgo: 120 * time.Millisecond, EndedAgo: 100 * time.Millisecond,
+		}}})
+	}
+	waitFor(t, "the verdict", func() bool {
+		reply := exchangeLoads(ctx, t, c, fleet.LoadsRequest{Host: "entry-4"})
+		return reply.Suspects != nil && cmp.Equal([]types.Fingerprint{"p"}, reply.Suspects.Poisonous)
+	})
+}
+
 // TestQuarantineExpires guards against a quarantine that lasts forever, and one that
 // grows without bound.
 func TestQuarantineExpires(t *testing.T) {
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -43,7 +43,7 @@
 	mu sync.Mutex
 	// interrupted holds, for each target that is being probed, the requests that
 	// were interrupted there since the last probe started.
-	interrupted map[types.TargetID][]poison.Crash
+	interrupted map[types.TargetID][]interruption
 	// draining holds when each target was last listed as draining.
 	draining map[types.TargetID]time.Time
 	// table holds the crashes that this host has observed. It decides alone while
@@ -61,6 +61,12 @@
 	proven   map[types.Fingerprint]bool // poisonous according to table
 }
 
+// interruption is an attempt whose target is being probed.
+type interruption struct {
+	poison.Crash
+	completed bool // A target has completed the request since.
+}
+
 // fingerprint identifies the request across attempts: it is the same for all
 // attempts that have the caller's account, the method, the host, the path and the
 // body in common.
@@ -130,15 +136,15 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.interrupted == nil {
-		d.interrupted = map[types.TargetID][]poison.Crash{}
+		d.interrupted = map[types.TargetID][]interruption{}
 	}
-	d.interrupted[c.Target] = append(d.interrupted[c.Target], c)
+	d.interrupted[c.Target] = append(d.interrupted[c.Target], interruption{Crash: c})
 	return len(d.interrupted[c.Target]) == 1
 }
 
 // takeInterrupted returns the requests that were interrupted at a target since its
 // last probe.
-func (d *crashDetector) takeInterrupted(id types.TargetID) []poison.Crash {
+func (d *crashDetector) takeInterrupted(id types.TargetID) []interruption {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	list := d.interrupted[id]
@@ -199,14 +205,20 @@
 	g.crashes.record(crashes, g.Clock())
 }
 
-// record records the requests that a target was running when it ended.
-func (d *crashDetector) record(crashes []poison.Crash, now types.Mono) {
+// record records the requests that a target was running when it ended. The end is recorded
+// also for those that have completed since, as it tells whether others ended with it.
+func (d *crashDetector) record(crashes []interruption, now types.Mono) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, c := range crashes {
-		d.table.Record(c, now)
+		d.table.Record(c.Crash, now)
+		d.unreported = append(d.unreported, c.Crash)
+	}
+	for _, c := range crashes {
+		if c.completed {
+			d.clear(c.Fingerprint)
+		}
 	}
-	d.unreported = append(d.unreported, crashes...)
 	if n := len(d.unreported) - maxUnreported; n > 0 {
 		d.unreported = d.unreported[n:]
 	}
@@ -218,13 +230,23 @@
 	d := &c.gate.crashes
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.table.Empty() && len(d.watched) == 0 && len(d.listed) == 0 {
+	if d.table.Empty() && len(d.watched) == 0 && len(d.listed) == 0 && len(d.interrupted) == 0 {
 		return
 	}
 	f := c.fingerprint()
-	if !d.table.Suspect(f) && !d.watched[f] && !d.listed[f] {
-		return
+	for _, list := range d.interrupted {
+		for i := range list {
+			list[i].completed = list[i].completed || list[i].Fingerprint == f
+		}
+	}
+	if d.table.Suspect(f) || d.watched[f] || d.listed[f] {
+		d.clear(f)
 	}
+}
+
+// clear ends the suspicion of a request that has completed, and has the leader told. The
+// caller must hold mu.
+func (d *crashDetector) clear(f types.Fingerprint) {
 	d.table.Clear(f)
 	delete(d.listed, f)
 	delete(d.proven, f)
--- a/gate/crash_test.go
+++ b/gate/crash_test.go
@@ -193,6 +193,30 @@
 	}
 }
 
+// TestCompletionBeforeProbeIsReported guards against blaming a request whose other copy
+// completes after the crash and before the target is probed: the crash would be reported
+// and the completion forgotten.
+func TestCompletionBeforeProbeIsReported(t *testing.T) {
+	b := newTestbed(t)
+	b.addCrashingTarget("plain")
+	b.addTarget("models", respondOK)
+	suspect := testRequest{path: "/charge/", key: "choir-key", body: "suspect"}
+	b.send(suspect)
+	v := b.fleet.View()
+	v.Targets = slices.Clone(v.Targets)
+	v.Targets[0].Service, v.Targets[1].Service = "models", "plain"
+	b.fleet.setView(v)
+	if code, body := b.send(suspect); code != http.StatusOK {
+		t.Errorf("status %d: %s", code, body)
+	}
+	time.Sleep(time.Second) // Until the target is probed, and several exchanges.
+	b.fleet.mu.Lock()
+	defer b.fleet.mu.Unlock()
+	if len(b.fleet.crashes) != 1 || len(b.fleet.completed) != 1 {
+		t.Errorf("reported crashes %+v, completed %v", b.fleet.crashes, b.fleet.completed)
+	}
+}
+
 // TestNewLeaderReceivesAllCrashes guards against losing the count of a request's crashes
 // with the leader.
 func TestNewLeaderReceivesAllCrashes(t *testing.T) {
--- a/poison/table.go
+++ b/poison/table.go
@@ -23,6 +23,13 @@
 	// request is poisonous. By then, the hosts have reported the other targets that
 	// ended with it.
 	settleTime = 500 * time.Millisecond
+	// copiesSettleTime is settleTime for copies that ran at the same time. Within it, all
+	// hosts learn that the request is watched and report whether another copy has
+	// completed: a probe and three exchanges of 0.3 s.
+	copiesSettleTime = 1200 * time.Millisecond
+	// minCopyEnds is the minimum number of ends of targets that prove a request poisonous
+	// by its copies. A single target may end with several copies of a sound request.
+	minCopyEnds = 2
 	// clockError bounds the difference between the times of crashes that different
 	// hosts report.
 	clockError = 20 * time.Millisecond
@@ -137,14 +144,34 @@
 	return all
 }
 
-// Verdicts returns the requests that are poisonous, and those that are not but have
-// ended at least WatchThreshold targets. Both lists are sorted.
+// Verdicts returns the requests that are poisonous by the observations of a single host,
+// and those that are not but have ended at least WatchThreshold targets. Only crashes that
+// followed one another count, since other hosts may have seen targets end at the same time
+// without the request. Both lists are sorted.
 func (t *Table) Verdicts(zones ZoneSizes, now types.Mono) (poisonous, watched []types.Fingerprint) {
+	return t.verdicts(now, func(f types.Fingerprint) (int, bool) {
+		n, reachedAt := t.countSequence(f, zones)
+		return n, n >= Threshold && now.Sub(reachedAt) >= settleTime
+	})
+}
+
+// FleetVerdicts is like Verdicts for a table with the reports of all hosts. Each attempt
+// counts, also those that ran at the same time.
+func (t *Table) FleetVerdicts(zones ZoneSizes, now types.Mono) (poisonous, watched []types.Fingerprint) {
+	return t.verdicts(now, func(f types.Fingerprint) (int, bool) {
+		n, reachedAt := t.countSequence(f, zones)
+		attempts, proven, provenAt := t.countAttempts(f, zones)
+		return max(n, attempts), n >= Threshold && now.Sub(reachedAt) >= settleTime || proven && now.Sub(provenAt) >= copiesSettleTime
+	})
+}
+
+// verdicts sorts the suspects by a function that returns the number of crashes that count
+// against a request, and whether it is poisonous.
+func (t *Table) verdicts(now types.Mono, judge func(types.Fingerprint) (int, bool)) (poisonous, watched []types.Fingerprint) {
 	t.expire(now)
 	for f := range t.repeated {
-		n, reachedAt := t.count(f, zones)
-		switch {
-		case n >= Threshold && now.Sub(reachedAt) >= settleTime:
+		switch n, proven := judge(f); {
+		case proven:
 			poisonous = append(poisonous, f)
 		case n >= WatchThreshold:
 			watched = append(watched, f)
@@ -155,9 +182,44 @@
 	return poisonous, watched
 }
 
-// count returns the number of targets that a request has ended one after the other, and
-// when the end of the one that reached Threshold was, if it has.
-func (t *Table) count(f types.Fingerprint, zones ZoneSizes) (n int, reachedAt types.Mono) {
+// countAttempts returns the number of attempts that were interrupted by ends of targets,
+// without those that may have been interrupted by a common cause: an attempt that did not
+// follow the one before it does not count if another target ended without this request at
+// the time of either. proven is set if Threshold attempts and minCopyEnds ends have been
+// reached, and provenAt is when.
+func (t *Table) countAttempts(f types.Fingerprint, zones ZoneSizes) (n int, proven bool, provenAt types.Mono) {
+	var counted []Crash
+	ends := 0
+	for _, c := range t.suspects[f] {
+		if t.inOutage(c, zones) {
+			continue
+		}
+		if n > 0 {
+			last := counted[n-1]
+			if !c.follows(last) && (t.othersEnded(last) || t.othersEnded(c)) {
+				continue
+			}
+		}
+		if !slices.ContainsFunc(counted, c.sameEnd) {
+			ends++
+		}
+		counted = append(counted, c)
+		n++
+		if !proven && n >= Threshold && ends >= minCopyEnds {
+			proven, provenAt = true, c.EndedAt
+		}
+	}
+	return n, proven, provenAt
+}
+
+// sameEnd reports whether two attempts were interrupted by the same end of a target.
+func (c Crash) sameEnd(o Crash) bool {
+	return c.Target == o.Target && distance(c.EndedAt, o.EndedAt) <= outageWindow
+}
+
+// countSequence returns the number of targets that a request has ended one after the other,
+// and when the end of the one that reached Threshold was, if it has.
+func (t *Table) countSequence(f types.Fingerprint, zones ZoneSizes) (n int, reachedAt types.Mono) {
 	var last Crash // the last one counted
 	for _, c := range t.suspects[f] {
 		if t.inOutage(c, zones) || n > 0 && !c.follows(last) {
@@ -183,11 +245,7 @@
 // ended at about the same time, at least minOutage of them without this request.
 func (t *Table) inOutage(c Crash, zones ZoneSizes) bool {
 	ended, unexplained := map[types.TargetID]bool{}, map[types.TargetID]bool{}
-	first, _ := slices.BinarySearchFunc(t.ends, c.EndedAt.Add(-outageWindow), func(e targetEnd, at types.Mono) int { return cmp.Compare(e.at, at) })
-	for _, e := range t.ends[first:] {
-		if e.at.Sub(c.EndedAt) > outageWindow {
-			break
-		}
+	for _, e := range t.endsNear(c.EndedAt) {
 		if e.zone != c.Zone {
 			continue
 		}
@@ -199,6 +257,20 @@
 	return len(unexplained) >= minOutage && 2*len(ended) > zones[c.Zone]
 }
 
+// othersEnded reports whether a target that did not run the request ended at about the same
+// time as the crashed one.
+func (t *Table) othersEnded(c Crash) bool {
+	return slices.ContainsFunc(t.endsNear(c.EndedAt), func(e targetEnd) bool { return !t.ranOn(c.Fingerprint, e) })
+}
+
+// endsNear returns the ends of targets within outageWindow of a point in time.
+func (t *Table) endsNear(at types.Mono) []targetEnd {
+	byTime := func(e targetEnd, at types.Mono) int { return cmp.Compare(e.at, at) }
+	first, _ := slices.BinarySearchFunc(t.ends, at.Add(-outageWindow), byTime)
+	end, _ := slices.BinarySearchFunc(t.ends, at.Add(outageWindow)+1, byTime)
+	return t.ends[first:end]
+}
+
 // ranOn reports whether a request was running on a target when the target ended.
 func (t *Table) ranOn(f types.Fingerprint, e targetEnd) bool {
 	return slices.ContainsFunc(t.suspects[f], func(c Crash) bool {
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -143,8 +143,11 @@
 				table.Record(crash(fmt.Sprint("other ", zone, number), zone, number, at-10, at), types.Mono(at)*ms)
 			}
 		}
-		if poisonous, _ := table.Verdicts(zones, 5000*ms); len(poisonous) > 0 {
-			t.Errorf("seed %d: %v are taken to be poisonous", seed, poisonous)
+		if got := verdicts(&table, 5000); len(got[0]) > 0 {
+			t.Errorf("seed %d: %v are taken to be poisonous", seed, got[0])
+		}
+		if got := fleetVerdicts(&table, 5000); len(got[0]) > 0 {
+			t.Errorf("seed %d: %v are taken to be poisonous by the reports of all hosts", seed, got[0])
 		}
 	}
 }
@@ -171,10 +174,13 @@
 				table.Clear(types.Fingerprint(fmt.Sprint("innocent ", f))) // It completes on another target.
 			}
 		}
-		poisonous, _ := table.Verdicts(zones, 5000*ms)
-		if diff := cmp.Diff(fingerprints{"poison 0", "poison 1"}, poisonous); diff != "" {
+		want := [2]fingerprints{{"poison 0", "poison 1"}, nil}
+		if diff := cmp.Diff(want, verdicts(&table, 5000)); diff != "" {
 			t.Errorf("seed %d (-want +got):\n%s", seed, diff)
 		}
+		if diff := cmp.Diff(want, fleetVerdicts(&table, 5000)); diff != "" {
+			t.Errorf("seed %d, by the reports of all hosts (-want +got):\n%s", seed, diff)
+		}
 	}
 }
 
