fleet: operators evacuate zones and take them back

An operator had no way to stop requests to the targets of a zone: the list of targets is the platform's. POST and DELETE /v1/evacuations/ZONE on any control host commit the command Evacuate to the configuration group.

Entry hosts leave out the targets of these zones whenever they select one, and refuse requests to services that have no other target.

For other packages: View.Zones map[types.ZoneID]ZoneState{Evacuated, Order, Since}; View.Evacuated(zone); View.ReturnedAt(zone) is when a zone was taken back.

--- a/fleet/bootstrap.go
+++ b/fleet/bootstrap.go
@@ -71,7 +71,7 @@
 	if s := c.replica.Status(); len(s.Members.Voters) > 0 {
 		members = s.Members
 	}
-	return HelloReply{ID: id, MayBootstrap: c.mayBootstrap(), Bootstrapped: bootstrapped, Members: members}, err
+	return HelloReply{ID: id, MayBootstrap: c.mayBootstrap(), Bootstrapped: bootstrapped, Members: members, Commands: ownCommandSet}, err
 }
 
 // bootstrap waits until this host's replica is a member of the group, or until
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -23,6 +23,8 @@
 type Client struct {
 	// Host identifies this host.
 	Host types.HostID
+	// Zone is the availability zone of this host.
+	Zone types.ZoneID
 	// Store describes this host's store of turns. It is nil if the host has
 	// none.
 	Store *turns.Member
@@ -55,9 +57,11 @@
 
 // View is a host's copy of the configuration. It must not be modified.
 type View struct {
-	Plan     *plan.Table // nil until the first plan is received
-	Map      *turns.Map  // nil until the first shard map is received
-	Targets  []Target
+	Plan    *plan.Table // nil until the first plan is received
+	Map     *turns.Map  // nil until the first shard map is received
+	Targets []Target
+	// Zones holds the zones that are evacuated, or have been and were taken back.
+	Zones    map[types.ZoneID]ZoneState
 	Versions Versions
 }
 
@@ -93,7 +97,7 @@
 	for ctx.Err() == nil {
 		view := c.View()
 		sentAt := c.Clock()
-		req := SyncRequest{Host: c.Host, Store: c.Store, Versions: view.Versions, Wait: c.syncWait()}
+		req := SyncRequest{Host: c.Host, Store: c.Store, Versions: view.Versions, Wait: c.syncWait(), Zone: c.Zone, KnowsZones: true}
 		callCtx, cancel := context.WithTimeout(ctx, c.syncWait()+callTimeout)
 		c.setCancelSync(cancel)
 		reply, err := callOnce[SyncRequest, SyncReply](callCtx, c, KindSync, req)
@@ -131,9 +135,13 @@
 	c.mu.Lock()
 	c.controlHosts = reply.ControlHosts
 	c.mu.Unlock()
+	if reply.Zones == nil { // Unchanged, or the leader is an earlier build.
+		reply.Versions.Zones = view.Versions.Zones
+	}
 	if reply.Versions == view.Versions {
 		return
 	}
+	before := view
 	// Never apply an older plan, even if a leader sends one.
 	if reply.Plan != nil && reply.Plan.Version > view.Versions.Plan {
 		view.Plan = plan.NewTable(reply.Plan)
@@ -148,7 +156,11 @@
 		view.Targets = reply.Targets.List
 		view.Versions.Targets = reply.Versions.Targets
 	}
+	if reply.Zones != nil {
+		view.Zones, view.Versions.Zones = newZones(reply.Zones, c.Clock()), reply.Versions.Zones
+	}
 	c.view.Store(&view)
+	c.logZones(before, view)
 	if c.OnChange != nil {
 		c.OnChange(view)
 	}
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -58,6 +58,8 @@
 	replica *replica
 	id      quorum.ReplicaID
 	changes broadcast
+	// commandSets are those that the other replicas have declared.
+	commandSets commandSets
 
 	mu          sync.Mutex // guards id and the fields below, which are valid only on the leader
 	leaderSince types.Mono // start of the leadership that the fields below belong to
@@ -69,7 +71,8 @@
 	platformTargets []Target
 	targets         Targets
 	draining        drain.Table
-	zoneSizes       poison.ZoneSizes // of targets
+	zoneSizes       poison.ZoneSizes      // of targets
+	hostZones       map[types.ZoneID]bool // zones that hosts have told this leader
 	loadReports     loadTable
 	cachedParts     cachedPartTable
 	crashes         poison.Table
@@ -130,6 +133,7 @@
 	c.copied = map[turns.StoreID]map[turns.Shard]turns.Epoch{}
 	c.platformTargets, c.targets, c.zoneSizes = nil, Targets{}, nil
 	c.draining = drain.Table{}
+	c.hostZones = map[types.ZoneID]bool{}
 	c.loadReports, c.cachedParts, c.crashes = loadTable{}, cachedPartTable{}, poison.Table{}
 	c.completed, c.changingQuarantine = map[types.Fingerprint]bool{}, false
 	c.issuers = map[types.AccountID]*limit.Issuer{}
@@ -157,6 +161,8 @@
 	wire.Handle(server, KindRead, c.read)
 	wire.Handle(server, KindRetire, c.retire)
 	wire.Handle(server, KindRetireStatus, c.retireStatus)
+	wire.Handle(server, KindEvacuate, c.evacuate)
+	wire.Handle(server, KindEvacuations, c.evacuations)
 }
 
 // Run bootstraps or joins the group and runs the replica until ctx ends or
@@ -169,9 +175,11 @@
 	if err := c.bootstrap(ctx); err != nil || ctx.Err() != nil {
 		return err
 	}
+	c.commandSets.load(c.Dir)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return c.replica.Run(ctx) })
 	g.Go(func() error { return c.maintainMembers(ctx) })
+	g.Go(func() error { return c.maintainCommandSets(ctx) })
 	g.Go(func() error { return c.maintainShards(ctx) })
 	g.Go(func() error { return c.refreshTargets(ctx) })
 	return g.Wait()
--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"path/filepath"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/fleet"
@@ -85,12 +87,15 @@
 	controls       []*process
 	stores         []*process
 	allowBootstrap atomic.Bool // value of fleet.Control.AllowBootstrap for control hosts started from now on
+	// targets is the platform's list. While it is nil, the list cannot be fetched.
+	targets atomic.Pointer[[]fleet.Target]
 }
 
 func newFleet(t testing.TB, controls int) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t}
 	f.allowBootstrap.Store(true)
+	f.targets.Store(&[]fleet.Target{{ID: "t1", Service: "models", Address: "127.0.0.1:1"}})
 	for range controls {
 		f.addControl()
 	}
@@ -107,7 +112,10 @@
 		c := &fleet.Control{
 			Address: p.address, Seeds: f.seeds, AllowBootstrap: f.allowBootstrap.Load(), Dir: p.dir, Losses: 1, Peers: peers, Clock: types.NewClock(),
 			ListTargets: func(context.Context) ([]fleet.Target, error) {
-				return []fleet.Target{{ID: "t1", Service: "models", Address: "127.0.0.1:1"}}, nil
+				if list := f.targets.Load(); list != nil {
+					return slices.Clone(*list), nil
+				}
+				return nil, errors.New("no list")
 			},
 		}
 		c.Register(server)
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -50,6 +50,7 @@
 	if req.Store != nil {
 		c.lastSeen[req.Store.ID] = now
 	}
+	c.recordZone(req.Zone)
 	m, revision := c.machine.Map()
 	reply := SyncReply{Versions: Versions{Plan: c.machine.PlanVersion(), Map: revision, Targets: c.targets.Checksum}}
 	if d := c.machine.Document(); d != nil && d.Plan.Version != req.Versions.Plan {
@@ -66,6 +67,7 @@
 		targets := c.targets
 		reply.Targets = &targets
 	}
+	c.addZones(&reply, req)
 	for _, member := range c.members.All() {
 		reply.ControlHosts = append(reply.ControlHosts, string(member.Host))
 	}
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -185,6 +185,7 @@
 	targetsChanged := false
 	err := c.asLeader(func(now types.Mono) {
 		reply.Loads = c.loadReports.exchange(req, now)
+		c.recordZone(req.Zone)
 		if relays := c.loadReports.relays.chosenFor(req.Host, req.Zone); relays.Checksum != req.RelaysChecksum {
 			reply.Relays = &relays
 		}
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -30,6 +30,8 @@
 	Retire         *Retire         `json:"retire,omitempty"`
 	RegisterHolder *RegisterHolder `json:"holder,omitempty"`
 	Quarantine     *Quarantine     `json:"quarantine,omitempty"`
+	// Evacuate belongs to [CommandSetZones].
+	Evacuate *Evacuate `json:"evacuate,omitempty"`
 }
 
 // PutPlan replaces the plan if the new plan has a higher version.
@@ -94,6 +96,9 @@
 	Trail    []audit.Record         `json:"trail,omitempty"`
 	// Quarantined holds when each request in quarantine was added.
 	Quarantined map[types.Fingerprint]types.LogTime `json:"quarantined,omitempty"`
+	// Zones holds the zones that are or have been evacuated.
+	Zones        map[types.ZoneID]zoneRecord `json:"zones,omitempty"`
+	ZoneRevision ZoneRevision                `json:"zoneRevision,omitempty"`
 }
 
 // maxTrailRecords limits the audit records kept in the replicated state. Older
@@ -128,6 +133,8 @@
 		m.registerHolder(c.RegisterHolder.Host)
 	case c.Quarantine != nil:
 		m.changeQuarantine(at, *c.Quarantine)
+	case c.Evacuate != nil:
+		changed = m.evacuateZone(at, *c.Evacuate)
 	}
 	if changed && m.OnChange != nil {
 		m.OnChange()
@@ -140,17 +147,22 @@
 	if next <= m.PlanVersion() {
 		return false
 	}
+	p.Order.From, p.Order.To, p.Order.Outcome = m.PlanVersion(), next, "accepted"
+	m.appendRecord(p.Order)
+	m.state.Document = &p.Document
+	return true
+}
+
+// appendRecord appends a record to the audit trail.
+func (m *Machine) appendRecord(r audit.Record) {
 	var last audit.Record
 	if n := len(m.state.Trail); n > 0 {
 		last = m.state.Trail[n-1]
 	}
-	p.Order.From, p.Order.To, p.Order.Outcome = m.PlanVersion(), next, "accepted"
-	m.state.Trail = append(m.state.Trail, audit.Append(last, p.Order))
+	m.state.Trail = append(m.state.Trail, audit.Append(last, r))
 	if n := len(m.state.Trail) - maxTrailRecords; n > 0 {
 		m.state.Trail = slices.Clone(m.state.Trail[n:])
 	}
-	m.state.Document = &p.Document
-	return true
 }
 
 // updateMap applies change to a copy of the shard map, since readers may still
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -60,6 +60,8 @@
 	// Bootstrapped is set if the replica belongs to a group.
 	Bootstrapped bool           `json:"formed"`
 	Members      quorum.Members `json:"members"`
+	// Commands is the set of commands that the host can apply.
+	Commands CommandSet `json:"commands,omitempty"`
 }
 
 // JoinRequest asks the leader to add a replica as a learner.
@@ -76,6 +78,7 @@
 	Plan    types.Version `json:"version"`  // of the plan
 	Map     Revision      `json:"revision"` // of the shard map
 	Targets uint64        `json:"targets"`  // checksum of the list
+	Zones   ZoneRevision  `json:"zones,omitempty"`
 }
 
 // SyncRequest is a long poll for changes since Versions. The leader replies as
@@ -87,14 +90,21 @@
 	Store    *turns.Member `json:"store,omitempty"`
 	Versions Versions      `json:"have"`
 	Wait     time.Duration `json:"wait"`
+	// Zone is the host's availability zone.
+	Zone types.ZoneID `json:"zone,omitempty"`
+	// KnowsZones is set by builds that can apply SyncReply.Zones. Others do not return
+	// Versions.Zones.
+	KnowsZones bool `json:"knowsZones,omitempty"`
 }
 
-// SyncReply contains the changes since the versions of the request. Plan, Map
-// and Targets are nil if unchanged.
+// SyncReply contains the changes since the versions of the request. Plan, Map,
+// Targets and Zones are nil if unchanged.
 type SyncReply struct {
 	Plan    *plan.Plan `json:"plan,omitempty"`
 	Map     *turns.Map `json:"map,omitempty"`
 	Targets *Targets   `json:"targets,omitempty"`
+	// Zones is also nil from a leader that knows no evacuations.
+	Zones *ZoneReports `json:"zones,omitempty"`
 	// Versions are the host's versions after it has applied the reply.
 	Versions Versions `json:"have"`
 	// ControlHosts lists the addresses of the control hosts.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -210,6 +210,7 @@
 	(*call).authenticate,
 	(*call).readBody,
 	(*call).refusePoisonous,
+	(*call).refuseEvacuated,
 	(*call).admit,
 	(*call).dispatch,
 }
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -21,7 +21,7 @@
 // candidates returns the targets of a service to which the call may be sent next.
 func (c *call) candidates(service *plan.Service, tried map[types.TargetID]bool) []fleet.Target {
 	var targets []fleet.Target
-	for _, t := range c.gate.Fleet.View().Targets {
+	for t := range outsideEvacuatedZones(c.gate.Fleet.View()) {
 		if t.Service == service.Name && !tried[t.ID] {
 			targets = append(targets, t)
 		}
