--- a/fleet/view_zones.go
+++ b/fleet/view_zones.go
@@ -79,6 +79,15 @@
 	if err == nil && reply.Refusal != "" {
 		err = types.NewFault(types.CodeUnavailable, "%s", reply.Refusal).WithRetryAfter(refusedOrderRetryDelay)
 	}
+	return asEarlierLeader(err)
+}
+
+// asEarlierLeader returns err as [types.CodeUnavailable] if the leader is a build that does
+// not know the message.
+func asEarlierLeader(err error) error {
+	if types.IsCode(err, types.CodeBadRequest) {
+		return types.NewFault(types.CodeUnavailable, "the leader is an earlier build: %s", types.AsFault(err).Message).WithRetryAfter(refusedOrderRetryDelay)
+	}
 	return err
 }
 
@@ -89,5 +98,5 @@
 // Evacuations returns the zones that are or have been evacuated, sorted.
 func (c *Client) Evacuations(ctx context.Context) ([]Evacuation, error) {
 	reply, err := callWithRetry[EvacuationsRequest, EvacuationsReply](ctx, c, KindEvacuations, EvacuationsRequest{})
-	return reply.Evacuations, err
+	return reply.Evacuations, asEarlierLeader(err)
 }
--- a/fleet/zones_test.go
+++ b/fleet/zones_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/audit"
 	"github.com/banyanspur/banyanspur/fleet"
+	"github.com/banyanspur/banyanspur/quorum"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
 )
@@ -210,3 +213,73 @@
 		t.Errorf("reply to this build: %+v", reply)
 	}
 }
+
+// TestOrderWaitsForEarlierBuilds guards against a command that a voter of an earlier build
+// passes over, so that its state differs from that of the others. The order is refused at
+// once while a voter, also one that is down, has not declared that it can apply it, or while it leads. It is
+// taken with a voter that has, also if that is down when all the others have restarted.
+func TestOrderWaitsForEarlierBuilds(t *testing.T) {
+	f := newFleet(t, 3)
+	f.targets.Store(&zonedTargets)
+	earlier := f.controls[2]
+	start := earlier.start
+	earlier.start = func(ctx context.Context, g *errgroup.Group, peers *wire.Pool, server *wire.Server) {
+		start(ctx, g, peers, server)
+		wire.Handle(server, fleet.KindHello, func(context.Context, fleet.HelloRequest) (fleet.HelloReply, error) {
+			return earlierHello(earlier)
+		})
+		wire.Handle(server, fleet.KindEvacuate, func(context.Context, fleet.Evacuate) (fleet.EvacuateReply, error) {
+			return fleet.EvacuateReply{}, types.NewFault(types.CodeBadRequest, "no handler")
+		})
+	}
+	f.runAll()
+	c, peers := f.client("entry-1")
+	putPlan(t, c, 1, "choir")
+	waitFor(t, "the list of targets", func() bool { return len(c.View().Targets) == 4 })
+	refused := func(state string) {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+		defer cancel()
+		begin := time.Now()
+		err := c.Evacuate(ctx, *zoneOrder("a", false, "order").Evacuate)
+		if took := time.Since(begin); !types.IsCode(err, types.CodeUnavailable) || took > 4*time.Second {
+			t.Errorf("order while an earlier build %s: %v after %v", state, err, took)
+		}
+	}
+	for range 2 {
+		refused("runs")
+	}
+	earlier.stop()
+	refused("is down")
+	earlier.start = start
+	earlier.run()
+	f.allowBootstrap.Store(false)
+	f.waitForVoters(peers, 3, f.controls...)
+	if err := order(t, c, "a", false); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(1500 * time.Millisecond) // All control hosts ask the others.
+	for _, p := range f.controls {
+		p.stop()
+	}
+	f.controls[0].run()
+	f.controls[2].run()
+	f.waitForZones(c, map[types.ZoneID]bool{"a": true})
+	if err := order(t, c, "a", true); err != nil {
+		t.Errorf("order while a voter is down that has declared: %v", err)
+	}
+}
+
+// earlierHello returns what a build that declares no commands replies.
+func earlierHello(p *process) (fleet.HelloReply, error) {
+	dir := filepath.Join(p.dir, "config")
+	if _, err := os.Stat(filepath.Join(dir, "identity")); err != nil {
+		return fleet.HelloReply{}, types.NewFault(types.CodeUnavailable, "not started")
+	}
+	id, err := quorum.LoadOrCreateID(dir, types.HostID(p.address))
+	if err != nil {
+		return fleet.HelloReply{}, err
+	}
+	bootstrapped, members, err := quorum.ReadMembers(dir)
+	return fleet.HelloReply{ID: id, MayBootstrap: true, Bootstrapped: bootstrapped, Members: members}, err
+}
