limit, ramp, fleet, gate: cold targets get a bounded number of requests

A target that has just started takes fewer requests than a warm one, and is idle, so that all hosts prefer it. The plan's cold_s and cold_per_s were passed over, and cold_left_ms of the list was decoded and not used.

Hosts and the leader keep which targets are cold (ramp.Cold): by the list, by a first appearance, another address, or a connection that works again. The issuer of limits that targets name divides the limit of a cold target, too; rate and burst leave room for what is on its way. coldOver and coldSlack are settings, rendered from bounds.cold_over and bounds.cold_slack.

Changes to existing tests: the list of the fleet tests has a cold time that a test can set, the fake leader of the gate tests knows cold targets, the example plan of the platform tests has cold_s and cold_per_s, and settings have two more findings.

--- a/config/node.go
+++ b/config/node.go
@@ -58,6 +58,12 @@
 	// TargetListAddress is the address of the platform's list of targets. It is
 	// empty if the platform has none.
 	TargetListAddress string `toml:"targetList"`
+	// ColdOver and ColdSlack bound the requests that a cold target gets in any second:
+	// ColdOver times the rate of its service plus ColdSlack. The defaults are 1 and 0.
+	ColdOver  float64 `toml:"coldOver"`
+	ColdSlack float64 `toml:"coldSlack"`
+	// TargetPace limits the requests to targets that recover from failures.
+	TargetPace bool `toml:"targetPace"`
 	// SecretFile is the file with the secret that all hosts share. Without it,
 	// anyone who can reach the peer ports is trusted.
 	SecretFile string `toml:"secretFile"`
@@ -93,6 +99,17 @@
 	if n.Losses < 0 {
 		found.add("losses", "%d is negative", n.Losses)
 	}
+	checkBound(found, "coldOver", n.ColdOver)
+	checkBound(found, "coldSlack", n.ColdSlack)
+}
+
+// maxColdBound is the maximum of the settings that bound the requests to cold targets.
+const maxColdBound = 1e6
+
+func checkBound(found *Findings, path string, value float64) {
+	if !(value >= 0 && value <= maxColdBound) { // Also if it is not a number.
+		found.add(path, "%v is not a number from 0 to %v", value, maxColdBound)
+	}
 }
 
 // PeerAddress returns the address at which other hosts reach this one.
--- a/config/node_test.go
+++ b/config/node_test.go
@@ -47,6 +47,8 @@
 		"seeds":     {`["10.1.0.35:8367", "10.2.0.41:8367"]`, `[]`},
 		"seeds.1":   {`"10.2.0.41:8367"`, `"10.2.0.41"`},
 		"losses":    {`losses = 1`, `losses = -1`},
+		"coldOver":  {`losses = 1`, "losses = 1\ncoldOver = -0.5"},
+		"coldSlack": {`losses = 1`, "losses = 1\ncoldSlack = nan"},
 		"nonsense":  {`losses`, "nonsense = 1\nlosses"},
 	} {
 		_, err := config.ParseNodeSettings("node.toml", []byte(strings.Replace(nodeSettings, change[0], change[1], 1)))
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -14,6 +14,7 @@
 	"github.com/banyanspur/banyanspur/plan"
 	"github.com/banyanspur/banyanspur/poison"
 	"github.com/banyanspur/banyanspur/quorum"
+	"github.com/banyanspur/banyanspur/ramp"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
@@ -50,6 +51,8 @@
 	// ListTargets fetches the platform's list of targets. If it is nil, hosts
 	// receive no list.
 	ListTargets func(ctx context.Context) ([]Target, error)
+	// ColdBound bounds the requests that a cold target gets.
+	ColdBound limit.ColdBound
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
@@ -84,7 +87,10 @@
 	// of other leaders, and targetIssuers divide these limits among hosts.
 	notices       limit.Notices
 	noticesID     string
-	targetIssuers map[types.TargetID]*limit.Issuer
+	targetIssuers map[types.TargetID]*targetIssuer
+	// cold tells which targets are cold, and services holds the service of each target.
+	cold     ramp.Cold
+	services map[types.TargetID]types.ServiceID
 	// planTable indexes the plan in force, or an older one until the next use.
 	planTable *plan.Table
 	// reportedHosts contains the hosts that have reported their allotments to
@@ -134,7 +140,8 @@
 	c.completed, c.changingQuarantine = map[types.Fingerprint]bool{}, false
 	c.issuers = map[types.AccountID]*limit.Issuer{}
 	c.notices, c.noticesID = limit.Notices{}, types.RandomID()
-	c.targetIssuers = map[types.TargetID]*limit.Issuer{}
+	c.targetIssuers = map[types.TargetID]*targetIssuer{}
+	c.cold, c.services = ramp.Cold{}, nil
 	c.planTable = nil
 	c.reportedHosts = map[types.HostID]bool{}
 	c.lastRegistration = leaderSince
--- a/fleet/draining.go
+++ b/fleet/draining.go
@@ -65,5 +65,5 @@
 			list[i].Draining, list[i].Announced = true, true
 		}
 	}
-	c.targets = Targets{Checksum: max(1, xxhash.Sum64(types.Encode(list))), List: list}
+	c.targets = Targets{Checksum: max(1, xxhash.Sum64(append(types.Encode(list), c.coldRevisions()...))), List: list}
 }
--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -84,7 +84,8 @@
 	seeds          []string
 	controls       []*process
 	stores         []*process
-	allowBootstrap atomic.Bool // value of fleet.Control.AllowBootstrap for control hosts started from now on
+	coldUntil      atomic.Int64 // Unix time in nanoseconds until which the listed target stays cold
+	allowBootstrap atomic.Bool  // value of fleet.Control.AllowBootstrap for control hosts started from now on
 }
 
 func newFleet(t testing.TB, controls int) *testFleet {
@@ -107,7 +108,7 @@
 		c := &fleet.Control{
 			Address: p.address, Seeds: f.seeds, AllowBootstrap: f.allowBootstrap.Load(), Dir: p.dir, Losses: 1, Peers: peers, Clock: types.NewClock(),
 			ListTargets: func(context.Context) ([]fleet.Target, error) {
-				return []fleet.Target{{ID: "t1", Service: "models", Address: "127.0.0.1:1"}}, nil
+				return []fleet.Target{{ID: "t1", Service: "models", Address: "127.0.0.1:1", ColdLeft: max(0, time.Until(time.Unix(0, f.coldUntil.Load())))}}, nil
 			},
 		}
 		c.Register(server)
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -63,8 +63,7 @@
 		reply.Versions.Targets = req.Versions.Targets
 	case req.Versions.Targets:
 	default:
-		targets := c.targets
-		reply.Targets = &targets
+		reply.Targets = c.targetsWithCold(now)
 	}
 	for _, member := range c.members.All() {
 		reply.ControlHosts = append(reply.ControlHosts, string(member.Host))
@@ -166,14 +165,11 @@
 // issuer returns the issuer of an account's allotments, adjusted to the plan in
 // force, or nil if the account has no limit. It must be called within asLeader.
 func (c *Control) issuer(id types.AccountID, now types.Mono) *limit.Issuer {
-	d := c.machine.Document()
-	if d == nil {
+	table := c.planInForce()
+	if table == nil {
 		return nil
 	}
-	if c.planTable == nil || c.planTable.Plan.Version != d.Plan.Version {
-		c.planTable = plan.NewTable(&d.Plan)
-	}
-	a := c.planTable.Account(id)
+	a := table.Account(id)
 	if a == nil || a.Rate <= 0 {
 		return nil
 	}
@@ -182,10 +178,23 @@
 		issuer = limit.NewIssuer(c.leaderSince)
 		c.issuers[id] = issuer
 	}
-	issuer.SetLimit(limit.Limit{Rate: a.Rate, Burst: a.Burst, Version: d.Plan.Version}, now)
+	issuer.SetLimit(limit.Limit{Rate: a.Rate, Burst: a.Burst, Version: table.Plan.Version}, now)
 	return issuer
 }
 
+// planInForce returns the plan in force, or nil if there is none. It must be called within
+// asLeader.
+func (c *Control) planInForce() *plan.Table {
+	d := c.machine.Document()
+	if d == nil {
+		return nil
+	}
+	if c.planTable == nil || c.planTable.Plan.Version != d.Plan.Version {
+		c.planTable = plan.NewTable(&d.Plan)
+	}
+	return c.planTable
+}
+
 // put replaces the plan. A plan whose version is not higher than that of the
 // plan in force is acknowledged without effect.
 func (c *Control) put(ctx context.Context, req PutPlan) (Result, error) {
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -53,6 +53,8 @@
 	// Draining holds the targets that have announced to this host that they drain, and
 	// how long ago, unless the leader's list already shows it.
 	Draining map[types.TargetID]time.Duration `json:"draining,omitempty"`
+	// Cold are the targets that this host has found to have started.
+	Cold ColdTargets `json:"cold,omitempty"`
 }
 
 // LoadsReply holds the combined observations of all other hosts.
@@ -75,6 +77,8 @@
 	// Suspects are the requests that have ended targets. It is nil if the host
 	// already has them.
 	Suspects *Suspects `json:"suspects,omitempty"`
+	// Cold are the targets of all services that are cold.
+	Cold ColdTargets `json:"cold,omitempty"`
 }
 
 // loadReportTTL is how long a host's load report is valid.
@@ -192,6 +196,7 @@
 		reply.CachedParts, reply.Cursor = c.cachedParts.since(req.Since)
 		reply.Notices, reply.NoticesCursor = c.exchangeNotices(req, now)
 		targetsChanged = c.recordAnnouncements(req.Draining, now)
+		reply.Cold = c.exchangeCold(req.Cold, now)
 		c.recordSuspects(req, now)
 		var list Suspects
 		list, quarantine = c.suspects(now)
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -38,6 +38,9 @@
 	// Announced is set if the target has announced to a host that it drains, and the
 	// platform's list does not show it yet. Draining is set, too.
 	Announced bool `json:"announced,omitempty"`
+	// ColdLeft is how long the target stays cold, counted from when the list was sent; 0
+	// if it is warm. The checksum of the list does not cover it.
+	ColdLeft time.Duration `json:"cold,omitempty"`
 }
 
 // Targets is a snapshot of the list of targets.
@@ -115,6 +118,8 @@
 	// TargetNotices what the host knows of these.
 	TargetDemands map[types.TargetID]limit.Demand `json:"targetDemands,omitempty"`
 	TargetNotices TargetNotices                   `json:"targetNotices,omitempty"`
+	// TargetsCold tells of the targets in TargetDemands how long they stay cold.
+	TargetsCold ColdTargets `json:"targetsCold,omitempty"`
 	// Return is set if the host is shutting down and returns its allotments.
 	Return bool `json:"return,omitempty"`
 }
--- a/fleet/target_limits.go
+++ b/fleet/target_limits.go
@@ -53,16 +53,46 @@
 	}
 }
 
-// targetLimits renews or returns a host's allotments of the limits that targets name.
+// targetIssuer divides the limit of a target. limitedAt is when the target had a limit last.
+type targetIssuer struct {
+	*limit.Issuer
+	limitedAt types.Mono
+}
+
+// targetLimit returns the limit of a target: the lowest of what the target names and of what
+// it can take while it is cold. limited is false if it has none. It must be called within
+// asLeader.
+func (c *Control) targetLimit(id types.TargetID, now types.Mono) (l limit.Limit, limited bool) {
+	add := func(source limit.Limit) {
+		if limited {
+			source = source.Lowest(l)
+		}
+		l, limited = source, true
+	}
+	if n, ok := c.notices.Get(id); ok && !n.Lifted {
+		add(limit.TargetLimit(n.Rate))
+	}
+	if _, cold, ok := c.coldLimit(id, now); ok {
+		add(cold)
+	}
+	return l, limited
+}
+
+// targetLimits renews or returns a host's allotments of the limits of targets.
 // complete reports whether all allotments of earlier leaders are known. It must be
 // called within asLeader.
 func (c *Control) targetLimits(req LimitsRequest, reply *LimitsReply, complete bool, now types.Mono) {
 	c.recordNotices(req.TargetNotices, now)
+	c.recordCold(req.TargetsCold, now)
 	reply.TargetAllotments = map[types.TargetID]limit.Allotment{}
 	lifted := map[types.TargetID]limit.Notice{}
 	for id, demand := range req.TargetDemands {
+		l, limited := c.targetLimit(id, now)
 		n, known := c.notices.Get(id)
 		issuer := c.targetIssuers[id]
+		if known && n.Lifted {
+			lifted[id] = n
+		}
 		switch {
 		case issuer != nil && req.Return:
 			issuer.Return(demand.Holder, now)
@@ -70,17 +100,15 @@
 		case issuer != nil && demand.Release:
 			issuer.Release(demand, now)
 			continue
-		case known && n.Lifted:
-			lifted[id] = n
-			continue
-		case !known || req.Return || demand.Release:
+		case !limited || req.Return || demand.Release:
 			continue
 		case issuer == nil:
-			issuer = limit.NewIssuer(c.leaderSince)
+			issuer = &targetIssuer{Issuer: limit.NewIssuer(c.leaderSince)}
 			issuer.PerRequest = true
 			c.targetIssuers[id] = issuer
 		}
-		issuer.SetLimit(limit.TargetLimit(n.Rate), now)
+		issuer.limitedAt = now
+		issuer.SetLimit(l, now)
 		issuer.HostCount = len(c.machine.Holders())
 		reply.TargetAllotments[id] = issuer.Renew(demand, now)
 		if complete {
@@ -90,12 +118,16 @@
 	reply.TargetNotices = NewTargetNotices(lifted, now)
 }
 
+// issuerRetention is how long the issuer of a target without a limit is kept: until all of
+// its allotments have expired, which the next issuer would not know of.
+const issuerRetention = 2 * limit.AllotmentTime
+
 // expireTargetLimits removes the limits of targets that no host has used for a while.
 // It must be called within asLeader.
 func (c *Control) expireTargetLimits(now types.Mono) {
 	c.notices.Expire(now)
-	for id := range c.targetIssuers {
-		if _, known := c.notices.Get(id); !known {
+	for id, issuer := range c.targetIssuers {
+		if _, limited := c.targetLimit(id, now); !limited && now.Sub(issuer.limitedAt) > issuerRetention {
 			delete(c.targetIssuers, id)
 		}
 	}
--- a/fleet/targets.go
+++ b/fleet/targets.go
@@ -58,6 +58,7 @@
 	err := c.asLeader(func(now types.Mono) {
 		c.expireTargetLimits(now)
 		previous := c.targets.Checksum
+		c.updateCold(list, now)
 		c.platformTargets, c.zoneSizes = list, ZoneSizes(list)
 		LogDrainsEnded(c.Log, c.draining.Update(DrainStates(list), now))
 		c.mergeTargets()
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -144,10 +144,7 @@
 		"bytes": len(c.body), "account": c.accountID(), "planVersion": c.view.Versions.Plan, "targetsSum": c.view.Versions.Targets,
 	}
 	choice.addFields(fields)
-	if rate, ok := c.gate.targetLimits.rate(t.ID); ok {
-		fields["limit"] = rate
-		limitedSendsTotal.Inc()
-	}
+	c.countLimited(t.ID, fields)
 	c.gate.Log.Write(event.RequestSent, fields)
 	if err != nil {
 		if cause := context.Cause(ctx); errors.Is(cause, errAttemptTimeout) {
--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -151,7 +151,11 @@
 			issuer.Release(demand, f.clock())
 			continue
 		}
-		issuer.SetLimit(limit.TargetLimit(req.TargetNotices[id].Rate), f.clock())
+		l := limit.TargetLimit(req.TargetNotices[id].Rate)
+		if req.TargetsCold[id] > 0 {
+			l = coldBound.Limit(coldRate)
+		}
+		issuer.SetLimit(l, f.clock())
 		reply.TargetAllotments[id] = issuer.Renew(demand, f.clock())
 	}
 	return reply, nil
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -14,6 +14,7 @@
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fetch"
 	"github.com/banyanspur/banyanspur/fleet"
+	"github.com/banyanspur/banyanspur/limit"
 	"github.com/banyanspur/banyanspur/relay"
 	"github.com/banyanspur/banyanspur/route"
 	"github.com/banyanspur/banyanspur/turns"
@@ -67,6 +68,8 @@
 	// PlacementCosts are the cost parameters of target selection. The default is
 	// [route.DefaultPlacementCosts].
 	PlacementCosts route.PlacementCosts
+	// ColdBound bounds the requests that a cold target gets from all hosts together.
+	ColdBound limit.ColdBound
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
@@ -80,6 +83,7 @@
 	crashes      crashDetector
 	begun        begunPrograms
 	targetLimits targetLimits
+	cold         coldTracker
 	draining     drainTracker
 	// shuttingDown is set when this host drains itself.
 	shuttingDown atomic.Bool
@@ -154,6 +158,7 @@
 		g.updateDraining()
 		req.Draining = g.draining.report(g.Fleet.View().Targets, g.Clock())
 		req.Notices, req.NoticesSince = g.targetLimits.report(g.Clock())
+		req.Cold = g.coldFound()
 		crashes := g.crashes.nextReport()
 		crashes.addTo(&req, g.Clock())
 		reply, err := g.Fleet.Loads(exchangeCtx, req)
@@ -166,6 +171,7 @@
 		g.crashes.reported(crashes, reply.Cursor.TableID)
 		g.setRelays(reply.Relays)
 		g.targetLimits.reported(req.Notices, reply, g.Clock())
+		g.cold.merge(reply, g.Clock())
 		g.targets.setOtherLoads(reply.Loads)
 		g.targets.addCachedParts(reply.CachedParts)
 		cursor = reply.Cursor
@@ -192,6 +198,7 @@
 		addresses[t.Address] = true
 		ids[t.ID] = true
 	}
+	g.updateCold()
 	g.crashes.recordDraining(list)
 	fleet.LogDrainsEnded(g.Log, g.draining.update(list, g.Clock()))
 	g.pool.CloseIdleExcept(addresses)
--- a/gate/reach.go
+++ b/gate/reach.go
@@ -49,6 +49,7 @@
 			continue
 		}
 		g.targets.recordReachable(t.ID)
+		g.targetStarted(t.ID)
 		g.Log.Write(event.TargetReachable, event.Fields{"target": t.ID, "listed": listed, "afterMs": time.Since(since).Milliseconds()})
 		return
 	}
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -122,10 +122,11 @@
 		return planned != nil && planned.Rate > 0
 	})
 	req.TargetDemands = s.targets.demands(s.holder, now, include, func(id types.TargetID) bool {
-		_, limited := s.gate.targetLimits.rate(id)
+		_, limited := s.gate.targetLimit(id)
 		return limited
 	})
 	req.TargetNotices = s.gate.targetLimits.noticesOf(req.TargetDemands, now)
+	req.TargetsCold = s.gate.coldAmong(req.TargetDemands, now)
 	return req, view.Plan.HasRateLimits || len(req.TargetDemands) > 0 || s.lastRenewal > 0
 }
 
--- a/gate/target_limit.go
+++ b/gate/target_limit.go
@@ -11,7 +11,6 @@
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
-	"github.com/banyanspur/banyanspur/limit"
 	"github.com/banyanspur/banyanspur/plan"
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -65,12 +64,12 @@
 	return service.Engine != nil && id != c.turn.lastTarget
 }
 
-// takeFromTargetLimit deducts one request from the limit that a target names, if it
-// names one. If the limit is used up, it returns false, and the target gets no such
+// takeFromTargetLimit deducts one request from the limit of a target, if it has
+// one. If the limit is used up, it returns false, and the target gets no such
 // requests of this host for a while. low is set if the request has low precedence.
 func (c *call) takeFromTargetLimit(id types.TargetID, low bool) bool {
 	l, s := &c.gate.targetLimits, &c.gate.limits
-	rate, limited := l.rate(id)
+	target, limited := c.gate.targetLimit(id)
 	if !limited {
 		return true
 	}
@@ -82,7 +81,7 @@
 	if ok {
 		return true
 	}
-	queueWait, refillWait := s.targets.waitTimes(id, 0, limit.TargetLimit(rate).Rate)
+	queueWait, refillWait := s.targets.waitTimes(id, 0, target.Rate)
 	if s.issuerSilence() > maxIssuerSilence {
 		queueWait = refillWait
 	}
@@ -90,7 +89,7 @@
 	fullTargetsTotal.Inc()
 	allotment, tokens := s.targets.held(id)
 	c.gate.Log.Write(event.TargetFull, event.Fields{
-		"request": c.id, "target": id, "limit": rate, "low": low, "held": allotment, "tokens": tokens, "queueMs": queueWait.Milliseconds(), "issuerSilentMs": s.issuerSilence().Milliseconds(),
+		"request": c.id, "target": id, "limit": target.Rate, "low": low, "held": allotment, "tokens": tokens, "queueMs": queueWait.Milliseconds(), "issuerSilentMs": s.issuerSilence().Milliseconds(),
 	})
 	return false
 }
@@ -113,7 +112,7 @@
 			return false
 		}
 		next, ok := s.targets.retryTake(id, low)
-		if _, limited := c.gate.targetLimits.rate(id); ok || !limited {
+		if _, limited := c.gate.targetLimit(id); ok || !limited {
 			return true
 		}
 		if next == nil {
@@ -124,6 +123,21 @@
 	return false
 }
 
+// countLimited counts a request to a target with a limit, and adds the limit to the fields of
+// a log event.
+func (c *call) countLimited(id types.TargetID, fields event.Fields) {
+	l, limited := c.gate.targetLimit(id)
+	if !limited {
+		return
+	}
+	limitedSendsTotal.Inc()
+	fields["limit"] = l.Rate
+	if left, _, cold := c.gate.coldLimit(id, c.gate.Clock()); cold {
+		coldSendsTotal.Inc()
+		fields["coldLeftMs"] = left.Milliseconds()
+	}
+}
+
 // limitedFor returns the time until a target of the service that is at its limit may
 // accept a request, and false if there is no such target.
 func (c *call) limitedFor(service *plan.Service) (wait time.Duration, limited bool) {
--- a/host/node.go
+++ b/host/node.go
@@ -17,6 +17,7 @@
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/gate"
+	"github.com/banyanspur/banyanspur/limit"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
 )
@@ -128,6 +129,11 @@
 	return nil
 }
 
+// coldBound returns the bound on the requests to cold targets.
+func (n *Node) coldBound() limit.ColdBound {
+	return limit.ColdBound{Over: n.Settings.ColdOver, Slack: n.Settings.ColdSlack}
+}
+
 // startPeerServer serves connections from other processes of the fleet, and the given
 // handlers by path.
 func (n *Node) startPeerServer(ctx context.Context, g *errgroup.Group, handlers map[string]http.Handler) error {
@@ -177,7 +183,7 @@
 func (n *Node) startControl(ctx, serveCtx context.Context, g *errgroup.Group, stop func()) error {
 	control := &fleet.Control{
 		Address: n.Settings.PeerAddress(), Seeds: n.Settings.SeedPeerAddresses(), AllowBootstrap: n.Settings.Founding, Dir: n.Settings.DataDir,
-		Losses: n.Settings.Losses, Peers: n.peers, Clock: n.clock, ListTargets: n.ListTargets, Log: n.Log,
+		Losses: n.Settings.Losses, Peers: n.peers, Clock: n.clock, ListTargets: n.ListTargets, ColdBound: n.coldBound(), Log: n.Log,
 	}
 	control.Register(n.peerServer)
 	if err := n.startPeerServer(serveCtx, g, nil); err != nil {
--- a/plan/check.go
+++ b/plan/check.go
@@ -40,6 +40,9 @@
 			add(path, "duplicate service name %q", s.Name)
 		}
 		seen[s.Name] = true
+		if s.ColdTime < 0 || s.ColdRate < 0 {
+			add(fmt.Sprintf("services.%d.cold", i), "the cold time or the rate of cold targets is negative")
+		}
 	}
 }
 
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -81,6 +81,10 @@
 	// MaxConnections is the number of connections that one target accepts from
 	// all callers together. 0 means no limit.
 	MaxConnections int `json:"maxConnections,omitempty"`
+	// ColdTime is how long a target is cold after a start, and ColdRate the rate of
+	// requests that it is made for in that time. A ColdRate of 0 means no limit.
+	ColdTime time.Duration   `json:"coldTime,omitempty"`
+	ColdRate types.PerSecond `json:"coldRate,omitempty"`
 	// Engine is set if the service's targets are model engines.
 	Engine *Engine `json:"engine,omitempty"`
 }
