--- /dev/null
+++ b/ramp/pace_test.go
@@ -0,0 +1,314 @@
+package ramp_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/banyanspur/banyanspur/limit"
+	"github.com/banyanspur/banyanspur/ramp"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+const (
+	simHosts   = 100
+	simTargets = 20
+	simRate    = 400 // requests per second; the fair share of a target is 20
+	tick       = 10 * time.Millisecond
+	fairShare  = simRate / simTargets
+)
+
+// simHost is an entry host.
+type simHost struct {
+	id        types.HostID
+	share     [simTargets]limit.Share
+	inFlight  [simTargets]int
+	others    [simTargets]int        // requests of other hosts in flight at the last exchange
+	fullUntil [simTargets]types.Mono // by the limit
+	failures  [simTargets]int        // in succession
+	failedAt  [simTargets]types.Mono
+	reports   [simTargets]ramp.Report
+	allowed   map[types.TargetID]ramp.Allowed
+	heardAt   types.Mono
+}
+
+// ending is a request that is being served.
+type ending struct{ host, target int }
+
+// sim is a service behind 100 hosts in virtual time. Hosts exchange loads every 0.3 s at
+// times of their own, and prefer the target with the fewest requests.
+type sim struct {
+	paced   bool // else each host decides by its own failures, as without the setting
+	now     types.Mono
+	random  *rand.Rand
+	hosts   [simHosts]simHost
+	members []ramp.Member
+	pace    ramp.Pace
+	issuers map[types.TargetID]*limit.Issuer
+	leader  bool                                        // hosts reach the leader
+	fails   func(target int, now time.Duration) float64 // probability that a request fails
+	ends    map[types.Mono][]ending
+	// unlisted is how many targets the list does not have yet: the first ones.
+	unlisted int
+	running  [simTargets]int
+	// sent are the times of all requests by target; failed counts those that failed, and
+	// unsafe those of them that must not be repeated.
+	sent           [simTargets][]types.Mono
+	failed, unsafe int
+	probedUnsafe   int // requests that must not be repeated and were sent to an avoided target
+}
+
+func newSim(paced bool, fails func(int, time.Duration) float64) *sim {
+	s := &sim{paced: paced, random: rand.New(rand.NewPCG(5, 9)), issuers: map[types.TargetID]*limit.Issuer{}, fails: fails, ends: map[types.Mono][]ending{}, leader: true}
+	for i := range s.hosts {
+		s.hosts[i].id = types.HostID(fmt.Sprintf("entry-%d", i))
+	}
+	for i := range simTargets {
+		s.members = append(s.members, ramp.Member{ID: targetID(i), Service: "plain"})
+	}
+	return s
+}
+
+func targetID(i int) types.TargetID { return types.TargetID(fmt.Sprintf("t%d", i)) }
+
+// run simulates until the given time.
+func (s *sim) run(until time.Duration) {
+	for ; s.now < types.Mono(until); s.now = s.now.Add(tick) {
+		for _, e := range s.ends[s.now] {
+			s.hosts[e.host].inFlight[e.target]--
+			s.hosts[e.host].failures[e.target] = 0
+			s.hosts[e.host].reports[e.target].Responses++
+			s.running[e.target]--
+		}
+		delete(s.ends, s.now)
+		for i := range s.hosts {
+			if s.leader && (int(s.now/types.Mono(tick))+i)%30 == 0 {
+				s.exchange(&s.hosts[i])
+			}
+		}
+		for range int(simRate * tick.Seconds()) {
+			s.serve(s.random.IntN(simHosts), s.random.IntN(3) > 0)
+		}
+	}
+}
+
+func (s *sim) exchange(h *simHost) {
+	for i := range simTargets {
+		h.others[i] = s.running[i] - h.inFlight[i]
+		s.pace.Observe(targetID(i), h.id, h.reports[i], s.now)
+		h.reports[i] = ramp.Report{}
+	}
+	s.pace.Step(s.members, s.now)
+	h.allowed, h.heardAt = map[types.TargetID]ramp.Allowed{}, s.now
+	for _, m := range s.members {
+		if a, ok := s.pace.Allowed(m.ID); ok {
+			h.allowed[m.ID] = a
+		}
+	}
+}
+
+// serve sends a request to one target after the other until one answers. One that must not
+// be repeated is sent once.
+func (s *sim) serve(host int, repeatable bool) {
+	h := &s.hosts[host]
+	tried := [simTargets]bool{}
+	for range 4 {
+		best, equal := -1, 0
+		for i := range simTargets {
+			if tried[i] || s.avoids(h, i, repeatable) {
+				continue
+			}
+			load := func(i int) int { return h.inFlight[i] + h.others[i] }
+			switch {
+			case best < 0 || load(i) < load(best):
+				best, equal = i, 1
+			case load(i) == load(best):
+				if equal++; s.random.IntN(equal) == 0 {
+					best = i
+				}
+			}
+		}
+		if best < 0 {
+			return
+		}
+		tried[best] = true
+		if s.paced && !s.take(h, best) {
+			continue
+		}
+		if s.send(host, best, repeatable) || !repeatable {
+			return
+		}
+	}
+}
+
+// avoids reports whether a host passes over a target.
+func (s *sim) avoids(h *simHost, i int, repeatable bool) bool {
+	if i < s.unlisted {
+		return true
+	}
+	if a, limited := h.allowed[targetID(i)]; s.paced && limited {
+		return s.now < h.fullUntil[i] || a.Probe && !repeatable
+	}
+	backoff := min(500*time.Millisecond<<max(0, min(h.failures[i]-1, 8)), 4*time.Second)
+	return h.failures[i] > 0 && s.now.Sub(h.failedAt[i]) < backoff
+}
+
+// take asks the leader for a request to a limited target.
+func (s *sim) take(h *simHost, i int) bool {
+	id := targetID(i)
+	a, limited := h.allowed[id]
+	if !limited {
+		return true
+	}
+	issuer := s.issuers[id]
+	if issuer == nil {
+		issuer = limit.NewIssuer(0)
+		issuer.PerRequest, issuer.HostCount = true, simHosts
+		issuer.MarkAllReported(s.now)
+		s.issuers[id] = issuer
+	}
+	if s.leader {
+		if a, limited = s.pace.Allowed(id); limited {
+			issuer.SetLimit(a.Limit(), s.now)
+		}
+		holder := limit.Holder(h.id)
+		h.share[i].Apply(issuer.Renew(h.share[i].Demand(holder, 1, s.now), s.now), s.now, s.now)
+	}
+	if h.share[i].Take(s.now) {
+		return true
+	}
+	h.fullUntil[i] = s.now.Add(100 * time.Millisecond)
+	return false
+}
+
+func (s *sim) send(host, i int, repeatable bool) bool {
+	h := &s.hosts[host]
+	s.sent[i] = append(s.sent[i], s.now)
+	if h.allowed[targetID(i)].Probe && s.paced && !repeatable {
+		s.probedUnsafe++
+	}
+	if s.random.Float64() < s.fails(i, time.Duration(s.now)) {
+		s.failed++
+		if !repeatable {
+			s.unsafe++
+		}
+		h.failures[i]++
+		h.failedAt[i] = s.now
+		h.reports[i].Failures++
+		return false
+	}
+	h.inFlight[i]++
+	s.running[i]++
+	took := 200 * time.Millisecond * time.Duration(1+s.running[i]/12)
+	at := s.now.Add(took)
+	s.ends[at] = append(s.ends[at], ending{host, i})
+	return true
+}
+
+// between returns the number of requests to a target in a time.
+func (s *sim) between(target int, from, to time.Duration) (n int) {
+	for _, at := range s.sent[target] {
+		if at >= types.Mono(from) && at < types.Mono(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// downBetween fails all requests to target 0 in a time.
+func downBetween(from, to time.Duration) func(int, time.Duration) float64 {
+	return func(i int, now time.Duration) float64 {
+		if i == 0 && now >= from && now < to {
+			return 1
+		}
+		return 0
+	}
+}
+
+// TestStartedTargetsAreNotFlooded guards against a target that gets more than its fair share
+// as soon as it starts, since it is idle: in a release that replaces half of a service, and
+// as it returns after a crash of 2 s, which must not cost each host several requests. It must
+// have most of its share after 5 s.
+func TestStartedTargetsAreNotFlooded(t *testing.T) {
+	const startedAt = 5 * time.Second
+	release := func(s *sim) (replaced int) {
+		replaced = simTargets / 2
+		s.unlisted = replaced
+		s.run(startedAt)
+		s.unlisted = 0
+		for i := range replaced {
+			s.pace.Start(targetID(i), s.now)
+			for h := range s.hosts { // Hosts get the list and the limits that come with it.
+				s.hosts[h].allowed[targetID(i)], _ = s.pace.Allowed(targetID(i))
+			}
+		}
+		return replaced
+	}
+	crash := func(s *sim) (replaced int) {
+		s.fails = downBetween(startedAt-2*time.Second, startedAt)
+		s.run(startedAt)
+		return 1
+	}
+	for name, start := range map[string]func(*sim) int{"release": release, "crash": crash} {
+		play := func(paced bool) (first, later, failed int) {
+			s := newSim(paced, downBetween(0, 0))
+			replaced := start(s)
+			s.run(startedAt + 8*time.Second)
+			for i := range replaced {
+				first = max(first, s.between(i, startedAt, startedAt+time.Second))
+				later += s.between(i, startedAt+5*time.Second, startedAt+8*time.Second)
+			}
+			return first, later / replaced, s.failed
+		}
+		const allowedFailures = simHosts + 4 // Each host may find it out once, and two probes per second.
+		first, later, failed := play(true)
+		if first > fairShare || later < fairShare*3*7/10 || failed > allowedFailures {
+			t.Errorf("%s: a started target got %d requests in its first second and %d in 3 s from 5 s on, and %d failed, want at most %d, at least %d, at most %d", name, first, later, failed, fairShare, fairShare*3*7/10, allowedFailures)
+		}
+		todayFirst, _, todayFailed := play(false)
+		if todayFirst <= fairShare && todayFailed <= allowedFailures {
+			t.Errorf("%s: with a backoff of each host, a started target got %d requests in its first second, and %d failed, so that this test shows nothing", name, todayFirst, todayFailed)
+		}
+		t.Logf("%s: %d requests in the first second, %d with a backoff of each host; %d from 5 s to 8 s; %d and %d failed", name, first, todayFirst, later, failed, todayFailed)
+	}
+}
+
+// TestFailingTargetIsAvoided guards against targets that cost requests for as long as they
+// fail: one that is down and up every 1.4 s, one that fails 45% of its requests while its
+// health check is good, and one whose health response lies. Each host may find it out once,
+// and two probes per second are allowed, of requests that may be repeated. With a backoff of
+// each host, more requests fail.
+func TestFailingTargetIsAvoided(t *testing.T) {
+	const duration = 30 * time.Second
+	allowed := simHosts + int(2*duration.Seconds())
+	for name, fails := range map[string]func(int, time.Duration) float64{
+		"flapping": func(i int, now time.Duration) float64 {
+			if i == 0 && now/(1400*time.Millisecond)%2 == 1 {
+				return 1
+			}
+			return 0
+		},
+		"failing 45%": func(i int, _ time.Duration) float64 {
+			if i == 0 {
+				return 0.45
+			}
+			return 0
+		},
+		"lying health response": downBetween(time.Second, time.Hour),
+	} {
+		play := func(paced bool) *sim {
+			s := newSim(paced, fails)
+			s.run(duration)
+			return s
+		}
+		s, today := play(true), play(false)
+		if s.failed > allowed || s.probedUnsafe > 0 {
+			t.Errorf("%s: %d requests failed in %v, %d are allowed; %d were probes that must not be repeated", name, s.failed, duration, allowed, s.probedUnsafe)
+		}
+		if today.failed <= allowed {
+			t.Errorf("%s: with a backoff of each host, %d requests failed, so that this test shows nothing", name, today.failed)
+		}
+		t.Logf("%s: %d requests failed, %d with a backoff of each host; %d and %d must not be repeated", name, s.failed, today.failed, s.unsafe, today.unsafe)
+	}
+}
