--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -86,7 +86,8 @@
 	seeds          []string
 	controls       []*process
 	stores         []*process
-	allowBootstrap atomic.Bool // value of fleet.Control.AllowBootstrap for control hosts started from now on
+	coldUntil      atomic.Int64 // Unix time in nanoseconds until which the listed targets stay cold
+	allowBootstrap atomic.Bool  // value of fleet.Control.AllowBootstrap for control hosts started from now on
 	// targets is the platform's list. While it is nil, the list cannot be fetched.
 	targets atomic.Pointer[[]fleet.Target]
 }
@@ -112,10 +113,15 @@
 		c := &fleet.Control{
 			Address: p.address, Seeds: f.seeds, AllowBootstrap: f.allowBootstrap.Load(), Dir: p.dir, Losses: 1, Peers: peers, Clock: types.NewClock(),
 			ListTargets: func(context.Context) ([]fleet.Target, error) {
-				if list := f.targets.Load(); list != nil {
-					return slices.Clone(*list), nil
+				list := f.targets.Load()
+				if list == nil {
+					return nil, errors.New("no list")
 				}
-				return nil, errors.New("no list")
+				targets := slices.Clone(*list)
+				for i := range targets {
+					targets[i].ColdLeft = max(0, time.Until(time.Unix(0, f.coldUntil.Load())))
+				}
+				return targets, nil
 			},
 		}
 		c.Register(server)
