gate, route: load reports with a fourth figure count

A load report counted only with exactly three figures. The targets of two deployments send a fourth one, the time that their work takes in percent of the usual, so none of their reports counted.

route.ParseLoadReport reads reports with three and four figures. Of a report with more than three, each figure that can be believed counts; negative, huge and non-numeric ones and figures after the fourth are ignored. Running and waiting requests count only together, since one alone would make the target look idle. Three figures count all or not at all, as before. The first report of a target with an ignored figure is logged (event 521).

The state of a target keeps its slowness and when it was received; the placement does not use it yet. loads.go is split: cached_parts.go has the prompt caches, load_report.go the reports of targets.

Of 61 requests, 61 went to a full target that reports four figures before; now at most 6 do (gate.TestFullTargetWithFourFigures). The testbed of the gate's tests now collects the events.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -59,6 +59,7 @@
 	TargetDrainEnded     = Kind{513, logrus.InfoLevel, "announcement that a target drains ended"}
 	TargetUnreachable    = Kind{514, logrus.WarnLevel, "target accepts no connections"}
 	TargetReachable      = Kind{515, logrus.InfoLevel, "target accepts connections again"}
+	LoadReportIgnored    = Kind{521, logrus.WarnLevel, "load report of a target has figures that are ignored"}
 	LinkLost             = Kind{601, logrus.InfoLevel, "link to another host lost"}
 	PeerRefused          = Kind{602, logrus.WarnLevel, "link refused, wrong cluster secret"}
 )
@@ -76,7 +77,7 @@
 		RequestRefused, RequestSent, RequestEnded, TurnDurable, BudgetDecided,
 		QuarantineEnded, QuarantineFailed, SuspectsChanged,
 		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull, PathCut, PathHealed, ConnectionRelayed, RelaysChanged,
-		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable,
+		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable, LoadReportIgnored,
 		LinkLost, PeerRefused,
 	}
 }
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -164,7 +164,7 @@
 		return outcome
 	}
 	c.mayHaveRun = true
-	c.gate.targets.recordResponse(t.ID, resp.Header.Get(c.gate.HeaderNames.Load))
+	c.recordResponse(t, resp)
 	if c.route.Kind == plan.Streaming && resp.Status < http.StatusMultipleChoices {
 		return c.forwardStream(service, t, resp)
 	}
@@ -217,7 +217,7 @@
 		return outcomeForwarded, false
 	}
 	if genuine && rejected && resp.Status != http.StatusMisdirectedRequest {
-		c.gate.targets.recordResponse(t.ID, resp.Header.Get(c.gate.HeaderNames.Load))
+		c.recordResponse(t, resp)
 	} else {
 		c.gate.targets.recordFailure(t.ID) // With status 421, the address now belongs to another target.
 	}
--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/gate"
 	"github.com/banyanspur/banyanspur/limit"
@@ -162,6 +163,7 @@
 	t     *testing.T
 	fleet *fakeFleet
 	gate  *gate.Gate
+	log   *lockedBuffer // events that the gate has logged
 	url   string
 }
 
@@ -184,7 +186,7 @@
 			{Name: "small", Keys: []types.KeyHash{types.HashKey("small-key")}, Rate: 5, Burst: 5},
 		},
 	}
-	b := &testbed{t: t, fleet: &fakeFleet{issuers: map[types.AccountID]*limit.Issuer{}, targetIssuers: map[types.TargetID]*limit.Issuer{}, clock: types.NewClock()}}
+	b := &testbed{t: t, log: &lockedBuffer{}, fleet: &fakeFleet{issuers: map[types.AccountID]*limit.Issuer{}, targetIssuers: map[types.TargetID]*limit.Issuer{}, clock: types.NewClock()}}
 	b.fleet.view.Plan = plan.NewTable(p)
 	ctx, cancel := context.WithCancel(context.Background())
 	g, ctx := errgroup.WithContext(ctx)
@@ -192,7 +194,7 @@
 	g.Go(func() error { return peers.Run(ctx) })
 	b.startStore(ctx, g)
 	gt := &gate.Gate{
-		Host: "entry-1", Zone: "zone-a", HeaderNames: headerNames, Fleet: b.fleet, Clock: b.fleet.clock, MaxPlanStaleness: time.Minute,
+		Host: "entry-1", Zone: "zone-a", HeaderNames: headerNames, Fleet: b.fleet, Clock: b.fleet.clock, MaxPlanStaleness: time.Minute, Log: event.New(b.log),
 		Turns: &turns.Client{Peers: peers, Map: func() *turns.Map { return b.fleet.View().Map }},
 	}
 	b.gate = gt
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -1,14 +1,9 @@
 package gate
 
 import (
-	"maps"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/route"
 	"github.com/banyanspur/banyanspur/types"
@@ -32,8 +27,11 @@
 	waiting             int
 	inFlightAtReport    int // inFlight when the load report was received
 	slots               int
-	reportedAt          time.Time // when the load report was received
-	consecutiveFailures int       // failures since the last response
+	reportedAt          time.Time      // when the load report was received
+	slowness            route.Slowness // momentary, from the target's load report; 0 if it has never reported one
+	slownessAt          types.Mono     // when slowness was received
+	sentInvalidReport   bool           // a load report had a figure that is ignored
+	consecutiveFailures int            // failures since the last response
 	lastFailureAt       time.Time
 	cachedParts         map[types.PartHash]time.Time // prompt parts in the target's cache, and when each was last used or reported
 	unreportedParts     map[types.PartHash]bool      // shared prompt parts not yet reported to other hosts
@@ -54,9 +52,6 @@
 	// unitTimeTTL is how long an average unit time is used without a new sample.
 	// After that, a target that was slow is no longer avoided.
 	unitTimeTTL = 6 * time.Second
-	// evictionThreshold is the number of cached parts of a target above which
-	// unused ones are evicted.
-	evictionThreshold = 2048
 )
 
 // getOrCreate returns the state of a target. The caller must hold mu.
@@ -176,19 +171,6 @@
 	return now.Sub(s.lastFailureAt) < backoff
 }
 
-// cachedTokens returns the size of the longest prefix of parts that the target is
-// believed to have cached.
-func (s *targetState) cachedTokens(parts []promptPart) types.Tokens {
-	var sum types.Tokens
-	for _, p := range parts {
-		if used, ok := s.cachedParts[p.hash]; !ok || time.Since(used) > fleet.CachedPartTTL {
-			return sum
-		}
-		sum += p.tokens
-	}
-	return sum
-}
-
 // requestStarted counts a request of this host as in flight.
 func (t *targetTracker) requestStarted(id types.TargetID) {
 	t.mu.Lock()
@@ -205,30 +187,6 @@
 	}
 }
 
-// recordResponse resets the failure count of a target that responded and stores
-// its load report, "running,waiting,slots". A missing or invalid report is ignored.
-func (t *targetTracker) recordResponse(id types.TargetID, report string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.getOrCreate(id)
-	t.reach.RecordReachable(id)
-	s.consecutiveFailures = 0
-	numbers := strings.Split(report, ",")
-	if len(numbers) != 3 {
-		return
-	}
-	var n [3]int
-	for i, number := range numbers {
-		v, err := strconv.Atoi(strings.TrimSpace(number))
-		if err != nil || v < 0 {
-			return
-		}
-		n[i] = v
-	}
-	s.running, s.waiting, s.slots = n[0], n[1], n[2]
-	s.inFlightAtReport, s.reportedAt = s.inFlight, time.Now()
-}
-
 // recordFailure counts a failure of a target and drops its cached parts.
 func (t *targetTracker) recordFailure(id types.TargetID) {
 	t.mu.Lock()
@@ -240,60 +198,6 @@
 	clear(s.unreportedParts)
 }
 
-// recordPrefill marks the parts of a prompt as cached by a target. All but the
-// last part, which belongs to this request alone, are reported to other hosts.
-func (t *targetTracker) recordPrefill(id types.TargetID, parts []promptPart) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.getOrCreate(id)
-	now := time.Now()
-	for i, p := range parts {
-		s.cachedParts[p.hash] = now
-		if i < len(parts)-1 {
-			s.unreportedParts[p.hash] = true
-		}
-	}
-	s.evictUnused(now)
-}
-
-// evictUnused drops parts unused for a third of [fleet.CachedPartTTL] if there are
-// more than evictionThreshold parts.
-func (s *targetState) evictUnused(now time.Time) {
-	if len(s.cachedParts) <= evictionThreshold {
-		return
-	}
-	maps.DeleteFunc(s.cachedParts, func(_ types.PartHash, used time.Time) bool { return now.Sub(used) > fleet.CachedPartTTL/3 })
-}
-
-// takeUnreportedParts returns the cached parts not yet reported to other hosts and
-// marks them as reported.
-func (t *targetTracker) takeUnreportedParts() fleet.CachedParts {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	parts := fleet.CachedParts{}
-	for id, s := range t.states {
-		for part := range s.unreportedParts {
-			parts[id] = append(parts[id], part)
-		}
-		clear(s.unreportedParts)
-	}
-	return parts
-}
-
-// addCachedParts adds cached parts that other hosts reported.
-func (t *targetTracker) addCachedParts(reported fleet.CachedParts) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	for id, parts := range reported {
-		s := t.getOrCreate(id)
-		for _, part := range parts {
-			s.cachedParts[part] = now
-		}
-		s.evictUnused(now)
-	}
-}
-
 // removeUnlisted drops the state of targets that are not listed and have no
 // requests of this host in flight.
 func (t *targetTracker) removeUnlisted(listed map[types.TargetID]bool) {
@@ -306,29 +210,3 @@
 		}
 	}
 }
-
-// promptPart is a section of a prompt that targets cache as a unit.
-type promptPart struct {
-	id     string
-	hash   types.PartHash
-	tokens types.Tokens
-}
-
-// maxPartTokens is the largest size of a part of a prompt that is believed, beyond any
-// model's context. It keeps the sum of all parts from overflowing.
-const maxPartTokens = 1 << 32
-
-// parsePromptParts parses a comma-separated list of ID:TOKENS, up to the first
-// invalid item.
-func parsePromptParts(list string) []promptPart {
-	var parts []promptPart
-	for _, item := range strings.Split(list, ",") {
-		id, size, ok := strings.Cut(strings.TrimSpace(item), ":")
-		n, err := strconv.ParseInt(size, 10, 64)
-		if !ok || err != nil || n < 0 || n > maxPartTokens {
-			return parts
-		}
-		parts = append(parts, promptPart{id: id, hash: types.PartHash(xxhash.Sum64String(id)), tokens: types.Tokens(n)})
-	}
-	return parts
-}
