route, gate: the slowness that a target reports counts in its selection

On deployments whose targets report a fourth figure, 15% of the targets take 2.5 times as long for 600 ms, and nothing told hosts.

The last reported slowness, with a weight that falls linearly to 0 within 600 ms, multiplies the expected time on the target: prefill, batch, queue and service time. It counts only for targets that report one, between 0.8 and 10 times the usual. The random samples are unchanged. Event 406 has the slowness and its age.

--- a/gate/loads.go
+++ b/gate/loads.go
@@ -76,7 +76,7 @@
 	o = route.Option{
 		ID: target.ID, SameZone: target.Zone == zone, InFlight: s.inFlight, Running: s.running, Waiting: s.waiting, ReportAge: time.Since(s.reportedAt),
 		InFlightAtReport: s.inFlightAtReport, Slots: s.slots, Cached: s.cachedTokens(parts), Pace: 1,
-		Failing: s.inBackoff(time.Now()) || t.reach.Unreachable(target.ID, t.clock()),
+		Slowness: s.slowness, SlownessAge: t.clock().Sub(s.slownessAt), Failing: s.inBackoff(time.Now()) || t.reach.Unreachable(target.ID, t.clock()),
 	}
 	if o.Slots == 0 {
 		o.Slots = target.Slots
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -104,6 +104,9 @@
 	f["target"], f["zone"], f["among"] = c.ID, c.Zone, c.candidates
 	f["own"], f["running"], f["waiting"], f["loadAgeMs"] = c.option.InFlight, c.option.Running, c.option.Waiting, c.option.ReportAge.Milliseconds()
 	f["pace"], f["failing"] = c.option.Pace, c.option.Failing
+	if c.option.Slowness > 0 {
+		f["slowness"], f["slownessAgeMs"] = c.option.Slowness, c.option.SlownessAge.Milliseconds()
+	}
 	if c.promptTokens > 0 {
 		f["promptTokens"], f["heldTokens"] = c.promptTokens, c.option.Cached
 	}
--- a/route/place.go
+++ b/route/place.go
@@ -30,6 +30,10 @@
 	// Pace is the target's time per unit of work relative to the median of its
 	// service; 1 unless the target is slow, see [SetPaces].
 	Pace float64
+	// Slowness is the newest slowness that the target has reported, 0 if it has never
+	// reported one, and SlownessAge is the age of that report.
+	Slowness    Slowness
+	SlownessAge time.Duration
 	// Connected is true if this host has an idle connection to the target.
 	Connected bool
 	// Failing is true for a while after the target's last requests failed.
@@ -83,6 +87,9 @@
 	// MaxReportAge is the age from which a load report is ignored and only this
 	// host's own requests count. With 0 all reports are ignored.
 	MaxReportAge time.Duration
+	// MaxSlownessAge is the age from which the slowness that a target has reported is
+	// ignored. With 0 it is always ignored.
+	MaxSlownessAge time.Duration
 }
 
 // DefaultPlacementCosts suits engines that prefill a few hundred tokens per
@@ -98,6 +105,7 @@
 	ConnectCost:         4 * time.Millisecond,
 	FailurePenalty:      2 * time.Second,
 	MaxReportAge:        2 * time.Second,
+	MaxSlownessAge:      600 * time.Millisecond,
 }
 
 // Place returns the index of the option with the lowest expected time, or -1 if
@@ -147,7 +155,7 @@
 	if o.Slots <= 0 || excess <= 0 {
 		return 0
 	}
-	return time.Duration(min(float64(maxQueueTime), excess/float64(o.Slots)*float64(w.ServiceTime)*max(1, o.Pace)))
+	return time.Duration(min(float64(maxQueueTime), excess/float64(o.Slots)*float64(w.ServiceTime)*p.timeFactor(o)))
 }
 
 // maxQueueTime is the longest time that [PlacementCosts.QueueTime] returns. A target may
@@ -197,8 +205,9 @@
 	if o.Failing {
 		cost += p.FailurePenalty.Seconds()
 	}
+	slowness := p.currentSlowness(o)
 	if w.Prompt > 0 {
-		cost += p.engineCost(o, w, load)
+		cost += slowness * p.engineCost(o, w, load)
 	}
 	cost += p.QueueTime(o, w).Seconds()
 	if w.Prompt == 0 {
@@ -209,12 +218,34 @@
 			slots = assumedSlots
 		}
 		utilization := load / float64(slots)
-		cost += utilization * utilization * w.ServiceTime.Seconds()
+		cost += slowness * utilization * utilization * w.ServiceTime.Seconds()
 	}
-	if o.Pace > 1 {
-		cost += (o.Pace - 1) * w.ServiceTime.Seconds()
+	return cost + (p.timeFactor(o)-1)*w.ServiceTime.Seconds()
+}
+
+// timeFactor returns the time that work is expected to take on an option's target,
+// relative to the usual time.
+func (p PlacementCosts) timeFactor(o Option) float64 {
+	return max(1, o.Pace) * p.currentSlowness(o)
+}
+
+const (
+	// minSlowness and maxSlowness bound the slowness that is taken from a report. With 0.5,
+	// a target attracts more turns than it has slots while others are idle; one that
+	// reports a very long time is avoided in any case.
+	minSlowness = 0.8
+	maxSlowness = 10
+)
+
+// currentSlowness returns the expected slowness of an option's target. The weight of its
+// last report falls linearly with the age: the older it is, the more likely the slowness
+// has ended.
+func (p PlacementCosts) currentSlowness(o Option) float64 {
+	if o.Slowness <= 0 || o.SlownessAge < 0 || o.SlownessAge >= p.MaxSlownessAge {
+		return 1
 	}
-	return cost
+	weight := 1 - o.SlownessAge.Seconds()/p.MaxSlownessAge.Seconds()
+	return 1 + weight*(min(max(float64(o.Slowness), minSlowness), maxSlowness)-1)
 }
 
 // engineCost returns the cost of a request on an engine in seconds, including the
