--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -63,6 +63,7 @@
 	TargetUnreachable    = Kind{514, logrus.WarnLevel, "target accepts no connections"}
 	TargetReachable      = Kind{515, logrus.InfoLevel, "target accepts connections again"}
 	TargetCold           = Kind{516, logrus.InfoLevel, "target is cold"}
+	LoadReportIgnored    = Kind{521, logrus.WarnLevel, "load report of a target has figures that are ignored"}
 	LinkLost             = Kind{601, logrus.InfoLevel, "link to another host lost"}
 	PeerRefused          = Kind{602, logrus.WarnLevel, "link refused, wrong cluster secret"}
 )
@@ -80,7 +81,7 @@
 		RequestRefused, RequestSent, RequestEnded, TurnDurable, BudgetDecided,
 		QuarantineEnded, QuarantineFailed, SuspectsChanged,
 		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull, PathCut, PathHealed, ConnectionRelayed, RelaysChanged,
-		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable, TargetCold,
+		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable, TargetCold, LoadReportIgnored,
 		LinkLost, PeerRefused,
 	}
 }
