--- a/fleet/suspects_test.go
+++ b/fleet/suspects_test.go
@@ -88,12 +88,17 @@
 	c, _ := f.client("entry-1")
 	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
-	for _, host := range []types.HostID{"entry-1", "entry-2", "entry-3"} {
-		exchangeLoads(ctx, t, c, fleet.LoadsRequest{Host: host, Crashes: []fleet.CrashReport{{
-			Fingerprint: "p", Attempt: types.AttemptID(host), Target: types.TargetID("t-" + host), Zone: "zone-a", SentAgo: 120 * time.Millisecond, EndedAgo: 100 * time.Millisecond,
-		}}})
+	endedAt := time.Now().Add(-100 * time.Millisecond)
+	report := func() { // Again with each exchange, as hosts do for a new leader.
+		for _, host := range []types.HostID{"entry-1", "entry-2", "entry-3"} {
+			ago := time.Since(endedAt)
+			exchangeLoads(ctx, t, c, fleet.LoadsRequest{Host: host, Crashes: []fleet.CrashReport{{
+				Fingerprint: "p", Attempt: types.AttemptID(host), Target: types.TargetID("t-" + host), Zone: "zone-a", SentAgo: ago + 20*time.Millisecond, EndedAgo: ago,
+			}}})
+		}
 	}
 	waitFor(t, "the verdict", func() bool {
+		report()
 		reply := exchangeLoads(ctx, t, c, fleet.LoadsRequest{Host: "entry-4"})
 		return reply.Suspects != nil && cmp.Equal([]types.Fingerprint{"p"}, reply.Suspects.Poisonous)
 	})
