fleet, gate: the leader limits targets that start or recover (targetPace)

Hosts report what they observe of targets with their loads every 0.3 s; the leader runs ramp.Pace on it and returns what each target may get. The issuer of limits that targets name divides it. A target that is avoided gets only requests that may be repeated and have another attempt. A host that has not heard the leader for 4 s decides by its own failures; a new leader begins with what hosts report.

Enabled by targetPace, which the template does not set.

Changes to existing tests: the fake leader of the gate tests divides paces and records what hosts report; newTestbedWith sets fields of the gate before it runs. The check of a full host (fullFor) is the same for other targets.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -60,6 +60,7 @@
 	TargetUnreachable    = Kind{514, logrus.WarnLevel, "target accepts no connections"}
 	TargetReachable      = Kind{515, logrus.InfoLevel, "target accepts connections again"}
 	TargetCold           = Kind{516, logrus.InfoLevel, "target is cold"}
+	TargetPaced          = Kind{517, logrus.InfoLevel, "limit of a target that starts or recovers has changed"}
 	LinkLost             = Kind{601, logrus.InfoLevel, "link to another host lost"}
 	PeerRefused          = Kind{602, logrus.WarnLevel, "link refused, wrong cluster secret"}
 )
@@ -77,7 +78,7 @@
 		RequestRefused, RequestSent, RequestEnded, TurnDurable, BudgetDecided,
 		QuarantineEnded, QuarantineFailed, SuspectsChanged,
 		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull, PathCut, PathHealed, ConnectionRelayed, RelaysChanged,
-		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable, TargetCold,
+		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable, TargetCold, TargetPaced,
 		LinkLost, PeerRefused,
 	}
 }
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -53,6 +53,8 @@
 	ListTargets func(ctx context.Context) ([]Target, error)
 	// ColdBound bounds the requests that a cold target gets.
 	ColdBound limit.ColdBound
+	// TargetPace limits the requests to targets that start or recover.
+	TargetPace bool
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
@@ -91,6 +93,11 @@
 	// cold tells which targets are cold, and services holds the service of each target.
 	cold     ramp.Cold
 	services map[types.TargetID]types.ServiceID
+	// pace limits the targets that start or recover, and paced lists those that it knows.
+	// down are those that accepted no connections of several hosts.
+	pace  ramp.Pace
+	paced []ramp.Member
+	down  map[types.TargetID]bool
 	// planTable indexes the plan in force, or an older one until the next use.
 	planTable *plan.Table
 	// reportedHosts contains the hosts that have reported their allotments to
@@ -142,6 +149,7 @@
 	c.notices, c.noticesID = limit.Notices{}, types.RandomID()
 	c.targetIssuers = map[types.TargetID]*targetIssuer{}
 	c.cold, c.services = ramp.Cold{}, nil
+	c.pace, c.paced, c.down = ramp.Pace{}, nil, map[types.TargetID]bool{}
 	c.planTable = nil
 	c.reportedHosts = map[types.HostID]bool{}
 	c.lastRegistration = leaderSince
--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -84,6 +84,7 @@
 	seeds          []string
 	controls       []*process
 	stores         []*process
+	targetPace     bool         // value of fleet.Control.TargetPace for all control hosts
 	coldUntil      atomic.Int64 // Unix time in nanoseconds until which the listed target stays cold
 	allowBootstrap atomic.Bool  // value of fleet.Control.AllowBootstrap for control hosts started from now on
 }
@@ -106,7 +107,7 @@
 	p := newProcess(f.t)
 	p.start = func(ctx context.Context, g *errgroup.Group, peers *wire.Pool, server *wire.Server) {
 		c := &fleet.Control{
-			Address: p.address, Seeds: f.seeds, AllowBootstrap: f.allowBootstrap.Load(), Dir: p.dir, Losses: 1, Peers: peers, Clock: types.NewClock(),
+			Address: p.address, Seeds: f.seeds, TargetPace: f.targetPace, AllowBootstrap: f.allowBootstrap.Load(), Dir: p.dir, Losses: 1, Peers: peers, Clock: types.NewClock(),
 			ListTargets: func(context.Context) ([]fleet.Target, error) {
 				return []fleet.Target{{ID: "t1", Service: "models", Address: "127.0.0.1:1", ColdLeft: max(0, time.Until(time.Unix(0, f.coldUntil.Load())))}}, nil
 			},
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -4,10 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/banyanspur/banyanspur/ramp"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
 )
 
+// Paces holds what targets that start or recover may get from all hosts together.
+type Paces map[types.TargetID]ramp.Allowed
+
 // KindLoads is the kind of requests that exchange load reports on targets.
 const KindLoads wire.Kind = "fleet.loads"
 
@@ -20,6 +24,11 @@
 	UnitSeconds float64 `json:"u,omitempty"`
 	// Unreachable is the number of hosts that cannot connect to the target.
 	Unreachable int `json:"d,omitempty"`
+	// Responses, Failures and Refusals are as in [ramp.Report]. Only reports of hosts have
+	// them, and only if the settings call for it.
+	Responses int `json:"r,omitempty"`
+	Failures  int `json:"f,omitempty"`
+	Refusals  int `json:"x,omitempty"`
 }
 
 // LoadsRequest reports the loads that a host observes, and requests those that
@@ -55,6 +64,9 @@
 	Draining map[types.TargetID]time.Duration `json:"draining,omitempty"`
 	// Cold are the targets that this host has found to have started.
 	Cold ColdTargets `json:"cold,omitempty"`
+	// Paces is what the leader has last allowed of targets that start or recover. A new
+	// leader begins with it.
+	Paces Paces `json:"paces,omitempty"`
 }
 
 // LoadsReply holds the combined observations of all other hosts.
@@ -79,6 +91,8 @@
 	Suspects *Suspects `json:"suspects,omitempty"`
 	// Cold are the targets of all services that are cold.
 	Cold ColdTargets `json:"cold,omitempty"`
+	// Paces holds the targets that start or recover.
+	Paces Paces `json:"paces,omitempty"`
 }
 
 // loadReportTTL is how long a host's load report is valid.
@@ -197,6 +211,7 @@
 		reply.Notices, reply.NoticesCursor = c.exchangeNotices(req, now)
 		targetsChanged = c.recordAnnouncements(req.Draining, now)
 		reply.Cold = c.exchangeCold(req.Cold, now)
+		reply.Paces = c.exchangePaces(req, now)
 		c.recordSuspects(req, now)
 		var list Suspects
 		list, quarantine = c.suspects(now)
--- a/fleet/ramp.go
+++ b/fleet/ramp.go
@@ -31,11 +31,16 @@
 // must be called within asLeader.
 func (c *Control) updateCold(list []Target, now types.Mono) {
 	c.services = make(map[types.TargetID]types.ServiceID, len(list))
+	c.paced = c.paced[:0]
 	for _, t := range list {
 		c.services[t.ID] = t.Service
+		if !t.Draining {
+			c.paced = append(c.paced, ramp.Member{ID: t.ID, Service: t.Service})
+		}
 	}
 	for _, id := range c.cold.Update(ColdEntries(list), now) {
 		c.logCold(id, "list", now)
+		c.startPace(id, "list", now)
 	}
 	for i := range list {
 		list[i].ColdLeft = 0
@@ -88,6 +93,7 @@
 	for id, left := range cold {
 		if c.cold.Extend(id, min(left, maxColdTime), now) {
 			c.logCold(id, "host", now)
+			c.startPace(id, "host", now)
 		}
 	}
 }
--- a/fleet/target_limits.go
+++ b/fleet/target_limits.go
@@ -75,6 +75,9 @@
 	if _, cold, ok := c.coldLimit(id, now); ok {
 		add(cold)
 	}
+	if a, ok := c.pace.Allowed(id); ok {
+		add(a.Limit())
+	}
 	return l, limited
 }
 
@@ -90,7 +93,7 @@
 		l, limited := c.targetLimit(id, now)
 		n, known := c.notices.Get(id)
 		issuer := c.targetIssuers[id]
-		if known && n.Lifted {
+		if lifts(n, known) {
 			lifted[id] = n
 		}
 		switch {
@@ -100,7 +103,12 @@
 		case issuer != nil && demand.Release:
 			issuer.Release(demand, now)
 			continue
-		case !limited || req.Return || demand.Release:
+		case req.Return || demand.Release:
+			continue
+		case !limited && issuer != nil && !lifts(n, known) && now.Sub(issuer.limitedAt) < limitEnd:
+			reply.TargetAllotments[id] = issuer.Renew(demand, now)
+			continue
+		case !limited:
 			continue
 		case issuer == nil:
 			issuer = &targetIssuer{Issuer: limit.NewIssuer(c.leaderSince)}
@@ -118,6 +126,13 @@
 	reply.TargetNotices = NewTargetNotices(lifted, now)
 }
 
+// lifts reports whether a target that named a limit no longer does.
+func lifts(n limit.Notice, known bool) bool { return known && n.Lifted }
+
+// limitEnd is how long the last limit of a target is still divided among the hosts that do
+// not know of its end. Else they would send nothing to it until their next exchange of loads.
+const limitEnd = time.Second
+
 // issuerRetention is how long the issuer of a target without a limit is kept: until all of
 // its allotments have expired, which the next issuer would not know of.
 const issuerRetention = 2 * limit.AllotmentTime
--- a/gate/cold.go
+++ b/gate/cold.go
@@ -138,18 +138,24 @@
 }
 
 // targetLimit returns the limit of all hosts together for a target: the lowest of what it
-// names and of what it can take while it is cold. It returns false if there is none.
+// names, of what it can take while it is cold and of what it may get while it starts or
+// recovers. It returns false if there is none.
 func (g *Gate) targetLimit(id types.TargetID) (l limit.Limit, limited bool) {
-	rate, named := g.targetLimits.rate(id)
-	if named {
-		l = limit.TargetLimit(rate)
+	add := func(source limit.Limit) {
+		if limited {
+			source = source.Lowest(l)
+		}
+		l, limited = source, true
+	}
+	now := g.Clock()
+	if rate, named := g.targetLimits.rate(id); named {
+		add(limit.TargetLimit(rate))
+	}
+	if _, cold, ok := g.coldLimit(id, now); ok {
+		add(cold)
 	}
-	_, cold, isCold := g.coldLimit(id, g.Clock())
-	switch {
-	case isCold && named:
-		l = l.Lowest(cold)
-	case isCold:
-		l = cold
+	if a, ok := g.pace.allowed(id, now); ok {
+		add(a.Limit())
 	}
-	return l, named || isCold
+	return l, limited
 }
--- a/gate/cold_test.go
+++ b/gate/cold_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/banyanspur/banyanspur/fleet"
+	"github.com/banyanspur/banyanspur/gate"
 	"github.com/banyanspur/banyanspur/limit"
 	"github.com/banyanspur/banyanspur/plan"
 )
@@ -20,12 +21,11 @@
 // newColdTestbed returns a testbed with a limit for the cold targets of all services, and the
 // function that changes its list.
 func newColdTestbed(t *testing.T) (b *testbed, change func(func([]fleet.Target) []fleet.Target)) {
-	b = newTestbed(t)
-	b.gate.ColdBound = coldBound
+	b = newTestbedWith(t, func(g *gate.Gate) { g.ColdBound = coldBound })
 	p := *b.fleet.View().Plan.Plan
 	p.Services = slices.Clone(p.Services)
 	for i := range p.Services {
-		p.Services[i].ColdTime, p.Services[i].ColdRate = 3*time.Second, coldRate
+		p.Services[i].ColdTime, p.Services[i].ColdRate = 5*time.Second, coldRate
 	}
 	view := b.fleet.View()
 	view.Plan = plan.NewTable(&p)
@@ -54,20 +54,23 @@
 	}
 	for name, turnCold := range map[string]func(b *testbed, change func(func([]fleet.Target) []fleet.Target), spare string){
 		"list": func(_ *testbed, change func(func([]fleet.Target) []fleet.Target), _ string) {
-			change(cold(3*time.Second, ""))
+			change(cold(5*time.Second, ""))
 		},
 		"address": func(_ *testbed, change func(func([]fleet.Target) []fleet.Target), spare string) {
 			change(cold(0, spare))
 		},
 		"host": func(b *testbed, _ func(func([]fleet.Target) []fleet.Target), _ string) {
-			b.fleet.setLoadsReply(fleet.LoadsReply{Cold: fleet.ColdTargets{"t0": 3 * time.Second}})
+			b.fleet.setLoadsReply(fleet.LoadsReply{Cold: fleet.ColdTargets{"t0": 5 * time.Second}})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b, change := newColdTestbed(t)
 			var got, other atomic.Int32
 			b.addTarget("plain", countRequests(&got, respondOK))
-			b.addTarget("plain", countRequests(&other, respondOK))
+			b.addTarget("plain", countRequests(&other, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Load", "4,0,6") // Busy, so that the first target is preferred.
+				respondOK(w, r)
+			}))
 			b.addTarget("spare", countRequests(&got, respondOK))
 			spare := b.fleet.View().Targets[2].Address
 			change(func(list []fleet.Target) []fleet.Target { return list[:2] })
@@ -85,7 +88,7 @@
 			turnCold(b, change, spare)
 			got.Store(0)
 			start := time.Now()
-			for time.Since(start) < time.Second {
+			for time.Since(start) < time.Second || got.Load() == 0 && time.Since(start) < 4*time.Second {
 				send(1)
 			}
 			took := time.Since(start).Seconds()
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -60,13 +60,17 @@
 		if c.poisonous() {
 			return c.dispatchError(poisonousReason)
 		}
-		choice, ok := c.pickTarget(service, tried)
+		choice, probing := c.pickProbe(service, tried)
+		ok := probing
+		if !probing {
+			choice, ok = c.pickTarget(service, tried)
+		}
 		if !ok || rejected >= maxRejections || unreachable >= maxUnreachable {
 			return c.noTarget(service)
 		}
 		tried[choice.ID] = true
 		if !c.takeFromTargetLimit(choice.ID, c.lowPrecedence(service, choice.ID)) {
-			c.limited = true
+			c.limited = c.limited || !probing
 			continue
 		}
 		switch c.send(service, choice, c.hasUntried(tried, service)) {
@@ -162,6 +166,9 @@
 	}
 	c.mayHaveRun = true
 	c.gate.targets.recordResponse(t.ID, resp.Header.Get(c.gate.HeaderNames.Load))
+	if resp.Status >= http.StatusInternalServerError {
+		c.gate.targets.recordServerError(t.ID)
+	}
 	if c.route.Kind == plan.Streaming && resp.Status < http.StatusMultipleChoices {
 		return c.forwardStream(service, t, resp)
 	}
@@ -215,6 +222,7 @@
 	}
 	if genuine && rejected && resp.Status != http.StatusMisdirectedRequest {
 		c.gate.targets.recordResponse(t.ID, resp.Header.Get(c.gate.HeaderNames.Load))
+		c.gate.targets.recordRefusal(t.ID)
 	} else {
 		c.gate.targets.recordFailure(t.ID) // With status 421, the address now belongs to another target.
 	}
--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/banyanspur/banyanspur/gate"
 	"github.com/banyanspur/banyanspur/limit"
 	"github.com/banyanspur/banyanspur/plan"
+	"github.com/banyanspur/banyanspur/ramp"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
@@ -44,6 +45,10 @@
 	// counts the exchanges of load reports.
 	reportedParts fleet.CachedParts
 	exchanges     int
+	// paces is what the last exchange reported of targets that start or recover, and
+	// observed sums what was reported of targets.
+	paces    fleet.Paces
+	observed map[types.TargetID]ramp.Report
 	// crashes and completed collect what was reported of suspects.
 	crashes   []fleet.CrashReport
 	completed []types.Fingerprint
@@ -90,7 +95,10 @@
 	}
 	f.crashes = append(f.crashes, req.Crashes...)
 	f.completed = append(f.completed, req.Completed...)
-	f.draining = req.Draining
+	f.draining, f.paces = req.Draining, req.Paces
+	for id, l := range req.Loads {
+		f.observed[id] = ramp.Report{Responses: f.observed[id].Responses + l.Responses, Failures: f.observed[id].Failures + l.Failures, Refusals: f.observed[id].Refusals + l.Refusals}
+	}
 	f.exchanges++
 	return f.loadsReply, nil
 }
@@ -155,6 +163,9 @@
 		if req.TargetsCold[id] > 0 {
 			l = coldBound.Limit(coldRate)
 		}
+		if a, ok := f.loadsReply.Paces[id]; ok {
+			l = a.Limit()
+		}
 		issuer.SetLimit(l, f.clock())
 		reply.TargetAllotments[id] = issuer.Renew(demand, f.clock())
 	}
@@ -169,7 +180,11 @@
 	url   string
 }
 
-func newTestbed(t *testing.T) *testbed {
+// newTestbed returns a running testbed.
+func newTestbed(t *testing.T) *testbed { return newTestbedWith(t, func(*gate.Gate) {}) }
+
+// newTestbedWith returns a testbed whose gate was changed by set before it runs.
+func newTestbedWith(t *testing.T, set func(*gate.Gate)) *testbed {
 	t.Helper()
 	p := &plan.Plan{
 		Version: 1,
@@ -188,7 +203,7 @@
 			{Name: "small", Keys: []types.KeyHash{types.HashKey("small-key")}, Rate: 5, Burst: 5},
 		},
 	}
-	b := &testbed{t: t, fleet: &fakeFleet{issuers: map[types.AccountID]*limit.Issuer{}, targetIssuers: map[types.TargetID]*limit.Issuer{}, clock: types.NewClock()}}
+	b := &testbed{t: t, fleet: &fakeFleet{issuers: map[types.AccountID]*limit.Issuer{}, targetIssuers: map[types.TargetID]*limit.Issuer{}, observed: map[types.TargetID]ramp.Report{}, clock: types.NewClock()}}
 	b.fleet.view.Plan = plan.NewTable(p)
 	ctx, cancel := context.WithCancel(context.Background())
 	g, ctx := errgroup.WithContext(ctx)
@@ -199,6 +214,7 @@
 		Host: "entry-1", Zone: "zone-a", HeaderNames: headerNames, Fleet: b.fleet, Clock: b.fleet.clock, MaxPlanStaleness: time.Minute,
 		Turns: &turns.Client{Peers: peers, Map: func() *turns.Map { return b.fleet.View().Map }},
 	}
+	set(gt)
 	b.gate = gt
 	g.Go(func() error { return gt.Run(ctx) })
 	server := httptest.NewServer(gt)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -70,6 +70,9 @@
 	PlacementCosts route.PlacementCosts
 	// ColdBound bounds the requests that a cold target gets from all hosts together.
 	ColdBound limit.ColdBound
+	// TargetPace makes load reports contain what the leader needs to limit the targets that
+	// start or recover.
+	TargetPace bool
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
@@ -84,6 +87,7 @@
 	begun        begunPrograms
 	targetLimits targetLimits
 	cold         coldTracker
+	pace         paceTracker
 	draining     drainTracker
 	// shuttingDown is set when this host drains itself.
 	shuttingDown atomic.Bool
@@ -112,7 +116,7 @@
 			g.PlacementCosts = route.DefaultPlacementCosts
 		}
 		g.limits.init(g)
-		g.targets.clock = g.Clock
+		g.targets.clock, g.targets.observes = g.Clock, g.TargetPace
 		g.initRelay()
 		g.backgroundCtx, g.cancelBackground = context.WithCancel(context.Background())
 	})
@@ -158,7 +162,7 @@
 		g.updateDraining()
 		req.Draining = g.draining.report(g.Fleet.View().Targets, g.Clock())
 		req.Notices, req.NoticesSince = g.targetLimits.report(g.Clock())
-		req.Cold = g.coldFound()
+		req.Cold, req.Paces = g.coldFound(), g.pace.report(g.Clock())
 		crashes := g.crashes.nextReport()
 		crashes.addTo(&req, g.Clock())
 		reply, err := g.Fleet.Loads(exchangeCtx, req)
@@ -172,6 +176,7 @@
 		g.setRelays(reply.Relays)
 		g.targetLimits.reported(req.Notices, reply, g.Clock())
 		g.cold.merge(reply, g.Clock())
+		g.pace.merge(reply, g.Clock())
 		g.targets.setOtherLoads(reply.Loads)
 		g.targets.addCachedParts(reply.CachedParts)
 		cursor = reply.Cursor
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/banyanspur/banyanspur/fleet"
+	"github.com/banyanspur/banyanspur/ramp"
 	"github.com/banyanspur/banyanspur/route"
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -23,6 +24,8 @@
 	mu     sync.Mutex
 	states map[types.TargetID]*targetState
 	reach  route.Reachability
+	// observes is set if load reports contain what this host has observed of targets.
+	observes bool
 }
 
 // targetState is the state of one target in a [targetTracker].
@@ -32,8 +35,9 @@
 	waiting             int
 	inFlightAtReport    int // inFlight when the load report was received
 	slots               int
-	reportedAt          time.Time // when the load report was received
-	consecutiveFailures int       // failures since the last response
+	reportedAt          time.Time   // when the load report was received
+	consecutiveFailures int         // failures since the last response
+	observed            ramp.Report // since the last load report, without UnitSeconds
 	lastFailureAt       time.Time
 	cachedParts         map[types.PartHash]time.Time // prompt parts in the target's cache, and when each was last used or reported
 	unreportedParts     map[types.PartHash]bool      // shared prompt parts not yet reported to other hosts
@@ -136,6 +140,7 @@
 		if t.reach.FoundUnreachable(id) {
 			local.Unreachable = 1
 		}
+		t.takeObserved(s, &local)
 		if local != (fleet.Load{}) {
 			loads[id] = local
 		}
@@ -213,6 +218,7 @@
 	s := t.getOrCreate(id)
 	t.reach.RecordReachable(id)
 	s.consecutiveFailures = 0
+	s.observed.Responses++
 	numbers := strings.Split(report, ",")
 	if len(numbers) != 3 {
 		return
@@ -235,6 +241,7 @@
 	defer t.mu.Unlock()
 	s := t.getOrCreate(id)
 	s.consecutiveFailures++
+	s.observed.Failures++
 	s.lastFailureAt = time.Now()
 	clear(s.cachedParts) // The target may have restarted with an empty cache.
 	clear(s.unreportedParts)
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -49,11 +49,12 @@
 	limited := false // a target that could run the request is at the limit that it names
 	now := c.gate.Clock()
 	for _, t := range c.candidates(service, tried) {
-		if c.gate.targetLimits.fullFor(t.ID, c.lowPrecedence(service, t.ID), now) > 0 {
+		if c.fullFor(service, t.ID, now) > 0 {
 			limited = true
 			continue
 		}
 		o, unit := c.gate.targets.routeOption(t, parts, c.gate.Zone)
+		o.Failing = c.gate.failing(t.ID, o.Failing)
 		if t.ID == c.turn.lastTarget && work.Prompt > 0 {
 			o.Cached = work.Prompt // Includes the new input, which every target has to prefill.
 		}
@@ -113,7 +114,7 @@
 func (c *call) hasUntried(tried map[types.TargetID]bool, service *plan.Service) bool {
 	now := c.gate.Clock()
 	for _, t := range c.candidates(service, tried) {
-		if c.gate.targetLimits.fullFor(t.ID, c.lowPrecedence(service, t.ID), now) == 0 {
+		if c.fullFor(service, t.ID, now) == 0 {
 			return true
 		}
 	}
--- a/gate/reply.go
+++ b/gate/reply.go
@@ -46,6 +46,7 @@
 	if _, err := io.Copy(c.w, resp.Body); err != nil {
 		c.truncated = true
 		if c.interruptedByTarget() {
+			c.gate.targets.recordServerError(t.ID)
 			c.recordInterrupted(t)
 		}
 	}
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -50,6 +50,7 @@
 	}
 	c.runs++
 	if err != nil && c.interruptedByTarget() {
+		c.gate.targets.recordServerError(t.ID)
 		c.recordInterrupted(t)
 	}
 	if err == nil {
--- a/gate/target_limit.go
+++ b/gate/target_limit.go
@@ -136,6 +136,10 @@
 		coldSendsTotal.Inc()
 		fields["coldLeftMs"] = left.Milliseconds()
 	}
+	if a, paced := c.gate.pace.allowed(id, c.gate.Clock()); paced {
+		pacedSendsTotal.Inc()
+		fields["paced"], fields["probe"] = a.Rate, a.Probe
+	}
 }
 
 // limitedFor returns the time until a target of the service that is at its limit may
@@ -143,7 +147,7 @@
 func (c *call) limitedFor(service *plan.Service) (wait time.Duration, limited bool) {
 	now := c.gate.Clock()
 	for _, t := range c.candidates(service, nil) {
-		if d := c.gate.targetLimits.fullFor(t.ID, c.lowPrecedence(service, t.ID), now); d > 0 && (!limited || d < wait) {
+		if d := c.fullFor(service, t.ID, now); d > 0 && (!limited || d < wait) {
 			wait, limited = d, true
 		}
 	}
--- a/ramp/pace.go
+++ b/ramp/pace.go
@@ -26,10 +26,10 @@
 
 // Allowed is what a target may get from all hosts together.
 type Allowed struct {
-	Rate types.PerSecond
+	Rate types.PerSecond `json:"rate"`
 	// Probe is set while the target is avoided: only requests that may be repeated are
 	// sent, to find out whether it answers.
-	Probe bool
+	Probe bool `json:"probe,omitempty"`
 }
 
 const (
@@ -273,11 +273,9 @@
 		t.relapses = 0
 	}
 	switch {
-	case t.failing(now) && t.phase != avoided:
-		if float64(n.avoided+1) <= maxAvoided*float64(n.targets) {
-			n.avoided++
-			t.avoid(now)
-		}
+	case t.phase != avoided && t.failing(now) && float64(n.avoided+1) <= maxAvoided*float64(n.targets):
+		n.avoided++
+		t.avoid(now)
 	case t.phase == avoided:
 		t.probe(n, now)
 	case t.phase == growing:
--- a/ramp/pace_test.go
+++ b/ramp/pace_test.go
@@ -114,8 +114,11 @@
 	h := &s.hosts[host]
 	tried := [simTargets]bool{}
 	for range 4 {
-		best, equal := -1, 0
+		best, equal := s.probe(h, &tried, repeatable), 0
 		for i := range simTargets {
+			if best >= 0 && equal == 0 {
+				break // A probe.
+			}
 			if tried[i] || s.avoids(h, i, repeatable) {
 				continue
 			}
@@ -142,13 +145,23 @@
 	}
 }
 
+// probe returns an avoided target to which a request may be sent, or -1.
+func (s *sim) probe(h *simHost, tried *[simTargets]bool, repeatable bool) int {
+	for i := range simTargets {
+		if s.paced && repeatable && !tried[i] && h.allowed[targetID(i)].Probe && s.now >= h.fullUntil[i] {
+			return i
+		}
+	}
+	return -1
+}
+
 // avoids reports whether a host passes over a target.
 func (s *sim) avoids(h *simHost, i int, repeatable bool) bool {
 	if i < s.unlisted {
 		return true
 	}
 	if a, limited := h.allowed[targetID(i)]; s.paced && limited {
-		return s.now < h.fullUntil[i] || a.Probe && !repeatable
+		return s.now < h.fullUntil[i] || a.Probe
 	}
 	backoff := min(500*time.Millisecond<<max(0, min(h.failures[i]-1, 8)), 4*time.Second)
 	return h.failures[i] > 0 && s.now.Sub(h.failedAt[i]) < backoff
