--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -86,6 +86,7 @@
 	seeds          []string
 	controls       []*process
 	stores         []*process
+	targetPace     bool         // value of fleet.Control.TargetPace for all control hosts
 	coldUntil      atomic.Int64 // Unix time in nanoseconds until which the listed targets stay cold
 	allowBootstrap atomic.Bool  // value of fleet.Control.AllowBootstrap for control hosts started from now on
 	// targets is the platform's list. While it is nil, the list cannot be fetched.
@@ -111,7 +112,7 @@
 	p := newProcess(f.t)
 	p.start = func(ctx context.Context, g *errgroup.Group, peers *wire.Pool, server *wire.Server) {
 		c := &fleet.Control{
-			Address: p.address, Seeds: f.seeds, AllowBootstrap: f.allowBootstrap.Load(), Dir: p.dir, Losses: 1, Peers: peers, Clock: types.NewClock(),
+			Address: p.address, Seeds: f.seeds, TargetPace: f.targetPace, AllowBootstrap: f.allowBootstrap.Load(), Dir: p.dir, Losses: 1, Peers: peers, Clock: types.NewClock(),
 			ListTargets: func(context.Context) ([]fleet.Target, error) {
 				list := f.targets.Load()
 				if list == nil {
--- a/gate/load_report.go
+++ b/gate/load_report.go
@@ -43,6 +43,7 @@
 	s := t.getOrCreate(id)
 	t.reach.RecordReachable(id)
 	s.consecutiveFailures = 0
+	s.observed.Responses++
 	if r.HasLoad {
 		s.running, s.waiting = r.Running, r.Waiting
 		s.inFlightAtReport, s.reportedAt = s.inFlight, time.Now()
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/banyanspur/banyanspur/fleet"
+	"github.com/banyanspur/banyanspur/ramp"
 	"github.com/banyanspur/banyanspur/route"
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -18,6 +19,8 @@
 	mu     sync.Mutex
 	states map[types.TargetID]*targetState
 	reach  route.Reachability
+	// observes is set if load reports contain what this host has observed of targets.
+	observes bool
 }
 
 // targetState is the state of one target in a [targetTracker].
@@ -32,6 +35,7 @@
 	slownessAt          types.Mono     // when slowness was received
 	sentInvalidReport   bool           // a load report had a figure that is ignored
 	consecutiveFailures int            // failures since the last response
+	observed            ramp.Report    // since the last load report, without UnitSeconds
 	lastFailureAt       time.Time
 	cachedParts         map[types.PartHash]time.Time // prompt parts in the target's cache, and when each was last used or reported
 	unreportedParts     map[types.PartHash]bool      // shared prompt parts not yet reported to other hosts
@@ -131,6 +135,7 @@
 		if t.reach.FoundUnreachable(id) {
 			local.Unreachable = 1
 		}
+		t.takeObserved(s, &local)
 		if local != (fleet.Load{}) {
 			loads[id] = local
 		}
@@ -193,6 +198,7 @@
 	defer t.mu.Unlock()
 	s := t.getOrCreate(id)
 	s.consecutiveFailures++
+	s.observed.Failures++
 	s.lastFailureAt = time.Now()
 	clear(s.cachedParts) // The target may have restarted with an empty cache.
 	clear(s.unreportedParts)
