platform, fleet: incomplete entries name no target, conflicting ones one

An entry of another writer without zone, version, slots and cold_left_ms was taken for a target. Beside the complete entry, the list then had two targets with one ID, and the ready one got requests although the other drained.

An entry without one of the fields that the platform writes, or with another type, names no target. Of valid entries with the same ID or address one target results: the one listed longest counts (DESIGN.md), and it drains if any says so.

Changes to tests: the entries of soak and platform tests lacked version or cold_left_ms and are complete now, so that each odd entry is odd in one thing only.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -32,6 +32,7 @@
 	TargetsChanged       = Kind{307, logrus.InfoLevel, "list of targets changed"}
 	LeaderReached        = Kind{308, logrus.InfoLevel, "leader of the configuration group reached"}
 	LeaderUnreachable    = Kind{309, logrus.WarnLevel, "leader of the configuration group does not answer"}
+	EntryDropped         = Kind{320, logrus.WarnLevel, "entry of the list of targets names the ID or address of another one"}
 	CallOutcomeUnknown   = Kind{401, logrus.WarnLevel, "outcome of a call that may not be repeated is unknown"}
 	CallQuarantined      = Kind{402, logrus.WarnLevel, "request quarantined after its targets failed"}
 	SessionExpired       = Kind{403, logrus.WarnLevel, "session of an entry host expired"}
@@ -71,7 +72,7 @@
 		SnapshotInstalled, StorageFailed, DiskIOFailed, GroupBootstrapped, MembersChanged,
 		ShardMoved, ShardCopied, CopyFailed,
 		OrderDecided, ConfigApplied, LeaseLost, LeaseAcquired, PlanApplied, PlanRefused,
-		TargetsChanged, LeaderReached, LeaderUnreachable,
+		TargetsChanged, LeaderReached, LeaderUnreachable, EntryDropped,
 		CallOutcomeUnknown, CallQuarantined, SessionExpired, CallCloseFailed,
 		RequestRefused, RequestSent, RequestEnded, TurnDurable, BudgetDecided,
 		QuarantineEnded, QuarantineFailed, SuspectsChanged,
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -68,6 +68,7 @@
 	// together with what targets have announced.
 	platformTargets []Target
 	targets         Targets
+	listings        Listings // kept when the leader changes, for the ages of entries
 	draining        drain.Table
 	zoneSizes       poison.ZoneSizes // of targets
 	loadReports     loadTable
--- a/fleet/targets.go
+++ b/fleet/targets.go
@@ -1,11 +1,11 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -23,6 +23,8 @@
 	leaderPollInterval = 20 * time.Millisecond
 )
 
+var droppedEntriesTotal = metrics.NewCounter("banyanspur_fleet_dropped_entries_total")
+
 // refreshTargets fetches the list of targets periodically while this host is
 // the leader. It runs until ctx ends.
 func (c *Control) refreshTargets(ctx context.Context) error {
@@ -51,20 +53,33 @@
 
 // setTargets replaces the list of targets on the leader, and notifies waiting
 // sync requests if it has changed.
-func (c *Control) setTargets(list []Target, took time.Duration) {
-	slices.SortFunc(list, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+func (c *Control) setTargets(entries []Target, took time.Duration) {
+	var list []Target
+	var conflicts []Conflict
 	var checksum uint64
 	changed := false
 	err := c.asLeader(func(now types.Mono) {
 		c.expireTargetLimits(now)
 		previous := c.targets.Checksum
+		var dropped int
+		list, conflicts, dropped = c.listings.Merge(entries, now)
+		droppedEntriesTotal.Add(dropped)
 		c.platformTargets, c.zoneSizes = list, ZoneSizes(list)
 		LogDrainsEnded(c.Log, c.draining.Update(DrainStates(list), now))
 		c.mergeTargets()
 		checksum = c.targets.Checksum
 		changed = checksum != previous
 	})
-	if err == nil && changed {
+	if err != nil {
+		return
+	}
+	for _, o := range conflicts {
+		c.Log.Write(event.EntryDropped, event.Fields{
+			"target": o.Dropped.ID, "address": o.Dropped.Address, "service": o.Dropped.Service, "ageMs": o.DroppedAge.Milliseconds(),
+			"kept": o.Kept.ID, "keptAddress": o.Kept.Address, "keptService": o.Kept.Service, "keptAgeMs": o.KeptAge.Milliseconds(), "draining": o.Dropped.Draining,
+		})
+	}
+	if changed {
 		c.Log.Write(event.TargetsChanged, event.Fields{"targets": len(list), "sum": checksum, "tookMs": took.Milliseconds()})
 		c.changes.notify()
 	}
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -67,7 +67,7 @@
 		}
 		id := fmt.Sprintf("t%d", i)
 		t.list = append(t.list, map[string]any{
-			"id": id, "service": service, "address": l.Addr().String(), "zone": fmt.Sprint("zone-", i%3), "slots": 50, "state": "ready",
+			"id": id, "service": service, "address": l.Addr().String(), "zone": fmt.Sprint("zone-", i%3), "version": "v1", "slots": 50, "state": "ready", "cold_left_ms": 0,
 		})
 		t.serve(l, handler)
 	}
