--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -35,6 +35,7 @@
 	ZoneOrderDecided     = Kind{310, logrus.WarnLevel, "evacuation of a zone ordered or withdrawn"}
 	ZonesApplied         = Kind{311, logrus.InfoLevel, "evacuated zones in force on this host"}
 	ServicesEvacuated    = Kind{312, logrus.WarnLevel, "services without a target outside the evacuated zones changed"}
+	EntryDropped         = Kind{320, logrus.WarnLevel, "entry of the list of targets names the ID or address of another one"}
 	CallOutcomeUnknown   = Kind{401, logrus.WarnLevel, "outcome of a call that may not be repeated is unknown"}
 	CallQuarantined      = Kind{402, logrus.WarnLevel, "request quarantined after its targets failed"}
 	SessionExpired       = Kind{403, logrus.WarnLevel, "session of an entry host expired"}
@@ -77,7 +78,7 @@
 		SnapshotInstalled, StorageFailed, DiskIOFailed, GroupBootstrapped, MembersChanged,
 		ShardMoved, ShardCopied, CopyFailed,
 		OrderDecided, ConfigApplied, LeaseLost, LeaseAcquired, PlanApplied, PlanRefused,
-		TargetsChanged, LeaderReached, LeaderUnreachable, ZoneOrderDecided, ZonesApplied, ServicesEvacuated,
+		TargetsChanged, LeaderReached, LeaderUnreachable, ZoneOrderDecided, ZonesApplied, ServicesEvacuated, EntryDropped,
 		CallOutcomeUnknown, CallQuarantined, SessionExpired, CallCloseFailed,
 		RequestRefused, RequestSent, RequestEnded, TurnDurable, BudgetDecided,
 		QuarantineEnded, QuarantineFailed, SuspectsChanged,
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -75,6 +75,7 @@
 	// together with what targets have announced.
 	platformTargets []Target
 	targets         Targets
+	listings        Listings // kept when the leader changes, for the ages of entries
 	draining        drain.Table
 	zoneSizes       poison.ZoneSizes      // of targets
 	hostZones       map[types.ZoneID]bool // zones that hosts have told this leader
