--- a/fleet/zones.go
+++ b/fleet/zones.go
@@ -111,8 +111,8 @@
 	Age       time.Duration `json:"age"`
 }
 
-// ZoneReports holds all zones that are or have been evacuated. Its size is some 80 bytes
-// for each of them.
+// ZoneReports holds all zones that are or have been evacuated. Its size is 75 bytes for each
+// of them.
 type ZoneReports struct {
 	Zones map[types.ZoneID]ZoneReport `json:"zones"`
 }
