--- a/soak/guarantees_test.go
+++ b/soak/guarantees_test.go
@@ -45,6 +45,8 @@
 	})
 	g.Go(func() error { tg.endRandomly(ctx, seed); return nil })
 	g.Go(func() error { tg.drainRandomly(ctx, seed); return nil })
+	var evacuations []evacuation
+	g.Go(func() error { evacuations = f.evacuateRandomly(ctx, seed); return nil })
 	c.injectFaults(*duration)
 	f.losePower(f.hosts[r.IntN(6)], time.Second) // While callers and the operator go on.
 	cancel()
@@ -58,6 +60,7 @@
 	checkTurnsRetained(t, c)
 	checkNotBlamed(t, c)
 	checkDrains(t, c, tg)
+	checkEvacuations(t, c, tg, evacuations)
 }
 
 // startServing starts a fleet with the given numbers of targets of the services "models"
