turns: turns live for keep_s after the last turn that continues them

Stores get keep_s from the plan (Store.SetRetention); before that nothing expires. The age of a turn counts from the last turn that continues it. Turns that continue it may be on other stores and in other shards, so a store asks all others before it removes a turn and needs replies of a quorum of every shard (turns.continued). Segments are removed in any order; the live turns of sparse ones are rewritten. Claims are kept as long as a turn of their program. A copied turn keeps its age.

TestJournalRemovesWholeSegments removes a segment between two others in place of all segments before one, since RemoveBefore is replaced by Remove. It also checks that the current segment stays.

--- a/host/store.go
+++ b/host/store.go
@@ -9,6 +9,7 @@
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
+	"github.com/banyanspur/banyanspur/plan"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -34,10 +35,14 @@
 		if v.Map != nil {
 			store.SetMap(v.Map)
 		}
+		if v.Plan != nil {
+			store.SetRetention(turnRetention(v.Plan.Plan))
+		}
 	}
 	g.Go(func() error { return n.client.Run(serveCtx) })
 	g.Go(func() error { return store.Run(serveCtx) })
 	g.Go(func() error { return store.CopyShards(serveCtx, n.peers) })
+	g.Go(func() error { return store.ExpireTurns(serveCtx, n.peers) })
 	g.Go(func() error { return n.reportCopied(serveCtx, store, id) })
 	g.Go(func() error {
 		defer stop()
@@ -47,6 +52,18 @@
 	return nil
 }
 
+// turnRetention returns the longest retention and the longest timeout of the
+// stateful routes of a plan. Turns do not name their routes, so that all are kept
+// for the longest retention.
+func turnRetention(p *plan.Plan) (keep, timeout time.Duration) {
+	for _, r := range p.Routes {
+		if r.Stateful {
+			keep, timeout = max(keep, r.TurnRetention), max(timeout, r.Timeout)
+		}
+	}
+	return keep, timeout
+}
+
 // reportCopied periodically reports to the leader, until ctx ends, for which
 // moves of shards this store has copied all data.
 func (n *Node) reportCopied(ctx context.Context, store *turns.Store, id turns.StoreID) error {
--- a/store/journal.go
+++ b/store/journal.go
@@ -19,7 +19,7 @@
 }
 
 // Journal is a log of records that are read by their [Location] and removed in
-// whole segments, oldest first. Unlike a [Log], it continues after a failed
+// whole segments. Unlike a [Log], it continues after a failed
 // write, in a new segment. Records of the failed write may or may not be found
 // when the journal is opened again. [Journal.Read] is safe for concurrent use.
 // All other methods must be called from one goroutine.
@@ -183,22 +183,16 @@
 	return nil
 }
 
-// RemoveBefore removes all segments with a lower number than before. The current
-// segment is always kept.
-func (j *Journal) RemoveBefore(before uint64) error {
-	segments, err := listSegments(j.dir)
-	if err != nil {
-		return err
-	}
-	for _, s := range segments {
-		if s >= min(before, j.segment) {
-			continue
-		}
-		if err := os.Remove(j.segmentPath(s)); err != nil {
-			return errors.Wrap(err, "store: remove segment")
-		}
+// Segments returns the numbers of all segments, including the current one, in
+// ascending order.
+func (j *Journal) Segments() ([]uint64, error) { return listSegments(j.dir) }
+
+// Remove removes a segment. The current segment is always kept.
+func (j *Journal) Remove(segment uint64) error {
+	if segment == j.segment {
+		return nil
 	}
-	return nil
+	return errors.Wrap(os.Remove(j.segmentPath(segment)), "store: remove segment")
 }
 
 // Close closes the journal. All appended records are already durable.
--- a/store/journal_test.go
+++ b/store/journal_test.go
@@ -66,22 +66,30 @@
 	}
 }
 
+// TestJournalRemovesWholeSegments removes a segment between two others, and the current
+// one, which must be kept.
 func TestJournalRemovesWholeSegments(t *testing.T) {
 	dir := t.TempDir()
 	j, _ := openJournal(t, dir)
+	appendAll(t, j, "oldest")
+	if err := j.Rotate(); err != nil {
+		t.Fatal(err)
+	}
 	old := appendAll(t, j, "old")
 	if err := j.Rotate(); err != nil {
 		t.Fatal(err)
 	}
 	appendAll(t, j, "new")
-	if err := j.RemoveBefore(j.Segment()); err != nil {
-		t.Fatal(err)
+	for _, segment := range []uint64{old[0].Segment, j.Segment()} {
+		if err := j.Remove(segment); err != nil {
+			t.Fatal(err)
+		}
 	}
 	if _, err := j.Read(old[0]); !errors.Is(err, os.ErrNotExist) {
 		t.Errorf("reading a removed record: %v, want os.ErrNotExist", err)
 	}
 	_, records := openJournal(t, dir)
-	if diff := cmp.Diff([]string{"new"}, records); diff != "" {
+	if diff := cmp.Diff([]string{"oldest", "new"}, records); diff != "" {
 		t.Errorf("remaining records (-want +got):\n%s", diff)
 	}
 }
--- a/turns/chain.go
+++ b/turns/chain.go
@@ -144,19 +144,7 @@
 // of a shard does not count: with a newer one, the turn may have been written to
 // stores that shardMap does not list.
 func (s *chainSearch) provesMissing() bool {
-	if s.shardMap == nil || len(s.shardMap.Shards) == 0 {
-		return false
-	}
-	for shard, p := range s.shardMap.Shards {
-		lacks := func(id StoreID) bool {
-			epochs := s.lacking[id]
-			return shard < len(epochs) && epochs[shard] == p.Epoch
-		}
-		if !p.HasQuorum(lacks) {
-			return false
-		}
-	}
-	return true
+	return s.shardMap.isQuorumOfAll(s.lacking)
 }
 
 // uncertainError returns the fault for a turn that no store has returned and
--- a/turns/cluster_test.go
+++ b/turns/cluster_test.go
@@ -24,6 +24,10 @@
 	peers    *wire.Pool
 	stores   []*testStore
 	shardMap atomic.Pointer[turns.Map]
+	// elapsed is the virtual time of the stores, in nanoseconds, if virtual is set.
+	// Their checks for expired turns then run on [cluster.advance] only.
+	elapsed atomic.Int64
+	virtual bool
 }
 
 // testStore is a store that can be stopped, wiped and restarted at another
@@ -34,6 +38,7 @@
 	dir    string
 	server *httptest.Server
 	stop   func() // nil while the store is stopped
+	ticks  chan time.Time
 	// diskResumed delays all writes to the disk until it is closed, unless it is nil.
 	diskResumed chan struct{}
 }
@@ -42,7 +47,12 @@
 // them.
 func newCluster(t *testing.T, stores int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, peers: &wire.Pool{}}
+	return startCluster(&cluster{t: t, peers: &wire.Pool{}}, stores)
+}
+
+func startCluster(c *cluster, stores int) *cluster {
+	t := c.t
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var g errgroup.Group
 	g.Go(func() error { return c.peers.Run(ctx) })
@@ -87,6 +97,10 @@
 func (c *cluster) startStore(s *testStore) {
 	c.t.Helper()
 	s.Store = &turns.Store{Dir: s.dir, Clock: types.NewClock()}
+	if c.virtual {
+		s.ticks = make(chan time.Time)
+		s.Ticks, s.Clock = s.ticks, func() types.Mono { return types.Mono(c.elapsed.Load()) }
+	}
 	id, err := s.Open()
 	if err != nil {
 		c.t.Fatal(err)
@@ -111,6 +125,7 @@
 		return store.Run(runCtx)
 	})
 	g.Go(func() error { return store.CopyShards(runCtx, c.peers) })
+	g.Go(func() error { return store.ExpireTurns(runCtx, c.peers) })
 	s.stop = func() {
 		cancel()
 		s.server.Close()
@@ -286,3 +301,35 @@
 	}
 	return list
 }
+
+// writeTurnOn writes a turn of account "choir" to the given stores, as if the others had not
+// replied in time.
+func (c *cluster) writeTurnOn(turn turns.Turn, program types.ProgramID, stores ...int) {
+	c.t.Helper()
+	m := c.shardMap.Load()
+	turn.Account, turn.Shard = "choir", turns.ShardOf("choir", program)
+	turn.Output = []byte("out " + turn.ID)
+	for _, n := range stores {
+		ctx := withTimeout(c.t, stepTimeout)
+		link := c.peers.Link(c.member(n).Address)
+		link.WaitConnected(ctx)
+		_, err := wire.Call[turns.CloseRequest, turns.EmptyReply](ctx, link, turns.KindClose, turns.CloseRequest{
+			To: c.stores[n].id, Shard: turn.Shard, Epoch: m.Placement(turn.Shard).Epoch, Account: "choir", Program: program,
+			Claim: turns.Claim{Attempt: types.AttemptID(turn.ID), Settled: true}, Turn: &turn,
+		})
+		if err != nil {
+			c.t.Errorf("write turn %s to store %d: %v", turn.ID, n, err)
+		}
+	}
+}
+
+// storeHas reports whether store i has a turn of account "choir", with or without the turns
+// before it.
+func (c *cluster) storeHas(i int, id turns.TurnID) bool {
+	c.t.Helper()
+	ctx := withTimeout(c.t, stepTimeout)
+	link := c.peers.Link(c.member(i).Address)
+	link.WaitConnected(ctx)
+	reply, err := wire.Call[turns.ChainRequest, turns.ChainReply](ctx, link, turns.KindChain, turns.ChainRequest{To: c.stores[i].id, Account: "choir", Turn: id})
+	return err == nil && len(reply.Turns) > 0
+}
--- /dev/null
+++ b/turns/compact.go
@@ -0,0 +1,227 @@
+package turns
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/store"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+const (
+	// sparseShare is the part of a segment, as a divisor, below which its live
+	// turns are rewritten, so that the journal takes at most about twice the
+	// space of the live turns.
+	sparseShare = 2
+	// claimsShare is the part of the retention, as a divisor, for which a segment
+	// without live turns is kept. It limits how often the claims in it are
+	// rewritten.
+	claimsShare = 4
+)
+
+var (
+	storedTurns  = metrics.NewGauge("banyanspur_turns_stored", nil)
+	journalBytes = metrics.NewGauge("banyanspur_turns_journal_bytes", nil)
+	rewritten    = metrics.NewCounter("banyanspur_turns_rewritten_bytes_total")
+)
+
+// compact starts a new segment if the current one is old, rewrites the live
+// turns of the sparsest other segment, up to [maxBatchBytes] of them, and
+// removes the segments that have no live turns. It must be called from the
+// goroutine of [Store.Run].
+func (s *Store) compact() {
+	if err := s.compactJournal(); err != nil {
+		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "step": "compact"})
+	}
+}
+
+func (s *Store) compactJournal() error {
+	s.mu.Lock()
+	now, retention := s.retained, s.retention
+	if retention > 0 {
+		s.index.evictIdlePrograms(now, retention)
+	}
+	s.mu.Unlock()
+	if s.journal.Size() > 0 && now.Sub(s.rotatedAt) >= segmentInterval {
+		if err := s.rotate(); err != nil {
+			return err
+		}
+	}
+	if retention == 0 {
+		return nil
+	}
+	s.mu.RLock()
+	sparsest := s.index.sparsestTurns(s.journal.Segment())
+	s.mu.RUnlock()
+	if err := s.rewriteTurns(sparsest); err != nil {
+		return err
+	}
+	return s.removeSegments(now.Add(-retention / claimsShare))
+}
+
+// rotate starts a new journal segment.
+func (s *Store) rotate() error {
+	if err := s.journal.Rotate(); err != nil {
+		return err
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	s.rotatedAt = s.retained
+	return nil
+}
+
+// sparsestTurns returns the live turns of the segment before current that has
+// the lowest share of them, or nothing if this is no less than 1/sparseShare.
+func (x *index) sparsestTurns(current uint64) []turnKey {
+	var sparsest *segment
+	var number uint64
+	for n, seg := range x.segments {
+		if n >= current || seg.live == 0 || sparseShare*seg.live >= seg.bytes {
+			continue
+		}
+		if sparsest == nil || seg.live*sparsest.bytes < sparsest.live*seg.bytes {
+			sparsest, number = seg, n
+		}
+	}
+	if sparsest == nil {
+		return nil
+	}
+	var keys []turnKey
+	size := 0
+	for _, key := range sparsest.keys {
+		if t := x.turns[key]; t != nil && t.location.Segment == number && size < maxBatchBytes {
+			keys = append(keys, key)
+			size += int(t.location.Length)
+		}
+	}
+	return keys
+}
+
+// rewriteTurns appends turns to the current segment.
+func (s *Store) rewriteTurns(keys []turnKey) error {
+	var records [][]byte
+	var moved []turnKey
+	for _, key := range keys {
+		s.mu.RLock()
+		t := s.index.turns[key]
+		var location store.Location
+		if t != nil {
+			location = t.location
+		}
+		s.mu.RUnlock()
+		if t == nil {
+			continue
+		}
+		b, err := s.journal.Read(location)
+		if err != nil {
+			return err
+		}
+		records, moved = append(records, b), append(moved, key)
+		rewritten.Add(len(b))
+	}
+	if len(records) == 0 {
+		return nil
+	}
+	locations, err := s.journal.Append(records)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, key := range moved {
+		s.index.segment(locations[i].Segment).bytes += int64(locations[i].Length)
+		s.index.moveTurn(key, locations[i])
+	}
+	return nil
+}
+
+// removeSegments removes the segments that have no live turns and were last
+// written before a time, after it has rewritten the claims in them.
+func (s *Store) removeSegments(before types.Mono) error {
+	segments, err := s.journal.Segments()
+	if err != nil {
+		return err
+	}
+	current := s.journal.Segment()
+	s.mu.RLock()
+	segments = slices.DeleteFunc(segments, func(n uint64) bool {
+		seg := s.index.segments[n]
+		return n >= current || seg != nil && (seg.live > 0 || seg.lastRecordAt >= before)
+	})
+	programs := s.index.programsIn(segments)
+	total := int64(0)
+	for _, seg := range s.index.segments {
+		total += seg.bytes
+	}
+	storedTurns.Set(float64(len(s.index.turns)))
+	journalBytes.Set(float64(total))
+	s.mu.RUnlock()
+	for batch := range slices.Chunk(programs, programsPerBatch) {
+		if err := s.rewritePrograms(batch); err != nil {
+			return err
+		}
+	}
+	for _, n := range segments {
+		if err := s.journal.Remove(n); err != nil {
+			return err
+		}
+		s.mu.Lock()
+		delete(s.index.segments, n)
+		s.mu.Unlock()
+	}
+	return nil
+}
+
+// programsPerBatch is the number of programs that are rewritten with one sync,
+// some 500 KB with nine claims each.
+const programsPerBatch = 500
+
+// programsIn returns the programs that may have records in any of the segments,
+// which are in ascending order.
+func (x *index) programsIn(segments []uint64) []programKey {
+	var keys []programKey
+	for key, program := range x.programs {
+		i, _ := slices.BinarySearch(segments, program.first)
+		if program.first > 0 && i < len(segments) && segments[i] <= program.last {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b programKey) int {
+		return cmp.Or(cmp.Compare(a.account, b.account), cmp.Compare(a.program, b.program))
+	})
+	return keys
+}
+
+// rewritePrograms appends all claims of programs to the current segment.
+func (s *Store) rewritePrograms(keys []programKey) error {
+	var records [][]byte
+	var moved []*programClaims
+	s.mu.RLock()
+	for _, key := range keys {
+		program := s.index.programs[key]
+		moved = append(moved, program)
+		records = append(records, types.Encode(record{Program: &Program{Account: key.account, Program: key.program, Claims: program.claims.sorted()}}))
+	}
+	s.mu.RUnlock()
+	locations, err := s.journal.Append(records)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, program := range moved {
+		program.first, program.last = locations[i].Segment, locations[i].Segment
+		seg := s.index.segment(locations[i].Segment)
+		seg.bytes += int64(locations[i].Length)
+		seg.lastRecordAt = s.retained
+	}
+	return nil
+}
+
+// segmentInterval is how often a new segment is started. A segment is removed
+// only as a whole.
+const segmentInterval = 15 * time.Second
--- a/turns/copy.go
+++ b/turns/copy.go
@@ -139,13 +139,19 @@
 func (s *Store) persistPart(ctx context.Context, part CopyReply) error {
 	var records []record
 	s.mu.Lock()
-	for _, t := range part.Turns {
-		if !s.index.hasTurn(t) {
-			records = append(records, record{Turn: &t})
+	for i, t := range part.Turns {
+		age := time.Duration(0)
+		if i < len(part.Ages) {
+			age = max(0, part.Ages[i])
 		}
+		if s.index.hasTurn(t) {
+			s.index.markUsed(turnKey{t.Account, t.ID}, s.retained.Add(-age))
+			continue
+		}
+		records = append(records, record{Turn: &t, age: age})
 	}
 	for _, p := range part.Programs {
-		s.index.addClaims(programKey{p.Account, p.Program}, p.Claims, s.Clock())
+		s.index.addClaims(programKey{p.Account, p.Program}, p.Claims, s.retained)
 		records = append(records, record{Program: &p})
 	}
 	s.mu.Unlock()
--- a/turns/messages.go
+++ b/turns/messages.go
@@ -1,6 +1,8 @@
 package turns
 
 import (
+	"time"
+
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
 )
@@ -11,6 +13,9 @@
 	KindClose wire.Kind = "turns.close"
 	KindChain wire.Kind = "turns.chain"
 	KindCopy  wire.Kind = "turns.copy"
+	// KindContinued is unknown to stores of earlier builds. As long as these are
+	// needed for a quorum, no turn expires.
+	KindContinued wire.Kind = "turns.continued"
 )
 
 // Every request has the ID of the store that it is addressed to, because
@@ -84,10 +89,13 @@
 // CopyReply is one part of a shard. Next is the position of the following part,
 // unless Done is set.
 type CopyReply struct {
-	Turns    []Turn    `json:"turns,omitempty"`
-	Programs []Program `json:"programs,omitempty"`
-	Next     Position  `json:"next"`
-	Done     bool      `json:"done,omitempty"`
+	Turns []Turn `json:"turns,omitempty"`
+	// Ages are the times since each of Turns was last used. They are empty if an
+	// earlier build has sent the reply.
+	Ages     []time.Duration `json:"ages,omitempty"`
+	Programs []Program       `json:"programs,omitempty"`
+	Next     Position        `json:"next"`
+	Done     bool            `json:"done,omitempty"`
 }
 
 // Program is a program with its claims, as stored in the journal and sent to
@@ -97,3 +105,33 @@
 	Program types.ProgramID `json:"program"`
 	Claims  []Claim         `json:"claims"`
 }
+
+// TurnRef names a turn.
+type TurnRef struct {
+	Account types.AccountID `json:"account"`
+	ID      TurnID          `json:"id"`
+}
+
+// ContinuedRequest asks which of some turns, whose retention has passed at the
+// sender, are continued by others. It takes some 60 bytes for each turn.
+type ContinuedRequest struct {
+	To    StoreID   `json:"to"`
+	Turns []TurnRef `json:"turns"`
+}
+
+// ContinuedReply lists the turns of the request that are continued by a turn of
+// the store that is not in the request.
+type ContinuedReply struct {
+	Continued []Continued `json:"continued,omitempty"`
+	// Epochs are the epochs of all shards in the store's map. They are empty if
+	// it has none.
+	Epochs []Epoch `json:"epochs,omitempty"`
+}
+
+// Continued says that a turn is continued by another one.
+type Continued struct {
+	// Index is the position of the turn in the request.
+	Index int `json:"index"`
+	// Age is the time since the last turn that is known to continue it was used.
+	Age time.Duration `json:"age"`
+}
--- a/turns/serve.go
+++ b/turns/serve.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"os"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/store"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
 )
@@ -17,6 +20,7 @@
 	wire.Handle(server, KindClose, s.handleClose)
 	wire.Handle(server, KindChain, s.handleChain)
 	wire.Handle(server, KindCopy, s.handleCopy)
+	wire.Handle(server, KindContinued, s.handleContinued)
 }
 
 // handleClaim adds a claim and returns all claims on the program's budget that
@@ -30,9 +34,9 @@
 	if err == nil {
 		var program *programClaims
 		if req.Claim.Attempt == "" {
-			program = s.index.addClaims(key, nil, s.Clock())
+			program = s.index.addClaims(key, nil, s.retained)
 		} else {
-			program = s.index.addClaims(key, []Claim{req.Claim}, s.Clock())
+			program = s.index.addClaims(key, []Claim{req.Claim}, s.retained)
 		}
 		reply.Claims = program.claims.sorted()
 	}
@@ -52,9 +56,11 @@
 	s.mu.Lock()
 	err := s.checkRequest(req.To, req.Shard, req.Epoch)
 	if err == nil {
-		s.index.addClaims(programKey{req.Account, req.Program}, []Claim{req.Claim}, s.Clock())
+		s.index.addClaims(programKey{req.Account, req.Program}, []Claim{req.Claim}, s.retained)
 		if req.Turn != nil && !s.index.hasTurn(*req.Turn) { // A repeated request finds the turn written.
-			records = append(records, record{Turn: req.Turn})
+			turn := *req.Turn
+			turn.Program = req.Program
+			records = append(records, record{Turn: &turn})
 		}
 	}
 	s.mu.Unlock()
@@ -120,13 +126,17 @@
 
 // readTurn reads a turn from the journal. ok is false if the store lacks it.
 func (s *Store) readTurn(key turnKey) (t Turn, ok bool, err error) {
-	s.mu.RLock()
-	indexed, ok := s.index.turns[key]
-	s.mu.RUnlock()
+	location, ok := s.turnLocation(key)
 	if !ok {
 		return Turn{}, false, nil
 	}
-	b, err := s.journal.Read(indexed.location)
+	b, err := s.journal.Read(location)
+	if errors.Is(err, os.ErrNotExist) { // It was rewritten, or has expired, and its segment was removed.
+		if location, ok = s.turnLocation(key); !ok {
+			return Turn{}, false, nil
+		}
+		b, err = s.journal.Read(location)
+	}
 	if err != nil {
 		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "turn": key.id, "step": "read"})
 		return Turn{}, false, errDiskFailed
@@ -138,6 +148,18 @@
 	return *r.Turn, true, nil
 }
 
+// turnLocation returns the location of a turn in the journal. ok is false if
+// the store lacks it.
+func (s *Store) turnLocation(key turnKey) (location store.Location, ok bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	t := s.index.turns[key]
+	if t == nil {
+		return store.Location{}, false
+	}
+	return t.location, true
+}
+
 // maxCopyBytes is the size of turn records at which a reply to a copy request
 // is full.
 const maxCopyBytes = 256 << 10
@@ -167,11 +189,24 @@
 		}
 		if ok {
 			reply.Turns = append(reply.Turns, t)
+			reply.Ages = append(reply.Ages, s.turnAge(key))
 		}
 	}
 	return reply, nil
 }
 
+// turnAge returns the time since a turn was last used, or 0 if the store lacks
+// it.
+func (s *Store) turnAge(key turnKey) time.Duration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	t := s.index.turns[key]
+	if t == nil {
+		return 0
+	}
+	return s.retained.Sub(t.lastUsed)
+}
+
 // shardPrograms returns the programs of a shard that have claims.
 func (s *Store) shardPrograms(shard Shard) []Program {
 	s.mu.RLock()
@@ -209,7 +244,7 @@
 		for i := start; i < len(segmentKeys); i++ {
 			next = Position{Segment: n, Index: i + 1}
 			indexed := s.index.turns[segmentKeys[i]]
-			if indexed.shard != shard {
+			if indexed == nil || indexed.shard != shard || indexed.location.Segment != n {
 				continue
 			}
 			keys = append(keys, segmentKeys[i])
--- a/turns/store.go
+++ b/turns/store.go
@@ -20,27 +20,35 @@
 type Store struct {
 	// Dir is the store's directory. No other store may use it.
 	Dir string
-	// Retention is the minimum time for which a turn is kept after it was
-	// written. The default is [DefaultRetention].
-	Retention time.Duration
 	// Clock is the process's monotonic clock.
 	Clock types.Clock
+	// Ticks starts the checks for expired turns, each of which ends before the
+	// next tick is received. The default is a ticker. Tests in virtual time set
+	// it.
+	Ticks <-chan time.Time
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
 	id      StoreID
 	journal *store.Journal
 	queue   chan pendingWrite
+	// compactions requests [Store.compact] of Run, which then closes the channel
+	// that it has received.
+	compactions chan chan struct{}
+	rotatedAt   types.Mono // when the current segment was started; only used by Run
 
 	mu           sync.RWMutex // guards the fields below
 	index        index
 	shardMap     *Map            // nil until the first map is received
 	copiedEpochs map[Shard]Epoch // epoch at which each shard was last copied
+	// retained is the time by which the ages of turns and claims are measured. It
+	// starts at 0 and only advances with the checks for expired turns.
+	retained types.Mono
+	// retention is the age at which turns expire, or 0 as long as it is unknown
+	// and none do.
+	retention time.Duration
 }
 
-// DefaultRetention is the retention of turns if [Store.Retention] is zero.
-const DefaultRetention = time.Minute
-
 const (
 	identityFile = "identity"
 	journalDir   = "journal"
@@ -49,16 +57,19 @@
 	// maxBatchBytes is the size of inputs and outputs at which a batch of
 	// writes that share one sync is complete.
 	maxBatchBytes = 1 << 20
-	// A new segment is started once the current one is larger than
-	// maxSegmentBytes, and every segmentInterval.
+	// maxSegmentBytes is the size of the current segment above which a new one is
+	// started.
 	maxSegmentBytes = 8 << 20
-	segmentInterval = 15 * time.Second
 )
 
-// record is a journal record. Exactly one field is set.
+// record is a journal record. Either Turn or Program is set.
 type record struct {
 	Turn    *Turn    `json:"turn,omitempty"`
 	Program *Program `json:"program,omitempty"`
+	// age is the time since the turn was last used when the record was made. It
+	// is not 0 only for a turn that was copied from another store, and is not
+	// part of the journal.
+	age time.Duration
 }
 
 // pendingWrite is a list of records that waits for the disk. The error of the
@@ -73,10 +84,8 @@
 // new ID, as after the loss of a disk.
 func (s *Store) Open() (StoreID, error) {
 	s.queue = make(chan pendingWrite, queueCapacity)
+	s.compactions = make(chan chan struct{})
 	s.copiedEpochs = map[Shard]Epoch{}
-	if s.Retention == 0 {
-		s.Retention = DefaultRetention
-	}
 	err := s.open()
 	if errors.Is(err, store.ErrCorrupt) {
 		s.Log.Write(event.LogCorrupt, event.Fields{"folder": s.Dir, "error": err.Error()})
@@ -109,26 +118,27 @@
 	if err != nil {
 		return errors.Mark(err, store.ErrCorrupt)
 	}
-	s.index.add(r, location, s.Clock())
+	s.index.add(r, location, s.retained)
 	return nil
 }
 
 // Run performs the writes to disk until ctx ends.
 func (s *Store) Run(ctx context.Context) error {
 	defer s.journal.Close()
-	ticker := time.NewTicker(segmentInterval)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case w := <-s.queue:
 			s.writeBatch(s.collectBatch(w))
-		case <-ticker.C:
-			s.rotate()
+		case done := <-s.compactions:
+			s.compact()
+			close(done)
 		}
 		if s.journal.Size() > maxSegmentBytes {
-			s.rotate()
+			if err := s.rotate(); err != nil {
+				s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "step": "rotate"})
+			}
 		}
 	}
 }
@@ -177,9 +187,8 @@
 		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "records": len(records)})
 	} else {
 		s.mu.Lock()
-		now := s.Clock()
 		for i, r := range records {
-			s.index.add(r, locations[i], now)
+			s.index.add(r, locations[i], s.retained)
 		}
 		s.mu.Unlock()
 	}
@@ -188,39 +197,6 @@
 	}
 }
 
-// rotate starts a new journal segment and removes the expired ones. The new
-// segment begins with all programs that are not idle, so that an older segment
-// can be removed once its turns have expired.
-func (s *Store) rotate() {
-	s.mu.Lock()
-	programs := s.index.evictIdlePrograms(s.Clock(), s.Retention)
-	oldest := s.index.dropExpiredSegments(s.Clock(), s.Retention)
-	s.mu.Unlock()
-	if err := s.rotateJournal(programs, oldest); err != nil {
-		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "step": "rotate"})
-	}
-}
-
-// rotateJournal starts a new segment that begins with programs, unless the
-// current one is empty, and removes the segments before oldest.
-func (s *Store) rotateJournal(programs []Program, oldest uint64) error {
-	if s.journal.Size() > 0 {
-		if err := s.journal.Rotate(); err != nil {
-			return err
-		}
-		var encoded [][]byte
-		for _, p := range programs {
-			encoded = append(encoded, types.Encode(record{Program: &p}))
-		}
-		if len(encoded) > 0 {
-			if _, err := s.journal.Append(encoded); err != nil {
-				return err
-			}
-		}
-	}
-	return s.journal.RemoveBefore(oldest)
-}
-
 // persist writes records to the journal and returns once they are durable.
 func (s *Store) persist(ctx context.Context, records ...record) error {
 	done := make(chan error, 1)
--- a/turns/turn.go
+++ b/turns/turn.go
@@ -31,9 +31,13 @@
 	// PreviousShard is the shard in which Previous is stored.
 	PreviousShard Shard `json:"previousShard,omitempty"`
 	// Shard is the shard in which the turn is stored.
-	Shard  Shard  `json:"shard"`
-	Input  []byte `json:"input"`
-	Output []byte `json:"output"`
+	Shard Shard `json:"shard"`
+	// Program is the program that the turn belongs to. Stores set it, so that the
+	// program's claims are kept as long as the turn. It is empty if an earlier
+	// build has written the turn.
+	Program types.ProgramID `json:"program,omitempty"`
+	Input   []byte          `json:"input"`
+	Output  []byte          `json:"output"`
 	// Target is the target that ran the turn and may still have it in its prompt
 	// cache.
 	Target types.TargetID `json:"target,omitempty"`
