turns: a full store refuses new programs before turns

A store had no bound: with keep_s of 600 s, or while expired turns cannot be removed because stores are down, the disk would fill until writes fail, of programs in progress as well as of new ones.

From 0.75 of its room on (free space of the file system, Room.DiskBytes, or a quarter of the memory for the index), a store refuses claims of programs that it does not know, with the code overloaded, and turns from 0.95 on. It removes none before its time.

TestFullStoresRefuseProgramsAndKeepTurns fills 100 KB of disk, or 60 KB of memory: programs are refused with a delay, the second turn of a program in progress is accepted, all turns that were written are found for their retention, and programs are accepted again afterwards.

--- a/host/store.go
+++ b/host/store.go
@@ -18,10 +18,18 @@
 // copied, as long as there are any.
 const copiedReportInterval = 100 * time.Millisecond
 
+// indexShare is the part of a store's memory, as a divisor, that the index of its
+// turns may take. The heap grows to twice of what is live, and messages in
+// flight take 40 MB at the loads of CAPACITY.md.
+const indexShare = 4
+
 // startStore runs a store of turns in g until ctx or serveCtx ends, and then
 // calls stop.
 func (n *Node) startStore(ctx, serveCtx context.Context, g *errgroup.Group, stop func()) error {
-	store := &turns.Store{Dir: filepath.Join(n.Settings.DataDir, "turns"), Clock: types.NewClock(), Log: n.Log}
+	store := &turns.Store{
+		Dir: filepath.Join(n.Settings.DataDir, "turns"), Clock: types.NewClock(), Log: n.Log,
+		Room: turns.Room{MemoryBytes: n.Settings.MemoryMB << 20 / indexShare},
+	}
 	id, err := store.Open()
 	if err != nil {
 		return err
--- a/turns/cluster_test.go
+++ b/turns/cluster_test.go
@@ -28,8 +28,11 @@
 	// Their checks for expired turns then run on [cluster.advance] only.
 	elapsed atomic.Int64
 	virtual bool
+	room    turns.Room // of each store
 }
 
+func newPeers() *wire.Pool { return &wire.Pool{} }
+
 // testStore is a store that can be stopped, wiped and restarted at another
 // address.
 type testStore struct {
@@ -47,7 +50,7 @@
 // them.
 func newCluster(t *testing.T, stores int) *cluster {
 	t.Helper()
-	return startCluster(&cluster{t: t, peers: &wire.Pool{}}, stores)
+	return startCluster(&cluster{t: t, peers: newPeers()}, stores)
 }
 
 func startCluster(c *cluster, stores int) *cluster {
@@ -96,7 +99,7 @@
 // startStore opens and runs a store with the current shard map.
 func (c *cluster) startStore(s *testStore) {
 	c.t.Helper()
-	s.Store = &turns.Store{Dir: s.dir, Clock: types.NewClock()}
+	s.Store = &turns.Store{Dir: s.dir, Clock: types.NewClock(), Room: c.room}
 	if c.virtual {
 		s.ticks = make(chan time.Time)
 		s.Ticks, s.Clock = s.ticks, func() types.Mono { return types.Mono(c.elapsed.Load()) }
--- a/turns/compact.go
+++ b/turns/compact.go
@@ -34,6 +34,7 @@
 // removes the segments that have no live turns. It must be called from the
 // goroutine of [Store.Run].
 func (s *Store) compact() {
+	defer s.updateRoom()
 	if err := s.compactJournal(); err != nil {
 		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "step": "compact"})
 	}
@@ -133,7 +134,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i, key := range moved {
-		s.index.segment(locations[i].Segment).bytes += int64(locations[i].Length)
+		s.index.addBytes(locations[i], s.retained)
 		s.index.moveTurn(key, locations[i])
 	}
 	return nil
@@ -153,12 +154,8 @@
 		return n >= current || seg != nil && (seg.live > 0 || seg.lastRecordAt >= before)
 	})
 	programs := s.index.programsIn(segments)
-	total := int64(0)
-	for _, seg := range s.index.segments {
-		total += seg.bytes
-	}
 	storedTurns.Set(float64(len(s.index.turns)))
-	journalBytes.Set(float64(total))
+	journalBytes.Set(float64(s.index.bytes))
 	s.mu.RUnlock()
 	for batch := range slices.Chunk(programs, programsPerBatch) {
 		if err := s.rewritePrograms(batch); err != nil {
@@ -170,7 +167,7 @@
 			return err
 		}
 		s.mu.Lock()
-		delete(s.index.segments, n)
+		s.index.removeSegment(n)
 		s.mu.Unlock()
 	}
 	return nil
@@ -215,9 +212,7 @@
 	defer s.mu.Unlock()
 	for i, program := range moved {
 		program.first, program.last = locations[i].Segment, locations[i].Segment
-		seg := s.index.segment(locations[i].Segment)
-		seg.bytes += int64(locations[i].Length)
-		seg.lastRecordAt = s.retained
+		s.index.addBytes(locations[i], s.retained)
 	}
 	return nil
 }
--- a/turns/index.go
+++ b/turns/index.go
@@ -32,6 +32,8 @@
 	// programTurns is the number of indexed turns of each program that has any.
 	programTurns map[programKey]int
 	segments     map[uint64]*segment
+	bytes        int64 // size of all records of segments
+	claims       int   // number of claims of all programs
 }
 
 // indexedTurn is what a store has in memory of a turn.
@@ -74,9 +76,7 @@
 // add indexes a journal record. A turn that is already indexed keeps its first
 // location.
 func (x *index) add(r record, location store.Location, now types.Mono) {
-	seg := x.segment(location.Segment)
-	seg.bytes += int64(location.Length)
-	seg.lastRecordAt = now
+	x.addBytes(location, now)
 	if r.Turn != nil {
 		x.addTurn(r.Turn, location, now.Add(-r.age))
 	}
@@ -89,6 +89,22 @@
 	}
 }
 
+// addBytes records that a segment has a record at a location.
+func (x *index) addBytes(location store.Location, now types.Mono) {
+	seg := x.segment(location.Segment)
+	seg.bytes += int64(location.Length)
+	seg.lastRecordAt = now
+	x.bytes += int64(location.Length)
+}
+
+// removeSegment removes a segment, which must have no live turns.
+func (x *index) removeSegment(n uint64) {
+	if seg := x.segments[n]; seg != nil {
+		x.bytes -= seg.bytes
+		delete(x.segments, n)
+	}
+}
+
 func (x *index) segment(n uint64) *segment {
 	seg := x.segments[n]
 	if seg == nil {
@@ -185,9 +201,11 @@
 		x.programs[key] = program
 	}
 	program.lastAccess = now
+	x.claims -= len(program.claims)
 	for _, c := range claims {
 		program.claims.Merge(c)
 	}
+	x.claims += len(program.claims)
 	return program
 }
 
@@ -200,6 +218,7 @@
 func (x *index) evictIdlePrograms(now types.Mono, retention time.Duration) {
 	for key, program := range x.programs {
 		if x.programTurns[key] == 0 && now.Sub(program.lastAccess) > idleFactor*retention {
+			x.claims -= len(program.claims)
 			delete(x.programs, key)
 		}
 	}
--- a/turns/retention_test.go
+++ b/turns/retention_test.go
@@ -12,14 +12,13 @@
 
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
-	"github.com/banyanspur/banyanspur/wire"
 )
 
 // newVirtualCluster starts stores whose time advances only with [cluster.advance], with the
 // given retention of turns.
 func newVirtualCluster(t *testing.T, stores int, keep time.Duration) *cluster {
 	t.Helper()
-	c := startCluster(&cluster{t: t, peers: &wire.Pool{}, virtual: true}, stores)
+	c := startCluster(&cluster{t: t, peers: newPeers(), virtual: true}, stores)
 	c.setRetention(keep)
 	return c
 }
--- /dev/null
+++ b/turns/room.go
@@ -0,0 +1,101 @@
+package turns
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/store"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// Room is the space that a store may take for its turns and claims. A limit of 0
+// means no limit.
+type Room struct {
+	// DiskBytes limits the journal. The free space of the file system limits it
+	// as well.
+	DiskBytes int64
+	// MemoryBytes limits the index.
+	MemoryBytes int64
+}
+
+const (
+	// programShare is the part of the room from which on no programs are started.
+	// The rest is for the turns of those that have begun: at 0.5 MB a second, a
+	// quarter of 430 MB lasts for 3.5 minutes (docs/CAPACITY.md).
+	programShare = 0.75
+	// turnShare is the part of the room from which on no turns are written. The
+	// rest is for rewriting turns and claims, so that segments can be removed: a
+	// segment that is filled, and 1 MB of turns with each check.
+	turnShare = 0.95
+
+	// indexedTurnBytes and indexedClaimBytes are the memory that a turn and a
+	// claim take in the index, including the maps.
+	indexedTurnBytes  = 400
+	indexedClaimBytes = 160
+)
+
+var (
+	// errNoRoom is returned for a claim that would start a program, and for a turn
+	// that the store cannot keep.
+	errNoRoom = types.NewFault(types.CodeOverloaded, "the store has no room for more programs").WithRetryAfter(roomRetryAfter)
+
+	roomUsed         = metrics.NewGauge("banyanspur_turns_room_used_ratio", nil)
+	programsRefused  = metrics.NewCounter("banyanspur_turns_programs_refused_total")
+	turnsRefusedFull = metrics.NewCounter("banyanspur_turns_refused_total")
+)
+
+// roomRetryAfter is the retry delay of a program that is refused for lack of
+// room: one check for expired turns.
+const roomRetryAfter = 2 * time.Second
+
+// updateRoom sets the limit of the journal by the free space of the file system
+// and logs when the store begins or ceases to refuse programs.
+func (s *Store) updateRoom() {
+	free, err := store.FreeBytes(s.Dir)
+	s.mu.Lock()
+	s.diskLimit = s.Room.DiskBytes
+	if available := s.index.bytes + free; err == nil && (s.diskLimit == 0 || available < s.diskLimit) {
+		s.diskLimit = available
+	}
+	used := s.usedShare()
+	full := used >= programShare
+	changed := full != s.full
+	s.full = full
+	turns, claims, bytes := len(s.index.turns), s.index.claims, s.index.bytes
+	s.mu.Unlock()
+	roomUsed.Set(used)
+	if changed {
+		s.Log.Write(event.StoreRoom, event.Fields{"full": full, "used": used, "turns": turns, "claims": claims, "journalBytes": bytes})
+	}
+}
+
+// usedShare returns the part of the room that is used, of disk or memory,
+// whichever is larger. The caller must hold mu.
+func (s *Store) usedShare() float64 {
+	used := 0.0
+	if s.diskLimit > 0 {
+		used = float64(s.index.bytes) / float64(s.diskLimit)
+	}
+	if s.Room.MemoryBytes > 0 {
+		memory := indexedTurnBytes*len(s.index.turns) + indexedClaimBytes*s.index.claims
+		used = max(used, float64(memory)/float64(s.Room.MemoryBytes))
+	}
+	return used
+}
+
+// checkRoom returns a fault if the store has no room for a claim of a program
+// that it does not know, or for a turn. The caller must hold mu.
+func (s *Store) checkRoom(program programKey, turn *Turn) error {
+	used := s.usedShare()
+	switch known := s.index.programs[program] != nil; {
+	case turn != nil && used >= turnShare:
+		turnsRefusedFull.Inc()
+		return errNoRoom
+	case turn == nil && !known && used >= programShare:
+		programsRefused.Inc()
+		return errNoRoom
+	}
+	return nil
+}
--- /dev/null
+++ b/turns/room_test.go
@@ -0,0 +1,58 @@
+package turns_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/banyanspur/banyanspur/turns"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// reserve claims budget for the next turn of a program.
+func reserve(t *testing.T, c *turns.Client, program types.ProgramID, attempt types.AttemptID) error {
+	t.Helper()
+	return c.Reserve(withTimeout(t, stepTimeout), turns.Budget{Account: "choir", Program: program, Attempt: attempt, Limit: 1000, MaxTokens: 10})
+}
+
+// TestFullStoresRefuseProgramsAndKeepTurns guards against stores that drop turns, or fail
+// programs in progress, when their disk or memory is nearly used up. They must refuse new
+// programs at once and with a retry delay, and accept them again when turns have expired.
+func TestFullStoresRefuseProgramsAndKeepTurns(t *testing.T) {
+	for name, room := range map[string]turns.Room{
+		"disk":   {DiskBytes: 100 << 10},
+		"memory": {MemoryBytes: 60 << 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := startCluster(&cluster{t: t, peers: newPeers(), virtual: true, room: room}, 3)
+			c.setRetention(time.Minute)
+			w := c.client()
+			var last types.ProgramID
+			refused := error(nil)
+			written := 0
+			for ; refused == nil && written < 500; written++ {
+				program := types.ProgramID(fmt.Sprint("p", written))
+				if refused = reserve(t, w, program, "first"); refused != nil {
+					break
+				}
+				c.writeTurnOn(turns.Turn{ID: turns.TurnID(program), Input: make([]byte, 1000)}, program, 0, 1, 2)
+				last = program
+			}
+			if fault := types.AsFault(refused); refused == nil || fault.Code != types.CodeOverloaded || fault.RetryAfter <= 0 || fault.Ran != types.NotRun {
+				t.Fatalf("program %d: %v, want an overloaded fault with a retry delay", written, refused)
+			}
+			if err := reserve(t, w, last, "second"); err != nil {
+				t.Errorf("second turn of a program in progress: %v", err)
+			}
+			writeTurn(t, w, "choir", last, "second", turns.TurnID(last))
+			c.advance(time.Minute)
+			for i := range written {
+				c.requireChain(turns.TurnID(fmt.Sprint("p", i)), []turns.TurnID{turns.TurnID(fmt.Sprint("p", i))})
+			}
+			c.advance(2 * time.Minute)
+			if err := reserve(t, w, "later", "first"); err != nil {
+				t.Errorf("program after turns have expired: %v", err)
+			}
+		})
+	}
+}
--- a/turns/serve.go
+++ b/turns/serve.go
@@ -31,6 +31,9 @@
 	var reply ClaimReply
 	s.mu.Lock()
 	err := s.checkRequest(req.To, req.Shard, req.Epoch)
+	if err == nil && req.Claim.Attempt != "" {
+		err = s.checkRoom(key, nil)
+	}
 	if err == nil {
 		var program *programClaims
 		if req.Claim.Attempt == "" {
@@ -55,6 +58,9 @@
 	records := []record{{Program: &Program{Account: req.Account, Program: req.Program, Claims: []Claim{req.Claim}}}}
 	s.mu.Lock()
 	err := s.checkRequest(req.To, req.Shard, req.Epoch)
+	if err == nil && req.Turn != nil && !s.index.hasTurn(*req.Turn) {
+		err = s.checkRoom(programKey{req.Account, req.Program}, req.Turn)
+	}
 	if err == nil {
 		s.index.addClaims(programKey{req.Account, req.Program}, []Claim{req.Claim}, s.retained)
 		if req.Turn != nil && !s.index.hasTurn(*req.Turn) { // A repeated request finds the turn written.
