trial, cmd/bsload: an uneven deployment, and what hosts learn of engines

Arrivals and noise now have their own random numbers, so that they are equal for all policies and hints.

--- a/cmd/bsload/main.go
+++ b/cmd/bsload/main.go
@@ -21,8 +21,9 @@
 )
 
 type options struct {
-	Scenarios []string  `long:"shape" description:"scenario to simulate: small, wide or grown; may be repeated" default:"small" default:"wide"`
+	Scenarios []string  `long:"shape" description:"scenario to simulate: small, wide, grown or uneven; may be repeated" default:"small" default:"wide"`
 	Policies  []string  `long:"choose" description:"target-selection policy; may be repeated" default:"expected" default:"expectedOfAll" default:"leastLoaded" default:"sticky" default:"random"`
+	Hints     []string  `long:"hints" description:"what hosts learn about engines, instead of what the scenario has; may be repeated"`
 	Loads     []float64 `long:"load" description:"program rate, as a factor on the scenario's rate; may be repeated" default:"0.3" default:"0.8" default:"1.2" default:"1.5"`
 	Seeds     int       `long:"seeds" description:"simulations per row of the table, each with its own seed; the row is their mean" default:"3"`
 	Steady    bool      `long:"steady" description:"simulate without the burst"`
@@ -46,7 +47,10 @@
 	Scenario string       `json:"shape"`
 	Load     float64      `json:"load"`
 	Policy   string       `json:"choose"`
+	Hints    string       `json:"hints,omitempty"`
 	Result   trial.Result `json:"result"`
+	// OnTime is the fraction of programs that met their deadline with each seed.
+	OnTime []float64 `json:"inAimBySeed"`
 }
 
 func run(o options, w io.Writer) error {
@@ -57,7 +61,7 @@
 	fmt.Fprintln(w, "| shape | load | choice "+trial.Columns)
 	fmt.Fprintln(w, "|"+strings.Repeat("---|", 3+strings.Count(trial.Columns, "|")-1))
 	for _, r := range rows {
-		fmt.Fprintf(w, "| %s | %.0f%% | %s %s\n", r.Scenario, 100*r.Load, r.Policy, r.Result)
+		fmt.Fprintf(w, "| %s | %.0f%% | %s %s\n", r.Scenario, 100*r.Load, strings.TrimSpace(r.Policy+" "+r.Hints), r.Result)
 	}
 	if o.JSON != "" {
 		b, err := json.MarshalIndent(rows, "", "  ")
@@ -87,6 +91,11 @@
 			add("--choose %s: unknown policy", p)
 		}
 	}
+	for _, h := range o.Hints {
+		if _, ok := trial.HintSets[h]; !ok {
+			add("--hints %s: unknown set of hints", h)
+		}
+	}
 	for _, l := range o.Loads {
 		if l <= 0 || l > 10 {
 			add("--load %v: must be above 0 and at most 10", l)
@@ -107,7 +116,12 @@
 	for _, s := range o.Scenarios {
 		for _, l := range o.Loads {
 			for _, p := range o.Policies {
-				rows = append(rows, row{Scenario: s, Load: l, Policy: p})
+				if len(o.Hints) == 0 {
+					rows = append(rows, row{Scenario: s, Load: l, Policy: p})
+				}
+				for _, h := range o.Hints {
+					rows = append(rows, row{Scenario: s, Load: l, Policy: p, Hints: h})
+				}
 			}
 		}
 	}
@@ -115,7 +129,7 @@
 	g.SetLimit(maxConcurrent)
 	for i := range rows {
 		g.Go(func() error {
-			rows[i].Result = meanResult(rows[i], o)
+			rows[i].Result, rows[i].OnTime = meanResult(rows[i], o)
 			return nil
 		})
 	}
@@ -124,19 +138,23 @@
 }
 
 // meanResult simulates a row once with each of the seeds 1 to o.Seeds and returns
-// the mean of the results.
-func meanResult(r row, o options) trial.Result {
+// the mean of the results, and the fraction of programs on time with each seed.
+func meanResult(r row, o options) (mean trial.Result, onTime []float64) {
 	var results []trial.Result
 	for seed := range o.Seeds {
 		t := trial.Scenarios[r.Scenario]
 		t.Policy, t.Seed = trial.Policies[r.Policy], uint64(seed+1)
 		t.Workload.ProgramRate *= r.Load
+		if r.Hints != "" {
+			t.Hints = trial.HintSets[r.Hints]
+		}
 		if o.Steady {
 			t.Workload.BurstFactor = 1
 		}
-		results = append(results, t.Run())
+		result := t.Run()
+		results, onTime = append(results, result), append(onTime, result.OnTime)
 	}
-	return trial.Mean(results)
+	return trial.Mean(results), onTime
 }
 
 // policyNames returns the distinct policies of rows in order of first appearance.
--- a/route/place.go
+++ b/route/place.go
@@ -34,6 +34,9 @@
 	// reported one, and SlownessAge is the age of that report.
 	Slowness    Slowness
 	SlownessAge time.Duration
+	// FinePace is like Pace, but also tells small differences, see [SetFinePaces]; 0 if
+	// unknown.
+	FinePace float64
 	// Connected is true if this host has an idle connection to the target.
 	Connected bool
 	// Failing is true for a while after the target's last requests failed.
@@ -173,17 +176,10 @@
 // option's target takes per unit of work, 0 if unknown; the pace is its ratio to
 // the median of the known times. Options that are not slow keep their pace.
 func SetPaces(options []Option, unitTimes []float64) {
-	var measured []float64
-	for _, u := range unitTimes {
-		if u > 0 {
-			measured = append(measured, u)
-		}
-	}
-	if len(measured) == 0 {
+	median := medianOfKnown(unitTimes)
+	if median == 0 {
 		return
 	}
-	slices.Sort(measured)
-	median := measured[(len(measured)-1)/2]
 	for i, u := range unitTimes {
 		if pace := u / median; pace > minSlowPace {
 			options[i].Pace = pace
@@ -191,6 +187,32 @@
 	}
 }
 
+// SetFinePaces sets the fine pace of each option, from the same times as [SetPaces].
+func SetFinePaces(options []Option, unitTimes []float64) {
+	median := medianOfKnown(unitTimes)
+	if median == 0 {
+		return
+	}
+	for i, u := range unitTimes {
+		options[i].FinePace = u / median
+	}
+}
+
+// medianOfKnown returns the median of the positive values, 0 if there are none.
+func medianOfKnown(values []float64) float64 {
+	var known []float64
+	for _, v := range values {
+		if v > 0 {
+			known = append(known, v)
+		}
+	}
+	if len(known) == 0 {
+		return 0
+	}
+	slices.Sort(known)
+	return known[(len(known)-1)/2]
+}
+
 // expectedCost returns the time in seconds that a request is expected to take on
 // a target in addition to its time on an idle target with its prompt cached.
 func (p PlacementCosts) expectedCost(o Option, w Work) float64 {
@@ -230,22 +252,26 @@
 }
 
 const (
-	// minSlowness and maxSlowness bound the slowness that is taken from a report. With 0.5,
-	// a target attracts more turns than it has slots while others are idle; one that
+	// minSlowness and maxSlowness bound the slowness and the fine pace of a target. With
+	// 0.5, a target attracts more turns than it has slots while others are idle; one that
 	// reports a very long time is avoided in any case.
 	minSlowness = 0.8
 	maxSlowness = 10
 )
 
 // currentSlowness returns the expected slowness of an option's target. The weight of its
-// last report falls linearly with the age: the older it is, the more likely the slowness
-// has ended.
+// last report falls linearly with the age: the older it is, the more likely the target has
+// returned to its usual pace.
 func (p PlacementCosts) currentSlowness(o Option) float64 {
+	mean := 1.0
+	if o.FinePace > 0 {
+		mean = min(max(o.FinePace, minSlowness), maxSlowness)
+	}
 	if o.Slowness <= 0 || o.SlownessAge < 0 || o.SlownessAge >= p.MaxSlownessAge {
-		return 1
+		return mean
 	}
 	weight := 1 - o.SlownessAge.Seconds()/p.MaxSlownessAge.Seconds()
-	return 1 + weight*(min(max(float64(o.Slowness), minSlowness), maxSlowness)-1)
+	return mean + weight*(min(max(float64(o.Slowness), minSlowness), maxSlowness)-mean)
 }
 
 // engineCost returns the cost of a request on an engine in seconds, including the
--- a/trial/engine.go
+++ b/trial/engine.go
@@ -33,6 +33,7 @@
 	sentAt, firstTokenAt time.Duration
 	prefillLeft          types.Tokens
 	generated            types.Tokens
+	reported             bool // its host has the load report of the response head
 }
 
 // engine is the state of one simulated engine.
@@ -41,6 +42,7 @@
 	id       types.TargetID
 	zone     int
 	slowdown float64 // factor on the duration of every step; 1 is normal
+	noise    float64 // further factor, for a short time; 1 is normal
 	running  []*turn
 	waiting  []*turn
 	cache    cache
@@ -110,7 +112,7 @@
 		left = append(left, t)
 	}
 	e.running = left
-	return time.Duration(float64(took) * e.slowdown), finished
+	return time.Duration(float64(took) * e.slowdown * e.noise), finished
 }
 
 // cacheKey identifies a cache entry: either a shared prefix or the tokens of one
--- a/trial/host.go
+++ b/trial/host.go
@@ -32,6 +32,7 @@
 	reportedAt                     time.Duration
 	prefixUsedAt                   map[int]time.Duration // last known use of each shared prefix
 	programTokens                  map[int]types.Tokens  // cached tokens by program, without the shared prefix
+	speed                          speedView
 }
 
 func newHost(i int, s *simulation) *host {
@@ -51,6 +52,7 @@
 		for prefix, used := range h.prefixUsedAt[i] {
 			v.prefixUsedAt[prefix] = used
 		}
+		h.exchangeSpeed(i)
 	}
 	if h.now < h.ArrivalPeriod {
 		h.schedule(h.now+h.ExchangeInterval, h.exchange)
@@ -63,6 +65,7 @@
 	for i, e := range h.engines {
 		options[i] = h.option(i, e, t)
 	}
+	h.addSpeeds(options)
 	w := route.Work{Prompt: t.program.prefixTokens + t.suffixTokens, AffinityKey: fmt.Sprint("part", t.program.prefix), ServiceTime: 300 * time.Millisecond}
 	i := h.Policy(options, w, h.rand)
 	h.views[i].inFlight++
@@ -75,7 +78,10 @@
 func (h *host) option(i int, e *engine, t *turn) route.Option {
 	v := &h.views[i]
 	o := route.Option{ID: e.id, SameZone: e.zone == h.zone, InFlight: v.inFlight, Slots: h.Engine.Slots, Pace: 1}
-	o.Running, o.InFlightAtReport, o.ReportAge = v.reportedLoad, v.inFlightAtReport, h.now-v.reportedAt
+	o.ReportAge = time.Hour
+	if h.Hints.Reports {
+		o.Running, o.InFlightAtReport, o.ReportAge = v.reportedLoad, v.inFlightAtReport, h.now-v.reportedAt
+	}
 	if age := h.now - v.exchangedAt; age < o.ReportAge {
 		o.Running, o.InFlightAtReport, o.ReportAge = v.othersInFlight, 0, age
 	}
@@ -98,6 +104,9 @@
 		h.prefixUsedAt[i][t.program.prefix] = h.now
 		v.prefixUsedAt[t.program.prefix] = h.now
 		v.programTokens[t.program.id] = t.suffixTokens + t.answerTokens
-		v.reportedLoad, v.inFlightAtReport, v.reportedAt = e.load(), v.inFlight, h.now
+		if !h.Hints.AtHead {
+			v.reportedLoad, v.inFlightAtReport, v.reportedAt = e.load(), v.inFlight, h.now
+		}
+		h.recordStepTime(v, t)
 	}
 }
--- a/trial/scenarios.go
+++ b/trial/scenarios.go
@@ -3,15 +3,17 @@
 import "time"
 
 // Scenarios maps names to deployments with their workloads: the users' two
-// current deployments ("small" and "wide") and a larger one ("grown"). Engine
+// current deployments ("small" and "wide"), a larger one ("grown") and one whose targets
+// and zones differ ("uneven"). Engine
 // parameters are taken from the users' data sheets; the increase of the step
 // time per request was measured on turns of simulated days of these deployments,
 // played on the users' test bench.
-var Scenarios = map[string]Trial{"small": small(), "wide": wide(), "grown": grown()}
+var Scenarios = map[string]Trial{"small": small(), "wide": wide(), "grown": grown(), "uneven": uneven()}
 
 // small has few engines with few slots each.
 func small() Trial {
 	return Trial{
+		Hints:   HintSets["reports"],
 		Engine:  Engine{Slots: 12, CacheTokens: 380_000, StepTime: 1280 * time.Microsecond, StepTimePerRequest: 110 * time.Microsecond, PrefillRate: 163, PrefillChunk: 512},
 		Engines: 18, Hosts: 7, Zones: 3, ExchangeInterval: 300 * time.Millisecond, ArrivalPeriod: 20 * time.Second,
 		Workload: Workload{
@@ -40,3 +42,21 @@
 	t.Workload.ProgramRate, t.Workload.Prefixes = 110, 176
 	return t
 }
+
+// uneven has engines of two speeds that are slowed down for short times, and zones whose
+// rates rise and fall in turn.
+func uneven() Trial {
+	t := small()
+	t.Engine.Slots, t.Engine.CacheTokens, t.Engine.PrefillRate = 16, 470_956, 170
+	t.Engines, t.Hosts, t.Zones = 48, 57, 4
+	t.Workload.ProgramRate, t.Workload.MeanTurns, t.Workload.NewTokens = 96, 5.7, 1260
+	t.Workload.BurstFactor, t.Workload.Prefixes = 1, 6
+	t.Workload.DeadlineFactor, t.Workload.DeadlineSlack = 1.55, 250*time.Millisecond
+	t.ArrivalPeriod = 30 * time.Second
+	t.Hints = HintSets["none"]
+	t.Uneven = Uneven{
+		Speeds: []float64{0.55, 1.2, 1.2, 1.2}, NoisyShare: 0.15, NoiseFactor: 2.5, NoiseTime: 600 * time.Millisecond,
+		ZoneAmplitude: 0.55, ZonePeriod: 15 * time.Second, ReportsSpeed: true,
+	}
+	return t
+}
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -53,8 +53,12 @@
 	Hosts, Zones     int
 	ExchangeInterval time.Duration
 	Workload         Workload
-	Policy           Policy
-	Seed             uint64
+	// Uneven describes how the speeds of engines and the rates of zones differ.
+	Uneven Uneven
+	// Hints are what hosts learn about engines besides the exchanges.
+	Hints  Hints
+	Policy Policy
+	Seed   uint64
 	// ArrivalPeriod is how long programs arrive. The simulation runs until all of
 	// them have ended.
 	ArrivalPeriod time.Duration
@@ -129,12 +133,14 @@
 type simulation struct {
 	*Trial
 	rand          *rand.Rand
+	arrivals      *rand.Rand // draws programs, so that these are equal for all policies
 	now           time.Duration
 	events        eventQueue
 	engines       []*engine
 	hosts         []*host
 	prefixWeights []float64               // cumulative
 	inFlight      []int                   // requests of all hosts, by engine
+	lastSlowness  []speedView             // last report of each engine to any host
 	prefixUsedAt  []map[int]time.Duration // last use of each shared prefix, by engine
 
 	programs, onTime, turns, sameZone int
@@ -144,14 +150,17 @@
 
 // Run simulates the trial until all programs have ended.
 func (t *Trial) Run() Result {
-	s := &simulation{Trial: t, rand: rand.New(rand.NewPCG(t.Seed, 1))}
+	s := &simulation{Trial: t, rand: rand.New(rand.NewPCG(t.Seed, 1)), arrivals: rand.New(rand.NewPCG(t.Seed, 0))}
 	for i := range t.Engines {
 		e := &engine{cfg: &t.Engine, id: types.TargetID(fmt.Sprint("e", i)), zone: i % t.Zones, slowdown: 1, cache: newCache(t.Engine.CacheTokens)}
 		if i < t.SlowEngines {
 			e.slowdown = t.SlowFactor
 		}
+		e.slowdown /= t.Uneven.speed(i / t.Zones) // Each zone has engines of all speeds.
+		e.noise = 1
 		s.engines = append(s.engines, e)
 		s.inFlight = append(s.inFlight, 0)
+		s.lastSlowness = append(s.lastSlowness, speedView{})
 		s.prefixUsedAt = append(s.prefixUsedAt, map[int]time.Duration{})
 	}
 	for i := range t.Hosts {
@@ -165,6 +174,7 @@
 	}
 	s.schedule(0, s.startProgram)
 	s.schedule(0, s.sampleLoads)
+	s.startNoise()
 	for len(s.events) > 0 {
 		e := heap.Pop(&s.events).(event)
 		s.now = e.at
@@ -188,10 +198,10 @@
 	if s.now >= s.Workload.BurstFrom && s.now < s.Workload.BurstTo {
 		rate *= s.Workload.BurstFactor
 	}
-	s.schedule(s.now+time.Duration(s.rand.ExpFloat64()/rate*float64(time.Second)), s.startProgram)
+	s.schedule(s.now+time.Duration(s.arrivals.ExpFloat64()/rate*float64(time.Second)), s.startProgram)
 	s.programs++
-	turns := 1 + int(s.rand.ExpFloat64()*(s.Workload.MeanTurns-1)+0.5)
-	pr := &program{id: s.programs, prefix: s.drawPrefix(), prefixTokens: s.Workload.PrefixTokens, turnsLeft: turns, host: s.hosts[s.rand.IntN(len(s.hosts))], startedAt: s.now}
+	turns := 1 + int(s.arrivals.ExpFloat64()*(s.Workload.MeanTurns-1)+0.5)
+	pr := &program{id: s.programs, prefix: s.drawPrefix(), prefixTokens: s.Workload.PrefixTokens, turnsLeft: turns, host: s.drawHost(), startedAt: s.now}
 	decode := time.Duration(s.Workload.AnswerTokens) * s.Engine.StepTime
 	prefill := time.Duration(float64(s.Workload.NewTokens) / s.Engine.PrefillRate * float64(time.Millisecond))
 	pr.idealTime = time.Duration(turns)*(decode+prefill) + time.Duration(turns-1)*s.Workload.Pause
@@ -200,7 +210,7 @@
 
 // drawPrefix draws a shared prefix; lower numbers are more popular.
 func (s *simulation) drawPrefix() int {
-	x := s.rand.Float64() * s.prefixWeights[len(s.prefixWeights)-1]
+	x := s.arrivals.Float64() * s.prefixWeights[len(s.prefixWeights)-1]
 	for i, w := range s.prefixWeights {
 		if x < w {
 			return i + 1
@@ -231,6 +241,7 @@
 		return
 	}
 	s.schedule(s.now+took, func() {
+		s.reportHeads(e, finished)
 		for _, t := range finished {
 			s.turnEnded(t, e)
 		}
