config, gate, fleet: targetPace can wait for targets that report their slowness

The pace of targets that start or recover is meant for deployments whose targets share their machines. paceReportingOnly makes hosts report what the leader needs only once a target has reported its slowness; a leader without such reports limits no target, since it would never see that one answers.

--- a/config/node.go
+++ b/config/node.go
@@ -64,6 +64,9 @@
 	ColdSlack float64 `toml:"coldSlack"`
 	// TargetPace limits the requests to targets that recover from failures.
 	TargetPace bool `toml:"targetPace"`
+	// PaceReportingOnly makes TargetPace wait until a target has reported how slow its
+	// machine is at the moment, as targets do that share their machines with others.
+	PaceReportingOnly bool `toml:"paceReportingOnly"`
 	// SecretFile is the file with the secret that all hosts share. Without it,
 	// anyone who can reach the peer ports is trusted.
 	SecretFile string `toml:"secretFile"`
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -99,9 +99,12 @@
 	services map[types.TargetID]types.ServiceID
 	// pace limits the targets that start or recover, and paced lists those that it knows.
 	// down are those that accepted no connections of several hosts.
-	pace  ramp.Pace
-	paced []ramp.Member
-	down  map[types.TargetID]bool
+	pace ramp.Pace
+	// observed is set once a host has reported what it has observed of a target. A target
+	// of which nothing is reported would stay limited.
+	observed bool
+	paced    []ramp.Member
+	down     map[types.TargetID]bool
 	// planTable indexes the plan in force, or an older one until the next use.
 	planTable *plan.Table
 	// reportedHosts contains the hosts that have reported their allotments to
@@ -154,7 +157,7 @@
 	c.notices, c.noticesID = limit.Notices{}, types.RandomID()
 	c.targetIssuers = map[types.TargetID]*targetIssuer{}
 	c.cold, c.services = ramp.Cold{}, nil
-	c.pace, c.paced, c.down = ramp.Pace{}, nil, map[types.TargetID]bool{}
+	c.pace, c.observed, c.paced, c.down = ramp.Pace{}, false, nil, map[types.TargetID]bool{}
 	c.planTable = nil
 	c.reportedHosts = map[types.HostID]bool{}
 	c.lastRegistration = leaderSince
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -26,7 +26,7 @@
 
 // startPace limits a target that has started. It must be called within asLeader.
 func (c *Control) startPace(id types.TargetID, source string, now types.Mono) {
-	if !c.TargetPace {
+	if !c.TargetPace || !c.observed {
 		return
 	}
 	if _, limited := c.pace.Allowed(id); limited {
@@ -63,6 +63,7 @@
 		}
 	}
 	for id, l := range req.Loads {
+		c.observed = c.observed || l.Responses+l.Failures+l.Refusals > 0
 		c.pace.Observe(id, req.Host, ramp.Report{Responses: l.Responses, Failures: l.Failures, Refusals: l.Refusals, UnitSeconds: l.UnitSeconds}, now)
 	}
 	c.startReachable(now)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -73,6 +73,8 @@
 	// TargetPace makes load reports contain what the leader needs to limit the targets that
 	// start or recover.
 	TargetPace bool
+	// PaceReportingOnly makes TargetPace wait until a target has reported its slowness.
+	PaceReportingOnly bool
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
@@ -116,7 +118,7 @@
 			g.PlacementCosts = route.DefaultPlacementCosts
 		}
 		g.limits.init(g)
-		g.targets.clock, g.targets.observes = g.Clock, g.TargetPace
+		g.targets.clock, g.targets.observes, g.targets.observesOnReport = g.Clock, g.TargetPace && !g.PaceReportingOnly, g.TargetPace
 		g.initRelay()
 		g.backgroundCtx, g.cancelBackground = context.WithCancel(context.Background())
 	})
--- a/gate/load_report.go
+++ b/gate/load_report.go
@@ -53,6 +53,7 @@
 	}
 	if r.Slowness > 0 {
 		s.slowness, s.slownessAt = r.Slowness, t.clock()
+		t.observes = t.observes || t.observesOnReport
 	}
 	firstInvalid = invalid && !s.sentInvalidReport
 	s.sentInvalidReport = s.sentInvalidReport || invalid
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -21,6 +21,8 @@
 	reach  route.Reachability
 	// observes is set if load reports contain what this host has observed of targets.
 	observes bool
+	// observesOnReport sets observes once a target has reported its slowness.
+	observesOnReport bool
 }
 
 // targetState is the state of one target in a [targetTracker].
--- a/host/entry.go
+++ b/host/entry.go
@@ -40,7 +40,7 @@
 	gate := &gate.Gate{
 		Host: n.Settings.Host, Zone: n.Settings.Zone, HeaderNames: n.HeaderNames, Fleet: n.client, Clock: n.clock, MaxPlanStaleness: n.Settings.MaxKeyStaleness(), Log: n.Log,
 		DialTarget: n.DialTarget, RelayAddress: n.Settings.PeerAddress(), Secret: n.secret,
-		ColdBound: n.coldBound(), TargetPace: n.Settings.TargetPace,
+		ColdBound: n.coldBound(), TargetPace: n.Settings.TargetPace, PaceReportingOnly: n.Settings.PaceReportingOnly,
 		Turns: &turns.Client{Peers: n.peers, Zone: n.Settings.Zone, Map: func() *turns.Map { return n.client.View().Map }},
 	}
 	n.client.OnChange = func(v fleet.View) { gate.TargetsChanged(v.Targets) }
