--- a/fleet/zones_test.go
+++ b/fleet/zones_test.go
@@ -283,3 +283,26 @@
 	bootstrapped, members, err := quorum.ReadMembers(dir)
 	return fleet.HelloReply{ID: id, MayBootstrap: true, Bootstrapped: bootstrapped, Members: members}, err
 }
+
+// TestZonesOfControlHostsAreLost guards against a group that takes no orders when two of
+// five control hosts, those of one zone, are lost at once, and against voters that are
+// removed meanwhile, so that the loss of the next zone after their return stops the group.
+func TestZonesOfControlHostsAreLost(t *testing.T) {
+	f, c, peers := newBootstrappedFleet(t)
+	f.targets.Store(&zonedTargets)
+	for i, lost := range [][]*process{f.controls[:2], f.controls[2:4], f.controls[4:]} {
+		time.Sleep(1500 * time.Millisecond) // All control hosts have asked the others what they can apply.
+		for _, p := range lost {
+			p.stop()
+		}
+		if err := order(t, c, "a", i%2 == 1); err != nil {
+			t.Errorf("order without zone %d of the control hosts: %v", i, err)
+		}
+		f.waitForZones(c, map[types.ZoneID]bool{"a": i%2 == 0})
+		time.Sleep(2500 * time.Millisecond) // Longer than unresponsive voters are kept beside a replacement.
+		for _, p := range lost {
+			p.run()
+		}
+		f.waitForVoters(peers, 5, f.controls...)
+	}
+}
