--- a/gate/cold.go
+++ b/gate/cold.go
@@ -154,7 +154,7 @@
 	if _, cold, ok := g.coldLimit(id, now); ok {
 		add(cold)
 	}
-	if a, ok := g.pace.allowed(id, now); ok {
+	if a, ok := g.allowedPace(id, now); ok {
 		add(a.Limit())
 	}
 	return l, limited
--- a/gate/pace.go
+++ b/gate/pace.go
@@ -53,11 +53,28 @@
 	return t.paces
 }
 
+// paceHearTime is how long a target that has appeared in the list is limited before the
+// leader's word: until two exchanges of loads, of which the first may have begun before.
+const paceHearTime = 2 * loadExchangeInterval
+
+// allowedPace returns what a target may get while it starts or recovers, and false if it is
+// not limited. The list reaches all hosts at the same time and before the leader's word.
+// Without a limit until then, all would send to the new target, which is idle.
+func (g *Gate) allowedPace(id types.TargetID, now types.Mono) (ramp.Allowed, bool) {
+	a, limited := g.pace.allowed(id, now)
+	if limited || !g.TargetPace {
+		return a, limited
+	}
+	g.cold.mu.Lock()
+	defer g.cold.mu.Unlock()
+	return ramp.Allowed{Rate: ramp.StartRate}, g.cold.cold.Appeared(id, paceHearTime, now)
+}
+
 // failing reports whether requests should avoid a target that is failing according to this
 // host. Of a target that is limited by its pace, the leader knows what all hosts have
 // observed, so that the host's own backoff does not count, only that it cannot connect.
 func (g *Gate) failing(id types.TargetID, failing bool) bool {
-	if _, limited := g.pace.allowed(id, g.Clock()); failing && limited {
+	if _, limited := g.allowedPace(id, g.Clock()); failing && limited {
 		return g.targets.unreachable(id)
 	}
 	return failing
@@ -66,7 +83,7 @@
 // fullFor returns for how long a target gets no request of this call, 0 if it may: it is at
 // its limit, or it is avoided and gets probes only, see pickProbe.
 func (c *call) fullFor(service *plan.Service, id types.TargetID, now types.Mono) time.Duration {
-	if a, limited := c.gate.pace.allowed(id, now); limited && a.Probe {
+	if a, limited := c.gate.allowedPace(id, now); limited && a.Probe {
 		return ramp.StepInterval
 	}
 	return c.gate.targetLimits.fullFor(id, c.lowPrecedence(service, id), now)
@@ -80,7 +97,7 @@
 	}
 	now := c.gate.Clock()
 	for _, t := range c.candidates(service, tried) {
-		a, limited := c.gate.pace.allowed(t.ID, now)
+		a, limited := c.gate.allowedPace(t.ID, now)
 		if !limited || !a.Probe || c.gate.targetLimits.fullFor(t.ID, c.lowPrecedence(service, t.ID), now) > 0 || c.gate.targets.unreachable(t.ID) {
 			continue
 		}
--- a/gate/target_limit.go
+++ b/gate/target_limit.go
@@ -136,7 +136,7 @@
 		coldSendsTotal.Inc()
 		fields["coldLeftMs"] = left.Milliseconds()
 	}
-	if a, paced := c.gate.pace.allowed(id, c.gate.Clock()); paced {
+	if a, paced := c.gate.allowedPace(id, c.gate.Clock()); paced {
 		pacedSendsTotal.Inc()
 		fields["paced"], fields["probe"] = a.Rate, a.Probe
 	}
--- a/ramp/cold.go
+++ b/ramp/cold.go
@@ -94,6 +94,13 @@
 	}
 }
 
+// Appeared reports whether a target has appeared in a list after the first one within the
+// given time.
+func (c *Cold) Appeared(id types.TargetID, within time.Duration, now types.Mono) bool {
+	t := c.targets[id]
+	return t != nil && t.started && !t.found && now.Sub(t.startedAt) < within
+}
+
 // Extend records that another host takes a listed target to be cold for some more time. It
 // reports whether the target has turned cold.
 func (c *Cold) Extend(id types.TargetID, left time.Duration, now types.Mono) (turned bool) {
--- a/ramp/pace.go
+++ b/ramp/pace.go
@@ -36,9 +36,10 @@
 	// StepInterval is the time between two steps. It is that between two reports of a
 	// host, so that each step has a report of each host.
 	StepInterval = 300 * time.Millisecond
-	// startRate is the rate at which a target starts if its fair share is less than
-	// 1/startShare of it. Two steps with the least evidence take a second at this rate.
-	startRate  = 4
+	// StartRate is the rate at which a target starts. A step takes half a second at this
+	// rate, since it needs two responses. A target that has answered probes starts at
+	// 1/startShare of its fair share if that is more.
+	StartRate  = 4
 	startShare = 8
 	// minRate is the lowest rate of a target that is not avoided.
 	minRate = 1
@@ -52,7 +53,7 @@
 	evidenceShare = 0.5
 	// growth is the factor of a step, and slowGrowth that for a target that is slower than
 	// its neighbors by the factor slowPace. From haltPace on, the rate is halved.
-	growth, slowGrowth = 2, 1.3
+	growth, slowGrowth = 2, 1.5
 	slowPace, haltPace = 1.6, 3
 	// maxRefusals is the part of requests that a target may refuse without a lower rate.
 	maxRefusals = 0.1
@@ -151,7 +152,7 @@
 // Start limits a target that has started or become reachable again, unless it is avoided.
 func (p *Pace) Start(id types.TargetID, now types.Mono) {
 	if t := p.target(id, now); t.phase == steady {
-		t.enter(growing, startRate, now)
+		t.enter(growing, StartRate, now)
 	}
 }
 
@@ -186,9 +187,9 @@
 
 // neighbors is what is known of the targets of a service.
 type neighbors struct {
-	targets, avoided int
-	responses        float64 // within evidenceTime
-	units            []float64
+	targets, avoided    int
+	responses, failures float64 // within evidenceTime
+	units               []float64
 }
 
 // fairShare returns the rate of a target if all got the same.
@@ -246,6 +247,7 @@
 
 func (n *neighbors) add(t *paced) {
 	n.responses += t.responses
+	n.failures += t.failures
 	switch {
 	case t.phase == avoided:
 		n.avoided++
@@ -270,10 +272,10 @@
 // decide makes one step of a target.
 func (t *paced) decide(n *neighbors, now types.Mono) {
 	if t.relapses > 0 && now.Sub(t.relapsedAt) > relapseTime {
-		t.relapses = 0
+		t.relapses, t.relapsedAt = 0, 0
 	}
 	switch {
-	case t.phase != avoided && t.failing(now) && float64(n.avoided+1) <= maxAvoided*float64(n.targets):
+	case t.phase != avoided && t.failing(n, now) && float64(n.avoided+1) <= maxAvoided*float64(n.targets):
 		n.avoided++
 		t.avoid(now)
 	case t.phase == avoided:
@@ -284,8 +286,9 @@
 }
 
 // failing reports whether so many requests fail, on several hosts, that the target is to be
-// avoided. One failure is enough while it recovers from that.
-func (t *paced) failing(now types.Mono) bool {
+// avoided. If its neighbors fail as well, more have to, since the requests may be the cause.
+// One failure is enough while it recovers from having been avoided.
+func (t *paced) failing(n *neighbors, now types.Mono) bool {
 	hosts := 0
 	for h, at := range t.failedAt {
 		if now.Sub(at) > evidenceTime+StepInterval {
@@ -297,7 +300,11 @@
 	if t.phase == growing && t.relapsedAt > 0 && t.evidence.Failures > 0 {
 		return true
 	}
-	return hosts >= minFailingHosts && t.failures >= minFailures && t.failures >= failingShare*(t.failures+t.responses)
+	others := 0.0
+	if sum := n.failures + n.responses - t.failures - t.responses; sum > 0 {
+		others = (n.failures - t.failures) / sum
+	}
+	return hosts >= minFailingHosts && t.failures >= minFailures && t.failures >= (failingShare+others)*(t.failures+t.responses)
 }
 
 // avoid begins to avoid the target. Each relapse makes probes rarer.
@@ -327,7 +334,7 @@
 
 // start returns the rate at which the target begins to grow.
 func (t *paced) start(n *neighbors) types.PerSecond {
-	return max(startRate, n.fairShare()/startShare) / types.PerSecond(int(1)<<t.relapses)
+	return max(StartRate, n.fairShare()/startShare) / types.PerSecond(int(1)<<t.relapses)
 }
 
 // grow raises the rate if the target answers as it should, and halves it otherwise.
@@ -347,7 +354,7 @@
 	case unsound || pace > haltPace && e.Responses > 0:
 		t.rate, t.evidence = max(minRate, t.rate/2), Report{}
 	case float64(e.Responses) < max(minEvidence, evidenceShare*float64(t.rate)*StepInterval.Seconds()):
-	case t.rate > max(startRate, endShare*n.fairShare()):
+	case t.rate > max(StartRate, endShare*n.fairShare()):
 		t.enter(steady, 0, now)
 	case pace > slowPace:
 		t.rate, t.evidence = t.rate*slowGrowth, Report{}
--- a/ramp/pace_test.go
+++ b/ramp/pace_test.go
@@ -1,263 +1,38 @@
 package ramp_test
 
 import (
-	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
-	"github.com/banyanspur/banyanspur/limit"
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/banyanspur/banyanspur/ramp"
 	"github.com/banyanspur/banyanspur/types"
 )
 
-const (
-	simHosts   = 100
-	simTargets = 20
-	simRate    = 400 // requests per second; the fair share of a target is 20
-	tick       = 10 * time.Millisecond
-	fairShare  = simRate / simTargets
-)
-
-// simHost is an entry host.
-type simHost struct {
-	id        types.HostID
-	share     [simTargets]limit.Share
-	inFlight  [simTargets]int
-	others    [simTargets]int        // requests of other hosts in flight at the last exchange
-	fullUntil [simTargets]types.Mono // by the limit
-	failures  [simTargets]int        // in succession
-	failedAt  [simTargets]types.Mono
-	reports   [simTargets]ramp.Report
-	allowed   map[types.TargetID]ramp.Allowed
-	heardAt   types.Mono
-}
-
-// ending is a request that is being served.
-type ending struct{ host, target int }
-
-// sim is a service behind 100 hosts in virtual time. Hosts exchange loads every 0.3 s at
-// times of their own, and prefer the target with the fewest requests.
-type sim struct {
-	paced   bool // else each host decides by its own failures, as without the setting
-	now     types.Mono
-	random  *rand.Rand
-	hosts   [simHosts]simHost
-	members []ramp.Member
-	pace    ramp.Pace
-	issuers map[types.TargetID]*limit.Issuer
-	leader  bool                                        // hosts reach the leader
-	fails   func(target int, now time.Duration) float64 // probability that a request fails
-	ends    map[types.Mono][]ending
-	// unlisted is how many targets the list does not have yet: the first ones.
-	unlisted int
-	running  [simTargets]int
-	// sent are the times of all requests by target; failed counts those that failed, and
-	// unsafe those of them that must not be repeated.
-	sent           [simTargets][]types.Mono
-	failed, unsafe int
-	probedUnsafe   int // requests that must not be repeated and were sent to an avoided target
-}
-
-func newSim(paced bool, fails func(int, time.Duration) float64) *sim {
-	s := &sim{paced: paced, random: rand.New(rand.NewPCG(5, 9)), issuers: map[types.TargetID]*limit.Issuer{}, fails: fails, ends: map[types.Mono][]ending{}, leader: true}
-	for i := range s.hosts {
-		s.hosts[i].id = types.HostID(fmt.Sprintf("entry-%d", i))
-	}
-	for i := range simTargets {
-		s.members = append(s.members, ramp.Member{ID: targetID(i), Service: "plain"})
-	}
-	return s
-}
-
-func targetID(i int) types.TargetID { return types.TargetID(fmt.Sprintf("t%d", i)) }
-
-// run simulates until the given time.
-func (s *sim) run(until time.Duration) {
-	for ; s.now < types.Mono(until); s.now = s.now.Add(tick) {
-		for _, e := range s.ends[s.now] {
-			s.hosts[e.host].inFlight[e.target]--
-			s.hosts[e.host].failures[e.target] = 0
-			s.hosts[e.host].reports[e.target].Responses++
-			s.running[e.target]--
-		}
-		delete(s.ends, s.now)
-		for i := range s.hosts {
-			if s.leader && (int(s.now/types.Mono(tick))+i)%30 == 0 {
-				s.exchange(&s.hosts[i])
-			}
-		}
-		for range int(simRate * tick.Seconds()) {
-			s.serve(s.random.IntN(simHosts), s.random.IntN(3) > 0)
-		}
-	}
-}
-
-func (s *sim) exchange(h *simHost) {
-	for i := range simTargets {
-		h.others[i] = s.running[i] - h.inFlight[i]
-		s.pace.Observe(targetID(i), h.id, h.reports[i], s.now)
-		h.reports[i] = ramp.Report{}
-	}
-	s.pace.Step(s.members, s.now)
-	h.allowed, h.heardAt = map[types.TargetID]ramp.Allowed{}, s.now
-	for _, m := range s.members {
-		if a, ok := s.pace.Allowed(m.ID); ok {
-			h.allowed[m.ID] = a
-		}
-	}
-}
-
-// serve sends a request to one target after the other until one answers. One that must not
-// be repeated is sent once.
-func (s *sim) serve(host int, repeatable bool) {
-	h := &s.hosts[host]
-	tried := [simTargets]bool{}
-	for range 4 {
-		best, equal := s.probe(h, &tried, repeatable), 0
-		for i := range simTargets {
-			if best >= 0 && equal == 0 {
-				break // A probe.
-			}
-			if tried[i] || s.avoids(h, i, repeatable) {
-				continue
-			}
-			load := func(i int) int { return h.inFlight[i] + h.others[i] }
-			switch {
-			case best < 0 || load(i) < load(best):
-				best, equal = i, 1
-			case load(i) == load(best):
-				if equal++; s.random.IntN(equal) == 0 {
-					best = i
-				}
-			}
-		}
-		if best < 0 {
-			return
-		}
-		tried[best] = true
-		if s.paced && !s.take(h, best) {
-			continue
-		}
-		if s.send(host, best, repeatable) || !repeatable {
-			return
-		}
-	}
-}
-
-// probe returns an avoided target to which a request may be sent, or -1.
-func (s *sim) probe(h *simHost, tried *[simTargets]bool, repeatable bool) int {
-	for i := range simTargets {
-		if s.paced && repeatable && !tried[i] && h.allowed[targetID(i)].Probe && s.now >= h.fullUntil[i] {
-			return i
+// release replaces half of the targets after 5 s and returns how many.
+func release(s *sim) (replaced int) {
+	replaced = simTargets / 2
+	s.unlisted = replaced
+	s.run(startedAt)
+	s.unlisted = 0
+	for i := range replaced {
+		s.pace.Start(targetID(i), s.now)
+		for h := range s.hosts { // Hosts get the list and the limits that come with it.
+			s.hosts[h].allowed[targetID(i)], _ = s.pace.Allowed(targetID(i))
 		}
 	}
-	return -1
+	return replaced
 }
 
-// avoids reports whether a host passes over a target.
-func (s *sim) avoids(h *simHost, i int, repeatable bool) bool {
-	if i < s.unlisted {
-		return true
-	}
-	if a, limited := h.allowed[targetID(i)]; s.paced && limited {
-		return s.now < h.fullUntil[i] || a.Probe
-	}
-	backoff := min(500*time.Millisecond<<max(0, min(h.failures[i]-1, 8)), 4*time.Second)
-	return h.failures[i] > 0 && s.now.Sub(h.failedAt[i]) < backoff
-}
-
-// take asks the leader for a request to a limited target.
-func (s *sim) take(h *simHost, i int) bool {
-	id := targetID(i)
-	a, limited := h.allowed[id]
-	if !limited {
-		return true
-	}
-	issuer := s.issuers[id]
-	if issuer == nil {
-		issuer = limit.NewIssuer(0)
-		issuer.PerRequest, issuer.HostCount = true, simHosts
-		issuer.MarkAllReported(s.now)
-		s.issuers[id] = issuer
-	}
-	if s.leader {
-		if a, limited = s.pace.Allowed(id); limited {
-			issuer.SetLimit(a.Limit(), s.now)
-		}
-		holder := limit.Holder(h.id)
-		h.share[i].Apply(issuer.Renew(h.share[i].Demand(holder, 1, s.now), s.now), s.now, s.now)
-	}
-	if h.share[i].Take(s.now) {
-		return true
-	}
-	h.fullUntil[i] = s.now.Add(100 * time.Millisecond)
-	return false
-}
-
-func (s *sim) send(host, i int, repeatable bool) bool {
-	h := &s.hosts[host]
-	s.sent[i] = append(s.sent[i], s.now)
-	if h.allowed[targetID(i)].Probe && s.paced && !repeatable {
-		s.probedUnsafe++
-	}
-	if s.random.Float64() < s.fails(i, time.Duration(s.now)) {
-		s.failed++
-		if !repeatable {
-			s.unsafe++
-		}
-		h.failures[i]++
-		h.failedAt[i] = s.now
-		h.reports[i].Failures++
-		return false
-	}
-	h.inFlight[i]++
-	s.running[i]++
-	took := 200 * time.Millisecond * time.Duration(1+s.running[i]/12)
-	at := s.now.Add(took)
-	s.ends[at] = append(s.ends[at], ending{host, i})
-	return true
-}
-
-// between returns the number of requests to a target in a time.
-func (s *sim) between(target int, from, to time.Duration) (n int) {
-	for _, at := range s.sent[target] {
-		if at >= types.Mono(from) && at < types.Mono(to) {
-			n++
-		}
-	}
-	return n
-}
-
-// downBetween fails all requests to target 0 in a time.
-func downBetween(from, to time.Duration) func(int, time.Duration) float64 {
-	return func(i int, now time.Duration) float64 {
-		if i == 0 && now >= from && now < to {
-			return 1
-		}
-		return 0
-	}
-}
+// startedAt is when targets start in [release].
+const startedAt = 5 * time.Second
 
 // TestStartedTargetsAreNotFlooded guards against a target that gets more than its fair share
 // as soon as it starts, since it is idle: in a release that replaces half of a service, and
 // as it returns after a crash of 2 s, which must not cost each host several requests. It must
 // have most of its share after 5 s.
 func TestStartedTargetsAreNotFlooded(t *testing.T) {
-	const startedAt = 5 * time.Second
-	release := func(s *sim) (replaced int) {
-		replaced = simTargets / 2
-		s.unlisted = replaced
-		s.run(startedAt)
-		s.unlisted = 0
-		for i := range replaced {
-			s.pace.Start(targetID(i), s.now)
-			for h := range s.hosts { // Hosts get the list and the limits that come with it.
-				s.hosts[h].allowed[targetID(i)], _ = s.pace.Allowed(targetID(i))
-			}
-		}
-		return replaced
-	}
 	crash := func(s *sim) (replaced int) {
 		s.fails = downBetween(startedAt-2*time.Second, startedAt)
 		s.run(startedAt)
@@ -287,6 +62,35 @@
 	}
 }
 
+// TestPaceWithoutLeader guards against targets that are flooded, or limited for ever, as the
+// leader that limits them is lost half a second after their start: for a second, and for 10 s,
+// in which hosts decide by themselves after 4 s. The next leader knows what hosts report.
+func TestPaceWithoutLeader(t *testing.T) {
+	for _, silence := range []time.Duration{time.Second, 10 * time.Second} {
+		s := newSim(true, downBetween(0, 0))
+		replaced := release(s)
+		s.run(startedAt + 500*time.Millisecond)
+		s.leader = false
+		s.run(startedAt + 500*time.Millisecond + silence)
+		s.replaceLeader()
+		end := startedAt + silence + 8*time.Second
+		s.run(end)
+		first, later := 0, 0
+		for i := range replaced {
+			first = max(first, s.between(i, startedAt, startedAt+2*time.Second))
+			later += s.between(i, end-3*time.Second, end)
+		}
+		if later /= replaced; first > fairShare || later < fairShare*3*7/10 {
+			t.Errorf("without a leader for %v, a started target got %d requests in its first two seconds and %d in the last 3 s, want at most %d and at least %d", silence, first, later, fairShare, fairShare*3*7/10)
+		}
+		if silence > 9*time.Second {
+			if n := s.between(0, startedAt+5*time.Second, startedAt+10*time.Second); n < fairShare*5/2 {
+				t.Errorf("without a leader, a target that has started got %d requests from the 5th to the 10th second", n)
+			}
+		}
+	}
+}
+
 // TestFailingTargetIsAvoided guards against targets that cost requests for as long as they
 // fail: one that is down and up every 1.4 s, one that fails 45% of its requests while its
 // health check is good, and one whose health response lies. Each host may find it out once,
@@ -325,3 +129,88 @@
 		t.Logf("%s: %d requests failed, %d with a backoff of each host; %d and %d must not be repeated", name, s.failed, today.failed, s.unsafe, today.unsafe)
 	}
 }
+
+// TestNeighborsFailAsWell guards against targets that are avoided for the requests that they
+// get: if a fifth of the requests fails on every target, or all of them, the others would have
+// to carry what the avoided ones do not.
+func TestNeighborsFailAsWell(t *testing.T) {
+	for _, probability := range []float64{0.25, 1} {
+		s := newSim(true, func(int, time.Duration) float64 { return probability })
+		s.run(10 * time.Second)
+		avoided := 0
+		for _, m := range s.members {
+			if a, _ := s.pace.Allowed(m.ID); a.Probe {
+				avoided++
+			}
+		}
+		if allowed := simTargets / 10; avoided > allowed {
+			t.Errorf("%d of %d targets are avoided while %.0f%% of the requests fail on all of them, want at most %d", avoided, simTargets, 100*probability, allowed)
+		}
+	}
+}
+
+// steps makes steps of a service with one paced target and neighbors that answer 20 requests
+// per second within 50 ms, while the target gives one report per step on each of two hosts.
+func steps(p *ramp.Pace, now *types.Mono, n int, r ramp.Report) {
+	members := []ramp.Member{{ID: "t0", Service: "s"}}
+	for i := 1; i < 4; i++ {
+		members = append(members, ramp.Member{ID: targetID(i), Service: "s"})
+	}
+	for range n {
+		*now = now.Add(ramp.StepInterval)
+		for _, host := range []types.HostID{"entry-1", "entry-2"} {
+			for _, m := range members[1:] {
+				p.Observe(m.ID, host, ramp.Report{Responses: 3, UnitSeconds: 0.05}, *now)
+			}
+			p.Observe("t0", host, r, *now)
+		}
+		p.Step(members, *now)
+	}
+}
+
+// TestPaceFollowsEvidence guards against a rate that grows without responses or while the
+// target refuses, fails or is slow, and against a limit or an avoidance without end: no
+// request may come that shows anything.
+func TestPaceFollowsEvidence(t *testing.T) {
+	sound := ramp.Report{Responses: 3, UnitSeconds: 0.05}
+	start := func(p *ramp.Pace, now types.Mono) { p.Start("t0", now) }
+	avoid := func(p *ramp.Pace, now types.Mono) { p.Adopt("t0", ramp.Allowed{Rate: 2, Probe: true}, now) }
+	type outcome struct {
+		Allowed ramp.Allowed
+		Limited bool
+	}
+	limited := func(rate types.PerSecond, probe bool) outcome {
+		return outcome{ramp.Allowed{Rate: rate, Probe: probe}, true}
+	}
+	for name, c := range map[string]struct {
+		begin  func(*ramp.Pace, types.Mono)
+		report ramp.Report
+		steps  int
+		want   outcome
+	}{
+		"sound":                    {start, sound, 2, limited(16, false)},
+		"sound, the end":           {start, sound, 20, outcome{}},
+		"no requests":              {start, ramp.Report{}, 20, limited(4, false)},
+		"refuses":                  {start, ramp.Report{Responses: 3, Refusals: 1, UnitSeconds: 0.05}, 1, limited(2, false)},
+		"fails":                    {start, ramp.Report{Responses: 9, Failures: 1, UnitSeconds: 0.05}, 2, limited(1, false)},
+		"fails mostly":             {start, ramp.Report{Responses: 1, Failures: 3}, 2, limited(2, true)},
+		"slow":                     {start, ramp.Report{Responses: 3, UnitSeconds: 0.1}, 2, limited(9, false)},
+		"very slow":                {start, ramp.Report{Responses: 3, UnitSeconds: 0.5}, 1, limited(2, false)},
+		"very slow, the end":       {start, ramp.Report{Responses: 3, UnitSeconds: 0.5}, 105, outcome{}},
+		"probes answered":          {avoid, sound, 1, limited(4, false)},
+		"probes not answered":      {avoid, ramp.Report{Failures: 1}, 200, limited(2, true)},
+		"probes refused":           {avoid, ramp.Report{Responses: 1, Refusals: 1}, 50, limited(2, true)},
+		"avoided without requests": {avoid, ramp.Report{}, 35, limited(1, false)},
+	} {
+		var p ramp.Pace
+		now := types.Mono(time.Second)
+		steps(&p, &now, 20, ramp.Report{Responses: 3, UnitSeconds: 0.05})
+		c.begin(&p, now)
+		steps(&p, &now, c.steps, c.report)
+		var got outcome
+		got.Allowed, got.Limited = p.Allowed("t0")
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s: allowed after %d steps (-want +got):\n%s", name, c.steps, diff)
+		}
+	}
+}
