fleet, gate: one host without a path makes no target cold for the others

A host took a target to have started as soon as no other host reported it unreachable, so one host that lost its own path limited the target for all; two must report it now, as for avoiding it. The leader logged a target that its list shows as cold once more when hosts said the same with their demands.

--- a/fleet/ramp.go
+++ b/fleet/ramp.go
@@ -91,6 +91,9 @@
 // asLeader.
 func (c *Control) recordCold(cold ColdTargets, now types.Mono) {
 	for id, left := range cold {
+		if known, _, _ := c.coldLimit(id, now); left <= known+ramp.ColdTolerance {
+			continue
+		}
 		if c.cold.Extend(id, min(left, maxColdTime), now) {
 			c.logCold(id, "host", now)
 			c.startPace(id, "host", now)
--- a/gate/cold.go
+++ b/gate/cold.go
@@ -23,7 +23,7 @@
 	cold     ramp.Cold
 	list     []fleet.Target // the list that cold was last updated with
 	services map[types.TargetID]types.ServiceID
-	// avoided are the targets that other hosts report to be unreachable.
+	// avoided are the targets that several other hosts report to be unreachable.
 	avoided map[types.TargetID]bool
 }
 
@@ -49,6 +49,10 @@
 	t.cold.Started(id, now)
 }
 
+// minUnreachable is how many other hosts must report that they cannot connect to a target
+// for it to count as started when they can again. A single one may have lost its own path.
+const minUnreachable = 2
+
 // merge records what the leader has replied: the targets that are cold, and those that
 // other hosts cannot connect to. A target that they can connect to again counts as started.
 func (t *coldTracker) merge(reply fleet.LoadsReply, now types.Mono) {
@@ -59,7 +63,7 @@
 	}
 	avoided := map[types.TargetID]bool{}
 	for id, l := range reply.Loads {
-		if l.Unreachable > 0 {
+		if l.Unreachable >= minUnreachable {
 			avoided[id] = true
 		}
 	}
--- a/gate/pace_test.go
+++ b/gate/pace_test.go
@@ -91,3 +91,25 @@
 		t.Errorf("reported paces (-want +got):\n%s", diff)
 	}
 }
+
+// TestNewTargetIsLimitedBeforeTheLeadersWord guards against a new target that all hosts send
+// their requests to in the 0.3 s between the list and the exchange of loads.
+func TestNewTargetIsLimitedBeforeTheLeadersWord(t *testing.T) {
+	b := newTestbedWith(t, func(g *gate.Gate) { g.TargetPace = true })
+	var old, started atomic.Int32
+	b.addTarget("plain", countRequests(&old, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Load", "4,0,6") // Busy, so that the new target is preferred.
+		respondOK(w, r)
+	}))
+	b.send(testRequest{path: "/charge/", key: "choir-key"})
+	b.addTarget("plain", countRequests(&started, respondOK))
+	b.gate.TargetsChanged(b.fleet.View().Targets)
+	for start := time.Now(); time.Since(start) < 400*time.Millisecond; {
+		if code, body := b.send(testRequest{path: "/charge/", key: "choir-key"}); code != http.StatusOK {
+			t.Fatalf("status %d: %s", code, body)
+		}
+	}
+	if n := started.Load(); n > 3 {
+		t.Errorf("the new target got %d requests within 0.4 s, and the old one %d", n, old.Load())
+	}
+}
--- a/ramp/cold.go
+++ b/ramp/cold.go
@@ -44,10 +44,10 @@
 	revision uint64
 }
 
-// coldTolerance is the difference between two statements on the end of the cold time that
+// ColdTolerance is the difference between two statements on the end of the cold time that
 // is taken for the time of their messages. A later end by more than that means that the
 // target has turned cold once more.
-const coldTolerance = 250 * time.Millisecond
+const ColdTolerance = 250 * time.Millisecond
 
 // Update records a list. Targets that are not in it are forgotten. An empty list before the
 // first other one is passed over. It returns the targets that have turned cold.
@@ -79,7 +79,7 @@
 
 // extend records when the target stops being cold, and reports whether it has turned cold.
 func (t *coldTarget) extend(until types.Mono) bool {
-	if until <= t.until.Add(coldTolerance) {
+	if until <= t.until.Add(ColdTolerance) {
 		return false
 	}
 	t.until = until
