--- a/config/node.go
+++ b/config/node.go
@@ -45,6 +45,9 @@
 	// Losses is the number of hosts with a disk whose simultaneous loss the
 	// fleet must survive.
 	Losses int `toml:"losses"`
+	// ZoneLosses is the number of availability zones whose loss, instead of that of single
+	// hosts, the fleet must survive: 0, the default, or 1.
+	ZoneLosses int `toml:"zoneLosses"`
 	// MemoryMB is the memory available to the process, in units of 2^20 bytes.
 	// 0 means no limit.
 	MemoryMB int64 `toml:"memoryMB"`
@@ -102,6 +105,9 @@
 	if n.Losses < 0 {
 		found.add("losses", "%d is negative", n.Losses)
 	}
+	if n.ZoneLosses < 0 || n.ZoneLosses > 1 {
+		found.add("zoneLosses", "%d is not 0 or 1", n.ZoneLosses)
+	}
 	checkBound(found, "coldOver", n.ColdOver)
 	checkBound(found, "coldSlack", n.ColdSlack)
 }
--- a/config/node_test.go
+++ b/config/node_test.go
@@ -41,15 +41,16 @@
 
 func TestNodeSettingsFindings(t *testing.T) {
 	for name, change := range map[string][2]string{
-		"host":      {`"store-1"`, `""`},
-		"address":   {`"10.1.0.34"`, `"nowhere"`},
-		"peerPorts": {`[7780, 7795]`, `[7795]`},
-		"seeds":     {`["10.1.0.35:8367", "10.2.0.41:8367"]`, `[]`},
-		"seeds.1":   {`"10.2.0.41:8367"`, `"10.2.0.41"`},
-		"losses":    {`losses = 1`, `losses = -1`},
-		"coldOver":  {`losses = 1`, "losses = 1\ncoldOver = -0.5"},
-		"coldSlack": {`losses = 1`, "losses = 1\ncoldSlack = nan"},
-		"nonsense":  {`losses`, "nonsense = 1\nlosses"},
+		"host":       {`"store-1"`, `""`},
+		"address":    {`"10.1.0.34"`, `"nowhere"`},
+		"peerPorts":  {`[7780, 7795]`, `[7795]`},
+		"seeds":      {`["10.1.0.35:8367", "10.2.0.41:8367"]`, `[]`},
+		"seeds.1":    {`"10.2.0.41:8367"`, `"10.2.0.41"`},
+		"losses":     {`losses = 1`, `losses = -1`},
+		"zoneLosses": {`losses = 1`, "losses = 1\nzoneLosses = 2"},
+		"coldOver":   {`losses = 1`, "losses = 1\ncoldOver = -0.5"},
+		"coldSlack":  {`losses = 1`, "losses = 1\ncoldSlack = nan"},
+		"nonsense":   {`losses`, "nonsense = 1\nlosses"},
 	} {
 		_, err := config.ParseNodeSettings("node.toml", []byte(strings.Replace(nodeSettings, change[0], change[1], 1)))
 		var found config.Findings
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -41,6 +41,9 @@
 	// Losses is how many hosts with a disk may fail at the same time. If there
 	// are enough stores, each shard has 2*Losses+1 copies.
 	Losses int
+	// ZoneLosses is how many zones may be lost at the same time instead. If it is not 0, no
+	// zone holds a majority of a shard's copies as long as other zones have live stores.
+	ZoneLosses int
 	// Peers holds the connections to other hosts.
 	Peers *wire.Pool
 	// Clock is the process's clock. It must include time spent suspended.
--- a/fleet/shards.go
+++ b/fleet/shards.go
@@ -80,7 +80,7 @@
 	}
 	initMap := InitMap{}
 	for i := range turns.ShardCount {
-		initMap.Shards = append(initMap.Shards, turns.ChooseStores(turns.Shard(i), nil, candidates, turns.ReplicaCount(c.Losses, len(candidates))))
+		initMap.Shards = append(initMap.Shards, turns.ChooseStores(turns.Shard(i), nil, candidates, turns.ReplicaCount(c.Losses, len(candidates)), c.ZoneLosses > 0))
 	}
 	return []Command{{InitMap: &initMap}}
 }
@@ -89,7 +89,7 @@
 // is none.
 func (c *Control) nextMove(shard turns.Shard, p turns.Placement, candidates []turns.Candidate) *Move {
 	copies := max(len(p.Current), turns.ReplicaCount(c.Losses, len(candidates)))
-	desired := turns.ChooseStores(shard, p.Current, candidates, copies)
+	desired := turns.ChooseStores(shard, p.Current, candidates, copies, c.ZoneLosses > 0)
 	move := &Move{Shard: shard, Epoch: p.Epoch}
 	switch {
 	case len(desired) < copies:
--- a/host/node.go
+++ b/host/node.go
@@ -183,7 +183,7 @@
 func (n *Node) startControl(ctx, serveCtx context.Context, g *errgroup.Group, stop func()) error {
 	control := &fleet.Control{
 		Address: n.Settings.PeerAddress(), Seeds: n.Settings.SeedPeerAddresses(), AllowBootstrap: n.Settings.Founding, Dir: n.Settings.DataDir,
-		Losses: n.Settings.Losses, Peers: n.peers, Clock: n.clock, ListTargets: n.ListTargets, ColdBound: n.coldBound(), TargetPace: n.Settings.TargetPace, Log: n.Log,
+		Losses: n.Settings.Losses, ZoneLosses: n.Settings.ZoneLosses, Peers: n.peers, Clock: n.clock, ListTargets: n.ListTargets, ColdBound: n.coldBound(), TargetPace: n.Settings.TargetPace, Log: n.Log,
 	}
 	control.Register(n.peerServer)
 	if err := n.startPeerServer(serveCtx, g, nil); err != nil {
--- a/turns/map.go
+++ b/turns/map.go
@@ -124,23 +124,30 @@
 // ChooseStores returns the stores that a shard should be assigned to, sorted by
 // ID. It prefers the live stores in current, then other live stores, then stores
 // in current that are not live, and among equal ones those that spread the shard
-// over the most zones. It is deterministic.
-func ChooseStores(s Shard, current []StoreID, candidates []Candidate, replicas int) []StoreID {
+// over the most zones. With spread, live stores of a zone that would hold a majority
+// come after all other live ones, so that the shard survives the loss of any zone.
+// It is deterministic.
+func ChooseStores(s Shard, current []StoreID, candidates []Candidate, replicas int, spread bool) []StoreID {
+	zones := map[types.ZoneID]int{}
+	full := func(c Candidate) bool { return spread && zones[c.Zone] >= (replicas-1)/2 }
 	hash := func(c Candidate) uint64 { return xxhash.Sum64String(string(c.ID) + "/" + string(rune('A'+s))) }
 	priority := func(c Candidate) int {
 		switch assigned := slices.Contains(current, c.ID); {
+		case c.Live && full(c) && assigned:
+			return 2
+		case c.Live && full(c):
+			return 3
 		case assigned && c.Live:
 			return 0
 		case c.Live:
 			return 1
 		case assigned:
-			return 2
+			return 4
 		}
-		return 3
+		return 5
 	}
 	remaining := slices.Clone(candidates)
 	var chosen []StoreID
-	zones := map[types.ZoneID]int{}
 	for len(chosen) < replicas && len(remaining) > 0 {
 		best := slices.MinFunc(remaining, func(a, b Candidate) int {
 			return cmp.Or(cmp.Compare(priority(a), priority(b)), cmp.Compare(zones[a.Zone], zones[b.Zone]), cmp.Compare(hash(a), hash(b)))
--- a/turns/turns_test.go
+++ b/turns/turns_test.go
@@ -303,7 +303,7 @@
 	}
 	shardsPerStore := map[turns.StoreID]int{}
 	for shard := range turns.Shard(turns.ShardCount) {
-		chosen := turns.ChooseStores(shard, nil, all, 5)
+		chosen := turns.ChooseStores(shard, nil, all, 5, false)
 		zones := map[types.ZoneID]int{}
 		for _, c := range all {
 			if slices.Contains(chosen, c.ID) {
@@ -314,14 +314,14 @@
 		if len(chosen) != 5 || len(zones) != 3 {
 			t.Errorf("shard %d is assigned to %v in zones %v, want 5 stores in 3 zones", shard, chosen, zones)
 		}
-		if diff := cmp.Diff(chosen, turns.ChooseStores(shard, chosen, all, 5)); diff != "" {
+		if diff := cmp.Diff(chosen, turns.ChooseStores(shard, chosen, all, 5, false)); diff != "" {
 			t.Errorf("shard %d moves although its stores are live (-want +got):\n%s", shard, diff)
 		}
 		oneDown := slices.Clone(all)
 		for i := range oneDown {
 			oneDown[i].Live = oneDown[i].ID != chosen[0]
 		}
-		after := turns.ChooseStores(shard, chosen, oneDown, 5)
+		after := turns.ChooseStores(shard, chosen, oneDown, 5, false)
 		kept := 0
 		for _, id := range after {
 			if slices.Contains(chosen, id) {
--- a/turns/zone_loss_test.go
+++ b/turns/zone_loss_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -53,14 +55,17 @@
 	for _, losses := range []int{1, 2} {
 		replicas := turns.ReplicaCount(losses, len(all))
 		for shard := range turns.Shard(turns.ShardCount) {
-			chosen := turns.ChooseStores(shard, nil, all, replicas)
+			chosen := turns.ChooseStores(shard, nil, all, replicas, true)
 			checkZoneMayBeLost(t, shard, all, chosen, "at first")
+			if diff := cmp.Diff(chosen, turns.ChooseStores(shard, chosen, all, replicas, true)); diff != "" {
+				t.Errorf("shard %d moves without a loss (-want +got):\n%s", shard, diff)
+			}
 			for i := range all {
 				for j := range i {
 					lost := func(c turns.Candidate) bool { return c.ID == all[i].ID || c.ID == all[j].ID }
-					during := turns.ChooseStores(shard, chosen, without(all, lost), replicas)
+					during := turns.ChooseStores(shard, chosen, without(all, lost), replicas, true)
 					checkZoneMayBeLost(t, shard, all, during, fmt.Sprintf("without %s and %s", all[i].ID, all[j].ID))
-					checkZoneMayBeLost(t, shard, all, turns.ChooseStores(shard, during, all, replicas), "after their return")
+					checkZoneMayBeLost(t, shard, all, turns.ChooseStores(shard, during, all, replicas, true), "after their return")
 				}
 			}
 		}
@@ -76,9 +81,9 @@
 		replicas := turns.ReplicaCount(losses, len(all))
 		for shard := range turns.Shard(turns.ShardCount) {
 			for _, zone := range []types.ZoneID{"z0", "z1", "z2"} {
-				chosen := turns.ChooseStores(shard, nil, all, replicas)
-				during := turns.ChooseStores(shard, chosen, without(all, func(c turns.Candidate) bool { return c.Zone == zone }), replicas)
-				checkZoneMayBeLost(t, shard, all, turns.ChooseStores(shard, during, all, replicas), "after the return of "+string(zone))
+				chosen := turns.ChooseStores(shard, nil, all, replicas, true)
+				during := turns.ChooseStores(shard, chosen, without(all, func(c turns.Candidate) bool { return c.Zone == zone }), replicas, true)
+				checkZoneMayBeLost(t, shard, all, turns.ChooseStores(shard, during, all, replicas, true), "after the return of "+string(zone))
 			}
 		}
 	}
