turns: copies of shards continue where they stopped, from the fastest source

A store that had lost its disk copied each shard in full from all current stores at once.

A store now requests the list of turns from a majority, and fetches each turn that it lacks once, by its ID, from the source whose last part was fastest; a source that fails comes last, and parts get smaller. Turns that are on disk count, whatever happens to the copy. At most four shards are copied at once, each with 2 MB/s, and a slow shard does not hold up the others. Sources of an earlier build are copied from as before.

--- a/turns/copy.go
+++ b/turns/copy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -15,11 +16,20 @@
 const (
 	// copyInterval is how often a store checks its map for shards to copy.
 	copyInterval = 50 * time.Millisecond
-	// copyTimeout limits one request for a part of a shard.
-	copyTimeout = time.Second
+	// copyRetryDelay is the pause after a failed copy.
+	copyRetryDelay = 100 * time.Millisecond
+	// listTimeout limits the request for the list of turns of a shard, and
+	// fetchTimeout one for turns. After it, another store that has them is asked,
+	// so it is well below the 6 s within which all copies must be complete.
+	listTimeout  = 2 * time.Second
+	fetchTimeout = 700 * time.Millisecond
 	// maxConcurrentCopies limits the number of shards that are copied at the
 	// same time, and so the memory that their parts take.
 	maxConcurrentCopies = 4
+	// copyBytesPerSecond limits how much is copied of one shard, so that a store
+	// receives at most 8 MB/s. All live turns of a store with keep_s of 60 s are
+	// 17 to 37 MB (docs/CAPACITY.md).
+	copyBytesPerSecond = 2 << 20
 )
 
 // CopiedShards returns the shards that this store has copied completely, with
@@ -35,8 +45,20 @@
 }
 
 // CopyShards copies the shards that are moving to this store until ctx ends. It
-// reaches the other stores through peers. Failed copies are retried.
+// reaches the other stores through peers. Failed copies are retried, and
+// continue where they stopped: turns that are on disk are not fetched again.
 func (s *Store) CopyShards(ctx context.Context, peers *wire.Pool) error {
+	var g errgroup.Group
+	g.SetLimit(maxConcurrentCopies)
+	var mu sync.Mutex // guards running
+	running := map[Shard]bool{}
+	setRunning := func(shard Shard, run bool) (was bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		was = running[shard]
+		running[shard] = run
+		return was
+	}
 	for types.Sleep(ctx, copyInterval) {
 		s.mu.RLock()
 		shardMap := s.shardMap
@@ -44,22 +66,25 @@
 		if shardMap == nil {
 			continue
 		}
-		var g errgroup.Group
-		g.SetLimit(maxConcurrentCopies)
-		for shard, p := range shardMap.Shards {
-			if !slices.Contains(p.Next, s.id) || slices.Contains(p.Current, s.id) || s.hasCopied(Shard(shard), p.Epoch) {
+		for i, p := range shardMap.Shards {
+			shard := Shard(i)
+			if !slices.Contains(p.Next, s.id) || slices.Contains(p.Current, s.id) || s.hasCopied(shard, p.Epoch) || setRunning(shard, true) {
 				continue
 			}
-			g.Go(func() error {
-				if err := s.copyShard(ctx, peers, shardMap, Shard(shard)); err != nil {
+			started := g.TryGo(func() error {
+				defer setRunning(shard, false)
+				if err := s.copyShard(ctx, peers, shardMap, shard); err != nil && ctx.Err() == nil {
 					s.Log.Write(event.CopyFailed, event.Fields{"shard": shard, "epoch": p.Epoch, "error": err.Error()})
+					types.Sleep(ctx, copyRetryDelay)
 				}
 				return nil
 			})
+			if !started {
+				setRunning(shard, false)
+			}
 		}
-		_ = g.Wait() // Failed copies are retried in the next round.
 	}
-	return nil
+	return g.Wait()
 }
 
 func (s *Store) hasCopied(shard Shard, epoch Epoch) bool {
@@ -68,42 +93,69 @@
 	return s.copiedEpochs[shard] == epoch
 }
 
-// copyShard copies a shard from the first majority of its current stores to
-// finish. Before its first reply, each of them has the map of the move, and from
-// then on acknowledges no write of an older epoch, not even one that it accepted
-// before. So every acknowledged write is in the index of at least one of them
-// before it replies, or is also sent to this store.
+// copyShard copies a shard from the first majority of its current stores that
+// lists its turns. Before its first reply, each of them has the map of the move,
+// and from then on acknowledges no write of an older epoch, not even one that it
+// accepted before. So every acknowledged write is in the index of at least one of
+// them before it replies, or is also sent to this store. Each turn is fetched
+// from one of the stores that list it.
 func (s *Store) copyShard(ctx context.Context, peers *wire.Pool, m *Map, shard Shard) error {
+	p := m.Placement(shard)
+	lists, err := s.listShard(ctx, peers, m, shard)
+	if err != nil {
+		return err
+	}
+	c := newShardCopy(m, peers)
+	for id, list := range lists {
+		if err := s.persistPrograms(ctx, list.Programs); err != nil {
+			return err
+		}
+		s.mu.Lock()
+		c.addMissing(&s.index, s.retained, id, list.Turns)
+		s.mu.Unlock()
+	}
+	for len(c.missing) > 0 {
+		if err := c.fetch(ctx, s); err != nil {
+			return err
+		}
+	}
+	s.markCopied(shard, p.Epoch, len(lists), c.fetched)
+	return nil
+}
+
+// listShard requests the list of a shard's turns from its current stores and
+// returns the replies of the first majority.
+func (s *Store) listShard(ctx context.Context, peers *wire.Pool, m *Map, shard Shard) (map[StoreID]ListReply, error) {
 	p := m.Placement(shard)
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel() // Stops the remaining copies once a majority has finished.
-	results := make(chan storeResult[int], len(p.Current))
+	defer cancel() // Ends the requests whose replies are no longer of use.
+	results := make(chan storeResult[ListReply], len(p.Current))
 	var g errgroup.Group
 	for _, id := range p.Current {
 		link := peers.Link(m.Members[id].Address)
 		g.Go(func() error {
-			n, err := s.copyFrom(ctx, link, CopyRequest{To: id, Shard: shard, Epoch: p.Epoch})
-			results <- storeResult[int]{store: id, reply: n, err: err}
+			reply, err := callStore[ListRequest, ListReply](ctx, link, KindList, ListRequest{To: id, Shard: shard, Epoch: p.Epoch}, listTimeout)
+			results <- storeResult[ListReply]{store: id, reply: reply, err: err}
 			return nil
 		})
 	}
-	copiedFrom := map[StoreID]bool{}
-	turnCount := 0
+	lists := map[StoreID]ListReply{}
 	var lastErr error
 	for range p.Current {
 		result := <-results
+		if types.IsCode(result.err, types.CodeBadRequest) {
+			result.reply, result.err = s.copyFromEarlierBuild(ctx, peers.Link(m.Members[result.store].Address), CopyRequest{To: result.store, Shard: shard, Epoch: p.Epoch})
+		}
 		if result.err != nil {
 			lastErr = result.err
 			continue
 		}
-		copiedFrom[result.store] = true
-		turnCount += result.reply
-		if p.HasCopyQuorum(func(id StoreID) bool { return copiedFrom[id] }) {
-			s.markCopied(shard, p.Epoch, len(copiedFrom), turnCount)
-			return nil
+		lists[result.store] = result.reply
+		if p.HasCopyQuorum(func(id StoreID) bool { _, ok := lists[id]; return ok }) {
+			return lists, nil
 		}
 	}
-	return lastErr
+	return nil, lastErr
 }
 
 // markCopied records and logs that a shard was copied completely, with turnCount
@@ -115,42 +167,50 @@
 	s.Log.Write(event.ShardCopied, event.Fields{"shard": shard, "epoch": epoch, "from": sources, "turns": turnCount})
 }
 
-// copyFrom copies a shard from one store and returns the number of turns
-// received.
-func (s *Store) copyFrom(ctx context.Context, link *wire.Link, req CopyRequest) (turnCount int, err error) {
+// copyFromEarlierBuild copies all turns from a store that cannot list them. The
+// list that it returns is empty, since nothing is missing any more.
+func (s *Store) copyFromEarlierBuild(ctx context.Context, link *wire.Link, req CopyRequest) (ListReply, error) {
 	for {
-		part, err := callStore[CopyRequest, CopyReply](ctx, link, KindCopy, req, copyTimeout)
+		part, err := callStore[CopyRequest, CopyReply](ctx, link, KindCopy, req, listTimeout)
 		if err != nil {
-			return turnCount, err
+			return ListReply{}, err
 		}
-		if err := s.persistPart(ctx, part); err != nil {
-			return turnCount, err
+		if err := s.persistPrograms(ctx, part.Programs); err != nil {
+			return ListReply{}, err
 		}
-		turnCount += len(part.Turns)
-		if part.Done {
-			return turnCount, nil
+		ages := make([]time.Duration, len(part.Turns))
+		copy(ages, part.Ages)
+		if err := s.persistCopied(ctx, part.Turns, ages); err != nil || part.Done {
+			return ListReply{}, err
 		}
 		req.From = part.Next
 	}
 }
 
-// persistPart makes a part of a copied shard durable. Turns that this store
-// already has are not written again.
-func (s *Store) persistPart(ctx context.Context, part CopyReply) error {
+// persistCopied makes copied turns with the given ages durable. Turns that this
+// store already has are not written again.
+func (s *Store) persistCopied(ctx context.Context, turns []Turn, ages []time.Duration) error {
 	var records []record
 	s.mu.Lock()
-	for i, t := range part.Turns {
-		age := time.Duration(0)
-		if i < len(part.Ages) {
-			age = max(0, part.Ages[i])
-		}
+	for i, t := range turns {
 		if s.index.hasTurn(t) {
-			s.index.markUsed(turnKey{t.Account, t.ID}, s.retained.Add(-age))
+			s.index.markUsed(turnKey{t.Account, t.ID}, s.retained.Add(-ages[i]))
 			continue
 		}
-		records = append(records, record{Turn: &t, age: age})
+		records = append(records, record{Turn: &t, age: ages[i]})
+	}
+	s.mu.Unlock()
+	if len(records) == 0 {
+		return nil
 	}
-	for _, p := range part.Programs {
+	return s.persist(ctx, records...)
+}
+
+// persistPrograms makes the claims of copied programs durable.
+func (s *Store) persistPrograms(ctx context.Context, programs []Program) error {
+	var records []record
+	s.mu.Lock()
+	for _, p := range programs {
 		s.index.addClaims(programKey{p.Account, p.Program}, p.Claims, s.retained)
 		records = append(records, record{Program: &p})
 	}
--- a/turns/messages.go
+++ b/turns/messages.go
@@ -13,6 +13,10 @@
 	KindClose wire.Kind = "turns.close"
 	KindChain wire.Kind = "turns.chain"
 	KindCopy  wire.Kind = "turns.copy"
+	// KindList and KindFetch are unknown to stores of earlier builds, from which
+	// shards are copied with KindCopy.
+	KindList  wire.Kind = "turns.list"
+	KindFetch wire.Kind = "turns.fetch"
 	// KindContinued is unknown to stores of earlier builds. As long as these are
 	// needed for a quorum, no turn expires.
 	KindContinued wire.Kind = "turns.continued"
@@ -135,3 +139,39 @@
 	// Age is the time since the last turn that is known to continue it was used.
 	Age time.Duration `json:"age"`
 }
+
+// ListRequest requests the list of a shard's turns and all its claims.
+type ListRequest struct {
+	To    StoreID `json:"to"`
+	Shard Shard   `json:"shard"`
+	Epoch Epoch   `json:"epoch"`
+}
+
+// ListReply lists the turns of a shard. It takes
+// some 70 bytes for each turn and the size of the claims: 280 KB and 500 KB for
+// the 4,000 turns that a shard has with keep_s of 600 s (docs/CAPACITY.md).
+type ListReply struct {
+	Turns    []ListedTurn `json:"turns,omitempty"`
+	Programs []Program    `json:"programs,omitempty"`
+}
+
+// ListedTurn describes a turn that the sender has.
+type ListedTurn struct {
+	Account types.AccountID `json:"account"`
+	ID      TurnID          `json:"id"`
+	// Bytes is the size of the turn's record.
+	Bytes int `json:"bytes"`
+	// Age is the time since the turn was last used.
+	Age time.Duration `json:"age"`
+}
+
+// FetchRequest requests turns by their IDs.
+type FetchRequest struct {
+	To    StoreID   `json:"to"`
+	Turns []TurnRef `json:"turns"`
+}
+
+// FetchReply contains the turns of the request that the store has.
+type FetchReply struct {
+	Turns []Turn `json:"turns,omitempty"`
+}
--- a/turns/serve.go
+++ b/turns/serve.go
@@ -20,6 +20,8 @@
 	wire.Handle(server, KindClose, s.handleClose)
 	wire.Handle(server, KindChain, s.handleChain)
 	wire.Handle(server, KindCopy, s.handleCopy)
+	wire.Handle(server, KindList, s.handleList)
+	wire.Handle(server, KindFetch, s.handleFetch)
 	wire.Handle(server, KindContinued, s.handleContinued)
 }
 
