fleet: each order to evacuate a zone is logged with its outcome

Refused orders and those in effect already left no line, so that an operator could not tell from the leader's log why an order was not taken.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -32,7 +32,7 @@
 	TargetsChanged       = Kind{307, logrus.InfoLevel, "list of targets changed"}
 	LeaderReached        = Kind{308, logrus.InfoLevel, "leader of the configuration group reached"}
 	LeaderUnreachable    = Kind{309, logrus.WarnLevel, "leader of the configuration group does not answer"}
-	ZoneOrderDecided     = Kind{310, logrus.WarnLevel, "evacuation of a zone ordered or withdrawn"}
+	ZoneOrderDecided     = Kind{310, logrus.WarnLevel, "order to evacuate a zone, or to take it back, decided"}
 	ZonesApplied         = Kind{311, logrus.InfoLevel, "evacuated zones in force on this host"}
 	ServicesEvacuated    = Kind{312, logrus.WarnLevel, "services without a target outside the evacuated zones changed"}
 	CallOutcomeUnknown   = Kind{401, logrus.WarnLevel, "outcome of a call that may not be repeated is unknown"}
--- a/fleet/zones.go
+++ b/fleet/zones.go
@@ -167,30 +167,45 @@
 	Refusal string `json:"refusal,omitempty"`
 }
 
-// evacuate commits an order. It fails with [types.CodeNotFound] if there is no such zone.
+// evacuate commits an order, unless it is in effect, and logs the outcome. It fails with
+// [types.CodeNotFound] if there is no such zone.
 func (c *Control) evacuate(ctx context.Context, req Evacuate) (EvacuateReply, error) {
 	req.Order.At = time.Now()
+	fields := event.Fields{"zone": req.Zone, "withdraw": req.Withdraw, "order": req.Order.Order, "operator": req.Order.Operator}
+	refusal, err := c.commitEvacuation(ctx, req, fields)
+	if types.IsCode(err, types.CodeNotLeader) {
+		return EvacuateReply{}, err
+	}
+	fields["refusal"], fields["failed"] = refusal, err != nil
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	fields["tookMs"] = time.Since(req.Order.At).Milliseconds()
+	c.Log.Write(event.ZoneOrderDecided, fields)
+	return EvacuateReply{Refusal: refusal}, err
+}
+
+// commitEvacuation commits an order, unless it is in effect, and adds the result to the
+// fields of its log event. It returns the reason if the group cannot take it at this time.
+func (c *Control) commitEvacuation(ctx context.Context, req Evacuate, fields event.Fields) (refusal string, err error) {
 	inEffect, err := c.awaitZone(ctx, req)
 	if types.IsCode(err, types.CodeOutOfOrder) {
-		return EvacuateReply{Refusal: types.AsFault(err).Message}, nil
+		return types.AsFault(err).Message, nil
 	}
 	if err != nil || inEffect {
-		return EvacuateReply{}, err
+		return "", err
 	}
 	if refusal := c.refuseCommandSet(ctx, CommandSetZones); refusal != "" {
-		return EvacuateReply{Refusal: refusal}, nil
+		return refusal, nil
 	}
-	result, err := c.propose(ctx, Command{Evacuate: &req})
 	evacuationsTotal.Inc()
-	fields := event.Fields{
-		"zone": req.Zone, "withdraw": req.Withdraw, "order": req.Order.Order, "operator": req.Order.Operator, "changed": result.Changed, "failed": err != nil,
-	}
+	result, err := c.propose(ctx, Command{Evacuate: &req})
+	fields["changed"] = result.Changed
 	_ = c.asLeader(func(types.Mono) { // Fails if this host has just lost the leadership; the hosts log the services, too.
 		fields["targetsKnown"] = c.targets.Checksum != 0
 		fields["servicesWithoutTarget"] = servicesWithoutTarget(c.targets.List, c.machine.Evacuated)
 	})
-	c.Log.Write(event.ZoneOrderDecided, fields)
-	return EvacuateReply{}, err
+	return "", err
 }
 
 // awaitZone waits until it is certain whether the zone of an order exists, for up to
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -5,8 +5,8 @@
 // processes: SIGKILL, SIGSTOP, graceful stops, lost data directories, torn writes,
 // and a relay in front of each host that delays traffic, resets connections, drops
 // all traffic or drops one direction. Stores are retired and replaced while an entry
-// host is frozen. Each run ends with the loss of all processes and of one data
-// directory at the same moment.
+// host is frozen. Operators evacuate zones and take them back. Each run ends with the
+// loss of all processes and of one data directory at the same moment.
 //
 // Targets end too, name limits and write refusals of other requests, the list of
 // targets has an odd entry, and entry hosts lose their paths to targets: that cut is
