--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/plan"
 	"github.com/banyanspur/banyanspur/turns"
@@ -89,6 +90,7 @@
 	allowBootstrap atomic.Bool // value of fleet.Control.AllowBootstrap for control hosts started from now on
 	// targets is the platform's list. While it is nil, the list cannot be fetched.
 	targets atomic.Pointer[[]fleet.Target]
+	log     event.Log // of the control hosts
 }
 
 func newFleet(t testing.TB, controls int) *testFleet {
@@ -110,7 +112,7 @@
 	p := newProcess(f.t)
 	p.start = func(ctx context.Context, g *errgroup.Group, peers *wire.Pool, server *wire.Server) {
 		c := &fleet.Control{
-			Address: p.address, Seeds: f.seeds, AllowBootstrap: f.allowBootstrap.Load(), Dir: p.dir, Losses: 1, Peers: peers, Clock: types.NewClock(),
+			Address: p.address, Seeds: f.seeds, AllowBootstrap: f.allowBootstrap.Load(), Dir: p.dir, Losses: 1, Peers: peers, Clock: types.NewClock(), Log: f.log,
 			ListTargets: func(context.Context) ([]fleet.Target, error) {
 				if list := f.targets.Load(); list != nil {
 					return slices.Clone(*list), nil
--- a/fleet/zones_test.go
+++ b/fleet/zones_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/audit"
+	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/quorum"
 	"github.com/banyanspur/banyanspur/types"
@@ -152,6 +156,47 @@
 	}
 }
 
+// logBuffer collects log lines. It is safe for concurrent use.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines strings.Builder
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(line)
+}
+
+func (b *logBuffer) contains(parts ...string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range strings.Lines(b.lines.String()) {
+		if !slices.ContainsFunc(parts, func(p string) bool { return !strings.Contains(line, p) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestEmptiedServicesAreLogged guards against a service that is refused for lack of targets
+// without a line in the log of the leader that names it.
+func TestEmptiedServicesAreLogged(t *testing.T) {
+	f := newFleet(t, 1)
+	logs := &logBuffer{}
+	f.log = event.New(logs)
+	f.targets.Store(&zonedTargets)
+	f.runAll()
+	c, _ := f.client("entry-1")
+	waitFor(t, "the list of targets", func() bool { return len(c.View().Targets) == 4 })
+	if err := order(t, c, "a", false); err != nil {
+		t.Fatal(err)
+	}
+	if !logs.contains(`"event":310`, `"zone":"a"`, `"order":"order"`, `"servicesWithoutTarget":["tools"]`) {
+		t.Errorf("the log does not name the service:\n%s", logs.lines.String())
+	}
+}
+
 // TestLeaderWithoutListRefusesUnknownZone guards against a leader that denies a zone only
 // because it does not have the list of targets yet. A zone that a host is in is known.
 func TestLeaderWithoutListRefusesUnknownZone(t *testing.T) {
