--- a/ramp/pace.go
+++ b/ramp/pace.go
@@ -52,9 +52,11 @@
 	minEvidence   = 2
 	evidenceShare = 0.5
 	// growth is the factor of a step, and slowGrowth that for a target that is slower than
-	// its neighbors by the factor slowPace. From haltPace on, the rate is halved.
+	// its neighbors and than usual by the factor slowPace. From haltPace on, the rate is
+	// halved. usualWeight is the weight of a step in the average of what is usual.
 	growth, slowGrowth = 2, 1.5
 	slowPace, haltPace = 1.6, 3
+	usualWeight        = 0.1
 	// maxRefusals is the part of requests that a target may refuse without a lower rate.
 	maxRefusals = 0.1
 	// endShare is the multiple of the fair share at which the limit ends. A host that
@@ -115,7 +117,9 @@
 	// each host last reported a failure.
 	responses, failures float64
 	failedAt            map[types.HostID]types.Mono
-	unitSeconds         float64 // of the last step with a known one
+	// unitSeconds is the mean unit time of the last step with a known one, and usual its
+	// moving average while the target was steady, 0 if unknown.
+	unitSeconds, usual float64
 }
 
 func (p *Pace) target(id types.TargetID, now types.Mono) *paced {
@@ -265,6 +269,13 @@
 	t.evidence.Refusals += t.step.Refusals
 	if t.unitReports > 0 {
 		t.unitSeconds = t.unitSum / float64(t.unitReports)
+		switch {
+		case t.phase != steady:
+		case t.usual == 0:
+			t.usual = t.unitSeconds
+		default:
+			t.usual += usualWeight * (t.unitSeconds - t.usual)
+		}
 	}
 	t.step, t.unitSum, t.unitReports = Report{}, 0, 0
 }
@@ -337,12 +348,23 @@
 	return max(StartRate, n.fairShare()/startShare) / types.PerSecond(int(1)<<t.relapses)
 }
 
+// slowness returns the target's unit time relative to its neighbors or to its own past,
+// whichever is lower: a machine may always be slower than others.
+func (t *paced) slowness(n *neighbors) float64 {
+	median := n.medianUnit()
+	if median <= 0 || t.unitSeconds <= 0 {
+		return 1
+	}
+	slowness := t.unitSeconds / median
+	if t.usual > 0 {
+		slowness = min(slowness, t.unitSeconds/t.usual)
+	}
+	return slowness
+}
+
 // grow raises the rate if the target answers as it should, and halves it otherwise.
 func (t *paced) grow(n *neighbors, now types.Mono) {
-	pace := 1.0
-	if median := n.medianUnit(); median > 0 && t.unitSeconds > 0 {
-		pace = t.unitSeconds / median
-	}
+	pace := t.slowness(n)
 	e := t.evidence
 	unsound := e.Failures > 0 || float64(e.Refusals) > maxRefusals*float64(e.Responses)
 	if unsound {
--- a/ramp/pace_test.go
+++ b/ramp/pace_test.go
@@ -188,6 +188,7 @@
 		steps  int
 		want   outcome
 	}{
+		// The unit time before the start is 0.05 s.
 		"sound":                    {start, sound, 2, limited(16, false)},
 		"sound, the end":           {start, sound, 20, outcome{}},
 		"no requests":              {start, ramp.Report{}, 20, limited(4, false)},
@@ -214,3 +215,18 @@
 		}
 	}
 }
+
+// TestSlowMachineRecovers guards against a target that is limited for longer than others as it
+// is always slower than its neighbors.
+func TestSlowMachineRecovers(t *testing.T) {
+	var p ramp.Pace
+	now := types.Mono(time.Second)
+	slow := ramp.Report{Responses: 3, UnitSeconds: 0.17}
+	steps(&p, &now, 20, slow)
+	p.Start("t0", now)
+	steps(&p, &now, 2, slow)
+	got, _ := p.Allowed("t0")
+	if diff := cmp.Diff(ramp.Allowed{Rate: 16}, got); diff != "" {
+		t.Errorf("allowed after two steps (-want +got):\n%s", diff)
+	}
+}
