gate, route, trial: differences of pace count for engines that report slowness

Only targets slower than 1.6 times the median counted as slow, so targets with steady speeds of 0.55 and 1.2 got about the same share.

For engine services of which a target has reported its slowness, every difference of the learned pace counts (route.SetFinePaces), and the reported slowness returns to that pace as it ages. Other services are served as before. The scenario "calls" has plain targets with the same noise.

--- a/cmd/bsload/main.go
+++ b/cmd/bsload/main.go
@@ -21,7 +21,7 @@
 )
 
 type options struct {
-	Scenarios []string  `long:"shape" description:"scenario to simulate: small, wide, grown or uneven; may be repeated" default:"small" default:"wide"`
+	Scenarios []string  `long:"shape" description:"scenario to simulate: small, wide, grown, uneven or calls; may be repeated" default:"small" default:"wide"`
 	Policies  []string  `long:"choose" description:"target-selection policy; may be repeated" default:"expected" default:"expectedOfAll" default:"leastLoaded" default:"sticky" default:"random"`
 	Hints     []string  `long:"hints" description:"what hosts learn about engines, instead of what the scenario has; may be repeated"`
 	Loads     []float64 `long:"load" description:"program rate, as a factor on the scenario's rate; may be repeated" default:"0.3" default:"0.8" default:"1.2" default:"1.5"`
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -62,7 +63,11 @@
 		options = append(options, o)
 		unitSeconds = append(unitSeconds, unit)
 	}
-	route.SetPaces(options, unitSeconds)
+	if service.Engine != nil && route.AnySlowness(options) {
+		route.SetFinePaces(options, unitSeconds)
+	} else {
+		route.SetPaces(options, unitSeconds)
+	}
 	if limited || c.limited {
 		targets, options = withoutQueue(c.gate.PlacementCosts, work, targets, options)
 	}
@@ -103,7 +108,7 @@
 func (c targetChoice) addFields(f event.Fields) {
 	f["target"], f["zone"], f["among"] = c.ID, c.Zone, c.candidates
 	f["own"], f["running"], f["waiting"], f["loadAgeMs"] = c.option.InFlight, c.option.Running, c.option.Waiting, c.option.ReportAge.Milliseconds()
-	f["pace"], f["failing"] = c.option.Pace, c.option.Failing
+	f["pace"], f["failing"] = cmp.Or(c.option.FinePace, c.option.Pace), c.option.Failing
 	if c.option.Slowness > 0 {
 		f["slowness"], f["slownessAgeMs"] = c.option.Slowness, c.option.SlownessAge.Milliseconds()
 	}
--- a/route/place.go
+++ b/route/place.go
@@ -187,6 +187,11 @@
 	}
 }
 
+// AnySlowness reports whether the target of any option has ever reported its slowness.
+func AnySlowness(options []Option) bool {
+	return slices.ContainsFunc(options, func(o Option) bool { return o.Slowness > 0 })
+}
+
 // SetFinePaces sets the fine pace of each option, from the same times as [SetPaces].
 func SetFinePaces(options []Option, unitTimes []float64) {
 	median := medianOfKnown(unitTimes)
--- a/route/slowness_test.go
+++ b/route/slowness_test.go
@@ -61,3 +61,23 @@
 		}
 	}
 }
+
+// TestFinePaceCountsSmallDifferences guards against equal shares for targets whose steady
+// speeds differ by less than the 1.6 times from which a target counts as slow.
+func TestFinePaceCountsSmallDifferences(t *testing.T) {
+	options := idleEngines(5)
+	route.SetFinePaces(options, []float64{0.020, 0.025, 0.080, 0, 0.016})
+	var got []float64
+	for _, o := range options {
+		got = append(got, o.FinePace)
+	}
+	if diff := cmp.Diff([]float64{1, 1.25, 4, 0, 0.8}, got); diff != "" {
+		t.Errorf("fine paces (-want +got):\n%s", diff)
+	}
+	for i := range options {
+		options[i].SameZone = true
+	}
+	if diff := cmp.Diff(4, place(t, options, route.Work{ServiceTime: 30 * time.Millisecond})); diff != "" {
+		t.Errorf("place (-want +got):\n%s", diff)
+	}
+}
--- a/trial/host.go
+++ b/trial/host.go
@@ -67,6 +67,9 @@
 	}
 	h.addSpeeds(options)
 	w := route.Work{Prompt: t.program.prefixTokens + t.suffixTokens, AffinityKey: fmt.Sprint("part", t.program.prefix), ServiceTime: 300 * time.Millisecond}
+	if w.Prompt == 0 {
+		w = route.Work{ServiceTime: 30 * time.Millisecond}
+	}
 	i := h.Policy(options, w, h.rand)
 	h.views[i].inFlight++
 	h.inFlight[i]++
@@ -104,8 +107,8 @@
 		h.prefixUsedAt[i][t.program.prefix] = h.now
 		v.prefixUsedAt[t.program.prefix] = h.now
 		v.programTokens[t.program.id] = t.suffixTokens + t.answerTokens
-		if !h.Hints.AtHead {
-			v.reportedLoad, v.inFlightAtReport, v.reportedAt = e.load(), v.inFlight, h.now
+		if !h.ReportsAtHead {
+			h.report(e)
 		}
 		h.recordStepTime(v, t)
 	}
--- a/trial/policies.go
+++ b/trial/policies.go
@@ -8,8 +8,8 @@
 	"github.com/banyanspur/banyanspur/route"
 )
 
-// Policies maps names to the production policy ("expected"), its variant that
-// evaluates all targets ("expectedOfAll"), and the baselines.
+// Policies maps names to the production policy ("expected"), its variants that evaluate
+// all targets ("expectedOfAll") or six random ones ("expectedOfSix"), and the baselines.
 var Policies = map[string]Policy{
 	"expected": func(options []route.Option, w route.Work, r *rand.Rand) int {
 		return route.Place(options, w, route.DefaultPlacementCosts, r.IntN)
@@ -17,6 +17,9 @@
 	"expectedOfAll": func(options []route.Option, w route.Work, _ *rand.Rand) int {
 		return route.Place(options, w, route.DefaultPlacementCosts, nil)
 	},
+	"expectedOfSix": func(options []route.Option, w route.Work, r *rand.Rand) int {
+		return expectedOfSome(options, w, r, 6)
+	},
 	"leastLoaded": leastLoaded,
 	"sticky":      sticky,
 	"random": func(options []route.Option, _ route.Work, r *rand.Rand) int {
@@ -47,3 +50,13 @@
 	}
 	return best
 }
+
+// expectedOfSome is the production policy on n random targets.
+func expectedOfSome(options []route.Option, w route.Work, r *rand.Rand, n int) int {
+	order := r.Perm(len(options))[:min(n, len(options))]
+	some := make([]route.Option, len(order))
+	for k, i := range order {
+		some[k] = options[i]
+	}
+	return order[route.Place(some, w, route.DefaultPlacementCosts, r.IntN)]
+}
--- a/trial/scenarios.go
+++ b/trial/scenarios.go
@@ -3,12 +3,12 @@
 import "time"
 
 // Scenarios maps names to deployments with their workloads: the users' two
-// current deployments ("small" and "wide"), a larger one ("grown") and one whose targets
-// and zones differ ("uneven"). Engine
+// current deployments ("small" and "wide"), a larger one ("grown") two whose
+// targets and zones differ: turns on engines ("uneven") and calls to plain targets ("calls"). Engine
 // parameters are taken from the users' data sheets; the increase of the step
 // time per request was measured on turns of simulated days of these deployments,
 // played on the users' test bench.
-var Scenarios = map[string]Trial{"small": small(), "wide": wide(), "grown": grown(), "uneven": uneven()}
+var Scenarios = map[string]Trial{"small": small(), "wide": wide(), "grown": grown(), "uneven": uneven(), "calls": calls()}
 
 // small has few engines with few slots each.
 func small() Trial {
@@ -53,10 +53,23 @@
 	t.Workload.BurstFactor, t.Workload.Prefixes = 1, 6
 	t.Workload.DeadlineFactor, t.Workload.DeadlineSlack = 1.55, 250*time.Millisecond
 	t.ArrivalPeriod = 30 * time.Second
-	t.Hints = HintSets["none"]
+	t.Hints, t.ReportsAtHead = HintSets["none"], true
 	t.Uneven = Uneven{
 		Speeds: []float64{0.55, 1.2, 1.2, 1.2}, NoisyShare: 0.15, NoiseFactor: 2.5, NoiseTime: 600 * time.Millisecond,
 		ZoneAmplitude: 0.55, ZonePeriod: 15 * time.Second, ReportsSpeed: true,
 	}
 	return t
 }
+
+// calls has plain targets that are as uneven as the engines of uneven. Programs consist of
+// calls without a prompt.
+func calls() Trial {
+	t := uneven()
+	t.Engine = Engine{Slots: 6, CacheTokens: 1, StepTime: 3 * time.Millisecond, PrefillRate: 1, PrefillChunk: 1}
+	t.Engines, t.ReportsAtHead = 36, false
+	t.Workload.ProgramRate, t.Workload.MeanTurns, t.Workload.AnswerTokens = 740, 5, 10
+	t.Workload.PrefixTokens, t.Workload.NewTokens, t.Workload.Pause = 0, 0, 50*time.Millisecond
+	t.Workload.DeadlineFactor, t.Workload.DeadlineSlack = 1.4, 0
+	t.ArrivalPeriod = 15 * time.Second
+	return t
+}
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -53,6 +53,9 @@
 	Hosts, Zones     int
 	ExchangeInterval time.Duration
 	Workload         Workload
+	// ReportsAtHead is set if hosts receive load reports with the first token of an answer,
+	// not with the last.
+	ReportsAtHead bool
 	// Uneven describes how the speeds of engines and the rates of zones differ.
 	Uneven Uneven
 	// Hints are what hosts learn about engines besides the exchanges.
@@ -257,7 +260,9 @@
 	s.turnTime += s.now - t.sentAt
 	s.firstTokenTime += t.firstTokenAt - t.sentAt
 	pr := t.program
-	pr.suffixTokens += t.answerTokens
+	if s.Workload.NewTokens > 0 { // Calls do not continue each other.
+		pr.suffixTokens += t.answerTokens
+	}
 	pr.turnsLeft--
 	if pr.turnsLeft > 0 {
 		s.schedule(s.now+s.Workload.Pause, func() { s.sendTurn(pr) })
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -51,3 +52,21 @@
 		}
 	}
 }
+
+// TestUnevenTargets guards against turns and calls that go to targets which are slow at that
+// moment, as when the reports of targets with a fourth figure are ignored, and against hosts
+// that all flee from such a target to the same one.
+func TestUnevenTargets(t *testing.T) {
+	for scenario, load := range map[string]float64{"uneven": 1, "calls": 1.4} {
+		onTime := map[string]float64{}
+		for _, hints := range []string{"none", "own+slowness+fine"} {
+			s := trial.Scenarios[scenario]
+			s.Hints, s.Policy, s.Seed, s.ArrivalPeriod = trial.HintSets[hints], trial.Policies["expected"], 1, 10*time.Second
+			s.Workload.ProgramRate *= load
+			onTime[hints] = s.Run().OnTime
+		}
+		if onTime["own+slowness+fine"] < onTime["none"]+0.02 {
+			t.Errorf("%s: fraction of programs on time by what hosts learn of targets: %v", scenario, onTime)
+		}
+	}
+}
--- a/trial/uneven.go
+++ b/trial/uneven.go
@@ -26,9 +26,8 @@
 
 // Hints are what hosts learn about engines besides the numbers of requests in flight.
 type Hints struct {
-	// Reports is set if the load reports of engines count. AtHead is set if hosts receive
-	// them with the first token, not with the last.
-	Reports, AtHead bool
+	// Reports is set if the load reports of engines count.
+	Reports bool
 	// Slowness is set if the slowness in the reports to this host counts, and
 	// SharedSlowness if that in the reports to others does.
 	Slowness, SharedSlowness bool
@@ -43,21 +42,21 @@
 // fourth figure.
 var HintSets = map[string]Hints{
 	"reports":           {Reports: true},
-	"none":              {AtHead: true, Pace: true},
-	"ownReports":        {AtHead: true, Pace: true, Reports: true},
-	"slowness":          {AtHead: true, Pace: true, Slowness: true},
-	"shared":            {AtHead: true, Pace: true, Slowness: true, SharedSlowness: true},
-	"mean":              {AtHead: true, Pace: true, MeanSlowness: true},
-	"finePace":          {AtHead: true, FinePace: true},
-	"own+slowness":      {AtHead: true, Pace: true, Reports: true, Slowness: true},
-	"own+shared":        {AtHead: true, Pace: true, Reports: true, Slowness: true, SharedSlowness: true},
-	"own+slowness+fine": {AtHead: true, FinePace: true, Reports: true, Slowness: true},
-	"own+fine":          {AtHead: true, FinePace: true, Reports: true},
-	"slowness+fine":     {AtHead: true, FinePace: true, Slowness: true},
-	"slowness+mean":     {AtHead: true, Pace: true, Slowness: true, MeanSlowness: true},
-	"shared+mean":       {AtHead: true, Pace: true, Slowness: true, SharedSlowness: true, MeanSlowness: true},
-	"own+slowness+mean": {AtHead: true, Pace: true, Reports: true, Slowness: true, MeanSlowness: true},
-	"own+shared+mean":   {AtHead: true, Pace: true, Reports: true, Slowness: true, SharedSlowness: true, MeanSlowness: true},
+	"none":              {Pace: true},
+	"ownReports":        {Pace: true, Reports: true},
+	"slowness":          {Pace: true, Slowness: true},
+	"shared":            {Pace: true, Slowness: true, SharedSlowness: true},
+	"mean":              {Pace: true, MeanSlowness: true},
+	"finePace":          {FinePace: true},
+	"own+slowness":      {Pace: true, Reports: true, Slowness: true},
+	"own+shared":        {Pace: true, Reports: true, Slowness: true, SharedSlowness: true},
+	"own+slowness+fine": {FinePace: true, Reports: true, Slowness: true},
+	"own+fine":          {FinePace: true, Reports: true},
+	"slowness+fine":     {FinePace: true, Slowness: true},
+	"slowness+mean":     {Pace: true, Slowness: true, MeanSlowness: true},
+	"shared+mean":       {Pace: true, Slowness: true, SharedSlowness: true, MeanSlowness: true},
+	"own+slowness+mean": {Pace: true, Reports: true, Slowness: true, MeanSlowness: true},
+	"own+shared+mean":   {Pace: true, Reports: true, Slowness: true, SharedSlowness: true, MeanSlowness: true},
 }
 
 // speedView is what a host knows about the speed of an engine.
@@ -124,7 +123,7 @@
 
 // reportHeads passes the engine's load report to the hosts of turns with a first token.
 func (s *simulation) reportHeads(e *engine, finished []*turn) {
-	if !s.Hints.AtHead {
+	if !s.ReportsAtHead {
 		return
 	}
 	for _, turns := range [][]*turn{e.running, finished} {
