gate: the test of cold targets has the busy target busy for all

The test prefers one target by making the other report that it is busy. The loads of other hosts are newer at times and said that it was idle: 1 of 40 requests reached the preferred target, once, at a load of 36.

--- a/gate/cold_test.go
+++ b/gate/cold_test.go
@@ -11,6 +11,7 @@
 	"github.com/banyanspur/banyanspur/gate"
 	"github.com/banyanspur/banyanspur/limit"
 	"github.com/banyanspur/banyanspur/plan"
+	"github.com/banyanspur/banyanspur/types"
 )
 
 // coldRate and coldBound limit cold targets in these tests to about 4 requests per second.
@@ -52,6 +53,9 @@
 			return list
 		}
 	}
+	// The other target is busy, by its own reports and by those of other hosts, so that the
+	// first one is preferred. The newer of the two counts.
+	busy := map[types.TargetID]fleet.Load{"t1": {InFlight: 4}}
 	for name, turnCold := range map[string]func(b *testbed, change func(func([]fleet.Target) []fleet.Target), spare string){
 		"list": func(_ *testbed, change func(func([]fleet.Target) []fleet.Target), _ string) {
 			change(cold(5*time.Second, ""))
@@ -60,7 +64,7 @@
 			change(cold(0, spare))
 		},
 		"host": func(b *testbed, _ func(func([]fleet.Target) []fleet.Target), _ string) {
-			b.fleet.setLoadsReply(fleet.LoadsReply{Cold: fleet.ColdTargets{"t0": 5 * time.Second}})
+			b.fleet.setLoadsReply(fleet.LoadsReply{Loads: busy, Cold: fleet.ColdTargets{"t0": 5 * time.Second}})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -68,10 +72,11 @@
 			var got, other atomic.Int32
 			b.addTarget("plain", countRequests(&got, respondOK))
 			b.addTarget("plain", countRequests(&other, func(w http.ResponseWriter, r *http.Request) {
-				w.Header().Set("Load", "4,0,6") // Busy, so that the first target is preferred.
+				w.Header().Set("Load", "4,0,6")
 				respondOK(w, r)
 			}))
 			b.addTarget("spare", countRequests(&got, respondOK))
+			b.fleet.setLoadsReply(fleet.LoadsReply{Loads: busy})
 			spare := b.fleet.View().Targets[2].Address
 			change(func(list []fleet.Target) []fleet.Target { return list[:2] })
 			send := func(n int) {
