turns: an expired turn is not continued from the cache of an entry host

A host continued a turn from its cache however old it was. Stores may have removed it, so that the new turn was answered whole, and another host found it without the turns before it.

TestExpiredTurnIsNotContinuedFromCache fails on the code before, through the host that wrote the turn and through one that had read it, and passes now.

--- a/turns/cache.go
+++ b/turns/cache.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"sync"
+	"time"
 
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -13,10 +14,19 @@
 type cache struct {
 	mu       sync.Mutex
 	elements map[turnKey]*list.Element
-	lru      list.List // of Turn, most recently used first
+	lru      list.List // of cachedTurn, most recently used first
 	bytes    int       // total memoryBytes of the turns in lru
 }
 
+// cachedTurn is a turn in the cache.
+type cachedTurn struct {
+	Turn
+	// writtenAt is when this process wrote the turn, or 0 if it was read from a
+	// store and may have been written at any time before.
+	writtenAt types.Mono
+}
+
+// get returns a turn, however old it is.
 func (c *cache) get(account types.AccountID, id TurnID) (Turn, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -25,12 +35,29 @@
 		return Turn{}, false
 	}
 	c.lru.MoveToFront(e)
-	return e.Value.(Turn), true
+	return e.Value.(cachedTurn).Turn, true
+}
+
+// getRecent returns a turn that this process wrote no longer than maxAge before
+// now.
+func (c *cache) getRecent(account types.AccountID, id TurnID, now types.Mono, maxAge time.Duration) (Turn, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.elements[turnKey{account, id}]
+	if e == nil {
+		return Turn{}, false
+	}
+	t := e.Value.(cachedTurn)
+	if t.writtenAt == 0 || now.Sub(t.writtenAt) > maxAge {
+		return Turn{}, false
+	}
+	c.lru.MoveToFront(e)
+	return t.Turn, true
 }
 
 // put adds a turn, then evicts the least recently used turns until the cache
-// takes at most maxBytes.
-func (c *cache) put(t Turn, maxBytes int) {
+// takes at most maxBytes. writtenAt is 0 unless this process wrote the turn.
+func (c *cache) put(t Turn, writtenAt types.Mono, maxBytes int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.elements == nil {
@@ -41,10 +68,10 @@
 		c.lru.MoveToFront(e)
 		return
 	}
-	c.elements[key] = c.lru.PushFront(t)
+	c.elements[key] = c.lru.PushFront(cachedTurn{Turn: t, writtenAt: writtenAt})
 	c.bytes += t.memoryBytes()
 	for c.bytes > maxBytes {
-		evicted := c.lru.Remove(c.lru.Back()).(Turn)
+		evicted := c.lru.Remove(c.lru.Back()).(cachedTurn)
 		delete(c.elements, turnKey{evicted.Account, evicted.ID})
 		c.bytes -= evicted.memoryBytes()
 	}
--- a/turns/chain.go
+++ b/turns/chain.go
@@ -12,6 +12,12 @@
 // before it also sends the request to all other stores.
 const chainHedgeDelay = 20 * time.Millisecond
 
+// maxCachedAge is the age up to which a cached turn may be continued without
+// asking the stores. It is below the shortest retention by the time that the
+// turn which continues it may take to start. The turns before it live as long as
+// it does, so they may be taken from the cache at any age.
+const maxCachedAge = minRetention - settleMargin
+
 // Chain returns a turn and all turns before it, oldest first. It returns a
 // notFound fault only if, for every shard, enough stores have replied that they
 // lack a turn of the chain (see [Placement.HasQuorum]), and an unavailable
@@ -19,7 +25,11 @@
 func (c *Client) Chain(ctx context.Context, account types.AccountID, id TurnID) ([]Turn, error) {
 	var chain []Turn
 	for id != "" {
-		if t, ok := c.cache.get(account, id); ok {
+		t, ok := c.cache.get(account, id)
+		if len(chain) == 0 {
+			t, ok = c.cache.getRecent(account, id, c.now(), maxCachedAge)
+		}
+		if ok {
 			chain = append(chain, t)
 			id = t.Previous
 			continue
@@ -29,7 +39,7 @@
 			return nil, err
 		}
 		for _, t := range part {
-			c.cache.put(t, c.cacheBytes())
+			c.cache.put(t, 0, c.cacheBytes())
 		}
 		chain = append(chain, part...)
 		id = part[len(part)-1].Previous
--- a/turns/client.go
+++ b/turns/client.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -24,8 +25,12 @@
 	Zone types.ZoneID
 	// CacheBytes limits the memory of the turn cache. The default is 8 MiB.
 	CacheBytes int
+	// Clock measures the age of cached turns. The default is a clock that starts
+	// with the first use.
+	Clock types.Clock
 
-	cache cache
+	clockOnce sync.Once
+	cache     cache
 	// background runs the requests to stores, some of which continue after a
 	// majority has replied.
 	background errgroup.Group
@@ -122,16 +127,27 @@
 		Shard: ShardOf(b.Account, b.Program), Account: b.Account, Program: b.Program,
 		Claim: Claim{Attempt: b.Attempt, MaxTokens: b.MaxTokens, Used: used, Settled: true}, Turn: t,
 	}
+	startedAt := c.now()
 	_, err := callShard[CloseRequest, EmptyReply](ctx, c, req.Shard, KindClose, func(store StoreID, epoch Epoch) CloseRequest {
 		req.To, req.Epoch = store, epoch
 		return req
 	})
 	if err == nil && t != nil {
-		c.cache.put(*t, c.cacheBytes())
+		c.cache.put(*t, startedAt, c.cacheBytes())
 	}
 	return err
 }
 
+// now reads the client's clock. The result is positive.
+func (c *Client) now() types.Mono {
+	c.clockOnce.Do(func() {
+		if c.Clock == nil {
+			c.Clock = types.NewClock()
+		}
+	})
+	return max(c.Clock(), 1)
+}
+
 func (c *Client) cacheBytes() int {
 	const defaultCacheBytes = 8 << 20
 	if c.CacheBytes > 0 {
--- a/turns/retention_test.go
+++ b/turns/retention_test.go
@@ -204,6 +204,29 @@
 	}
 }
 
+// TestExpiredTurnIsNotContinuedFromCache guards against a turn that is answered whole although
+// the turns before it have expired: the host that has served the program has them in its cache,
+// and another host then finds the new turn without them.
+func TestExpiredTurnIsNotContinuedFromCache(t *testing.T) {
+	c := newVirtualCluster(t, 3, time.Minute)
+	writer, reader := c.client(), c.client()
+	for _, client := range []*turns.Client{writer, reader} {
+		client.Clock = func() types.Mono { return types.Mono(c.elapsed.Load()) }
+	}
+	writeTurn(t, writer, "choir", "p", "one", "")
+	for _, client := range []*turns.Client{writer, reader} {
+		if _, err := client.Chain(withTimeout(t, stepTimeout), "choir", "one"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.advance(2 * time.Minute)
+	for name, client := range map[string]*turns.Client{"writer": writer, "reader": reader} {
+		if _, err := client.Chain(withTimeout(t, stepTimeout), "choir", "one"); !types.IsCode(err, types.CodeNotFound) {
+			t.Errorf("expired turn, through its %s: %v, want code notFound", name, err)
+		}
+	}
+}
+
 // TestClockJumpExpiresNothing guards against stores that were suspended, or whose clock jumps,
 // and then take all turns for old.
 func TestClockJumpExpiresNothing(t *testing.T) {
