--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -24,7 +24,7 @@
 	ShardCopied          = Kind{212, logrus.InfoLevel, "shard copied from the other stores"}
 	CopyFailed           = Kind{213, logrus.WarnLevel, "copying a shard failed, will be tried again"}
 	ExpiryUnproven       = Kind{214, logrus.WarnLevel, "expired turns are kept, too few stores reply"}
-	StoreRoom            = Kind{215, logrus.WarnLevel, "store begins or ceases to refuse programs for lack of room"}
+	StoreCapacity        = Kind{215, logrus.WarnLevel, "store begins or ceases to refuse programs for lack of capacity"}
 	OrderDecided         = Kind{301, logrus.InfoLevel, "configuration order decided"}
 	ConfigApplied        = Kind{302, logrus.InfoLevel, "configuration version in force"}
 	LeaseLost            = Kind{303, logrus.WarnLevel, "configuration lease ran out, requests are refused"}
@@ -71,7 +71,7 @@
 		HostStarted, HostDraining, HostStopped, HostFailed,
 		LeaderElected, LeaderLost, LogTruncated, LogCorrupt, SnapshotWritten,
 		SnapshotInstalled, StorageFailed, DiskIOFailed, GroupBootstrapped, MembersChanged,
-		ShardMoved, ShardCopied, CopyFailed, ExpiryUnproven, StoreRoom,
+		ShardMoved, ShardCopied, CopyFailed, ExpiryUnproven, StoreCapacity,
 		OrderDecided, ConfigApplied, LeaseLost, LeaseAcquired, PlanApplied, PlanRefused,
 		TargetsChanged, LeaderReached, LeaderUnreachable,
 		CallOutcomeUnknown, CallQuarantined, SessionExpired, CallCloseFailed,
--- a/host/store.go
+++ b/host/store.go
@@ -28,7 +28,7 @@
 func (n *Node) startStore(ctx, serveCtx context.Context, g *errgroup.Group, stop func()) error {
 	store := &turns.Store{
 		Dir: filepath.Join(n.Settings.DataDir, "turns"), Clock: types.NewClock(), Log: n.Log,
-		Room: turns.Room{MemoryBytes: n.Settings.MemoryMB << 20 / indexShare},
+		Capacity: turns.Capacity{MemoryBytes: n.Settings.MemoryMB << 20 / indexShare},
 	}
 	id, err := store.Open()
 	if err != nil {
--- a/turns/room.go
+++ b/turns/capacity.go
@@ -10,9 +10,9 @@
 	"github.com/banyanspur/banyanspur/types"
 )
 
-// Room is the space that a store may take for its turns and claims. A limit of 0
+// Capacity is the space that a store may take for its turns and claims. A limit of 0
 // means no limit.
-type Room struct {
+type Capacity struct {
 	// DiskBytes limits the journal. The free space of the file system limits it
 	// as well.
 	DiskBytes int64
@@ -21,11 +21,11 @@
 }
 
 const (
-	// programShare is the part of the room from which on no programs are started.
+	// programShare is the part of the capacity from which on no programs are started.
 	// The rest is for the turns of those that have begun: at 0.5 MB a second, a
 	// quarter of 430 MB lasts for 3.5 minutes (docs/CAPACITY.md).
 	programShare = 0.75
-	// turnShare is the part of the room from which on no turns are written. The
+	// turnShare is the part of the capacity from which on no turns are written. The
 	// rest is for rewriting turns and claims, so that segments can be removed: a
 	// segment that is filled, and 1 MB of turns with each check.
 	turnShare = 0.95
@@ -37,25 +37,25 @@
 )
 
 var (
-	// errNoRoom is returned for a claim that would start a program, and for a turn
+	// errNoCapacity is returned for a claim that would start a program, and for a turn
 	// that the store cannot keep.
-	errNoRoom = types.NewFault(types.CodeOverloaded, "the store has no room for more programs").WithRetryAfter(roomRetryAfter)
+	errNoCapacity = types.NewFault(types.CodeOverloaded, "the store has no capacity for more programs").WithRetryAfter(capacityRetryAfter)
 
-	roomUsed         = metrics.NewGauge("banyanspur_turns_room_used_ratio", nil)
+	capacityUsed     = metrics.NewGauge("banyanspur_turns_capacity_used_ratio", nil)
 	programsRefused  = metrics.NewCounter("banyanspur_turns_programs_refused_total")
 	turnsRefusedFull = metrics.NewCounter("banyanspur_turns_refused_total")
 )
 
-// roomRetryAfter is the retry delay of a program that is refused for lack of
-// room: one check for expired turns.
-const roomRetryAfter = 2 * time.Second
+// capacityRetryAfter is the retry delay of a program that is refused for lack of
+// capacity: one check for expired turns.
+const capacityRetryAfter = 2 * time.Second
 
-// updateRoom sets the limit of the journal by the free space of the file system
+// updateCapacity sets the limit of the journal by the free space of the file system
 // and logs when the store begins or ceases to refuse programs.
-func (s *Store) updateRoom() {
+func (s *Store) updateCapacity() {
 	free, err := store.FreeBytes(s.Dir)
 	s.mu.Lock()
-	s.diskLimit = s.Room.DiskBytes
+	s.diskLimit = s.Capacity.DiskBytes
 	if available := s.index.bytes + free; err == nil && (s.diskLimit == 0 || available < s.diskLimit) {
 		s.diskLimit = available
 	}
@@ -65,37 +65,37 @@
 	s.full = full
 	turns, claims, bytes := len(s.index.turns), s.index.claims, s.index.bytes
 	s.mu.Unlock()
-	roomUsed.Set(used)
+	capacityUsed.Set(used)
 	if changed {
-		s.Log.Write(event.StoreRoom, event.Fields{"full": full, "used": used, "turns": turns, "claims": claims, "journalBytes": bytes})
+		s.Log.Write(event.StoreCapacity, event.Fields{"full": full, "used": used, "turns": turns, "claims": claims, "journalBytes": bytes})
 	}
 }
 
-// usedShare returns the part of the room that is used, of disk or memory,
+// usedShare returns the part of the capacity that is used, of disk or memory,
 // whichever is larger. The caller must hold mu.
 func (s *Store) usedShare() float64 {
 	used := 0.0
 	if s.diskLimit > 0 {
 		used = float64(s.index.bytes) / float64(s.diskLimit)
 	}
-	if s.Room.MemoryBytes > 0 {
+	if s.Capacity.MemoryBytes > 0 {
 		memory := indexedTurnBytes*len(s.index.turns) + indexedClaimBytes*s.index.claims
-		used = max(used, float64(memory)/float64(s.Room.MemoryBytes))
+		used = max(used, float64(memory)/float64(s.Capacity.MemoryBytes))
 	}
 	return used
 }
 
-// checkRoom returns a fault if the store has no room for a claim of a program
+// checkCapacity returns a fault if the store has no capacity for a claim of a program
 // that it does not know, or for a turn. The caller must hold mu.
-func (s *Store) checkRoom(program programKey, turn *Turn) error {
+func (s *Store) checkCapacity(program programKey, turn *Turn) error {
 	used := s.usedShare()
 	switch known := s.index.programs[program] != nil; {
 	case turn != nil && used >= turnShare:
 		turnsRefusedFull.Inc()
-		return errNoRoom
+		return errNoCapacity
 	case turn == nil && !known && used >= programShare:
 		programsRefused.Inc()
-		return errNoRoom
+		return errNoCapacity
 	}
 	return nil
 }
--- a/turns/room_test.go
+++ b/turns/capacity_test.go
@@ -19,12 +19,12 @@
 // programs in progress, when their disk or memory is nearly used up. They must refuse new
 // programs at once and with a retry delay, and accept them again when turns have expired.
 func TestFullStoresRefuseProgramsAndKeepTurns(t *testing.T) {
-	for name, room := range map[string]turns.Room{
+	for name, capacity := range map[string]turns.Capacity{
 		"disk":   {DiskBytes: 100 << 10},
 		"memory": {MemoryBytes: 60 << 10},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := startCluster(&cluster{t: t, peers: newPeers(), virtual: true, room: room}, 3)
+			c := startCluster(&cluster{t: t, peers: newPeers(), virtual: true, capacity: capacity}, 3)
 			c.setRetention(time.Minute)
 			w := c.client()
 			var last types.ProgramID
--- a/turns/client.go
+++ b/turns/client.go
@@ -166,18 +166,18 @@
 // callShard sends a request to the stores of a shard and returns the replies
 // once a majority has replied. Requests to the other stores continue in the
 // background. If there is no majority or the shard has moved, it retries until
-// ctx ends. If so many stores have no room that there can be no majority, it
+// ctx ends. If so many stores have no capacity that there can be no majority, it
 // returns an overloaded fault at once.
 func callShard[Req, Resp any](ctx context.Context, c *Client, shard Shard, kind wire.Kind, newRequest func(StoreID, Epoch) Req) (map[StoreID]Resp, error) {
 	for {
 		m := c.Map()
 		p := m.Placement(shard)
-		replies, noRoom := callPlacement[Req, Resp](ctx, c, m, p, kind, newRequest)
+		replies, noCapacity := callPlacement[Req, Resp](ctx, c, m, p, kind, newRequest)
 		if len(p.Current) > 0 && p.HasQuorum(func(id StoreID) bool { _, ok := replies[id]; return ok }) {
 			return replies, nil
 		}
-		if len(noRoom) > 0 && !p.HasQuorum(func(id StoreID) bool { return !noRoom[id] }) {
-			return nil, errNoRoom
+		if len(noCapacity) > 0 && !p.HasQuorum(func(id StoreID) bool { return !noCapacity[id] }) {
+			return nil, errNoCapacity
 		}
 		if !types.Sleep(ctx, retryInterval) {
 			return nil, errNoQuorum
@@ -187,10 +187,10 @@
 
 // callPlacement sends a request to the stores of a placement and returns the
 // successful replies once they are a write quorum, all stores have replied or
-// failed, or ctx ends, and the stores that have no room. It first sends the request to the nearest stores, as many
-// as initialRequests returns, and to the others if one of them fails or after
-// [settleHedgeDelay].
-func callPlacement[Req, Resp any](ctx context.Context, c *Client, m *Map, p Placement, kind wire.Kind, newRequest func(StoreID, Epoch) Req) (replies map[StoreID]Resp, noRoom map[StoreID]bool) {
+// failed, or ctx ends, and the stores that have no capacity. It first sends the
+// request to the nearest stores, as many as initialRequests returns, and to the
+// others if one of them fails or after [settleHedgeDelay].
+func callPlacement[Req, Resp any](ctx context.Context, c *Client, m *Map, p Placement, kind wire.Kind, newRequest func(StoreID, Epoch) Req) (replies map[StoreID]Resp, noCapacity map[StoreID]bool) {
 	stores := c.sortByDistance(m, p.All())
 	results := make(chan storeResult[Resp], len(stores))
 	sent := 0
@@ -209,35 +209,35 @@
 	send(initialRequests(p, stores, kind))
 	hedge := time.NewTimer(settleHedgeDelay)
 	defer hedge.Stop()
-	replies, noRoom = map[StoreID]Resp{}, map[StoreID]bool{}
+	replies, noCapacity = map[StoreID]Resp{}, map[StoreID]bool{}
 	for received := 0; received < len(stores); {
 		select {
 		case result := <-results:
 			received++
 			if result.err != nil {
-				if isNoRoom(result.err) {
-					noRoom[result.store] = true
+				if isNoCapacity(result.err) {
+					noCapacity[result.store] = true
 				}
 				send(len(stores))
 				continue
 			}
 			replies[result.store] = result.reply
 			if p.HasQuorum(func(id StoreID) bool { _, ok := replies[id]; return ok }) {
-				return replies, noRoom
+				return replies, noCapacity
 			}
 		case <-hedge.C:
 			send(len(stores))
 		case <-ctx.Done():
-			return replies, noRoom
+			return replies, noCapacity
 		}
 	}
-	return replies, noRoom
+	return replies, noCapacity
 }
 
-// isNoRoom reports whether a store has refused a request for lack of room.
-func isNoRoom(err error) bool {
+// isNoCapacity reports whether a store has refused a request for lack of capacity.
+func isNoCapacity(err error) bool {
 	fault := types.AsFault(err)
-	return fault.Code == errNoRoom.Code && fault.Message == errNoRoom.Message
+	return fault.Code == errNoCapacity.Code && fault.Message == errNoCapacity.Message
 }
 
 // initialRequests returns the number of stores that a request is sent to at
--- a/turns/cluster_test.go
+++ b/turns/cluster_test.go
@@ -26,9 +26,9 @@
 	shardMap atomic.Pointer[turns.Map]
 	// elapsed is the virtual time of the stores, in nanoseconds, if virtual is set.
 	// Their checks for expired turns then run on [cluster.advance] only.
-	elapsed atomic.Int64
-	virtual bool
-	room    turns.Room // of each store
+	elapsed  atomic.Int64
+	virtual  bool
+	capacity turns.Capacity // of each store
 }
 
 func newPeers() *wire.Pool { return &wire.Pool{} }
@@ -99,7 +99,7 @@
 // startStore opens and runs a store with the current shard map.
 func (c *cluster) startStore(s *testStore) {
 	c.t.Helper()
-	s.Store = &turns.Store{Dir: s.dir, Clock: types.NewClock(), Room: c.room}
+	s.Store = &turns.Store{Dir: s.dir, Clock: types.NewClock(), Capacity: c.capacity}
 	if c.virtual {
 		s.ticks = make(chan time.Time)
 		s.Ticks, s.Clock = s.ticks, func() types.Mono { return types.Mono(c.elapsed.Load()) }
--- a/turns/compact.go
+++ b/turns/compact.go
@@ -34,7 +34,7 @@
 // removes the segments that have no live turns. It must be called from the
 // goroutine of [Store.Run].
 func (s *Store) compact() {
-	defer s.updateRoom()
+	defer s.updateCapacity()
 	if err := s.compactJournal(); err != nil {
 		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "step": "compact"})
 	}
--- a/turns/serve.go
+++ b/turns/serve.go
@@ -34,7 +34,7 @@
 	s.mu.Lock()
 	err := s.checkRequest(req.To, req.Shard, req.Epoch)
 	if err == nil && req.Claim.Attempt != "" {
-		err = s.checkRoom(key, nil)
+		err = s.checkCapacity(key, nil)
 	}
 	if err == nil {
 		var program *programClaims
@@ -61,7 +61,7 @@
 	s.mu.Lock()
 	err := s.checkRequest(req.To, req.Shard, req.Epoch)
 	if err == nil && req.Turn != nil && !s.index.hasTurn(*req.Turn) {
-		err = s.checkRoom(programKey{req.Account, req.Program}, req.Turn)
+		err = s.checkCapacity(programKey{req.Account, req.Program}, req.Turn)
 	}
 	if err == nil {
 		s.index.addClaims(programKey{req.Account, req.Program}, []Claim{req.Claim}, s.retained)
--- a/turns/store.go
+++ b/turns/store.go
@@ -26,9 +26,9 @@
 	// next tick is received. The default is a ticker. Tests in virtual time set
 	// it.
 	Ticks <-chan time.Time
-	// Room is the space that the store may take. Once it is used up, the store
+	// Capacity is the space that the store may take. Once it is used up, the store
 	// refuses new programs and then turns, but removes none before its time.
-	Room Room
+	Capacity Capacity
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
@@ -50,7 +50,7 @@
 	// retention is the age at which turns expire, or 0 as long as it is unknown
 	// and none do.
 	retention time.Duration
-	diskLimit int64 // of the journal, by Room and the free space; 0 if there is none
+	diskLimit int64 // of the journal, by Capacity and the free space; 0 if there is none
 	full      bool  // whether the last event said that programs are refused
 }
 
@@ -100,7 +100,7 @@
 		err = s.open()
 	}
 	if err == nil {
-		s.updateRoom()
+		s.updateCapacity()
 	}
 	return s.id, err
 }
