--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -201,7 +201,7 @@
 	b.gate = gt
 	g.Go(func() error { return gt.Run(ctx) })
 	server := httptest.NewUnstartedServer(gt)
-	server.Config.ConnContext = gate.LimitUnsent
+	server.Config.ConnContext = gate.ConnContext
 	server.Start()
 	b.url = server.URL
 	t.Cleanup(func() {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -243,6 +243,7 @@
 	requestSeconds.UpdateDuration(c.start)
 	c.finish()
 	if c.truncated {
+		abortResponse(r)
 		panic(http.ErrAbortHandler) // A truncated response must not look complete.
 	}
 }
--- a/gate/unread_test.go
+++ b/gate/unread_test.go
@@ -232,3 +232,26 @@
 		t.Errorf("%d bytes are still held after all calls have ended", used)
 	}
 }
+
+// TestTruncatedResponseOfHTTP10 guards against a response that is cut off and looks complete to
+// a caller of HTTP/1.0, for which the end of the connection is the end of the response.
+func TestTruncatedResponseOfHTTP10(t *testing.T) {
+	b := newTestbed(t)
+	b.addTarget("plain", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Proof", "p")
+		_, _ = io.WriteString(w, strings.Repeat("x", 1<<20))
+		panic(http.ErrAbortHandler)
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET /file/ HTTP/1.0\r\nHost: a.example\r\nAuthorization: Bearer band-key\r\nId: old\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(conn)
+	if err == nil || len(got) == 0 {
+		t.Errorf("%d bytes, error %v", len(got), err)
+	}
+}
--- a/gate/unsent.go
+++ b/gate/unsent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -13,10 +14,14 @@
 // count toward the memory of the host.
 const maxUnsentBytes = 32 << 10
 
-// LimitUnsent is a ConnContext function of an [http.Server]. It makes the kernel keep no more
-// than maxUnsentBytes for the connection that cannot be sent yet. Connections other than TCP
-// keep what they do.
-func LimitUnsent(ctx context.Context, c net.Conn) context.Context {
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// ConnContext is the function of that name for the [http.Server] of a [Gate]. It makes the
+// kernel keep no more than maxUnsentBytes for the connection that cannot be sent yet, and
+// lets the gate reset the connection. Connections other than TCP stay as they are.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	ctx = context.WithValue(ctx, connKey{}, c)
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return ctx
@@ -30,3 +35,12 @@
 	})
 	return ctx
 }
+
+// abortResponse makes a truncated response of the connection of r look truncated. Of HTTP/1.1,
+// it lacks its end. A response of HTTP/1.0 may end with its connection, so that this is reset
+// instead of being closed in order.
+func abortResponse(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok && !r.ProtoAtLeast(1, 1) {
+		_ = c.SetLinger(0) // Fails if the connection is lost already.
+	}
+}
