--- a/fleet/pace_test.go
+++ b/fleet/pace_test.go
@@ -40,7 +40,7 @@
 			exchange("no limit", fleet.Load{}, nil)
 			continue
 		}
-		exchange("no limit while nobody can connect", fleet.Load{Unreachable: 1}, nil)
+		exchange("no limit while nobody can connect", fleet.Load{Unreachable: 1, Responses: 1}, nil)
 		exchange("the limit of a target that accepts connections again", fleet.Load{}, fleet.Paces{"t1": {Rate: 4}})
 		exchange("a higher limit", fleet.Load{Responses: 2}, fleet.Paces{"t1": {Rate: 8}})
 		exchange("a lower limit after failures", fleet.Load{Failures: 1}, fleet.Paces{"t1": {Rate: 1}})
--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -195,6 +195,8 @@
 			{Name: "charge", Host: "a.example", Prefix: "/charge/", Kind: plan.NonIdempotent, Timeout: 5 * time.Second, Attempts: 3, Backends: []plan.Backend{{Service: "plain", Weight: 1}}},
 			{Name: "brief", Host: "a.example", Prefix: "/brief/", Kind: plan.NonIdempotent, Timeout: 150 * time.Millisecond, Backends: []plan.Backend{{Service: "plain", Weight: 1}}},
 			{Name: "open", Host: "a.example", Prefix: "/open/", Kind: plan.Idempotent, Timeout: 5 * time.Second, Anonymous: true, Backends: []plan.Backend{{Service: "plain", Weight: 1}}},
+			{Name: "feed", Host: "a.example", Prefix: "/feed/", Kind: plan.Streaming, Timeout: 30 * time.Second, Backends: []plan.Backend{{Service: "plain", Weight: 1}}},
+			{Name: "file", Host: "a.example", Prefix: "/file/", Kind: plan.Idempotent, Timeout: 30 * time.Second, Attempts: 1, Backends: []plan.Backend{{Service: "plain", Weight: 1}}},
 			{Name: "chat", Host: "a.example", Prefix: "/chat/", Kind: plan.Streaming, Timeout: 5 * time.Second, Stateful: true, TurnRetention: time.Minute, Backends: []plan.Backend{{Service: "models", Weight: 1}}},
 		},
 		Services: []plan.Service{{Name: "plain"}, {Name: "models", Engine: &plan.Engine{Slots: 4, TokensPerEvent: 10}}},
@@ -214,12 +216,15 @@
 	b.startStore(ctx, g)
 	gt := &gate.Gate{
 		Host: "entry-1", Zone: "zone-a", HeaderNames: headerNames, Fleet: b.fleet, Clock: b.fleet.clock, MaxPlanStaleness: time.Minute, Log: event.New(b.log),
-		Turns: &turns.Client{Peers: peers, Map: func() *turns.Map { return b.fleet.View().Map }},
+		Backlog: gate.NewBacklog(gate.BacklogBytes(112)),
+		Turns:   &turns.Client{Peers: peers, Map: func() *turns.Map { return b.fleet.View().Map }},
 	}
 	set(gt)
 	b.gate = gt
 	g.Go(func() error { return gt.Run(ctx) })
-	server := httptest.NewServer(gt)
+	server := httptest.NewUnstartedServer(gt)
+	server.Config.ConnContext = gate.ConnContext
+	server.Start()
 	b.url = server.URL
 	t.Cleanup(func() {
 		server.CloseClientConnections()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -75,6 +75,9 @@
 	TargetPace bool
 	// PaceReportingOnly makes TargetPace wait until a target has reported its slowness.
 	PaceReportingOnly bool
+	// Backlog holds the responses that callers have not read yet. The default has the size
+	// for a host whose memory is not known.
+	Backlog *Backlog
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
@@ -117,6 +120,9 @@
 		if g.PlacementCosts == (route.PlacementCosts{}) {
 			g.PlacementCosts = route.DefaultPlacementCosts
 		}
+		if g.Backlog == nil {
+			g.Backlog = NewBacklog(BacklogBytes(0))
+		}
 		g.limits.init(g)
 		g.targets.clock, g.targets.observes, g.targets.observesOnReport = g.Clock, g.TargetPace && !g.PaceReportingOnly, g.TargetPace
 		g.initRelay()
@@ -240,6 +246,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	requestsTotal.Inc()
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(time.Time{}) // That of the response before on this connection has passed.
+	defer setWriteDeadline(rc)           // For the rest, which the server writes.
 	for _, f := range filters {
 		if resp := f(c); resp != nil {
 			c.writeError(resp)
@@ -249,6 +258,7 @@
 	requestSeconds.UpdateDuration(c.start)
 	c.finish()
 	if c.truncated {
+		abortResponse(r)
 		panic(http.ErrAbortHandler) // A truncated response must not look complete.
 	}
 }
