route, gate, fleet: requests go elsewhere before an engine exceeds its memory

The first deployment's engines crash, others preempt requests, when the running requests have more tokens than kv_tokens. Hosts did not count tokens.

The tokens of requests in flight (prompt and most that may be generated) are exchanged with the loads, one more number per target (fleet.Load, "t"). A target that would exceed plan.Engine.MemoryTokens is selected only if all would, then the one with the least excess. It counts only on services with a limited memory of which a target has reported its slowness. Waiting requests hold no memory: of the requests in flight only as many as there are slots count, with the mean of all. With 12 slots and 14,300 tokens a request, 171,600 of 291,669 tokens are in use, so that memory does not bind there however many requests wait; it takes a mean of 24,306 tokens a request.

--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -20,6 +20,9 @@
 	UnitSeconds float64 `json:"u,omitempty"`
 	// Unreachable is the number of hosts that cannot connect to the target.
 	Unreachable int `json:"d,omitempty"`
+	// Tokens are the prompts of the requests in flight and the most that they may generate,
+	// on services whose engines have a limited memory.
+	Tokens types.Tokens `json:"t,omitempty"`
 }
 
 // LoadsRequest reports the loads that a host observes, and requests those that
@@ -57,8 +60,8 @@
 
 // LoadsReply holds the combined observations of all other hosts.
 type LoadsReply struct {
-	// Loads holds, for each target, the sum of the requests in flight and of the hosts
-	// that cannot connect to it, and the mean of the unit times.
+	// Loads holds, for each target, the sum of the requests in flight, of their tokens
+	// and of the hosts that cannot connect to it, and the mean of the unit times.
 	Loads map[types.TargetID]Load `json:"loads"`
 	// CachedParts lists the cached parts that hosts have reported since the
 	// position in the request.
@@ -105,12 +108,14 @@
 	unitSeconds float64
 	unitReports int // number of reports with a known unit time
 	unreachable int
+	tokens      types.Tokens
 }
 
 // plus returns t with l added if sign is 1, or subtracted if sign is -1.
 func (t loadTotal) plus(l Load, sign int) loadTotal {
 	t.inFlight += sign * l.InFlight
 	t.unreachable += sign * min(1, l.Unreachable)
+	t.tokens += types.Tokens(sign) * l.Tokens
 	if l.UnitSeconds > 0 {
 		t.unitSeconds += float64(sign) * l.UnitSeconds
 		t.unitReports += sign
@@ -129,7 +134,7 @@
 	t.expire(now)
 	others := map[types.TargetID]Load{}
 	for id, total := range t.totals {
-		l := Load{InFlight: total.inFlight, Unreachable: total.unreachable}
+		l := Load{InFlight: total.inFlight, Unreachable: total.unreachable, Tokens: total.tokens}
 		if total.unitReports > 0 {
 			l.UnitSeconds = total.unitSeconds / float64(total.unitReports)
 		}
@@ -168,7 +173,7 @@
 func (t *loadTable) add(loads map[types.TargetID]Load, sign int) {
 	for id, l := range loads {
 		total := t.totals[id].plus(l, sign)
-		if total.inFlight == 0 && total.unitReports == 0 && total.unreachable == 0 {
+		if total.inFlight == 0 && total.unitReports == 0 && total.unreachable == 0 && total.tokens == 0 {
 			delete(t.totals, id)
 			continue
 		}
--- a/fleet/loads_test.go
+++ b/fleet/loads_test.go
@@ -35,10 +35,10 @@
 		return exchangeLoads(ctx, t, c, fleet.LoadsRequest{Host: host, Loads: loads}).Loads
 	}
 	exchange("entry-1", map[types.TargetID]fleet.Load{"t1": {InFlight: 9}})
-	exchange("entry-1", map[types.TargetID]fleet.Load{"t1": {InFlight: 2, UnitSeconds: 0.02}, "t2": {InFlight: 1}})
-	exchange("entry-3", map[types.TargetID]fleet.Load{"t1": {InFlight: 1, UnitSeconds: 0.04, Unreachable: 1}, "t3": {Unreachable: 1}})
+	exchange("entry-1", map[types.TargetID]fleet.Load{"t1": {InFlight: 2, UnitSeconds: 0.02, Tokens: 28_000}, "t2": {InFlight: 1}})
+	exchange("entry-3", map[types.TargetID]fleet.Load{"t1": {InFlight: 1, UnitSeconds: 0.04, Unreachable: 1, Tokens: 14_000}, "t3": {Unreachable: 1}})
 	exchange("entry-4", map[types.TargetID]fleet.Load{"t3": {Unreachable: 9}})
-	want := map[types.TargetID]fleet.Load{"t1": {InFlight: 3, UnitSeconds: 0.03, Unreachable: 1}, "t2": {InFlight: 1}, "t3": {Unreachable: 2}}
+	want := map[types.TargetID]fleet.Load{"t1": {InFlight: 3, UnitSeconds: 0.03, Unreachable: 1, Tokens: 42_000}, "t2": {InFlight: 1}, "t3": {Unreachable: 2}}
 	if diff := cmp.Diff(want, exchange("entry-2", map[types.TargetID]fleet.Load{"t1": {InFlight: 50}})); diff != "" {
 		t.Errorf("loads received by the third host (-want +got):\n%s", diff)
 	}
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -133,8 +133,8 @@
 	ctx, stopTimer, cancel := c.attemptContext(remaining, hasAlternative)
 	defer cancel()
 	sentAt := c.gate.Clock()
-	c.gate.targets.requestStarted(t.ID)
-	defer c.gate.targets.requestEnded(t.ID)
+	c.gate.targets.requestStarted(t.ID, choice.tokens)
+	defer c.gate.targets.requestEnded(t.ID, choice.tokens)
 	resp, err := c.gate.pool.Do(ctx, t.Address, &fetch.Request{
 		Method: c.r.Method, RequestTarget: c.requestURI(), Host: c.r.Host, Header: c.targetHeader(t, remaining), Body: c.buildPrompt(),
 		ID: c.id, IDHeader: c.gate.HeaderNames.RequestID, MaxBodyBytes: maxResponseBytes,
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -108,7 +108,7 @@
 			g.PlacementCosts = route.DefaultPlacementCosts
 		}
 		g.limits.init(g)
-		g.targets.clock = g.Clock
+		g.targets.clock, g.targets.maxReportAge = g.Clock, g.PlacementCosts.MaxReportAge
 		g.initRelay()
 		g.backgroundCtx, g.cancelBackground = context.WithCancel(context.Background())
 	})
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -14,6 +14,8 @@
 type targetTracker struct {
 	// clock is the clock of the process. It must be set before use.
 	clock types.Clock
+	// maxReportAge is the age from which the report of the other hosts is ignored.
+	maxReportAge time.Duration
 
 	mu     sync.Mutex
 	states map[types.TargetID]*targetState
@@ -22,8 +24,9 @@
 
 // targetState is the state of one target in a [targetTracker].
 type targetState struct {
-	inFlight            int // this host's requests in flight
-	running             int // from the target's load report, like waiting and slots
+	inFlight            int          // this host's requests in flight
+	inFlightTokens      types.Tokens // of those requests that have a [route.Work.Tokens]
+	running             int          // from the target's load report, like waiting and slots
 	waiting             int
 	inFlightAtReport    int // inFlight when the load report was received
 	slots               int
@@ -81,7 +84,13 @@
 	if o.Slots == 0 {
 		o.Slots = target.Slots
 	}
-	if age := time.Since(s.otherHostsAt); age < o.ReportAge {
+	age := time.Since(s.otherHostsAt)
+	o.Memory = route.Memory{InFlight: s.inFlightTokens, Requests: s.inFlight}
+	if age < t.maxReportAge {
+		o.Memory.InFlight += s.otherHosts.Tokens
+		o.Memory.Requests += s.otherHosts.InFlight
+	}
+	if age < o.ReportAge {
 		// The reports of the other hosts are newer than the target's own.
 		o.Running, o.Waiting, o.InFlightAtReport, o.ReportAge = s.otherHosts.InFlight, 0, 0, age
 	}
@@ -124,7 +133,7 @@
 	defer t.mu.Unlock()
 	loads := map[types.TargetID]fleet.Load{}
 	for id, s := range t.states {
-		local := fleet.Load{InFlight: s.inFlight}
+		local := fleet.Load{InFlight: s.inFlight, Tokens: s.inFlightTokens}
 		if time.Since(s.avgUnitAt) < unitTimeTTL {
 			local.UnitSeconds = s.avgUnitSeconds
 		}
@@ -172,18 +181,22 @@
 }
 
 // requestStarted counts a request of this host as in flight.
-func (t *targetTracker) requestStarted(id types.TargetID) {
+func (t *targetTracker) requestStarted(id types.TargetID, tokens types.Tokens) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.getOrCreate(id).inFlight++
+	s := t.getOrCreate(id)
+	s.inFlight++
+	s.inFlightTokens += tokens
 }
 
-// requestEnded counts a request of this host as no longer in flight.
-func (t *targetTracker) requestEnded(id types.TargetID) {
+// requestEnded counts a request of this host as no longer in flight. tokens must be as in
+// the call of requestStarted.
+func (t *targetTracker) requestEnded(id types.TargetID, tokens types.Tokens) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.states[id]; s != nil && s.inFlight > 0 {
 		s.inFlight--
+		s.inFlightTokens -= tokens
 	}
 }
 
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/banyanspur/banyanspur/event"
@@ -65,6 +67,10 @@
 	}
 	if service.Engine != nil && route.AnySlowness(options) {
 		route.SetFinePaces(options, unitSeconds)
+		work.Tokens = c.memoryTokens(service)
+		for i := range options {
+			options[i].Memory.Capacity = service.Engine.MemoryTokens
+		}
 	} else {
 		route.SetPaces(options, unitSeconds)
 	}
@@ -75,7 +81,25 @@
 	if i < 0 {
 		return targetChoice{}, false
 	}
-	return targetChoice{Target: targets[i], option: options[i], promptTokens: work.Prompt, candidates: len(targets)}, true
+	return targetChoice{Target: targets[i], option: options[i], promptTokens: work.Prompt, tokens: work.Tokens, candidates: len(targets)}, true
+}
+
+// memoryTokens returns the tokens that the request may have in the memory of an engine, 0
+// if the service's memory is not limited or the request does not tell. More than
+// maxPartTokens is not believed.
+func (c *call) memoryTokens(service *plan.Service) types.Tokens {
+	if service.Engine.MemoryTokens <= 0 {
+		return 0
+	}
+	var sum types.Tokens
+	for _, number := range strings.SplitN(c.r.Header.Get(c.gate.HeaderNames.Tokens), ",", 2) {
+		n, err := strconv.ParseInt(strings.TrimSpace(number), 10, 64)
+		if err != nil || n < 0 || n > maxPartTokens {
+			return 0
+		}
+		sum += types.Tokens(n)
+	}
+	return sum
 }
 
 // maxOverflowWait is how long a request that other targets do not accept by their limits
@@ -100,6 +124,7 @@
 	fleet.Target
 	option       route.Option
 	promptTokens types.Tokens // size of the prompt
+	tokens       types.Tokens // prompt and generated tokens at most; 0 if memory does not count
 	candidates   int          // number of eligible targets
 }
 
--- a/route/candidates.go
+++ b/route/candidates.go
@@ -8,12 +8,12 @@
 )
 
 // sampleOptions returns the indices of the options to compare for a prompt,
-// possibly with repetitions. Failing targets are among them only if all targets
-// are failing. Hosts exchange their load reports only periodically: if every host
+// possibly with repetitions. Targets that are failing or would exceed their memory are
+// among them only if all targets are. Hosts exchange their load reports only periodically: if every host
 // compared all targets, all of them would send to the target that was last
 // reported idle.
 func (p PlacementCosts) sampleOptions(options []Option, w Work, ranks []float64, intN func(n int) int) []int {
-	healthy := indices(options, func(o Option) bool { return !o.Failing })
+	healthy := indices(options, func(o Option) bool { return !o.Failing && o.excess(w) <= 0 })
 	if len(healthy) == 0 {
 		healthy = indices(options, func(Option) bool { return true })
 	}
--- a/route/place.go
+++ b/route/place.go
@@ -37,6 +37,9 @@
 	// FinePace is like Pace, but also tells small differences, see [SetFinePaces]; 0 if
 	// unknown.
 	FinePace float64
+	// Memory is the use of the target's memory. Targets that would exceed it are selected
+	// only if all would.
+	Memory Memory
 	// Connected is true if this host has an idle connection to the target.
 	Connected bool
 	// Failing is true for a while after the target's last requests failed.
@@ -47,6 +50,8 @@
 type Work struct {
 	// Prompt is the size of the prompt; 0 if the service has no engine.
 	Prompt types.Tokens
+	// Tokens are the prompt and the most that the request may generate; 0 if unknown.
+	Tokens types.Tokens
 	// AffinityKey is the key of the rendezvous hashing by which all hosts rank the
 	// targets in the same order for prompts with the same first part. It is
 	// empty if the prompt has no parts.
@@ -121,6 +126,9 @@
 	if len(options) == 0 {
 		return -1
 	}
+	if i := leastExcess(options, w); i >= 0 {
+		return i
+	}
 	best, bestCost, equal := -1, 0.0, 0
 	ranks := rendezvousRanks(options, w.AffinityKey)
 	consider := func(i int) {
@@ -229,7 +237,7 @@
 	if !o.Connected {
 		cost += p.ConnectCost.Seconds()
 	}
-	if o.Failing {
+	if o.Failing || o.excess(w) > 0 {
 		cost += p.FailurePenalty.Seconds()
 	}
 	slowness := p.currentSlowness(o)
