--- a/gate/pick.go
+++ b/gate/pick.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/plan"
@@ -14,6 +16,8 @@
 	"github.com/banyanspur/banyanspur/types"
 )
 
+var exceededMemoryTotal = metrics.NewCounter("banyanspur_gate_exceeded_memory_total")
+
 const (
 	// typicalCallTime and typicalTurnTime are the typical durations of a call and
 	// of a turn on a target. Target selection uses them as the cost of queueing.
@@ -81,6 +85,9 @@
 	if i < 0 {
 		return targetChoice{}, false
 	}
+	if options[i].ExceedsMemory(work) {
+		exceededMemoryTotal.Inc()
+	}
 	return targetChoice{Target: targets[i], option: options[i], promptTokens: work.Prompt, tokens: work.Tokens, candidates: len(targets)}, true
 }
 
@@ -137,6 +144,9 @@
 	if c.option.Slowness > 0 {
 		f["slowness"], f["slownessAgeMs"] = c.option.Slowness, c.option.SlownessAge.Milliseconds()
 	}
+	if c.tokens > 0 {
+		f["memoryTokens"], f["memoryRequests"] = c.option.Memory.InFlight, c.option.Memory.Requests
+	}
 	if c.promptTokens > 0 {
 		f["promptTokens"], f["heldTokens"] = c.promptTokens, c.option.Cached
 	}
--- a/route/candidates.go
+++ b/route/candidates.go
@@ -13,9 +13,9 @@
 // compared all targets, all of them would send to the target that was last
 // reported idle.
 func (p PlacementCosts) sampleOptions(options []Option, w Work, ranks []float64, intN func(n int) int) []int {
-	healthy := indices(options, func(o Option) bool { return !o.Failing && o.excess(w) <= 0 })
+	healthy := indices(options, func(o *Option) bool { return !o.Failing && o.excess(&w) <= 0 })
 	if len(healthy) == 0 {
-		healthy = indices(options, func(Option) bool { return true })
+		healthy = indices(options, func(*Option) bool { return true })
 	}
 	var cached, uncached []int
 	for _, i := range healthy {
@@ -53,10 +53,10 @@
 }
 
 // indices returns the indices of the options for which keep returns true.
-func indices(options []Option, keep func(Option) bool) []int {
+func indices(options []Option, keep func(*Option) bool) []int {
 	var kept []int
-	for i, o := range options {
-		if keep(o) {
+	for i := range options {
+		if keep(&options[i]) {
 			kept = append(kept, i)
 		}
 	}
--- a/route/memory.go
+++ b/route/memory.go
@@ -16,7 +16,7 @@
 // excess returns by how many tokens a target would exceed its memory with one more request;
 // not above 0 if it would not. Waiting requests hold no memory, so of the requests in flight
 // only as many as there are slots count, with the mean of all.
-func (o Option) excess(w Work) float64 {
+func (o *Option) excess(w *Work) float64 {
 	if o.Memory.Capacity <= 0 || w.Tokens <= 0 {
 		return 0
 	}
@@ -27,11 +27,18 @@
 	return used - float64(o.Memory.Capacity)
 }
 
+// ExceedsMemory reports whether the target would exceed its memory with one more request.
+func (o *Option) ExceedsMemory(w Work) bool { return o.excess(&w) > 0 }
+
 // leastExcess returns the index of the option that would exceed its memory the least, or -1
 // if some option that is not failing would not exceed it.
-func leastExcess(options []Option, w Work) int {
+func leastExcess(options []Option, w *Work) int {
+	if w.Tokens <= 0 {
+		return -1
+	}
 	best, bestExcess := -1, 0.0
-	for i, o := range options {
+	for i := range options {
+		o := &options[i]
 		if o.Failing {
 			continue
 		}
--- a/route/place.go
+++ b/route/place.go
@@ -126,13 +126,13 @@
 	if len(options) == 0 {
 		return -1
 	}
-	if i := leastExcess(options, w); i >= 0 {
+	if i := leastExcess(options, &w); i >= 0 {
 		return i
 	}
 	best, bestCost, equal := -1, 0.0, 0
 	ranks := rendezvousRanks(options, w.AffinityKey)
 	consider := func(i int) {
-		cost := p.expectedCost(options[i], w) + ranks[i]*p.RankPenalty.Seconds()
+		cost := p.expectedCost(&options[i], &w) + ranks[i]*p.RankPenalty.Seconds()
 		switch {
 		case best < 0 || cost < bestCost:
 			best, bestCost, equal = i, cost, 1
@@ -162,11 +162,17 @@
 // QueueTime returns the time that a request is expected to wait for a slot of an option's
 // target.
 func (p PlacementCosts) QueueTime(o Option, w Work) time.Duration {
-	excess := p.estimatedLoad(o) + 1 - float64(o.Slots)
+	return queueTime(&o, &w, p.estimatedLoad(&o), p.timeFactor(&o))
+}
+
+// queueTime is [PlacementCosts.QueueTime] with the given estimates of the load and of the
+// time that work takes.
+func queueTime(o *Option, w *Work, load, timeFactor float64) time.Duration {
+	excess := load + 1 - float64(o.Slots)
 	if o.Slots <= 0 || excess <= 0 {
 		return 0
 	}
-	return time.Duration(min(float64(maxQueueTime), excess/float64(o.Slots)*float64(w.ServiceTime)*p.timeFactor(o)))
+	return time.Duration(min(float64(maxQueueTime), excess/float64(o.Slots)*float64(w.ServiceTime)*timeFactor))
 }
 
 // maxQueueTime is the longest time that [PlacementCosts.QueueTime] returns. A target may
@@ -228,7 +234,7 @@
 
 // expectedCost returns the time in seconds that a request is expected to take on
 // a target in addition to its time on an idle target with its prompt cached.
-func (p PlacementCosts) expectedCost(o Option, w Work) float64 {
+func (p *PlacementCosts) expectedCost(o *Option, w *Work) float64 {
 	load := p.estimatedLoad(o)
 	cost := 0.0
 	if !o.SameZone {
@@ -241,10 +247,11 @@
 		cost += p.FailurePenalty.Seconds()
 	}
 	slowness := p.currentSlowness(o)
+	timeFactor := max(1, o.Pace) * slowness
 	if w.Prompt > 0 {
 		cost += slowness * p.engineCost(o, w, load)
 	}
-	cost += p.QueueTime(o, w).Seconds()
+	cost += queueTime(o, w, load, timeFactor).Seconds()
 	if w.Prompt == 0 {
 		// Calls arrive in bursts, so a short queue forms before all slots are
 		// in use.
@@ -255,12 +262,12 @@
 		utilization := load / float64(slots)
 		cost += slowness * utilization * utilization * w.ServiceTime.Seconds()
 	}
-	return cost + (p.timeFactor(o)-1)*w.ServiceTime.Seconds()
+	return cost + (timeFactor-1)*w.ServiceTime.Seconds()
 }
 
 // timeFactor returns the time that work is expected to take on an option's target,
 // relative to the usual time.
-func (p PlacementCosts) timeFactor(o Option) float64 {
+func (p *PlacementCosts) timeFactor(o *Option) float64 {
 	return max(1, o.Pace) * p.currentSlowness(o)
 }
 
@@ -275,7 +282,7 @@
 // currentSlowness returns the expected slowness of an option's target. The weight of its
 // last report falls linearly with the age: the older it is, the more likely the target has
 // returned to its usual pace.
-func (p PlacementCosts) currentSlowness(o Option) float64 {
+func (p *PlacementCosts) currentSlowness(o *Option) float64 {
 	mean := 1.0
 	if o.FinePace > 0 {
 		mean = min(max(o.FinePace, minSlowness), maxSlowness)
@@ -290,7 +297,7 @@
 // engineCost returns the cost of a request on an engine in seconds, including the
 // delay to the requests that run there: a larger batch lengthens each decoding
 // step, and the prefill of uncached tokens stalls the whole batch.
-func (p PlacementCosts) engineCost(o Option, w Work, load float64) float64 {
+func (p *PlacementCosts) engineCost(o *Option, w *Work, load float64) float64 {
 	running := load
 	if o.Slots > 0 {
 		running = min(load, float64(o.Slots))
@@ -302,7 +309,7 @@
 // estimatedLoad estimates the number of requests at a target: this host's own
 // requests in flight plus those of other hosts in the newest load report, whose
 // weight falls linearly with its age.
-func (p PlacementCosts) estimatedLoad(o Option) float64 {
+func (p *PlacementCosts) estimatedLoad(o *Option) float64 {
 	own := float64(o.InFlight)
 	if o.ReportAge >= p.MaxReportAge || p.MaxReportAge <= 0 {
 		return own
