--- a/gate/draining.go
+++ b/gate/draining.go
@@ -73,10 +73,12 @@
 
 // open returns the targets that may get new requests: those that do not drain. If there
 // are none, it returns those whose first announcement is less than [drain.GraceTime] ago.
+// It reuses the array of targets.
 func (d *drainTracker) open(targets []fleet.Target, now types.Mono) []fleet.Target {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var ready, inGrace []fleet.Target
+	ready := targets[:0]
+	var inGrace []fleet.Target
 	for _, t := range targets {
 		switch {
 		case !t.Draining && !d.table.Has(t.ID):
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -76,15 +76,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.getOrCreate(target.ID)
+	now, mono := time.Now(), t.clock()
 	o = route.Option{
-		ID: target.ID, SameZone: target.Zone == zone, InFlight: s.inFlight, Running: s.running, Waiting: s.waiting, ReportAge: time.Since(s.reportedAt),
+		ID: target.ID, SameZone: target.Zone == zone, InFlight: s.inFlight, Running: s.running, Waiting: s.waiting, ReportAge: now.Sub(s.reportedAt),
 		InFlightAtReport: s.inFlightAtReport, Slots: s.slots, Cached: s.cachedTokens(parts), Pace: 1,
-		Slowness: s.slowness, SlownessAge: t.clock().Sub(s.slownessAt), Failing: s.inBackoff(time.Now()) || t.reach.Unreachable(target.ID, t.clock()),
+		Slowness: s.slowness, SlownessAge: mono.Sub(s.slownessAt), Failing: s.inBackoff(now) || t.reach.Unreachable(target.ID, mono),
 	}
 	if o.Slots == 0 {
 		o.Slots = target.Slots
 	}
-	age := time.Since(s.otherHostsAt)
+	age := now.Sub(s.otherHostsAt)
 	o.Memory = route.Memory{InFlight: s.inFlightTokens, Requests: s.inFlight}
 	if age < t.maxReportAge {
 		o.Memory.InFlight += s.otherHosts.Tokens
@@ -94,18 +95,18 @@
 		// The reports of the other hosts are newer than the target's own.
 		o.Running, o.Waiting, o.InFlightAtReport, o.ReportAge = s.otherHosts.InFlight, 0, 0, age
 	}
-	return o, s.unitSeconds()
+	return o, s.unitSeconds(now)
 }
 
 // unitSeconds returns the target's time for a unit of work in seconds, 0 if
 // unknown. A unit is the gap between two events of a stream, or a whole call.
 // This host's average and that of the other hosts have equal weight.
-func (s *targetState) unitSeconds() float64 {
+func (s *targetState) unitSeconds(now time.Time) float64 {
 	sum, n := 0.0, 0.0
-	if s.avgUnitSeconds > 0 && time.Since(s.avgUnitAt) < unitTimeTTL {
+	if s.avgUnitSeconds > 0 && now.Sub(s.avgUnitAt) < unitTimeTTL {
 		sum, n = s.avgUnitSeconds, 1
 	}
-	if s.otherHosts.UnitSeconds > 0 && time.Since(s.otherHostsAt) < unitTimeTTL {
+	if s.otherHosts.UnitSeconds > 0 && now.Sub(s.otherHostsAt) < unitTimeTTL {
 		sum, n = sum+s.otherHosts.UnitSeconds, n+1
 	}
 	if n == 0 {
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -27,7 +27,7 @@
 
 // candidates returns the targets of a service to which the call may be sent next.
 func (c *call) candidates(service *plan.Service, tried map[types.TargetID]bool) []fleet.Target {
-	var targets []fleet.Target
+	targets := make([]fleet.Target, 0, len(c.gate.Fleet.View().Targets))
 	for _, t := range c.gate.Fleet.View().Targets {
 		if t.Service == service.Name && !tried[t.ID] {
 			targets = append(targets, t)
@@ -50,12 +50,13 @@
 			work.AffinityKey = parts[0].id
 		}
 	}
-	var targets []fleet.Target
-	var options []route.Option
-	var unitSeconds []float64
+	candidates := c.candidates(service, tried)
+	targets := candidates[:0] // Those that remain.
+	options := make([]route.Option, 0, len(candidates))
+	unitSeconds := make([]float64, 0, len(candidates))
 	limited := false // a target that could run the request is at the limit that it names
 	now := c.gate.Clock()
-	for _, t := range c.candidates(service, tried) {
+	for _, t := range candidates {
 		if c.gate.targetLimits.fullFor(t.ID, c.lowPrecedence(service, t.ID), now) > 0 {
 			limited = true
 			continue
--- a/route/candidates.go
+++ b/route/candidates.go
@@ -17,7 +17,8 @@
 	if len(healthy) == 0 {
 		healthy = indices(options, func(*Option) bool { return true })
 	}
-	var cached, uncached []int
+	var cached []int
+	uncached := make([]int, 0, len(healthy))
 	for _, i := range healthy {
 		if 2*options[i].Cached >= w.Prompt {
 			cached = append(cached, i)
@@ -54,7 +55,7 @@
 
 // indices returns the indices of the options for which keep returns true.
 func indices(options []Option, keep func(*Option) bool) []int {
-	var kept []int
+	kept := make([]int, 0, len(options))
 	for i := range options {
 		if keep(&options[i]) {
 			kept = append(kept, i)
@@ -81,8 +82,9 @@
 	}
 	weights := make([]uint64, len(options))
 	order := make([]int, len(options))
-	for i, o := range options {
-		weights[i] = xxhash.Sum64String(key + "/" + string(o.ID))
+	text := append(make([]byte, 0, len(key)+64), key+"/"...)
+	for i := range options {
+		weights[i] = xxhash.Sum64(append(text[:len(key)+1], options[i].ID...))
 		order[i] = i
 	}
 	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(weights[b], weights[a]) })
--- a/route/place.go
+++ b/route/place.go
@@ -219,7 +219,7 @@
 
 // medianOfKnown returns the median of the positive values, 0 if there are none.
 func medianOfKnown(values []float64) float64 {
-	var known []float64
+	known := make([]float64, 0, len(values))
 	for _, v := range values {
 		if v > 0 {
 			known = append(known, v)
