--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -138,8 +138,8 @@
 	ctx, stopTimer, cancel := c.attemptContext(remaining, hasAlternative)
 	defer cancel()
 	sentAt := c.gate.Clock()
-	c.gate.targets.requestStarted(t.ID)
-	c.endAttempt = sync.OnceFunc(func() { c.gate.targets.requestEnded(t.ID) })
+	c.gate.targets.requestStarted(t.ID, choice.tokens)
+	c.endAttempt = sync.OnceFunc(func() { c.gate.targets.requestEnded(t.ID, choice.tokens) })
 	defer func() { c.endAttempt() }()
 	resp, err := c.gate.pool.Do(ctx, t.Address, &fetch.Request{
 		Method: c.r.Method, RequestTarget: c.requestURI(), Host: c.r.Host, Header: c.targetHeader(t, remaining), Body: c.buildPrompt(),
@@ -160,7 +160,7 @@
 	}
 	c.endAttempt = sync.OnceFunc(func() {
 		resp.Close()
-		c.gate.targets.requestEnded(t.ID)
+		c.gate.targets.requestEnded(t.ID, choice.tokens)
 	})
 	if c.echoed(resp) {
 		c.recordNotice(t, resp.Header, sentAt)
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -15,6 +15,8 @@
 type targetTracker struct {
 	// clock is the clock of the process. It must be set before use.
 	clock types.Clock
+	// maxReportAge is the age from which the report of the other hosts is ignored.
+	maxReportAge time.Duration
 
 	mu     sync.Mutex
 	states map[types.TargetID]*targetState
@@ -27,8 +29,9 @@
 
 // targetState is the state of one target in a [targetTracker].
 type targetState struct {
-	inFlight            int // this host's requests in flight
-	running             int // from the target's load report, like waiting and slots
+	inFlight            int          // this host's requests in flight
+	inFlightTokens      types.Tokens // of those requests that have a [route.Work.Tokens]
+	running             int          // from the target's load report, like waiting and slots
 	waiting             int
 	inFlightAtReport    int // inFlight when the load report was received
 	slots               int
@@ -79,30 +82,37 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.getOrCreate(target.ID)
+	now, mono := time.Now(), t.clock()
 	o = route.Option{
-		ID: target.ID, SameZone: target.Zone == zone, InFlight: s.inFlight, Running: s.running, Waiting: s.waiting, ReportAge: time.Since(s.reportedAt),
+		ID: target.ID, SameZone: target.Zone == zone, InFlight: s.inFlight, Running: s.running, Waiting: s.waiting, ReportAge: now.Sub(s.reportedAt),
 		InFlightAtReport: s.inFlightAtReport, Slots: s.slots, Cached: s.cachedTokens(parts), Pace: 1,
-		Slowness: s.slowness, SlownessAge: t.clock().Sub(s.slownessAt), Failing: s.inBackoff(time.Now()) || t.reach.Unreachable(target.ID, t.clock()),
+		Slowness: s.slowness, SlownessAge: mono.Sub(s.slownessAt), Failing: s.inBackoff(now) || t.reach.Unreachable(target.ID, mono),
 	}
 	if o.Slots == 0 {
 		o.Slots = target.Slots
 	}
-	if age := time.Since(s.otherHostsAt); age < o.ReportAge {
+	age := now.Sub(s.otherHostsAt)
+	o.Memory = route.Memory{InFlight: s.inFlightTokens, Requests: s.inFlight}
+	if age < t.maxReportAge {
+		o.Memory.InFlight += s.otherHosts.Tokens
+		o.Memory.Requests += s.otherHosts.InFlight
+	}
+	if age < o.ReportAge {
 		// The reports of the other hosts are newer than the target's own.
 		o.Running, o.Waiting, o.InFlightAtReport, o.ReportAge = s.otherHosts.InFlight, 0, 0, age
 	}
-	return o, s.unitSeconds()
+	return o, s.unitSeconds(now)
 }
 
 // unitSeconds returns the target's time for a unit of work in seconds, 0 if
 // unknown. A unit is the gap between two events of a stream, or a whole call.
 // This host's average and that of the other hosts have equal weight.
-func (s *targetState) unitSeconds() float64 {
+func (s *targetState) unitSeconds(now time.Time) float64 {
 	sum, n := 0.0, 0.0
-	if s.avgUnitSeconds > 0 && time.Since(s.avgUnitAt) < unitTimeTTL {
+	if s.avgUnitSeconds > 0 && now.Sub(s.avgUnitAt) < unitTimeTTL {
 		sum, n = s.avgUnitSeconds, 1
 	}
-	if s.otherHosts.UnitSeconds > 0 && time.Since(s.otherHostsAt) < unitTimeTTL {
+	if s.otherHosts.UnitSeconds > 0 && now.Sub(s.otherHostsAt) < unitTimeTTL {
 		sum, n = sum+s.otherHosts.UnitSeconds, n+1
 	}
 	if n == 0 {
@@ -130,7 +140,7 @@
 	defer t.mu.Unlock()
 	loads := map[types.TargetID]fleet.Load{}
 	for id, s := range t.states {
-		local := fleet.Load{InFlight: s.inFlight}
+		local := fleet.Load{InFlight: s.inFlight, Tokens: s.inFlightTokens}
 		if time.Since(s.avgUnitAt) < unitTimeTTL {
 			local.UnitSeconds = s.avgUnitSeconds
 		}
@@ -179,18 +189,22 @@
 }
 
 // requestStarted counts a request of this host as in flight.
-func (t *targetTracker) requestStarted(id types.TargetID) {
+func (t *targetTracker) requestStarted(id types.TargetID, tokens types.Tokens) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.getOrCreate(id).inFlight++
+	s := t.getOrCreate(id)
+	s.inFlight++
+	s.inFlightTokens += tokens
 }
 
-// requestEnded counts a request of this host as no longer in flight.
-func (t *targetTracker) requestEnded(id types.TargetID) {
+// requestEnded counts a request of this host as no longer in flight. tokens must be as in
+// the call of requestStarted.
+func (t *targetTracker) requestEnded(id types.TargetID, tokens types.Tokens) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.states[id]; s != nil && s.inFlight > 0 {
 		s.inFlight--
+		s.inFlightTokens -= tokens
 	}
 }
 
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -3,8 +3,12 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/plan"
@@ -12,6 +16,8 @@
 	"github.com/banyanspur/banyanspur/types"
 )
 
+var exceededMemoryTotal = metrics.NewCounter("banyanspur_gate_exceeded_memory_total")
+
 const (
 	// typicalCallTime and typicalTurnTime are the typical durations of a call and
 	// of a turn on a target. Target selection uses them as the cost of queueing.
@@ -21,7 +27,7 @@
 
 // candidates returns the targets of a service to which the call may be sent next.
 func (c *call) candidates(service *plan.Service, tried map[types.TargetID]bool) []fleet.Target {
-	var targets []fleet.Target
+	targets := make([]fleet.Target, 0, len(c.gate.Fleet.View().Targets))
 	for t := range outsideEvacuatedZones(c.gate.Fleet.View()) {
 		if t.Service == service.Name && !tried[t.ID] {
 			targets = append(targets, t)
@@ -44,12 +50,13 @@
 			work.AffinityKey = parts[0].id
 		}
 	}
-	var targets []fleet.Target
-	var options []route.Option
-	var unitSeconds []float64
+	candidates := c.candidates(service, tried)
+	targets := candidates[:0] // Those that remain.
+	options := make([]route.Option, 0, len(candidates))
+	unitSeconds := make([]float64, 0, len(candidates))
 	limited := false // a target that could run the request is at the limit that it names
 	now := c.gate.Clock()
-	for _, t := range c.candidates(service, tried) {
+	for _, t := range candidates {
 		if c.fullFor(service, t.ID, now) > 0 {
 			limited = true
 			continue
@@ -66,6 +73,10 @@
 	}
 	if service.Engine != nil && route.AnySlowness(options) {
 		route.SetFinePaces(options, unitSeconds)
+		work.Tokens = c.memoryTokens(service)
+		for i := range options {
+			options[i].Memory.Capacity = service.Engine.MemoryTokens
+		}
 	} else {
 		route.SetPaces(options, unitSeconds)
 	}
@@ -76,7 +87,28 @@
 	if i < 0 {
 		return targetChoice{}, false
 	}
-	return targetChoice{Target: targets[i], option: options[i], promptTokens: work.Prompt, candidates: len(targets)}, true
+	if options[i].ExceedsMemory(work) {
+		exceededMemoryTotal.Inc()
+	}
+	return targetChoice{Target: targets[i], option: options[i], promptTokens: work.Prompt, tokens: work.Tokens, candidates: len(targets)}, true
+}
+
+// memoryTokens returns the tokens that the request may have in the memory of an engine, 0
+// if the service's memory is not limited or the request does not tell. More than
+// maxPartTokens is not believed.
+func (c *call) memoryTokens(service *plan.Service) types.Tokens {
+	if service.Engine.MemoryTokens <= 0 {
+		return 0
+	}
+	var sum types.Tokens
+	for _, number := range strings.SplitN(c.r.Header.Get(c.gate.HeaderNames.Tokens), ",", 2) {
+		n, err := strconv.ParseInt(strings.TrimSpace(number), 10, 64)
+		if err != nil || n < 0 || n > maxPartTokens {
+			return 0
+		}
+		sum += types.Tokens(n)
+	}
+	return sum
 }
 
 // maxOverflowWait is how long a request that other targets do not accept by their limits
@@ -101,6 +133,7 @@
 	fleet.Target
 	option       route.Option
 	promptTokens types.Tokens // size of the prompt
+	tokens       types.Tokens // prompt and generated tokens at most; 0 if memory does not count
 	candidates   int          // number of eligible targets
 }
 
@@ -113,6 +146,9 @@
 	if c.option.Slowness > 0 {
 		f["slowness"], f["slownessAgeMs"] = c.option.Slowness, c.option.SlownessAge.Milliseconds()
 	}
+	if c.tokens > 0 {
+		f["memoryTokens"], f["memoryRequests"] = c.option.Memory.InFlight, c.option.Memory.Requests
+	}
 	if c.promptTokens > 0 {
 		f["promptTokens"], f["heldTokens"] = c.promptTokens, c.option.Cached
 	}
--- a/route/candidates.go
+++ b/route/candidates.go
@@ -8,16 +8,17 @@
 )
 
 // sampleOptions returns the indices of the options to compare for a prompt,
-// possibly with repetitions. Failing targets are among them only if all targets
-// are failing. Hosts exchange their load reports only periodically: if every host
+// possibly with repetitions. Targets that are failing or would exceed their memory are
+// among them only if all targets are. Hosts exchange their load reports only periodically: if every host
 // compared all targets, all of them would send to the target that was last
 // reported idle.
 func (p PlacementCosts) sampleOptions(options []Option, w Work, ranks []float64, intN func(n int) int) []int {
-	healthy := indices(options, func(o Option) bool { return !o.Failing })
+	healthy := indices(options, func(o *Option) bool { return !o.Failing && o.excess(&w) <= 0 })
 	if len(healthy) == 0 {
-		healthy = indices(options, func(Option) bool { return true })
+		healthy = indices(options, func(*Option) bool { return true })
 	}
-	var cached, uncached []int
+	var cached []int
+	uncached := make([]int, 0, len(healthy))
 	for _, i := range healthy {
 		if 2*options[i].Cached >= w.Prompt {
 			cached = append(cached, i)
@@ -53,10 +54,10 @@
 }
 
 // indices returns the indices of the options for which keep returns true.
-func indices(options []Option, keep func(Option) bool) []int {
-	var kept []int
-	for i, o := range options {
-		if keep(o) {
+func indices(options []Option, keep func(*Option) bool) []int {
+	kept := make([]int, 0, len(options))
+	for i := range options {
+		if keep(&options[i]) {
 			kept = append(kept, i)
 		}
 	}
@@ -81,8 +82,9 @@
 	}
 	weights := make([]uint64, len(options))
 	order := make([]int, len(options))
-	for i, o := range options {
-		weights[i] = xxhash.Sum64String(key + "/" + string(o.ID))
+	text := append(make([]byte, 0, len(key)+64), key+"/"...)
+	for i := range options {
+		weights[i] = xxhash.Sum64(append(text[:len(key)+1], options[i].ID...))
 		order[i] = i
 	}
 	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(weights[b], weights[a]) })
