gate: the test of cold targets does not depend on which target is preferred

The share of a warm target among two varies with what the hosts have connections to; the test now has the other one drain while it shows that a warm target is not limited, and eight callers afterwards.

--- a/gate/cold_test.go
+++ b/gate/cold_test.go
@@ -1,12 +1,15 @@
 package gate_test
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/gate"
 	"github.com/banyanspur/banyanspur/limit"
@@ -67,30 +70,42 @@
 			b, change := newColdTestbed(t)
 			var got, other atomic.Int32
 			b.addTarget("plain", countRequests(&got, respondOK))
-			b.addTarget("plain", countRequests(&other, func(w http.ResponseWriter, r *http.Request) {
-				w.Header().Set("Load", "4,0,6") // Busy, so that the first target is preferred.
-				respondOK(w, r)
-			}))
+			b.addTarget("plain", countRequests(&other, respondOK))
 			b.addTarget("spare", countRequests(&got, respondOK))
 			spare := b.fleet.View().Targets[2].Address
-			change(func(list []fleet.Target) []fleet.Target { return list[:2] })
-			send := func(n int) {
-				for range n {
-					if code, body := b.send(testRequest{path: "/charge/", key: "choir-key"}); code != http.StatusOK {
-						t.Fatalf("status %d: %s", code, body)
-					}
-				}
+			drainOther := func(draining bool) {
+				change(func(list []fleet.Target) []fleet.Target {
+					list[1].Draining = draining
+					return list[:2]
+				})
 			}
-			send(40)
-			if n := got.Load(); n < 8 {
-				t.Errorf("a warm target got %d of 40 requests", n)
+			drainOther(true)
+			// sendWhile runs eight callers, so that no target serves all, each until more
+			// returns false.
+			sendWhile := func(more func() bool) {
+				var g errgroup.Group
+				for range 8 {
+					g.Go(func() error {
+						for more() {
+							if code, body := b.send(testRequest{path: "/charge/", key: "choir-key"}); code != http.StatusOK {
+								return fmt.Errorf("status %d: %s", code, body)
+							}
+						}
+						return nil
+					})
+				}
+				if err := g.Wait(); err != nil {
+					t.Fatal(err)
+				}
 			}
+			sendWhile(func() bool { return got.Load() < 40 }) // A warm target gets all.
+			drainOther(false)
 			turnCold(b, change, spare)
 			got.Store(0)
 			start := time.Now()
-			for time.Since(start) < time.Second || got.Load() == 0 && time.Since(start) < 4*time.Second {
-				send(1)
-			}
+			sendWhile(func() bool {
+				return time.Since(start) < time.Second || got.Load() == 0 && time.Since(start) < 4*time.Second
+			})
 			took := time.Since(start).Seconds()
 			if n, allowed := float64(got.Load()), 2+coldRate*took+1; n > allowed || n < 1 {
 				t.Errorf("the cold target got %.0f requests in %.2f s and the other one %d, want 1 to %.1f", n, took, other.Load(), allowed)
