--- a/fleet/control.go
+++ b/fleet/control.go
@@ -159,7 +159,7 @@
 	c.issuers = map[types.AccountID]*limit.Issuer{}
 	c.notices, c.noticesID = limit.Notices{}, types.RandomID()
 	c.targetIssuers = map[types.TargetID]*targetIssuer{}
-	c.cold, c.services = ramp.Cold{}, nil
+	c.cold, c.services = ramp.Cold{ZoneReturned: c.zoneReturned}, nil
 	c.pace, c.observed, c.paced, c.down = ramp.Pace{}, false, nil, map[types.TargetID]bool{}
 	c.planTable = nil
 	c.reportedHosts = map[types.HostID]bool{}
--- a/fleet/zones.go
+++ b/fleet/zones.go
@@ -135,6 +135,13 @@
 	}
 }
 
+// zoneReturned returns when a zone that had been evacuated was taken back. It returns false
+// if it is evacuated or never was. It must be called within asLeader.
+func (c *Control) zoneReturned(zone types.ZoneID) (at types.Mono, returned bool) {
+	r, ordered := c.machine.state.Zones[zone]
+	return c.Clock().Add(-c.logTime.Sub(r.At)), ordered && !r.Evacuated
+}
+
 // recordZone records that a host is in a zone. It must be called within asLeader.
 func (c *Control) recordZone(zone types.ZoneID) {
 	if zone != "" {
--- a/gate/cold_test.go
+++ b/gate/cold_test.go
@@ -1,17 +1,19 @@
 package gate_test
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/gate"
 	"github.com/banyanspur/banyanspur/limit"
 	"github.com/banyanspur/banyanspur/plan"
-	"github.com/banyanspur/banyanspur/types"
 )
 
 // coldRate and coldBound limit cold targets in these tests to about 4 requests per second.
@@ -53,9 +55,6 @@
 			return list
 		}
 	}
-	// The other target is busy, by its own reports and by those of other hosts, so that the
-	// first one is preferred. The newer of the two counts.
-	busy := map[types.TargetID]fleet.Load{"t1": {InFlight: 4}}
 	for name, turnCold := range map[string]func(b *testbed, change func(func([]fleet.Target) []fleet.Target), spare string){
 		"list": func(_ *testbed, change func(func([]fleet.Target) []fleet.Target), _ string) {
 			change(cold(5*time.Second, ""))
@@ -64,38 +63,49 @@
 			change(cold(0, spare))
 		},
 		"host": func(b *testbed, _ func(func([]fleet.Target) []fleet.Target), _ string) {
-			b.fleet.setLoadsReply(fleet.LoadsReply{Loads: busy, Cold: fleet.ColdTargets{"t0": 5 * time.Second}})
+			b.fleet.setLoadsReply(fleet.LoadsReply{Cold: fleet.ColdTargets{"t0": 5 * time.Second}})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b, change := newColdTestbed(t)
 			var got, other atomic.Int32
 			b.addTarget("plain", countRequests(&got, respondOK))
-			b.addTarget("plain", countRequests(&other, func(w http.ResponseWriter, r *http.Request) {
-				w.Header().Set("Load", "4,0,6")
-				respondOK(w, r)
-			}))
+			b.addTarget("plain", countRequests(&other, respondOK))
 			b.addTarget("spare", countRequests(&got, respondOK))
-			b.fleet.setLoadsReply(fleet.LoadsReply{Loads: busy})
 			spare := b.fleet.View().Targets[2].Address
-			change(func(list []fleet.Target) []fleet.Target { return list[:2] })
-			send := func(n int) {
-				for range n {
-					if code, body := b.send(testRequest{path: "/charge/", key: "choir-key"}); code != http.StatusOK {
-						t.Fatalf("status %d: %s", code, body)
-					}
-				}
+			drainOther := func(draining bool) {
+				change(func(list []fleet.Target) []fleet.Target {
+					list[1].Draining = draining
+					return list[:2]
+				})
 			}
-			send(40)
-			if n := got.Load(); n < 8 {
-				t.Errorf("a warm target got %d of 40 requests", n)
+			drainOther(true)
+			// sendWhile runs eight callers, so that no target serves all, each until more
+			// returns false.
+			sendWhile := func(more func() bool) {
+				var g errgroup.Group
+				for range 8 {
+					g.Go(func() error {
+						for more() {
+							if code, body := b.send(testRequest{path: "/charge/", key: "choir-key"}); code != http.StatusOK {
+								return fmt.Errorf("status %d: %s", code, body)
+							}
+						}
+						return nil
+					})
+				}
+				if err := g.Wait(); err != nil {
+					t.Fatal(err)
+				}
 			}
+			sendWhile(func() bool { return got.Load() < 40 }) // A warm target gets all.
+			drainOther(false)
 			turnCold(b, change, spare)
 			got.Store(0)
 			start := time.Now()
-			for time.Since(start) < time.Second || got.Load() == 0 && time.Since(start) < 4*time.Second {
-				send(1)
-			}
+			sendWhile(func() bool {
+				return time.Since(start) < time.Second || got.Load() == 0 && time.Since(start) < 4*time.Second
+			})
 			took := time.Since(start).Seconds()
 			if n, allowed := float64(got.Load()), 2+coldRate*took+1; n > allowed || n < 1 {
 				t.Errorf("the cold target got %.0f requests in %.2f s and the other one %d, want 1 to %.1f", n, took, other.Load(), allowed)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -125,6 +125,7 @@
 		}
 		g.limits.init(g)
 		g.targets.clock, g.targets.observes, g.targets.observesOnReport = g.Clock, g.TargetPace && !g.PaceReportingOnly, g.TargetPace
+		g.cold.cold.ZoneReturned = func(zone types.ZoneID) (types.Mono, bool) { return g.Fleet.View().ReturnedAt(zone) }
 		g.targets.maxReportAge = g.PlacementCosts.MaxReportAge
 		g.initRelay()
 		g.backgroundCtx, g.cancelBackground = context.WithCancel(context.Background())
