--- a/gate/gate.go
+++ b/gate/gate.go
@@ -248,9 +248,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	requestsTotal.Inc()
-	rc := http.NewResponseController(w)
-	_ = rc.SetWriteDeadline(time.Time{}) // That of the response before on this connection has passed.
-	defer setWriteDeadline(rc)           // For the rest, which the server writes.
+	defer setWriteDeadline(http.NewResponseController(w)) // For what the server writes after the handler.
 	for _, f := range filters {
 		if resp := f(c); resp != nil {
 			c.writeError(resp)
--- a/gate/unread_test.go
+++ b/gate/unread_test.go
@@ -1,6 +1,7 @@
 package gate_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -16,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/gate"
@@ -255,3 +257,37 @@
 		t.Errorf("%d bytes, error %v", len(got), err)
 	}
 }
+
+// TestRefusalOnIdleConnection guards against a connection on which the server cannot write
+// after it has been idle, since the time for the response before has passed: a caller would
+// not learn why its next request is malformed.
+func TestRefusalOnIdleConnection(t *testing.T) {
+	t.Parallel() // It mostly waits.
+	b := newTestbed(t)
+	b.addTarget("plain", respondOK)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	var codes []int
+	for _, request := range []string{"GET /file/ HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer band-key\r\nId: first\r\n\r\n", "GET /file/ HTTP/1.1\r\nmalformed\r\n\r\n"} {
+		if len(codes) > 0 {
+			time.Sleep(10500 * time.Millisecond)
+		}
+		if _, err := io.WriteString(conn, request); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("after status %v: %v", codes, err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		codes = append(codes, resp.StatusCode)
+	}
+	if diff := cmp.Diff([]int{http.StatusOK, http.StatusBadRequest}, codes); diff != "" {
+		t.Errorf("status (-want +got):\n%s", diff)
+	}
+}
