platform: plans whose limits on headers hosts do not apply are refused

Raising the server's limits was not chosen: net/http has them per server and not per plan, so that hosts without such a plan would hold larger headers for longer, too.

--- a/host/entry.go
+++ b/host/entry.go
@@ -12,6 +12,7 @@
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/gate"
+	"github.com/banyanspur/banyanspur/plan"
 	"github.com/banyanspur/banyanspur/relay"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
@@ -26,8 +27,6 @@
 	// in flight are abandoned. The rest is for returning the host's shares of
 	// rate limits.
 	stopShare = 0.85
-	// gateHeaderTimeout bounds the time to read the header of a request.
-	gateHeaderTimeout = 10 * time.Second
 	// gateIdleTimeout is how long a caller's connection may be idle. It is
 	// longer than the idle limit of any plan, so that no caller sends a request
 	// on a connection that this host is closing.
@@ -59,7 +58,7 @@
 		defer stop() // Not earlier: the gate returns its shares of rate limits over the links.
 		return gate.Run(gateCtx)
 	})
-	server := &http.Server{Handler: gate, ReadHeaderTimeout: gateHeaderTimeout, IdleTimeout: gateIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{Handler: gate, ReadHeaderTimeout: plan.MaxHeaderTimeout, IdleTimeout: gateIdleTimeout, MaxHeaderBytes: plan.MaxHeaderBytes}
 	g.Go(func() error { return serve(server, listener) })
 	g.Go(func() error {
 		defer stopGate()
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -95,8 +95,18 @@
 	TokensPerEvent types.Tokens `json:"stride,omitempty"`
 }
 
+const (
+	// MaxHeaderBytes is the size up to which entry hosts accept the header of a request,
+	// whatever the plan says. A host holds the header of each connection that sends one.
+	MaxHeaderBytes = 64 << 10
+	// MaxHeaderTimeout is the time that entry hosts give callers to send a header.
+	MaxHeaderTimeout = 10 * time.Second
+)
+
 // Limits holds the limits on callers' requests that operators set. Only BodyBytes
-// is enforced; if it is 0, entry hosts use a default.
+// is enforced; if it is 0, entry hosts use a default. A plan whose HeaderBytes exceeds
+// MaxHeaderBytes, or whose HeaderTimeout exceeds MaxHeaderTimeout, is not valid, since
+// requests that it allows would be cut off.
 type Limits struct {
 	HeaderBytes   int64         `json:"headerBytes,omitempty"`
 	BodyBytes     int64         `json:"bodyBytes,omitempty"`
