poison, gate: a new leader is told the ends of targets without suspects

Hosts report their crashes to a new leader, but the ends of targets whose requests had completed were lost, and with them what shows that others ended for a common cause. TestEndsReachAnotherTable fails without the change.

--- a/gate/crash.go
+++ b/gate/crash.go
@@ -283,7 +283,8 @@
 }
 
 // reported records that the leader with the given table has received a report. A new
-// leader gets all crashes with the next report.
+// leader gets all crashes with the next report, and the ends of targets whose requests have
+// completed since, which show what ended at the same time.
 func (d *crashDetector) reported(r crashReport, tableID string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -292,7 +293,7 @@
 		delete(d.completed, f)
 	}
 	if tableID != d.reportedTo {
-		d.unreported, d.reportedTo = d.table.Crashes(), tableID
+		d.unreported, d.reportedTo = append(d.table.Crashes(), d.table.Ends()...), tableID
 	}
 }
 
--- a/poison/copies_test.go
+++ b/poison/copies_test.go
@@ -104,3 +104,18 @@
 		}
 	}
 }
+
+// TestEndsReachAnotherTable guards against blaming a request for a common cause after a change
+// of the leader: the new one would not know of targets whose other requests have completed.
+func TestEndsReachAnotherTable(t *testing.T) {
+	popular := []poison.Crash{crash("popular", "a", 0, 0, 50), crash("popular", "b", 0, 10, 52), crash("popular", "c", 0, 20, 55)}
+	var first, second poison.Table
+	verdicts(&first, 100, append(popular, crash("other", "c", 4, 0, 60))...)
+	first.Clear("other")
+	if diff := cmp.Diff([2]fingerprints{nil, nil}, fleetVerdicts(&second, 5000, append(first.Crashes(), first.Ends()...)...)); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	if n := len(second.Ends()); n != 0 {
+		t.Errorf("%d ends are reported twice", n)
+	}
+}
--- a/poison/doc.go
+++ b/poison/doc.go
@@ -3,8 +3,8 @@
 //
 // A target that ends takes all its requests in flight with it, so each of them is a
 // suspect at first. A [Table] tells the cause from the others by what a poison
-// request cannot do: it never completes, and the targets that it ends do so one
-// after the other, each while an attempt runs that was sent after the end of the
-// previous target. The loss of many targets of an availability zone at once counts
+// request cannot do: it never completes. Each attempt that the end of a target interrupts
+// counts. Attempts that ran at the same time count once if a target without the request
+// ended with theirs, and the loss of many targets of an availability zone at once counts
 // against no request.
 package poison
--- a/poison/table.go
+++ b/poison/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/banyanspur/banyanspur/types"
@@ -144,6 +145,33 @@
 	return all
 }
 
+// Ends returns the ends of targets that ran only requests that have completed since, as
+// crashes of a fingerprint that no request has. Another table needs them to tell which
+// targets ended at the same time.
+func (t *Table) Ends() []Crash {
+	var ends []Crash
+	for _, e := range t.ends {
+		c := Crash{
+			Fingerprint: types.Fingerprint("end of " + string(e.target)), Attempt: types.AttemptID(strconv.FormatInt(int64(e.at), 10)),
+			Target: e.target, Zone: e.zone, SentAt: e.at, EndedAt: e.at,
+		}
+		if !t.ranSuspect(e) {
+			ends = append(ends, c)
+		}
+	}
+	return ends
+}
+
+// ranSuspect reports whether a target ran a suspect when it ended.
+func (t *Table) ranSuspect(e targetEnd) bool {
+	for f := range t.suspects {
+		if t.ranOn(f, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // Verdicts returns the requests that are poisonous by the observations of a single host,
 // and those that are not but have ended at least WatchThreshold targets. Only crashes that
 // followed one another count, since other hosts may have seen targets end at the same time
