gate, fetch: a budget of bytes for unread responses

A handler that read from the target and wrote to the caller in turn stopped reading with its caller: the target held the response, and the host up to 256 KiB a call besides some megabytes in the kernel.

A host has one budget of bytes for responses that callers have not read, an eighth of its memory, divided by what is free among accounts and calls (docs/design/slow-readers.md). Streams and long bodies are read into it while a second goroutine writes to the caller. A response that waits for room for 2 s, or of which the caller takes 10 s for 16 KiB, is cut off, and its target is neither blamed nor suspected (event 420). Kernel buffers are bounded on both sides. A truncated response to an HTTP/1.0 caller resets the connection, as it looked complete.

Changes to tests: the plan of the gate's tests has the routes feed and file, and its server the ConnContext of the gate.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -45,6 +45,7 @@
 	QuarantineEnded      = Kind{410, logrus.InfoLevel, "quarantine of a request ended, a target completed it"}
 	QuarantineFailed     = Kind{411, logrus.WarnLevel, "quarantine of requests could not be changed, will be tried again"}
 	SuspectsChanged      = Kind{412, logrus.InfoLevel, "list of requests that ended targets changed"}
+	ResponseUnread       = Kind{420, logrus.InfoLevel, "response cut off, its caller does not read it"}
 	TargetFailed         = Kind{501, logrus.WarnLevel, "target failed during a call"}
 	CachedPrefixReleased = Kind{502, logrus.InfoLevel, "memory held for an ended program given back"}
 	ReleaseFailed        = Kind{503, logrus.WarnLevel, "target did not accept a release, will be sent again"}
@@ -75,7 +76,7 @@
 		TargetsChanged, LeaderReached, LeaderUnreachable, EntryDropped,
 		CallOutcomeUnknown, CallQuarantined, SessionExpired, CallCloseFailed,
 		RequestRefused, RequestSent, RequestEnded, TurnDurable, BudgetDecided,
-		QuarantineEnded, QuarantineFailed, SuspectsChanged,
+		QuarantineEnded, QuarantineFailed, SuspectsChanged, ResponseUnread,
 		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull, PathCut, PathHealed, ConnectionRelayed, RelaysChanged,
 		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable,
 		LinkLost, PeerRefused,
--- a/fetch/pool.go
+++ b/fetch/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -33,6 +34,11 @@
 	idleMargin = 700 * time.Millisecond
 	// maxIdle limits the idle connections to one target.
 	maxIdle = 16
+	// receiveBufferBytes is how much of a response the kernel keeps until it is read. The
+	// kernel's own bound is some megabytes, which would count toward the memory of the host
+	// for each response whose caller reads slowly. At a round trip of 40 ms, this allows
+	// 1.6 MB per second.
+	receiveBufferBytes = 64 << 10
 	// silenceTimeout is how long sent data or keepalive probes may remain
 	// unacknowledged before the connection breaks. A sound target may be silent for a
 	// second or so.
@@ -83,7 +89,7 @@
 // the peer has been silent for silenceTimeout.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
-		Timeout: DefaultDialTimeout, Control: setAckTimeout,
+		Timeout: DefaultDialTimeout, Control: setSocketOptions,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 	}
 	return dialer.DialContext(ctx, "tcp4", address)
@@ -119,15 +125,15 @@
 	}
 }
 
-func setAckTimeout(_, _ string, raw syscall.RawConn) error {
-	var sockErr error
+// setSocketOptions makes the connection break if sent data is not acknowledged within
+// silenceTimeout, and bounds what the kernel keeps of a response that is not read.
+func setSocketOptions(_, _ string, raw syscall.RawConn) error {
+	var ackErr, bufferErr error
 	err := raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
+		ackErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
+		bufferErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
 	})
-	if err != nil {
-		return err
-	}
-	return sockErr
+	return errors.CombineErrors(err, errors.CombineErrors(ackErr, bufferErr))
 }
 
 // HasIdle reports whether there is an idle connection to address that is not too old to be
--- a/gate/call.go
+++ b/gate/call.go
@@ -39,6 +39,9 @@
 	status       int       // status code of the response
 	truncated    bool      // the response was cut off or never written
 	target       types.TargetID
+	// endAttempt closes the response of the target, which then has no request of this call
+	// in flight. It is set while a target has one, and may be called more than once.
+	endAttempt func()
 
 	cachedFingerprint types.Fingerprint // set by the first call of fingerprint
 
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -6,6 +6,7 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -134,7 +135,8 @@
 	defer cancel()
 	sentAt := c.gate.Clock()
 	c.gate.targets.requestStarted(t.ID)
-	defer c.gate.targets.requestEnded(t.ID)
+	c.endAttempt = sync.OnceFunc(func() { c.gate.targets.requestEnded(t.ID) })
+	defer func() { c.endAttempt() }()
 	resp, err := c.gate.pool.Do(ctx, t.Address, &fetch.Request{
 		Method: c.r.Method, RequestTarget: c.requestURI(), Host: c.r.Host, Header: c.targetHeader(t, remaining), Body: c.buildPrompt(),
 		ID: c.id, IDHeader: c.gate.HeaderNames.RequestID, MaxBodyBytes: maxResponseBytes,
@@ -155,7 +157,10 @@
 		}
 		return c.classifyError(t, err)
 	}
-	defer resp.Close()
+	c.endAttempt = sync.OnceFunc(func() {
+		resp.Close()
+		c.gate.targets.requestEnded(t.ID)
+	})
 	if c.echoed(resp) {
 		c.recordNotice(t, resp.Header, sentAt)
 	}
--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -174,6 +174,8 @@
 			{Name: "charge", Host: "a.example", Prefix: "/charge/", Kind: plan.NonIdempotent, Timeout: 5 * time.Second, Attempts: 3, Backends: []plan.Backend{{Service: "plain", Weight: 1}}},
 			{Name: "brief", Host: "a.example", Prefix: "/brief/", Kind: plan.NonIdempotent, Timeout: 150 * time.Millisecond, Backends: []plan.Backend{{Service: "plain", Weight: 1}}},
 			{Name: "open", Host: "a.example", Prefix: "/open/", Kind: plan.Idempotent, Timeout: 5 * time.Second, Anonymous: true, Backends: []plan.Backend{{Service: "plain", Weight: 1}}},
+			{Name: "feed", Host: "a.example", Prefix: "/feed/", Kind: plan.Streaming, Timeout: 30 * time.Second, Backends: []plan.Backend{{Service: "plain", Weight: 1}}},
+			{Name: "file", Host: "a.example", Prefix: "/file/", Kind: plan.Idempotent, Timeout: 30 * time.Second, Attempts: 1, Backends: []plan.Backend{{Service: "plain", Weight: 1}}},
 			{Name: "chat", Host: "a.example", Prefix: "/chat/", Kind: plan.Streaming, Timeout: 5 * time.Second, Stateful: true, TurnRetention: time.Minute, Backends: []plan.Backend{{Service: "models", Weight: 1}}},
 		},
 		Services: []plan.Service{{Name: "plain"}, {Name: "models", Engine: &plan.Engine{Slots: 4, TokensPerEvent: 10}}},
@@ -193,11 +195,14 @@
 	b.startStore(ctx, g)
 	gt := &gate.Gate{
 		Host: "entry-1", Zone: "zone-a", HeaderNames: headerNames, Fleet: b.fleet, Clock: b.fleet.clock, MaxPlanStaleness: time.Minute,
-		Turns: &turns.Client{Peers: peers, Map: func() *turns.Map { return b.fleet.View().Map }},
+		Backlog: gate.NewBacklog(gate.BacklogBytes(112)),
+		Turns:   &turns.Client{Peers: peers, Map: func() *turns.Map { return b.fleet.View().Map }},
 	}
 	b.gate = gt
 	g.Go(func() error { return gt.Run(ctx) })
-	server := httptest.NewServer(gt)
+	server := httptest.NewUnstartedServer(gt)
+	server.Config.ConnContext = gate.ConnContext
+	server.Start()
 	b.url = server.URL
 	t.Cleanup(func() {
 		server.CloseClientConnections()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -67,6 +67,9 @@
 	// PlacementCosts are the cost parameters of target selection. The default is
 	// [route.DefaultPlacementCosts].
 	PlacementCosts route.PlacementCosts
+	// Backlog holds the responses that callers have not read yet. The default has the size
+	// for a host whose memory is not known.
+	Backlog *Backlog
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
@@ -107,6 +110,9 @@
 		if g.PlacementCosts == (route.PlacementCosts{}) {
 			g.PlacementCosts = route.DefaultPlacementCosts
 		}
+		if g.Backlog == nil {
+			g.Backlog = NewBacklog(BacklogBytes(0))
+		}
 		g.limits.init(g)
 		g.targets.clock = g.Clock
 		g.initRelay()
@@ -225,6 +231,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	requestsTotal.Inc()
+	defer setWriteDeadline(http.NewResponseController(w)) // For what the server writes after the handler.
 	for _, f := range filters {
 		if resp := f(c); resp != nil {
 			c.writeError(resp)
@@ -234,6 +241,7 @@
 	requestSeconds.UpdateDuration(c.start)
 	c.finish()
 	if c.truncated {
+		abortResponse(r)
 		panic(http.ErrAbortHandler) // A truncated response must not look complete.
 	}
 }
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,15 +40,16 @@
 		tokensPerEvent = service.Engine.TokensPerEvent
 	}
 	s := &streamForwarder{
-		call: c, events: bufio.NewReaderSize(resp.Body, eventBufferSize), tokensPerEvent: tokensPerEvent, maxEvents: maxEvents(c.turn.budget.MaxTokens, tokensPerEvent),
+		call: c, unread: c.newUnread(true), events: bufio.NewReaderSize(resp.Body, eventBufferSize), tokensPerEvent: tokensPerEvent, maxEvents: maxEvents(c.turn.budget.MaxTokens, tokensPerEvent),
 	}
 	err := s.run(t, resp)
+	c.endAttempt()
 	c.turn.delivered += types.Tokens(s.eventCount) * tokensPerEvent
 	if !s.headSent && err != nil {
 		return c.classifyError(t, err)
 	}
 	c.runs++
-	if err != nil && c.interruptedByTarget() {
+	if err != nil && !callerAtFault(err) && c.interruptedByTarget() {
 		c.recordInterrupted(t)
 	}
 	if err == nil {
@@ -60,6 +60,7 @@
 		c.truncated = true
 		c.recordTruncation(t, err, s.eventCount)
 	}
+	c.finishResponse(s.unread, err)
 	return outcomeForwarded
 }
 
@@ -76,7 +77,7 @@
 // events. It counts against the target unless the deadline passed or the caller
 // disconnected.
 func (c *call) recordTruncation(t fleet.Target, err error, events int) {
-	if c.r.Context().Err() == nil && c.remaining() > 0 {
+	if c.r.Context().Err() == nil && c.remaining() > 0 && !callerAtFault(err) {
 		c.gate.targets.recordFailure(t.ID)
 	}
 	c.logTargetFailed(t, event.Fields{"sent": true, "events": events, "error": err.Error(), "callerGone": c.r.Context().Err() != nil})
@@ -85,6 +86,7 @@
 // streamForwarder forwards the event stream of a target to the caller.
 type streamForwarder struct {
 	call           *call
+	unread         *unreadResponse
 	events         *bufio.Reader // body of the target's response
 	tokensPerEvent types.Tokens
 	maxEvents      int          // 0 means no limit
@@ -123,15 +125,11 @@
 			s.call.gate.targets.recordPrefill(t.ID, parsePromptParts(s.call.r.Header.Get(s.call.gate.HeaderNames.PromptParts)))
 		}
 		s.sendHead(resp)
-		if _, err := s.call.w.Write(raw); err != nil {
-			return err
-		}
 		s.eventCount++
 		s.appendData(raw)
-		if err := http.NewResponseController(s.call.w).Flush(); err != nil {
+		if err := s.unread.add(s.call.r.Context(), piece{b: raw, receivedAt: receivedAt}); err != nil {
 			return err
 		}
-		eventForwardSeconds.UpdateDuration(receivedAt)
 	}
 }
 
--- a/host/entry.go
+++ b/host/entry.go
@@ -36,34 +36,35 @@
 // startEntry runs an entry host in g. Once ctx or serveCtx ends, it drains the
 // host and then calls stop.
 func (n *Node) startEntry(ctx, serveCtx context.Context, g *errgroup.Group, stop func()) error {
-	gate := &gate.Gate{
+	gt := &gate.Gate{
 		Host: n.Settings.Host, Zone: n.Settings.Zone, HeaderNames: n.HeaderNames, Fleet: n.client, Clock: n.clock, MaxPlanStaleness: n.Settings.MaxKeyStaleness(), Log: n.Log,
 		DialTarget: n.DialTarget, RelayAddress: n.Settings.PeerAddress(), Secret: n.secret,
-		Turns: &turns.Client{Peers: n.peers, Zone: n.Settings.Zone, Map: func() *turns.Map { return n.client.View().Map }},
+		Backlog: gate.NewBacklog(gate.BacklogBytes(n.Settings.MemoryMB)),
+		Turns:   &turns.Client{Peers: n.peers, Zone: n.Settings.Zone, Map: func() *turns.Map { return n.client.View().Map }},
 	}
-	n.client.OnChange = func(v fleet.View) { gate.TargetsChanged(v.Targets) }
+	n.client.OnChange = func(v fleet.View) { gt.TargetsChanged(v.Targets) }
 	listener, err := listen(ctx, n.Settings.CallerListen)
 	if err != nil {
 		return err
 	}
-	if err := n.startPeerServer(serveCtx, g, map[string]http.Handler{relay.Path: gate.RelayHandler()}); err != nil {
+	if err := n.startPeerServer(serveCtx, g, map[string]http.Handler{relay.Path: gt.RelayHandler()}); err != nil {
 		return err
 	}
-	if err := n.startReadinessServer(serveCtx, g, gate); err != nil {
+	if err := n.startReadinessServer(serveCtx, g, gt); err != nil {
 		return err
 	}
 	g.Go(func() error { return n.client.Run(serveCtx) })
 	gateCtx, stopGate := context.WithCancel(serveCtx)
 	g.Go(func() error {
 		defer stop() // Not earlier: the gate returns its shares of rate limits over the links.
-		return gate.Run(gateCtx)
+		return gt.Run(gateCtx)
 	})
-	server := &http.Server{Handler: gate, ReadHeaderTimeout: plan.MaxHeaderTimeout, IdleTimeout: gateIdleTimeout, MaxHeaderBytes: plan.MaxHeaderBytes}
+	server := &http.Server{Handler: gt, ConnContext: gate.ConnContext, ReadHeaderTimeout: plan.MaxHeaderTimeout, IdleTimeout: gateIdleTimeout, MaxHeaderBytes: plan.MaxHeaderBytes}
 	g.Go(func() error { return serve(server, listener) })
 	g.Go(func() error {
 		defer stopGate()
 		waitEither(ctx, serveCtx)
-		return n.drainGate(serveCtx, gate, server)
+		return n.drainGate(serveCtx, gt, server)
 	})
 	return nil
 }
