gate, deploy: pace waits for reported slowness on hosts, too

With paceReportingOnly, hosts limited a target that had appeared to the lowest rate for 0.6 s although the leader limits none without reports: every deployment with a release would have been served differently.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -124,7 +124,8 @@
 			g.Backlog = NewBacklog(BacklogBytes(0))
 		}
 		g.limits.init(g)
-		g.targets.clock, g.targets.observes, g.targets.observesOnReport = g.Clock, g.TargetPace && !g.PaceReportingOnly, g.TargetPace
+		g.targets.clock, g.targets.observesOnReport = g.Clock, g.TargetPace
+		g.targets.observes.Store(g.TargetPace && !g.PaceReportingOnly)
 		g.cold.cold.ZoneReturned = func(zone types.ZoneID) (types.Mono, bool) { return g.Fleet.View().ReturnedAt(zone) }
 		g.targets.maxReportAge = g.PlacementCosts.MaxReportAge
 		g.initRelay()
--- a/gate/load_report.go
+++ b/gate/load_report.go
@@ -53,7 +53,9 @@
 	}
 	if r.Slowness > 0 {
 		s.slowness, s.slownessAt = r.Slowness, t.clock()
-		t.observes = t.observes || t.observesOnReport
+		if t.observesOnReport {
+			t.observes.Store(true)
+		}
 	}
 	firstInvalid = invalid && !s.sentInvalidReport
 	s.sentInvalidReport = s.sentInvalidReport || invalid
--- a/gate/loads.go
+++ b/gate/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/banyanspur/banyanspur/fleet"
@@ -22,7 +23,7 @@
 	states map[types.TargetID]*targetState
 	reach  route.Reachability
 	// observes is set if load reports contain what this host has observed of targets.
-	observes bool
+	observes atomic.Bool
 	// observesOnReport sets observes once a target has reported its slowness.
 	observesOnReport bool
 }
--- a/gate/pace.go
+++ b/gate/pace.go
@@ -62,7 +62,7 @@
 // Without a limit until then, all would send to the new target, which is idle.
 func (g *Gate) allowedPace(id types.TargetID, now types.Mono) (ramp.Allowed, bool) {
 	a, limited := g.pace.allowed(id, now)
-	if limited || !g.TargetPace {
+	if limited || !g.targets.observes.Load() {
 		return a, limited
 	}
 	g.cold.mu.Lock()
@@ -138,7 +138,7 @@
 // settings call for it, and begins anew. If the report is lost, so is the evidence. The
 // caller must hold mu.
 func (t *targetTracker) takeObserved(s *targetState, l *fleet.Load) {
-	if t.observes {
+	if t.observes.Load() {
 		l.Responses, l.Failures, l.Refusals = s.observed.Responses, s.observed.Failures, s.observed.Refusals
 	}
 	s.observed = ramp.Report{}
