--- a/gate/loads.go
+++ b/gate/loads.go
@@ -71,12 +71,12 @@
 }
 
 // routeOption returns the routing inputs of a target for a prompt with the given
-// parts, and the target's time for a unit of work in seconds, 0 if unknown.
-func (t *targetTracker) routeOption(target fleet.Target, parts []promptPart, zone types.ZoneID) (o route.Option, unitSeconds float64) {
+// parts, and the target's time for a unit of work in seconds, 0 if unknown. now and mono
+// are the current time.
+func (t *targetTracker) routeOption(target fleet.Target, parts []promptPart, zone types.ZoneID, now time.Time, mono types.Mono) (o route.Option, unitSeconds float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.getOrCreate(target.ID)
-	now, mono := time.Now(), t.clock()
 	o = route.Option{
 		ID: target.ID, SameZone: target.Zone == zone, InFlight: s.inFlight, Running: s.running, Waiting: s.waiting, ReportAge: now.Sub(s.reportedAt),
 		InFlightAtReport: s.inFlightAtReport, Slots: s.slots, Cached: s.cachedTokens(parts), Pace: 1,
--- a/gate/pick.go
+++ b/gate/pick.go
@@ -55,13 +55,13 @@
 	options := make([]route.Option, 0, len(candidates))
 	unitSeconds := make([]float64, 0, len(candidates))
 	limited := false // a target that could run the request is at the limit that it names
-	now := c.gate.Clock()
+	now, wall := c.gate.Clock(), time.Now()
 	for _, t := range candidates {
 		if c.gate.targetLimits.fullFor(t.ID, c.lowPrecedence(service, t.ID), now) > 0 {
 			limited = true
 			continue
 		}
-		o, unit := c.gate.targets.routeOption(t, parts, c.gate.Zone)
+		o, unit := c.gate.targets.routeOption(t, parts, c.gate.Zone, wall, now)
 		if t.ID == c.turn.lastTarget && work.Prompt > 0 {
 			o.Cached = work.Prompt // Includes the new input, which every target has to prefill.
 		}
