--- a/gate/gate.go
+++ b/gate/gate.go
@@ -73,8 +73,9 @@
 	// TargetPace makes load reports contain what the leader needs to limit the targets that
 	// start or recover.
 	TargetPace bool
-	// PaceReportingOnly makes TargetPace wait until a target has reported its slowness.
-	PaceReportingOnly bool
+	// PaceSelective makes TargetPace wait until a target has reported its slowness, or the
+	// plan bounds the requests that cold targets get.
+	PaceSelective bool
 	// Backlog holds the responses that callers have not read yet. The default has the size
 	// for a host whose memory is not known.
 	Backlog *Backlog
@@ -125,7 +126,7 @@
 		}
 		g.limits.init(g)
 		g.targets.clock, g.targets.observesOnReport = g.Clock, g.TargetPace
-		g.targets.observes.Store(g.TargetPace && !g.PaceReportingOnly)
+		g.targets.observes.Store(g.TargetPace && !g.PaceSelective)
 		g.cold.cold.ZoneReturned = func(zone types.ZoneID) (types.Mono, bool) { return g.Fleet.View().ReturnedAt(zone) }
 		g.targets.maxReportAge = g.PlacementCosts.MaxReportAge
 		g.initRelay()
@@ -168,6 +169,7 @@
 	interval := firstExchangeInterval
 	for types.Sleep(ctx, interval) {
 		exchangeCtx, cancel := context.WithTimeout(ctx, loadExchangeTimeout)
+		g.observeColdServices()
 		req := fleet.LoadsRequest{Host: g.Host, Loads: g.targets.localLoads(), CachedParts: g.targets.takeUnreportedParts(), Since: cursor}
 		req.Zone, req.Relay, req.RelaysChecksum = g.Zone, g.offerRelay(), g.relaysSum
 		g.updateDraining()
--- a/gate/pace.go
+++ b/gate/pace.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -70,6 +71,18 @@
 	return ramp.Allowed{Rate: ramp.StartRate}, g.cold.cold.Appeared(id, paceHearTime, now)
 }
 
+// observeColdServices makes load reports contain what the leader needs to limit targets if
+// the plan bounds the requests that cold targets of a service get.
+func (g *Gate) observeColdServices() {
+	table := g.Fleet.View().Plan
+	if !g.TargetPace || table == nil || g.targets.observes.Load() {
+		return
+	}
+	if slices.ContainsFunc(table.Plan.Services, func(s plan.Service) bool { return s.ColdRate > 0 }) {
+		g.targets.observes.Store(true)
+	}
+}
+
 // failing reports whether requests should avoid a target that is failing according to this
 // host. Of a target that is limited by its pace, the leader knows what all hosts have
 // observed, so that the host's own backoff does not count, only that it cannot connect.
--- a/gate/pace_reporting_test.go
+++ b/gate/pace_reporting_test.go
@@ -13,11 +13,11 @@
 
 // TestPaceWaitsForReportedSlowness guards against a limit on a target that has appeared in a
 // deployment whose targets do not report their slowness, where the leader is not told how it
-// answers: with PaceReportingOnly, such a target gets its full share at once.
+// answers: with PaceSelective, such a target gets its full share at once.
 func TestPaceWaitsForReportedSlowness(t *testing.T) {
 	for report, limited := range map[string]bool{"1,0,6": false, "1,0,6,100": true} {
 		t.Run(report, func(t *testing.T) {
-			b := newTestbedWith(t, func(g *gate.Gate) { g.TargetPace, g.PaceReportingOnly = true, true })
+			b := newTestbedWith(t, func(g *gate.Gate) { g.TargetPace, g.PaceSelective = true, true })
 			respond := func(w http.ResponseWriter, r *http.Request) {
 				w.Header().Set("Load", report)
 				respondOK(w, r)
--- a/host/entry.go
+++ b/host/entry.go
@@ -39,7 +39,7 @@
 	gt := &gate.Gate{
 		Host: n.Settings.Host, Zone: n.Settings.Zone, HeaderNames: n.HeaderNames, Fleet: n.client, Clock: n.clock, MaxPlanStaleness: n.Settings.MaxKeyStaleness(), Log: n.Log,
 		DialTarget: n.DialTarget, RelayAddress: n.Settings.PeerAddress(), Secret: n.secret,
-		ColdBound: n.coldBound(), TargetPace: n.Settings.TargetPace, PaceReportingOnly: n.Settings.PaceReportingOnly,
+		ColdBound: n.coldBound(), TargetPace: n.Settings.TargetPace, PaceSelective: n.Settings.PaceSelective,
 		Backlog: gate.NewBacklog(gate.BacklogBytes(n.Settings.MemoryMB)),
 		Turns:   &turns.Client{Peers: n.peers, Zone: n.Settings.Zone, Map: func() *turns.Map { return n.client.View().Map }},
 	}
