--- a/gate/pace.go
+++ b/gate/pace.go
@@ -114,7 +114,7 @@
 		if !limited || !a.Probe || c.gate.targetLimits.fullFor(t.ID, c.lowPrecedence(service, t.ID), now) > 0 || c.gate.targets.unreachable(t.ID) {
 			continue
 		}
-		option, _ := c.gate.targets.routeOption(t, nil, c.gate.Zone)
+		option, _ := c.gate.targets.routeOption(t, nil, c.gate.Zone, time.Now(), now)
 		return targetChoice{Target: t, option: option, candidates: 1}, true
 	}
 	return targetChoice{}, false
