--- a/fetch/pool.go
+++ b/fetch/pool.go
@@ -37,8 +37,8 @@
 	// receiveBufferBytes is how much of a response the kernel keeps until it is read. The
 	// kernel's own bound is some megabytes, which would count toward the memory of the host
 	// for each response whose caller reads slowly. At a round trip of 40 ms, this allows
-	// 1.6 MB per second.
-	receiveBufferBytes = 64 << 10
+	// 6.4 MB per second.
+	receiveBufferBytes = 256 << 10
 	// silenceTimeout is how long sent data or keepalive probes may remain
 	// unacknowledged before the connection breaks. A sound target may be silent for a
 	// second or so.
