plan: hosts accept headers of 256 KiB that arrive within 30 s

Plans that were acknowledged before would be refused now, and the platform does not count them as invalid. Hosts apply four and three times as much, so that only a plan beyond that is.

--- a/plan/plan.go
+++ b/plan/plan.go
@@ -102,9 +102,9 @@
 const (
 	// MaxHeaderBytes is the size up to which entry hosts accept the header of a request,
 	// whatever the plan says. A host holds the header of each connection that sends one.
-	MaxHeaderBytes = 64 << 10
+	MaxHeaderBytes = 256 << 10
 	// MaxHeaderTimeout is the time that entry hosts give callers to send a header.
-	MaxHeaderTimeout = 10 * time.Second
+	MaxHeaderTimeout = 30 * time.Second
 )
 
 // Limits holds the limits on callers' requests that operators set. Only BodyBytes
