--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -67,8 +67,8 @@
 	TargetUnreachable    = Kind{514, logrus.WarnLevel, "target accepts no connections"}
 	TargetReachable      = Kind{515, logrus.InfoLevel, "target accepts connections again"}
 	TargetCold           = Kind{516, logrus.InfoLevel, "target is cold"}
-	LoadReportIgnored    = Kind{521, logrus.WarnLevel, "load report of a target has figures that are ignored"}
 	TargetPaced          = Kind{517, logrus.InfoLevel, "limit of a target that starts or recovers has changed"}
+	LoadReportIgnored    = Kind{521, logrus.WarnLevel, "load report of a target has figures that are ignored"}
 	LinkLost             = Kind{601, logrus.InfoLevel, "link to another host lost"}
 	PeerRefused          = Kind{602, logrus.WarnLevel, "link refused, wrong cluster secret"}
 )
@@ -86,7 +86,7 @@
 		RequestRefused, RequestSent, RequestEnded, TurnDurable, BudgetDecided,
 		QuarantineEnded, QuarantineFailed, SuspectsChanged, ResponseUnread,
 		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull, PathCut, PathHealed, ConnectionRelayed, RelaysChanged,
-		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable, TargetCold, LoadReportIgnored, TargetPaced,
+		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable, TargetCold, TargetPaced, LoadReportIgnored,
 		LinkLost, PeerRefused,
 	}
 }
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -103,6 +103,9 @@
 	// pace limits the targets that start or recover, and paced lists those that it knows.
 	// down are those that accepted no connections of several hosts.
 	pace ramp.Pace
+	// coldReply are the targets that were cold at coldReplyAt. It is replaced, not changed.
+	coldReply   ColdTargets
+	coldReplyAt types.Mono
 	// observed is set once a host has reported what it has observed of a target. A target
 	// of which nothing is reported would stay limited.
 	observed bool
@@ -161,6 +164,7 @@
 	c.targetIssuers = map[types.TargetID]*targetIssuer{}
 	c.cold, c.services = ramp.Cold{ZoneReturned: c.zoneReturned}, nil
 	c.pace, c.observed, c.paced, c.down = ramp.Pace{}, false, nil, map[types.TargetID]bool{}
+	c.coldReply, c.coldReplyAt = nil, 0
 	c.planTable = nil
 	c.reportedHosts = map[types.HostID]bool{}
 	c.lastRegistration = leaderSince
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -55,6 +55,7 @@
 		return nil
 	}
 	if now.Sub(c.leaderSince) < adoptTime {
+		c.observed = c.observed || len(req.Paces) > 0
 		for id, a := range req.Paces {
 			if _, limited := c.pace.Allowed(id); !limited && c.services[id] != "" {
 				c.pace.Adopt(id, a, now)
@@ -66,6 +67,9 @@
 		c.observed = c.observed || l.Responses+l.Failures+l.Refusals > 0
 		c.pace.Observe(id, req.Host, ramp.Report{Responses: l.Responses, Failures: l.Failures, Refusals: l.Refusals, UnitSeconds: l.UnitSeconds}, now)
 	}
+	if !c.observed {
+		return nil // The rest takes time for each target.
+	}
 	c.startReachable(now)
 	for _, id := range c.pace.Step(c.paced, now) {
 		c.logPace(id, "loads")
--- a/fleet/ramp.go
+++ b/fleet/ramp.go
@@ -75,18 +75,25 @@
 // that are cold. It must be called within asLeader.
 func (c *Control) exchangeCold(found ColdTargets, now types.Mono) ColdTargets {
 	c.recordCold(found, now)
-	var cold ColdTargets
+	if len(found) == 0 && now.Sub(c.coldReplyAt) < coldReplyInterval {
+		return c.coldReply
+	}
+	c.coldReply, c.coldReplyAt = nil, now
 	for id := range c.services {
 		if left, _, limited := c.coldLimit(id, now); limited {
-			if cold == nil {
-				cold = ColdTargets{}
+			if c.coldReply == nil {
+				c.coldReply = ColdTargets{}
 			}
-			cold[id] = left
+			c.coldReply[id] = left
 		}
 	}
-	return cold
+	return c.coldReply
 }
 
+// coldReplyInterval is how long the cold targets are not determined again, which takes time
+// for each target, while hosts report. They stay cold for seconds.
+const coldReplyInterval = 50 * time.Millisecond
+
 // recordCold records for how long a host takes targets to be cold. It must be called within
 // asLeader.
 func (c *Control) recordCold(cold ColdTargets, now types.Mono) {
