--- a/route/place.go
+++ b/route/place.go
@@ -165,7 +165,7 @@
 	return queueTime(&o, &w, p.estimatedLoad(&o), p.timeFactor(&o))
 }
 
-// queueTime is [PlacementCosts.QueueTime] with the given estimates of the load and of the
+// queueTime returns [PlacementCosts.QueueTime] with the given estimates of the load and of the
 // time that work takes.
 func queueTime(o *Option, w *Work, load, timeFactor float64) time.Duration {
 	excess := load + 1 - float64(o.Slots)
