host: a control host that stops answers the orders in flight

Operators whose order was in flight saw the connection end without a response when the control host was stopped. The server of the operators' interface was closed at the moment of SIGTERM, together with everything else.

--- a/host/node.go
+++ b/host/node.go
@@ -7,6 +7,7 @@
 	"os"
 	"runtime/debug"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -190,14 +191,14 @@
 		return err
 	}
 	g.Go(func() error { return n.client.Run(serveCtx) })
-	if n.OperatorHandler != nil && n.Settings.OperatorListen != "" {
-		if err := n.serve(serveCtx, g, n.Settings.OperatorListen, n.OperatorHandler(n.client)); err != nil {
-			return err
-		}
+	var drained sync.WaitGroup
+	drained.Add(2)
+	if err := n.startOperatorServer(ctx, serveCtx, g, drained.Done); err != nil {
+		return err
 	}
 	controlCtx, stopControl := context.WithCancel(serveCtx)
 	g.Go(func() error {
-		defer stop() // Not earlier: the replica transfers its leadership over the links.
+		defer drained.Done()
 		return control.Run(controlCtx)
 	})
 	g.Go(func() error {
@@ -205,5 +206,12 @@
 		waitEither(ctx, serveCtx)
 		return nil
 	})
+	g.Go(func() error {
+		// Not earlier: the replica transfers its leadership over the links, and operators'
+		// requests in flight go to the next leader over them.
+		defer stop()
+		drained.Wait()
+		return nil
+	})
 	return nil
 }
