fleet: orders get a response after 3 s without a leader

An operator whose order reached a control host without a leader, or one that was cut off, waited for as long as it kept the connection: the order was sent again and again until the connection ended. Changes then stay unanswered although all processes run.

All attempts of one request are now bounded by 3 s, after which the operator is told that the outcome is unknown and can use another control host.

--- a/fleet/client.go
+++ b/fleet/client.go
@@ -75,6 +75,10 @@
 	callTimeout = 600 * time.Millisecond
 	// retryDelay is the pause between attempts while there is no leader.
 	retryDelay = 40 * time.Millisecond
+	// retryTimeout bounds all attempts of one request. An operator who is then told that the
+	// outcome is unknown can send the order to another control host; one who gets no response
+	// cannot tell whether to wait.
+	retryTimeout = 3 * time.Second
 )
 
 // View returns the current view. It is empty until the first sync.
@@ -289,8 +293,11 @@
 }
 
 // callWithRetry sends a request until the leader replies, a host returns an
-// error that is not retryable, or ctx ends. The request must be idempotent.
+// error that is not retryable, retryTimeout has passed or ctx ends. The request must be
+// idempotent.
 func callWithRetry[Req, Resp any](ctx context.Context, c *Client, kind wire.Kind, req Req) (Resp, error) {
+	ctx, cancelAll := context.WithTimeout(ctx, retryTimeout)
+	defer cancelAll()
 	ran := types.NotRun
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
--- a/host/operator_test.go
+++ b/host/operator_test.go
@@ -69,6 +69,17 @@
 	return 0, lastErr
 }
 
+// TestOperatorsGetResponsesWithoutLeader guards against orders that stay unanswered for as
+// long as the operator waits, because the control hosts have no leader.
+func TestOperatorsGetResponsesWithoutLeader(t *testing.T) {
+	address, _ := startLoneControl(t)
+	start := time.Now()
+	status, err := orderRetire(t, address)
+	if took := time.Since(start); err != nil || status != http.StatusServiceUnavailable || took > operatorBound {
+		t.Errorf("status %d, error %v after %v; want 503 within %v", status, err, took, operatorBound)
+	}
+}
+
 // TestStoppedControlHostAnswersOperators guards against connections of operators that a
 // planned stop of a control host cuts without a response.
 func TestStoppedControlHostAnswersOperators(t *testing.T) {
