cmd: a process ends although nobody reads its log

A process whose log pipe is full and not read did not end: it stopped its host and then waited for the last lines to be written. It looks alive, serves nothing and is not restarted; a control host whose replica has failed is one of them.

The wait is bounded by 0.5 s.

--- a/cmd/banyanspur/join.go
+++ b/cmd/banyanspur/join.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -22,6 +23,9 @@
 	} `positional-args:"true" required:"true"`
 }
 
+// logTimeout bounds how long a process that ends waits until its last log lines are read.
+const logTimeout = 500 * time.Millisecond
+
 // Execute runs one host until SIGTERM or SIGINT.
 func (c *joinCommand) Execute([]string) error {
 	b, err := os.ReadFile(c.Settings)
@@ -38,10 +42,17 @@
 	logWriter := event.NewBoundedWriter(os.Stdout)
 	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
 	var logGroup errgroup.Group
-	logGroup.Go(func() error { return logWriter.Run(logCtx) })
+	logWritten := make(chan struct{})
+	logGroup.Go(func() error {
+		defer close(logWritten)
+		return logWriter.Run(logCtx)
+	})
 	defer func() {
 		stopLog()
-		_ = logGroup.Wait() // Run always returns nil.
+		select {
+		case <-logWritten:
+		case <-time.After(logTimeout): // The rest is lost: nobody reads the log.
+		}
 	}()
 	log := event.New(logWriter)
 	n := &host.Node{
