host: a control host that has failed does not wait for orders in flight

A process whose replica has failed is restarted once it has ended, and the group lacks a voter until then. Waiting for operators would add up to a quarter of the grace period; their orders are answered at once that the outcome is unknown.

--- a/host/operator.go
+++ b/host/operator.go
@@ -45,6 +45,9 @@
 	g.Go(func() error {
 		defer stopped()
 		waitEither(ctx, serveCtx)
+		if ctx.Err() == nil {
+			cancelRequests() // The process fails. It is restarted once it has ended, so it must not wait.
+		}
 		n.drainOperators(server, cancelRequests)
 		return nil
 	})
