gate, host: answer or refuse every request that a stopping host has read

A host that stopped served each request whose header it had read in the first 0.35 of the grace period, even if the body came much later, and ended at 0.85 with whatever was in flight: callers saw a closed connection, also for requests that must not be sent again. A request that arrived on an unused connection after 0.35 was read and its connection closed without a response.

Cause: the decision to accept was taken at the header, the end was that of the process, and http.Server.Shutdown answers nothing that it reads after its start.

The gate now has a schedule. After acceptShare it sends a request to a target only if its deadline passes before answerShare, decided at each send and after the body; others get 503 with Retry-After. At answerShare all attempts, waits and reads of bodies end, and callers get 503 or 502, or a stream without its end; targets are not blamed for it.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -18,7 +18,7 @@
 var errAttemptTimeout = errors.New("gate: target did not respond within the attempt timeout")
 
 // attemptContext returns the context of one attempt, which ends at the latest
-// after the given remaining time. A non-idempotent request is not canceled when
+// after the given remaining time or when the host stops. A non-idempotent request is not canceled when
 // its caller disconnects, since that would leave its outcome unknown. An
 // idempotent one is canceled with errAttemptTimeout if the target does not
 // respond in time, another target is left to try, and the retry budget allows a
@@ -29,7 +29,7 @@
 	if c.route.Kind == plan.NonIdempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancelDeadline := context.WithTimeout(ctx, remaining)
+	ctx, cancelDeadline := c.gate.withTimeout(ctx, remaining)
 	attemptTimeout := time.Duration(attemptTimeoutFactor * float64(c.route.Objective))
 	if c.route.Kind != plan.Idempotent || !hasAlternative || c.runs+1 >= c.route.Attempts || attemptTimeout <= 0 || remaining <= 2*attemptTimeout {
 		return ctx, func() bool { return true }, cancelDeadline
--- a/gate/body.go
+++ b/gate/body.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -27,12 +28,16 @@
 	}
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(c.deadline) // If unsupported, the read is bounded by the caller's connection only.
+	unlink := context.AfterFunc(c.gate.answersCtx, func() { _ = rc.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	unlink()
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return &errorResponse{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
+	case err != nil && c.gate.answersEnded():
+		return refusedByStop()
 	case err != nil && c.remaining() <= 0:
 		return &errorResponse{status: http.StatusRequestTimeout, reason: "the body was not received in time"}
 	case err != nil:
--- a/gate/call.go
+++ b/gate/call.go
@@ -195,6 +195,9 @@
 		return
 	}
 	h := c.w.Header()
+	if c.gate.stopping.Load() != nil {
+		h.Set("Connection", "close")
+	}
 	if r.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -104,9 +104,12 @@
 }
 
 // interruptedByTarget reports whether a request without a complete response was
-// interrupted by its target: the caller is still there, or left after the target had
-// been silent for silentTime.
+// interrupted by its target: this host has not ended it, and the caller is still there, or
+// left after the target had been silent for silentTime.
 func (c *call) interruptedByTarget() bool {
+	if c.gate.answersEnded() {
+		return false
+	}
 	lastActivity := c.lastSentAt
 	if c.lastEventAt.After(lastActivity) {
 		lastActivity = c.lastEventAt
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -34,7 +34,8 @@
 	outcomeMayHaveRun
 	// outcomeUnreachable means that no connection to the target could be opened.
 	outcomeUnreachable
-	// outcomeExpired means that the deadline passed or the caller disconnected.
+	// outcomeExpired means that the deadline passed, the caller disconnected or the host
+	// is stopping.
 	outcomeExpired
 )
 
@@ -78,7 +79,7 @@
 		case outcomeForwarded:
 			return nil
 		case outcomeExpired:
-			return c.dispatchError("the deadline of the request has passed")
+			return c.expired()
 		case outcomeNotRun:
 			rejected++
 		case outcomeUnreachable:
@@ -131,7 +132,7 @@
 // hasAlternative is set if the request can still be sent to another target.
 func (c *call) send(service *plan.Service, choice targetChoice, hasAlternative bool) sendOutcome {
 	t, remaining := choice.Target, c.remaining()
-	if remaining <= 0 {
+	if remaining <= 0 || c.cannotComplete() {
 		return outcomeExpired
 	}
 	c.target, c.lastSentAt = t.ID, time.Now()
@@ -182,12 +183,12 @@
 
 // classifyError logs a failed attempt and returns its outcome. The failure counts
 // against the target unless the deadline passed or the attempt was canceled because
-// the caller disconnected.
+// the caller disconnected or the host is stopping.
 func (c *call) classifyError(t fleet.Target, err error) sendOutcome {
 	var fetchErr *fetch.Error
 	mayHaveReached := !errors.As(err, &fetchErr) || fetchErr.Sent
 	c.mayHaveRun = c.mayHaveRun || mayHaveReached
-	canceled := c.r.Context().Err() != nil && c.route.Kind != plan.NonIdempotent
+	canceled := c.r.Context().Err() != nil && c.route.Kind != plan.NonIdempotent || c.gate.answersEnded()
 	if !canceled && c.remaining() > 0 {
 		if !errors.Is(err, relay.ErrHostLost) {
 			c.gate.targets.recordFailure(t.ID)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -95,8 +95,9 @@
 	cold         coldTracker
 	pace         paceTracker
 	draining     drainTracker
-	// shuttingDown is set when this host drains itself.
-	shuttingDown atomic.Bool
+	stopping     atomic.Pointer[stopSchedule] // set when this host drains itself
+	answersCtx   context.Context              //nolint:containedctx // Ends when a host that stops ends its requests.
+	endAnswers   context.CancelFunc
 	// background runs the work that continues after the caller has its response,
 	// under backgroundCtx.
 	background       errgroup.Group
@@ -131,6 +132,7 @@
 		g.targets.maxReportAge = g.PlacementCosts.MaxReportAge
 		g.initRelay()
 		g.backgroundCtx, g.cancelBackground = context.WithCancel(context.Background())
+		g.answersCtx, g.endAnswers = context.WithCancel(context.Background())
 	})
 }
 
@@ -141,12 +143,14 @@
 	g.init()
 	defer g.cancelBackground()
 	workers, ctx := errgroup.WithContext(ctx)
+	context.AfterFunc(ctx, func() {
+		time.AfterFunc(backgroundGrace, g.cancelBackground) // A claim that is not settled by then keeps its maximum.
+	})
 	workers.Go(func() error { return g.limits.run(ctx) })
 	workers.Go(func() error { return g.exchangeLoads(ctx) })
 	workers.Go(func() error { return g.dialer.Run(ctx) })
 	err := workers.Wait()
-	time.AfterFunc(backgroundGrace, g.cancelBackground) // A claim that is not settled by then keeps its maximum.
-	_ = g.background.Wait()                             // Failures were logged.
+	_ = g.background.Wait() // Failures were logged.
 	return err
 }
 
@@ -200,13 +204,9 @@
 // Ready reports whether the host has a plan and targets and is not draining.
 func (g *Gate) Ready() bool {
 	view := g.Fleet.View()
-	return !g.shuttingDown.Load() && view.Plan != nil && len(view.Targets) > 0
+	return g.stopping.Load() == nil && view.Plan != nil && len(view.Targets) > 0
 }
 
-// Drain makes [Gate.Ready] return false. Requests are still served, and responses
-// ask callers to close their connections.
-func (g *Gate) Drain() { g.shuttingDown.Store(true) }
-
 // TargetsChanged closes idle connections to targets that are not in list and
 // drops the state of those without requests in flight.
 func (g *Gate) TargetsChanged(list []fleet.Target) {
@@ -234,6 +234,7 @@
 	(*call).findRoute,
 	(*call).authenticate,
 	(*call).readBody,
+	(*call).refuseLate,
 	(*call).refusePoisonous,
 	(*call).refuseEvacuated,
 	(*call).admit,
@@ -247,7 +248,7 @@
 	c := &call{
 		gate: g, w: w, r: r, start: time.Now(), id: r.Header.Get(g.HeaderNames.RequestID), view: g.Fleet.View(),
 	}
-	if g.shuttingDown.Load() {
+	if g.stopping.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	requestsTotal.Inc()
--- a/gate/rate_limit.go
+++ b/gate/rate_limit.go
@@ -66,6 +66,8 @@
 			s.accounts.requestRenewal(c.account.Name)
 		case <-c.r.Context().Done():
 			return c.rateLimited(queueWait)
+		case <-c.gate.answersCtx.Done():
+			return refusedByStop()
 		}
 		next, ok := s.accounts.retryTake(c.account.Name, low)
 		if ok {
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -57,7 +57,7 @@
 // offerRelay returns what the leader tells other hosts about this one, or nil if it does
 // not relay connections now.
 func (g *Gate) offerRelay() *fleet.RelayHost {
-	if g.RelayAddress == "" || g.shuttingDown.Load() || g.dialer.Stranded() {
+	if g.RelayAddress == "" || g.stopping.Load() != nil || g.dialer.Stranded() {
 		return nil
 	}
 	return &fleet.RelayHost{Host: g.Host, Address: g.RelayAddress, Zone: g.Zone}
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -75,10 +75,10 @@
 }
 
 // recordTruncation logs a stream that was truncated after the given number of
-// events. It counts against the target unless the deadline passed or the caller
-// disconnected.
+// events. It counts against the target unless the deadline passed, the caller
+// disconnected or the host is stopping.
 func (c *call) recordTruncation(t fleet.Target, err error, events int) {
-	if c.r.Context().Err() == nil && c.remaining() > 0 && !callerAtFault(err) {
+	if c.r.Context().Err() == nil && c.remaining() > 0 && !callerAtFault(err) && !c.gate.answersEnded() {
 		c.gate.targets.recordFailure(t.ID)
 	}
 	c.logTargetFailed(t, event.Fields{"sent": true, "events": events, "error": err.Error(), "callerGone": c.r.Context().Err() != nil})
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -28,7 +28,7 @@
 	if !c.turn.hasClaim && c.turn.previous == "" {
 		return c.takeFromLimit()
 	}
-	ctx, cancel := context.WithTimeout(c.r.Context(), min(admitTimeout, c.remaining()))
+	ctx, cancel := c.gate.withTimeout(c.r.Context(), min(admitTimeout, c.remaining()))
 	defer cancel()
 	var limited *errorResponse
 	var chainErr, budgetErr error
@@ -152,7 +152,7 @@
 		}
 	}
 	// What was sent to the caller counts even if the caller disconnected.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.r.Context()), commitTimeout)
+	ctx, cancel := c.gate.withTimeout(context.WithoutCancel(c.r.Context()), commitTimeout)
 	defer cancel()
 	err := c.gate.Turns.Settle(ctx, c.turn.budget, used, turn)
 	c.turn.settled = err == nil
--- /dev/null
+++ b/soak/stop_test.go
@@ -0,0 +1,176 @@
+package soak_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// stopGrace is the grace period in the settings of all hosts.
+const stopGrace = 4 * time.Second
+
+// stopRequest is a request around the planned stop of its entry host. Times are counted from
+// the SIGTERM.
+type stopRequest struct {
+	name      string
+	path      string
+	takes     time.Duration // how long the target works on it
+	opened    time.Duration // when the connection is opened
+	kept      bool          // the connection has carried a request before
+	headSent  time.Duration // when the header is sent
+	sent      time.Duration // when the body is sent
+	splitHead bool          // the last line of the header is sent with the body
+	halfClose bool          // the caller closes its side once it has sent the request
+	// codes are the statuses that the caller may get. A request whose connection may also be
+	// closed without a response, if no target gets it, has the code 0 among them.
+	codes []int
+
+	id string
+}
+
+// stopOutcome is what the caller of a stopRequest has received.
+type stopOutcome struct {
+	code     int
+	complete bool
+	err      error
+}
+
+// send sends the request to an entry host and returns the outcome. at waits until a time.
+func (r *stopRequest) send(address string, at func(time.Duration)) (stopOutcome, error) {
+	at(r.opened)
+	conn, err := net.Dial("tcp4", address)
+	if err != nil {
+		return stopOutcome{}, err
+	}
+	defer conn.Close()
+	responses := bufio.NewReader(conn)
+	body := fmt.Sprintf("%s%d;", waitInput, r.takes.Milliseconds())
+	head := func(id string, length int) string {
+		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: %s\r\nAuthorization: Bearer key-%s\r\nX-Deadline-Ms: 4000\r\nContent-Length: %d\r\n", r.path, id, unlimitedAccount, length)
+	}
+	if r.kept {
+		_, _ = io.WriteString(conn, head(r.id+"-before", 1)+"\r\nx")
+		if code, complete, err := readOutcome(responses); code != http.StatusOK || !complete {
+			return stopOutcome{}, fmt.Errorf("request before the stop: status %d, %w", code, err)
+		}
+	}
+	first, last := head(r.id, len(body))+"\r\n", body
+	if r.splitHead {
+		first, last = head(r.id, len(body)), "\r\n"+body
+	}
+	at(r.headSent)
+	_, _ = io.WriteString(conn, first) // If this fails, so does the read.
+	at(r.sent)
+	_, _ = io.WriteString(conn, last)
+	if r.halfClose {
+		_ = conn.(*net.TCPConn).CloseWrite()
+	}
+	var o stopOutcome
+	o.code, o.complete, o.err = readOutcome(responses)
+	return o, nil
+}
+
+// readOutcome reads one response.
+func readOutcome(responses *bufio.Reader) (code int, complete bool, err error) {
+	resp, err := http.ReadResponse(responses, nil)
+	if err != nil {
+		return 0, false, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err == nil, err
+}
+
+// startStop starts to stop an entry host. wait waits until a time after that, and exited
+// returns when the process has ended.
+func startStop(h *testHost) (wait func(time.Duration), exited func() time.Duration) {
+	start := time.Now()
+	process, done := h.process, make(chan time.Duration, 1)
+	h.process = nil
+	var g errgroup.Group
+	g.Go(func() error {
+		_ = process.Process.Signal(syscall.SIGTERM)
+		kill := time.AfterFunc(stopGrace, func() { _ = process.Process.Kill() })
+		defer kill.Stop()
+		_ = process.Wait()
+		done <- time.Since(start)
+		return nil
+	})
+	return func(d time.Duration) { time.Sleep(time.Until(start.Add(d))) }, func() time.Duration { return <-done }
+}
+
+// TestStopAnswersWhatItAccepts guards against a planned stop that passes a request on and then
+// closes its connection without a response: requests on connections that had carried none
+// before, requests of which the last part came late, and requests whose target works on them
+// for longer than the host has left.
+func TestStopAnswersWhatItAccepts(t *testing.T) {
+	c, tg := startServing(t, 41, 2, 2)
+	const before = -200 * time.Millisecond
+	unknown := []int{http.StatusBadGateway, http.StatusGatewayTimeout}
+	refused := []int{http.StatusServiceUnavailable}
+	refusedOrClosed := []int{http.StatusServiceUnavailable, 0}
+	early, late := 300*time.Millisecond, 2*time.Second
+	requests := []*stopRequest{
+		{name: "early, kept connection", path: "/charge/", takes: time.Second, opened: before, kept: true, headSent: early, sent: early, codes: []int{http.StatusOK}},
+		{name: "early, half-closed", path: "/charge/", takes: time.Second, opened: before, headSent: early, sent: early, halfClose: true, codes: []int{http.StatusOK}},
+		{name: "early, target works past the end", path: "/charge/", takes: 10 * time.Second, opened: before, headSent: early, sent: early, codes: unknown},
+		{name: "early, repeatable, past the end", path: "/lookup/", takes: 10 * time.Second, opened: before, headSent: early, sent: early, codes: unknown},
+		{name: "early, stream without events", path: "/turn/", takes: 10 * time.Second, opened: before, headSent: early, sent: early, codes: unknown},
+		{name: "late, new connection", path: "/charge/", takes: late, opened: time.Second, headSent: late, sent: late, codes: refused},
+		{name: "late, repeatable, new connection", path: "/lookup/", takes: late, opened: time.Second, headSent: late, sent: late, codes: refused},
+		{name: "late, stream on a new connection", path: "/turn/", takes: late, opened: time.Second, headSent: late, sent: late, codes: refused},
+		{name: "late end of the header", path: "/charge/", takes: late, opened: time.Second, headSent: time.Second, sent: late, splitHead: true, codes: refused},
+		{name: "late body", path: "/charge/", takes: late, opened: before, headSent: time.Second, sent: late, codes: refused},
+		{name: "late body of a stream", path: "/turn/", takes: late, opened: before, headSent: time.Second, sent: late, codes: refused},
+		{name: "late, unused connection", path: "/charge/", takes: late, opened: before, headSent: 3200 * time.Millisecond, sent: 3200 * time.Millisecond, codes: refusedOrClosed},
+		{name: "late end of the header, kept connection", path: "/charge/", takes: late, opened: before, kept: true, headSent: time.Second, sent: late, splitHead: true, codes: refusedOrClosed},
+	}
+	outcomes := make([]stopOutcome, len(requests))
+	var wait func(time.Duration)
+	started := make(chan struct{})
+	var g errgroup.Group
+	for i, r := range requests {
+		r.id = c.newID()
+		g.Go(func() error {
+			at := func(d time.Duration) {
+				if d > before {
+					<-started
+					wait(d)
+				}
+			}
+			var err error
+			if outcomes[i], err = r.send(fmt.Sprintf("%s:%d", c.fleet.address(c.fleet.hosts[6]), callerPort), at); err != nil {
+				return fmt.Errorf("%s: %w", r.name, err)
+			}
+			return nil
+		})
+	}
+	time.Sleep(-before)
+	wait, exited := startStop(c.fleet.hosts[6])
+	close(started)
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if d := exited(); d >= stopGrace {
+		t.Errorf("the process had to be killed after %v", d)
+	}
+	for i, r := range requests {
+		o := outcomes[i]
+		ran := len(tg.runsOf(r.id))
+		allowed := false
+		for _, code := range r.codes {
+			allowed = allowed || o.code == code && (o.complete || code == 0)
+		}
+		notRun := o.code == 0 || o.code == http.StatusServiceUnavailable
+		if !allowed || notRun && ran > 0 {
+			t.Errorf("%s: status %d, complete %t, %d targets have run it; %v", r.name, o.code, o.complete, ran, o.err)
+		}
+	}
+}
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -177,6 +177,10 @@
 	crashDowntime = time.Second
 )
 
+// waitInput and a number of milliseconds are the body of a request on which a target works
+// for that long.
+const waitInput = "wait "
+
 // recordRun records that a request runs and sets the response headers that
 // identify it.
 func (t *targets) recordRun(w http.ResponseWriter, r *http.Request) (id string, ok bool) {
@@ -206,6 +210,10 @@
 		r.Context().Value(serverKey{}).(*targetServer).crash(crashDowntime)
 		return "", false
 	}
+	if ms, ok := strings.CutPrefix(string(body), waitInput); ok {
+		n, _ := strconv.Atoi(strings.TrimSuffix(ms, ";")) // Sent by a test of this package.
+		types.Sleep(r.Context(), time.Duration(n)*time.Millisecond)
+	}
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Response-Signature", "signed "+id)
 	return id, true
