store: writes and syncs that tests can delay or fail

Stalled, full and failing disks could only be tested by way of the real file system. Disk holds the write and the sync that logs, journals and files use; its zero value is the operating system's, as before. Replica and turns.Store take one.

--- a/quorum/durable.go
+++ b/quorum/durable.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return err
 	}
-	l, recovered, err := store.Open(r.Dir)
+	l, recovered, err := r.Disk.Open(r.Dir)
 	if err != nil {
 		if errors.Is(err, store.ErrCorrupt) {
 			r.Log.Write(event.LogCorrupt, event.Fields{"group": r.Group, "error": err.Error()})
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -45,6 +45,8 @@
 	// Dir is the directory for this replica's durable state. No other replica may
 	// use it.
 	Dir string
+	// Disk performs the replica's writes and syncs.
+	Disk store.Disk
 	// Host is the host that the replica runs on.
 	Host types.HostID
 	// Machine is the state machine. Access it through [Replica.Read] only.
--- a/store/file.go
+++ b/store/file.go
@@ -25,47 +25,50 @@
 }
 
 // writeSnapshot durably replaces the snapshot in directory dir.
-func writeSnapshot(dir string, snapshot []byte) error {
-	return WriteFile(dir, snapshotName, appendFrame(nil, snapshot))
+func (d Disk) writeSnapshot(dir string, snapshot []byte) error {
+	return d.WriteFile(dir, snapshotName, appendFrame(nil, snapshot))
 }
 
+// WriteFile is [Disk.WriteFile] of the zero Disk.
+func WriteFile(dir, name string, b []byte) error { return Disk{}.WriteFile(dir, name, b) }
+
 // WriteFile atomically replaces the content of file name in directory dir by b
 // and returns once it is durable. After a crash the file has either the old or
 // the new content. The directory is created if needed.
-func WriteFile(dir, name string, b []byte) error {
+func (d Disk) WriteFile(dir, name string, b []byte) error {
 	if err := os.MkdirAll(dir, dirMode); err != nil {
 		return errors.Wrap(err, "store: create directory")
 	}
 	path := filepath.Join(dir, name)
-	if err := writeAndSync(path+".new", b); err != nil {
+	if err := d.writeAndSync(path+".new", b); err != nil {
 		return err
 	}
 	if err := os.Rename(path+".new", path); err != nil {
 		return errors.Wrap(err, "store: rename file")
 	}
-	return syncDir(dir)
+	return d.syncDir(dir)
 }
 
 // writeAndSync writes b to a new or truncated file and syncs it.
-func writeAndSync(path string, b []byte) error {
+func (d Disk) writeAndSync(path string, b []byte) error {
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "store: create file")
 	}
 	defer f.Close()
-	if _, err := f.Write(b); err != nil {
+	if err := d.write(f, b); err != nil {
 		return errors.Wrap(err, "store: write file")
 	}
-	return errors.Wrap(f.Sync(), "store: sync file")
+	return errors.Wrap(d.sync(f), "store: sync file")
 }
 
 // syncDir syncs a directory, so that files created or renamed in it survive a
 // crash.
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
+func (d Disk) syncDir(dir string) error {
+	f, err := os.Open(dir)
 	if err != nil {
 		return errors.Wrap(err, "store: open directory")
 	}
-	defer d.Close()
-	return errors.Wrap(d.Sync(), "store: sync directory")
+	defer f.Close()
+	return errors.Wrap(d.sync(f), "store: sync directory")
 }
--- a/store/journal.go
+++ b/store/journal.go
@@ -24,6 +24,7 @@
 // when the journal is opened again. [Journal.Read] is safe for concurrent use.
 // All other methods must be called from one goroutine.
 type Journal struct {
+	disk        Disk
 	dir         string
 	file        *os.File
 	segment     uint64
@@ -31,11 +32,16 @@
 	writeFailed bool // the end of the current segment is unknown
 }
 
+// OpenJournal is [Disk.OpenJournal] of the zero Disk.
+func OpenJournal(dir string, visit func(at Location, record []byte) error) (*Journal, error) {
+	return Disk{}.OpenJournal(dir, visit)
+}
+
 // OpenJournal opens the journal in directory dir, which it creates if needed. It
 // calls visit for each record found, in the order in which they were written,
 // and then starts a new segment. It returns [ErrCorrupt] if a damaged frame is
 // followed by an intact one in its segment.
-func OpenJournal(dir string, visit func(at Location, record []byte) error) (*Journal, error) {
+func (d Disk) OpenJournal(dir string, visit func(at Location, record []byte) error) (*Journal, error) {
 	if err := os.MkdirAll(dir, dirMode); err != nil {
 		return nil, errors.Wrap(err, "store: create directory")
 	}
@@ -43,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	j := &Journal{dir: dir}
+	j := &Journal{disk: d, dir: dir}
 	for _, s := range segments {
 		if err := j.replay(s, visit); err != nil {
 			return nil, err
@@ -129,10 +135,10 @@
 }
 
 func (j *Journal) write(frame []byte) error {
-	if _, err := j.file.Write(frame); err != nil {
+	if err := j.disk.write(j.file, frame); err != nil {
 		return errors.Wrap(err, "store: write frame")
 	}
-	return errors.Wrap(j.file.Sync(), "store: sync segment")
+	return errors.Wrap(j.disk.sync(j.file), "store: sync segment")
 }
 
 // Read returns the record at a location. It returns [ErrCorrupt] if the record
@@ -171,7 +177,7 @@
 	if err != nil {
 		return errors.Wrap(err, "store: open segment")
 	}
-	if err := syncDir(j.dir); err != nil {
+	if err := j.disk.syncDir(j.dir); err != nil {
 		_ = f.Close() // No frame has been written to it.
 		return err
 	}
--- a/store/log.go
+++ b/store/log.go
@@ -36,6 +36,7 @@
 
 // Log is an append-only log of frames. It is not safe for concurrent use.
 type Log struct {
+	disk    Disk
 	dir     string
 	file    *os.File
 	segment uint64
@@ -43,10 +44,13 @@
 	err     error // the first error; permanent, since a sync after a failed one proves nothing
 }
 
+// Open is [Disk.Open] of the zero Disk.
+func Open(dir string) (*Log, Recovered, error) { return Disk{}.Open(dir) }
+
 // Open opens the log in directory dir, which it creates if needed, and returns
 // the log and its content. It returns [ErrCorrupt] if the snapshot or a frame
 // other than an incomplete last one is damaged.
-func Open(dir string) (*Log, Recovered, error) {
+func (d Disk) Open(dir string) (*Log, Recovered, error) {
 	if err := os.MkdirAll(dir, dirMode); err != nil {
 		return nil, Recovered{}, errors.Wrap(err, "store: create directory")
 	}
@@ -54,7 +58,7 @@
 	if err != nil {
 		return nil, Recovered{}, err
 	}
-	l := &Log{dir: dir}
+	l := &Log{disk: d, dir: dir}
 	r, err := l.recover(segments)
 	if err != nil {
 		return nil, Recovered{}, err
@@ -174,7 +178,7 @@
 	}
 	l.file = f
 	l.size = info.Size()
-	return syncDir(l.dir)
+	return l.disk.syncDir(l.dir)
 }
 
 // Append writes payload as one frame and returns once it is durable. After an
@@ -192,11 +196,11 @@
 		return errors.Newf("store: frame of %d bytes is larger than %d", len(payload), MaxFrameBytes)
 	}
 	frame := appendFrame(make([]byte, 0, frameHeaderBytes+len(payload)), payload)
-	if _, err := l.file.Write(frame); err != nil {
+	if err := l.disk.write(l.file, frame); err != nil {
 		return errors.Wrap(err, "store: write frame")
 	}
 	l.size += int64(len(frame))
-	return errors.Wrap(l.file.Sync(), "store: sync segment")
+	return errors.Wrap(l.disk.sync(l.file), "store: sync segment")
 }
 
 // Size returns the number of bytes in the current segment.
@@ -215,7 +219,7 @@
 }
 
 func (l *Log) reset(snapshot, first []byte) error {
-	if err := writeSnapshot(l.dir, snapshot); err != nil {
+	if err := l.disk.writeSnapshot(l.dir, snapshot); err != nil {
 		return err
 	}
 	oldFile := l.file
@@ -244,7 +248,7 @@
 			return errors.Wrap(err, "store: remove segment")
 		}
 	}
-	return syncDir(l.dir)
+	return l.disk.syncDir(l.dir)
 }
 
 // Close closes the log. All appended frames are already durable.
--- a/turns/store.go
+++ b/turns/store.go
@@ -20,6 +20,8 @@
 type Store struct {
 	// Dir is the store's directory. No other store may use it.
 	Dir string
+	// Disk performs the writes and syncs of the journal.
+	Disk store.Disk
 	// Clock is the process's monotonic clock.
 	Clock types.Clock
 	// Ticks starts the checks for expired turns, each of which ends before the
@@ -116,7 +118,7 @@
 		return errors.Wrap(err, "turns: read or create the identity")
 	}
 	s.id = StoreID(id)
-	s.journal, err = store.OpenJournal(filepath.Join(s.Dir, journalDir), s.replay)
+	s.journal, err = s.Disk.OpenJournal(filepath.Join(s.Dir, journalDir), s.replay)
 	return err
 }
 
