--- a/quorum/durable.go
+++ b/quorum/durable.go
@@ -154,7 +154,10 @@
 	if out.HardState == nil && len(out.Entries) == 0 {
 		return nil
 	}
-	return r.store.Append(types.Encode(logRecord{Hard: out.HardState, Entries: out.Entries}))
+	start := r.Clock()
+	err := r.store.Append(types.Encode(logRecord{Hard: out.HardState, Entries: out.Entries}))
+	r.recordWrite(r.Clock().Sub(start))
+	return err
 }
 
 // installSnapshot replaces the stored log and the state machine by a snapshot from
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/store"
 	"github.com/banyanspur/banyanspur/types"
@@ -71,6 +73,8 @@
 	applied       Index
 	snapshotBytes int64
 	lastRole      Role
+	transferred   bool          // this replica has transferred its leadership
+	lastWrite     time.Duration // how long the last write took
 }
 
 // Status describes a replica and its view of its group.
@@ -176,6 +180,7 @@
 		return nil
 	}
 	r.core.TransferLeadership(r.Clock())
+	r.transferred = true
 	r.publishStatus() // End the lease before another replica can be elected.
 	err := r.processOutputs()
 	time.Sleep(transferGracePeriod)
@@ -346,12 +351,28 @@
 		r.Log.Write(event.LeaderElected, fields)
 	}
 	if r.lastRole == Leader {
+		reason := r.lossReason(s.Term)
+		fields["reason"], fields["writeMs"] = reason, r.lastWrite.Milliseconds()
+		metrics.GetOrCreateCounter(`banyanspur_quorum_leader_losses_total{reason="` + reason + `"}`).Inc()
 		r.Log.Write(event.LeaderLost, fields)
 		r.failPending()
 	}
 	r.lastRole = s.Role
 }
 
+// lossReason returns why this replica no longer leads: it has transferred its leadership, it
+// has heard of a newer term, or a quorum did not reply in time to extend the lease. term is
+// the current one.
+func (r *Replica[C, R]) lossReason(term Term) string {
+	switch {
+	case r.transferred:
+		return "transfer"
+	case term > r.status.Term:
+		return "newerTerm"
+	}
+	return "leaseExpired"
+}
+
 // Status returns the most recently published status.
 func (r *Replica[C, R]) Status() Status {
 	r.mu.RLock()
