--- /dev/null
+++ b/soak/deployment_test.go
@@ -0,0 +1,175 @@
+package soak_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/host"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+var (
+	sizeName = flag.String("size", "small", "size of the deployment: small or grown")
+	rate     = flag.Float64("programs", 0, "programs that start each second; 0 means that of the size")
+)
+
+// deploymentSize is a fleet with its targets and callers.
+type deploymentSize struct {
+	fleet                  fleetSize
+	models, plain, callers int
+	programs               float64 // per second
+}
+
+// deploymentSizes are the sizes by name. The grown one has the hosts, targets, callers and
+// memory limits of a deployment that users run, and a tenth of its 88 programs a second.
+var deploymentSizes = map[string]deploymentSize{
+	"small": {
+		fleet:  fleetSize{controls: 3, stores: 3, entries: 3, zones: 3, losses: 1, grace: 4, pace: true, plan: deploymentPlan},
+		models: 3, plain: 2, callers: 12, programs: 2,
+	},
+	"grown": {
+		fleet: fleetSize{
+			controls: 5, stores: 9, entries: 60, zones: 4, losses: 2, grace: 8, pace: true, plan: deploymentPlan,
+			memoryMB: map[host.NodeRole]int{host.NodeEntry: 184, host.NodeStore: 324, host.NodeControl: 280},
+		},
+		models: 45, plain: 11, callers: 156, programs: 8.8,
+	},
+}
+
+const (
+	// calmTime is the time after the end of a fault from which on requests must be served.
+	calmTime = 4 * time.Second
+	// recoveryTime is the time after the restart of all hosts from which on a quarter of
+	// the former share must be served.
+	recoveryTime = 15 * time.Second
+	// changeInterval is the time between two changes of the plan.
+	changeInterval = time.Second
+)
+
+// deployment is a fleet under load, with the log of its faults.
+type deployment struct {
+	t       *testing.T
+	fleet   *fleet
+	callers *callers
+	targets *targets
+	load    *load
+	started time.Time
+
+	mu      sync.Mutex
+	faults  []period
+	acked   int // newest version that the operator got an acknowledgment of
+	replies map[string]int
+	ack     chan struct{} // gets a value at each acknowledgment, if it is received
+}
+
+// period is the time of a fault, or of a planned stop.
+type period struct {
+	host, what string
+	from, to   time.Time // to is zero until it ends
+	planned    bool
+}
+
+// TestDeploymentUnderFaults guards against faults that only real processes show: requests
+// that are refused or lost in calm and around planned stops, acknowledged plans and turns
+// that are lost, and service that returns late, when hosts of a deployment under load fail
+// in series and all lose power at the end.
+func TestDeploymentUnderFaults(t *testing.T) {
+	size, ok := deploymentSizes[*sizeName]
+	if !ok {
+		t.Fatalf("no size %q", *sizeName)
+	}
+	for seed := *first; seed < *first+uint64(*seeds); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runDeployment(t, size, seed) })
+	}
+}
+
+func runDeployment(t *testing.T, size deploymentSize, seed uint64) {
+	begin := time.Now()
+	c, tg := startSize(t, size.fleet, seed, size.models, size.plain)
+	tg.mu.Lock()
+	tg.events, tg.eventGap, tg.calls = turnEvents, turnEventGap, map[string]time.Duration{}
+	for _, call := range toolCalls {
+		tg.calls[call.path] = call.work
+	}
+	tg.mu.Unlock()
+	c.attempts = nil
+	d := &deployment{t: t, fleet: c.fleet, callers: c, targets: tg, started: begin, replies: map[string]int{}, ack: make(chan struct{}), acked: 1}
+	d.note("the first turn was served")
+	d.fleet.waitRecovered()
+	d.note("all shards have all copies")
+	b := &balancer{fleet: c.fleet, misses: map[*testHost]int{}}
+	d.load = &load{callers: c, balancer: b}
+	for i := range size.callers {
+		d.load.pool = append(d.load.pool, b.newCaller(i))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var g errgroup.Group
+	g.Go(func() error { b.run(ctx); return nil })
+	programs := size.programs
+	if *rate > 0 {
+		programs = *rate
+	}
+	g.Go(func() error { d.load.run(ctx, seed, programs); return nil })
+	g.Go(func() error { d.change(ctx); return nil })
+	types.Sleep(ctx, calmTime+2*window)
+	d.injectSeries(*duration)
+	types.Sleep(ctx, calmTime+2*window)
+	restartedAt := d.injectFinalFault()
+	types.Sleep(ctx, recoveryTime)
+	d.checkTurns()
+	types.Sleep(ctx, 2*window)
+	cancel()
+	_ = g.Wait() // All goroutines always return nil.
+	d.report(restartedAt)
+	d.checkServed(restartedAt)
+	d.checkStops()
+	checkConfiguration(t, d.fleet, d.acked)
+	checkRuns(t, c, tg)
+	checkPrompts(t, c, tg)
+	checkBudgets(t, c)
+}
+
+// note logs what happened, with the time since the start.
+func (d *deployment) note(format string, args ...any) {
+	d.t.Logf("%7.3f %s", time.Since(d.started).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// change sends new versions of the plan until ctx ends.
+func (d *deployment) change(ctx context.Context) {
+	for version := 2; types.Sleep(ctx, changeInterval); version++ {
+		begin := time.Now()
+		code, _ := d.fleet.requestConfig(version, http.MethodPut, d.fleet.size.plan(version))
+		d.mu.Lock()
+		d.replies[fmt.Sprint(code)]++
+		if code == http.StatusOK {
+			d.acked = version
+		}
+		d.mu.Unlock()
+		if took := time.Since(begin); code != http.StatusOK || took > time.Second {
+			d.note("version %d: status %d after %v", version, code, took.Round(time.Millisecond))
+		}
+		if code == http.StatusOK {
+			select {
+			case d.ack <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+// checkTurns checks that turns with a complete response in the last 30 s can be continued.
+func (d *deployment) checkTurns() {
+	d.callers.mu.Lock()
+	c := &callers{fleet: d.fleet, attempts: append([]attempt(nil), d.callers.attempts...), lastID: d.callers.lastID + 1_000_000}
+	d.callers.mu.Unlock()
+	checkTurnsRetained(d.t, c)
+	d.note("turns of before the loss of power were continued")
+}
--- /dev/null
+++ b/soak/programs_test.go
@@ -0,0 +1,268 @@
+package soak_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// The calls that follow a turn: the share of turns that they follow, how long they take at
+// a target, and the timeout of their routes. Calls to /lookup/ may be repeated.
+var toolCalls = []struct {
+	path          string
+	share         float64
+	work, timeout time.Duration
+}{
+	{"/lookup/", 0.7, 13 * time.Millisecond, 1200 * time.Millisecond},
+	{"/charge/", 0.4, 52 * time.Millisecond, 2 * time.Second},
+	{"/dispatch/", 0.2, 35 * time.Millisecond, 1500 * time.Millisecond},
+}
+
+const (
+	turnTimeout = 3 * time.Second
+	// turnEvents events of a turn come turnEventGap apart, the time that an engine takes to
+	// generate them.
+	turnEvents   = 9
+	turnEventGap = 37 * time.Millisecond
+	// turnRetries is how often a program sends a turn again that has failed, retryAttempts
+	// the number of attempts at each request.
+	turnRetries   = 2
+	retryAttempts = 2
+	// dialTimeout is how long callers wait for a connection.
+	dialTimeout = time.Second
+	// looping is the share of programs that run until their budget is spent.
+	looping = 0.02
+	// accounts is the number of accounts whose limits are above what they ask for.
+	accounts = 8
+)
+
+// deploymentPlan returns the plan of a deployment with the given version.
+func deploymentPlan(version int) []byte {
+	route := func(prefix, kind, service string, timeout time.Duration, objective, priority int) map[string]any {
+		return map[string]any{
+			"name": "r" + prefix, "hostname": "soak.example", "path_prefix": prefix, "route_kind": kind, "timeout_ms": timeout.Milliseconds(),
+			"target_latency_ms": objective, "gap_aim_ms": 300, "service": service, "max_attempts": 2, "stateful": prefix == "/turn/", "keep_s": 60, "priority": priority,
+		}
+	}
+	routes := []any{route("/turn/", "streaming", "models", turnTimeout, 250, 1)}
+	for _, c := range toolCalls {
+		kind := "non_idempotent"
+		if c.path == "/lookup/" {
+			kind = "idempotent"
+		}
+		routes = append(routes, route(c.path, kind, "plain", c.timeout, 200, 2))
+	}
+	list := []any{
+		map[string]any{"name": limitedAccount, "api_keys": []string{"key-" + limitedAccount}, "per_s": limitedRate, "burst": limitedBurst},
+		map[string]any{"name": unlimitedAccount, "api_keys": []string{"key-" + unlimitedAccount}},
+	}
+	for i := range accounts {
+		name := accountName(i)
+		list = append(list, map[string]any{"name": name, "api_keys": []string{"key-" + name}, "per_s": 1000, "burst": 1000})
+	}
+	b, err := json.Marshal(map[string]any{
+		"version": version, "routes": routes, "tenants": list, "note": fmt.Sprint("version ", version),
+		"services": []any{
+			map[string]any{"name": "models", "max_connections": 470, "engine": map[string]any{"slots": 12, "kv_tokens": 471337, "stride": tokensPerEvent}},
+			map[string]any{"name": "plain", "max_connections": 420},
+		},
+	})
+	if err != nil {
+		panic(err) // Cannot happen: the document holds only values that JSON can encode.
+	}
+	return b
+}
+
+func accountName(i int) string { return fmt.Sprint("account-", i) }
+
+// balancer chooses the entry host of new connections, as a load balancer does that checks
+// once a second which hosts are ready. Two misses take a host out.
+type balancer struct {
+	fleet *fleet
+
+	mu     sync.Mutex
+	misses map[*testHost]int
+}
+
+// run checks all entry hosts until ctx ends.
+func (b *balancer) run(ctx context.Context) {
+	client := &http.Client{Timeout: time.Second}
+	for types.Sleep(ctx, time.Second) {
+		var g errgroup.Group
+		for _, h := range b.fleet.entries() {
+			g.Go(func() error {
+				misses := 0
+				resp, err := client.Get(fmt.Sprintf("http://%s:%d/v1/readyz", b.fleet.address(h), readyPort))
+				if err == nil {
+					_ = resp.Body.Close()
+				}
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				if err != nil || resp.StatusCode != http.StatusOK {
+					misses = b.misses[h] + 1
+				}
+				b.misses[h] = misses
+				return nil
+			})
+		}
+		_ = g.Wait() // The goroutines always return nil.
+	}
+}
+
+// ready returns the entry hosts in rotation, or all if fewer than half are.
+func (b *balancer) ready() []*testHost {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := slices.DeleteFunc(slices.Clone(b.fleet.entries()), func(h *testHost) bool { return b.misses[h] >= 2 })
+	if len(list) < b.fleet.size.entries/2 {
+		return b.fleet.entries()
+	}
+	return list
+}
+
+// caller is one caller, which keeps its connections open and uses them until they are
+// closed. Retries go over connections of their own to random hosts.
+type caller struct {
+	kept, retry *http.Client
+}
+
+func (b *balancer) newCaller(number int) *caller {
+	dial := func(choose func(n int) int) func(context.Context, string, string) (net.Conn, error) {
+		return func(ctx context.Context, network, _ string) (net.Conn, error) {
+			list := b.ready()
+			dialer := net.Dialer{Timeout: dialTimeout}
+			return dialer.DialContext(ctx, network, fmt.Sprintf("%s:%d", b.fleet.address(list[choose(len(list))]), callerPort))
+		}
+	}
+	return &caller{
+		kept:  &http.Client{Transport: &http.Transport{DialContext: dial(func(n int) int { return number % n }), MaxIdleConnsPerHost: 8}},
+		retry: &http.Client{Transport: &http.Transport{DialContext: dial(rand.IntN), DisableKeepAlives: true}},
+	}
+}
+
+// outcome is what became of a request over all of its attempts.
+type outcome struct {
+	sentAt, endedAt time.Time
+	last            attempt // the one that was served, if any was
+	connected       bool    // an attempt reached an entry host
+}
+
+func (o outcome) served() bool { return o.last.status == http.StatusOK && o.last.complete }
+
+// load is the load on a deployment: programs that start at random times.
+type load struct {
+	callers  *callers
+	balancer *balancer
+	pool     []*caller
+	programs atomic.Int64
+
+	mu       sync.Mutex
+	outcomes []outcome
+}
+
+// request sends a request until it is served, within its timeout, and records the outcome.
+// A request that may not be repeated is sent again only if it did not run for certain.
+func (l *load) request(ctx context.Context, c *caller, a attempt) attempt {
+	o := outcome{sentAt: time.Now()}
+	deadline := o.sentAt.Add(a.timeout)
+	for n := range retryAttempts {
+		client := c.kept
+		if n > 0 {
+			client = c.retry
+		}
+		a.timeout = time.Until(deadline)
+		o.last = l.callers.do(ctx, client, "soak.example", a)
+		o.connected = o.connected || o.last.connected
+		left := time.Until(deadline)
+		if !o.last.mayRepeat() || left < 20*time.Millisecond || ctx.Err() != nil {
+			break
+		}
+		types.Sleep(ctx, min(o.last.retryAfter, left/3))
+	}
+	o.endedAt = time.Now()
+	l.mu.Lock()
+	l.outcomes = append(l.outcomes, o)
+	l.mu.Unlock()
+	return o.last
+}
+
+// mayRepeat reports whether a caller sends the request again.
+func (a attempt) mayRepeat() bool {
+	switch {
+	case a.status == http.StatusOK && a.complete, a.status >= 400 && a.status < 429 && a.status != http.StatusRequestTimeout:
+		return false
+	case a.path == "/lookup/", !a.connected:
+		return true
+	}
+	return a.guaranteesNotRun()
+}
+
+// run starts programs, perSecond on average, until ctx ends, and waits for their ends.
+func (l *load) run(ctx context.Context, seed uint64, perSecond float64) {
+	r := rand.New(rand.NewPCG(seed, 2))
+	var g errgroup.Group
+	for n := 0; types.Sleep(ctx, time.Duration(r.ExpFloat64()/perSecond*float64(time.Second))); n++ {
+		g.Go(func() error {
+			l.runProgram(ctx, rand.New(rand.NewPCG(seed, uint64(1000+n))), fmt.Sprintf("d%d-%d", seed, n))
+			return nil
+		})
+	}
+	_ = g.Wait() // The goroutines always return nil.
+}
+
+// runProgram runs the turns of a program, each followed by calls at the same time.
+func (l *load) runProgram(ctx context.Context, r *rand.Rand, program string) {
+	l.programs.Add(1)
+	c := l.pool[r.IntN(len(l.pool))]
+	turns, account, previous := 1+r.IntN(11), accountName(r.IntN(accounts)), ""
+	budget := turns * turnEvents * tokensPerEvent
+	if r.Float64() < looping {
+		turns = 1000
+	}
+	for turn := 0; turn < turns && ctx.Err() == nil; turn++ {
+		input := fmt.Sprintf("in %s %d%s;", program, turn, strings.Repeat(" x", 400))
+		a := l.turn(ctx, r, c, attempt{account: account, path: "/turn/", requestBody: input, previous: previous, program: program, budget: budget, maxTokens: turnEvents * tokensPerEvent, timeout: turnTimeout})
+		if a.status != http.StatusOK || !a.complete {
+			return
+		}
+		previous = a.id
+		var g errgroup.Group
+		for _, call := range toolCalls {
+			if r.Float64() < call.share {
+				g.Go(func() error {
+					l.request(ctx, c, attempt{account: account, path: call.path, requestBody: "x", program: program, timeout: call.timeout})
+					return nil
+				})
+			}
+		}
+		_ = g.Wait() // The goroutines always return nil.
+		types.Sleep(ctx, time.Duration(r.ExpFloat64()*float64(20*time.Millisecond)))
+	}
+}
+
+// turn sends a turn, and again if it failed.
+func (l *load) turn(ctx context.Context, r *rand.Rand, c *caller, a attempt) attempt {
+	var last attempt
+	for range 1 + turnRetries {
+		last = l.request(ctx, c, a)
+		if last.status == http.StatusOK && last.complete || last.status >= 400 && last.status < 429 && last.status != http.StatusRequestTimeout {
+			break
+		}
+		if !types.Sleep(ctx, time.Duration(100+r.IntN(300))*time.Millisecond) {
+			break
+		}
+	}
+	return last
+}
--- /dev/null
+++ b/soak/series_test.go
@@ -0,0 +1,189 @@
+package soak_test
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/banyanspur/banyanspur/host"
+)
+
+const (
+	// burstTime is how long faults overlap before the hosts are left alone for calmSpan.
+	burstTime = 8 * time.Second
+	// calmSpan leaves room for planned stops between faults.
+	calmSpan = 10 * time.Second
+	// maxEntriesDown is the share of the entry hosts that faults may hit at the same time.
+	maxEntriesDown = 0.16
+)
+
+// diskFull refuses all writes of a host to its files for d, as a full disk does.
+func (f *fleet) diskFull(h *testHost, d time.Duration) {
+	var old unix.Rlimit
+	pid := h.process.Process.Pid
+	if err := unix.Prlimit(pid, unix.RLIMIT_FSIZE, nil, &old); err != nil {
+		f.t.Errorf("limit of %s: %v", h.name, err)
+		return
+	}
+	_ = unix.Prlimit(pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 0, Max: old.Max}, nil) // It may have exited.
+	time.Sleep(d)
+	_ = unix.Prlimit(pid, unix.RLIMIT_FSIZE, &old, nil)
+}
+
+// seriesFaults are the faults of a series. Those of disks hit control hosts and stores only.
+var seriesFaults, seriesDiskFaults = faultsNamed("killed", "frozen", "network fault"), append(
+	faultsNamed("killed", "frozen", "network fault", "data directory lost", "torn write"), fault{"disk full", (*fleet).diskFull})
+
+func faultsNamed(names ...string) (list []fault) {
+	for _, f := range faults {
+		if slices.Contains(names, f.name) {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
+// injectSeries injects bursts of faults that overlap, each followed by a calm time with
+// planned stops of entry hosts, for about duration.
+func (d *deployment) injectSeries(duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		d.injectBurst(min(burstTime, duration/2))
+		d.fleet.waitRecovered()
+		d.note("all hosts with a disk have recovered")
+		d.stopInTurn(min(calmSpan, duration/2))
+	}
+}
+
+// injectBurst injects faults that overlap and waits until they have ended. At most as many
+// hosts with a disk as the fleet tolerates are hit before they have recovered.
+func (d *deployment) injectBurst(length time.Duration) {
+	f := d.fleet
+	var mu sync.Mutex
+	var g sync.WaitGroup
+	busy := map[*testHost]bool{}
+	count := func(role host.NodeRole) (n int) {
+		for h := range busy {
+			if (h.role == host.NodeEntry) == (role == host.NodeEntry) {
+				n++
+			}
+		}
+		return n
+	}
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Duration(200+f.rand.IntN(800)) * time.Millisecond) {
+		list, choices, most := f.entries(), seriesFaults, max(1, int(maxEntriesDown*float64(f.size.entries)))
+		if f.rand.IntN(2) == 0 {
+			list, choices, most = f.diskHosts(), seriesDiskFaults, f.size.losses
+		}
+		h, selected := list[f.rand.IntN(len(list))], choices[f.rand.IntN(len(choices))]
+		lasting := time.Duration(500+f.rand.IntN(3500)) * time.Millisecond
+		mu.Lock()
+		free := !busy[h] && count(h.role) < most
+		if free {
+			busy[h] = true
+		}
+		mu.Unlock()
+		if !free {
+			continue
+		}
+		g.Go(func() {
+			d.during(h, selected.name, false, func() { selected.inject(f, h, lasting) })
+			if h.role != host.NodeEntry {
+				d.waitHost(h, selected.name)
+			}
+			mu.Lock()
+			delete(busy, h)
+			mu.Unlock()
+		})
+	}
+	g.Wait()
+}
+
+// waitHost waits until a host with a disk does not count as lost.
+func (d *deployment) waitHost(h *testHost, what string) {
+	begin := time.Now()
+	recovered := func() bool { return d.fleet.isVoter(h) }
+	if h.role == host.NodeStore {
+		recovered = d.fleet.shardsComplete
+	}
+	for !recovered() {
+		if time.Since(begin) > waitTimeout {
+			d.t.Errorf("%s has not recovered %v after: %s", h.name, waitTimeout, what)
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	d.note("%s recovered %v after: %s", h.name, time.Since(begin).Round(time.Millisecond), what)
+}
+
+// during records a fault, or a planned stop, of a host while do runs.
+func (d *deployment) during(h *testHost, what string, planned bool, do func()) {
+	d.mu.Lock()
+	n := len(d.faults)
+	d.faults = append(d.faults, period{host: h.name, what: what, from: time.Now(), planned: planned})
+	d.mu.Unlock()
+	d.note("%s: %s", h.name, what)
+	do()
+	d.mu.Lock()
+	d.faults[n].to = time.Now()
+	d.mu.Unlock()
+	d.note("%s: %s ended", h.name, what)
+}
+
+// stopInTurn stops entry hosts as planned for a time and starts them again. A stop begins
+// before the one before has ended.
+func (d *deployment) stopInTurn(length time.Duration) {
+	f := d.fleet
+	var g sync.WaitGroup
+	hosts := slices.Clone(f.entries())
+	f.rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	interval := time.Duration(f.size.grace / 4 * float64(time.Second))
+	atOnce := max(1, f.size.entries/20)
+	for end := time.Now().Add(length); time.Now().Before(end) && len(hosts) > 0; time.Sleep(interval) {
+		for _, h := range hosts[:min(atOnce, len(hosts))] {
+			g.Go(func() {
+				d.during(h, "planned stop", true, func() {
+					h.stop(syscall.SIGTERM)
+					f.start(h, false)
+				})
+			})
+		}
+		hosts = hosts[min(atOnce, len(hosts)):]
+		if f.size.entries <= 3 {
+			g.Wait() // One of three hosts at a time.
+		}
+	}
+	g.Wait()
+}
+
+// injectFinalFault cuts the power of all hosts right after an acknowledged change, while
+// as many hosts as the fleet tolerates lose their disks, and returns when all have been
+// started again.
+func (d *deployment) injectFinalFault() time.Time {
+	f := d.fleet
+	disks := slices.Clone(f.diskHosts())
+	f.rand.Shuffle(len(disks), func(i, j int) { disks[i], disks[j] = disks[j], disks[i] })
+	select {
+	case <-d.ack:
+	case <-time.After(waitTimeout):
+		d.t.Errorf("no change was acknowledged in %v", waitTimeout)
+	}
+	all := &testHost{name: "all hosts"}
+	d.during(all, "power lost", false, func() { f.losePower(disks[:f.size.losses], 2*time.Second) })
+	return time.Now()
+}
+
+// firstLine returns the path of the log of a host.
+func (h *testHost) logFile() string { return filepath.Join(h.dir, "log") }
+
+func readLog(h *testHost) []byte {
+	b, err := os.ReadFile(h.logFile())
+	if err != nil {
+		return nil // Reported as a host without events.
+	}
+	return b
+}
