wire: links connect to hosts that are slow to answer the handshake

In a fleet of 74 real processes on 8 cores the control hosts had no leader for 29 s although none of them had failed: changes and limits were not served (12:12:12 to 12:12:41 in the trace). Links had been given up by a late pong and then did not connect again for 20 s: a dial, handshake included, was given up after 250 ms and repeated after 100 ms, which kept the processors busy.

The 250 ms are meant for connection requests that are lost, as to a host without power. They now bound only the time until the host's kernel accepts the connection; the handshake may take 1 s, and 2 s after an attempt that failed.

--- a/wire/link.go
+++ b/wire/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -28,7 +29,8 @@
 	// OwnAddress, if not empty, is where this process accepts connections. The host is
 	// told it, and then knows that this process is up.
 	OwnAddress string
-	// DialTimeout is how long a dial may take. The default is 250 ms.
+	// DialTimeout is how long it may take until the host accepts a connection. The default
+	// is 250 ms. The handshake that follows may take as long, or up to 2 s if that is more.
 	DialTimeout time.Duration
 	// OnLost, if set, is called after a connection has been lost.
 	OnLost func()
@@ -40,6 +42,8 @@
 	// link is connected and during a dial that [Link.Redial] has caused.
 	abort    context.CancelFunc
 	redialed bool // Redial has ended the last dial or pause
+
+	handshakeTimeout time.Duration // of the next dial; only used by Run
 }
 
 // connection is one established connection of a link.
@@ -54,6 +58,12 @@
 	// retransmitted only after a second; a new dial is made sooner.
 	defaultDialTimeout = 250 * time.Millisecond
 
+	// A host whose kernel accepts connections is up, but its process may wait for a
+	// processor, as after a restart of all hosts. If handshakes were given up as early as
+	// dials, no link would connect, and the attempts would keep the processors busy.
+	minHandshakeTimeout = time.Second
+	maxHandshakeTimeout = 2 * time.Second
+
 	minRedialDelay = 25 * time.Millisecond
 	maxRedialDelay = 100 * time.Millisecond
 )
@@ -123,20 +133,23 @@
 // connect dials and serves one connection until it ends. It reports whether the
 // dial succeeded, and always returns an error. attempt is the context of the dial.
 func (l *Link) connect(ctx, attempt context.Context) (connected bool, err error) {
+	header := http.Header{secretHeader: {l.Secret}}
+	if l.OwnAddress != "" {
+		header.Set(addressHeader, l.OwnAddress)
+	}
 	timeout := l.DialTimeout
 	if timeout <= 0 {
 		timeout = defaultDialTimeout
 	}
-	dialCtx, cancel := context.WithTimeout(attempt, timeout)
+	l.handshakeTimeout = min(max(l.handshakeTimeout, minHandshakeTimeout), maxHandshakeTimeout)
+	dialCtx, cancel := context.WithTimeout(attempt, timeout+max(timeout, l.handshakeTimeout))
 	defer cancel()
-	header := http.Header{secretHeader: {l.Secret}}
-	if l.OwnAddress != "" {
-		header.Set(addressHeader, l.OwnAddress)
-	}
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.Address+"/peer", &websocket.DialOptions{HTTPHeader: header})
+	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.Address+"/peer", &websocket.DialOptions{HTTPHeader: header, HTTPClient: dialClient(timeout)})
 	if err != nil {
+		l.handshakeTimeout *= 2
 		return false, errors.Wrap(err, "wire: dial")
 	}
+	l.handshakeTimeout = 0
 	c := &connection{stream: newStream(conn, true), pending: pendingRequests{replies: map[uint64]chan envelope{}}}
 	l.setActive(c)
 	defer c.pending.failAll()
@@ -144,6 +157,12 @@
 	return true, c.stream.run(ctx, c.receive)
 }
 
+// dialClient returns a client for one dial, whose connection must be accepted within timeout.
+func dialClient(timeout time.Duration) *http.Client {
+	dialer := net.Dialer{Timeout: timeout}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+}
+
 func (l *Link) setActive(c *connection) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
