wire: a late response to a ping does not end a link that works

In the trace of the fleet on busy machines, all links of the control hosts ended within 6 s because their pings were not answered within 600 ms, and the requests in flight failed with an unknown outcome. The hosts had neither failed nor were they cut off: they were scheduled late.

A ping that is late proves nothing if the host has sent something else meanwhile, or if this process itself was held up. The host is then pinged again, three times at most. A host that sends nothing is given up as before.

--- a/wire/liveness.go
+++ b/wire/liveness.go
@@ -19,6 +19,11 @@
 	// pingTimeout is how long a peer may take to respond to a ping. A peer that has lost
 	// power is thus detected within confirmTime and this time after a frame was sent.
 	pingTimeout = 600 * time.Millisecond
+	// lateTolerance is by how much a ping may end after pingTimeout. If it ends later, this
+	// process itself has not run, and may not have read the response yet.
+	lateTolerance = 100 * time.Millisecond
+	// maxPings is how many pings may end without a verdict in a row.
+	maxPings = 3
 )
 
 // liveness tells when the peer of a connection should be pinged, to detect a connection
@@ -27,8 +32,9 @@
 	// ping receives a value when the peer should be pinged.
 	ping chan struct{}
 
-	unconfirmed atomic.Bool // a frame was sent since the last one was received
-	timer       *time.Timer // runs while unconfirmed
+	unconfirmed atomic.Bool   // a frame was sent since the last one was received
+	timer       *time.Timer   // runs while unconfirmed
+	frames      atomic.Uint64 // frames and pongs received
 }
 
 func newLiveness() *liveness {
@@ -55,6 +61,7 @@
 
 // received records that a frame or a pong was received.
 func (l *liveness) received() {
+	l.frames.Add(1)
 	if l.unconfirmed.Swap(false) {
 		l.timer.Stop()
 	}
@@ -77,13 +84,27 @@
 		case <-s.liveness.ping:
 		case <-idle:
 		}
+		if err := s.ping(ctx); err != nil {
+			return errors.Wrap(err, "wire: ping")
+		}
+		s.liveness.received()
+	}
+}
+
+// ping pings the peer. It fails if the peer does not respond in time, unless that proves
+// nothing: the peer has sent something else meanwhile, and so is slow to respond only, or this
+// process was held up itself. It then pings again, up to maxPings times in all.
+func (s *stream) ping(ctx context.Context) error {
+	for n := 1; ; n++ {
 		pings.Inc()
+		start, frames := time.Now(), s.liveness.frames.Load()
 		pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 		err := s.conn.Ping(pingCtx)
 		cancel()
-		if err != nil {
-			return errors.Wrap(err, "wire: ping")
+		alive := s.liveness.frames.Load() != frames
+		late := time.Since(start) > pingTimeout+lateTolerance
+		if err == nil || n == maxPings || !alive && !late || ctx.Err() != nil {
+			return err
 		}
-		s.liveness.received()
 	}
 }
--- a/wire/slow_test.go
+++ b/wire/slow_test.go
@@ -1,12 +1,15 @@
 package wire_test
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/banyanspur/banyanspur/wire"
 )
 
@@ -27,3 +30,29 @@
 		})
 	}
 }
+
+// TestLateResponsesDoNotEndLink guards against links that are given up although their host
+// sends replies, because it is slow to respond to a ping: on busy machines, all links of the
+// control hosts were lost within seconds, and with them the requests in flight.
+func TestLateResponsesDoNotEndLink(t *testing.T) {
+	p := newProxy(t, startEchoServer(t))
+	link := startPool(t, &wire.Pool{}).Link(p.address)
+	waitConnected(t, link)
+	p.delay.Store(int64(400 * time.Millisecond)) // So that a response takes 0.8 to 1.6 s.
+	var g errgroup.Group
+	for i := range 50 {
+		time.Sleep(100 * time.Millisecond)
+		g.Go(func() error {
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := wire.Call[echoRequest, int](ctx, link, echo, echoRequest{Number: i})
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		t.Errorf("a request has failed: %v", err)
+	}
+	if n := p.conns.Load(); n != 1 {
+		t.Errorf("%d connections were opened, want 1", n)
+	}
+}
