fleet, turns, gate: a shard whose majority is lost for good is formed anew

Cause: nextMove moves a shard only with data from a majority of its current stores, and lost identities count among these for ever.

Now a store is known to be destroyed when another identity has registered at the same address of the same host. If the current stores that are not destroyed are no majority, no write can ever be acknowledged, and the leader forms the shard anew from them, or from the next stores with their partial copies, or from empty stores (event 216, a counter). Copies then list the turns of all stores of both lists. Turns that no store has are not reported as missing (404) until lost ones would have expired; the caller gets 503 without Retry-After. Stores that are only down are never given up. The command is proposed only to groups that can apply it.

TestShardsWithoutMajorityAreReformed (4 orders), TestAllStoresLost and TestLostTurnsAreNotReportedMissing time out without the reformation; with the old rule for missing turns, the last two fail with notFound for acknowledged turns. TestReformedShardTakesPartialCopies fails if only the current stores list their turns. TestUnreachableStoresAreNotReformed and TestDestroyedStores pass: nothing is given up while disks may come back. The end of the 503 (event 217) is tested in the state machine only, since the shortest retention is 70 s.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -25,6 +25,8 @@
 	CopyFailed           = Kind{213, logrus.WarnLevel, "copying a shard failed, will be tried again"}
 	ExpiryUnproven       = Kind{214, logrus.WarnLevel, "expired turns are kept, too few stores reply"}
 	StoreCapacity        = Kind{215, logrus.WarnLevel, "store begins or ceases to refuse programs for lack of capacity"}
+	ShardReformed        = Kind{216, logrus.ErrorLevel, "majority of a shard's stores has lost its disks, shard formed anew from the others"}
+	ReformExpired        = Kind{217, logrus.InfoLevel, "turns that a shard may have lost would have expired"}
 	OrderDecided         = Kind{301, logrus.InfoLevel, "configuration order decided"}
 	ConfigApplied        = Kind{302, logrus.InfoLevel, "configuration version in force"}
 	LeaseLost            = Kind{303, logrus.WarnLevel, "configuration lease ran out, requests are refused"}
@@ -79,7 +81,7 @@
 		HostStarted, HostDraining, HostStopped, HostFailed,
 		LeaderElected, LeaderLost, LogTruncated, LogCorrupt, SnapshotWritten,
 		SnapshotInstalled, StorageFailed, DiskIOFailed, GroupBootstrapped, MembersChanged,
-		ShardMoved, ShardCopied, CopyFailed, ExpiryUnproven, StoreCapacity,
+		ShardMoved, ShardCopied, CopyFailed, ExpiryUnproven, StoreCapacity, ShardReformed, ReformExpired,
 		OrderDecided, ConfigApplied, LeaseLost, LeaseAcquired, PlanApplied, PlanRefused,
 		TargetsChanged, LeaderReached, LeaderUnreachable, ZoneOrderDecided, ZonesApplied, ServicesEvacuated, EntryDropped,
 		CallOutcomeUnknown, CallQuarantined, SessionExpired, CallCloseFailed,
--- a/fleet/command_set.go
+++ b/fleet/command_set.go
@@ -26,8 +26,10 @@
 	// CommandSetZones adds [Evacuate] to the first commands, for which builds declare
 	// nothing.
 	CommandSetZones CommandSet = 1
+	// CommandSetReform adds [Reform].
+	CommandSetReform CommandSet = 2
 	// ownCommandSet is the set that this build can apply.
-	ownCommandSet = CommandSetZones
+	ownCommandSet = CommandSetReform
 )
 
 const (
--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -93,6 +93,9 @@
 	// targets is the platform's list. While it is nil, the list cannot be fetched.
 	targets atomic.Pointer[[]fleet.Target]
 	log     event.Log // of the control hosts
+	// holdCopies keeps stores that are started from now on from copying shards while it
+	// is set.
+	holdCopies atomic.Bool
 }
 
 func newFleet(t testing.TB, controls int) *testFleet {
@@ -161,7 +164,11 @@
 		}
 		g.Go(func() error { return client.Run(ctx) })
 		g.Go(func() error { return s.Run(ctx) })
-		g.Go(func() error { return s.CopyShards(ctx, peers) })
+		g.Go(func() error {
+			for f.holdCopies.Load() && types.Sleep(ctx, 10*time.Millisecond) {
+			}
+			return s.CopyShards(ctx, peers)
+		})
 		g.Go(func() error {
 			for types.Sleep(ctx, 20*time.Millisecond) {
 				_ = client.ReportCopied(ctx, fleet.CopiedRequest{Store: id, Copied: s.CopiedShards()}) // Repeated in the next iteration.
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -32,6 +32,8 @@
 	Quarantine     *Quarantine     `json:"quarantine,omitempty"`
 	// Evacuate belongs to [CommandSetZones].
 	Evacuate *Evacuate `json:"evacuate,omitempty"`
+	// Reform belongs to [CommandSetReform].
+	Reform *Reform `json:"reform,omitempty"`
 }
 
 // PutPlan replaces the plan if the new plan has a higher version.
@@ -135,6 +137,8 @@
 		m.changeQuarantine(at, *c.Quarantine)
 	case c.Evacuate != nil:
 		changed = m.evacuateZone(at, *c.Evacuate)
+	case c.Reform != nil:
+		changed = m.reformShard(at, *c.Reform)
 	}
 	if changed && m.OnChange != nil {
 		m.OnChange()
--- a/fleet/shards.go
+++ b/fleet/shards.go
@@ -31,10 +31,22 @@
 // maintainShards creates the shard map and moves shards when stores are added,
 // lost or retired. It runs until ctx ends and acts only on the leader.
 func (c *Control) maintainShards(ctx context.Context) error {
+	lastRefusal := ""
 	for types.Sleep(ctx, shardsInterval) {
 		var commands []Command
-		_ = c.asLeader(func(now types.Mono) { commands = c.nextCommands(now) }) // Fails, and leaves commands empty, if this host is not the leader.
+		var shardMap turns.Map
+		err := c.asLeader(func(now types.Mono) {
+			commands = c.nextCommands(now)
+			shardMap, _ = c.machine.Map()
+		})
+		if err != nil {
+			continue // This host is not the leader.
+		}
 		for _, command := range commands {
+			if r := command.Reform; r != nil {
+				c.proposeReform(ctx, r, shardMap.Placement(r.Shard), &lastRefusal)
+				continue // If it was not applied, the next round computes it anew.
+			}
 			if _, err := c.propose(ctx, command); err != nil {
 				break // The next round, or the next leader, computes the commands anew.
 			}
@@ -56,7 +68,15 @@
 	}
 	var commands []Command
 	for i, p := range m.Shards {
-		if move := c.nextMove(turns.Shard(i), p, candidates); move != nil {
+		shard := turns.Shard(i)
+		if reform := c.nextReform(shard, p, candidates); reform != nil {
+			commands = append(commands, Command{Reform: reform})
+			continue
+		}
+		if reform := c.expireReform(shard, p); reform != nil {
+			commands = append(commands, Command{Reform: reform})
+		}
+		if move := c.nextMove(shard, p, candidates); move != nil {
 			commands = append(commands, Command{Move: move})
 		}
 	}
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -87,8 +87,12 @@
 	if types.IsCode(err, types.CodeNotFound) {
 		return &errorResponse{status: http.StatusNotFound, reason: "there is no such turn", logFields: fields}
 	}
+	retryAfter := busyRetryAfter
+	if turns.MayBeLost(err) {
+		retryAfter = 0 // A retry finds the same stores without the turn.
+	}
 	return &errorResponse{
-		status: http.StatusServiceUnavailable, retryAfter: busyRetryAfter, logFields: fields,
+		status: http.StatusServiceUnavailable, retryAfter: retryAfter, logFields: fields,
 		reason: "cannot fetch the chain of turns: " + err.Error(),
 	}
 }
--- a/host/store.go
+++ b/host/store.go
@@ -9,7 +9,6 @@
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
-	"github.com/banyanspur/banyanspur/plan"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -45,7 +44,7 @@
 			store.SetMap(v.Map)
 		}
 		if v.Plan != nil {
-			store.SetRetention(turnRetention(v.Plan.Plan))
+			store.SetRetention(v.Plan.Plan.TurnRetention())
 		}
 	}
 	g.Go(func() error { return n.client.Run(serveCtx) })
@@ -61,18 +60,6 @@
 	return nil
 }
 
-// turnRetention returns the longest retention and the longest timeout of the
-// stateful routes of a plan. Turns do not name their routes, so that all are kept
-// for the longest retention.
-func turnRetention(p *plan.Plan) (keep, timeout time.Duration) {
-	for _, r := range p.Routes {
-		if r.Stateful {
-			keep, timeout = max(keep, r.TurnRetention), max(timeout, r.Timeout)
-		}
-	}
-	return keep, timeout
-}
-
 // reportCopied periodically reports to the leader, until ctx ends, for which
 // moves of shards this store has copied all data.
 func (n *Node) reportCopied(ctx context.Context, store *turns.Store, id turns.StoreID) error {
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -141,3 +141,14 @@
 	Accounts []Account     `json:"accounts,omitempty"`
 	Limits   Limits        `json:"limits,omitempty"`
 }
+
+// TurnRetention returns the longest retention and the longest timeout of the stateful
+// routes. Turns do not name their routes, so that all are kept for the longest retention.
+func (p *Plan) TurnRetention() (keep, timeout time.Duration) {
+	for _, r := range p.Routes {
+		if r.Stateful {
+			keep, timeout = max(keep, r.TurnRetention), max(timeout, r.Timeout)
+		}
+	}
+	return keep, timeout
+}
--- a/turns/chain.go
+++ b/turns/chain.go
@@ -21,7 +21,8 @@
 // Chain returns a turn and all turns before it, oldest first. It returns a
 // notFound fault only if, for every shard, enough stores have replied that they
 // lack a turn of the chain (see [Placement.HasQuorum]), and an unavailable
-// fault if too few stores have replied to be certain.
+// fault if too few stores have replied to be certain, or if the turn may be lost (see
+// [MayBeLost]).
 func (c *Client) Chain(ctx context.Context, account types.AccountID, id TurnID) ([]Turn, error) {
 	var chain []Turn
 	for id != "" {
@@ -48,6 +49,13 @@
 	return chain, nil
 }
 
+// MayBeLost reports whether err is the fault that [Client.Chain] returns for a turn that no
+// store has any more, after a shard was formed anew from a minority of its stores.
+func MayBeLost(err error) bool {
+	fault := types.AsFault(err)
+	return err != nil && fault.Code == errTurnMayBeLost.Code && fault.Message == errTurnMayBeLost.Message
+}
+
 // fetchChain requests a turn and those before it from the stores and returns
 // them, newest first. If no store has the turn, but some stores and this client
 // have different maps, it retries until ctx ends.
@@ -152,14 +160,18 @@
 // provesMissing reports whether no acknowledged write contains the turn: for
 // every shard, a quorum of its stores lacks it. The reply of a store with another epoch
 // of a shard does not count: with a newer one, the turn may have been written to
-// stores that shardMap does not list.
+// stores that shardMap does not list. After a shard was formed anew, no reply counts, since
+// the turn may have been lost with the shard's stores.
 func (s *chainSearch) provesMissing() bool {
-	return s.shardMap.isQuorumOfAll(s.lacking)
+	return !s.shardMap.mayLackTurns() && s.shardMap.isQuorumOfAll(s.lacking)
 }
 
 // uncertainError returns the fault for a turn that no store has returned and
 // that is not proven missing.
 func (s *chainSearch) uncertainError() error {
+	if s.shardMap.mayLackTurns() && s.shardMap.isQuorumOfAll(s.lacking) {
+		return errTurnMayBeLost
+	}
 	return types.NewFault(types.CodeUnavailable, "of %d stores, %d lack the turn, and the shard maps differ: %t", len(s.members), len(s.lacking), s.mapsDiffer()).
 		WithRetryAfter(time.Second)
 }
--- a/turns/client.go
+++ b/turns/client.go
@@ -55,8 +55,12 @@
 var (
 	errNoQuorum = types.NewFault(types.CodeUnavailable, "no majority of the shard's stores replied").WithRetryAfter(time.Second)
 	// errTurnNotFound is only returned after a majority of the stores of every
-	// shard has replied that it lacks the turn.
+	// shard has replied that it lacks the turn, and if no shard has lost turns.
 	errTurnNotFound = types.NewFault(types.CodeNotFound, "there is no such turn of this account")
+	// errTurnMayBeLost is returned for a turn that no store has while the turns of a shard
+	// that was formed anew may have been lost. It has no retry delay, since the stores
+	// that replied will not have the turn later.
+	errTurnMayBeLost = types.NewFault(types.CodeUnavailable, "no store has the turn, which may have been lost with the disks of its stores")
 	// errBudgetExceeded is only returned after a majority of the shard's stores
 	// has replied with its claims.
 	errBudgetExceeded = types.NewFault(types.CodeBudgetExceeded, "the program's budget does not cover another turn")
--- a/turns/copy.go
+++ b/turns/copy.go
@@ -137,37 +137,61 @@
 	return len(lists), nil
 }
 
+// reformedListWait is how long a copy of a shard that was formed anew waits for the lists of
+// further stores after a majority has replied. Any of them may be the only one that has
+// a turn.
+const reformedListWait = 500 * time.Millisecond
+
 // listShard requests the list of a shard's turns from its current stores and
-// returns the replies of the first majority.
+// returns the replies of the first majority. If the shard was formed anew, it also
+// requests those of the next stores, which may have copied turns that no current store
+// has, and waits for them.
 func (s *Store) listShard(ctx context.Context, peers *wire.Pool, m *Map, shard Shard) (map[StoreID]ListReply, error) {
 	p := m.Placement(shard)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // Ends the requests whose replies are no longer of use.
-	results := make(chan storeResult[ListReply], len(p.Current))
+	sources := p.Current
+	if p.ReformedAt != 0 {
+		sources = slices.DeleteFunc(p.All(), func(id StoreID) bool { return id == s.id })
+	}
+	results := make(chan storeResult[ListReply], len(sources))
 	var g errgroup.Group
-	for _, id := range p.Current {
+	for _, id := range sources {
 		link := peers.Link(m.Members[id].Address)
 		g.Go(func() error {
-			reply, err := callStore[ListRequest, ListReply](ctx, link, KindList, ListRequest{To: id, Shard: shard, Epoch: p.Epoch}, listTimeout)
+			req := ListRequest{To: id, Shard: shard, Epoch: p.Epoch}
+			reply, err := callStore[ListRequest, ListReply](ctx, link, KindList, req, listTimeout)
+			if types.IsCode(err, types.CodeBadRequest) {
+				reply, err = s.copyFromEarlierBuild(ctx, link, CopyRequest{To: id, Shard: shard, Epoch: p.Epoch})
+			}
 			results <- storeResult[ListReply]{store: id, reply: reply, err: err}
 			return nil
 		})
 	}
 	lists := map[StoreID]ListReply{}
+	complete := func() bool { return p.HasCopyQuorum(func(id StoreID) bool { _, ok := lists[id]; return ok }) }
 	var lastErr error
-	for range p.Current {
-		result := <-results
-		if types.IsCode(result.err, types.CodeBadRequest) {
-			result.reply, result.err = s.copyFromEarlierBuild(ctx, peers.Link(m.Members[result.store].Address), CopyRequest{To: result.store, Shard: shard, Epoch: p.Epoch})
-		}
-		if result.err != nil {
-			lastErr = result.err
-			continue
-		}
-		lists[result.store] = result.reply
-		if p.HasCopyQuorum(func(id StoreID) bool { _, ok := lists[id]; return ok }) {
+	var waited <-chan time.Time // nil until a majority has replied
+	for range sources {
+		select {
+		case result := <-results:
+			if result.err != nil {
+				lastErr = result.err
+				continue
+			}
+			lists[result.store] = result.reply
+		case <-waited:
 			return lists, nil
 		}
+		if waited == nil && complete() {
+			if p.ReformedAt == 0 {
+				return lists, nil
+			}
+			waited = time.After(reformedListWait)
+		}
+	}
+	if complete() {
+		return lists, nil
 	}
 	return nil, lastErr
 }
--- a/turns/map.go
+++ b/turns/map.go
@@ -35,6 +35,11 @@
 	// Next lists the stores to which the shard is moving. It is empty unless a
 	// move is in progress, during which writes need a majority of both lists.
 	Next []StoreID `json:"next,omitempty"`
+	// ReformedAt is when the shard was last formed anew from the stores that were left
+	// after a majority had lost their disks, or 0. Turns that were acknowledged before may
+	// be on no store then, so that no turn counts as missing. It is 0 again once these
+	// turns would have expired.
+	ReformedAt types.LogTime `json:"reformedAt,omitempty"`
 }
 
 // All returns the stores of both lists without duplicates.
@@ -65,6 +70,12 @@
 	return majority(p.Current, replied)
 }
 
+// mayLackTurns reports whether turns that were acknowledged less than the retention ago
+// may be on no store.
+func (m *Map) mayLackTurns() bool {
+	return m != nil && slices.ContainsFunc(m.Shards, func(p Placement) bool { return p.ReformedAt != 0 })
+}
+
 // majority reports whether replied returns true for more than half of ids.
 func majority(ids []StoreID, replied func(StoreID) bool) bool {
 	n := 0
--- a/turns/retention.go
+++ b/turns/retention.go
@@ -50,10 +50,15 @@
 // already. Before the first call, no turn expires. It is safe for concurrent
 // use.
 func (s *Store) SetRetention(keep, timeout time.Duration) {
-	keep = max(keep, minRetention)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.retention = keep + keep/clockDriftShare + max(timeout, 0) + settleMargin
+	s.retention = Retention(keep, timeout)
+}
+
+// Retention returns for how long turns are kept, see [Store.SetRetention].
+func Retention(keep, timeout time.Duration) time.Duration {
+	keep = max(keep, minRetention)
+	return keep + keep/clockDriftShare + max(timeout, 0) + settleMargin
 }
 
 // ExpireTurns removes the turns whose retention has passed, until ctx ends. It
