turns: stores at the same distance share the turns

What callers saw: longer copies after the loss of the disk that is written most, and with them shards without a majority.

Cause: a turn is written to two of three stores, the nearest ones, and stores at the same distance came in the order of their IDs in every shard.

The order is now rotated by the shard. TestStoresShareTurns failed before: the last store had 18 of 160 turns, two thirds expected.

--- a/fleet/reform_test.go
+++ b/fleet/reform_test.go
@@ -55,8 +55,8 @@
 	client *fleet.Client
 	peers  *wire.Pool
 	events *eventCounter
-	// sorted are the stores, by ID. As long as all reply in time, turns are
-	// written to the first two of them.
+	// sorted are the stores, by ID. The first two of them have the turns of
+	// newStoreFleet.
 	sorted []*process
 	ids    []turns.TurnID
 }
@@ -73,8 +73,13 @@
 	f.waitForMoves()
 	f.sorted = slices.Clone(f.stores)
 	slices.SortFunc(f.sorted, func(a, b *process) int { return strings.Compare(f.identity(a), f.identity(b)) })
+	m := *f.client.View().Map
+	m.Shards = slices.Clone(m.Shards)
+	for i := range m.Shards {
+		m.Shards[i].Current = []turns.StoreID{turns.StoreID(f.identity(f.sorted[0])), turns.StoreID(f.identity(f.sorted[1]))}
+	}
 	for i := range 20 {
-		f.write(turns.TurnID(fmt.Sprint("before-", i)), "")
+		f.writeTo(&m, turns.TurnID(fmt.Sprint("before-", i)), "")
 	}
 	return f
 }
@@ -104,6 +109,16 @@
 // write writes a turn of a program of its own, or of the program of previous.
 func (f *storeFleet) write(id, previous turns.TurnID) {
 	f.t.Helper()
+	f.writeTo(nil, id, previous)
+}
+
+// writeTo is write with a shard map other than that of the fleet, unless m is nil.
+func (f *storeFleet) writeTo(m *turns.Map, id, previous turns.TurnID) {
+	f.t.Helper()
+	client := f.turnClient()
+	if m != nil {
+		client.Map = func() *turns.Map { return m }
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
 	program := types.ProgramID(id)
@@ -112,7 +127,7 @@
 	}
 	budget := turns.Budget{Account: "choir", Program: program, Attempt: types.AttemptID(id), Limit: 100, MaxTokens: 10}
 	turn := &turns.Turn{Account: "choir", ID: id, Previous: previous, Shard: turns.ShardOf("choir", program), Input: []byte("in")}
-	if err := f.turnClient().Settle(ctx, budget, 5, turn); err != nil {
+	if err := client.Settle(ctx, budget, 5, turn); err != nil {
 		f.t.Fatalf("write turn %s: %v", id, err)
 	}
 	f.ids = append(f.ids, id)
--- a/turns/client.go
+++ b/turns/client.go
@@ -176,7 +176,7 @@
 	for {
 		m := c.Map()
 		p := m.Placement(shard)
-		replies, noCapacity := callPlacement[Req, Resp](ctx, c, m, p, kind, newRequest)
+		replies, noCapacity := callPlacement[Req, Resp](ctx, c, m, shard, kind, newRequest)
 		if len(p.Current) > 0 && p.HasQuorum(func(id StoreID) bool { _, ok := replies[id]; return ok }) {
 			return replies, nil
 		}
@@ -189,13 +189,14 @@
 	}
 }
 
-// callPlacement sends a request to the stores of a placement and returns the
+// callPlacement sends a request to the stores of a shard's placement and returns the
 // successful replies once they are a write quorum, all stores have replied or
 // failed, or ctx ends, and the stores that have no capacity. It first sends the
 // request to the nearest stores, as many as initialRequests returns, and to the
 // others if one of them fails or after [settleHedgeDelay].
-func callPlacement[Req, Resp any](ctx context.Context, c *Client, m *Map, p Placement, kind wire.Kind, newRequest func(StoreID, Epoch) Req) (replies map[StoreID]Resp, noCapacity map[StoreID]bool) {
-	stores := c.sortByDistance(m, p.All())
+func callPlacement[Req, Resp any](ctx context.Context, c *Client, m *Map, shard Shard, kind wire.Kind, newRequest func(StoreID, Epoch) Req) (replies map[StoreID]Resp, noCapacity map[StoreID]bool) {
+	p := m.Placement(shard)
+	stores := c.sortByDistance(m, rotated(p.All(), int(shard)))
 	results := make(chan storeResult[Resp], len(stores))
 	sent := 0
 	send := func(n int) {
@@ -254,6 +255,17 @@
 	return min(len(stores), len(stores)/2+1) // 0 as long as there is no shard map.
 }
 
+// rotated returns the stores in an order that differs between shards. If it were the same,
+// stores at the same distance would not share the turns: one would have almost all, and after
+// the loss of its disk almost all would have to be copied.
+func rotated(stores []StoreID, shard int) []StoreID {
+	if len(stores) == 0 {
+		return nil
+	}
+	first := shard % len(stores)
+	return slices.Concat(stores[first:], stores[:first])
+}
+
 // sortByDistance returns the stores sorted stably: first those in the client's
 // zone, then those in other zones, and last those without a connection.
 func (c *Client) sortByDistance(m *Map, ids []StoreID) []StoreID {
--- a/turns/turns_test.go
+++ b/turns/turns_test.go
@@ -83,6 +83,36 @@
 	}
 }
 
+// TestStoresShareTurns guards against a store that has almost all turns, and another one
+// with almost none: after the loss of the first one's disk, all turns are on one store only
+// until they are copied.
+func TestStoresShareTurns(t *testing.T) {
+	c := newCluster(t, 3)
+	const programs = 160
+	client := c.client()
+	var g errgroup.Group
+	g.SetLimit(8)
+	for i := range programs {
+		g.Go(func() error {
+			return settleTurn(withTimeout(t, stepTimeout), client, "choir", types.ProgramID(fmt.Sprint("p", i)), turns.TurnID(fmt.Sprint("turn", i)), "")
+		})
+	}
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	for store := range 3 {
+		n := 0
+		for i := range programs {
+			if c.storeHas(store, turns.TurnID(fmt.Sprint("turn", i))) {
+				n++
+			}
+		}
+		if n < programs/2 { // Two thirds, if each turn is on two of three stores.
+			t.Errorf("store %d has %d of %d turns, want about two thirds", store, n, programs)
+		}
+	}
+}
+
 // hasTurn reports whether store i alone can return a turn of account "choir"
 // with its chain.
 func (c *cluster) hasTurn(i int, id turns.TurnID) bool {
