wire: a link connects to a host that takes long for the handshake

What callers see: after a start of many processes at once, service that returns late. Seen in a test only; the users' runs have no logs.

Cause: a dial was given up after 250 ms, the handshake included. A host whose process gets no processor time replies later, to a connection that is closed by then, and each new dial gives it one more handshake to do. The limit of 250 ms is for lost connection requests, which are sent again only after a second; once the host's kernel has accepted the connection, nothing is lost.

Now 250 ms is the limit for the connection, and the handshake has 2 s more.

--- a/wire/link.go
+++ b/wire/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -28,7 +29,9 @@
 	// OwnAddress, if not empty, is where this process accepts connections. The host is
 	// told it, and then knows that this process is up.
 	OwnAddress string
-	// DialTimeout is how long a dial may take. The default is 250 ms.
+	// DialTimeout is how long it may take until the host's kernel has accepted a
+	// connection. The default is 250 ms. The handshake may take 2 s more, or also
+	// DialTimeout if that is longer.
 	DialTimeout time.Duration
 	// OnLost, if set, is called after a connection has been lost.
 	OnLost func()
@@ -53,6 +56,10 @@
 	// short because a lost connection request, as to a host without power, is
 	// retransmitted only after a second; a new dial is made sooner.
 	defaultDialTimeout = 250 * time.Millisecond
+	// handshakeTimeout is longer, since nothing is lost by then: the process of the host
+	// may have no processor time, as when many start at once. If links gave up sooner than
+	// it replies, each would give it one more handshake to do, and none would connect.
+	handshakeTimeout = 2 * time.Second
 
 	minRedialDelay = 25 * time.Millisecond
 	maxRedialDelay = 100 * time.Millisecond
@@ -74,10 +81,11 @@
 func (l *Link) Run(ctx context.Context) error {
 	delay := minRedialDelay
 	logged := false
+	dialer := l.newDialer()
 	for ctx.Err() == nil {
 		start := time.Now()
 		attempt, cancel := l.beginAttempt(ctx)
-		connected, err := l.connect(ctx, attempt)
+		connected, err := l.connect(ctx, attempt, dialer)
 		if (connected || !logged) && ctx.Err() == nil {
 			l.Log.Write(event.LinkLost, event.Fields{"address": l.Address, "connected": connected, "error": err.Error()})
 		}
@@ -120,20 +128,31 @@
 	}
 }
 
+// newDialer returns the client that dials.
+func (l *Link) newDialer() *http.Client {
+	dialer := net.Dialer{Timeout: l.dialTimeout()}
+	// A connection on which the handshake has failed is not used again.
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: -1}}
+}
+
+func (l *Link) dialTimeout() time.Duration {
+	if l.DialTimeout > 0 {
+		return l.DialTimeout
+	}
+	return defaultDialTimeout
+}
+
 // connect dials and serves one connection until it ends. It reports whether the
 // dial succeeded, and always returns an error. attempt is the context of the dial.
-func (l *Link) connect(ctx, attempt context.Context) (connected bool, err error) {
-	timeout := l.DialTimeout
-	if timeout <= 0 {
-		timeout = defaultDialTimeout
-	}
-	dialCtx, cancel := context.WithTimeout(attempt, timeout)
+func (l *Link) connect(ctx, attempt context.Context, dialer *http.Client) (connected bool, err error) {
+	timeout := l.dialTimeout()
+	dialCtx, cancel := context.WithTimeout(attempt, timeout+max(timeout, handshakeTimeout))
 	defer cancel()
 	header := http.Header{secretHeader: {l.Secret}}
 	if l.OwnAddress != "" {
 		header.Set(addressHeader, l.OwnAddress)
 	}
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.Address+"/peer", &websocket.DialOptions{HTTPHeader: header})
+	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.Address+"/peer", &websocket.DialOptions{HTTPClient: dialer, HTTPHeader: header})
 	if err != nil {
 		return false, errors.Wrap(err, "wire: dial")
 	}
