--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -87,6 +87,7 @@
 	seeds          []string
 	controls       []*process
 	stores         []*process
+	losses         int          // value of fleet.Control.Losses for all control hosts
 	targetPace     bool         // value of fleet.Control.TargetPace for all control hosts
 	coldUntil      atomic.Int64 // Unix time in nanoseconds until which the listed targets stay cold
 	allowBootstrap atomic.Bool  // value of fleet.Control.AllowBootstrap for control hosts started from now on
@@ -100,7 +101,7 @@
 
 func newFleet(t testing.TB, controls int) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t}
+	f := &testFleet{t: t, losses: 1}
 	f.allowBootstrap.Store(true)
 	f.targets.Store(&[]fleet.Target{{ID: "t1", Service: "models", Address: "127.0.0.1:1"}})
 	for range controls {
@@ -117,7 +118,7 @@
 	p := newProcess(f.t)
 	p.start = func(ctx context.Context, g *errgroup.Group, peers *wire.Pool, server *wire.Server) {
 		c := &fleet.Control{
-			Address: p.address, Seeds: f.seeds, TargetPace: f.targetPace, AllowBootstrap: f.allowBootstrap.Load(), Dir: p.dir, Losses: 1, Peers: peers, Clock: types.NewClock(), Log: f.log,
+			Address: p.address, Seeds: f.seeds, TargetPace: f.targetPace, AllowBootstrap: f.allowBootstrap.Load(), Dir: p.dir, Losses: f.losses, Peers: peers, Clock: types.NewClock(), Log: f.log,
 			ListTargets: func(context.Context) ([]fleet.Target, error) {
 				list := f.targets.Load()
 				if list == nil {
