--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -87,17 +87,21 @@
 	seeds          []string
 	controls       []*process
 	stores         []*process
+	losses         int          // value of fleet.Control.Losses for all control hosts
 	targetPace     bool         // value of fleet.Control.TargetPace for all control hosts
 	coldUntil      atomic.Int64 // Unix time in nanoseconds until which the listed targets stay cold
 	allowBootstrap atomic.Bool  // value of fleet.Control.AllowBootstrap for control hosts started from now on
 	// targets is the platform's list. While it is nil, the list cannot be fetched.
 	targets atomic.Pointer[[]fleet.Target]
 	log     event.Log // of the control hosts
+	// holdCopies keeps stores that are started from now on from copying shards while it
+	// is set.
+	holdCopies atomic.Bool
 }
 
 func newFleet(t testing.TB, controls int) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t}
+	f := &testFleet{t: t, losses: 1}
 	f.allowBootstrap.Store(true)
 	f.targets.Store(&[]fleet.Target{{ID: "t1", Service: "models", Address: "127.0.0.1:1"}})
 	for range controls {
@@ -114,7 +118,7 @@
 	p := newProcess(f.t)
 	p.start = func(ctx context.Context, g *errgroup.Group, peers *wire.Pool, server *wire.Server) {
 		c := &fleet.Control{
-			Address: p.address, Seeds: f.seeds, TargetPace: f.targetPace, AllowBootstrap: f.allowBootstrap.Load(), Dir: p.dir, Losses: 1, Peers: peers, Clock: types.NewClock(), Log: f.log,
+			Address: p.address, Seeds: f.seeds, TargetPace: f.targetPace, AllowBootstrap: f.allowBootstrap.Load(), Dir: p.dir, Losses: f.losses, Peers: peers, Clock: types.NewClock(), Log: f.log,
 			ListTargets: func(context.Context) ([]fleet.Target, error) {
 				list := f.targets.Load()
 				if list == nil {
@@ -161,7 +165,11 @@
 		}
 		g.Go(func() error { return client.Run(ctx) })
 		g.Go(func() error { return s.Run(ctx) })
-		g.Go(func() error { return s.CopyShards(ctx, peers) })
+		g.Go(func() error {
+			for f.holdCopies.Load() && types.Sleep(ctx, 10*time.Millisecond) {
+			}
+			return s.CopyShards(ctx, peers)
+		})
 		g.Go(func() error {
 			for types.Sleep(ctx, 20*time.Millisecond) {
 				_ = client.ReportCopied(ctx, fleet.CopiedRequest{Store: id, Copied: s.CopiedShards()}) // Repeated in the next iteration.
--- a/wire/link.go
+++ b/wire/link.go
@@ -29,8 +29,9 @@
 	// OwnAddress, if not empty, is where this process accepts connections. The host is
 	// told it, and then knows that this process is up.
 	OwnAddress string
-	// DialTimeout is how long it may take until the host accepts a connection. The default
-	// is 250 ms. The handshake that follows may take as long, or up to 2 s if that is more.
+	// DialTimeout is how long it may take until the host's kernel has accepted a
+	// connection. The default is 250 ms. The handshake may take 2 s more, or also
+	// DialTimeout if that is longer.
 	DialTimeout time.Duration
 	// OnLost, if set, is called after a connection has been lost.
 	OnLost func()
@@ -42,8 +43,6 @@
 	// link is connected and during a dial that [Link.Redial] has caused.
 	abort    context.CancelFunc
 	redialed bool // Redial has ended the last dial or pause
-
-	handshakeTimeout time.Duration // of the next dial; only used by Run
 }
 
 // connection is one established connection of a link.
@@ -57,12 +56,10 @@
 	// short because a lost connection request, as to a host without power, is
 	// retransmitted only after a second; a new dial is made sooner.
 	defaultDialTimeout = 250 * time.Millisecond
-
-	// A host whose kernel accepts connections is up, but its process may wait for a
-	// processor, as after a restart of all hosts. If handshakes were given up as early as
-	// dials, no link would connect, and the attempts would keep the processors busy.
-	minHandshakeTimeout = time.Second
-	maxHandshakeTimeout = 2 * time.Second
+	// handshakeTimeout is longer, since nothing is lost by then: the process of the host
+	// may have no processor time, as when many start at once. If links gave up sooner than
+	// it replies, each would give it one more handshake to do, and none would connect.
+	handshakeTimeout = 2 * time.Second
 
 	minRedialDelay = 25 * time.Millisecond
 	maxRedialDelay = 100 * time.Millisecond
@@ -84,10 +81,11 @@
 func (l *Link) Run(ctx context.Context) error {
 	delay := minRedialDelay
 	logged := false
+	dialer := l.newDialer()
 	for ctx.Err() == nil {
 		start := time.Now()
 		attempt, cancel := l.beginAttempt(ctx)
-		connected, err := l.connect(ctx, attempt)
+		connected, err := l.connect(ctx, attempt, dialer)
 		if (connected || !logged) && ctx.Err() == nil {
 			l.Log.Write(event.LinkLost, event.Fields{"address": l.Address, "connected": connected, "error": err.Error()})
 		}
@@ -130,26 +128,34 @@
 	}
 }
 
+// newDialer returns the client that dials.
+func (l *Link) newDialer() *http.Client {
+	dialer := net.Dialer{Timeout: l.dialTimeout()}
+	// A connection on which the handshake has failed is not used again.
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: -1}}
+}
+
+func (l *Link) dialTimeout() time.Duration {
+	if l.DialTimeout > 0 {
+		return l.DialTimeout
+	}
+	return defaultDialTimeout
+}
+
 // connect dials and serves one connection until it ends. It reports whether the
 // dial succeeded, and always returns an error. attempt is the context of the dial.
-func (l *Link) connect(ctx, attempt context.Context) (connected bool, err error) {
+func (l *Link) connect(ctx, attempt context.Context, dialer *http.Client) (connected bool, err error) {
+	timeout := l.dialTimeout()
+	dialCtx, cancel := context.WithTimeout(attempt, timeout+max(timeout, handshakeTimeout))
+	defer cancel()
 	header := http.Header{secretHeader: {l.Secret}}
 	if l.OwnAddress != "" {
 		header.Set(addressHeader, l.OwnAddress)
 	}
-	timeout := l.DialTimeout
-	if timeout <= 0 {
-		timeout = defaultDialTimeout
-	}
-	l.handshakeTimeout = min(max(l.handshakeTimeout, minHandshakeTimeout), maxHandshakeTimeout)
-	dialCtx, cancel := context.WithTimeout(attempt, timeout+max(timeout, l.handshakeTimeout))
-	defer cancel()
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.Address+"/peer", &websocket.DialOptions{HTTPHeader: header, HTTPClient: dialClient(timeout)})
+	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.Address+"/peer", &websocket.DialOptions{HTTPClient: dialer, HTTPHeader: header})
 	if err != nil {
-		l.handshakeTimeout *= 2
 		return false, errors.Wrap(err, "wire: dial")
 	}
-	l.handshakeTimeout = 0
 	c := &connection{stream: newStream(conn, true), pending: pendingRequests{replies: map[uint64]chan envelope{}}}
 	l.setActive(c)
 	defer c.pending.failAll()
@@ -157,12 +163,6 @@
 	return true, c.stream.run(ctx, c.receive)
 }
 
-// dialClient returns a client for one dial, whose connection must be accepted within timeout.
-func dialClient(timeout time.Duration) *http.Client {
-	dialer := net.Dialer{Timeout: timeout}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
-}
-
 func (l *Link) setActive(c *connection) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
