fleet, quorum: a voter that was removed while away joins again

Cause: a voter that does not reply for 2 s is removed if the number of voters is even, or if a learner has caught up, as after the replacement of a disk. The removal is not sent to the removed replica. When its host returns, it is a voter by its own log, so it never asked to join, no leader sent to it, and the others ignored its pre-votes. It ran and counted as lost. With each such host the group had one spare less.

A replica that has had no contact with a leader for a second now asks the control hosts whether it is a member, all at the same time. The request has no effect for a member. The leader adds a removed replica as a learner under its old ID, with its term and votes, and promotes it once it has caught up. No term is raised and no vote is given for that. Event 216 tells that a replica runs without contact to a leader.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -25,6 +25,7 @@
 	CopyFailed           = Kind{213, logrus.WarnLevel, "copying a shard failed, will be tried again"}
 	ExpiryUnproven       = Kind{214, logrus.WarnLevel, "expired turns are kept, too few stores reply"}
 	StoreCapacity        = Kind{215, logrus.WarnLevel, "store begins or ceases to refuse programs for lack of capacity"}
+	MembershipInDoubt    = Kind{216, logrus.WarnLevel, "replica has no contact to a leader and asks whether it is still a member"}
 	OrderDecided         = Kind{301, logrus.InfoLevel, "configuration order decided"}
 	ConfigApplied        = Kind{302, logrus.InfoLevel, "configuration version in force"}
 	LeaseLost            = Kind{303, logrus.WarnLevel, "configuration lease ran out, requests are refused"}
@@ -79,7 +80,7 @@
 		HostStarted, HostDraining, HostStopped, HostFailed,
 		LeaderElected, LeaderLost, LogTruncated, LogCorrupt, SnapshotWritten,
 		SnapshotInstalled, StorageFailed, DiskIOFailed, GroupBootstrapped, MembersChanged,
-		ShardMoved, ShardCopied, CopyFailed, ExpiryUnproven, StoreCapacity,
+		ShardMoved, ShardCopied, CopyFailed, ExpiryUnproven, StoreCapacity, MembershipInDoubt,
 		OrderDecided, ConfigApplied, LeaseLost, LeaseAcquired, PlanApplied, PlanRefused,
 		TargetsChanged, LeaderReached, LeaderUnreachable, ZoneOrderDecided, ZonesApplied, ServicesEvacuated, EntryDropped,
 		CallOutcomeUnknown, CallQuarantined, SessionExpired, CallCloseFailed,
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -205,6 +205,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return c.replica.Run(ctx) })
 	g.Go(func() error { return c.maintainMembers(ctx) })
+	g.Go(func() error { return c.maintainOwnMembership(ctx) })
 	g.Go(func() error { return c.maintainCommandSets(ctx) })
 	g.Go(func() error { return c.maintainShards(ctx) })
 	g.Go(func() error { return c.refreshTargets(ctx) })
--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -208,33 +208,43 @@
 			}
 		})
 		waitFor(f.t, "the expected voters", func() bool {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			defer cancel()
-			link := peers.Link(p.address)
-			if !link.WaitConnected(ctx) {
-				return false
-			}
-			r, err := wire.Call[fleet.HelloRequest, fleet.HelloReply](ctx, link, fleet.KindHello, fleet.HelloRequest{})
+			r, err := hello(peers, p.address)
 			lastReply = fmt.Sprintf("%+v, %v", r, err)
 			return err == nil && len(r.Members.Voters) == voters && r.Members.IsVoter(r.ID)
 		})
 	}
 }
 
+// hello returns what the control host at address reports of its replica.
+func hello(peers *wire.Pool, address string) (fleet.HelloReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	link := peers.Link(address)
+	if !link.WaitConnected(ctx) {
+		return fleet.HelloReply{}, errors.New("no connection")
+	}
+	return wire.Call[fleet.HelloRequest, fleet.HelloReply](ctx, link, fleet.KindHello, fleet.HelloRequest{})
+}
+
 // putPlan puts a plan with the given version and one account, and returns the
 // version in force afterwards.
 func putPlan(t *testing.T, c *fleet.Client, version types.Version, account types.AccountID) types.Version {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
-	p := plan.Plan{Version: version, Accounts: []plan.Account{{Name: account, Rate: 10, Burst: 10}}}
-	result, err := c.Put(ctx, fleet.PutPlan{Document: fleet.Document{Body: []byte(fmt.Sprintf("%d %s", version, account)), Plan: p}})
+	result, err := c.Put(ctx, planRequest(version, account))
 	if err != nil {
 		t.Fatal(err)
 	}
 	return result.PlanVersion
 }
 
+// planRequest returns the request to put a plan with the given version and one account.
+func planRequest(version types.Version, account types.AccountID) fleet.PutPlan {
+	p := plan.Plan{Version: version, Accounts: []plan.Account{{Name: account, Rate: 10, Burst: 10}}}
+	return fleet.PutPlan{Document: fleet.Document{Body: []byte(fmt.Sprintf("%d %s", version, account)), Plan: p}}
+}
+
 // readPlan returns the original form of the plan in force.
 func readPlan(t *testing.T, c *fleet.Client) string {
 	t.Helper()
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/quorum"
 	"github.com/banyanspur/banyanspur/types"
@@ -16,20 +18,38 @@
 	membersInterval = 200 * time.Millisecond
 	// joinTimeout bounds a join request to one control host.
 	joinTimeout = time.Second
+	// rejoinTimeout is how long a replica may be without contact to a leader before it
+	// asks the group whether it is still a member. A failed leader is replaced in less.
+	rejoinTimeout = time.Second
 	// voterTimeout is how long a voter may be unresponsive before a learner
 	// that has caught up replaces it.
 	voterTimeout = 2 * time.Second
 )
 
-// maintainMembers requests to join while this host's replica is not a member
-// of the group. On the leader it promotes learners to voters and removes
-// unresponsive voters. It runs until ctx ends.
-func (c *Control) maintainMembers(ctx context.Context) error {
+// maintainOwnMembership requests to join while this host's replica is not a member of the
+// group, or may not be one. It runs until ctx ends. It is not part of maintainMembers,
+// since requests to unresponsive hosts must not delay a new leader.
+func (c *Control) maintainOwnMembership(ctx context.Context) error {
+	logged := types.Mono(-1) // last contact with a leader before the last event
 	for types.Sleep(ctx, membersInterval) {
 		s := c.replica.Status()
-		if s.ID != "" && !s.Members.Has(s.ID) {
-			c.requestJoin(ctx, s)
+		if !s.ShouldJoin(c.Clock(), rejoinTimeout) {
+			continue
 		}
+		if s.Members.Has(s.ID) && s.LeaderContact != logged {
+			c.Log.Write(event.MembershipInDoubt, event.Fields{"replica": s.ID, "term": s.Term, "voters": len(s.Members.Voters)})
+			logged = s.LeaderContact
+		}
+		c.requestJoin(ctx, s)
+	}
+	return nil
+}
+
+// maintainMembers promotes learners to voters and removes unresponsive voters on the
+// leader. It runs until ctx ends.
+func (c *Control) maintainMembers(ctx context.Context) error {
+	for types.Sleep(ctx, membersInterval) {
+		s := c.replica.Status()
 		if s.Role != quorum.Leader {
 			continue
 		}
@@ -51,32 +71,47 @@
 	c.Log.Write(event.MembersChanged, fields)
 }
 
-// requestJoin sends a join request to the known control hosts and to any
-// leader that they name, until one of them accepts it. Only the leader can, and
-// a host that has lost its data directory knows no addresses but the seeds.
+// requestJoin sends a join request to all known control hosts at the same time, and to the
+// leader that one of them names. Only the leader accepts it, and a host that has lost its
+// data directory knows no addresses but the seeds. Hosts that do not respond delay the
+// request by no more than joinTimeout.
 func (c *Control) requestJoin(ctx context.Context, s quorum.Status) {
-	req := JoinRequest{Member: quorum.Member{ID: s.ID, Host: types.HostID(c.Address)}}
-	contacted := map[string]bool{c.Address: true}
 	addresses := c.controlAddresses(s)
-	for len(addresses) > 0 {
-		address := addresses[0]
-		addresses = addresses[1:]
-		if contacted[address] {
-			continue
-		}
-		contacted[address] = true
-		callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
-		_, err := wire.Call[JoinRequest, Ack](callCtx, c.Peers.Link(address), KindJoin, req)
-		cancel()
-		if err == nil {
+	leaders := make(chan string, len(addresses))
+	var group errgroup.Group
+	for _, address := range addresses {
+		group.Go(func() error {
+			if leader := c.sendJoin(ctx, address, s.ID); leader != "" && !slices.Contains(addresses, leader) {
+				leaders <- leader
+			}
+			return nil
+		})
+	}
+	_ = group.Wait() // Repeated after membersInterval.
+	close(leaders)
+	for leader := range leaders {
+		if c.sendJoin(ctx, leader, s.ID) == "" {
 			return
 		}
-		if leader := types.AsFault(err).Leader; leader != "" {
-			addresses = append(addresses, string(leader))
-		}
 	}
 }
 
+// sendJoin sends a join request to one control host and returns the address of the leader
+// that this host names, or the empty string if there is none or the request succeeded.
+func (c *Control) sendJoin(ctx context.Context, address string, id quorum.ReplicaID) string {
+	if address == c.Address {
+		return ""
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	req := JoinRequest{Member: quorum.Member{ID: id, Host: types.HostID(c.Address)}}
+	_, err := wire.Call[JoinRequest, Ack](ctx, c.Peers.Link(address), KindJoin, req)
+	if err == nil {
+		return ""
+	}
+	return string(types.AsFault(err).Leader)
+}
+
 // controlAddresses returns the addresses of the seeds and of the members in s,
 // without duplicates.
 func (c *Control) controlAddresses(s quorum.Status) []string {
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -159,6 +159,10 @@
 // unknown.
 func (c *Core) Leader() ReplicaID { return c.leader }
 
+// LastLeaderContact returns when the replica last had contact with a leader, or was
+// started or elected if that is later.
+func (c *Core) LastLeaderContact() types.Mono { return c.lastLeaderContact }
+
 // Commit returns the index of the last entry known to be committed.
 func (c *Core) Commit() Index { return c.commit }
 
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -81,6 +81,8 @@
 	Applied    Index      `json:"applied"`
 	Members    Members    `json:"members"`
 	LeaseUntil types.Mono `json:"leaseUntil"`
+	// LeaderContact is when the replica last had contact with a leader, or was started.
+	LeaderContact types.Mono `json:"leaderContact"`
 	// LeadsSince is when the replica became leader, if it is the leader.
 	LeadsSince types.Mono `json:"leadsSince"`
 	// LogTime is the group's log time at the clock reading LogTimeAt.
@@ -316,7 +318,7 @@
 	s := Status{
 		ID: r.core.id, Role: r.core.Role(), Term: r.core.Term(), Leader: r.core.Leader(),
 		Commit: r.core.Commit(), Applied: r.applied, Members: r.core.Members(),
-		LeaseUntil: r.core.LeaseUntil(now), LeadsSince: r.status.LeadsSince,
+		LeaseUntil: r.core.LeaseUntil(now), LeadsSince: r.status.LeadsSince, LeaderContact: r.core.LastLeaderContact(),
 		LogTime: r.core.LogTime(now), LogTimeAt: now,
 	}
 	if s.Role == Leader {
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -28,6 +28,9 @@
 	steps     int              // number of outputs handled so far
 	fault     func(h *simHost) // injected into the host that handles output faultStep
 	faultStep int              // the value of steps at which fault is injected; -1 for none
+	// voterTimeout is how long unresponsive voters are kept beside a replacement, or in an
+	// even group; 0 for ever.
+	voterTimeout time.Duration
 
 	leaders     map[quorum.Term]quorum.ReplicaID // the leader of each term
 	committed   map[quorum.Index]quorum.Entry    // entries that any replica has applied
@@ -112,11 +115,12 @@
 	h.applied = h.disk.snap.Index
 }
 
-// crash ends the replica, which starts again after restartDelay. If the disk is
+// crash ends the replica, which starts again after restartDelay, or at restartAt if that is
+// later. If the disk is
 // lost as well, it returns under a new ID.
 func (h *simHost) crash(loseDisk bool) {
 	h.core = nil
-	h.restartAt = h.sim.now.Add(restartDelay)
+	h.restartAt = max(h.restartAt, h.sim.now.Add(restartDelay))
 	if loseDisk {
 		h.diskLosses++
 		h.id = quorum.ReplicaID(fmt.Sprintf("%s/%d", h.name, h.diskLosses))
@@ -321,18 +325,31 @@
 		}
 		m := h.core.Members()
 		for _, o := range s.hosts {
-			if o.isRunning() && !m.Has(o.id) && s.now >= o.outboundPartitionUntil {
+			if o.isRunning() && !m.Has(o.id) && s.now >= o.outboundPartitionUntil && o.status().ShouldJoin(o.clock(), rejoinTimeout) {
 				m = m.WithLearner(quorum.Member{ID: o.id, Host: o.name})
 			}
 		}
-		status := quorum.Status{Commit: h.core.Commit(), Match: map[quorum.ReplicaID]quorum.Index{}}
-		for _, l := range m.Learners {
-			status.Match[l.ID] = h.core.Match(l.ID)
-		}
 		if len(m.Learners) == len(h.core.Members().Learners) {
-			m = status.NextMembers(m, 0)
+			m = h.status().NextMembers(m, s.voterTimeout)
 		}
 		_, _ = h.core.ProposeMembers(h.clock(), m)
 		h.processOutputs()
 	}
 }
+
+// rejoinTimeout is how long a replica is without contact to a leader before it asks whether
+// it is still a member.
+const rejoinTimeout = time.Second
+
+// status returns the replica's status, as far as changes of the membership need it.
+func (h *simHost) status() quorum.Status {
+	status := quorum.Status{
+		ID: h.id, Role: h.core.Role(), Commit: h.core.Commit(), Members: h.core.Members(), LeaderContact: h.core.LastLeaderContact(),
+		Match: map[quorum.ReplicaID]quorum.Index{}, SinceLastReply: map[quorum.ReplicaID]time.Duration{},
+	}
+	for _, m := range status.Members.All() {
+		status.Match[m.ID] = h.core.Match(m.ID)
+		status.SinceLastReply[m.ID] = h.core.SinceLastReply(m.ID, h.clock())
+	}
+	return status
+}
