turns: a store reads the free space again before it refuses for lack of it

Requests and turns were refused while at most one disk was full: a store whose disk had room again refused new programs and turns until its next check for expired turns, 2 s later and more if other stores did not reply. If the disk of another store filled up meanwhile, two of three stores of a shard refused.

Before a store refuses, it now reads the free space again if the last reading is older than 100 ms.

Evidence: TestStoreAcceptsTurnsOnceDiskHasRoom fails on the code before ("a turn while one disk is full: overloaded: the store has no capacity for more programs") and passes in 0.1 s.

--- a/turns/capacity.go
+++ b/turns/capacity.go
@@ -18,6 +18,9 @@
 	DiskBytes int64
 	// MemoryBytes limits the index.
 	MemoryBytes int64
+	// FreeBytes returns the free space of the file system of the directory dir. The
+	// default is [store.FreeBytes]. Tests set it.
+	FreeBytes func(dir string) (int64, error)
 }
 
 const (
@@ -30,6 +33,10 @@
 	// segment that is filled, and 1 MB of turns with each check.
 	turnShare = 0.95
 
+	// freeSpaceMaxAge is the age up to which the free space is not read again before a
+	// request is refused. Reading it takes some microseconds.
+	freeSpaceMaxAge = 100 * time.Millisecond
+
 	// indexedTurnBytes and indexedClaimBytes are the memory that a turn and a
 	// claim take in the index, including the maps.
 	indexedTurnBytes  = 400
@@ -53,12 +60,8 @@
 // updateCapacity sets the limit of the journal by the free space of the file system
 // and logs when the store begins or ceases to refuse programs.
 func (s *Store) updateCapacity() {
-	free, err := store.FreeBytes(s.Dir)
 	s.mu.Lock()
-	s.diskLimit = s.Capacity.DiskBytes
-	if available := s.index.bytes + free; err == nil && (s.diskLimit == 0 || available < s.diskLimit) {
-		s.diskLimit = available
-	}
+	s.updateDiskLimit()
 	used := s.usedShare()
 	full := used >= programShare
 	changed := full != s.full
@@ -71,6 +74,20 @@
 	}
 }
 
+// updateDiskLimit sets the limit of the journal by the free space of the file system. The
+// caller must hold mu.
+func (s *Store) updateDiskLimit() {
+	read := s.Capacity.FreeBytes
+	if read == nil {
+		read = store.FreeBytes
+	}
+	free, err := read(s.Dir)
+	s.diskLimit, s.diskLimitAt = s.Capacity.DiskBytes, s.Clock()
+	if available := s.index.bytes + free; err == nil && (s.diskLimit == 0 || available < s.diskLimit) {
+		s.diskLimit = available
+	}
+}
+
 // usedShare returns the part of the capacity that is used, of disk or memory,
 // whichever is larger. The caller must hold mu.
 func (s *Store) usedShare() float64 {
@@ -87,8 +104,16 @@
 
 // checkCapacity returns a fault if the store has no capacity for a claim of a program
 // that it does not know, or for a turn. The caller must hold mu.
+//
+// It refuses nothing by the free space that a check for expired turns has read, since the
+// next check is seconds away: a disk that has room again would count as full while that of
+// the next store fills up, and two of three stores would refuse.
 func (s *Store) checkCapacity(program programKey, turn *Turn) error {
 	used := s.usedShare()
+	if used >= programShare && s.Clock().Sub(s.diskLimitAt) > freeSpaceMaxAge {
+		s.updateDiskLimit()
+		used = s.usedShare()
+	}
 	switch known := s.index.programs[program] != nil; {
 	case turn != nil && used >= turnShare:
 		turnsRefusedFull.Inc()
--- a/turns/capacity_test.go
+++ b/turns/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,3 +57,35 @@
 		})
 	}
 }
+
+// TestStoreAcceptsTurnsOnceDiskHasRoom guards against a store that still refuses turns when
+// its disk has room again, until its next check for expired turns: the disks of two stores
+// are full one after the other, never both at once, and each turn needs one of them.
+func TestStoreAcceptsTurnsOnceDiskHasRoom(t *testing.T) {
+	const room = 1 << 30
+	var free [3]atomic.Int64
+	stores := 0
+	c := &cluster{t: t, peers: newPeers(), virtual: true}
+	c.capacityOf = func() turns.Capacity {
+		own := &free[stores]
+		own.Store(room)
+		stores++
+		return turns.Capacity{FreeBytes: func(string) (int64, error) { return own.Load(), nil }}
+	}
+	startCluster(c, 3)
+	c.setRetention(time.Minute)
+	w := c.client()
+	writeTurn(t, w, "choir", "p", "first", "")
+	for i := range 2 {
+		free[i].Store(0)
+	}
+	c.advance(2 * time.Second)
+	if err := settleTurn(withTimeout(t, time.Second), w, "choir", "p", "refused", "first"); err == nil {
+		t.Error("a turn was written with two full disks")
+	}
+	free[0].Store(room)
+	c.elapsed.Add(int64(200 * time.Millisecond)) // Without a check for expired turns.
+	if err := settleTurn(withTimeout(t, time.Second), w, "choir", "p", "second", "first"); err != nil {
+		t.Errorf("a turn while one disk is full: %v", err)
+	}
+}
--- a/turns/cluster_test.go
+++ b/turns/cluster_test.go
@@ -29,6 +29,8 @@
 	elapsed  atomic.Int64
 	virtual  bool
 	capacity turns.Capacity // of each store
+	// capacityOf returns the capacity of the next store, unless it is nil.
+	capacityOf func() turns.Capacity
 }
 
 func newPeers() *wire.Pool { return &wire.Pool{} }
@@ -100,6 +102,9 @@
 func (c *cluster) startStore(s *testStore) {
 	c.t.Helper()
 	s.Store = &turns.Store{Dir: s.dir, Clock: types.NewClock(), Capacity: c.capacity}
+	if c.capacityOf != nil {
+		s.Capacity = c.capacityOf()
+	}
 	if c.virtual {
 		s.ticks = make(chan time.Time)
 		s.Ticks, s.Clock = s.ticks, func() types.Mono { return types.Mono(c.elapsed.Load()) }
--- a/turns/store.go
+++ b/turns/store.go
@@ -51,7 +51,9 @@
 	// and none do.
 	retention time.Duration
 	diskLimit int64 // of the journal, by Capacity and the free space; 0 if there is none
-	full      bool  // whether the last event said that programs are refused
+	// diskLimitAt is when the free space was read for diskLimit.
+	diskLimitAt types.Mono
+	full        bool // whether the last event said that programs are refused
 }
 
 const (
