fleet: a control host waits for its disk at the first start of the fleet

If the disk of a seed was full when all hosts started for the first time, the process ended. The process that replaced it was not told that the fleet starts for the first time, and found no marker in its directory, so it never took part in bootstrapping, and the fleet never accepted a change.

At the first start, the process now tries until its disk accepts the marker and the identity. At other starts, nothing is lost if the process ends, and it still does.

--- a/fleet/bootstrap.go
+++ b/fleet/bootstrap.go
@@ -29,6 +29,25 @@
 	bootstrapMarker = "founding"
 )
 
+// awaitIdentity reads or creates the replica's identity. If all hosts are starting for the
+// first time, it waits until the disk accepts the identity and the marker: the process that
+// replaces this one is not told that it may bootstrap, and without this host, if it is a
+// seed, the group is never created.
+func (c *Control) awaitIdentity(ctx context.Context) error {
+	logged := false
+	return types.Poll(ctx, bootstrapInterval, func(context.Context) (bool, error) {
+		err := c.loadIdentity()
+		if err == nil || !c.AllowBootstrap {
+			return err == nil, err
+		}
+		if !logged {
+			c.Log.Write(event.DiskIOFailed, event.Fields{"path": c.Dir, "error": err.Error(), "step": "identity"})
+			logged = true
+		}
+		return false, nil
+	})
+}
+
 // loadIdentity reads the replica's identity, or creates it on the first start.
 // If the replica's state is corrupt, it deletes the data directory, so that the
 // replica joins the group under a new identity.
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -195,7 +195,7 @@
 // storage fails.
 func (c *Control) Run(ctx context.Context) error {
 	c.init()
-	if err := c.loadIdentity(); err != nil {
+	if err := c.awaitIdentity(ctx); err != nil || ctx.Err() != nil {
 		return err
 	}
 	if err := c.bootstrap(ctx); err != nil || ctx.Err() != nil {
