--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -28,6 +28,7 @@
 	ShardReformed        = Kind{216, logrus.ErrorLevel, "majority of a shard's stores has lost its disks, shard formed anew from the others"}
 	ReformExpired        = Kind{217, logrus.InfoLevel, "turns that a shard may have lost would have expired"}
 	DiskSlow             = Kind{218, logrus.WarnLevel, "disk took long for a write of a replica"}
+	MembershipInDoubt    = Kind{219, logrus.WarnLevel, "replica has no contact to a leader and asks whether it is still a member"}
 	OrderDecided         = Kind{301, logrus.InfoLevel, "configuration order decided"}
 	ConfigApplied        = Kind{302, logrus.InfoLevel, "configuration version in force"}
 	LeaseLost            = Kind{303, logrus.WarnLevel, "configuration lease ran out, requests are refused"}
@@ -82,7 +83,7 @@
 		HostStarted, HostDraining, HostStopped, HostFailed,
 		LeaderElected, LeaderLost, LogTruncated, LogCorrupt, SnapshotWritten,
 		SnapshotInstalled, StorageFailed, DiskIOFailed, GroupBootstrapped, MembersChanged,
-		ShardMoved, ShardCopied, CopyFailed, ExpiryUnproven, StoreCapacity, ShardReformed, ReformExpired, DiskSlow,
+		ShardMoved, ShardCopied, CopyFailed, ExpiryUnproven, StoreCapacity, ShardReformed, ReformExpired, DiskSlow, MembershipInDoubt,
 		OrderDecided, ConfigApplied, LeaseLost, LeaseAcquired, PlanApplied, PlanRefused,
 		TargetsChanged, LeaderReached, LeaderUnreachable, ZoneOrderDecided, ZonesApplied, ServicesEvacuated, EntryDropped,
 		CallOutcomeUnknown, CallQuarantined, SessionExpired, CallCloseFailed,
--- a/turns/cluster_test.go
+++ b/turns/cluster_test.go
@@ -32,6 +32,8 @@
 	// catchUp and linkBytesPerSecond are those of each store that is added.
 	catchUp            time.Duration
 	linkBytesPerSecond float64
+	// capacityOf returns the capacity of the next store, unless it is nil.
+	capacityOf func() turns.Capacity
 }
 
 func newPeers() *wire.Pool { return &wire.Pool{} }
@@ -103,6 +105,9 @@
 func (c *cluster) startStore(s *testStore) {
 	c.t.Helper()
 	s.Store = &turns.Store{Dir: s.dir, Clock: types.NewClock(), Capacity: c.capacity, CatchUp: c.catchUp, LinkBytesPerSecond: c.linkBytesPerSecond}
+	if c.capacityOf != nil {
+		s.Capacity = c.capacityOf()
+	}
 	if c.virtual {
 		s.ticks = make(chan time.Time)
 		s.Ticks, s.Clock = s.ticks, func() types.Mono { return types.Mono(c.elapsed.Load()) }
