quorum: write to the disk beside the loop of a replica

Callers saw proposals wait, or end with an unknown outcome, and the leader change although no host had failed, when the disk of a control host was busy: the loop wrote and synced between two heartbeats, so a leader whose sync took longer than MinElectionTimeout was replaced and could not extend its lease.

One writer makes outputs durable in order. Meanwhile the loop goes on: the leader's appends and heartbeats go out and entries that a quorum has synced are applied. Votes, acknowledgements and the leader's own acknowledgement wait for their write; outputs that come while one is under way are merged into the next. A follower whose write takes long confirms at once that it has heard the leader, if its term is durable, which extends the lease but counts for no entry. After 10 s a replica counts as failed: a leader transfers its leadership, a follower confirms nothing. A stop waits for at most 3 s for a write that hangs.

--- a/quorum/compact.go
+++ b/quorum/compact.go
@@ -1,6 +1,10 @@
 package quorum
 
-import "github.com/banyanspur/banyanspur/types"
+import (
+	"slices"
+
+	"github.com/banyanspur/banyanspur/types"
+)
 
 // stepSnapshot handles a snapshot from the leader, which replaces the whole log
 // unless the log is already committed up to the snapshot's index.
@@ -46,6 +50,12 @@
 	return s
 }
 
+// EntriesAfter returns a copy of the entries after index i, which must not be less than that
+// of the snapshot.
+func (c *Core) EntriesAfter(i Index) []Entry {
+	return slices.Clone(c.entries(i+1, c.lastIndex()))
+}
+
 // Compact drops the entries that snapshot s covers and returns the remaining
 // entries.
 func (c *Core) Compact(s Snapshot) []Entry {
--- a/quorum/durable.go
+++ b/quorum/durable.go
@@ -88,9 +88,9 @@
 		return err
 	}
 	o.ID, o.Timing, o.Start, o.Rand = id, r.Timing, r.Clock(), newRand()
-	r.store = l
 	r.core = NewCore(o)
-	r.snapshotBytes = int64(len(recovered.Snapshot))
+	r.durableHard, r.logBytes, r.snapshotBytes = o.HardState, l.Size(), int64(len(recovered.Snapshot))
+	r.writer = startWriter(l, r.Clock)
 	r.publishStatus()
 	return nil
 }
@@ -148,46 +148,3 @@
 	}
 	return r.Machine.Restore(s.Data)
 }
-
-// persist makes the output's hard state and entries durable.
-func (r *Replica[C, R]) persist(out Output) error {
-	if out.HardState == nil && len(out.Entries) == 0 {
-		return nil
-	}
-	start := r.Clock()
-	err := r.store.Append(types.Encode(logRecord{Hard: out.HardState, Entries: out.Entries}))
-	r.recordWrite(r.Clock().Sub(start))
-	return err
-}
-
-// installSnapshot replaces the stored log and the state machine by a snapshot from
-// the leader.
-func (r *Replica[C, R]) installSnapshot(s Snapshot) error {
-	hard := r.core.HardState()
-	b := types.Encode(s)
-	if err := r.store.Reset(b, types.Encode(logRecord{Hard: &hard})); err != nil {
-		return err
-	}
-	r.snapshotBytes = int64(len(b))
-	r.Log.Write(event.SnapshotInstalled, event.Fields{"group": r.Group, "index": s.Index})
-	return r.restoreSnapshot(s)
-}
-
-// compact writes a snapshot once the log is larger than the previous snapshot, so
-// that the cost of snapshots stays proportional to that of the log.
-func (r *Replica[C, R]) compact() error {
-	if r.store.Size() < max(minCompactBytes, r.snapshotBytes) || r.applied == 0 {
-		return nil
-	}
-	s := r.core.SnapshotAt(r.applied)
-	s.Data = r.Machine.Snapshot()
-	rest := r.core.Compact(s)
-	hard := r.core.HardState()
-	b := types.Encode(s)
-	if err := r.store.Reset(b, types.Encode(logRecord{Hard: &hard, Entries: rest})); err != nil {
-		return err
-	}
-	r.snapshotBytes = int64(len(b))
-	r.Log.Write(event.SnapshotWritten, event.Fields{"group": r.Group, "index": s.Index, "bytes": len(b)})
-	return nil
-}
--- a/quorum/linear_test.go
+++ b/quorum/linear_test.go
@@ -125,3 +125,39 @@
 		h.record(client, call, operation{unknown: true})
 	}
 }
+
+// TestLinearizableWithStalledDisks guards against reads of what is lost and commands that are
+// applied twice or not at all when disks stall in turn, and replicas stop meanwhile: a leader
+// applies entries that it has not synced itself.
+func TestLinearizableWithStalledDisks(t *testing.T) {
+	g := newTestGroup(t)
+	h := &history{start: time.Now()}
+	ctx, cancel := context.WithCancel(context.Background())
+	var clients errgroup.Group
+	for c := range 4 {
+		clients.Go(func() error {
+			for i := c; ctx.Err() == nil; i++ {
+				g.runOperation(h, c, i%3, i%4 == 0)
+				time.Sleep(2 * time.Millisecond)
+			}
+			return nil
+		})
+	}
+	for round := range 5 {
+		leader := g.waitForLeader()
+		g.disks[leader].stall(900 * time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
+		g.disks[(leader+1)%3].stall(900 * time.Millisecond) // Together, two disks stall for 0.6 s.
+		stopped := (leader + round) % 3
+		g.stopReplica(stopped)
+		g.startReplica(stopped)
+		time.Sleep(time.Second)
+	}
+	cancel()
+	_ = clients.Wait()
+	result := porcupine.CheckOperationsTimeout(counterModel.ToModel(), h.operations, time.Minute)
+	if result != porcupine.Ok {
+		t.Errorf("%d operations: %s", len(h.operations), result)
+	}
+	t.Logf("%d operations: %s", len(h.operations), result)
+}
--- a/quorum/matrix_test.go
+++ b/quorum/matrix_test.go
@@ -23,6 +23,14 @@
 	{"crash after sync", func(h *simHost) { h.crashAt = crashAfterSync }},
 	{"lost disk", func(h *simHost) { h.crashAt = crashWithDiskLoss }},
 	{"full disk", func(h *simHost) { h.crashAt = crashBeforeSync; h.restartAt = h.sim.now.Add(faultDuration) }},
+	{"stalled disk", func(h *simHost) { h.stalledUntil = h.sim.now.Add(faultDuration) }},
+	{"stalled disk and crash", func(h *simHost) {
+		h.stalledUntil, h.crashAt = h.sim.now.Add(faultDuration), crashBeforeSync
+	}},
+	{"stalled disk and crash after sync", func(h *simHost) {
+		h.stalledUntil, h.crashAt = h.sim.now.Add(faultDuration), crashAfterSync
+	}},
+	{"stalled disk and stop", func(h *simHost) { h.stalledUntil, h.stopAfterStep = h.sim.now.Add(faultDuration), true }},
 	{"freeze", func(h *simHost) { h.suspendedUntil = h.sim.now.Add(faultDuration) }},
 	{"stop", func(h *simHost) { h.stopAfterStep = true }},
 	{"inbound partition", func(h *simHost) { h.inboundPartitionUntil = h.sim.now.Add(faultDuration) }},
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/store"
@@ -67,40 +67,21 @@
 	inbox         chan func(now types.Mono)
 	mu            sync.RWMutex // guards Machine, status and pending; only the loop uses the other fields below
 	status        Status
-	store         *store.Log
 	core          *Core
 	pending       map[Index]pendingProposal[R]
 	applied       Index
-	snapshotBytes int64
 	lastRole      Role
-	transferred   bool          // this replica has transferred its leadership
+	transferCause string // why this replica has transferred its leadership, if it has
+
+	writer        *writer
+	writing       *pendingOutput // the write under way, or nil
+	queued        Output         // the outputs that follow it, without Immediate and Committed
+	durableHard   HardState
+	logBytes      int64         // size of the log's current segment
+	snapshotBytes int64         // size of the stored snapshot
 	lastWrite     time.Duration // how long the last write took
 }
 
-// Status describes a replica and its view of its group.
-type Status struct {
-	ID         ReplicaID  `json:"id"`
-	Role       Role       `json:"role"`
-	Term       Term       `json:"term"`
-	Leader     ReplicaID  `json:"leader"`
-	Commit     Index      `json:"commit"`
-	Applied    Index      `json:"applied"`
-	Members    Members    `json:"members"`
-	LeaseUntil types.Mono `json:"leaseUntil"`
-	// LeadsSince is when the replica became leader, if it is the leader.
-	LeadsSince types.Mono `json:"leadsSince"`
-	// LogTime is the group's log time at the clock reading LogTimeAt.
-	LogTime   types.LogTime `json:"logTime"`
-	LogTimeAt types.Mono    `json:"logTimeAt"`
-	// Match is set on a leader only. It is the index up to which each replica is
-	// known to have synced the log.
-	Match map[ReplicaID]Index `json:"match,omitempty"`
-	// SinceLastReply is set on a leader only. It is the time since each other
-	// replica last replied, or since the leader began to track the replica if that
-	// is later.
-	SinceLastReply map[ReplicaID]time.Duration `json:"silence,omitempty"`
-}
-
 // pendingProposal is a proposal that is appended but not yet applied.
 type pendingProposal[R any] struct {
 	term  Term
@@ -129,27 +110,37 @@
 
 // Run opens the replica's directory and takes part in the group until ctx ends
 // or storage fails. If the directory is damaged, it returns [store.ErrCorrupt]
-// without having served any request.
-func (r *Replica[C, R]) Run(ctx context.Context) error {
+// without having served any request. If a write does not end, Run returns an error
+// a few seconds after ctx has ended; then no other replica may use the directory
+// as long as the process runs.
+func (r *Replica[C, R]) Run(ctx context.Context) (err error) {
 	r.init()
 	if err := r.openStore(); err != nil {
 		return err
 	}
-	defer r.store.Close()
+	defer func() { err = errors.CombineErrors(err, r.writer.stop()) }()
 	defer r.failPending()
 	ticker := time.NewTicker(r.tickInterval())
 	defer ticker.Stop()
 	for {
+		var err error
 		select {
 		case <-ctx.Done():
 			return r.transferLeadership()
 		case <-ticker.C:
-			r.core.Tick(r.Clock())
+			now := r.Clock()
+			r.checkWrite(now)
+			r.core.Tick(now)
 		case step := <-r.inbox:
 			step(r.Clock())
 			r.drainInbox()
+		case result := <-r.writer.results:
+			err = r.completeWrite(result)
 		}
-		if err := r.processOutputs(); err != nil {
+		if err == nil {
+			err = r.processOutputs()
+		}
+		if err != nil {
 			r.Log.Write(event.StorageFailed, event.Fields{"group": r.Group, "error": err.Error()})
 			return err
 		}
@@ -179,14 +170,19 @@
 	if r.core.Role() != Leader {
 		return nil
 	}
-	r.core.TransferLeadership(r.Clock())
-	r.transferred = true
-	r.publishStatus() // End the lease before another replica can be elected.
+	r.giveUpLeadership(r.Clock(), "transfer")
 	err := r.processOutputs()
 	time.Sleep(transferGracePeriod)
 	return err
 }
 
+// giveUpLeadership transfers leadership for the given cause.
+func (r *Replica[C, R]) giveUpLeadership(now types.Mono, cause string) {
+	r.transferCause = cause
+	r.core.TransferLeadership(now)
+	r.publishStatus() // End the lease before another replica can be elected.
+}
+
 // drainInbox processes the inputs that are already queued, so that they share one
 // sync.
 func (r *Replica[C, R]) drainInbox() {
@@ -200,39 +196,36 @@
 	}
 }
 
-// processOutputs handles the outputs of the core until none is left, compacts
-// the log if needed and publishes the status.
+// processOutputs handles the outputs of the core until none is left and publishes
+// the status. It does not wait for the disk.
 func (r *Replica[C, R]) processOutputs() error {
 	for {
-		out := r.core.DrainOutput()
-		if err := r.handleOutput(out); err != nil {
+		if err := r.handleOutput(r.core.DrainOutput()); err != nil {
 			return err
 		}
-		if len(out.AfterSync) == 0 {
+		messages := r.startWrite()
+		if len(messages) == 0 {
 			break
 		}
-	}
-	if err := r.compact(); err != nil {
-		return err
+		r.sendAll(messages)
 	}
 	r.publishStatus()
 	return nil
 }
 
-// handleOutput makes an output durable, applies its committed entries and sends
-// its messages.
+// handleOutput sends the messages of an output that need not wait, applies its
+// committed entries and queues the rest for the disk.
 func (r *Replica[C, R]) handleOutput(out Output) error {
 	r.sendAll(out.Immediate)
 	if out.Install != nil {
-		if err := r.installSnapshot(*out.Install); err != nil {
+		if err := r.restoreSnapshot(*out.Install); err != nil {
 			return err
 		}
 	}
-	if err := r.persist(out); err != nil {
-		return err
-	}
 	r.apply(out.Committed)
-	r.sendAll(out.AfterSync)
+	r.sendContacts(out.AfterSync)
+	out.Immediate, out.Committed = nil, nil
+	r.queued.Merge(out)
 	return nil
 }
 
@@ -316,70 +309,6 @@
 	}
 }
 
-// publishStatus updates the status that other goroutines read and handles a
-// change of role.
-func (r *Replica[C, R]) publishStatus() {
-	now := r.Clock()
-	s := Status{
-		ID: r.core.id, Role: r.core.Role(), Term: r.core.Term(), Leader: r.core.Leader(),
-		Commit: r.core.Commit(), Applied: r.applied, Members: r.core.Members(),
-		LeaseUntil: r.core.LeaseUntil(now), LeadsSince: r.status.LeadsSince,
-		LogTime: r.core.LogTime(now), LogTimeAt: now,
-	}
-	if s.Role == Leader {
-		s.Match = map[ReplicaID]Index{}
-		s.SinceLastReply = map[ReplicaID]time.Duration{}
-		for _, m := range s.Members.All() {
-			s.Match[m.ID] = r.core.Match(m.ID)
-			s.SinceLastReply[m.ID] = r.core.SinceLastReply(m.ID, now)
-		}
-	}
-	if s.Role != r.lastRole {
-		r.recordRoleChange(&s, now)
-	}
-	r.mu.Lock()
-	r.status = s
-	r.mu.Unlock()
-}
-
-// recordRoleChange logs that leadership was gained or lost, and sets s.LeadsSince
-// or fails the pending proposals.
-func (r *Replica[C, R]) recordRoleChange(s *Status, now types.Mono) {
-	fields := event.Fields{"group": r.Group, "term": s.Term, "replica": s.ID}
-	if s.Role == Leader {
-		s.LeadsSince = now
-		r.Log.Write(event.LeaderElected, fields)
-	}
-	if r.lastRole == Leader {
-		reason := r.lossReason(s.Term)
-		fields["reason"], fields["writeMs"] = reason, r.lastWrite.Milliseconds()
-		metrics.GetOrCreateCounter(`banyanspur_quorum_leader_losses_total{reason="` + reason + `"}`).Inc()
-		r.Log.Write(event.LeaderLost, fields)
-		r.failPending()
-	}
-	r.lastRole = s.Role
-}
-
-// lossReason returns why this replica no longer leads: it has transferred its leadership, it
-// has heard of a newer term, or a quorum did not reply in time to extend the lease. term is
-// the current one.
-func (r *Replica[C, R]) lossReason(term Term) string {
-	switch {
-	case r.transferred:
-		return "transfer"
-	case term > r.status.Term:
-		return "newerTerm"
-	}
-	return "leaseExpired"
-}
-
-// Status returns the most recently published status.
-func (r *Replica[C, R]) Status() Status {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.status
-}
-
 // Deliver queues a message from the network. It never blocks: if the queue is
 // full, the message is dropped, as the network may do.
 func (r *Replica[C, R]) Deliver(m Message) {
--- a/quorum/replica_test.go
+++ b/quorum/replica_test.go
@@ -35,20 +35,35 @@
 	return err
 }
 
-// testGroup is a group of three replicas in one process.
+// testGroup is a group of replicas in one process.
 type testGroup struct {
 	t         testing.TB
 	dir       string
 	mu        sync.Mutex
-	replicas  [3]*quorum.Replica[[]byte, int]
-	machines  [3]*counter
-	stopFuncs [3]func()
+	replicas  []*quorum.Replica[[]byte, int]
+	machines  []*counter
+	disks     []*slowDisk
+	stopFuncs []func()
+	cancels   []func() error // stop a replica and return the error of Run
 }
 
 // newTestGroup starts three replicas, which are stopped at the end of the test.
 func newTestGroup(t testing.TB) *testGroup {
 	t.Helper()
-	g := &testGroup{t: t, dir: t.TempDir()}
+	return newTestGroupOf(t, 3)
+}
+
+// newTestGroupOf starts n replicas, which are stopped at the end of the test.
+func newTestGroupOf(t testing.TB, n int) *testGroup {
+	t.Helper()
+	g := &testGroup{
+		t: t, dir: t.TempDir(), replicas: make([]*quorum.Replica[[]byte, int], n),
+		machines: make([]*counter, n), stopFuncs: make([]func(), n),
+		cancels: make([]func() error, n),
+	}
+	for range n {
+		g.disks = append(g.disks, &slowDisk{})
+	}
 	var members quorum.Members
 	for i := range g.replicas {
 		id, err := quorum.LoadOrCreateID(g.replicaDir(i), hostName(i))
@@ -77,21 +92,34 @@
 
 func (g *testGroup) startReplica(i int) {
 	m := &counter{}
-	r := &quorum.Replica[[]byte, int]{Dir: g.replicaDir(i), Host: hostName(i), Machine: m, Send: g.send, Clock: types.NewClock()}
+	r := &quorum.Replica[[]byte, int]{
+		Dir: g.replicaDir(i), Disk: store.Disk{Write: g.disks[i].write, Sync: g.disks[i].sync},
+		Host: hostName(i), Machine: m, Send: g.send, Clock: types.NewClock(),
+	}
 	g.mu.Lock()
 	g.replicas[i], g.machines[i] = r, m
 	g.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return r.Run(ctx) })
-	g.stopFuncs[i] = sync.OnceFunc(func() {
+	g.cancels[i] = func() error {
 		cancel()
-		if err := group.Wait(); err != nil {
+		return group.Wait()
+	}
+	g.stopFuncs[i] = sync.OnceFunc(func() {
+		if err := g.cancels[i](); err != nil {
 			g.t.Error(err)
 		}
 	})
 }
 
+// cancelReplica stops a replica that is expected to end with an error, which it returns.
+func (g *testGroup) cancelReplica(i int) error {
+	err := g.cancels[i]()
+	g.stopFuncs[i] = func() {}
+	return err
+}
+
 func (g *testGroup) stopReplica(i int) { g.stopFuncs[i]() }
 
 // send delivers a message. A message to a replica that has not been started yet is
@@ -112,7 +140,7 @@
 func (g *testGroup) propose(command []byte) (unknown int) {
 	for i := 0; ; i++ {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		_, err := g.replicas[i%3].Propose(ctx, command)
+		_, err := g.replicas[i%len(g.replicas)].Propose(ctx, command)
 		cancel()
 		if err == nil {
 			return unknown
@@ -120,7 +148,7 @@
 		if types.AsFault(err).Ran != types.NotRun {
 			unknown++
 		}
-		if i%3 == 2 {
+		if i%len(g.replicas) == len(g.replicas)-1 {
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -52,7 +52,10 @@
 	id                     quorum.ReplicaID
 	core                   *quorum.Core // nil while the replica is down
 	disk                   simDisk
-	clockRate              float64 // rate of the host's clock relative to simulated time
+	stalledUntil           types.Mono     // when the write under way ends
+	writing                *quorum.Output // being made durable, or nil
+	queued                 quorum.Output  // made durable after writing
+	clockRate              float64        // rate of the host's clock relative to simulated time
 	suspendedUntil         types.Mono
 	restartAt              types.Mono // when a crashed replica starts again
 	inboundPartitionUntil  types.Mono
@@ -110,12 +113,17 @@
 	})
 	h.pending = map[quorum.Index]quorum.Entry{}
 	h.applied = h.disk.snap.Index
+	h.writing, h.queued = nil, quorum.Output{}
 }
 
-// crash ends the replica, which starts again after restartDelay. If the disk is
-// lost as well, it returns under a new ID.
+// crash ends the replica, which starts again after restartDelay. A write that is
+// under way may or may not become durable. If the disk is lost as well, the replica
+// returns under a new ID.
 func (h *simHost) crash(loseDisk bool) {
-	h.core = nil
+	if h.writing != nil && h.sim.rand.IntN(2) == 0 {
+		h.persist(*h.writing)
+	}
+	h.core, h.writing = nil, nil
 	h.restartAt = h.sim.now.Add(restartDelay)
 	if loseDisk {
 		h.diskLosses++
@@ -179,6 +187,7 @@
 
 // processOutputs handles the outputs of the core, as quorum.Replica does.
 func (h *simHost) processOutputs() {
+	h.write()
 	for h.isRunning() {
 		out := h.core.DrainOutput() // Handling an output may crash the replica.
 		if out.HardState == nil && len(out.Entries)+len(out.Immediate)+len(out.AfterSync)+len(out.Committed) == 0 && out.Install == nil {
@@ -191,8 +200,8 @@
 	}
 }
 
-// handleOutput carries out one output. It injects the fault, if it is due, and
-// stops where the replica crashes.
+// handleOutput carries out one output, as far as it need not wait for the disk. It
+// injects the fault, if it is due, and stops where the replica crashes.
 func (h *simHost) handleOutput(out quorum.Output) {
 	s := h.sim
 	if s.steps == s.faultStep && s.fault != nil {
@@ -200,23 +209,55 @@
 	}
 	s.steps++
 	h.send(out.Immediate)
-	if h.crashesAt(crashBeforeSync) {
-		return
-	}
-	h.persist(out)
-	if h.crashesAt(crashAfterSync) {
-		return
-	}
-	if h.crashesAt(crashWithDiskLoss) {
-		return
+	if out.Install != nil {
+		h.applied = out.Install.Index
 	}
 	h.apply(out.Committed)
-	h.send(out.AfterSync)
-	if h.stopAfterStep {
+	if h.writing != nil {
+		h.sendContacts(out.AfterSync)
+	}
+	out.Immediate, out.Committed = nil, nil
+	h.queued.Merge(out)
+	h.write()
+	if h.core != nil && h.stopAfterStep {
 		h.stop()
 	}
 }
 
+// write makes outputs durable in order and sends the messages that waited for them,
+// until the disk stalls, the replica crashes or nothing is queued.
+func (h *simHost) write() {
+	for h.isRunning() {
+		if h.writing == nil {
+			if h.queued.HardState == nil && len(h.queued.Entries)+len(h.queued.AfterSync) == 0 && h.queued.Install == nil {
+				return
+			}
+			out := h.queued
+			h.writing, h.queued = &out, quorum.Output{}
+		}
+		if h.sim.now < h.stalledUntil || h.crashesAt(crashBeforeSync) {
+			return
+		}
+		out := *h.writing
+		h.persist(out)
+		h.writing = nil
+		if h.crashesAt(crashAfterSync) || h.crashesAt(crashWithDiskLoss) {
+			return
+		}
+		h.send(out.AfterSync)
+	}
+}
+
+// sendContacts tells leaders that they have been heard, for replies that wait for
+// the disk.
+func (h *simHost) sendContacts(replies []quorum.Message) {
+	for _, m := range replies {
+		if contact, ok := m.Contact(); ok && m.Term == h.disk.hard.Term {
+			h.send([]quorum.Message{contact})
+		}
+	}
+}
+
 // stop transfers leadership and then shuts the replica down.
 func (h *simHost) stop() {
 	h.stopAfterStep = false
@@ -235,6 +276,9 @@
 		return false
 	}
 	h.crashAt = crashNever
+	if at == crashBeforeSync {
+		h.writing = nil // Nothing of it becomes durable.
+	}
 	h.crash(at == crashWithDiskLoss)
 	return true
 }
@@ -242,7 +286,6 @@
 func (h *simHost) persist(out quorum.Output) {
 	if out.Install != nil {
 		h.disk.snap, h.disk.entries = *out.Install, nil
-		h.applied = out.Install.Index
 	}
 	if out.HardState != nil {
 		h.disk.hard = *out.HardState
@@ -288,7 +331,7 @@
 
 // compact replaces the entries that the replica has applied by a snapshot.
 func (h *simHost) compact() {
-	if h.core == nil || h.applied == h.disk.snap.Index {
+	if h.core == nil || h.writing != nil || h.applied == h.disk.snap.Index {
 		return
 	}
 	snap := h.core.SnapshotAt(h.applied)
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -179,8 +179,10 @@
 }
 
 // Output lists the work that one or more steps of the core leave to its caller.
-// The caller first makes Install, HardState and Entries durable, in this order,
-// then sends AfterSync and applies Committed. Immediate may be sent at any time.
+// The caller makes Install, HardState and Entries durable, in this order, and
+// only then sends AfterSync. Immediate may be sent and Committed be applied before:
+// a quorum has made the entries in Committed durable, which may not include this
+// replica. Outputs are made durable in order, or merged and then made durable.
 type Output struct {
 	HardState *HardState
 	Entries   []Entry   // replace everything from Entries[0].Index on
