--- a/quorum/compact.go
+++ b/quorum/compact.go
@@ -7,11 +7,15 @@
 )
 
 // stepSnapshot handles a snapshot from the leader, which replaces the whole log
-// unless the log is already committed up to the snapshot's index.
+// unless the log contains the snapshot's last entry. If it does, the entries that
+// follow are kept, since the leader may count on those that are acknowledged.
 func (c *Core) stepSnapshot(now types.Mono, m Message) {
 	c.acceptLeader(now, m)
 	s := *m.Snapshot
 	reply := Message{Kind: MsgAppendReply, To: m.From, Term: c.hardState.Term, SentAt: m.SentAt, Index: max(s.Index, c.commit)}
+	if term, ok := c.termAt(s.Index); ok && term == s.Term {
+		c.commit = max(c.commit, s.Index)
+	}
 	if s.Index > c.commit {
 		c.installSnapshot(now, s)
 	}
