--- a/quorum/compact.go
+++ b/quorum/compact.go
@@ -1,13 +1,21 @@
 package quorum
 
-import "github.com/banyanspur/banyanspur/types"
+import (
+	"slices"
+
+	"github.com/banyanspur/banyanspur/types"
+)
 
 // stepSnapshot handles a snapshot from the leader, which replaces the whole log
-// unless the log is already committed up to the snapshot's index.
+// unless the log contains the snapshot's last entry. If it does, the entries that
+// follow are kept, since the leader may count on those that are acknowledged.
 func (c *Core) stepSnapshot(now types.Mono, m Message) {
 	c.acceptLeader(now, m)
 	s := *m.Snapshot
 	reply := Message{Kind: MsgAppendReply, To: m.From, Term: c.hardState.Term, SentAt: m.SentAt, Index: max(s.Index, c.commit)}
+	if term, ok := c.termAt(s.Index); ok && term == s.Term {
+		c.commit = max(c.commit, s.Index)
+	}
 	if s.Index > c.commit {
 		c.installSnapshot(now, s)
 	}
@@ -46,6 +54,12 @@
 	return s
 }
 
+// EntriesAfter returns a copy of the entries after index i, which must not be less than that
+// of the snapshot.
+func (c *Core) EntriesAfter(i Index) []Entry {
+	return slices.Clone(c.entries(i+1, c.lastIndex()))
+}
+
 // Compact drops the entries that snapshot s covers and returns the remaining
 // entries.
 func (c *Core) Compact(s Snapshot) []Entry {
--- a/turns/cluster_test.go
+++ b/turns/cluster_test.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/banyanspur/banyanspur/store"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
@@ -34,6 +35,7 @@
 	linkBytesPerSecond float64
 	// capacityOf returns the capacity of the next store, unless it is nil.
 	capacityOf func() turns.Capacity
+	disks      []store.Disk // of the first stores
 }
 
 func newPeers() *wire.Pool { return &wire.Pool{} }
@@ -47,6 +49,7 @@
 	server *httptest.Server
 	stop   func() // nil while the store is stopped
 	ticks  chan time.Time
+	disk   store.Disk
 	// diskResumed delays all writes to the disk until it is closed, unless it is nil.
 	diskResumed chan struct{}
 }
@@ -96,6 +99,9 @@
 // addStore starts a store with an empty directory and returns its index.
 func (c *cluster) addStore() int {
 	s := &testStore{dir: c.t.TempDir()}
+	if n := len(c.stores); n < len(c.disks) {
+		s.disk = c.disks[n]
+	}
 	c.startStore(s)
 	c.stores = append(c.stores, s)
 	return len(c.stores) - 1
@@ -104,7 +110,7 @@
 // startStore opens and runs a store with the current shard map.
 func (c *cluster) startStore(s *testStore) {
 	c.t.Helper()
-	s.Store = &turns.Store{Dir: s.dir, Clock: types.NewClock(), Capacity: c.capacity, CatchUp: c.catchUp, LinkBytesPerSecond: c.linkBytesPerSecond}
+	s.Store = &turns.Store{Dir: s.dir, Disk: s.disk, Clock: types.NewClock(), Capacity: c.capacity, CatchUp: c.catchUp, LinkBytesPerSecond: c.linkBytesPerSecond}
 	if c.capacityOf != nil {
 		s.Capacity = c.capacityOf()
 	}
@@ -124,7 +130,7 @@
 	s.server.Config.BaseContext = func(net.Listener) context.Context { return ctx } // Canceling ctx closes the connections.
 	s.server.Start()
 	g, runCtx := errgroup.WithContext(ctx)
-	store := s.Store
+	running := s.Store
 	diskResumed := s.diskResumed
 	g.Go(func() error {
 		if diskResumed != nil {
@@ -133,10 +139,10 @@
 			case <-runCtx.Done():
 			}
 		}
-		return store.Run(runCtx)
+		return running.Run(runCtx)
 	})
-	g.Go(func() error { return store.CopyShards(runCtx, c.peers) })
-	g.Go(func() error { return store.ExpireTurns(runCtx, c.peers) })
+	g.Go(func() error { return running.CopyShards(runCtx, c.peers) })
+	g.Go(func() error { return running.ExpireTurns(runCtx, c.peers) })
 	s.stop = func() {
 		cancel()
 		s.server.Close()
