gate: send error responses to callers that closed their side

A caller that closed its own side of the connection after the request got no response if the target broke off or the body was incomplete. A caller whose body did not come within the deadline got none either, and its connection stayed open for good, with a goroutine: the 408 was never sent.

Cause: writeError took the end of the request's context for a caller that is gone. net/http also ends it at the end of what the caller sends, and when the read of the body times out. The handler then panicked, and net/http waited for the rest of the body, for which readBody had just removed the deadline.

Error responses are now written and flushed in any case, and the read deadline is removed only after a whole body.

--- a/gate/body.go
+++ b/gate/body.go
@@ -31,7 +31,9 @@
 	unlink := context.AfterFunc(c.gate.answersCtx, func() { _ = rc.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
 	unlink()
-	_ = rc.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{}) // Otherwise the server would wait for the rest of the body without a limit.
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/gate/call.go
+++ b/gate/call.go
@@ -179,8 +179,8 @@
 // remaining returns the time until the deadline of the request.
 func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
 
-// writeError logs an error response and sends it to the caller, unless the caller
-// is gone.
+// writeError logs an error response and sends it to the caller, which may have closed its
+// own side of the connection and still read.
 func (c *call) writeError(r *errorResponse) {
 	c.status = r.status
 	fields := event.Fields{
@@ -190,12 +190,9 @@
 	maps.Copy(fields, r.logFields)
 	c.gate.Log.Write(event.RequestRefused, fields)
 	refusedTotal.Inc()
-	if c.r.Context().Err() != nil {
-		c.truncated = true // A caller that half-closed its connection may still read; it must not see an empty success.
-		return
-	}
+	gone := c.r.Context().Err() != nil // Or the caller has half-closed its connection, or its body did not come in time.
 	h := c.w.Header()
-	if c.gate.stopping.Load() != nil {
+	if gone || c.gate.stopping.Load() != nil {
 		h.Set("Connection", "close")
 	}
 	if r.retryAfter > 0 {
@@ -204,6 +201,9 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(r.status)
 	_, _ = c.w.Write([]byte(r.reason + "\n")) // Fails if the caller is gone.
+	if gone && http.NewResponseController(c.w).Flush() != nil {
+		c.truncated = true
+	}
 }
 
 // finish refunds the rate limit if no target may have run the request, releases
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -25,7 +25,7 @@
 	opened    time.Duration // when the connection is opened
 	kept      bool          // the connection has carried a request before
 	headSent  time.Duration // when the header is sent
-	sent      time.Duration // when the body is sent
+	sent      time.Duration // when the body is sent; never if it is stopGrace
 	splitHead bool          // the last line of the header is sent with the body
 	halfClose bool          // the caller closes its side once it has sent the request
 	// codes are the statuses that the caller may get. A request whose connection may also be
@@ -67,8 +67,10 @@
 	}
 	at(r.headSent)
 	_, _ = io.WriteString(conn, first) // If this fails, so does the read.
-	at(r.sent)
-	_, _ = io.WriteString(conn, last)
+	if r.sent < stopGrace {
+		at(r.sent)
+		_, _ = io.WriteString(conn, last)
+	}
 	if r.halfClose {
 		_ = conn.(*net.TCPConn).CloseWrite()
 	}
@@ -129,6 +131,7 @@
 		{name: "late end of the header", path: "/charge/", takes: late, opened: time.Second, headSent: time.Second, sent: late, splitHead: true, codes: refused},
 		{name: "late body", path: "/charge/", takes: late, opened: before, headSent: time.Second, sent: late, codes: refused},
 		{name: "late body of a stream", path: "/turn/", takes: late, opened: before, headSent: time.Second, sent: late, codes: refused},
+		{name: "body that never ends", path: "/charge/", opened: before, headSent: time.Second, sent: stopGrace, codes: refused},
 		{name: "late, unused connection", path: "/charge/", takes: late, opened: before, headSent: 3200 * time.Millisecond, sent: 3200 * time.Millisecond, codes: refusedOrClosed},
 		{name: "late end of the header, kept connection", path: "/charge/", takes: late, opened: before, kept: true, headSent: time.Second, sent: late, splitHead: true, codes: refusedOrClosed},
 	}
