--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -132,7 +132,8 @@
 		cmd = exec.Command(h.binary, "join", string(h.role), "--settings", settings)
 		cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
 	}
-	cmd.Stdout, cmd.Stderr = h.log, h.log
+	output := pipeWriter{h.log}
+	cmd.Stdout, cmd.Stderr = output, output
 	if err := cmd.Start(); err != nil {
 		f.t.Fatal(err)
 	}
