--- a/quorum/durable.go
+++ b/quorum/durable.go
@@ -118,6 +118,12 @@
 			return o, err
 		}
 	}
+	// The first write after a snapshot of the leader may have failed. Entries of an earlier
+	// term than the snapshot's do not follow it, and would make the log end with a term that
+	// is too low.
+	if len(o.Entries) > 0 && o.Entries[0].Term < o.Snapshot.Term {
+		o.Entries = nil
+	}
 	return o, nil
 }
 
