fleet: a host that does not lead refuses requests to join at once

A request to join was put into the input queue of the replica, also on hosts whose replica did not run yet, where nothing answered it: the handler stayed until the connection ended. Now that replicas without a leader ask all known control hosts, such requests would gather at a host that waits for the seeds, and after 4096 of them its connection would carry nothing. The leader's lease is checked first, and the wait for the queue is bounded.

Evidence: TestJoinIsRefusedWithoutReplica fails on the code before ("the host did not reply in time") and passes in 0.02 s.

--- a/fleet/members.go
+++ b/fleet/members.go
@@ -126,6 +126,13 @@
 // join adds a replica to the group as a learner. It fails unless this host is
 // the leader.
 func (c *Control) join(ctx context.Context, req JoinRequest) (Ack, error) {
+	// Hosts without a leader send many of these requests, which must not wait in the input
+	// queue of a replica that does not run yet or cannot accept them.
+	if err := c.asLeader(func(types.Mono) {}); err != nil {
+		return Ack{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
 	err := c.replica.ChangeMembers(ctx, func(current quorum.Members) quorum.Members {
 		if current.Has(req.Member.ID) {
 			return current
--- a/fleet/rejoin_test.go
+++ b/fleet/rejoin_test.go
@@ -7,8 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/quorum"
 	"github.com/banyanspur/banyanspur/types"
+	"github.com/banyanspur/banyanspur/wire"
 )
 
 // changeBound is the time within which a change is acknowledged while no more hosts than
@@ -82,3 +84,22 @@
 		f.waitForVoters(peers, 4, f.controls...)
 	}
 }
+
+// TestJoinIsRefusedWithoutReplica guards against requests to join that stay unanswered at a
+// host whose replica does not run yet, as while it waits for the seeds: they would take up
+// the connection, and hold up the requests of those that wait for this host.
+func TestJoinIsRefusedWithoutReplica(t *testing.T) {
+	f := newFleet(t, 3)
+	f.controls[0].run()
+	_, peers := f.client("entry-1")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	link := peers.Link(f.controls[0].address)
+	if !link.WaitConnected(ctx) {
+		t.Fatal("no connection")
+	}
+	req := fleet.JoinRequest{Member: quorum.Member{ID: "h9/x", Host: "h9"}}
+	if _, err := wire.Call[fleet.JoinRequest, fleet.Ack](ctx, link, fleet.KindJoin, req); !types.IsCode(err, types.CodeNotLeader) {
+		t.Errorf("request to join: %v, want notLeader", err)
+	}
+}
