fleet: declared command sets are saved again after a refused write

A control host writes the command sets that the others have declared to a file, so that a group of which one voter is lost takes orders after a restart. If the disk refused the file, it was written again only when another set changed, which may be never. After a restart of all hosts with one of them lost, orders to evacuate a zone were refused until it returned.

--- a/fleet/command_set.go
+++ b/fleet/command_set.go
@@ -49,6 +49,7 @@
 type commandSets struct {
 	mu       sync.Mutex
 	declared map[quorum.ReplicaID]CommandSet
+	unsaved  bool       // declared differs from the file
 	askedAt  types.Mono // when all members were asked last
 	asked    bool
 }
@@ -68,27 +69,31 @@
 	}
 }
 
-// set records a declaration and reports whether it differs from the last one.
-func (s *commandSets) set(id quorum.ReplicaID, declared CommandSet) bool {
+// set records a declaration.
+func (s *commandSets) set(id quorum.ReplicaID, declared CommandSet) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if last, ok := s.declared[id]; ok && last == declared {
-		return false
+	if last, ok := s.declared[id]; !ok || last != declared {
+		s.declared[id], s.unsaved = declared, true
 	}
-	s.declared[id] = declared
-	return true
 }
 
-// save writes the declarations of the members of the group, and drops those of others.
+// save writes the declarations of the members of the group, and drops those of others. It
+// does nothing if no declaration has changed since the last successful call.
 func (s *commandSets) save(dir string, members quorum.Members) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.unsaved {
+		return nil
+	}
 	for id := range s.declared {
 		if !members.Has(id) {
 			delete(s.declared, id)
 		}
 	}
-	return store.WriteFile(dir, commandSetsFile, types.Encode(s.declared))
+	err := store.WriteFile(dir, commandSetsFile, types.Encode(s.declared))
+	s.unsaved = err != nil
+	return err
 }
 
 func (s *commandSets) get(id quorum.ReplicaID) CommandSet {
@@ -126,26 +131,19 @@
 func (c *Control) askCommandSets(ctx context.Context, s quorum.Status, ask func(quorum.Member) bool) {
 	ctx, cancel := context.WithTimeout(ctx, commandSetsTimeout)
 	defer cancel()
-	var mu sync.Mutex
-	changed := false
 	var group errgroup.Group
 	for _, m := range s.Members.All() {
 		if m.ID != s.ID && ask(m) {
 			group.Go(func() error {
 				reply, err := c.sendHello(ctx, string(m.Host))
-				mu.Lock()
-				defer mu.Unlock()
-				if err == nil && s.Members.Has(reply.ID) && c.commandSets.set(reply.ID, reply.Commands) {
-					changed = true
+				if err == nil && s.Members.Has(reply.ID) {
+					c.commandSets.set(reply.ID, reply.Commands)
 				}
 				return nil
 			})
 		}
 	}
 	_ = group.Wait() // Members that do not reply keep their last declaration.
-	if !changed {
-		return
-	}
 	if err := c.commandSets.save(c.Dir, s.Members); err != nil {
 		c.Log.Write(event.DiskIOFailed, event.Fields{"path": commandSetsFile, "error": err.Error()})
 	}
--- a/fleet/full_disk_test.go
+++ b/fleet/full_disk_test.go
@@ -1,13 +1,33 @@
 package fleet_test
 
 import (
+	"bytes"
+	"fmt"
 	"os"
+	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/banyanspur/banyanspur/event"
 )
 
+// eventWaiter is the output of a log that waits for an event.
+type eventWaiter struct {
+	number event.Number
+	once   sync.Once
+	seen   chan struct{} // closed once the event is written
+}
+
+func (w *eventWaiter) Write(b []byte) (int, error) {
+	if bytes.Contains(b, fmt.Appendf(nil, `"event":%d,`, w.number)) {
+		w.once.Do(func() { close(w.seen) })
+	}
+	return len(b), nil
+}
+
 // refuseWrites makes a control host that has not been started yet unable to create its data
 // directory, as on a full disk, until the returned function is called.
 func refuseWrites(t *testing.T, p *process) (accept func()) {
@@ -38,3 +58,29 @@
 		t.Errorf("plan read back (-want +got):\n%s", diff)
 	}
 }
+
+// TestCommandSetsAreSavedOnceDiskHasRoom guards against orders that are refused while one
+// control host is lost, since the disk refused the file of declared command sets once and the
+// process was started again later: nothing wrote the file again as long as no set changed.
+func TestCommandSetsAreSavedOnceDiskHasRoom(t *testing.T) {
+	f := newFleet(t, 3)
+	file := filepath.Join(f.controls[0].dir, "commands")
+	if err := os.MkdirAll(file, 0o700); err != nil { // A directory cannot be replaced by a file.
+		t.Fatal(err)
+	}
+	failed := &eventWaiter{number: event.DiskIOFailed.Number, seen: make(chan struct{})}
+	f.log = event.New(failed)
+	f.runAll()
+	select {
+	case <-failed.seen:
+	case <-time.After(stepTimeout):
+		t.Fatal("no write was refused")
+	}
+	if err := os.Remove(file); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the file of command sets", func() bool {
+		info, err := os.Stat(file)
+		return err == nil && info.Mode().IsRegular()
+	})
+}
