event: a reader of the log that stopped holds up neither callers nor a stop

banyanspur join waited at its stop for the lines that were still queued, for good if standard output was a pipe that nobody read; banyanspur run wrote its events to standard error within the caller, the loop of a replica among them. NewAsync queues lines for all commands and waits for at most a second at a stop.

--- a/cmd/banyanspur/join.go
+++ b/cmd/banyanspur/join.go
@@ -7,7 +7,6 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/config"
 	"github.com/banyanspur/banyanspur/event"
@@ -35,15 +34,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP) // Settings are not reloaded: changes apply at the next start.
-	logWriter := event.NewBoundedWriter(os.Stdout)
-	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
-	var logGroup errgroup.Group
-	logGroup.Go(func() error { return logWriter.Run(logCtx) })
-	defer func() {
-		stopLog()
-		_ = logGroup.Wait() // Run always returns nil.
-	}()
-	log := event.New(logWriter)
+	log, stopLog := event.NewAsync(os.Stdout)
+	defer stopLog()
 	n := &host.Node{
 		Role: c.Role.Name, Settings: settings, HeaderNames: platform.HeaderNames, ReadyPath: platform.ReadyPath,
 		OperatorHandler: platform.NewOperatorHandler, Log: log,
--- a/cmd/banyanspur/local.go
+++ b/cmd/banyanspur/local.go
@@ -53,7 +53,9 @@
 	defer stop()
 	f := &localFleet{port: c.Port, dataDir: c.Data, secret: types.RandomID(), operatorKey: types.RandomID(), callerKey: types.RandomID()}
 	if c.Verbose {
-		f.log = event.New(os.Stderr)
+		log, stopLog := event.NewAsync(os.Stderr)
+		defer stopLog()
+		f.log = log
 	}
 	if f.dataDir == "" {
 		dir, err := os.MkdirTemp("", "banyanspur-")
--- a/cmd/banyanspur/run.go
+++ b/cmd/banyanspur/run.go
@@ -27,7 +27,8 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	log := event.New(os.Stderr)
+	log, stopLog := event.NewAsync(os.Stderr)
+	defer stopLog()
 	p := &host.Process{Settings: s, DrainLag: c.DrainLag, Log: log}
 	err = p.Run(ctx)
 	if err != nil {
--- a/event/bounded.go
+++ b/event/bounded.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
 )
 
 // BoundedWriter is an asynchronous writer that never blocks its callers. It places
@@ -86,3 +88,30 @@
 // maxBatchBytes is the batch size, in bytes, from which write adds no further
 // lines.
 const maxBatchBytes = 64 << 10
+
+// flushTimeout bounds how long the stop of [NewAsync] waits for the lines that are still
+// queued. A reader that takes longer has stopped reading.
+const flushTimeout = time.Second
+
+// NewAsync returns a log that writes to out by a [BoundedWriter], so that a reader of out that
+// is slow, or reads no more, holds up no caller. stop writes the lines that are still queued,
+// for at most a second.
+func NewAsync(out io.Writer) (log Log, stop func()) {
+	w := NewBoundedWriter(out)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	var group errgroup.Group
+	group.Go(func() error {
+		defer close(ended)
+		return w.Run(ctx)
+	})
+	return New(w), func() {
+		cancel()
+		timer := time.NewTimer(flushTimeout)
+		defer timer.Stop()
+		select {
+		case <-ended:
+		case <-timer.C: // The write under way ends with the process.
+		}
+	}
+}
