quorum: heartbeats do not wait for readers of the state

The loop published its status under the lock that readers of the state hold. On a busy leader, a reader that the kernel schedules late, or many that queue for the leader's own lock, held up heartbeats and the lease, and the leader changed although no host failed. The status is now published without the lock, and pending proposals belong to the loop alone; only the change of the state waits for readers.

--- a/quorum/propose.go
+++ b/quorum/propose.go
@@ -29,9 +29,7 @@
 			reply <- proposalResult[R]{err: r.notLeaderFault(err)}
 			return
 		}
-		r.mu.Lock()
 		r.pending[i] = pendingProposal[R]{term: r.core.Term(), reply: reply}
-		r.mu.Unlock()
 	}
 	var zero R
 	select {
@@ -89,28 +87,30 @@
 func (r *Replica[C, R]) Read(fn func(s Status, at types.LogTime)) error {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	if err := r.checkLease(); err != nil {
+	s := r.Status()
+	if err := r.checkLease(s); err != nil {
 		return err
 	}
-	fn(r.status, r.logTime())
-	return r.checkLease()
+	fn(s, r.logTime(s))
+	// If leadership was lost and regained meanwhile, the lease is not published before fn ends:
+	// the loop first applies an entry of the new term, which waits for mu.
+	return r.checkLease(r.Status())
 }
 
-// checkLease returns a notLeader fault unless this replica holds the lease.
-// Callers hold mu.
-func (r *Replica[C, R]) checkLease() error {
-	if r.status.Role == Leader && r.Clock() < r.status.LeaseUntil {
+// checkLease returns a notLeader fault unless this replica holds the lease by status s.
+func (r *Replica[C, R]) checkLease(s Status) error {
+	if s.Role == Leader && r.Clock() < s.LeaseUntil {
 		return nil
 	}
 	f := types.NewFault(types.CodeNotLeader, "this host does not lead group %d", r.Group).WithRetryAfter(electionRetryDelay)
-	if r.status.Role != Leader {
-		f.Leader = r.status.Leader.Host()
+	if s.Role != Leader {
+		f.Leader = s.Leader.Host()
 	}
 	return f
 }
 
-// logTime returns the current log time, extrapolated from the last published
-// status because only the loop may access the core. Callers hold mu.
-func (r *Replica[C, R]) logTime() types.LogTime {
-	return r.status.LogTime.Add(r.Clock().Sub(r.status.LogTimeAt))
+// logTime returns the current log time, extrapolated from a published status because only
+// the loop may access the core.
+func (r *Replica[C, R]) logTime(s Status) types.LogTime {
+	return s.LogTime.Add(r.Clock().Sub(s.LogTimeAt))
 }
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -63,10 +64,14 @@
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
-	once          sync.Once
-	inbox         chan func(now types.Mono)
-	mu            sync.RWMutex // guards Machine, status and pending; only the loop uses the other fields below
-	status        Status
+	once  sync.Once
+	inbox chan func(now types.Mono)
+	// mu guards Machine. Readers may hold it for long, so the loop acquires it only to change
+	// the state.
+	mu     sync.RWMutex
+	status atomic.Pointer[Status] // nil until Run has opened the directory
+
+	// Only the loop uses the fields below.
 	core          *Core
 	pending       map[Index]pendingProposal[R]
 	applied       Index
@@ -261,6 +266,9 @@
 
 // apply applies committed entries and completes the proposals that wait for them.
 func (r *Replica[C, R]) apply(entries []Entry) {
+	if len(entries) == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range entries {
@@ -301,8 +309,6 @@
 
 // failPending fails all pending proposals with an unknown outcome.
 func (r *Replica[C, R]) failPending() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	for i, p := range r.pending {
 		p.reply <- proposalResult[R]{err: errOutcomeUnknown}
 		delete(r.pending, i)
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -40,7 +40,7 @@
 	s := Status{
 		ID: r.core.id, Role: r.core.Role(), Term: r.core.Term(), Leader: r.core.Leader(),
 		Commit: r.core.Commit(), Applied: r.applied, Members: r.core.Members(),
-		LeaseUntil: r.core.LeaseUntil(now), LeadsSince: r.status.LeadsSince,
+		LeaseUntil: r.core.LeaseUntil(now), LeadsSince: r.Status().LeadsSince,
 		LogTime: r.core.LogTime(now), LogTimeAt: now,
 	}
 	if s.Role == Leader {
@@ -54,9 +54,7 @@
 	if s.Role != r.lastRole {
 		r.recordRoleChange(&s, now)
 	}
-	r.mu.Lock()
-	r.status = s
-	r.mu.Unlock()
+	r.status.Store(&s)
 }
 
 // recordRoleChange logs that leadership was gained or lost, and sets s.LeadsSince
@@ -85,7 +83,7 @@
 	switch {
 	case r.transferCause != "":
 		return r.transferCause
-	case term > r.status.Term:
+	case term > r.Status().Term:
 		return "newerTerm"
 	}
 	return "leaseExpired"
@@ -93,7 +91,8 @@
 
 // Status returns the most recently published status.
 func (r *Replica[C, R]) Status() Status {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.status
+	if s := r.status.Load(); s != nil {
+		return *s
+	}
+	return Status{}
 }
