--- a/quorum/stall_test.go
+++ b/quorum/stall_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/quorum"
@@ -268,3 +269,60 @@
 		t.Error("the stopped replica still leads")
 	}
 }
+
+// TestCompactionBesideStallsKeepsEntries guards against entries that are lost when logs are
+// compacted while writes are queued behind a slow disk: all replicas are started again from
+// what is on their disks.
+func TestCompactionBesideStallsKeepsEntries(t *testing.T) {
+	g := newTestGroup(t)
+	const size = 1 << 20
+	command := make([]byte, size)
+	unknown := 0
+	ctx, cancel := context.WithCancel(context.Background())
+	var stalls errgroup.Group
+	stalls.Go(func() error {
+		for i := 0; ctx.Err() == nil; i++ {
+			g.disks[i%3].stall(200 * time.Millisecond)
+			time.Sleep(100 * time.Millisecond)
+		}
+		return nil
+	})
+	const commands = 60
+	for range commands {
+		unknown += g.propose(command)
+	}
+	cancel()
+	_ = stalls.Wait()
+	for i := range g.replicas {
+		b, err := store.ReadSnapshot(g.replicaDir(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s, err := types.Decode[quorum.Snapshot](b); err != nil || s.Index == 0 {
+			t.Errorf("replica %d has not compacted its log: %v", i, err)
+		}
+	}
+	for i := range g.replicas {
+		g.stopReplica(i)
+	}
+	for i := range g.replicas {
+		g.startReplica(i)
+	}
+	for deadline := time.Now().Add(30 * time.Second); !g.allCaughtUp(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the replicas did not catch up after the restart")
+		}
+	}
+	for i := range g.replicas {
+		g.stopReplica(i)
+	}
+	applied := g.machines[0].Commands
+	if applied < commands || applied > commands+unknown {
+		t.Errorf("%d commands, want %d and at most %d more", applied, commands, unknown)
+	}
+	for i, m := range g.machines {
+		if diff := cmp.Diff(counter{Commands: applied, Bytes: applied * size}, *m); diff != "" {
+			t.Errorf("replica %d (-want +got):\n%s", i, diff)
+		}
+	}
+}
