--- a/cmd/banyanspur/join.go
+++ b/cmd/banyanspur/join.go
@@ -5,10 +5,8 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/config"
 	"github.com/banyanspur/banyanspur/event"
@@ -23,9 +21,6 @@
 	} `positional-args:"true" required:"true"`
 }
 
-// logTimeout bounds how long a process that ends waits until its last log lines are read.
-const logTimeout = 500 * time.Millisecond
-
 // Execute runs one host until SIGTERM or SIGINT.
 func (c *joinCommand) Execute([]string) error {
 	b, err := os.ReadFile(c.Settings)
@@ -39,22 +34,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP) // Settings are not reloaded: changes apply at the next start.
-	logWriter := event.NewBoundedWriter(os.Stdout)
-	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
-	var logGroup errgroup.Group
-	logWritten := make(chan struct{})
-	logGroup.Go(func() error {
-		defer close(logWritten)
-		return logWriter.Run(logCtx)
-	})
-	defer func() {
-		stopLog()
-		select {
-		case <-logWritten:
-		case <-time.After(logTimeout): // The rest is lost: nobody reads the log.
-		}
-	}()
-	log := event.New(logWriter)
+	log, stopLog := event.NewAsync(os.Stdout)
+	defer stopLog()
 	n := &host.Node{
 		Role: c.Role.Name, Settings: settings, HeaderNames: platform.HeaderNames, ReadyPath: platform.ReadyPath,
 		OperatorHandler: platform.NewOperatorHandler, Log: log,
