--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -119,6 +119,7 @@
 	}
 	g.Go(func() error { d.load.run(ctx, seed, programs); return nil })
 	g.Go(func() error { d.change(ctx); return nil })
+	g.Go(func() error { d.restartExited(ctx); return nil })
 	types.Sleep(ctx, calmTime+2*window)
 	d.injectSeries(*duration)
 	types.Sleep(ctx, calmTime+2*window)
