--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -51,6 +53,10 @@
 	recoveryTime = 15 * time.Second
 	// changeInterval is the time between two changes of the plan.
 	changeInterval = time.Second
+	// retainedTime is for how long turns are continued in the test, out of the 60 s that the
+	// plan keeps them, and maxSample how many of them.
+	retainedTime = 50 * time.Second
+	maxSample    = 80
 )
 
 // deployment is a fleet under load, with the log of its faults.
@@ -166,11 +172,37 @@
 	}
 }
 
-// checkTurns checks that turns with a complete response in the last 30 s can be continued.
+// checkTurns checks that turns with a complete response in the last retainedTime can be
+// continued. It samples maxSample of them.
 func (d *deployment) checkTurns() {
 	d.callers.mu.Lock()
-	c := &callers{fleet: d.fleet, attempts: append([]attempt(nil), d.callers.attempts...), lastID: d.callers.lastID + 1_000_000}
+	attempts := slices.Clone(d.callers.attempts)
 	d.callers.mu.Unlock()
-	checkTurnsRetained(d.t, c)
-	d.note("turns of before the loss of power were continued")
+	attempts = slices.DeleteFunc(attempts, func(a attempt) bool {
+		return a.path != "/turn/" || a.status != http.StatusOK || !a.complete || time.Since(a.endedAt) > retainedTime
+	})
+	c := &callers{fleet: d.fleet, lastID: 1_000_000}
+	var g errgroup.Group
+	g.SetLimit(maxSample / 4)
+	for i := 0; i < len(attempts); i += 1 + len(attempts)/maxSample {
+		a := attempts[i]
+		r := rand.New(rand.NewPCG(9, uint64(i)))
+		next := attempt{
+			account: a.account, path: a.path, requestBody: "on;", previous: a.id, program: "on " + a.id,
+			budget: 100 * a.budget, maxTokens: a.maxTokens, timeout: turnTimeout,
+		}
+		g.Go(func() error {
+			var last attempt
+			for range 1 + turnRetries {
+				if last = c.send(context.Background(), r, next); last.status == http.StatusOK && last.complete {
+					return nil
+				}
+			}
+			d.t.Errorf("turn %s, complete %v ago, is not continued: %s on %s: status %d %s %s",
+				a.id, time.Since(a.endedAt), last.id, last.entry, last.status, last.responseBody, last.failure)
+			return nil
+		})
+	}
+	_ = g.Wait() // The goroutines always return nil.
+	d.note("continued %d of %d turns", (len(attempts)+len(attempts)/maxSample)/(1+len(attempts)/maxSample), len(attempts))
 }
--- a/soak/guarantees_test.go
+++ b/soak/guarantees_test.go
@@ -245,7 +245,7 @@
 	for i := 0; i < len(completed); i += 1 + len(completed)/60 {
 		var last attempt
 		waitFor(t, "a continuation of turn "+completed[i].id, func() bool {
-			last = c.send(context.Background(), r, attempt{account: completed[i].account, path: "/turn/", requestBody: "on;", previous: completed[i].id, program: "on " + completed[i].id})
+			last = c.send(context.Background(), r, attempt{account: completed[i].account, path: "/turn/", requestBody: "on;", previous: completed[i].id, program: "on " + completed[i].id, budget: completed[i].budget, maxTokens: completed[i].maxTokens})
 			return last.status == http.StatusOK && last.complete || last.status == http.StatusNotFound
 		})
 		if last.status == http.StatusNotFound {
--- a/soak/relay_test.go
+++ b/soak/relay_test.go
@@ -33,6 +33,8 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	// silenced is closed to make the connections that are open discard all bytes for good.
+	silenced chan struct{}
 }
 
 // newRelay starts a relay that listens on address and forwards to hostAddress.
@@ -41,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{hostAddress: hostAddress, listener: l, conns: map[net.Conn]bool{}}
+	r := &relay{hostAddress: hostAddress, listener: l, conns: map[net.Conn]bool{}, silenced: make(chan struct{})}
 	go r.accept()
 	return r, nil
 }
@@ -67,6 +69,15 @@
 	clear(r.conns)
 }
 
+// silence makes all open connections discard all bytes for good, without a reset, while new
+// ones work.
+func (r *relay) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.silenced)
+	r.silenced = make(chan struct{})
+}
+
 func (r *relay) close() {
 	_ = r.listener.Close()
 	r.resetAll()
@@ -98,19 +109,28 @@
 	}
 	r.mu.Lock()
 	r.conns[in], r.conns[out] = true, true
+	silenced := r.silenced
 	r.mu.Unlock()
-	go r.forward(out, in, modeDropTo)
-	r.forward(in, out, modeDropFrom)
+	go r.forward(out, in, modeDropTo, silenced)
+	r.forward(in, out, modeDropFrom, silenced)
 }
 
 // forward copies bytes from one connection to another until either ends. It
-// discards them in modeDrop and in dropMode, the mode that drops this direction.
-func (r *relay) forward(to, from net.Conn, dropMode relayMode) {
+// discards them in modeDrop and in dropMode, the mode that drops this direction, and once
+// silenced is closed.
+func (r *relay) forward(to, from net.Conn, dropMode relayMode, silenced <-chan struct{}) {
 	defer to.Close()
 	defer from.Close()
 	b := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(b)
+		select {
+		case <-silenced:
+			if err == nil {
+				continue // Discard the bytes.
+			}
+		default:
+		}
 		switch m := relayMode(r.mode.Load()); m {
 		case modeDrop, dropMode:
 			if err == nil {
--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -62,14 +62,19 @@
 }
 
 // seriesFaults are the faults of a series. Those of disks hit control hosts and stores only.
-var seriesFaults, seriesDiskFaults = faultsNamed("killed", "frozen", "network fault"), append(
-	faultsNamed("killed", "frozen", "network fault", "data directory lost", "torn write"), fault{"disk full", (*fleet).diskFull})
+var (
+	seriesFaults     = append(faultsNamed("killed", "frozen", "network fault"), silenced)
+	seriesDiskFaults = append(faultsNamed("killed", "frozen", "network fault", "data directory lost", "data directory lost", "torn write"),
+		silenced, fault{"disk full", (*fleet).diskFull})
+	silenced = fault{"open connections silent", func(_ *fleet, h *testHost, d time.Duration) {
+		h.relay.silence()
+		time.Sleep(d)
+	}}
+)
 
 func faultsNamed(names ...string) (list []fault) {
-	for _, f := range faults {
-		if slices.Contains(names, f.name) {
-			list = append(list, f)
-		}
+	for _, name := range names {
+		list = append(list, faults[slices.IndexFunc(faults, func(f fault) bool { return f.name == name })])
 	}
 	return list
 }
@@ -83,7 +88,30 @@
 		d.note("all hosts with a disk have recovered; load average %s", loadAverage())
 		time.Sleep(calmTime)
 		d.stopInTurn(min(calmSpan, duration/2))
+		if time.Now().Before(end) {
+			d.injectGroupFault()
+		}
+	}
+}
+
+// injectGroupFault kills all hosts of some roles, or cuts the power of all hosts, and waits
+// until service must have returned.
+func (d *deployment) injectGroupFault() {
+	f := d.fleet
+	all := &testHost{name: "group"}
+	down := time.Duration(200+f.rand.IntN(1500)) * time.Millisecond
+	switch f.rand.IntN(4) {
+	case 0:
+		d.during(all, "control hosts killed", false, func() { f.killControlHosts(f.controls(), down) })
+	case 1:
+		d.during(all, "stores killed", false, func() { f.killControlHosts(f.diskHosts()[f.size.controls:], down) })
+	case 2:
+		d.during(all, "hosts with a disk killed", false, func() { f.killControlHosts(f.diskHosts(), down) })
+	case 3:
+		d.during(all, "power lost", false, func() { f.losePower(nil, down) })
 	}
+	time.Sleep(recoveryTime + calmTime)
+	f.waitRecovered()
 }
 
 // loadAverage returns the load averages of the machine.
@@ -208,7 +236,7 @@
 	case <-time.After(waitTimeout):
 		d.t.Errorf("no change was acknowledged in %v", waitTimeout)
 	}
-	all := &testHost{name: "all hosts"}
+	all := &testHost{name: "group"}
 	d.during(all, "power lost", false, func() { f.losePower(disks[:f.size.losses], 2*time.Second) })
 	return time.Now()
 }
--- a/soak/served_test.go
+++ b/soak/served_test.go
@@ -70,7 +70,11 @@
 // window until its requests have ended.
 func (d *deployment) isCalm(begin time.Time) bool {
 	for _, p := range d.faults {
-		if !p.planned && p.from.Before(begin.Add(window+turnTimeout)) && p.to.After(begin.Add(-calmTime)) {
+		settled := calmTime
+		if p.host == "group" {
+			settled = recoveryTime
+		}
+		if !p.planned && p.from.Before(begin.Add(window+turnTimeout)) && p.to.After(begin.Add(-settled)) {
 			return false
 		}
 	}
