--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -100,7 +100,7 @@
 	begin := time.Now()
 	c, tg := startSize(t, size.fleet, seed, size.models, size.plain)
 	tg.mu.Lock()
-	tg.events, tg.eventGap, tg.calls = turnEvents, turnEventGap, map[string]time.Duration{}
+	tg.events, tg.eventGap, tg.slowTurns, tg.calls = turnEvents, turnEventGap, slowTurns, map[string]time.Duration{}
 	for _, call := range toolCalls {
 		tg.calls[call.path] = call.work
 	}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -20,15 +20,15 @@
 // testHost is one host: a process that can be killed and restarted, its directory,
 // and the relay in front of it.
 type testHost struct {
-	t       *testing.T
-	name    string
-	role    host.NodeRole
-	zone    string
-	number  int // last octet of its addresses
-	dir     string
-	relay   *relay
-	binary  string // banyanspur binary to run; empty for the build under test
-	log     *hostLog
+	t      *testing.T
+	name   string
+	role   host.NodeRole
+	zone   string
+	number int // last octet of its addresses
+	dir    string
+	relay  *relay
+	binary string // banyanspur binary to run; empty for the build under test
+	log    *hostLog
 
 	mu      sync.Mutex
 	process *exec.Cmd     // nil once the test has stopped it
--- a/soak/guarantees_test.go
+++ b/soak/guarantees_test.go
@@ -177,8 +177,8 @@
 		}
 		want := prompts[a.previous] + a.requestBody
 		for _, r := range tg.runsOf(a.id) {
-			if r.body != want {
-				t.Errorf("turn %s ran with the prompt %q, not %q", a.id, r.body, want)
+			if r.body != digest(want) {
+				t.Errorf("turn %s ran with the prompt %q, not %q", a.id, r.body, digest(want))
 			}
 		}
 		prompts[a.id] = want + strings.Join(tg.turnOutput(a.id), "\n") + "\n"
--- a/soak/programs_test.go
+++ b/soak/programs_test.go
@@ -36,6 +36,10 @@
 	// generate them.
 	turnEvents   = 9
 	turnEventGap = 37 * time.Millisecond
+	// One in slowTurns turns takes 2 s, so that some are in flight whenever a host stops.
+	slowTurns = 20
+	// inputBytes is the size of a turn's input.
+	inputBytes = 4000
 	// turnRetries is how often a program sends a turn again that has failed, retryAttempts
 	// the number of attempts at each request.
 	turnRetries   = 2
@@ -233,7 +237,7 @@
 		turns = 1000
 	}
 	for turn := 0; turn < turns && ctx.Err() == nil; turn++ {
-		input := fmt.Sprintf("in %s %d%s;", program, turn, strings.Repeat(" x", 400))
+		input := fmt.Sprintf("in %s %d%s;", program, turn, strings.Repeat(" x", inputBytes/2))
 		a := l.turn(ctx, r, c, attempt{account: account, path: "/turn/", requestBody: input, previous: previous, program: program, budget: budget, maxTokens: turnEvents * tokensPerEvent, timeout: turnTimeout})
 		if a.status != http.StatusOK || !a.complete {
 			return
--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -100,7 +100,7 @@
 	f := d.fleet
 	all := &testHost{name: "group"}
 	down := time.Duration(200+f.rand.IntN(1500)) * time.Millisecond
-	switch f.rand.IntN(4) {
+	switch f.rand.IntN(5) {
 	case 0:
 		d.during(all, "control hosts killed", false, func() { f.killControlHosts(f.controls(), down) })
 	case 1:
@@ -109,11 +109,33 @@
 		d.during(all, "hosts with a disk killed", false, func() { f.killControlHosts(f.diskHosts(), down) })
 	case 3:
 		d.during(all, "power lost", false, func() { f.losePower(nil, down) })
+	case 4:
+		d.during(all, "disks lost in turn", false, d.loseDisksInTurn)
 	}
 	time.Sleep(recoveryTime + calmTime)
 	f.waitRecovered()
 }
 
+// loseDisksInTurn takes the disks of as many stores at a time as the fleet tolerates, until
+// all stores have lost theirs. It waits for the copies of one group before it takes the next.
+func (d *deployment) loseDisksInTurn() {
+	f := d.fleet
+	stores := f.diskHosts()[f.size.controls:]
+	for group := range slices.Chunk(stores, f.size.losses) {
+		killTogether(group)
+		for _, h := range group {
+			if err := os.RemoveAll(filepath.Join(h.dir, "data")); err != nil {
+				f.t.Error(err)
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, h := range group {
+			f.start(h, false)
+		}
+		d.waitHost(group[0], "disk lost")
+	}
+}
+
 // loadAverage returns the load averages of the machine.
 func loadAverage() string {
 	b, err := os.ReadFile("/proc/loadavg")
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -49,6 +51,19 @@
 	events   int
 	eventGap time.Duration
 	calls    map[string]time.Duration
+	// slowTurns is the number of turns of which one takes slowTurnFactor times as long; no
+	// turn does if it is 0.
+	slowTurns int
+}
+
+const slowTurnFactor = 6
+
+// digest returns a text that stands for the body of a request: bodies are many and long.
+func digest(body string) string {
+	if len(body) < 1000 {
+		return body
+	}
+	return fmt.Sprintf("%d bytes %x", len(body), xxhash.Sum64String(body))
 }
 
 // turnOutput returns the output events of a turn. They depend only on the request
@@ -209,7 +224,7 @@
 		w.Header().Set("Server-Leaving", "1")
 	}
 	t.runs[id] = append(t.runs[id], run{
-		id: id, target: target, account: r.Header.Get("X-Tenant"), key: r.Header.Get("Authorization"), path: r.URL.Path, body: string(body), startedAt: time.Now(),
+		id: id, target: target, account: r.Header.Get("X-Tenant"), key: r.Header.Get("Authorization"), path: r.URL.Path, body: digest(string(body)), startedAt: time.Now(),
 	})
 	crashing := strings.HasSuffix(string(body), crashingInput)
 	if crashing {
@@ -246,8 +261,12 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	gap := t.eventGap
+	if t.slowTurns > 0 && xxhash.Sum64String(id)%uint64(t.slowTurns) == 0 {
+		gap *= slowTurnFactor
+	}
 	for i, data := range t.turnOutput(id) {
-		time.Sleep(t.eventGap)
+		time.Sleep(gap)
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data)
 		w.(http.Flusher).Flush()
 	}
