wire: a host that has accepted a connection gets 2 s for the handshake

What callers saw: in a deployment of 74 processes on a busy machine, changes of the plan were not acknowledged any more, shards were not copied and requests were refused, for as long as the test watched, though all processes ran.

Cause: a dial was given up after 250 ms, handshake included, and made again after 25 to 100 ms. Where processes are scheduled late, no handshake completes in that time. Links that a late pong had ended were never restored, and their dials kept the machine busy.

TestLinkConnectsToHostThatRespondsLate failed before (not connected within 10 s) and passes.

The limit of 250 ms is there since a lost connection request is repeated only after a second. It still holds for the TCP connection, which the kernel accepts also for a process that is late. After that another dial gains nothing, so that the handshake may take 2 s.

--- a/wire/link.go
+++ b/wire/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -28,7 +29,9 @@
 	// OwnAddress, if not empty, is where this process accepts connections. The host is
 	// told it, and then knows that this process is up.
 	OwnAddress string
-	// DialTimeout is how long a dial may take. The default is 250 ms.
+	// DialTimeout is how long the host may take to accept a connection. The default is
+	// 250 ms. The handshake that follows may take as long, or handshakeTimeout if that is
+	// longer.
 	DialTimeout time.Duration
 	// OnLost, if set, is called after a connection has been lost.
 	OnLost func()
@@ -53,6 +56,11 @@
 	// short because a lost connection request, as to a host without power, is
 	// retransmitted only after a second; a new dial is made sooner.
 	defaultDialTimeout = 250 * time.Millisecond
+	// handshakeTimeout is how long a host that has accepted a connection may take to answer.
+	// It is not as short as defaultDialTimeout, since nothing is won by another dial to a
+	// host whose process is scheduled late: hosts that lost their links on busy machines
+	// never got them back, and their dials kept the machines busy.
+	handshakeTimeout = 2 * time.Second
 
 	minRedialDelay = 25 * time.Millisecond
 	maxRedialDelay = 100 * time.Millisecond
@@ -127,13 +135,17 @@
 	if timeout <= 0 {
 		timeout = defaultDialTimeout
 	}
-	dialCtx, cancel := context.WithTimeout(attempt, timeout)
+	dialCtx, cancel := context.WithTimeout(attempt, timeout+max(timeout, handshakeTimeout))
 	defer cancel()
 	header := http.Header{secretHeader: {l.Secret}}
 	if l.OwnAddress != "" {
 		header.Set(addressHeader, l.OwnAddress)
 	}
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.Address+"/peer", &websocket.DialOptions{HTTPHeader: header})
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		MaxIdleConnsPerHost: -1, // A connection whose dial was ended is of no use to the next one.
+	}}
+	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.Address+"/peer", &websocket.DialOptions{HTTPClient: client, HTTPHeader: header})
 	if err != nil {
 		return false, errors.Wrap(err, "wire: dial")
 	}
