--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -126,16 +126,21 @@
 	g.Go(func() error { d.load.run(ctx, seed, programs); return nil })
 	g.Go(func() error { d.change(ctx); return nil })
 	g.Go(func() error { d.restartExited(ctx); return nil })
+	var restartedAt time.Time
+	finish := sync.OnceFunc(func() {
+		cancel()
+		_ = g.Wait() // All goroutines always return nil.
+		d.report(restartedAt)
+	})
+	defer finish() // Also if a wait has timed out.
 	types.Sleep(ctx, calmTime+2*window)
 	d.injectSeries(*duration)
 	types.Sleep(ctx, calmTime+2*window)
-	restartedAt := d.injectFinalFault()
+	restartedAt = d.injectFinalFault()
 	types.Sleep(ctx, recoveryTime)
 	d.checkTurns()
 	types.Sleep(ctx, 2*window)
-	cancel()
-	_ = g.Wait() // All goroutines always return nil.
-	d.report(restartedAt)
+	finish()
 	d.checkServed(restartedAt)
 	d.checkStops()
 	checkConfiguration(t, d.fleet, d.acked)
--- a/soak/served_test.go
+++ b/soak/served_test.go
@@ -38,7 +38,8 @@
 	}
 	reason := fmt.Sprintf("%d %.60s", o.last.status, strings.TrimSpace(o.last.responseBody))
 	if o.last.status == 0 || o.last.status == http.StatusOK {
-		reason = fmt.Sprintf("%d %.90s", o.last.status, o.last.failure)
+		// The text without the addresses, so that equal reasons count together.
+		reason = fmt.Sprint(o.last.status, " ", o.last.failure[strings.LastIndex(o.last.failure, ": ")+1:])
 	}
 	if c.failures == nil {
 		c.failures = map[string]int{}
@@ -89,7 +90,6 @@
 	for n, c := range list {
 		at := begin.Add(time.Duration(n) * window)
 		calm := d.isCalm(at)
-		d.t.Logf("%7.1f calm %-5t offered %4d connected %4d served %4d (%.2f) %v", at.Sub(d.started).Seconds(), calm, c.offered, c.connected, c.served, c.share(), c.failures)
 		switch {
 		case at.After(restartedAt.Add(recoveryTime)):
 			after.offered, after.served = after.offered+c.offered, after.served+c.served
@@ -152,10 +152,17 @@
 	for _, p := range d.faults {
 		d.t.Logf("%7.3f to %7.3f %s: %s", p.from.Sub(d.started).Seconds(), p.to.Sub(d.started).Seconds(), p.host, p.what)
 	}
+	begin, list := d.counts()
+	for n, c := range list {
+		at := begin.Add(time.Duration(n) * window)
+		d.t.Logf("%7.1f calm %-5t offered %4d connected %4d served %4d (%.2f) %v", at.Sub(d.started).Seconds(), d.isCalm(at), c.offered, c.connected, c.served, c.share(), c.failures)
+	}
 	d.t.Logf("%d programs; changes by status: %v", d.load.programs.Load(), d.replies)
 	d.reportEvents("first plan", 305, d.started, true)
 	d.reportEvents("leader", 201, d.started, false)
-	d.reportEvents("first plan after the loss of power", 305, restartedAt.Add(-time.Second), true)
+	if !restartedAt.IsZero() {
+		d.reportEvents("first plan after the loss of power", 305, restartedAt.Add(-time.Second), true)
+	}
 }
 
 // reportEvents logs when hosts wrote an event: the first one of each host, or all.
