--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -100,7 +100,7 @@
 	f := d.fleet
 	all := &testHost{name: "group"}
 	down := time.Duration(200+f.rand.IntN(1500)) * time.Millisecond
-	switch f.rand.IntN(5) {
+	switch f.rand.IntN(6) {
 	case 0:
 		d.during(all, "control hosts killed", false, func() { f.killControlHosts(f.controls(), down) })
 	case 1:
@@ -111,11 +111,25 @@
 		d.during(all, "power lost", false, func() { f.losePower(nil, down) })
 	case 4:
 		d.during(all, "disks lost in turn", false, d.loseDisksInTurn)
+	case 5:
+		d.during(all, "all hosts frozen", false, func() { f.freezeAll(down + time.Second) })
 	}
 	time.Sleep(recoveryTime + calmTime)
 	f.waitRecovered()
 }
 
+// freezeAll freezes all hosts at the same time, as a pause of the machine that they run on
+// does: all connections among them are given up.
+func (f *fleet) freezeAll(d time.Duration) {
+	for _, h := range f.hosts {
+		h.signal(syscall.SIGSTOP)
+	}
+	time.Sleep(d)
+	for _, h := range f.hosts {
+		h.signal(syscall.SIGCONT)
+	}
+}
+
 // loseDisksInTurn takes the disks of as many stores at a time as the fleet tolerates, until
 // all stores have lost theirs. It waits for the copies of one group before it takes the next.
 func (d *deployment) loseDisksInTurn() {
