--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -51,6 +53,10 @@
 	recoveryTime = 15 * time.Second
 	// changeInterval is the time between two changes of the plan.
 	changeInterval = time.Second
+	// retainedTime is for how long turns are continued in the test, out of the 60 s that the
+	// plan keeps them, and maxSample how many of them.
+	retainedTime = 50 * time.Second
+	maxSample    = 80
 )
 
 // deployment is a fleet under load, with the log of its faults.
@@ -94,7 +100,7 @@
 	begin := time.Now()
 	c, tg := startSize(t, size.fleet, seed, size.models, size.plain)
 	tg.mu.Lock()
-	tg.events, tg.eventGap, tg.calls = turnEvents, turnEventGap, map[string]time.Duration{}
+	tg.events, tg.eventGap, tg.slowTurns, tg.calls = turnEvents, turnEventGap, slowTurns, map[string]time.Duration{}
 	for _, call := range toolCalls {
 		tg.calls[call.path] = call.work
 	}
@@ -119,16 +125,22 @@
 	}
 	g.Go(func() error { d.load.run(ctx, seed, programs); return nil })
 	g.Go(func() error { d.change(ctx); return nil })
+	g.Go(func() error { d.restartExited(ctx); return nil })
+	var restartedAt time.Time
+	finish := sync.OnceFunc(func() {
+		cancel()
+		_ = g.Wait() // All goroutines always return nil.
+		d.report(restartedAt)
+	})
+	defer finish() // Also if a wait has timed out.
 	types.Sleep(ctx, calmTime+2*window)
 	d.injectSeries(*duration)
 	types.Sleep(ctx, calmTime+2*window)
-	restartedAt := d.injectFinalFault()
+	restartedAt = d.injectFinalFault()
 	types.Sleep(ctx, recoveryTime)
 	d.checkTurns()
 	types.Sleep(ctx, 2*window)
-	cancel()
-	_ = g.Wait() // All goroutines always return nil.
-	d.report(restartedAt)
+	finish()
 	d.checkServed(restartedAt)
 	d.checkStops()
 	checkConfiguration(t, d.fleet, d.acked)
@@ -165,11 +177,37 @@
 	}
 }
 
-// checkTurns checks that turns with a complete response in the last 30 s can be continued.
+// checkTurns checks that turns with a complete response in the last retainedTime can be
+// continued. It samples maxSample of them.
 func (d *deployment) checkTurns() {
 	d.callers.mu.Lock()
-	c := &callers{fleet: d.fleet, attempts: append([]attempt(nil), d.callers.attempts...), lastID: d.callers.lastID + 1_000_000}
+	attempts := slices.Clone(d.callers.attempts)
 	d.callers.mu.Unlock()
-	checkTurnsRetained(d.t, c)
-	d.note("turns of before the loss of power were continued")
+	attempts = slices.DeleteFunc(attempts, func(a attempt) bool {
+		return a.path != "/turn/" || a.status != http.StatusOK || !a.complete || time.Since(a.endedAt) > retainedTime
+	})
+	c := &callers{fleet: d.fleet, lastID: 1_000_000}
+	var g errgroup.Group
+	g.SetLimit(maxSample / 4)
+	for i := 0; i < len(attempts); i += 1 + len(attempts)/maxSample {
+		a := attempts[i]
+		r := rand.New(rand.NewPCG(9, uint64(i)))
+		next := attempt{
+			account: a.account, path: a.path, requestBody: "on;", previous: a.id, program: "on " + a.id,
+			budget: 100 * a.budget, maxTokens: a.maxTokens, timeout: turnTimeout,
+		}
+		g.Go(func() error {
+			var last attempt
+			for range 1 + turnRetries {
+				if last = c.send(context.Background(), r, next); last.status == http.StatusOK && last.complete {
+					return nil
+				}
+			}
+			d.t.Errorf("turn %s, complete %v ago, is not continued: %s on %s: status %d %s %s",
+				a.id, time.Since(a.endedAt), last.id, last.entry, last.status, last.responseBody, last.failure)
+			return nil
+		})
+	}
+	_ = g.Wait() // The goroutines always return nil.
+	d.note("continued %d of %d turns", (len(attempts)+len(attempts)/maxSample)/(1+len(attempts)/maxSample), len(attempts))
 }
--- a/soak/disk_test.go
+++ b/soak/disk_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"syscall"
@@ -10,7 +11,6 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -28,23 +28,13 @@
 // a pipe, which a limit on the size of its files does not affect.
 type pipeWriter struct{ io.Writer }
 
-// setDiskFull makes all writes of a host's process to files fail, or ends that. It sets the
-// limit on the size of the files of the process to 0.
-func (h *testHost) setDiskFull(full bool) {
-	limit := unix.Rlimit{Cur: unix.RLIM_INFINITY, Max: unix.RLIM_INFINITY}
+// fileLimit returns the size beyond which a process can write to files whose disk is full or
+// not.
+func fileLimit(full bool) uint64 {
 	if full {
-		limit.Cur = 0
+		return 0
 	}
-	if err := unix.Prlimit(h.process.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil); err != nil && err != unix.ESRCH {
-		h.t.Errorf("limit the files of %s: %v", h.name, err)
-	}
-}
-
-// hasExited reports whether a host's process has ended by itself.
-func (h *testHost) hasExited() bool {
-	var info unix.Siginfo
-	err := unix.Waitid(unix.P_PID, h.process.Process.Pid, &info, unix.WEXITED|unix.WNOHANG|unix.WNOWAIT, nil)
-	return err == nil && info.Signo != 0
+	return math.MaxUint64
 }
 
 // fillDisk fills the disk of a host for d. If the host's process ends, it is started again,
@@ -52,7 +42,7 @@
 func (f *fleet) fillDisk(h *testHost, d time.Duration) (exits int) {
 	start := time.Now()
 	for time.Since(start) < d+time.Second { // The process may end late.
-		h.setDiskFull(time.Since(start) < d)
+		h.limitFiles(fileLimit(time.Since(start) < d))
 		if h.hasExited() {
 			h.stop(syscall.SIGKILL)
 			time.Sleep(exitRestartDelay)
--- a/soak/guarantees_test.go
+++ b/soak/guarantees_test.go
@@ -177,8 +177,8 @@
 		}
 		want := prompts[a.previous] + a.requestBody
 		for _, r := range tg.runsOf(a.id) {
-			if r.body != want {
-				t.Errorf("turn %s ran with the prompt %q, not %q", a.id, r.body, want)
+			if r.body != digest(want) {
+				t.Errorf("turn %s ran with the prompt %q, not %q", a.id, r.body, digest(want))
 			}
 		}
 		prompts[a.id] = want + strings.Join(tg.turnOutput(a.id), "\n") + "\n"
@@ -245,7 +245,7 @@
 	for i := 0; i < len(completed); i += 1 + len(completed)/60 {
 		var last attempt
 		waitFor(t, "a continuation of turn "+completed[i].id, func() bool {
-			last = c.send(context.Background(), r, attempt{account: unlimitedAccount, path: "/turn/", requestBody: "on;", previous: completed[i].id, program: "on " + completed[i].id})
+			last = c.send(context.Background(), r, attempt{account: completed[i].account, path: "/turn/", requestBody: "on;", previous: completed[i].id, program: "on " + completed[i].id, budget: completed[i].budget, maxTokens: completed[i].maxTokens})
 			return last.status == http.StatusOK && last.complete || last.status == http.StatusNotFound
 		})
 		if last.status == http.StatusNotFound {
--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -1,9 +1,12 @@
 package soak_test
 
 import (
+	"context"
+	"math"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -11,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/banyanspur/banyanspur/host"
+	"github.com/banyanspur/banyanspur/types"
 )
 
 const (
@@ -20,30 +24,57 @@
 	calmSpan = 10 * time.Second
 	// maxEntriesDown is the share of the entry hosts that faults may hit at the same time.
 	maxEntriesDown = 0.16
+	// restartDelay is how often processes that have exited by themselves are started again.
+	restartDelay = 500 * time.Millisecond
 )
 
-// diskFull refuses all writes of a host to its files for d, as a full disk does.
+// diskFull refuses all writes of a host to its files for d, as a full disk does, also if its
+// process is started again.
 func (f *fleet) diskFull(h *testHost, d time.Duration) {
-	var old unix.Rlimit
-	pid := h.process.Process.Pid
-	if err := unix.Prlimit(pid, unix.RLIMIT_FSIZE, nil, &old); err != nil {
-		f.t.Errorf("limit of %s: %v", h.name, err)
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		h.limitFiles(0)
+	}
+	h.limitFiles(math.MaxUint64)
+}
+
+// limitFiles sets the size beyond which a host's process cannot write to files.
+func (h *testHost) limitFiles(size uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.process == nil {
 		return
 	}
-	_ = unix.Prlimit(pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 0, Max: old.Max}, nil) // It may have exited.
-	time.Sleep(d)
-	_ = unix.Prlimit(pid, unix.RLIMIT_FSIZE, &old, nil)
+	// The process may have exited.
+	_ = unix.Prlimit(h.process.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: size, Max: math.MaxUint64}, nil)
+}
+
+// restartExited starts processes again that have exited by themselves, after restartDelay,
+// until ctx ends.
+func (d *deployment) restartExited(ctx context.Context) {
+	for types.Sleep(ctx, restartDelay) {
+		for _, h := range d.fleet.hosts {
+			if h.hasExited() {
+				d.note("%s exited by itself", h.name)
+				d.fleet.start(h, false)
+			}
+		}
+	}
 }
 
 // seriesFaults are the faults of a series. Those of disks hit control hosts and stores only.
-var seriesFaults, seriesDiskFaults = faultsNamed("killed", "frozen", "network fault"), append(
-	faultsNamed("killed", "frozen", "network fault", "data directory lost", "torn write"), fault{"disk full", (*fleet).diskFull})
+var (
+	seriesFaults     = append(faultsNamed("killed", "frozen", "network fault"), silenced)
+	seriesDiskFaults = append(faultsNamed("killed", "frozen", "network fault", "data directory lost", "data directory lost", "torn write"),
+		silenced, fault{"disk full", (*fleet).diskFull})
+	silenced = fault{"open connections silent", func(_ *fleet, h *testHost, d time.Duration) {
+		h.relay.silence()
+		time.Sleep(d)
+	}}
+)
 
 func faultsNamed(names ...string) (list []fault) {
-	for _, f := range faults {
-		if slices.Contains(names, f.name) {
-			list = append(list, f)
-		}
+	for _, name := range names {
+		list = append(list, faults[slices.IndexFunc(faults, func(f fault) bool { return f.name == name })])
 	}
 	return list
 }
@@ -54,9 +85,78 @@
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		d.injectBurst(min(burstTime, duration/2))
 		d.fleet.waitRecovered()
-		d.note("all hosts with a disk have recovered")
+		d.note("all hosts with a disk have recovered; load average %s", loadAverage())
+		time.Sleep(calmTime)
 		d.stopInTurn(min(calmSpan, duration/2))
+		if time.Now().Before(end) {
+			d.injectGroupFault()
+		}
+	}
+}
+
+// injectGroupFault kills all hosts of some roles, or cuts the power of all hosts, and waits
+// until service must have returned.
+func (d *deployment) injectGroupFault() {
+	f := d.fleet
+	all := &testHost{name: "group"}
+	down := time.Duration(200+f.rand.IntN(1500)) * time.Millisecond
+	switch f.rand.IntN(6) {
+	case 0:
+		d.during(all, "control hosts killed", false, func() { f.killControlHosts(f.controls(), down) })
+	case 1:
+		d.during(all, "stores killed", false, func() { f.killControlHosts(f.diskHosts()[f.size.controls:], down) })
+	case 2:
+		d.during(all, "hosts with a disk killed", false, func() { f.killControlHosts(f.diskHosts(), down) })
+	case 3:
+		d.during(all, "power lost", false, func() { f.losePower(nil, down) })
+	case 4:
+		d.during(all, "disks lost in turn", false, d.loseDisksInTurn)
+	case 5:
+		d.during(all, "all hosts frozen", false, func() { f.freezeAll(down + time.Second) })
+	}
+	time.Sleep(recoveryTime + calmTime)
+	f.waitRecovered()
+}
+
+// freezeAll freezes all hosts at the same time, as a pause of the machine that they run on
+// does: all connections among them are given up.
+func (f *fleet) freezeAll(d time.Duration) {
+	for _, h := range f.hosts {
+		h.signal(syscall.SIGSTOP)
+	}
+	time.Sleep(d)
+	for _, h := range f.hosts {
+		h.signal(syscall.SIGCONT)
+	}
+}
+
+// loseDisksInTurn takes the disks of as many stores at a time as the fleet tolerates, until
+// all stores have lost theirs. It waits for the copies of one group before it takes the next.
+func (d *deployment) loseDisksInTurn() {
+	f := d.fleet
+	stores := f.diskHosts()[f.size.controls:]
+	for group := range slices.Chunk(stores, f.size.losses) {
+		killTogether(group)
+		for _, h := range group {
+			if err := os.RemoveAll(filepath.Join(h.dir, "data")); err != nil {
+				f.t.Error(err)
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, h := range group {
+			f.start(h, false)
+		}
+		d.waitHost(group[0], "disk lost")
+	}
+}
+
+// loadAverage returns the load averages of the machine.
+func loadAverage() string {
+	b, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return err.Error()
 	}
+	return strings.Join(strings.Fields(string(b))[:3], " ")
 }
 
 // injectBurst injects faults that overlap and waits until they have ended. At most as many
@@ -172,12 +272,12 @@
 	case <-time.After(waitTimeout):
 		d.t.Errorf("no change was acknowledged in %v", waitTimeout)
 	}
-	all := &testHost{name: "all hosts"}
+	all := &testHost{name: "group"}
 	d.during(all, "power lost", false, func() { f.losePower(disks[:f.size.losses], 2*time.Second) })
 	return time.Now()
 }
 
-// firstLine returns the path of the log of a host.
+// logFile returns the path of the log of a host.
 func (h *testHost) logFile() string { return filepath.Join(h.dir, "log") }
 
 func readLog(h *testHost) []byte {
