quorum: elections end on hosts that are scheduled late

On busy machines the control hosts were without a leader for up to 80 s although all of them ran; terms hardly rose. Candidates repeated an election after 0.2 to 0.6 of the election timeout, and votes that arrive after that do not count: with a round trip of 0.4 s and more, syncs included, none was ever elected, as the next attempt was no longer than the last.

The time until a retry doubles with each election in which a majority has granted its pre-votes but has not voted in time, up to 1.6 to 4.8 election timeouts, and is short again after contact with a leader. Attempts without a majority of pre-votes, as beside a partition, are repeated as soon as before.

--- a/quorum/append.go
+++ b/quorum/append.go
@@ -201,6 +201,7 @@
 func (c *Core) acceptLeader(now types.Mono, m Message) {
 	c.becomeFollower(now, m.Term, m.From)
 	c.lastLeaderContact = now
+	c.lateElections = 0
 	c.cold = coldStart{}
 	c.resetElectionDeadline(now)
 	c.advanceLogTime(now, m.Time)
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -99,6 +99,7 @@
 	termStartIndex Index                   // index of the leader's first entry in its term
 
 	lastLeaderContact types.Mono // time of the last contact with a leader, or of the start
+	lateElections     int        // elections since lastLeaderContact in which no majority voted in time
 	electionDeadline  types.Mono // when to start the next election
 	cold              coldStart
 	logTime           types.LogTime
@@ -282,13 +283,17 @@
 // resetRetryDeadline sets the deadline after which a candidate retries its
 // election. It is shorter than the first timeout, since a retry cannot disrupt a
 // leader: voters ignore vote requests for MinElectionTimeout after contact with
-// one.
+// one. It doubles with each election in which no majority has voted in time, up to
+// maxRetryDoublings times, since votes that arrive after the retry do not count.
 func (c *Core) resetRetryDeadline(now types.Mono) {
-	base := c.timing.MinElectionTimeout / 5
+	base := c.timing.MinElectionTimeout / 5 << min(c.lateElections, maxRetryDoublings)
 	jitter := time.Duration(c.rand.Int64N(int64(2 * base)))
 	c.electionDeadline = now.Add(base + jitter)
 }
 
+// maxRetryDoublings makes retries wait for 1.6 to 4.8 times MinElectionTimeout.
+const maxRetryDoublings = 3
+
 func (c *Core) sendImmediately(m Message) {
 	m.From = c.id
 	c.out.Immediate = append(c.out.Immediate, m)
--- a/quorum/elect.go
+++ b/quorum/elect.go
@@ -17,6 +17,9 @@
 		c.resetElectionDeadline(now)
 		return
 	}
+	if c.role == Candidate {
+		c.lateElections++ // A majority has granted its pre-votes, and so would probably vote.
+	}
 	c.campaign(PreCandidate, bypassNone)
 	c.resetRetryDeadline(now)
 }
@@ -91,6 +94,7 @@
 	c.leader = c.id
 	c.votes = nil
 	c.lastLeaderContact = now
+	c.lateElections = 0
 	c.cold = coldStart{}
 	c.peers = map[ReplicaID]*progress{}
 	c.updatePeers(now)
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -25,6 +25,7 @@
 	rand      *rand.Rand
 	hosts     []*simHost
 	inTransit []packet
+	latency   time.Duration    // time until a message is handled, besides tickInterval
 	steps     int              // number of outputs handled so far
 	fault     func(h *simHost) // injected into the host that handles output faultStep
 	faultStep int              // the value of steps at which fault is injected; -1 for none
@@ -310,7 +311,7 @@
 			snap := h.disk.snap
 			m.Snapshot = &snap
 		}
-		packets = append(packets, packet{Message: m, due: h.sim.now.Add(tickInterval)})
+		packets = append(packets, packet{Message: m, due: h.sim.now.Add(tickInterval + h.sim.latency)})
 	}
 	if h.alterPackets != nil && len(packets) > 0 {
 		packets = h.alterPackets(packets)
