quorum: a leader that was held up asks before it resigns

A leader whose process did not run for the election timeout resigned at its next tick, since nobody had replied for so long; but it had sent nothing to reply to. On busy machines leaders changed every 2 to 5 s without a fault, and limits and changes waited each time.

A leader now counts the silence of the others from when it has resumed, up to four election timeouts. Its lease is computed as before, so that it serves nothing meanwhile; if another leader was elected, the replies say so.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -99,6 +99,8 @@
 	termStartIndex Index                   // index of the leader's first entry in its term
 
 	lastLeaderContact types.Mono // time of the last contact with a leader, or of the start
+	lastTick          types.Mono // time of a leader's last Tick, or of its election
+	resumedAt         types.Mono // when a leader that was held up has resumed; <= lastTick
 	lateElections     int        // elections since lastLeaderContact in which no majority voted in time
 	electionDeadline  types.Mono // when to start the next election
 	cold              coldStart
--- a/quorum/elect.go
+++ b/quorum/elect.go
@@ -25,7 +25,9 @@
 }
 
 func (c *Core) tickLeader(now types.Mono) {
-	if now.Sub(max(c.quorumAckTime(now), c.lastLeaderContact)) > c.timing.MinElectionTimeout {
+	c.noteDelay(now)
+	silentSince := max(c.quorumAckTime(now), c.lastLeaderContact)
+	if now.Sub(max(silentSince, c.resumedAt)) > c.timing.MinElectionTimeout || now.Sub(silentSince) > maxSilence*c.timing.MinElectionTimeout {
 		// The lease has expired. Further heartbeats would only keep the other
 		// replicas from electing a leader that receives their replies.
 		c.becomeFollower(now, c.hardState.Term, "")
@@ -38,6 +40,21 @@
 	}
 }
 
+// maxSilence is the time, in units of MinElectionTimeout, after which a leader without
+// replies resigns even if it was held up.
+const maxSilence = 4
+
+// noteDelay records when a leader whose process was held up has resumed. For as long as it was,
+// it has sent no heartbeats, so that the silence of the others tells nothing. Its lease has
+// run out meanwhile if it was held up for so long, so that it does no harm to ask them again:
+// if they have elected another leader, their replies say so.
+func (c *Core) noteDelay(now types.Mono) {
+	if now.Sub(c.lastTick) > c.timing.Heartbeat {
+		c.resumedAt = now
+	}
+	c.lastTick = now
+}
+
 // leaseBypass is why a voter may grant its vote to a candidate even though it may
 // have had contact with a leader within MinElectionTimeout.
 type leaseBypass uint8
@@ -93,7 +110,7 @@
 	c.role = Leader
 	c.leader = c.id
 	c.votes = nil
-	c.lastLeaderContact = now
+	c.lastLeaderContact, c.lastTick, c.resumedAt = now, now, now
 	c.lateElections = 0
 	c.cold = coldStart{}
 	c.peers = map[ReplicaID]*progress{}
