--- a/fleet/control.go
+++ b/fleet/control.go
@@ -15,6 +15,7 @@
 	"github.com/banyanspur/banyanspur/poison"
 	"github.com/banyanspur/banyanspur/quorum"
 	"github.com/banyanspur/banyanspur/ramp"
+	"github.com/banyanspur/banyanspur/store"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
@@ -38,6 +39,8 @@
 	AllowBootstrap bool
 	// Dir is the data directory. No other host may use it.
 	Dir string
+	// Disk performs the writes and syncs of the replica.
+	Disk store.Disk
 	// Losses is how many hosts with a disk may fail at the same time. If there
 	// are enough stores, each shard has 2*Losses+1 copies.
 	Losses int
@@ -135,7 +138,7 @@
 			c.Timing = DefaultTiming
 		}
 		c.replica = &replica{
-			Group: types.ConfigGroup, Dir: c.dir(), Host: types.HostID(c.Address), Machine: c.machine,
+			Group: types.ConfigGroup, Dir: c.dir(), Disk: c.Disk, Host: types.HostID(c.Address), Machine: c.machine,
 			Send: c.send, Timing: c.Timing, Clock: c.Clock, Log: c.Log,
 		}
 		c.resetLeaderState(0)
--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -17,6 +17,7 @@
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/plan"
+	"github.com/banyanspur/banyanspur/store"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
@@ -92,7 +93,8 @@
 	allowBootstrap atomic.Bool  // value of fleet.Control.AllowBootstrap for control hosts started from now on
 	// targets is the platform's list. While it is nil, the list cannot be fetched.
 	targets atomic.Pointer[[]fleet.Target]
-	log     event.Log // of the control hosts
+	log     event.Log    // of the control hosts
+	disk    []store.Disk // of the first control hosts
 }
 
 func newFleet(t testing.TB, controls int) *testFleet {
@@ -112,8 +114,14 @@
 // addControl adds a control host without starting it.
 func (f *testFleet) addControl() *process {
 	p := newProcess(f.t)
+	n := len(f.controls)
 	p.start = func(ctx context.Context, g *errgroup.Group, peers *wire.Pool, server *wire.Server) {
+		disk := store.Disk{}
+		if n < len(f.disk) {
+			disk = f.disk[n]
+		}
 		c := &fleet.Control{
+			Disk:    disk,
 			Address: p.address, Seeds: f.seeds, TargetPace: f.targetPace, AllowBootstrap: f.allowBootstrap.Load(), Dir: p.dir, Losses: 1, Peers: peers, Clock: types.NewClock(), Log: f.log,
 			ListTargets: func(context.Context) ([]fleet.Target, error) {
 				list := f.targets.Load()
