--- a/soak/doc.go
+++ b/soak/doc.go
@@ -18,4 +18,18 @@
 // the default timeout of 10 minutes:
 //
 //	go test ./soak -timeout 0 -seeds 50 -first 1000 -for 20s
+//
+// TestDeploymentUnderFaults runs programs with open connections, rotation by readiness and
+// retries against a deployment, small by default. Faults overlap and come in series; planned
+// stops follow in calm, then all hosts of a role, or all hosts, fail. At the end all hosts
+// lose power right after an acknowledged change, and as many as tolerated lose their disks.
+// The test counts per 2 s what was offered, connected and served, and why the rest was not.
+// The size "grown" has 74 hosts and 56 targets; it takes 2 to 3 of 8 processors at 25
+// programs a second:
+//
+//	go test ./soak -run TestDeploymentUnderFaults -timeout 0 -size grown -first 1 -seeds 1 -for 60s
+//
+// Not injected: writes that a loss of power takes back without a trace, since no process is
+// asked what it has synced, and hosts without power that do not answer at all: a killed
+// process resets its connections.
 package soak
--- a/soak/relay_test.go
+++ b/soak/relay_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -86,9 +87,13 @@
 func (r *relay) accept() {
 	for {
 		in, err := r.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(relayDelay) // Out of file descriptors.
+			continue
+		}
 		if relayMode(r.mode.Load()) == modeReset {
 			_ = in.(*net.TCPConn).SetLinger(0)
 			_ = in.Close()
