--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -38,33 +38,6 @@
 	disturbedAt time.Time
 }
 
-// fleetSize is the number of hosts of each role, and what their settings say about them.
-type fleetSize struct {
-	controls, stores, entries, zones int
-
-	losses   int     // number of hosts with a disk that may be lost at once
-	grace    float64 // seconds
-	memoryMB map[host.NodeRole]int
-	pace     bool
-	// plan returns the plan with a version in the platform's format.
-	plan func(version int) []byte
-}
-
-// small is the size of the fleet in most tests.
-var small = fleetSize{controls: 3, stores: 3, entries: 3, zones: 3, losses: 1, grace: 4, plan: planDocument}
-
-// role returns the role of the host at an index, and its index among those of the role.
-func (s fleetSize) role(i int) (host.NodeRole, int) {
-	switch disks := s.controls + s.stores; {
-	case i < s.controls:
-		return host.NodeControl, i
-	case i < disks:
-		return host.NodeStore, i - s.controls
-	default:
-		return host.NodeEntry, i - disks
-	}
-}
-
 // fleet is a fleet under test: control hosts, stores and entry hosts, in this order.
 type fleet struct {
 	t           *testing.T
@@ -90,13 +63,6 @@
 // relay listens there and forwards to the host at netPrefix.2.number.
 func (f *fleet) address(h *testHost) string { return fmt.Sprintf("%s.1.%d", f.netPrefix, h.number) }
 
-func (f *fleet) controls() []*testHost { return f.hosts[:f.size.controls] }
-
-// diskHosts returns the hosts with a disk, the control hosts and stores.
-func (f *fleet) diskHosts() []*testHost { return f.hosts[:f.size.controls+f.size.stores] }
-
-func (f *fleet) entries() []*testHost { return f.hosts[f.size.controls+f.size.stores:] }
-
 // newFleet starts a fleet whose hosts all run the given binary; see testHost.binary.
 func newFleet(t *testing.T, size fleetSize, seed uint64, listAddress, binary string) *fleet {
 	t.Helper()
@@ -119,18 +85,6 @@
 	return f
 }
 
-// lockedSource is a source of random numbers for faults that overlap.
-type lockedSource struct {
-	mu     sync.Mutex
-	source rand.Source
-}
-
-func (s *lockedSource) Uint64() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.source.Uint64()
-}
-
 // hostLog is the file with the log of a host. It hides that it is a file, so that processes
 // write to it through a pipe: a limit on the size of their files must not reach the log.
 type hostLog struct{ *os.File }
