fetch: do not write to the map of an empty pool

A host whose pool had held no connection yet ended with "assignment to entry in nil map" when CloseIdle was called: when the path to a target is cut silently or heals before the first request, as on a host that starts in a partition.

CloseIdle stored the remaining connections before it looked whether there are any. It now stores them only if there are.

TestPoolWithoutConnectionsClosesNone panicked before and passes.

--- a/fetch/pool.go
+++ b/fetch/pool.go
@@ -113,16 +113,18 @@
 func (p *Pool) CloseIdle(address string, match func(net.Conn) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idle[address] = slices.DeleteFunc(p.idle[address], func(c *conn) bool {
+	rest := slices.DeleteFunc(p.idle[address], func(c *conn) bool {
 		if !match(c.Conn) {
 			return false
 		}
 		_ = c.Close()
 		return true
 	})
-	if len(p.idle[address]) == 0 {
+	if len(rest) == 0 {
 		delete(p.idle, address)
+		return
 	}
+	p.idle[address] = rest
 }
 
 // setSocketOptions makes the connection break if sent data is not acknowledged within
