gate, relay: wait for relayed connections when a host stops

A host that stopped ended its process once its own callers had their responses, and with it the connections that it relays for other hosts. Their requests in flight failed: 502, or streams without their end.

The stop now waits for relayed connections, until answerShare of the grace period. For this to end soon, hosts close idle connections through a host that the leader no longer offers, and reuse none that are in use.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -85,6 +85,7 @@
 	initOnce     sync.Once
 	pool         fetch.Pool
 	dialer       relay.Dialer
+	relayServer  relay.Server
 	relaysSum    uint64 // checksum of the hosts that dialer asks; used by exchangeLoads only
 	targets      targetTracker
 	limits       limitShares
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -28,6 +28,7 @@
 	}
 	d.OnHeal = func(address string) { g.pool.CloseIdle(address, isRelayed) }
 	g.pool.Dial = d.Dial
+	g.initRelayServer()
 }
 
 // isRelayed reports whether a connection goes through another host.
@@ -36,10 +37,20 @@
 	return ok
 }
 
+// isRetired reports whether a connection goes through a host that no longer relays any.
+func (g *Gate) isRetired(c net.Conn) bool {
+	relayed, ok := c.(*relay.Conn)
+	return ok && !g.dialer.Offers(relayed.Host())
+}
+
 // RelayHandler returns the handler of [relay.Path] on this host's peer address.
 func (g *Gate) RelayHandler() http.Handler {
 	g.init()
-	return &relay.Server{
+	return &g.relayServer
+}
+
+func (g *Gate) initRelayServer() {
+	g.relayServer = relay.Server{
 		Secret: g.Secret, Log: g.Log, IsTarget: g.isTarget, Accepting: func() bool { return g.offerRelay() != nil },
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, relay.TargetTimeout)
@@ -77,5 +88,8 @@
 	}
 	g.relaysSum = relays.Checksum
 	g.dialer.SetHosts(hosts)
+	for _, t := range g.Fleet.View().Targets {
+		g.pool.CloseIdle(t.Address, g.isRetired) // A host that stops waits for them.
+	}
 	g.Log.Write(event.RelaysChanged, event.Fields{"hosts": ids})
 }
--- a/gate/server.go
+++ b/gate/server.go
@@ -79,7 +79,8 @@
 // Drain takes the host out of service within the grace period. The gate is drained, see
 // [Gate.Drain], new connections are accepted for acceptShare of the grace period or until ctx
 // ends, and Drain returns when all connections are closed. It closes those without a request
-// in flight; a request that arrives on any other gets a response. It returns an error if
+// in flight; a request that arrives on any other gets a response. It also waits for the
+// connections that the host relays, for answerShare of the grace period. It returns an error if
 // callers have not read their responses in time. The process must call [Server.Serve], too.
 func (s *Server) Drain(ctx context.Context) error {
 	s.init()
@@ -92,6 +93,9 @@
 	for s.conns.closeUnused() > 0 && time.Since(start) < share(closeShare) {
 		time.Sleep(closePollInterval)
 	}
+	for s.Gate.relayServer.Active() > 0 && time.Since(start) < share(answerShare) {
+		time.Sleep(closePollInterval) // For the requests of other hosts.
+	}
 	if n := s.conns.abortAll(); n > 0 {
 		err = errors.CombineErrors(errors.Newf("gate: %d connections were closed before their responses were read", n), err)
 	}
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -21,9 +21,11 @@
 
 // Conn is a connection to a target through another host. It has no deadlines.
 type Conn struct {
-	host     types.HostID
-	address  string
-	peer     *websocket.Conn
+	host    types.HostID
+	address string
+	peer    *websocket.Conn
+	// offered reports whether the host still relays connections.
+	offered  func() bool
 	cancel   context.CancelFunc
 	ctx      context.Context //nolint:containedctx // Ends with Close.
 	incoming chan []byte     // received frames; closed after readErr is set
@@ -36,8 +38,8 @@
 
 var _ net.Conn = (*Conn)(nil)
 
-func newConn(host types.HostID, address string, peer *websocket.Conn) *Conn {
-	c := &Conn{host: host, address: address, peer: peer, incoming: make(chan []byte)}
+func newConn(host types.HostID, address string, peer *websocket.Conn, offered func() bool) *Conn {
+	c := &Conn{host: host, address: address, peer: peer, offered: offered, incoming: make(chan []byte)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	peer.SetReadLimit(maxFrameBytes)
 	c.reader.Go(func() error {
@@ -90,9 +92,13 @@
 	return n, nil
 }
 
-// Quiet reports whether the connection is open and nothing has been received that was not
-// read.
+// Quiet reports whether the connection is open and may be used again: nothing has been
+// received that was not read, and the host still relays connections. A host that stops offers
+// none, and ends those that it relays when its process ends.
 func (c *Conn) Quiet() bool {
+	if !c.offered() {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	select {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -198,3 +198,25 @@
 		t.Error("the idle connection to the other target is reused")
 	}
 }
+
+// TestConnectionOfStoppingHostIsNotReused guards against requests on a connection through a
+// host that no longer offers to relay, since it stops: its process may end before they do.
+func TestConnectionOfStoppingHostIsNotReused(t *testing.T) {
+	tg := newTarget(t)
+	stopping, other := newRelayingHost(t, "entry-2", true, tg), newRelayingHost(t, "entry-3", true, tg)
+	d := newDialer(t, stopping)
+	d.network.setCut(syscall.ECONNREFUSED)
+	c := d.dialThrough(t, tg)
+	if got, err := exchange(t, c, "first"); got != "first" || err != nil {
+		t.Fatalf("received %q, %v", got, err)
+	}
+	for _, step := range []struct {
+		offered  []relay.Host
+		reusable bool
+	}{{[]relay.Host{stopping.host, other.host}, true}, {nil, true}, {[]relay.Host{other.host}, false}} {
+		d.SetHosts(step.offered)
+		if got := c.Quiet(); got != step.reusable {
+			t.Errorf("offered %v: reusable %t", step.offered, got)
+		}
+	}
+}
--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -49,6 +49,13 @@
 	d.hosts = hosts
 }
 
+// Offers reports whether a host relays connections, or no host does that is known.
+func (d *Dialer) Offers(id types.HostID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.hosts) == 0 || slices.ContainsFunc(d.hosts, func(h Host) bool { return h.ID == id })
+}
+
 // HasHosts reports whether any host relays connections.
 func (d *Dialer) HasHosts() bool {
 	d.mu.Lock()
@@ -184,7 +191,7 @@
 		}
 		return nil, errors.Mark(errors.Wrapf(err, "relay: connect through %s", h.ID), mark)
 	}
-	return newConn(h.ID, address, peer), nil
+	return newConn(h.ID, address, peer, func() bool { return d.Offers(h.ID) }), nil
 }
 
 // httpClient returns the client for connections to relaying hosts.
