--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -37,9 +40,8 @@
 
 // stopOutcome is what the caller of a stopRequest has received.
 type stopOutcome struct {
-	code     int
-	complete bool
-	err      error
+	code int
+	err  error // set if the response is not complete
 }
 
 // send sends the request to an entry host and returns the outcome. at waits until a time.
@@ -57,7 +59,7 @@
 	}
 	if r.kept {
 		_, _ = io.WriteString(conn, head(r.id+"-before", 1)+"\r\nx")
-		if code, complete, err := readOutcome(responses); code != http.StatusOK || !complete {
+		if code, _, err := readOutcome(responses); code != http.StatusOK || err != nil {
 			return stopOutcome{}, fmt.Errorf("request before the stop: status %d, %w", code, err)
 		}
 	}
@@ -75,19 +77,20 @@
 		_ = conn.(*net.TCPConn).CloseWrite()
 	}
 	var o stopOutcome
-	o.code, o.complete, o.err = readOutcome(responses)
+	o.code, _, o.err = readOutcome(responses)
 	return o, nil
 }
 
-// readOutcome reads one response.
-func readOutcome(responses *bufio.Reader) (code int, complete bool, err error) {
+// readOutcome reads one response. The code is 0 if there is none, closes is set if no other
+// follows on the connection, and err is set if the response is not complete.
+func readOutcome(responses *bufio.Reader) (code int, closes bool, err error) {
 	resp, err := http.ReadResponse(responses, nil)
 	if err != nil {
-		return 0, false, err
+		return 0, true, err
 	}
 	defer resp.Body.Close()
 	_, err = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode, err == nil, err
+	return resp.StatusCode, resp.Close, err
 }
 
 // startStop starts to stop an entry host. wait waits until a time after that, and exited
@@ -169,11 +172,65 @@
 		ran := len(tg.runsOf(r.id))
 		allowed := false
 		for _, code := range r.codes {
-			allowed = allowed || o.code == code && (o.complete || code == 0)
+			allowed = allowed || o.code == code && (o.err == nil || code == 0)
 		}
 		notRun := o.code == 0 || o.code == http.StatusServiceUnavailable
 		if !allowed || notRun && ran > 0 {
-			t.Errorf("%s: status %d, complete %t, %d targets have run it; %v", r.name, o.code, o.complete, ran, o.err)
+			t.Errorf("%s: status %d, %d targets have run it; %v", r.name, o.code, ran, o.err)
 		}
 	}
 }
+
+// stopCallers is the number of callers in TestStopUnderLoad, each with a connection.
+const stopCallers = 60
+
+// TestStopUnderLoad guards against a planned stop that loses requests of callers that go on
+// using their connections, and open new ones, until the host accepts none.
+func TestStopUnderLoad(t *testing.T) {
+	c, tg := startServing(t, 42, 2, 2)
+	entry := c.fleet.hosts[6]
+	address := net.JoinHostPort(c.fleet.address(entry), strconv.Itoa(callerPort))
+	var mu sync.Mutex
+	codes := map[string]int{}
+	var g errgroup.Group
+	for i := range uint64(stopCallers) {
+		g.Go(func() error {
+			r := rand.New(rand.NewPCG(42, i))
+			for {
+				conn, err := net.Dial("tcp4", address)
+				if err != nil {
+					return nil // The host accepts no more connections.
+				}
+				responses := bufio.NewReader(conn)
+				for closes := false; !closes; {
+					time.Sleep(time.Duration(r.IntN(40)) * time.Millisecond)
+					id, body := c.newID(), fmt.Sprintf("%s%d;", waitInput, r.IntN(100))
+					fmt.Fprintf(conn, "POST /charge/ HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: %s\r\nAuthorization: Bearer key-%s\r\nX-Deadline-Ms: 4000\r\nContent-Length: %d\r\n\r\n%s", id, unlimitedAccount, len(body), body)
+					code, last, err := readOutcome(responses)
+					closes = last || err != nil
+					mu.Lock()
+					codes[id] = code
+					mu.Unlock()
+				}
+				_ = conn.Close()
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	_, exited := startStop(entry)
+	_ = g.Wait() // All goroutines return nil.
+	if d := exited(); d >= stopGrace {
+		t.Errorf("the process had to be killed after %v", d)
+	}
+	counts := map[int]int{}
+	for id, code := range codes {
+		counts[code]++
+		if ran := len(tg.runsOf(id)); ran > 1 || ran == 1 && (code == 0 || code == http.StatusServiceUnavailable) {
+			t.Errorf("%s: status %d, %d targets have run it", id, code, ran)
+		}
+	}
+	t.Logf("requests by status, 0 for no response: %v", counts)
+	if counts[http.StatusOK] < stopCallers {
+		t.Error("too few requests were served")
+	}
+}
