--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -17,6 +17,7 @@
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/plan"
+	"github.com/banyanspur/banyanspur/store"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
@@ -87,17 +88,22 @@
 	seeds          []string
 	controls       []*process
 	stores         []*process
+	losses         int          // value of fleet.Control.Losses for all control hosts
 	targetPace     bool         // value of fleet.Control.TargetPace for all control hosts
 	coldUntil      atomic.Int64 // Unix time in nanoseconds until which the listed targets stay cold
 	allowBootstrap atomic.Bool  // value of fleet.Control.AllowBootstrap for control hosts started from now on
 	// targets is the platform's list. While it is nil, the list cannot be fetched.
 	targets atomic.Pointer[[]fleet.Target]
 	log     event.Log // of the control hosts
+	// holdCopies keeps stores that are started from now on from copying shards while it
+	// is set.
+	holdCopies atomic.Bool
+	disk       []store.Disk // of the first control hosts
 }
 
 func newFleet(t testing.TB, controls int) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t}
+	f := &testFleet{t: t, losses: 1}
 	f.allowBootstrap.Store(true)
 	f.targets.Store(&[]fleet.Target{{ID: "t1", Service: "models", Address: "127.0.0.1:1"}})
 	for range controls {
@@ -112,9 +118,15 @@
 // addControl adds a control host without starting it.
 func (f *testFleet) addControl() *process {
 	p := newProcess(f.t)
+	n := len(f.controls)
 	p.start = func(ctx context.Context, g *errgroup.Group, peers *wire.Pool, server *wire.Server) {
+		disk := store.Disk{}
+		if n < len(f.disk) {
+			disk = f.disk[n]
+		}
 		c := &fleet.Control{
-			Address: p.address, Seeds: f.seeds, TargetPace: f.targetPace, AllowBootstrap: f.allowBootstrap.Load(), Dir: p.dir, Losses: 1, Peers: peers, Clock: types.NewClock(), Log: f.log,
+			Disk:    disk,
+			Address: p.address, Seeds: f.seeds, TargetPace: f.targetPace, AllowBootstrap: f.allowBootstrap.Load(), Dir: p.dir, Losses: f.losses, Peers: peers, Clock: types.NewClock(), Log: f.log,
 			ListTargets: func(context.Context) ([]fleet.Target, error) {
 				list := f.targets.Load()
 				if list == nil {
@@ -161,7 +173,11 @@
 		}
 		g.Go(func() error { return client.Run(ctx) })
 		g.Go(func() error { return s.Run(ctx) })
-		g.Go(func() error { return s.CopyShards(ctx, peers) })
+		g.Go(func() error {
+			for f.holdCopies.Load() && types.Sleep(ctx, 10*time.Millisecond) {
+			}
+			return s.CopyShards(ctx, peers)
+		})
 		g.Go(func() error {
 			for types.Sleep(ctx, 20*time.Millisecond) {
 				_ = client.ReportCopied(ctx, fleet.CopiedRequest{Store: id, Copied: s.CopiedShards()}) // Repeated in the next iteration.
@@ -208,33 +224,43 @@
 			}
 		})
 		waitFor(f.t, "the expected voters", func() bool {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			defer cancel()
-			link := peers.Link(p.address)
-			if !link.WaitConnected(ctx) {
-				return false
-			}
-			r, err := wire.Call[fleet.HelloRequest, fleet.HelloReply](ctx, link, fleet.KindHello, fleet.HelloRequest{})
+			r, err := hello(peers, p.address)
 			lastReply = fmt.Sprintf("%+v, %v", r, err)
 			return err == nil && len(r.Members.Voters) == voters && r.Members.IsVoter(r.ID)
 		})
 	}
 }
 
+// hello returns what the control host at address reports of its replica.
+func hello(peers *wire.Pool, address string) (fleet.HelloReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	link := peers.Link(address)
+	if !link.WaitConnected(ctx) {
+		return fleet.HelloReply{}, errors.New("no connection")
+	}
+	return wire.Call[fleet.HelloRequest, fleet.HelloReply](ctx, link, fleet.KindHello, fleet.HelloRequest{})
+}
+
 // putPlan puts a plan with the given version and one account, and returns the
 // version in force afterwards.
 func putPlan(t *testing.T, c *fleet.Client, version types.Version, account types.AccountID) types.Version {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
-	p := plan.Plan{Version: version, Accounts: []plan.Account{{Name: account, Rate: 10, Burst: 10}}}
-	result, err := c.Put(ctx, fleet.PutPlan{Document: fleet.Document{Body: []byte(fmt.Sprintf("%d %s", version, account)), Plan: p}})
+	result, err := c.Put(ctx, planRequest(version, account))
 	if err != nil {
 		t.Fatal(err)
 	}
 	return result.PlanVersion
 }
 
+// planRequest returns the request to put a plan with the given version and one account.
+func planRequest(version types.Version, account types.AccountID) fleet.PutPlan {
+	p := plan.Plan{Version: version, Accounts: []plan.Account{{Name: account, Rate: 10, Burst: 10}}}
+	return fleet.PutPlan{Document: fleet.Document{Body: []byte(fmt.Sprintf("%d %s", version, account)), Plan: p}}
+}
+
 // readPlan returns the original form of the plan in force.
 func readPlan(t *testing.T, c *fleet.Client) string {
 	t.Helper()
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -99,6 +99,9 @@
 	termStartIndex Index                   // index of the leader's first entry in its term
 
 	lastLeaderContact types.Mono // time of the last contact with a leader, or of the start
+	lastTick          types.Mono // time of a leader's last Tick, or of its election
+	resumedAt         types.Mono // when a leader that was held up has resumed; <= lastTick
+	lateElections     int        // elections since lastLeaderContact in which no majority voted in time
 	electionDeadline  types.Mono // when to start the next election
 	cold              coldStart
 	logTime           types.LogTime
@@ -159,6 +162,10 @@
 // unknown.
 func (c *Core) Leader() ReplicaID { return c.leader }
 
+// LastLeaderContact returns when the replica last had contact with a leader, or was
+// started or elected if that is later.
+func (c *Core) LastLeaderContact() types.Mono { return c.lastLeaderContact }
+
 // Commit returns the index of the last entry known to be committed.
 func (c *Core) Commit() Index { return c.commit }
 
@@ -278,13 +285,17 @@
 // resetRetryDeadline sets the deadline after which a candidate retries its
 // election. It is shorter than the first timeout, since a retry cannot disrupt a
 // leader: voters ignore vote requests for MinElectionTimeout after contact with
-// one.
+// one. It doubles with each election in which no majority has voted in time, up to
+// maxRetryDoublings times, since votes that arrive after the retry do not count.
 func (c *Core) resetRetryDeadline(now types.Mono) {
-	base := c.timing.MinElectionTimeout / 5
+	base := c.timing.MinElectionTimeout / 5 << min(c.lateElections, maxRetryDoublings)
 	jitter := time.Duration(c.rand.Int64N(int64(2 * base)))
 	c.electionDeadline = now.Add(base + jitter)
 }
 
+// maxRetryDoublings makes retries wait for 1.6 to 4.8 times MinElectionTimeout.
+const maxRetryDoublings = 3
+
 func (c *Core) sendImmediately(m Message) {
 	m.From = c.id
 	c.out.Immediate = append(c.out.Immediate, m)
--- a/turns/store.go
+++ b/turns/store.go
@@ -20,6 +20,8 @@
 type Store struct {
 	// Dir is the store's directory. No other store may use it.
 	Dir string
+	// Disk performs the writes and syncs of the journal.
+	Disk store.Disk
 	// Clock is the process's monotonic clock.
 	Clock types.Clock
 	// Ticks starts the checks for expired turns, each of which ends before the
@@ -29,9 +31,17 @@
 	// Capacity is the space that the store may take. Once it is used up, the store
 	// refuses new programs and then turns, but removes none before its time.
 	Capacity Capacity
+	// CatchUp is the time after which the next store may be lost, counted from when this
+	// one is back with an empty directory. Copies end well within it, if the link
+	// permits. The default, 0, copies 2 MB/s of each of up to four shards.
+	CatchUp time.Duration
+	// LinkBytesPerSecond is the bandwidth of the host's link, of which copies take a part
+	// only. The default, 0, is for an unknown bandwidth.
+	LinkBytesPerSecond float64
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
+	opened  time.Time // when Open was called
 	id      StoreID
 	journal *store.Journal
 	queue   chan pendingWrite
@@ -51,7 +61,9 @@
 	// and none do.
 	retention time.Duration
 	diskLimit int64 // of the journal, by Capacity and the free space; 0 if there is none
-	full      bool  // whether the last event said that programs are refused
+	// diskLimitAt is when the free space was read for diskLimit.
+	diskLimitAt types.Mono
+	full        bool // whether the last event said that programs are refused
 }
 
 const (
@@ -81,13 +93,16 @@
 // write, or nil, is sent to done.
 type pendingWrite struct {
 	records []record
-	done    chan<- error
+	// skipKnown leaves out turns that the store already has when the write begins.
+	skipKnown bool
+	done      chan<- error
 }
 
 // Open reads the store's directory, which it creates if needed, and returns the
 // store's ID. If the directory is corrupt, Open removes it and the store gets a
 // new ID, as after the loss of a disk.
 func (s *Store) Open() (StoreID, error) {
+	s.opened = time.Now()
 	s.queue = make(chan pendingWrite, queueCapacity)
 	s.compactions = make(chan chan struct{})
 	s.copiedEpochs = map[Shard]Epoch{}
@@ -116,7 +131,7 @@
 		return errors.Wrap(err, "turns: read or create the identity")
 	}
 	s.id = StoreID(id)
-	s.journal, err = store.OpenJournal(filepath.Join(s.Dir, journalDir), s.replay)
+	s.journal, err = s.Disk.OpenJournal(filepath.Join(s.Dir, journalDir), s.replay)
 	return err
 }
 
@@ -182,13 +197,10 @@
 // writeBatch appends all records of a batch to the journal with one sync, adds
 // them to the index and reports the outcome to each write.
 func (s *Store) writeBatch(batch []pendingWrite) {
-	var records []record
-	var encoded [][]byte
-	for _, w := range batch {
-		for _, r := range w.records {
-			records = append(records, r)
-			encoded = append(encoded, types.Encode(r))
-		}
+	records := s.recordsToWrite(batch)
+	encoded := make([][]byte, 0, len(records))
+	for _, r := range records {
+		encoded = append(encoded, types.Encode(r))
 	}
 	locations, err := s.journal.Append(encoded)
 	if err != nil {
@@ -205,11 +217,39 @@
 	}
 }
 
+// recordsToWrite returns the records of a batch. Requests that are repeated while the
+// disk stalls wait for it together with the first ones: their turns are written once.
+func (s *Store) recordsToWrite(batch []pendingWrite) []record {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var records []record
+	added := map[turnKey]bool{}
+	for _, w := range batch {
+		for _, r := range w.records {
+			if r.Turn != nil {
+				key := turnKey{r.Turn.Account, r.Turn.ID}
+				if w.skipKnown && (added[key] || s.index.hasTurn(*r.Turn)) {
+					continue
+				}
+				added[key] = true
+			}
+			records = append(records, r)
+		}
+	}
+	return records
+}
+
 // persist writes records to the journal and returns once they are durable.
 func (s *Store) persist(ctx context.Context, records ...record) error {
+	return s.enqueue(ctx, pendingWrite{records: records})
+}
+
+// enqueue queues a write and returns once it is durable.
+func (s *Store) enqueue(ctx context.Context, w pendingWrite) error {
 	done := make(chan error, 1)
+	w.done = done
 	select {
-	case s.queue <- pendingWrite{records: records, done: done}:
+	case s.queue <- w:
 	case <-ctx.Done():
 		return errOverloaded
 	}
