quorum: compaction waits until the remaining entries fit into one frame

The leader may have committed entries of the later frames by the acknowledgement. It takes more than 16 MB of acknowledged entries that the replica does not know to be committed, as while the disks of other voters stall.

TestCompactionKeepsLongBacklog failed before: entry 19 was acknowledged, and the log ended with entry 17 after a restart. The entries are then in the old log, the new one, or both.

--- a/quorum/writes.go
+++ b/quorum/writes.go
@@ -190,9 +190,15 @@
 }
 
 // compactionDue reports whether the log is larger than the previous snapshot, so that the
-// cost of snapshots stays proportional to that of the log.
+// cost of snapshots stays proportional to that of the log, and the entries that follow the
+// snapshot fit into one frame. Otherwise a crash between two frames would lose those that are
+// acknowledged and only in the old log.
 func (r *Replica[C, R]) compactionDue() bool {
-	return r.logBytes >= max(minCompactBytes, r.snapshotBytes) && r.applied > r.core.snap.Index
+	if r.logBytes < max(minCompactBytes, r.snapshotBytes) || r.applied <= r.core.snap.Index {
+		return false
+	}
+	_, rest := splitRecord(logRecord{Entries: r.core.EntriesAfter(r.applied)})
+	return len(rest) == 0
 }
 
 // completeWrite records the result of the write under way and, if it succeeded, sends the
