store: what is found at a start is synced before it counts as durable

A process that ended between the write and the sync of a frame found it again after its restart, in the kernel's cache. Replicas then acknowledge its entries at the leader's next heartbeat, and keep a vote, without a further write; stores list its turns, and acknowledge a repeated write of a turn without writing it. A loss of power right after that removed what had been acknowledged. The longer writes take, the more often a process ends during one.

Cause: logs and journals took what can be read for what is durable, and synced only an end that they truncated.

Now each segment that is not empty is synced when it is opened.

--- a/store/file.go
+++ b/store/file.go
@@ -62,6 +62,21 @@
 	return errors.Wrap(d.sync(f), "store: sync file")
 }
 
+// syncPath syncs a file that an earlier process may have written and not synced. What was read
+// from it may be in the kernel's cache only, and must not count as durable before. Empty files
+// need no sync.
+func (d Disk) syncPath(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "store: open file to sync")
+	}
+	defer f.Close()
+	if info, err := f.Stat(); err == nil && info.Size() == 0 {
+		return nil
+	}
+	return errors.Wrap(d.sync(f), "store: sync file")
+}
+
 // syncDir syncs a directory, so that files created or renamed in it survive a
 // crash.
 func (d Disk) syncDir(dir string) error {
--- a/store/journal.go
+++ b/store/journal.go
@@ -54,6 +54,9 @@
 		if err := j.replay(s, visit); err != nil {
 			return nil, err
 		}
+		if err := d.syncPath(j.segmentPath(s)); err != nil {
+			return nil, err
+		}
 		j.segment = s
 	}
 	return j, j.Rotate()
--- a/store/log.go
+++ b/store/log.go
@@ -106,6 +106,9 @@
 		if err != nil {
 			return r, err
 		}
+		if err := l.disk.syncPath(l.segmentPath(segment)); err != nil {
+			return r, err
+		}
 		r.Frames = append(r.Frames, frames...)
 		r.TruncatedBytes += truncated
 	}
