wire: hosts that respond late get more time for the next ping

A host that always responds later than 0.6 s lost its links again and again, and handshakes and repeated requests kept it busy.

The time for a response to a ping doubles, up to 2.4 s, if a link was lost for want of one and the next dial reaches the host's kernel at once; it is 0.6 s again after a dial that fails, as to a host without power. A host that has sent anything while a ping waits is alive, however late the pong: the check before gave it three pings.

--- a/wire/frame.go
+++ b/wire/frame.go
@@ -66,11 +66,13 @@
 	// replies, and checks whether the peer is alive.
 	dialed   bool
 	liveness *liveness
+	// pingTimeout is how long the peer may take to respond to a ping.
+	pingTimeout time.Duration
 }
 
 func newStream(conn *websocket.Conn, dialed bool) *stream {
 	conn.SetReadLimit(maxFrameBytes)
-	return &stream{conn: conn, queue: newQueue[envelope](queueLength), done: make(chan struct{}), dialed: dialed, liveness: newLiveness()}
+	return &stream{conn: conn, queue: newQueue[envelope](queueLength), done: make(chan struct{}), dialed: dialed, liveness: newLiveness(), pingTimeout: minPingTimeout}
 }
 
 // send queues one envelope. It never blocks and returns errQueueFull if the
--- a/wire/link.go
+++ b/wire/link.go
@@ -43,6 +43,8 @@
 	// link is connected and during a dial that [Link.Redial] has caused.
 	abort    context.CancelFunc
 	redialed bool // Redial has ended the last dial or pause
+
+	pingTimeout time.Duration // of the next connection; only used by Run
 }
 
 // connection is one established connection of a link.
@@ -82,10 +84,12 @@
 	delay := minRedialDelay
 	logged := false
 	dialer := l.newDialer()
+	l.pingTimeout = minPingTimeout
 	for ctx.Err() == nil {
 		start := time.Now()
 		attempt, cancel := l.beginAttempt(ctx)
 		connected, err := l.connect(ctx, attempt, dialer)
+		l.pingTimeout = nextPingTimeout(l.pingTimeout, err)
 		if (connected || !logged) && ctx.Err() == nil {
 			l.Log.Write(event.LinkLost, event.Fields{"address": l.Address, "connected": connected, "error": err.Error()})
 		}
@@ -157,6 +161,7 @@
 		return false, errors.Wrap(err, "wire: dial")
 	}
 	c := &connection{stream: newStream(conn, true), pending: pendingRequests{replies: map[uint64]chan envelope{}}}
+	c.stream.pingTimeout = l.pingTimeout
 	l.setActive(c)
 	defer c.pending.failAll()
 	defer l.setActive(nil)
--- a/wire/liveness.go
+++ b/wire/liveness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -16,16 +17,36 @@
 	// pings the peer. It is long, since a fleet has a connection for each pair of an entry
 	// host and a store, and a connection is checked whenever it is used.
 	idlePingInterval = 5 * time.Second
-	// pingTimeout is how long a peer may take to respond to a ping. A peer that has lost
+	// minPingTimeout is how long a peer may take to respond to a ping. A peer that has lost
 	// power is thus detected within confirmTime and this time after a frame was sent.
-	pingTimeout = 600 * time.Millisecond
-	// lateTolerance is by how much a ping may end after pingTimeout. If it ends later, this
+	minPingTimeout = 600 * time.Millisecond
+	// maxPingTimeout bounds the time for peers that are known to respond late. If their
+	// connections were given up again and again, the handshakes would delay them further.
+	maxPingTimeout = 4 * minPingTimeout
+	// lateTolerance is by how much a ping may end after its timeout. If it ends later, this
 	// process itself has not run, and may not have read the response yet.
 	lateTolerance = 100 * time.Millisecond
-	// maxPings is how many pings may end without a verdict in a row.
+	// maxPings is how many pings in a row may end without a verdict.
 	maxPings = 3
 )
 
+// errNoResponse marks the end of a connection whose peer has not responded to a ping.
+var errNoResponse = errors.New("wire: no response to a ping")
+
+// nextPingTimeout returns the timeout of pings on a link's next connection, if it was timeout
+// on the last one and the last dial or connection has ended with err. It grows only if the
+// host has not responded in time although it is up: the next dial reaches its kernel at once.
+func nextPingTimeout(timeout time.Duration, err error) time.Duration {
+	var dialErr *net.OpError
+	switch {
+	case errors.Is(err, errNoResponse):
+		return min(2*timeout, maxPingTimeout)
+	case errors.As(err, &dialErr) && dialErr.Op != "dial", err != nil && dialErr == nil && errors.Is(err, context.DeadlineExceeded):
+		return timeout // The handshake has failed, or the connection was reset.
+	}
+	return minPingTimeout
+}
+
 // liveness tells when the peer of a connection should be pinged, to detect a connection
 // that broke without being closed.
 type liveness struct {
@@ -85,25 +106,29 @@
 		case <-idle:
 		}
 		if err := s.ping(ctx); err != nil {
-			return errors.Wrap(err, "wire: ping")
+			return errors.Mark(errors.Wrap(err, "wire: ping"), errNoResponse)
 		}
 		s.liveness.received()
 	}
 }
 
-// ping pings the peer. It fails if the peer does not respond in time, unless that proves
-// nothing: the peer has sent something else meanwhile, and so is slow to respond only, or this
-// process was held up itself. It then pings again, up to maxPings times in all.
+// ping pings the peer. It fails if the peer neither responds in time nor sends anything else
+// meanwhile, which shows that it is slow to respond only. If this process was held up itself,
+// the missing response proves nothing, and it pings again, up to maxPings times in all.
 func (s *stream) ping(ctx context.Context) error {
 	for n := 1; ; n++ {
 		pings.Inc()
 		start, frames := time.Now(), s.liveness.frames.Load()
-		pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+		pingCtx, cancel := context.WithTimeout(ctx, s.pingTimeout)
 		err := s.conn.Ping(pingCtx)
 		cancel()
-		alive := s.liveness.frames.Load() != frames
-		late := time.Since(start) > pingTimeout+lateTolerance
-		if err == nil || n == maxPings || !alive && !late || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded) {
+			return err
+		}
+		if s.liveness.frames.Load() != frames {
+			return nil
+		}
+		if late := time.Since(start) > s.pingTimeout+lateTolerance; !late || n == maxPings {
 			return err
 		}
 	}
--- a/wire/slow_test.go
+++ b/wire/slow_test.go
@@ -56,3 +56,26 @@
 		t.Errorf("%d connections were opened, want 1", n)
 	}
 }
+
+// TestLinkToLateHostIsKept guards against links to a host that always responds late that are
+// lost again and again: the handshakes and repeated requests keep it busy, so that callers are
+// not served long after the reason for the first delay has ended.
+func TestLinkToLateHostIsKept(t *testing.T) {
+	t.Parallel()
+	p := newProxy(t, startEchoServer(t))
+	link := startPool(t, &wire.Pool{}).Link(p.address)
+	waitConnected(t, link)
+	p.delay.Store(int64(700 * time.Millisecond))
+	failed := 0
+	for i := range 6 {
+		waitConnected(t, link)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		if _, err := wire.Call[echoRequest, int](ctx, link, echo, echoRequest{Number: i}); err != nil {
+			failed++
+		}
+		cancel()
+	}
+	if failed > 2 {
+		t.Errorf("%d of 6 requests failed, want 2 at most: each doubles the time for the next response", failed)
+	}
+}
