--- a/soak/doc.go
+++ b/soak/doc.go
@@ -25,7 +25,7 @@
 // lose power right after an acknowledged change, and as many as tolerated lose their disks.
 // The test counts per 2 s what was offered, connected and served, and why the rest was not.
 // The size "grown" has 74 hosts and 56 targets; it takes 2 to 3 of 8 processors at 25
-// programs a second:
+// programs a second and 4 at 70 (-programs):
 //
 //	go test ./soak -run TestDeploymentUnderFaults -timeout 0 -size grown -first 1 -seeds 1 -for 60s
 //
