gate, relay: a host that stops keeps the connections that it relays

Callers of an entry host without a path to its targets got 502 for requests that a target ran, when the host that relayed their connections was stopped: it closed them as soon as it had no callers of its own, 0.35 of the grace period after the signal.

Cause: Drain waits for the connections of callers only, and the relayed ones end with the process. Now it also waits for these, until it closes its own connections at 0.88 of the grace period. The relaying host cannot tell an idle connection from one with a request, so a host that relays takes that long to stop.

Requests that are sent on a relayed connection later than that are still cut.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -85,7 +85,8 @@
 	initOnce     sync.Once
 	pool         fetch.Pool
 	dialer       relay.Dialer
-	relaysSum    uint64 // checksum of the hosts that dialer asks; used by exchangeLoads only
+	relaysSum    uint64                       // checksum of the hosts that dialer asks; used by exchangeLoads only
+	relaying     atomic.Pointer[relay.Server] // the handler of [Gate.RelayHandler], if it was called
 	targets      targetTracker
 	limits       limitShares
 	retryBudget  route.RetryBudget
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -39,7 +39,7 @@
 // RelayHandler returns the handler of [relay.Path] on this host's peer address.
 func (g *Gate) RelayHandler() http.Handler {
 	g.init()
-	return &relay.Server{
+	s := &relay.Server{
 		Secret: g.Secret, Log: g.Log, IsTarget: g.isTarget, Accepting: func() bool { return g.offerRelay() != nil },
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, relay.TargetTimeout)
@@ -47,6 +47,14 @@
 			return g.DialTarget(ctx, address)
 		},
 	}
+	g.relaying.Store(s)
+	return s
+}
+
+// isRelaying reports whether connections of other hosts go through this one.
+func (g *Gate) isRelaying() bool {
+	s := g.relaying.Load()
+	return s != nil && s.Active() > 0
 }
 
 // isTarget reports whether a listed target has the given address.
--- a/gate/server.go
+++ b/gate/server.go
@@ -78,8 +78,8 @@
 
 // Drain takes the host out of service within the grace period. The gate is drained, see
 // [Gate.Drain], new connections are accepted for acceptShare of the grace period or until ctx
-// ends, and Drain returns when all connections are closed. It closes those without a request
-// in flight; a request that arrives on any other gets a response. It returns an error if
+// ends, and Drain returns when all connections are closed, also those that the host relays. It
+// closes those of callers without a request in flight; a request that arrives on any other gets a response. It returns an error if
 // callers have not read their responses in time. The process must call [Server.Serve], too.
 func (s *Server) Drain(ctx context.Context) error {
 	s.init()
@@ -89,7 +89,9 @@
 	types.Sleep(ctx, share(acceptShare))
 	err := s.Listener.Close()
 	<-s.served
-	for s.conns.closeUnused() > 0 && time.Since(start) < share(closeShare) {
+	// Relayed connections may carry requests of other hosts, which this host cannot tell from
+	// idle ones.
+	for (s.conns.closeUnused() > 0 || s.Gate.isRelaying()) && time.Since(start) < share(closeShare) {
 		time.Sleep(closePollInterval)
 	}
 	if n := s.conns.abortAll(); n > 0 {
--- a/relay/server.go
+++ b/relay/server.go
@@ -60,6 +60,9 @@
 	active atomic.Int64
 }
 
+// Active returns the number of connections that are being relayed or opened.
+func (s *Server) Active() int { return int(s.active.Load()) }
+
 // ServeHTTP connects to the target that the request names and forwards bytes in both
 // directions until one side ends. The status is 502 if the target cannot be reached from
 // this host.
