soak: tests of planned stops wait for a process once

startStop called Wait on a process for which the fleet waits already. The second of two concurrent calls can wait for good: the test of relayed requests, while it failed, was seen to hang after the end of the process until its time-out. It now waits for the channel that the fleet closes. No check changes. Both tests of planned stops pass twice in a row.

--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -94,14 +94,16 @@
 // returns when the process has ended.
 func startStop(h *testHost) (wait func(time.Duration), exited func() time.Duration) {
 	start := time.Now()
-	process, done := h.process, make(chan time.Duration, 1)
+	h.mu.Lock()
+	process, ended, done := h.process, h.exited, make(chan time.Duration, 1)
 	h.process = nil
+	h.mu.Unlock()
 	var g errgroup.Group
 	g.Go(func() error {
 		_ = process.Process.Signal(syscall.SIGTERM)
 		kill := time.AfterFunc(stopGrace, func() { _ = process.Process.Kill() })
 		defer kill.Stop()
-		_ = process.Wait()
+		<-ended
 		done <- time.Since(start)
 		return nil
 	})
