quorum: only long delays of a leader's process count

A processor that is shared by quota holds a process up for less than 0.1 s again and again. Delays count from half an election timeout on, below which heartbeats are sent often enough for the silence to tell something. TestLeaderThatWasHeldUpGoesOn passes as before.

--- a/quorum/elect.go
+++ b/quorum/elect.go
@@ -47,9 +47,11 @@
 // noteDelay records when a leader whose process was held up has resumed. For as long as it was,
 // it has sent no heartbeats, so that the silence of the others tells nothing. Its lease has
 // run out meanwhile if it was held up for so long, so that it does no harm to ask them again:
-// if they have elected another leader, their replies say so.
+// if they have elected another leader, their replies say so. Shorter delays do not count: a
+// processor that is shared by quota causes them all the time, and a leader that hears nobody
+// would lead for longer.
 func (c *Core) noteDelay(now types.Mono) {
-	if now.Sub(c.lastTick) > c.timing.Heartbeat {
+	if now.Sub(c.lastTick) > c.timing.MinElectionTimeout/2 {
 		c.resumedAt = now
 	}
 	c.lastTick = now
