--- a/quorum/stall_test.go
+++ b/quorum/stall_test.go
@@ -308,6 +308,7 @@
 	for i := range g.replicas {
 		g.startReplica(i)
 	}
+	g.waitForLeader() // Until then, all replicas may know no more than the same snapshot.
 	for deadline := time.Now().Add(30 * time.Second); !g.allCaughtUp(); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("the replicas did not catch up after the restart")
