wire: the condition for the next timeout of pings has a name

nextPingTimeout joined two conditions on the kind of an error in one case. What they ask, whether the host's kernel was reached, is a function now; the results are the same. The tests of wire pass.

--- a/wire/liveness.go
+++ b/wire/liveness.go
@@ -34,19 +34,29 @@
 var errNoResponse = errors.New("wire: no response to a ping")
 
 // nextPingTimeout returns the timeout of pings on a link's next connection, if it was timeout
-// on the last one and the last dial or connection has ended with err. It grows only if the
-// host has not responded in time although it is up: the next dial reaches its kernel at once.
+// on the last one and the last dial or connection has ended with err. It doubles if the host
+// has not responded in time, and is the shortest again after a dial that has not reached the
+// host's kernel: the host was not only late, but down or cut off.
 func nextPingTimeout(timeout time.Duration, err error) time.Duration {
-	var dialErr *net.OpError
 	switch {
 	case errors.Is(err, errNoResponse):
 		return min(2*timeout, maxPingTimeout)
-	case errors.As(err, &dialErr) && dialErr.Op != "dial", err != nil && dialErr == nil && errors.Is(err, context.DeadlineExceeded):
-		return timeout // The handshake has failed, or the connection was reset.
+	case reachedKernel(err):
+		return timeout
 	}
 	return minPingTimeout
 }
 
+// reachedKernel reports whether a dial or connection that has ended with err had reached the
+// kernel of a host that may be late: the handshake took too long, or the connection was reset.
+func reachedKernel(err error) bool {
+	var netErr *net.OpError
+	if errors.As(err, &netErr) {
+		return netErr.Op != "dial"
+	}
+	return errors.Is(err, context.DeadlineExceeded)
+}
+
 // liveness tells when the peer of a connection should be pinged, to detect a connection
 // that broke without being closed.
 type liveness struct {
