--- a/quorum/linear_test.go
+++ b/quorum/linear_test.go
@@ -59,10 +59,9 @@
 	h.operations = append(h.operations, porcupine.Operation{ClientId: client, Call: call, Output: o, Return: end})
 }
 
-// TestLinearizable checks that concurrent proposals and reads through all replicas
-// are linearizable while leaders are stopped and restarted.
-func TestLinearizable(t *testing.T) {
-	g := newTestGroup(t)
+// startClients starts four clients that propose to and read from all replicas. check ends them
+// and checks that what they have seen is linearizable.
+func (g *testGroup) startClients() (check func()) {
 	h := &history{start: time.Now()}
 	ctx, cancel := context.WithCancel(context.Background())
 	var clients errgroup.Group
@@ -75,6 +74,22 @@
 			return nil
 		})
 	}
+	return func() {
+		cancel()
+		_ = clients.Wait()
+		result := porcupine.CheckOperationsTimeout(counterModel.ToModel(), h.operations, time.Minute)
+		if result != porcupine.Ok {
+			g.t.Errorf("%d operations: %s", len(h.operations), result)
+		}
+		g.t.Logf("%d operations: %s", len(h.operations), result)
+	}
+}
+
+// TestLinearizable checks that concurrent proposals and reads through all replicas
+// are linearizable while leaders are stopped and restarted.
+func TestLinearizable(t *testing.T) {
+	g := newTestGroup(t)
+	check := g.startClients()
 	for range 4 {
 		time.Sleep(1500 * time.Millisecond)
 		for i := range g.replicas {
@@ -86,13 +101,7 @@
 			}
 		}
 	}
-	cancel()
-	_ = clients.Wait()
-	result := porcupine.CheckOperationsTimeout(counterModel.ToModel(), h.operations, time.Minute)
-	if result != porcupine.Ok {
-		t.Errorf("%d operations: %s", len(h.operations), result)
-	}
-	t.Logf("%d operations: %s", len(h.operations), result)
+	check()
 }
 
 func (g *testGroup) replica(i int) *quorum.Replica[[]byte, int] {
@@ -131,18 +140,7 @@
 // applies entries that it has not synced itself.
 func TestLinearizableWithStalledDisks(t *testing.T) {
 	g := newTestGroup(t)
-	h := &history{start: time.Now()}
-	ctx, cancel := context.WithCancel(context.Background())
-	var clients errgroup.Group
-	for c := range 4 {
-		clients.Go(func() error {
-			for i := c; ctx.Err() == nil; i++ {
-				g.runOperation(h, c, i%3, i%4 == 0)
-				time.Sleep(2 * time.Millisecond)
-			}
-			return nil
-		})
-	}
+	check := g.startClients()
 	for round := range 5 {
 		leader := g.waitForLeader()
 		g.disks[leader].stall(900 * time.Millisecond)
@@ -153,11 +151,5 @@
 		g.startReplica(stopped)
 		time.Sleep(time.Second)
 	}
-	cancel()
-	_ = clients.Wait()
-	result := porcupine.CheckOperationsTimeout(counterModel.ToModel(), h.operations, time.Minute)
-	if result != porcupine.Ok {
-		t.Errorf("%d operations: %s", len(h.operations), result)
-	}
-	t.Logf("%d operations: %s", len(h.operations), result)
+	check()
 }
