turns: requests to stores count each store's reply, however late

What callers saw: after planned stops of the stores, with hosts that have a fifth to a quarter of a processor, at 88 programs a second, 9 to 16 of some 4,000 requests were served in 6 s without any fault. Turns whose whole output had come stayed open until their deadline; others got 503, "cannot reserve the program's budget". The state did not end by itself.

Cause: a request to a store was given up after 0.5 s and sent again to all stores of the shard after 30 ms more, over the same connection. A store that was later than that did the work of each of them, and its replies, which arrived after the client had stopped waiting, counted for nothing. So requests that were late once caused more and more work, up to the end of their time, and then a request to settle the claim, which was repeated likewise.

Evidence: with new metrics, in 5 s of the collapsed state 25,886 writes were handled by the stores, 23,800 of them had been given up by their clients, 22,799 replies came late, and each turn had been sent 24 times; 344 turns ended. Two seconds after the start it was 1.03 times.

Change: a store has one request of a call at a time, for as long as the call waits. It is sent again only after an error, or a lost connection, with growing pauses; replies of one placement are added up. The delay before a turn is also sent to further stores follows the time that replies take, at least the 40 ms of before, at most 250 ms; the same for chains.

TestLateStoresGetEachRequestOnce failed before: 360 claims and no write of 20 turns in 3 s; now 60 and 60.

--- /dev/null
+++ b/turns/call.go
@@ -0,0 +1,192 @@
+package turns
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/banyanspur/banyanspur/types"
+	"github.com/banyanspur/banyanspur/wire"
+)
+
+// storeResult is the outcome of a request to one store.
+type storeResult[Resp any] struct {
+	store StoreID
+	reply Resp
+	err   error
+}
+
+// callShard sends a request to the stores of a shard and returns the replies
+// once a majority has replied. Requests to the other stores continue in the
+// background. If the shard has moved, it starts again with the new placement, until
+// ctx ends. If so many stores have no capacity that there can be no majority, it
+// returns an overloaded fault at once.
+func callShard[Req, Resp any](ctx context.Context, c *Client, shard Shard, kind wire.Kind, newRequest func(StoreID, Epoch) Req) (map[StoreID]Resp, error) {
+	for {
+		m := c.Map()
+		if len(m.Placement(shard).Current) == 0 {
+			if !types.Sleep(ctx, retryInterval) {
+				return nil, errNoQuorum
+			}
+			continue
+		}
+		rounds(kind).Inc()
+		call := newShardCall[Req, Resp](ctx, c, m, shard, kind, newRequest)
+		replies, err := call.run(ctx)
+		time.AfterFunc(storeTimeout, call.cancel)
+		if replies != nil || err != nil {
+			return replies, err
+		}
+	}
+}
+
+// shardCall is one request to the stores of a placement. A store has one request of it at
+// a time, however late the reply is: a slow store does the work of each request that it
+// gets, so repeating those without a reply would slow it further until no reply is in time.
+type shardCall[Req, Resp any] struct {
+	client     *Client
+	shard      Shard
+	shardMap   *Map
+	placement  Placement
+	kind       wire.Kind
+	newRequest func(StoreID, Epoch) Req
+
+	ctx     context.Context //nolint:containedctx // Outlives the call: writes to replicas go on.
+	cancel  context.CancelFunc
+	stores  []StoreID // in the order in which they get the request; the first sent of them have
+	sent    int
+	results chan storeResult[Resp]
+	replies map[StoreID]Resp
+	// noCapacity contains the stores whose last result is that they have no capacity.
+	noCapacity map[StoreID]bool
+}
+
+func newShardCall[Req, Resp any](ctx context.Context, c *Client, m *Map, shard Shard, kind wire.Kind, newRequest func(StoreID, Epoch) Req) *shardCall[Req, Resp] {
+	p := m.Placement(shard)
+	call := &shardCall[Req, Resp]{
+		client: c, shard: shard, shardMap: m, placement: p, kind: kind, newRequest: newRequest,
+		stores: c.sortByDistance(m, rotated(p.All(), int(shard))), results: make(chan storeResult[Resp]),
+		replies: map[StoreID]Resp{}, noCapacity: map[StoreID]bool{},
+	}
+	call.ctx, call.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	return call
+}
+
+// run returns the replies once they are a write quorum, nothing if the shard has moved, and
+// a fault if ctx has ended or too many stores have no capacity. It first sends the request
+// to the nearest stores, as many as initialRequests returns, and to the others if one of
+// these fails or is slow.
+func (s *shardCall[Req, Resp]) run(ctx context.Context) (map[StoreID]Resp, error) {
+	s.send(initialRequests(s.placement, s.stores, s.kind))
+	hedge := time.NewTimer(s.client.closeReplies.hedgeDelay(minSettleHedgeDelay))
+	defer hedge.Stop()
+	mapPoll := time.NewTicker(retryInterval)
+	defer mapPoll.Stop()
+	for {
+		select {
+		case result := <-s.results:
+			switch {
+			case result.err == nil:
+				s.replies[result.store] = result.reply
+				if s.placement.HasQuorum(func(id StoreID) bool { _, ok := s.replies[id]; return ok }) {
+					return s.replies, nil
+				}
+			case isNoCapacity(result.err):
+				s.noCapacity[result.store] = true
+			}
+			if result.err == nil {
+				continue
+			}
+			s.send(len(s.stores))
+			if len(s.noCapacity) > 0 && !s.placement.HasQuorum(func(id StoreID) bool { return !s.noCapacity[id] }) {
+				return nil, errNoCapacity
+			}
+		case <-hedge.C:
+			s.send(len(s.stores))
+		case <-mapPoll.C:
+			if s.hasMoved() {
+				return nil, nil //nolint:nilnil // Documented above.
+			}
+		case <-ctx.Done():
+			return nil, errNoQuorum
+		}
+	}
+}
+
+// hasMoved reports whether the newest map has another placement of the shard.
+func (s *shardCall[Req, Resp]) hasMoved() bool {
+	m := s.client.Map()
+	if m == s.shardMap {
+		return false
+	}
+	p := m.Placement(s.shard)
+	return p.Epoch != s.placement.Epoch || !slices.Equal(p.Current, s.placement.Current) || !slices.Equal(p.Next, s.placement.Next)
+}
+
+// send sends the request to stores in the background until n of them have got it.
+func (s *shardCall[Req, Resp]) send(n int) {
+	for ; s.sent < n; s.sent++ {
+		id := s.stores[s.sent]
+		s.client.background.Go(func() error {
+			s.callStore(id)
+			return nil
+		})
+	}
+}
+
+// callStore sends the request to one store until the store replies or the call is canceled.
+// It sends it again only if the connection is lost or the store returns an error.
+func (s *shardCall[Req, Resp]) callStore(id StoreID) {
+	for delay := retryInterval; ; delay = min(2*delay, maxRetryInterval) {
+		address, ok := s.address(id)
+		if !ok {
+			return
+		}
+		link := s.client.Peers.Link(address)
+		startedAt := time.Now()
+		var reply Resp
+		var err error
+		if !link.WaitConnected(s.ctx) {
+			return
+		}
+		reply, err = wire.Call[Req, Resp](s.ctx, link, s.kind, s.newRequest(id, s.placement.Epoch))
+		if err == nil {
+			s.client.recordReply(s.kind, time.Since(startedAt))
+		}
+		recordRequest(s.kind, startedAt, err)
+		select {
+		case s.results <- storeResult[Resp]{store: id, reply: reply, err: err}:
+		case <-s.ctx.Done():
+			return
+		}
+		if err == nil || !types.Sleep(s.ctx, delay) {
+			return
+		}
+	}
+}
+
+// address returns the address of a store. ok is false if the store is no longer known.
+func (s *shardCall[Req, Resp]) address(id StoreID) (address string, ok bool) {
+	m := s.client.Map()
+	if m == nil {
+		m = s.shardMap
+	}
+	member, ok := m.Members[id]
+	return member.Address, ok
+}
+
+// isNoCapacity reports whether a store has refused a request for lack of capacity.
+func isNoCapacity(err error) bool {
+	fault := types.AsFault(err)
+	return fault.Code == errNoCapacity.Code && fault.Message == errNoCapacity.Message
+}
+
+// initialRequests returns the number of stores that a request is sent to at
+// once: all of them, or only a majority for close requests, since each replica of
+// the turn costs traffic. During a move it is always all of them.
+func initialRequests(p Placement, stores []StoreID, kind wire.Kind) int {
+	if kind != KindClose || len(p.Next) > 0 {
+		return len(stores)
+	}
+	return min(len(stores), len(stores)/2+1) // 0 as long as there is no shard map.
+}
--- a/turns/chain.go
+++ b/turns/chain.go
@@ -8,9 +8,9 @@
 	"github.com/banyanspur/banyanspur/types"
 )
 
-// chainHedgeDelay is how long the client waits for a reply to a chain request
-// before it also sends the request to all other stores.
-const chainHedgeDelay = 20 * time.Millisecond
+// minChainHedgeDelay is the shortest time for which the client waits for a reply to a
+// chain request before it also sends the request to all other stores.
+const minChainHedgeDelay = 20 * time.Millisecond
 
 // maxCachedAge is the age up to which a cached turn may be continued without
 // asking the stores. It is below the shortest retention by the time that the
@@ -91,13 +91,13 @@
 }
 
 // run sends the request to the nearest store first, to the next one whenever one
-// fails or lacks the turn, and to all stores after [chainHedgeDelay]. It returns
+// fails or lacks the turn, and to all stores after the time that most replies take. It returns
 // the turns of the first reply that has any. Otherwise it returns nil once all
 // stores have replied or failed, or ctx ends.
 func (s *chainSearch) run(ctx context.Context) []Turn {
 	s.addMembers()
 	s.send(ctx, 1)
-	hedge := time.NewTimer(chainHedgeDelay)
+	hedge := time.NewTimer(s.client.chainReplies.hedgeDelay(minChainHedgeDelay))
 	defer hedge.Stop()
 	mapPoll := time.NewTicker(retryInterval)
 	defer mapPoll.Stop()
@@ -147,7 +147,12 @@
 		link := s.client.Peers.Link(member.Address)
 		req.To = member.ID
 		s.client.background.Go(func() error {
+			startedAt := time.Now()
 			reply, err := callStore[ChainRequest, ChainReply](ctx, link, KindChain, req, storeTimeout)
+			if err == nil {
+				s.client.recordReply(KindChain, time.Since(startedAt))
+			}
+			recordRequest(KindChain, startedAt, err)
 			select {
 			case s.results <- storeResult[ChainReply]{store: member.ID, reply: reply, err: err}:
 			case <-ctx.Done():
--- a/turns/client.go
+++ b/turns/client.go
@@ -31,24 +31,26 @@
 
 	clockOnce sync.Once
 	cache     cache
+	// chainReplies and closeReplies set when slow stores are not waited for any longer.
+	chainReplies, closeReplies replyTime
 	// background runs the requests to stores, some of which continue after a
 	// majority has replied.
 	background errgroup.Group
 }
 
 const (
-	// storeTimeout limits one request to one store. It is short, so that the
-	// client soon retries over a new connection, which is safe because all
-	// requests are idempotent.
+	// storeTimeout limits the requests to a store that may fail without harm: those of
+	// reads, and those that are still without a reply when a majority has replied.
 	storeTimeout = 500 * time.Millisecond
-	// settleHedgeDelay is how long writing a turn to a majority may take before
-	// the turn is also sent to the remaining stores. Sending it to them at once
-	// would double the traffic between zones, for replicas beyond those needed
-	// to tolerate the configured losses.
-	settleHedgeDelay = 40 * time.Millisecond
+	// minSettleHedgeDelay is the shortest time after which a turn is also sent to the
+	// stores beyond a majority. Sending it to them at once would double the traffic
+	// between zones, for replicas beyond those needed to tolerate the configured losses.
+	minSettleHedgeDelay = 40 * time.Millisecond
 	// retryInterval is how long the client waits for a newer map, or for stores
 	// to recover, before it retries a request to a shard.
 	retryInterval = 30 * time.Millisecond
+	// maxRetryInterval is the longest pause between two requests to a store that fail.
+	maxRetryInterval = 8 * retryInterval
 )
 
 // Faults that the client returns.
@@ -160,101 +162,6 @@
 	return defaultCacheBytes
 }
 
-// storeResult is the outcome of a request to one store.
-type storeResult[Resp any] struct {
-	store StoreID
-	reply Resp
-	err   error
-}
-
-// callShard sends a request to the stores of a shard and returns the replies
-// once a majority has replied. Requests to the other stores continue in the
-// background. If there is no majority or the shard has moved, it retries until
-// ctx ends. If so many stores have no capacity that there can be no majority, it
-// returns an overloaded fault at once.
-func callShard[Req, Resp any](ctx context.Context, c *Client, shard Shard, kind wire.Kind, newRequest func(StoreID, Epoch) Req) (map[StoreID]Resp, error) {
-	for {
-		m := c.Map()
-		p := m.Placement(shard)
-		replies, noCapacity := callPlacement[Req, Resp](ctx, c, m, shard, kind, newRequest)
-		if len(p.Current) > 0 && p.HasQuorum(func(id StoreID) bool { _, ok := replies[id]; return ok }) {
-			return replies, nil
-		}
-		if len(noCapacity) > 0 && !p.HasQuorum(func(id StoreID) bool { return !noCapacity[id] }) {
-			return nil, errNoCapacity
-		}
-		if !types.Sleep(ctx, retryInterval) {
-			return nil, errNoQuorum
-		}
-	}
-}
-
-// callPlacement sends a request to the stores of a shard's placement and returns the
-// successful replies once they are a write quorum, all stores have replied or
-// failed, or ctx ends, and the stores that have no capacity. It first sends the
-// request to the nearest stores, as many as initialRequests returns, and to the
-// others if one of them fails or after [settleHedgeDelay].
-func callPlacement[Req, Resp any](ctx context.Context, c *Client, m *Map, shard Shard, kind wire.Kind, newRequest func(StoreID, Epoch) Req) (replies map[StoreID]Resp, noCapacity map[StoreID]bool) {
-	p := m.Placement(shard)
-	stores := c.sortByDistance(m, rotated(p.All(), int(shard)))
-	results := make(chan storeResult[Resp], len(stores))
-	sent := 0
-	send := func(n int) {
-		for ; sent < n; sent++ {
-			id := stores[sent]
-			link, req := c.Peers.Link(m.Members[id].Address), newRequest(id, p.Epoch)
-			c.background.Go(func() error {
-				// Canceling ctx must not stop the write to a replica.
-				reply, err := callStore[Req, Resp](context.WithoutCancel(ctx), link, kind, req, storeTimeout)
-				results <- storeResult[Resp]{store: id, reply: reply, err: err}
-				return nil
-			})
-		}
-	}
-	send(initialRequests(p, stores, kind))
-	hedge := time.NewTimer(settleHedgeDelay)
-	defer hedge.Stop()
-	replies, noCapacity = map[StoreID]Resp{}, map[StoreID]bool{}
-	for received := 0; received < len(stores); {
-		select {
-		case result := <-results:
-			received++
-			if result.err != nil {
-				if isNoCapacity(result.err) {
-					noCapacity[result.store] = true
-				}
-				send(len(stores))
-				continue
-			}
-			replies[result.store] = result.reply
-			if p.HasQuorum(func(id StoreID) bool { _, ok := replies[id]; return ok }) {
-				return replies, noCapacity
-			}
-		case <-hedge.C:
-			send(len(stores))
-		case <-ctx.Done():
-			return replies, noCapacity
-		}
-	}
-	return replies, noCapacity
-}
-
-// isNoCapacity reports whether a store has refused a request for lack of capacity.
-func isNoCapacity(err error) bool {
-	fault := types.AsFault(err)
-	return fault.Code == errNoCapacity.Code && fault.Message == errNoCapacity.Message
-}
-
-// initialRequests returns the number of stores that a request is sent to at
-// once: all of them, or only a majority for close requests, since each replica of
-// the turn costs traffic. During a move it is always all of them.
-func initialRequests(p Placement, stores []StoreID, kind wire.Kind) int {
-	if kind != KindClose || len(p.Next) > 0 {
-		return len(stores)
-	}
-	return min(len(stores), len(stores)/2+1) // 0 as long as there is no shard map.
-}
-
 // rotated returns the stores in an order that differs between shards. If it were the same,
 // stores at the same distance would not share the turns: one would have almost all, and after
 // the loss of its disk almost all would have to be copied.
--- a/turns/stall_test.go
+++ b/turns/stall_test.go
@@ -1,12 +1,14 @@
 package turns_test
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/store"
@@ -18,9 +20,17 @@
 type slowDisk struct {
 	mu      sync.Mutex
 	until   time.Time
+	latency time.Duration // of each sync
 	written int
 }
 
+// slow makes each sync take the given time from now on.
+func (d *slowDisk) slow(latency time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.latency = latency
+}
+
 func (d *slowDisk) stall(duration time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -43,7 +53,7 @@
 		},
 		Sync: func(f *os.File) error {
 			d.mu.Lock()
-			rest := time.Until(d.until)
+			rest := max(time.Until(d.until), d.latency)
 			d.mu.Unlock()
 			time.Sleep(rest)
 			return f.Sync()
@@ -127,3 +137,48 @@
 		t.Errorf("%d bytes were written for turns of %d, want at most %d", written, programs*outputBytes, limit)
 	}
 }
+
+// requestsHandled returns how many requests of a kind the stores of this process have handled.
+func requestsHandled(kind string) uint64 {
+	return metrics.GetOrCreateCounter(`banyanspur_wire_requests_total{kind="` + kind + `"}`).Get()
+}
+
+// TestLateStoresGetEachRequestOnce guards against a collapse that feeds itself: stores that
+// reply later than a client waits for one reply get each request again and again, and none of
+// their replies counts.
+func TestLateStoresGetEachRequestOnce(t *testing.T) {
+	c, disks := newSlowCluster(t)
+	w := c.client()
+	if err := settleTurn(withTimeout(t, stepTimeout), w, "choir", "p", "first", ""); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range disks {
+		d.slow(700 * time.Millisecond)
+	}
+	claims, closes := requestsHandled("turns.claim"), requestsHandled("turns.close")
+	const programs = 20
+	var g errgroup.Group
+	for i := range programs {
+		program := types.ProgramID(fmt.Sprint("p", i))
+		g.Go(func() error {
+			// A turn waits for the sync that is under way and the next one.
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			b := turns.Budget{Account: "choir", Program: program, Attempt: "a", Limit: 100, MaxTokens: 10}
+			if err := w.Reserve(ctx, b); err != nil {
+				return err
+			}
+			ctx, cancel = context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			return settleTurn(ctx, w, "choir", program, turns.TurnID(fmt.Sprint("t", i)), "")
+		})
+	}
+	if err := g.Wait(); err != nil {
+		t.Errorf("a turn was not written in 3 s by stores that take 0.7 s: %v", err)
+	}
+	claims, closes = requestsHandled("turns.claim")-claims, requestsHandled("turns.close")-closes
+	t.Logf("%d claims and %d writes of %d turns for three stores", claims, closes, programs)
+	if limit := uint64(3 * programs); claims > limit || closes > limit {
+		t.Errorf("the stores handled %d claims and %d writes of %d turns, want at most %d of each", claims, closes, programs, limit)
+	}
+}
--- a/turns/store.go
+++ b/turns/store.go
@@ -202,7 +202,10 @@
 	for _, r := range records {
 		encoded = append(encoded, types.Encode(r))
 	}
+	batchWrites.Update(float64(len(batch)))
+	startedAt := time.Now()
 	locations, err := s.journal.Append(encoded)
+	appendSeconds.UpdateDuration(startedAt)
 	if err != nil {
 		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "records": len(records)})
 	} else {
