gate, types: renewals of limits and load reports give a late leader more time

What callers see: 503, "the account's rate limit cannot be checked, its issuer does not respond", for requests far below their account's rate, while the leader is up and replies after 0.2 s.

Cause: each renewal was given up after 0.2 s, each exchange of load reports after 0.5 s, and sent again, so that no reply of a leader that takes longer ever counted.

Change: the timeout doubles after a request that has timed out, up to four times the first one, and is halved again by replies that take less than half of it.

--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -57,6 +57,8 @@
 	draining map[types.TargetID]time.Duration
 	// silentUntil is the time until which calls of Limits block.
 	silentUntil time.Time
+	// latency is how long each exchange of load reports and each renewal of limits takes.
+	latency time.Duration
 }
 
 // silenceLimits makes calls of Limits block for the given time.
@@ -66,6 +68,20 @@
 	f.silentUntil = time.Now().Add(d)
 }
 
+// slow makes each exchange of load reports and each renewal of limits take the given time.
+func (f *fakeFleet) slow(latency time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.latency = latency
+}
+
+// exchangeCount returns the number of exchanges of load reports.
+func (f *fakeFleet) exchangeCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.exchanges
+}
+
 // setView replaces the view of the fleet.
 func (f *fakeFleet) setView(v fleet.View) {
 	f.mu.Lock()
@@ -85,7 +101,13 @@
 	return f.staleness
 }
 
-func (f *fakeFleet) Loads(_ context.Context, req fleet.LoadsRequest) (fleet.LoadsReply, error) {
+func (f *fakeFleet) Loads(ctx context.Context, req fleet.LoadsRequest) (fleet.LoadsReply, error) {
+	f.mu.Lock()
+	latency := f.latency
+	f.mu.Unlock()
+	if latency > 0 && !types.Sleep(ctx, latency) {
+		return fleet.LoadsReply{}, ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.reportedParts == nil {
@@ -128,7 +150,7 @@
 
 func (f *fakeFleet) Limits(ctx context.Context, req fleet.LimitsRequest) (fleet.LimitsReply, error) {
 	f.mu.Lock()
-	silentFor := time.Until(f.silentUntil)
+	silentFor := max(time.Until(f.silentUntil), f.latency)
 	f.mu.Unlock()
 	if silentFor > 0 && !types.Sleep(ctx, silentFor) {
 		return fleet.LimitsReply{}, ctx.Err()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -163,8 +163,10 @@
 	// firstExchangeInterval is the pause until the first successful exchange, before
 	// which a host does not know which requests to refuse.
 	firstExchangeInterval = 20 * time.Millisecond
-	// loadExchangeTimeout is the timeout of one exchange.
-	loadExchangeTimeout = 500 * time.Millisecond
+	// loadExchangeTimeout is the timeout of one exchange. It grows up to
+	// maxLoadExchangeTimeout while the leader is late.
+	loadExchangeTimeout    = 500 * time.Millisecond
+	maxLoadExchangeTimeout = 4 * loadExchangeTimeout
 )
 
 // exchangeLoads periodically exchanges load reports, prompt cache contents and crashes
@@ -172,8 +174,9 @@
 func (g *Gate) exchangeLoads(ctx context.Context) error {
 	var cursor fleet.Cursor
 	interval := firstExchangeInterval
+	timeout := types.AdaptiveTimeout{Min: loadExchangeTimeout, Max: maxLoadExchangeTimeout}
 	for types.Sleep(ctx, interval) {
-		exchangeCtx, cancel := context.WithTimeout(ctx, loadExchangeTimeout)
+		exchangeCtx, cancel := context.WithTimeout(ctx, timeout.Duration())
 		g.observeColdServices()
 		req := fleet.LoadsRequest{Host: g.Host, Loads: g.targets.localLoads(), CachedParts: g.targets.takeUnreportedParts(), Since: cursor}
 		req.Zone, req.Relay, req.RelaysChecksum = g.Zone, g.offerRelay(), g.relaysSum
@@ -183,8 +186,10 @@
 		req.Cold, req.Paces = g.coldFound(), g.pace.report(g.Clock())
 		crashes := g.crashes.nextReport()
 		crashes.addTo(&req, g.Clock())
+		startedAt := time.Now()
 		reply, err := g.Fleet.Loads(exchangeCtx, req)
 		cancel()
+		timeout.Ended(time.Since(startedAt), err)
 		g.updateSuspects(reply.Suspects)
 		if err != nil {
 			continue // Until the next exchange, this host's own observations are used.
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -15,8 +15,9 @@
 type limitShares struct {
 	gate        *Gate
 	holder      limit.Holder
-	renewNow    chan struct{} // triggers a renewal before the next tick; capacity 1
-	lastRenewal types.Mono    // when the issuer was last sent a request; used by run only
+	renewNow    chan struct{}         // triggers a renewal before the next tick; capacity 1
+	lastRenewal types.Mono            // when the issuer was last sent a request; used by run only
+	timeout     types.AdaptiveTimeout // of the next renewal; used by run only
 	// unansweredSince is the [types.Mono] time of the first request to the issuer
 	// since its last reply; 0 if it has replied to the last one.
 	unansweredSince atomic.Int64
@@ -36,8 +37,10 @@
 	idleRenewInterval = time.Second
 	// renewTimeout is the timeout of one renewal. It covers many round trips
 	// between zones, and is shorter than an election so that the next attempt
-	// reaches the new leader soon.
-	renewTimeout = 200 * time.Millisecond
+	// reaches the new leader soon. It grows up to maxRenewTimeout while the leader is
+	// late, within which an allotment that is not late itself is still of use.
+	renewTimeout    = 200 * time.Millisecond
+	maxRenewTimeout = 4 * renewTimeout
 	// renewBatchPause is the minimum pause between two renewals. Renewals triggered
 	// during the pause are combined into one request.
 	renewBatchPause = 4 * time.Millisecond
@@ -52,6 +55,7 @@
 	s.gate = g
 	s.holder = limit.Holder(string(g.Host) + "/" + types.RandomID())
 	s.renewNow = make(chan struct{}, 1)
+	s.timeout = types.AdaptiveTimeout{Min: renewTimeout, Max: maxRenewTimeout}
 	s.accounts.clock, s.accounts.renewNow, s.accounts.idleTTL = g.Clock, s.renewNow, idleShareTTL
 	s.targets.clock, s.targets.renewNow, s.targets.idleTTL = g.Clock, s.renewNow, idleTargetTTL
 }
@@ -97,9 +101,11 @@
 	}
 	s.lastRenewal = requestedAt
 	s.unansweredSince.CompareAndSwap(0, int64(requestedAt))
-	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.timeout.Duration())
 	defer cancel()
+	startedAt := time.Now()
 	reply, err := s.gate.Fleet.Limits(ctx, req)
+	s.timeout.Ended(time.Since(startedAt), err)
 	if err != nil {
 		return // Current allotments stay valid until they expire; the client records which control host failed.
 	}
--- a/gate/unavailable_test.go
+++ b/gate/unavailable_test.go
@@ -29,6 +29,35 @@
 	}
 }
 
+// TestLimitsFromLateLeader guards against renewals that are all given up shortly before a
+// leader replies that is late, but up: requests far below their account's rate were refused for
+// as long as it was late.
+func TestLimitsFromLateLeader(t *testing.T) {
+	b := newTestbed(t)
+	b.addTarget("plain", respondOK)
+	b.fleet.slow(300 * time.Millisecond)
+	b.send(testRequest{path: "/lookup/", key: "small-key"})
+	time.Sleep(time.Second) // The bucket starts empty and fills to its burst of 5.
+	for i := range 5 {
+		if code, body := b.send(testRequest{path: "/lookup/", key: "small-key"}); code != http.StatusOK {
+			t.Errorf("request %d: status %d: %s", i, code, body)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// TestLoadReportsReachLateLeader guards against exchanges of load reports that are all given up
+// shortly before a leader replies that is late, but up.
+func TestLoadReportsReachLateLeader(t *testing.T) {
+	b := newTestbed(t)
+	b.fleet.slow(700 * time.Millisecond)
+	before := b.fleet.exchangeCount()
+	time.Sleep(4 * time.Second)
+	if n := b.fleet.exchangeCount() - before; n < 2 {
+		t.Errorf("%d exchanges in 4 s with a leader that takes 0.7 s, want at least 2", n)
+	}
+}
+
 // TestSilentIssuerIsNotReportedAsRateLimit checks that a request is not refused as
 // above its account's rate if the issuer of allotments does not respond for longer
 // than an election takes, since the host then cannot tell whether it is.
