turns: stores wait for the map of a request instead of refusing it

What callers saw: after a planned stop of each store, and while shards moved, a fifth to two fifths of the requests to stores failed, since the store had not received the shard map yet that the request was made with, and were repeated.

Cause: the store replied with an error at once, and the client sent the request again after 30 ms, 60 ms and so on, though the store knows best when the map arrives. On hosts with a fifth of a processor the repeated requests delay the map itself.

--- a/turns/stall_test.go
+++ b/turns/stall_test.go
@@ -182,3 +182,31 @@
 		t.Errorf("the stores handled %d claims and %d writes of %d turns, want at most %d of each", claims, closes, programs, limit)
 	}
 }
+
+// TestStoresWithoutMapGetEachRequestOnce guards against requests that are repeated while the
+// stores that get them have not received the current shard map yet, as after their restart:
+// the repeated ones delayed the map further on busy hosts.
+func TestStoresWithoutMapGetEachRequestOnce(t *testing.T) {
+	c := newCluster(t, 3)
+	w := c.client()
+	older := c.shardMap.Load()
+	newer := c.changedMap(func(*turns.Placement) {})
+	c.shardMap.Store(newer) // The client has it before the stores.
+	claims := requestsHandled("turns.claim")
+	const programs = 20
+	var g errgroup.Group
+	for i := range programs {
+		g.Go(func() error {
+			b := turns.Budget{Account: "choir", Program: types.ProgramID(fmt.Sprint("p", i)), Attempt: "a", Limit: 100, MaxTokens: 10}
+			return w.Reserve(withTimeout(t, stepTimeout), b)
+		})
+	}
+	time.Sleep(250 * time.Millisecond)
+	c.setMap(newer)
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if claims, limit := requestsHandled("turns.claim")-claims, uint64(3*programs); claims > limit {
+		t.Errorf("the stores handled %d claims of %d turns, want at most %d (epochs %d and %d)", claims, programs, limit, older.Placement(0).Epoch, newer.Placement(0).Epoch)
+	}
+}
--- a/turns/store.go
+++ b/turns/store.go
@@ -53,6 +53,7 @@
 	mu           sync.RWMutex // guards the fields below
 	index        index
 	shardMap     *Map            // nil until the first map is received
+	mapChanged   chan struct{}   // closed when shardMap changes; nil if no request waits for that
 	copiedEpochs map[Shard]Epoch // epoch at which each shard was last copied
 	// retained is the time by which the ages of turns and claims are measured. It
 	// starts at 0 and only advances with the checks for expired turns.
@@ -291,6 +292,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.shardMap = m
+	if s.mapChanged != nil {
+		close(s.mapChanged)
+		s.mapChanged = nil
+	}
 }
 
 // checkRequest returns an error unless the request is addressed to this store
