turns, gate: a chain is requested from the stores of its program's shard

What callers saw: once requests were late, callers continued their programs on other hosts, which had to fetch the chains. Before the stores were stopped, the hosts asked for no chain in 8 s; afterwards they sent 700 to 2,700 requests for chains in 3 s for some 200 to 300 that were of use.

Each store that has the turn sends the whole chain, so that slow stores got the most work when they could bear it least.

Change: the stores of the program's shard are asked first, in the order in which they get its writes, then the others; two more after the time that most replies take, and all after that time again.

--- a/gate/turn.go
+++ b/gate/turn.go
@@ -40,7 +40,7 @@
 	if c.turn.previous != "" {
 		g.Go(func() error {
 			defer chainFetchSeconds.UpdateDuration(time.Now())
-			c.turn.chain, chainErr = c.gate.Turns.Chain(ctx, c.accountID(), c.turn.previous)
+			c.turn.chain, chainErr = c.gate.Turns.ChainOf(ctx, c.accountID(), c.turn.budget.Program, c.turn.previous)
 			return nil
 		})
 	}
--- a/turns/chain.go
+++ b/turns/chain.go
@@ -1,6 +1,7 @@
 package turns
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -18,12 +19,28 @@
 // it does, so they may be taken from the cache at any age.
 const maxCachedAge = minRetention - settleMargin
 
-// Chain returns a turn and all turns before it, oldest first. It returns a
+// Chain is [Client.ChainOf] for a turn whose program is not known.
+func (c *Client) Chain(ctx context.Context, account types.AccountID, id TurnID) ([]Turn, error) {
+	return c.chain(ctx, ChainRequest{Account: account, Turn: id}, noShard)
+}
+
+// ChainOf returns a turn and all turns before it, oldest first. The turn is most likely one
+// of the given program, but may be one of any program of the account. It returns a
 // notFound fault only if, for every shard, enough stores have replied that they
 // lack a turn of the chain (see [Placement.HasQuorum]), and an unavailable
 // fault if too few stores have replied to be certain, or if the turn may be lost (see
 // [MayBeLost]).
-func (c *Client) Chain(ctx context.Context, account types.AccountID, id TurnID) ([]Turn, error) {
+func (c *Client) ChainOf(ctx context.Context, account types.AccountID, program types.ProgramID, id TurnID) ([]Turn, error) {
+	return c.chain(ctx, ChainRequest{Account: account, Turn: id}, ShardOf(account, program))
+}
+
+// noShard stands for a shard that is not known.
+const noShard Shard = ShardCount
+
+// chain returns the turn of a request and all turns before it. likely is the shard that is
+// likely to have them.
+func (c *Client) chain(ctx context.Context, req ChainRequest, likely Shard) ([]Turn, error) {
+	account, id := req.Account, req.Turn
 	var chain []Turn
 	for id != "" {
 		t, ok := c.cache.get(account, id)
@@ -35,7 +52,7 @@
 			id = t.Previous
 			continue
 		}
-		part, err := c.fetchChain(ctx, ChainRequest{Account: account, Turn: id})
+		part, err := c.fetchChain(ctx, ChainRequest{Account: account, Turn: id}, likely)
 		if err != nil {
 			return nil, err
 		}
@@ -59,11 +76,11 @@
 // fetchChain requests a turn and those before it from the stores and returns
 // them, newest first. If no store has the turn, but some stores and this client
 // have different maps, it retries until ctx ends.
-func (c *Client) fetchChain(ctx context.Context, req ChainRequest) ([]Turn, error) {
+func (c *Client) fetchChain(ctx context.Context, req ChainRequest, likely Shard) ([]Turn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // Ends the requests whose replies are no longer of use.
 	for {
-		s := chainSearch{client: c, req: req, shardMap: c.Map(), lacking: map[StoreID][]Epoch{}, results: make(chan storeResult[ChainReply])}
+		s := chainSearch{client: c, req: req, likely: likely, shardMap: c.Map(), lacking: map[StoreID][]Epoch{}, results: make(chan storeResult[ChainReply])}
 		found := s.run(ctx)
 		switch {
 		case len(found) > 0:
@@ -80,9 +97,11 @@
 type chainSearch struct {
 	client   *Client
 	req      ChainRequest
-	shardMap *Map // the newest that the client had during the search, or nil
-	// members are the stores of shardMap, nearest first, followed by those that
-	// were added during the search. The first sent of them got the request.
+	likely   Shard // that is likely to have the turn
+	shardMap *Map  // the newest that the client had during the search, or nil
+	// members are the stores of shardMap, those of the likely shard first, in the order in
+	// which they get its writes, then the others, nearest first, followed by those that were
+	// added during the search. The first sent of them got the request.
 	members []Member
 	sent    int
 	results chan storeResult[ChainReply]
@@ -90,15 +109,19 @@
 	lacking map[StoreID][]Epoch
 }
 
-// run sends the request to the nearest store first, to the next one whenever one
-// fails or lacks the turn, and to all stores after the time that most replies take. It returns
+// run sends the request to one store first, and to the next one whenever one fails or lacks
+// the turn. If there is no reply after the time that most replies take, it asks two more
+// stores, and all after that time again: each store that has the turn sends the whole chain,
+// so asking all at once would slow those that are slow already. It returns
 // the turns of the first reply that has any. Otherwise it returns nil once all
 // stores have replied or failed, or ctx ends.
 func (s *chainSearch) run(ctx context.Context) []Turn {
 	s.addMembers()
 	s.send(ctx, 1)
-	hedge := time.NewTimer(s.client.chainReplies.hedgeDelay(minChainHedgeDelay))
+	delay := s.client.chainReplies.hedgeDelay(minChainHedgeDelay)
+	hedge := time.NewTimer(delay)
 	defer hedge.Stop()
+	hedged := false
 	mapPoll := time.NewTicker(retryInterval)
 	defer mapPoll.Stop()
 	for received := 0; received < len(s.members); {
@@ -113,7 +136,13 @@
 			}
 			s.send(ctx, s.sent+1)
 		case <-hedge.C:
-			s.send(ctx, len(s.members))
+			if hedged {
+				s.send(ctx, len(s.members))
+				continue
+			}
+			hedged = true
+			s.send(ctx, s.sent+2)
+			hedge.Reset(delay)
 		case <-mapPoll.C: // A store that is down must not delay the requests to those that have replaced it.
 			if m := s.client.Map(); m != s.shardMap {
 				s.shardMap = m
@@ -132,7 +161,16 @@
 	if s.shardMap == nil {
 		return
 	}
-	for _, member := range s.client.assignedMembers(s.shardMap) {
+	likely := s.client.sortByDistance(s.shardMap, rotated(s.shardMap.Placement(s.likely).All(), int(s.likely)))
+	members := s.client.assignedMembers(s.shardMap)
+	position := func(m Member) int {
+		if i := slices.Index(likely, m.ID); i >= 0 {
+			return i
+		}
+		return len(likely)
+	}
+	slices.SortStableFunc(members, func(a, b Member) int { return cmp.Compare(position(a), position(b)) })
+	for _, member := range members {
 		if !slices.ContainsFunc(s.members, func(m Member) bool { return m.ID == member.ID }) {
 			s.members = append(s.members, member)
 		}
