turns, gate: while stores are too slow, hosts send them few reservations

Cause: a host kept sending reservations though none of those before was answered in time, and let each caller wait 0.9 s for a refusal that it could have given at once.

--- a/gate/turn.go
+++ b/gate/turn.go
@@ -64,6 +64,9 @@
 // turnError returns the error response for the errors of fetching the chain and
 // claiming the budget, or nil if there are none.
 func (c *call) turnError(chainErr, budgetErr error) *errorResponse {
+	if turns.NotSent(budgetErr) {
+		c.turn.settled = true // There is no claim.
+	}
 	if types.IsCode(budgetErr, types.CodeBudgetExceeded) {
 		c.turn.settled = true // The client withdraws the claim.
 		c.gate.Log.Write(event.BudgetDecided, event.Fields{
@@ -76,7 +79,11 @@
 	case types.IsCode(budgetErr, types.CodeBudgetExceeded):
 		return &errorResponse{status: http.StatusPaymentRequired, reason: "the program's budget does not cover this turn"}
 	case budgetErr != nil:
-		return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: busyRetryAfter, reason: "cannot reserve the program's budget: " + budgetErr.Error()}
+		retryAfter := busyRetryAfter
+		if turns.NotSent(budgetErr) {
+			retryAfter = types.AsFault(budgetErr).RetryAfter
+		}
+		return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: retryAfter, reason: "cannot reserve the program's budget: " + budgetErr.Error()}
 	}
 	return nil
 }
--- a/turns/client.go
+++ b/turns/client.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/types"
@@ -33,6 +34,7 @@
 	cache     cache
 	// chainReplies and closeReplies set when slow stores are not waited for any longer.
 	chainReplies, closeReplies replyTime
+	admission                  admission
 	// background runs the requests to stores, some of which continue after a
 	// majority has replied.
 	background errgroup.Group
@@ -89,7 +91,20 @@
 // first reply has an unsettled claim of another attempt. Without one this is
 // not needed, since every concurrent reservation missing from the reply has
 // read this claim.
+//
+// While the stores are too slow, Reserve returns an overloaded fault at once for which
+// [NotSent] is true.
 func (c *Client) Reserve(ctx context.Context, b Budget) error {
+	if !c.admission.begin() {
+		reservationsRefused.Inc()
+		return errStoresSlow
+	}
+	err := c.reserve(ctx, b)
+	c.admission.end(types.IsCode(err, errNoQuorum.Code) && errors.Is(ctx.Err(), context.DeadlineExceeded))
+	return err
+}
+
+func (c *Client) reserve(ctx context.Context, b Budget) error {
 	req := ClaimRequest{
 		Shard: ShardOf(b.Account, b.Program), Account: b.Account, Program: b.Program,
 		Claim: Claim{Attempt: b.Attempt, MaxTokens: b.MaxTokens},
--- a/turns/metric.go
+++ b/turns/metric.go
@@ -12,6 +12,8 @@
 var (
 	appendSeconds = metrics.NewHistogram("banyanspur_turns_append_seconds")
 	batchWrites   = metrics.NewHistogram("banyanspur_turns_batch_writes")
+
+	reservationsRefused = metrics.NewCounter("banyanspur_turns_reservations_refused_total")
 )
 
 // rounds returns the counter of requests to the stores of a shard. A request that starts
--- a/turns/stall_test.go
+++ b/turns/stall_test.go
@@ -210,3 +210,53 @@
 		t.Errorf("the stores handled %d claims of %d turns, want at most %d (epochs %d and %d)", claims, programs, limit, older.Placement(0).Epoch, newer.Placement(0).Epoch)
 	}
 }
+
+// TestOverloadedStoresGetFewReservations guards against stores that spend their time on
+// reservations whose callers have given up: while none is in time, all but a few must be
+// refused at once, without any work for the stores, and all admitted again afterwards.
+func TestOverloadedStoresGetFewReservations(t *testing.T) {
+	c, disks := newSlowCluster(t)
+	w := c.client()
+	if err := settleTurn(withTimeout(t, stepTimeout), w, "choir", "p", "first", ""); err != nil {
+		t.Fatal(err)
+	}
+	const stall, interval, patience = 4 * time.Second, 10 * time.Millisecond, 500 * time.Millisecond
+	for _, d := range disks {
+		d.stall(stall)
+	}
+	reserve := func(i int) error {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		b := turns.Budget{Account: "choir", Program: types.ProgramID(fmt.Sprint("p", i)), Attempt: "a", Limit: 100, MaxTokens: 10}
+		return w.Reserve(ctx, b)
+	}
+	claims, offered := requestsHandled("turns.claim"), 0
+	var mu sync.Mutex
+	refused := 0
+	var g errgroup.Group
+	for start := time.Now(); time.Since(start) < stall-patience; time.Sleep(interval) {
+		i := offered
+		offered++
+		g.Go(func() error {
+			began := time.Now()
+			if err := reserve(i); turns.NotSent(err) && time.Since(began) < patience/2 {
+				mu.Lock()
+				refused++
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // The goroutines always return nil.
+	claims = requestsHandled("turns.claim") - claims
+	t.Logf("%d reservations offered, %d refused at once, %d claims at three stores", offered, refused, claims)
+	if refused < offered/2 || claims > uint64(3*offered/2) {
+		t.Errorf("of %d reservations %d were refused at once, want at least half; %d claims", offered, refused, claims)
+	}
+	waitFor(t, func() bool { return reserve(offered) == nil })
+	for i := range 20 { // One at a time, as they come on a host.
+		if err := reserve(offered + 1 + i); err != nil {
+			t.Errorf("reservation %d after the stall: %v", i, err)
+		}
+	}
+}
