turns: requests to several stores share no memory

So a store could get the request of another one, which it refuses, or one with the epoch of another placement. Found by reading.

Change: each request is a copy.

TestRequestsAreAddressedToTheirStores failed before with the race detector, on the first calls, and passes now. Without the detector it found no wrong request among 9,600 before: the window is some instructions.

--- /dev/null
+++ b/turns/call_test.go
@@ -0,0 +1,44 @@
+package turns_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/turns"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// TestRequestsAreAddressedToTheirStores guards against requests of one call that share memory:
+// a store that gets the request of another one refuses it, or applies it with the epoch of
+// another placement. The race detector finds it with the first call.
+func TestRequestsAreAddressedToTheirStores(t *testing.T) {
+	c := newCluster(t, 3)
+	w := c.client()
+	refused := metrics.GetOrCreateCounter(`banyanspur_turns_request_failures_total{kind="turns.claim",code="notFound"}`)
+	before := refused.Get()
+	const clients, calls = 16, 200
+	var g errgroup.Group
+	for i := range clients {
+		g.Go(func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+			defer cancel()
+			for j := range calls {
+				b := turns.Budget{Account: "choir", Program: types.ProgramID(fmt.Sprint("p", i, "/", j)), Attempt: "a", Limit: 100, MaxTokens: 10}
+				if err := w.Reserve(ctx, b); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if n := refused.Get() - before; n > 0 {
+		t.Errorf("%d of %d requests had the address of another store", n, 3*clients*calls)
+	}
+}
--- a/turns/client.go
+++ b/turns/client.go
@@ -114,8 +114,9 @@
 func (c *Client) sendClaim(ctx context.Context, req ClaimRequest) (Claims, error) {
 	merged := Claims{}
 	replies, err := callShard[ClaimRequest, ClaimReply](ctx, c, req.Shard, KindClaim, func(store StoreID, epoch Epoch) ClaimRequest {
-		req.To, req.Epoch = store, epoch
-		return req
+		to := req // Several stores are sent to at the same time.
+		to.To, to.Epoch = store, epoch
+		return to
 	})
 	for _, reply := range replies {
 		for _, claim := range reply.Claims {
@@ -135,8 +136,9 @@
 	}
 	startedAt := c.now()
 	_, err := callShard[CloseRequest, EmptyReply](ctx, c, req.Shard, KindClose, func(store StoreID, epoch Epoch) CloseRequest {
-		req.To, req.Epoch = store, epoch
-		return req
+		to := req // Several stores are sent to at the same time.
+		to.To, to.Epoch = store, epoch
+		return to
 	})
 	if err == nil && t != nil {
 		c.cache.put(*t, startedAt, c.cacheBytes())
