turns: requests follow a store to its new address

The address was read once before that wait. A store that returns at another address keeps its ID, and its shards their epochs, so the call did not start again either.

The wait for the connection no longer counts as the time of a reply, from which the delay before further stores are asked is estimated.

TestCallFollowsStoresToNewAddresses failed before: two of three stores were back at other addresses after 0.3 s, and the turn was not written in 4 s.

--- a/turns/call.go
+++ b/turns/call.go
@@ -137,19 +137,18 @@
 // callStore sends the request to one store until the store replies or the call is canceled.
 // It sends it again only if the connection is lost or the store returns an error.
 func (s *shardCall[Req, Resp]) callStore(id StoreID) {
-	for delay := retryInterval; ; delay = min(2*delay, maxRetryInterval) {
+	delay := retryInterval
+	for s.ctx.Err() == nil {
 		address, ok := s.address(id)
 		if !ok {
 			return
 		}
 		link := s.client.Peers.Link(address)
-		startedAt := time.Now()
-		var reply Resp
-		var err error
-		if !link.WaitConnected(s.ctx) {
-			return
+		if !s.waitConnected(link) {
+			continue
 		}
-		reply, err = wire.Call[Req, Resp](s.ctx, link, s.kind, s.newRequest(id, s.placement.Epoch))
+		startedAt := time.Now()
+		reply, err := wire.Call[Req, Resp](s.ctx, link, s.kind, s.newRequest(id, s.placement.Epoch))
 		if err == nil {
 			s.client.recordReply(s.kind, time.Since(startedAt))
 		}
@@ -162,9 +161,18 @@
 		if err == nil || !types.Sleep(s.ctx, delay) {
 			return
 		}
+		delay = min(2*delay, maxRetryInterval)
 	}
 }
 
+// waitConnected waits until the link is connected. It returns false after maxRetryInterval, since
+// the store may have another address by then, or if the call is canceled.
+func (s *shardCall[Req, Resp]) waitConnected(link *wire.Link) bool {
+	ctx, cancel := context.WithTimeout(s.ctx, maxRetryInterval)
+	defer cancel()
+	return link.WaitConnected(ctx)
+}
+
 // address returns the address of a store. ok is false if the store is no longer known.
 func (s *shardCall[Req, Resp]) address(id StoreID) (address string, ok bool) {
 	m := s.client.Map()
--- a/turns/call_test.go
+++ b/turns/call_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
@@ -42,3 +43,30 @@
 		t.Errorf("%d of %d requests had the address of another store", n, 3*clients*calls)
 	}
 }
+
+// TestCallFollowsStoresToNewAddresses guards against calls that wait for a store at the address
+// that it had when they began. The placement stays the same when a store has another address.
+func TestCallFollowsStoresToNewAddresses(t *testing.T) {
+	c := newCluster(t, 3)
+	w := c.client()
+	writeTurn(t, w, "choir", "p", "first", "")
+	for i := range 2 {
+		c.stores[i].shutDown()
+	}
+	waitFor(t, func() bool {
+		return !c.peers.Link(c.member(0).Address).IsConnected() && !c.peers.Link(c.member(1).Address).IsConnected()
+	})
+	var g errgroup.Group
+	g.Go(func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		defer cancel()
+		return settleTurn(ctx, w, "choir", "p", "second", "first")
+	})
+	time.Sleep(300 * time.Millisecond)
+	for i := range 2 {
+		c.restartStore(i)
+	}
+	if err := g.Wait(); err != nil {
+		t.Errorf("the stores were back at other addresses after 0.3 s, and a turn was not written in 4 s: %v", err)
+	}
+}
