fleet: a leader that is late keeps its sync requests

What callers see: hosts whose view of the fleet grows old, and with it their shard maps, while the leader is up and late.

Cause: a renewal of limits or an exchange of load reports that times out makes the client forget the leader. The next reply of the same leader then counted as that of a new one, and canceled the sync request that was pending there. It was sent again, so that no reply counted that takes longer than the pause between such timeouts, while the leader went on with each of the canceled requests.

Change: a sync request is canceled only if it was sent to another host.

TestLateRenewalsLeaveSyncRequest, a leader that answers sync requests after 0.5 s and every second renewal after 0.3 s, which times out after 0.2 s: before, no sync in 3.1 s with 14 requests; now 7 requests, each of which counts.

--- a/fleet/client.go
+++ b/fleet/client.go
@@ -53,6 +53,7 @@
 	leader        string     // address of the last known leader, or empty
 	nextCandidate int        // index of the control host to try while the leader is unknown
 	cancelSync    func()     // cancels the current sync request
+	syncHost      string     // address that the current sync request was sent to, or empty
 }
 
 // View is a host's copy of the configuration. It must not be modified.
@@ -218,7 +219,14 @@
 func (c *Client) setCancelSync(cancel func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cancelSync = cancel
+	c.cancelSync, c.syncHost = cancel, ""
+}
+
+// setSyncHost records where the current sync request is sent to.
+func (c *Client) setSyncHost(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.syncHost = address
 }
 
 // recordFailure selects the host for the next request after a failed one to
@@ -236,12 +244,14 @@
 	}
 }
 
-// recordLeader records that the host at address has replied as the leader. If
-// the leader has changed, it cancels the current sync request.
+// recordLeader records that the host at address has replied as the leader. If it was
+// not known to be, it cancels the current sync request, unless that was sent to the
+// same host: a leader that is late only would get it again after each timeout of another
+// request, and its replies would not count.
 func (c *Client) recordLeader(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if address != c.leader && c.cancelSync != nil {
+	if address != c.leader && address != c.syncHost && c.cancelSync != nil {
 		c.cancelSync()
 		c.cancelSync = nil
 	}
@@ -258,6 +268,9 @@
 		var zero Resp
 		return zero, err
 	}
+	if kind == KindSync {
+		c.setSyncHost(link.Address)
+	}
 	reply, err := wire.Call[Req, Resp](ctx, link, kind, req)
 	if err == nil {
 		c.recordLeader(link.Address)
