fleet: sync requests give a late leader more time

Cause: each sync request was given up 0.6 s after the time for which the leader may hold it open, and sent again, first to another control host.

Change: the time doubles after a request that has timed out, to 1.2 s, and is halved again by faster replies. With the default wait, a request then ends after 2.1 s, before the leader takes a store for lost (2.5 s).

--- a/fleet/client.go
+++ b/fleet/client.go
@@ -74,6 +74,10 @@
 	// callTimeout bounds one request to one control host, not counting the time
 	// for which the leader may hold it open.
 	callTimeout = 600 * time.Millisecond
+	// maxSyncTimeout is that time for sync requests while the leader is late. With
+	// [DefaultSyncWait] it is less than the time after which the leader takes a store that
+	// sends no request for lost.
+	maxSyncTimeout = 2 * callTimeout
 	// retryDelay is the pause between attempts while there is no leader.
 	retryDelay = 40 * time.Millisecond
 	// retryTimeout bounds all attempts of one request. An operator who is then told that the
@@ -99,11 +103,12 @@
 // Run syncs the view with the leader until ctx ends. It always returns nil.
 func (c *Client) Run(ctx context.Context) error {
 	disconnected := false
+	timeout := types.AdaptiveTimeout{Min: callTimeout, Max: maxSyncTimeout}
 	for ctx.Err() == nil {
 		view := c.View()
 		sentAt := c.Clock()
 		req := SyncRequest{Host: c.Host, Store: c.Store, Versions: view.Versions, Wait: c.syncWait(), Zone: c.Zone, KnowsZones: true}
-		callCtx, cancel := context.WithTimeout(ctx, c.syncWait()+callTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, c.syncWait()+timeout.Duration())
 		c.setCancelSync(cancel)
 		reply, err := callOnce[SyncRequest, SyncReply](callCtx, c, KindSync, req)
 		redirected := errors.Is(callCtx.Err(), context.Canceled)
@@ -111,6 +116,7 @@
 		if err != nil && redirected && ctx.Err() == nil {
 			continue // Another request has found a new leader.
 		}
+		timeout.Ended(c.Clock().Sub(sentAt)-c.syncWait(), err)
 		if err != nil {
 			if !disconnected && ctx.Err() == nil {
 				c.Log.Write(event.LeaderUnreachable, event.Fields{"error": err.Error()})
--- a/fleet/late_test.go
+++ b/fleet/late_test.go
@@ -77,3 +77,15 @@
 		t.Errorf("%d sync requests in 3 s to a leader that replies to each after 0.5 s, want at most 8", n)
 	}
 }
+
+// TestSyncWithLateLeader guards against sync requests that are all given up shortly before a
+// leader replies that is late, but up: the host's view, and the shard map with it, grew old for
+// as long as it was late.
+func TestSyncWithLateLeader(t *testing.T) {
+	l := &lateLeader{syncLatency: 900 * time.Millisecond}
+	c := startLateLeader(t, l, 100*time.Millisecond) // The timeout is 0.7 s.
+	time.Sleep(5 * time.Second)
+	if s := c.Staleness(); s > 2500*time.Millisecond {
+		t.Errorf("the last sync was sent %v ago after %d requests, though the leader replies after 0.9 s", s, l.syncs.Load())
+	}
+}
