--- a/fleet/client.go
+++ b/fleet/client.go
@@ -53,6 +53,7 @@
 	leader        string     // address of the last known leader, or empty
 	nextCandidate int        // index of the control host to try while the leader is unknown
 	cancelSync    func()     // cancels the current sync request
+	syncHost      string     // address that the current sync request was sent to, or empty
 }
 
 // View is a host's copy of the configuration. It must not be modified.
@@ -73,6 +74,10 @@
 	// callTimeout bounds one request to one control host, not counting the time
 	// for which the leader may hold it open.
 	callTimeout = 600 * time.Millisecond
+	// maxSyncTimeout is that time for sync requests while the leader is late. With
+	// [DefaultSyncWait] it is less than the time after which the leader takes a store that
+	// sends no request for lost.
+	maxSyncTimeout = 2 * callTimeout
 	// retryDelay is the pause between attempts while there is no leader.
 	retryDelay = 40 * time.Millisecond
 	// retryTimeout bounds all attempts of one request. An operator who is then told that the
@@ -98,11 +103,12 @@
 // Run syncs the view with the leader until ctx ends. It always returns nil.
 func (c *Client) Run(ctx context.Context) error {
 	disconnected := false
+	timeout := types.AdaptiveTimeout{Min: callTimeout, Max: maxSyncTimeout}
 	for ctx.Err() == nil {
 		view := c.View()
 		sentAt := c.Clock()
 		req := SyncRequest{Host: c.Host, Store: c.Store, Versions: view.Versions, Wait: c.syncWait(), Zone: c.Zone, KnowsZones: true}
-		callCtx, cancel := context.WithTimeout(ctx, c.syncWait()+callTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, c.syncWait()+timeout.Duration())
 		c.setCancelSync(cancel)
 		reply, err := callOnce[SyncRequest, SyncReply](callCtx, c, KindSync, req)
 		redirected := errors.Is(callCtx.Err(), context.Canceled)
@@ -110,6 +116,7 @@
 		if err != nil && redirected && ctx.Err() == nil {
 			continue // Another request has found a new leader.
 		}
+		timeout.Ended(c.Clock().Sub(sentAt)-c.syncWait(), err)
 		if err != nil {
 			if !disconnected && ctx.Err() == nil {
 				c.Log.Write(event.LeaderUnreachable, event.Fields{"error": err.Error()})
@@ -218,7 +225,14 @@
 func (c *Client) setCancelSync(cancel func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cancelSync = cancel
+	c.cancelSync, c.syncHost = cancel, ""
+}
+
+// setSyncHost records where the current sync request is sent to.
+func (c *Client) setSyncHost(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.syncHost = address
 }
 
 // recordFailure selects the host for the next request after a failed one to
@@ -236,12 +250,14 @@
 	}
 }
 
-// recordLeader records that the host at address has replied as the leader. If
-// the leader has changed, it cancels the current sync request.
+// recordLeader records that the host at address has replied as the leader. If it was
+// not known to be, it cancels the current sync request, unless that was sent to the
+// same host: a leader that is late only would get it again after each timeout of another
+// request, and its replies would not count.
 func (c *Client) recordLeader(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if address != c.leader && c.cancelSync != nil {
+	if address != c.leader && address != c.syncHost && c.cancelSync != nil {
 		c.cancelSync()
 		c.cancelSync = nil
 	}
@@ -258,6 +274,9 @@
 		var zero Resp
 		return zero, err
 	}
+	if kind == KindSync {
+		c.setSyncHost(link.Address)
+	}
 	reply, err := wire.Call[Req, Resp](ctx, link, kind, req)
 	if err == nil {
 		c.recordLeader(link.Address)
