wire: a host that sends without end takes bounded memory and is dialed rarely

A received frame could have 256 MiB and was kept whole, while an entry host has 184 MB. After the end of the connection, the link dialed again within 25 to 100 ms, and read as much again.

A message has at most 24 MiB, and a frame a batch of 256 KiB more. The sender checks it: a request fails with payloadTooLarge, a reply becomes that fault, and a message without a reply is dropped and logged (event 604). What is received counts in a budget of 32 MiB for the process once a frame has 256 KiB; if there is none left, the largest frame ends, so that the frames of other hosts pass. A frame that is not complete after 15 s ends its connection. A link whose host has sent too much is dialed again after 5 s (event 603).

Earlier builds send frames of the same form, so both builds accept each other's.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -75,6 +75,8 @@
 	LoadReportIgnored    = Kind{521, logrus.WarnLevel, "load report of a target has figures that are ignored"}
 	LinkLost             = Kind{601, logrus.InfoLevel, "link to another host lost"}
 	PeerRefused          = Kind{602, logrus.WarnLevel, "link refused, wrong cluster secret"}
+	FrameRefused         = Kind{603, logrus.ErrorLevel, "link ended, the other host sends a frame beyond the limit"}
+	MessageRefused       = Kind{604, logrus.ErrorLevel, "message too large for another host"}
 )
 
 // Catalog returns all kinds of events, ordered by number.
@@ -91,6 +93,6 @@
 		QuarantineEnded, QuarantineFailed, SuspectsChanged, ResponseUnread,
 		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull, PathCut, PathHealed, ConnectionRelayed, RelaysChanged,
 		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable, TargetCold, TargetPaced, LoadReportIgnored,
-		LinkLost, PeerRefused,
+		LinkLost, PeerRefused, FrameRefused, MessageRefused,
 	}
 }
--- /dev/null
+++ b/wire/bounds.go
@@ -0,0 +1,70 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+
+	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+const (
+	// MaxMessageBytes is the maximum size of an encoded message. The largest is a snapshot of
+	// the configuration group: [github.com/banyanspur/banyanspur/fleet] accepts plans of up to
+	// 16 MiB in their two forms, and the rest of its state is below 4 MiB. The reply to a chain
+	// has 1 MiB and a turn, whose output has at most 8 MiB; a list of the turns of a shard 70
+	// bytes for each.
+	MaxMessageBytes = 24 << 20
+	// maxFrameBytes bounds the size of a received WebSocket frame, as senders build them: a
+	// batch, the last message of it, and the names around each. Earlier builds build no larger
+	// ones, unless they hold a larger plan.
+	maxFrameBytes = MaxMessageBytes + batchBytes + 64<<10
+	// frameTimeout bounds the time from the first byte of a received frame to the last. The
+	// sender ends the connection after writeTimeout.
+	frameTimeout = writeTimeout + 5*time.Second
+
+	// chunkBytes is the size of the parts in which large frames are read, and up to which a
+	// frame is read without a part of the budget.
+	chunkBytes = 256 << 10
+	// frameBudgetBytes bounds the memory of all large frames that a process is receiving. The
+	// smallest processes have 122 MB.
+	frameBudgetBytes = 32 << 20
+	// faultyRedialDelay is the pause after a host has sent a frame beyond maxFrameBytes. It
+	// would send the next one, too.
+	faultyRedialDelay = 5 * time.Second
+)
+
+var (
+	refusedFrames   = metrics.NewCounter("banyanspur_wire_refused_frames_total")
+	refusedMessages = metrics.NewCounter("banyanspur_wire_refused_messages_total")
+)
+
+// errMessageTooLarge is returned for a message that the receiver would not accept.
+var errMessageTooLarge = types.NewFault(types.CodePayloadTooLarge, "the message is larger than %d bytes", MaxMessageBytes)
+
+func logRefusedFrame(log event.Log, address string) {
+	refusedFrames.Inc()
+	log.Write(event.FrameRefused, event.Fields{"address": address, "maxBytes": maxFrameBytes})
+}
+
+func logRefusedMessage(log event.Log, kind Kind, size int) {
+	log.Write(event.MessageRefused, event.Fields{"kind": kind, "bytes": size, "maxBytes": MaxMessageBytes})
+}
+
+// size returns the approximate memory of an envelope.
+func (e *envelope) size() int {
+	n := len(e.Body) + len(e.Kind)
+	if e.Fault != nil {
+		n += len(e.Fault.Message)
+	}
+	return n
+}
+
+// isOversized reports whether a connection ended because its peer has sent a frame beyond
+// maxFrameBytes, or the largest of those that are too many together.
+func isOversized(err error) bool {
+	return errors.Is(err, websocket.ErrMessageTooBig) || errors.Is(err, errFrameBudget)
+}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -26,8 +26,6 @@
 }
 
 const (
-	// maxFrameBytes bounds the size of a received WebSocket frame.
-	maxFrameBytes = 256 << 20
 	// batchBytes is the size from which on no further message is added to a
 	// frame.
 	batchBytes = 256 << 10
@@ -68,16 +66,25 @@
 	liveness *liveness
 	// pingTimeout is how long the peer may take to respond to a ping.
 	pingTimeout time.Duration
+	// frameTimeout bounds the receipt of one frame.
+	frameTimeout time.Duration
 }
 
 func newStream(conn *websocket.Conn, dialed bool) *stream {
 	conn.SetReadLimit(maxFrameBytes)
-	return &stream{conn: conn, queue: newQueue[envelope](queueLength), done: make(chan struct{}), dialed: dialed, liveness: newLiveness(), pingTimeout: minPingTimeout}
+	return &stream{
+		conn: conn, queue: newQueue[envelope](queueLength), done: make(chan struct{}), dialed: dialed, liveness: newLiveness(),
+		pingTimeout: minPingTimeout, frameTimeout: frameTimeout,
+	}
 }
 
-// send queues one envelope. It never blocks and returns errQueueFull if the
-// queue is full.
+// send queues one envelope. It never blocks. It returns errQueueFull if the queue is full,
+// and errMessageTooLarge for a message that the peer would not accept.
 func (s *stream) send(e envelope) error {
+	if e.size() > MaxMessageBytes {
+		refusedMessages.Inc()
+		return errMessageTooLarge
+	}
 	if !s.queue.put(e) {
 		return errQueueFull
 	}
@@ -140,13 +147,15 @@
 
 func (s *stream) readLoop(ctx context.Context, receive func(envelope)) error {
 	for {
-		_, frame, err := s.conn.Read(ctx)
+		f, err := s.readFrame(ctx)
 		if err != nil {
 			return err
 		}
 		s.liveness.received()
-		receivedBytes.Add(len(frame))
-		if err := decodeFrame(frame, receive); err != nil {
+		receivedBytes.Add(len(f.bytes))
+		err = decodeFrame(f.bytes, receive)
+		received.release(f)
+		if err != nil {
 			return err
 		}
 	}
--- a/wire/link.go
+++ b/wire/link.go
@@ -97,6 +97,10 @@
 			l.OnLost()
 		}
 		logged = true // Repeated dial failures are not logged.
+		if isOversized(err) {
+			logRefusedFrame(l.Log, l.Address)
+			types.Sleep(ctx, faultyRedialDelay)
+		}
 		if time.Since(start) > maxRedialDelay {
 			delay = minRedialDelay
 		}
@@ -266,7 +270,12 @@
 	if !ok {
 		return zero, errNotConnected
 	}
-	if err := c.stream.send(envelope{ID: id, Kind: kind, Body: types.Encode(req)}); err != nil {
+	err := c.stream.send(envelope{ID: id, Kind: kind, Body: types.Encode(req)})
+	if errors.Is(err, errMessageTooLarge) {
+		c.pending.remove(id)
+		return zero, errMessageTooLarge
+	}
+	if err != nil {
 		c.pending.remove(id)
 		return zero, types.NewFault(types.CodeOverloaded, "%v", err).WithRetryAfter(maxRedialDelay)
 	}
@@ -291,9 +300,16 @@
 }
 
 // Notify sends a message that has no reply. The message is lost without an error
-// if the link is not connected or the connection fails.
+// if the link is not connected or the connection fails, or if it is too large, which is
+// logged.
 func Notify[Req any](l *Link, kind Kind, req Req) {
-	if c := l.activeConnection(); c != nil {
-		_ = c.stream.send(envelope{Kind: kind, Body: types.Encode(req)}) // Dropped if the queue is full.
+	c := l.activeConnection()
+	if c == nil {
+		return
+	}
+	body := types.Encode(req)
+	err := c.stream.send(envelope{Kind: kind, Body: body}) // Dropped if the queue is full.
+	if errors.Is(err, errMessageTooLarge) {
+		logRefusedMessage(l.Log, kind, len(body))
 	}
 }
--- a/wire/server.go
+++ b/wire/server.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 	"golang.org/x/sync/errgroup"
 
@@ -91,24 +92,42 @@
 	if address := r.Header.Get(addressHeader); address != "" && s.OnPeer != nil {
 		s.OnPeer(address)
 	}
-	s.serve(r.Context(), newStream(conn, false))
+	s.serve(r.Context(), newStream(conn, false), r.RemoteAddr)
 }
 
-func (s *Server) serve(ctx context.Context, conn *stream) {
+func (s *Server) serve(ctx context.Context, conn *stream, from string) {
 	ctx, cancel := context.WithCancel(ctx)
 	var g errgroup.Group
 	g.SetLimit(maxConcurrentRequests)
-	_ = conn.run(ctx, func(e envelope) {
+	err := conn.run(ctx, func(e envelope) {
 		if e.ID == 0 {
 			s.dispatch(ctx, e) // Messages without a reply are handled in order.
 			return
 		}
-		g.Go(func() error { return conn.send(s.dispatch(ctx, e)) })
+		g.Go(func() error {
+			s.reply(conn, e.Kind, s.dispatch(ctx, e))
+			return nil
+		})
 	})
+	if isOversized(err) {
+		logRefusedFrame(s.Log, from)
+	}
 	cancel()
 	_ = g.Wait()
 }
 
+// reply sends a reply, or a fault instead of one that cannot be sent.
+func (s *Server) reply(conn *stream, kind Kind, e envelope) {
+	err := conn.send(e)
+	if err == nil {
+		return
+	}
+	if errors.Is(err, errMessageTooLarge) {
+		logRefusedMessage(s.Log, kind, len(e.Body))
+	}
+	_ = conn.send(envelope{ID: e.ID, Reply: true, Fault: types.AsFault(err).WithRan(types.MayHaveRun)}) // Also fails if many are queued.
+}
+
 // dispatch calls the handler of a message and returns the reply.
 func (s *Server) dispatch(ctx context.Context, e envelope) envelope {
 	reply := envelope{ID: e.ID, Reply: true}
