wire, relay: the response to a handshake has at most 16 KiB of header

The HTTP client of links and of relayed connections read up to 10 MiB of a status line, header fields or interim responses, for each dial; a link dials again up to 10 times a second, and relayed dials are made for each call.

Frames of relayed connections were bounded to 64 KiB already.

--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -197,7 +197,7 @@
 // httpClient returns the client for connections to relaying hosts.
 func (d *Dialer) httpClient() *http.Client {
 	d.clientOnce.Do(func() {
-		d.client = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		d.client = &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHandshakeBytes, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return fetch.DialTCP(ctx, address)
 		}}}
 	})
--- a/relay/server.go
+++ b/relay/server.go
@@ -32,6 +32,8 @@
 	// maxFrameBytes the maximum size of a received frame.
 	frameBytes    = 16 << 10
 	maxFrameBytes = 64 << 10
+	// maxHandshakeBytes is the maximum size of the header of the response to a handshake.
+	maxHandshakeBytes = 16 << 10
 	// statusTargetLost is the close code for a target's connection that broke.
 	statusTargetLost websocket.StatusCode = 4000
 )
--- a/wire/bounds.go
+++ b/wire/bounds.go
@@ -35,6 +35,8 @@
 	// faultyRedialDelay is the pause after a host has sent a frame beyond maxFrameBytes. It
 	// would send the next one, too.
 	faultyRedialDelay = 5 * time.Second
+	// maxHandshakeBytes is the maximum size of the header of the response to a handshake.
+	maxHandshakeBytes = 16 << 10
 )
 
 var (
--- a/wire/endless_test.go
+++ b/wire/endless_test.go
@@ -102,8 +102,13 @@
 		start, chunk string
 		maxBytes     int64
 	}{
-		"frame":     {true, endlessFrame, block, 64 << 20},
-		"fragments": {true, fragmentOfMessage + block, continuation + block, 64 << 20},
+		"status line":       {false, "HTTP/1.1 200 ", block, 5 << 20},
+		"header field":      {false, "HTTP/1.1 101 Switching Protocols\r\nLong: ", block, 5 << 20},
+		"header fields":     {false, "HTTP/1.1 101 Switching Protocols\r\n", strings.Repeat("Many: x\r\n", 1000), 5 << 20},
+		"interim responses": {false, "", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 100), 5 << 20},
+		"refusal":           {false, "HTTP/1.1 503 Service Unavailable\r\n\r\n", block, 5 << 20},
+		"frame":             {true, endlessFrame, block, 64 << 20},
+		"fragments":         {true, fragmentOfMessage + block, continuation + block, 64 << 20},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/wire/link.go
+++ b/wire/link.go
@@ -140,7 +140,7 @@
 func (l *Link) newDialer() *http.Client {
 	dialer := net.Dialer{Timeout: l.dialTimeout()}
 	// A connection on which the handshake has failed is not used again.
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: -1}}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: -1, MaxResponseHeaderBytes: maxHandshakeBytes}}
 }
 
 func (l *Link) dialTimeout() time.Duration {
