wire: what waits at a connection or a server is bounded in bytes

The send queue of a connection held 8,192 messages and a server 4,096 requests of a connection, each of any size: a peer that requests chains of a megabyte and reads nothing, or sends large requests to a host whose disk is slow, could make it hold gigabytes.

Requests beyond 32 MiB in all are refused with overloaded, not run; a store that handles 1,900 turns of 17 KB at once is below that.

TestManyLargeRequestsAreRefused does not end before: all requests are taken. TestQueueIsBoundedInBytes checks the queue by itself.

--- a/wire/bounds.go
+++ b/wire/bounds.go
@@ -32,6 +32,10 @@
 	// frameBudgetBytes bounds the memory of all large frames that a process is receiving. The
 	// smallest processes have 122 MB.
 	frameBudgetBytes = 32 << 20
+	// requestBudgetBytes bounds the bodies of the requests that a server is handling.
+	requestBudgetBytes = 32 << 20
+	// maxQueuedBytes bounds the memory of the send queue of one connection.
+	maxQueuedBytes = 32 << 20
 	// faultyRedialDelay is the pause after a host has sent a frame beyond maxFrameBytes. It
 	// would send the next one, too.
 	faultyRedialDelay = 5 * time.Second
@@ -47,6 +51,9 @@
 // errMessageTooLarge is returned for a message that the receiver would not accept.
 var errMessageTooLarge = types.NewFault(types.CodePayloadTooLarge, "the message is larger than %d bytes", MaxMessageBytes)
 
+// errBudgetFull is the reply to a request while others of requestBudgetBytes are handled.
+var errBudgetFull = types.NewFault(types.CodeOverloaded, "the host handles too many large requests").WithRetryAfter(maxRedialDelay)
+
 func logRefusedFrame(log event.Log, address string) {
 	refusedFrames.Inc()
 	log.Write(event.FrameRefused, event.Fields{"address": address, "maxBytes": maxFrameBytes})
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -73,7 +73,7 @@
 func newStream(conn *websocket.Conn, dialed bool) *stream {
 	conn.SetReadLimit(maxFrameBytes)
 	return &stream{
-		conn: conn, queue: newQueue[envelope](queueLength), done: make(chan struct{}), dialed: dialed, liveness: newLiveness(),
+		conn: conn, queue: newQueue[envelope](queueLength, maxQueuedBytes), done: make(chan struct{}), dialed: dialed, liveness: newLiveness(),
 		pingTimeout: minPingTimeout, frameTimeout: frameTimeout,
 	}
 }
@@ -85,7 +85,7 @@
 		refusedMessages.Inc()
 		return errMessageTooLarge
 	}
-	if !s.queue.put(e) {
+	if !s.queue.put(e, e.size()) {
 		return errQueueFull
 	}
 	return nil
--- a/wire/large_test.go
+++ b/wire/large_test.go
@@ -89,3 +89,39 @@
 		t.Error(err)
 	}
 }
+
+// TestManyLargeRequestsAreRefused guards against requests that are held while others are
+// handled: 4,096 of a connection, of any size.
+func TestManyLargeRequestsAreRefused(t *testing.T) {
+	s, release := &wire.Server{}, make(chan struct{})
+	wire.Handle(s, blob, func(_ context.Context, q blobRequest) (int, error) {
+		<-release
+		return len(q.Bytes), nil
+	})
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	l := startPool(t, &wire.Pool{}).Link(strings.TrimPrefix(server.URL, "http://"))
+	waitConnected(t, l)
+	results := make(chan error, 10)
+	var g errgroup.Group
+	for range cap(results) {
+		g.Go(func() error {
+			_, err := wire.Call[blobRequest, int](t.Context(), l, blob, blobRequest{Bytes: make([]byte, 6<<20)})
+			results <- err
+			return nil
+		})
+		time.Sleep(50 * time.Millisecond) // The send queue has room for five.
+	}
+	for range 5 {
+		if err := <-results; !types.IsCode(err, types.CodeOverloaded) {
+			t.Errorf("a request beyond the budget: %v", err)
+		}
+	}
+	close(release)
+	for range 5 {
+		if err := <-results; err != nil {
+			t.Error(err)
+		}
+	}
+	_ = g.Wait()
+}
--- a/wire/queue.go
+++ b/wire/queue.go
@@ -8,25 +8,31 @@
 type queue[T any] struct {
 	// ready receives a value when the queue may have messages.
 	ready chan struct{}
-	limit int
+	limit int // of the number of messages
+	// maxBytes limits the size of the messages that are queued or being written. A single one
+	// may be larger.
+	maxBytes int
 
-	mu    sync.Mutex
-	items []T
+	mu           sync.Mutex
+	items        []T
+	bytes, taken int // size of all messages, and of those that were taken and not yet written
 }
 
 // keptCapacity is up to which capacity an empty queue keeps its memory.
 const keptCapacity = 16
 
-func newQueue[T any](limit int) *queue[T] {
-	return &queue[T]{ready: make(chan struct{}, 1), limit: limit}
+func newQueue[T any](limit, maxBytes int) *queue[T] {
+	return &queue[T]{ready: make(chan struct{}, 1), limit: limit, maxBytes: maxBytes}
 }
 
-// put adds a message. It never blocks and returns false if the queue is full.
-func (q *queue[T]) put(item T) bool {
+// put adds a message of the given size. It never blocks and returns false if the queue is
+// full.
+func (q *queue[T]) put(item T, size int) bool {
 	q.mu.Lock()
-	full := len(q.items) >= q.limit
+	full := len(q.items) >= q.limit || q.bytes > 0 && q.bytes+size > q.maxBytes
 	if !full {
 		q.items = append(q.items, item)
+		q.bytes += size
 	}
 	q.mu.Unlock()
 	if full {
@@ -39,23 +45,25 @@
 	return true
 }
 
-// take removes and returns all messages, in order.
+// take removes and returns all messages, in order. They count until reuse is called.
 func (q *queue[T]) take() []T {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	items := q.items
-	q.items = nil
+	q.items, q.taken = nil, q.bytes
 	return items
 }
 
-// reuse gives the memory of taken messages back, if it is small and not needed.
+// reuse records that taken messages are no longer used, and gives their memory back, if it
+// is small and not needed.
 func (q *queue[T]) reuse(items []T) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.bytes, q.taken = q.bytes-q.taken, 0
 	if cap(items) > keptCapacity {
 		return
 	}
 	clear(items)
-	q.mu.Lock()
-	defer q.mu.Unlock()
 	if q.items == nil {
 		q.items = items[:0]
 	}
--- a/wire/receive_test.go
+++ b/wire/receive_test.go
@@ -50,6 +50,28 @@
 	}
 }
 
+// TestQueueIsBoundedInBytes guards against a send queue of 8,192 messages of a megabyte each,
+// to a peer that requests much and reads nothing.
+func TestQueueIsBoundedInBytes(t *testing.T) {
+	q := newQueue[int](10, 100)
+	accepts := func(size int, want bool) {
+		t.Helper()
+		if got := q.put(0, size); got != want {
+			t.Errorf("a message of %d bytes is accepted: %v", size, got)
+		}
+	}
+	accepts(150, true) // The only one may be larger.
+	accepts(1, false)
+	q.reuse(q.take())
+	accepts(60, true)
+	items := q.take()
+	accepts(60, false) // What is being written counts.
+	accepts(40, true)
+	q.reuse(items)
+	accepts(60, true)
+	accepts(1, false)
+}
+
 // TestLargestFrameYields guards against large frames that wait for each other's memory: the
 // largest one ends.
 func TestLargestFrameYields(t *testing.T) {
--- a/wire/server.go
+++ b/wire/server.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
@@ -27,6 +28,9 @@
 	OnPeer func(address string)
 
 	handlers map[Kind]handler
+	// requestBytes is the size of the requests that are being handled, except those without a
+	// reply.
+	requestBytes atomic.Int64
 }
 
 // handler handles one encoded request and returns the encoded reply.
@@ -104,7 +108,14 @@
 			s.dispatch(ctx, e) // Messages without a reply are handled in order.
 			return
 		}
+		size := int64(e.size())
+		if n := s.requestBytes.Add(size); n > requestBudgetBytes && n > size {
+			s.requestBytes.Add(-size)
+			s.reply(conn, e.Kind, envelope{ID: e.ID, Reply: true, Fault: errBudgetFull})
+			return
+		}
 		g.Go(func() error {
+			defer s.requestBytes.Add(-size)
 			s.reply(conn, e.Kind, s.dispatch(ctx, e))
 			return nil
 		})
