fetch: learn how long targets keep idle connections, check right before the write

Cause: an idle connection was checked when it was taken from the pool, and a goroutine wrote the request later. A close that arrived in between, or that crossed the request on the way, left open whether the request had run, so that it was answered 502. The pool also used connections until the default idle timeout of 4 s although the target had closed others after 25 ms.

Change: the check and the first write are one step on the socket. If the close has arrived, or the kernel accepts no byte, the request goes on to another connection. The pool estimates per target how long it keeps idle connections, from idle connections that it finds closed and from older ones that it finds open, and does not use a connection in the last quarter of that time.

--- /dev/null
+++ b/fetch/begin.go
@@ -0,0 +1,121 @@
+package fetch
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+var (
+	errClosedBefore = errors.New("fetch: the connection was closed before the request was sent")
+	errUnsolicited  = errors.New("fetch: unsolicited data before the request")
+)
+
+// begin takes a connection and writes as much of request to it as the kernel accepts at once,
+// n bytes. As long as no byte was accepted, the request cannot have reached the target, and
+// begin goes on to the next connection if it has taken an idle one. stop keeps ctx from
+// closing the connection.
+func (p *Pool) begin(ctx context.Context, address string, request []byte, newOnly bool) (_ *conn, n int, stop func() bool, err error) {
+	for {
+		c, err := p.connect(ctx, address, newOnly)
+		if err != nil {
+			return nil, 0, nil, err
+		}
+		c.setBusy(true)
+		stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+		n, err := c.writeFirst(request)
+		if err == nil {
+			if c.idled {
+				reuses.Inc()
+			}
+			return c, n, stop, nil
+		}
+		stop()
+		c.setBusy(false)
+		_ = c.Close()
+		if !c.idled || ctx.Err() != nil {
+			return nil, 0, nil, err
+		}
+		if errors.Is(err, errClosedBefore) {
+			idleCloses.Inc()
+			p.recordClosed(address, c)
+		}
+	}
+}
+
+func (p *Pool) recordClosed(address string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.estimate(address).recordClosed(c, time.Now())
+}
+
+// writeFirst writes as much of b as the kernel accepts at once, right after checking that the
+// target has not closed the connection: a close that arrives between the check and the write
+// leaves open whether the request has run. If it returns an error, no byte was accepted.
+// Nothing is written to connections other than sockets.
+func (c *conn) writeFirst(b []byte) (n int, err error) {
+	raw, isSocket := c.rawConn()
+	if !isSocket {
+		return 0, nil
+	}
+	rawErr := raw.Write(func(fd uintptr) bool {
+		switch state := peek(int(fd)); {
+		case state == idleClosed:
+			err = errClosedBefore
+		case state == idleUnusual && c.idled:
+			err = errUnsolicited
+		default:
+			n, err = writeOnce(int(fd), b)
+		}
+		return true
+	})
+	if rawErr != nil {
+		return 0, rawErr // The connection is closed on this side, and the function did not run.
+	}
+	return n, err
+}
+
+// writeOnce writes as much of b as the kernel accepts without waiting. An error means that it
+// has accepted nothing.
+func writeOnce(fd int, b []byte) (int, error) {
+	for {
+		n, err := unix.Write(fd, b)
+		switch err {
+		case nil:
+			return n, nil
+		case unix.EINTR:
+		case unix.EAGAIN:
+			return 0, nil
+		case unix.EPIPE, unix.ECONNRESET:
+			return 0, errClosedBefore
+		default:
+			return 0, err
+		}
+	}
+}
+
+// rawConn returns the socket of the connection if it is one.
+func (c *conn) rawConn() (raw syscall.RawConn, ok bool) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, false
+	}
+	raw, err := sc.SyscallConn()
+	return raw, err == nil
+}
+
+// peek returns the state of a socket to which nothing is to be sent at the moment.
+func peek(fd int) idleState {
+	var b [1]byte
+	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	switch {
+	case err == unix.EAGAIN:
+		return idleOpen
+	case err == nil && n == 0, err == unix.ECONNRESET, err == unix.EPIPE:
+		return idleClosed
+	}
+	return idleUnusual
+}
--- a/fetch/conn.go
+++ b/fetch/conn.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 )
 
 // conn is a connection to a target, used by one request at a time.
@@ -18,6 +17,7 @@
 	net.Conn
 	reader      *bufio.Reader
 	used        bool // a request was sent
+	idled       bool // it has been an idle connection of the pool
 	idleSince   time.Time
 	idleTimeout time.Duration // reused only if it was idle for less
 	// headBytes is how many more bytes may be read while readingHead is set.
@@ -68,31 +68,21 @@
 	return n, err
 }
 
-// usable reports whether an idle connection may be reused: it has not been idle
-// for too long, and the target has neither closed it nor sent unsolicited data.
+// usable reports whether an idle connection may be reused as far as is known without asking
+// the socket: it has not been idle for too long, and the target has not sent unsolicited data.
 func (c *conn) usable(now time.Time) bool {
 	if now.Sub(c.idleSince) >= c.idleTimeout || c.reader.Buffered() > 0 {
 		return false
 	}
-	q, ok := c.Conn.(quieter)
-	if ok && !q.Quiet() {
+	if q, ok := c.Conn.(quieter); ok && !q.Quiet() {
 		return false
 	}
-	sc, isSocket := c.Conn.(syscall.Conn)
-	if !isSocket {
+	if _, ok := c.Conn.(syscall.Conn); ok {
+		_, ok = c.rawConn()
 		return ok
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = err == unix.EAGAIN
-	})
-	return err == nil && idle
+	_, ok := c.Conn.(quieter)
+	return ok
 }
 
 // setBusy tells the connection whether a request is in flight, if it wants to know.
--- a/fetch/do.go
+++ b/fetch/do.go
@@ -87,16 +87,22 @@
 // Do sends a request once and returns its response with an unread body. The
 // connection is closed when ctx is done. A returned error is an *[Error].
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	c, err := p.connect(ctx, address, r.NewConnection)
+	request, err := r.encode()
+	if err != nil {
+		return nil, &Error{Err: err}
+	}
+	c, n, stop, err := p.begin(ctx, address, request, r.NewConnection)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
-	c.setBusy(true)
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	resp := &Response{Reused: c.used, pool: p, address: address, conn: c, written: make(chan struct{}), stopCancel: stop}
 	c.used = true
 	var writer errgroup.Group
-	writer.Go(func() error { return writeRequest(c, r, resp.written) })
+	if n == len(request) {
+		close(resp.written)
+	} else {
+		writer.Go(func() error { return writeRest(c, request[n:], resp.written) })
+	}
 	if err := resp.readHead(r); err != nil {
 		stop()
 		c.setBusy(false)
@@ -107,22 +113,27 @@
 	return resp, nil
 }
 
-// writeRequest sends head and body, and closes written if that succeeds. A target
-// may respond without having read the whole request, so [Pool.Do] ignores the
-// error and relies on the response.
-func writeRequest(c *conn, r *Request, written chan<- struct{}) error {
+// encode returns head and body as they are sent.
+func (r *Request) encode() ([]byte, error) {
 	var b bytes.Buffer
 	b.Grow(len(r.Body) + 1<<10)
 	b.WriteString(r.Method + " " + r.RequestTarget + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if err := r.Header.Write(&b); err != nil {
-		return err
+		return nil, err
 	}
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	b.Write(r.Body)
-	if _, err := c.Write(b.Bytes()); err != nil {
+	return b.Bytes(), nil
+}
+
+// writeRest sends the rest of a request, and closes written if that succeeds. A target
+// may respond without having read the whole request, so [Pool.Do] ignores the
+// error and relies on the response.
+func writeRest(c *conn, rest []byte, written chan<- struct{}) error {
+	if _, err := c.Write(rest); err != nil {
 		return err
 	}
 	close(written)
--- a/fetch/pool.go
+++ b/fetch/pool.go
@@ -21,6 +21,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address; the most recently used one is last
+	// estimates tells how long targets keep idle connections, by address.
+	estimates map[string]*idleEstimate
 }
 
 const (
@@ -56,10 +58,12 @@
 var (
 	dials          = metrics.NewCounter("banyanspur_fetch_dials_total")
 	reuses         = metrics.NewCounter("banyanspur_fetch_reuses_total")
+	idleCloses     = metrics.NewCounter("banyanspur_fetch_idle_closes_total")
+	idleTooLong    = metrics.NewCounter("banyanspur_fetch_idle_too_long_total")
 	strayResponses = metrics.NewCounter("banyanspur_fetch_stray_answers_total")
 )
 
-// connect returns a connection to address: a usable idle one if there is one and
+// connect returns a connection to address: an idle one that seems usable if there is one and
 // newOnly is false, or else a new one.
 func (p *Pool) connect(ctx context.Context, address string, newOnly bool) (*conn, error) {
 	for !newOnly {
@@ -68,7 +72,6 @@
 			break
 		}
 		if c.usable(time.Now()) {
-			reuses.Inc()
 			return c, nil
 		}
 		_ = c.Close()
@@ -147,10 +150,13 @@
 	if len(list) == 0 {
 		return false
 	}
-	newest := list[len(list)-1]
-	return time.Since(newest.idleSince) < newest.idleTimeout
+	newest, now := list[len(list)-1], time.Now()
+	age := now.Sub(newest.idleSince)
+	return age < newest.idleTimeout && p.estimate(address).allows(age)
 }
 
+// takeIdle returns the most recently used idle connection to address, or nil if there is none
+// that the target can be expected to keep open.
 func (p *Pool) takeIdle(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -158,13 +164,33 @@
 	if len(list) == 0 {
 		return nil
 	}
+	now, e := time.Now(), p.estimate(address)
 	c := list[len(list)-1]
+	if age := now.Sub(c.idleSince); age < c.idleTimeout && !e.allows(age) {
+		idleTooLong.Inc()
+		// They stay open: how long they do tells whether the estimate is too low.
+		p.idle[address] = e.dropClosed(list, now)
+		return nil
+	}
 	p.idle[address] = list[:len(list)-1]
 	return c
 }
 
+// estimate returns the estimate of the target at address. The caller must hold mu.
+func (p *Pool) estimate(address string) *idleEstimate {
+	e := p.estimates[address]
+	if e == nil {
+		if p.estimates == nil {
+			p.estimates = map[string]*idleEstimate{}
+		}
+		e = &idleEstimate{}
+		p.estimates[address] = e
+	}
+	return e
+}
+
 func (p *Pool) putIdle(address string, c *conn) {
-	c.idleSince = time.Now()
+	c.idleSince, c.idled = time.Now(), true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
@@ -192,4 +218,9 @@
 		}
 		delete(p.idle, address)
 	}
+	for address := range p.estimates {
+		if !keep[address] {
+			delete(p.estimates, address)
+		}
+	}
 }
