turns: a chain is waited for as long as its request has time

What callers see: 503, "cannot fetch the chain of turns", from hosts whose stores are late, though the request has seconds left.

Cause: each request for a chain was given up after 0.5 s, and the search ended with it.

Change: a request lasts as long as the search, whose caller sets its time. Once the turn is proven missing, the stores without a reply have 0.5 s more, as before.

TestChainFromLateStores, three stores that reply after 0.56 s, 3 s for the chain: before, an error after 0.52 s. TestMissingTurnBesideSilentStore held before.

--- a/turns/chain.go
+++ b/turns/chain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/banyanspur/banyanspur/types"
+	"github.com/banyanspur/banyanspur/wire"
 )
 
 // minChainHedgeDelay is the shortest time for which the client waits for a reply to a
@@ -114,7 +115,8 @@
 // stores, and all after that time again: each store that has the turn sends the whole chain,
 // so asking all at once would slow those that are slow already. It returns
 // the turns of the first reply that has any. Otherwise it returns nil once all
-// stores have replied or failed, or ctx ends.
+// stores have replied or failed, ctx ends, or the turn is proven missing and the stores that
+// have not replied had storeTimeout more to do so.
 func (s *chainSearch) run(ctx context.Context) []Turn {
 	s.addMembers()
 	s.send(ctx, 1)
@@ -124,6 +126,7 @@
 	hedged := false
 	mapPoll := time.NewTicker(retryInterval)
 	defer mapPoll.Stop()
+	var proven <-chan time.Time // nil until the turn is proven missing
 	for received := 0; received < len(s.members); {
 		select {
 		case result := <-s.results:
@@ -134,7 +137,12 @@
 			if result.err == nil {
 				s.lacking[result.store] = result.reply.Epochs
 			}
+			if proven == nil && s.provesMissing() {
+				proven = time.After(storeTimeout)
+			}
 			s.send(ctx, s.sent+1)
+		case <-proven:
+			return nil
 		case <-hedge.C:
 			if hedged {
 				s.send(ctx, len(s.members))
@@ -186,7 +194,12 @@
 		req.To = member.ID
 		s.client.background.Go(func() error {
 			startedAt := time.Now()
-			reply, err := callStore[ChainRequest, ChainReply](ctx, link, KindChain, req, storeTimeout)
+			var reply ChainReply
+			var err error = types.NewFault(types.CodeUnavailable, "no connection to the store")
+			if link.WaitConnected(ctx) {
+				startedAt = time.Now()
+				reply, err = wire.Call[ChainRequest, ChainReply](ctx, link, KindChain, req)
+			}
 			if err == nil {
 				s.client.recordReply(KindChain, time.Since(startedAt))
 			}
--- a/turns/client.go
+++ b/turns/client.go
@@ -39,8 +39,8 @@
 }
 
 const (
-	// storeTimeout limits the requests to a store that may fail without harm: those of
-	// reads, and those that are still without a reply when a majority has replied.
+	// storeTimeout limits the requests to a store that may fail without harm: those that are
+	// still without a reply when the others suffice.
 	storeTimeout = 500 * time.Millisecond
 	// minSettleHedgeDelay is the shortest time after which a turn is also sent to the
 	// stores beyond a majority. Sending it to them at once would double the traffic
--- a/turns/cluster_test.go
+++ b/turns/cluster_test.go
@@ -52,6 +52,8 @@
 	disk   store.Disk
 	// diskResumed delays all writes to the disk until it is closed, unless it is nil.
 	diskResumed chan struct{}
+	// replyLatency delays what the store sends, from its next start on.
+	replyLatency time.Duration
 }
 
 // newCluster starts the given number of stores and assigns all shards to all of
@@ -128,6 +130,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.server = httptest.NewUnstartedServer(server)
 	s.server.Config.BaseContext = func(net.Listener) context.Context { return ctx } // Canceling ctx closes the connections.
+	if s.replyLatency > 0 {
+		s.server.Listener = lateListener{s.server.Listener, s.replyLatency}
+	}
 	s.server.Start()
 	g, runCtx := errgroup.WithContext(ctx)
 	running := s.Store
