gate: a turn waits longer for late stores

What callers see: 503, "cannot reserve the program's budget", while all stores are up and late, and the turn has seconds left.

Cause: chain and budget were waited for 0.9 s, whatever time the turn has. Stores that are later do the work of a claim that nobody waits for, then that of its withdrawal, and the same for each attempt of the caller, three of which end its program: some 18 requests to stores for a turn that is not served, instead of five or six for one that is.

Change: a third of the remaining time, at least 0.9 s as before, at most 3 s as after the turn. A shard without a majority is reported that much later.

--- a/gate/turn.go
+++ b/gate/turn.go
@@ -16,9 +16,21 @@
 	"github.com/banyanspur/banyanspur/types"
 )
 
-// admitTimeout is the timeout for fetching the chain and claiming the budget of a
-// turn. It covers one change of the shard map.
-const admitTimeout = 900 * time.Millisecond
+const (
+	// minAdmitTimeout and maxAdmitTimeout bound the timeout for fetching the chain and
+	// claiming the budget of a turn. The first covers one change of the shard map.
+	minAdmitTimeout = 900 * time.Millisecond
+	maxAdmitTimeout = commitTimeout
+	// admitShare is the part of its remaining time, as a divisor, that a turn may wait for
+	// stores that are late. Each turn that is refused before they reply is repeated by its
+	// caller, and they do the work of each of its claims, and of their withdrawal.
+	admitShare = 3
+)
+
+// admitTimeout returns the timeout for admitting a turn that has the given time left.
+func admitTimeout(remaining time.Duration) time.Duration {
+	return min(remaining, max(minAdmitTimeout, min(remaining/admitShare, maxAdmitTimeout)))
+}
 
 // admit concurrently deducts the request from the account's rate limit, fetches the
 // chain of turns that the request continues, and claims the turn's part of the
@@ -28,7 +40,7 @@
 	if !c.turn.hasClaim && c.turn.previous == "" {
 		return c.takeFromLimit()
 	}
-	ctx, cancel := c.gate.withTimeout(c.r.Context(), min(admitTimeout, c.remaining()))
+	ctx, cancel := c.gate.withTimeout(c.r.Context(), admitTimeout(c.remaining()))
 	defer cancel()
 	var limited *errorResponse
 	var chainErr, budgetErr error
