turns: one slow store does not make the client wait for it

Cause: the delay before a turn or a chain is requested from further stores follows the time within which nine tenths of all replies arrive, up to 250 ms. With one slow store of nine, or of three, more than a tenth of the replies are late, so that turns waited 250 ms for that store instead of 40 ms, though the next one is fast. By simulation of the estimate: from one ninth of the replies on, it rises to 177 ms on average, from a sixth to 211 ms; 23 late replies in a row, as after a store that stood still, raise it from 4 to 250 ms, and 91 fast ones lower it to 40 ms.

Change: the time is estimated for each store, and the delay is that of the stores that would be asked next. Where all are slow, it is as before.

--- a/turns/call.go
+++ b/turns/call.go
@@ -78,7 +78,7 @@
 // these fails or is slow.
 func (s *shardCall[Req, Resp]) run(ctx context.Context) (map[StoreID]Resp, error) {
 	s.send(initialRequests(s.placement, s.stores, s.kind))
-	hedge := time.NewTimer(s.client.closeReplies.hedgeDelay(minSettleHedgeDelay))
+	hedge := time.NewTimer(s.client.closeReplies.hedgeDelay(minSettleHedgeDelay, s.stores[s.sent:]))
 	defer hedge.Stop()
 	mapPoll := time.NewTicker(retryInterval)
 	defer mapPoll.Stop()
@@ -150,7 +150,7 @@
 		startedAt := time.Now()
 		reply, err := wire.Call[Req, Resp](s.ctx, link, s.kind, s.newRequest(id, s.placement.Epoch))
 		if err == nil {
-			s.client.recordReply(s.kind, time.Since(startedAt))
+			s.client.recordReply(s.kind, id, time.Since(startedAt))
 		}
 		recordRequest(s.kind, startedAt, err)
 		select {
--- a/turns/chain.go
+++ b/turns/chain.go
@@ -120,8 +120,7 @@
 func (s *chainSearch) run(ctx context.Context) []Turn {
 	s.addMembers()
 	s.send(ctx, 1)
-	delay := s.client.chainReplies.hedgeDelay(minChainHedgeDelay)
-	hedge := time.NewTimer(delay)
+	hedge := time.NewTimer(s.client.chainReplies.hedgeDelay(minChainHedgeDelay, s.unasked()))
 	defer hedge.Stop()
 	hedged := false
 	mapPoll := time.NewTicker(retryInterval)
@@ -150,7 +149,7 @@
 			}
 			hedged = true
 			s.send(ctx, s.sent+2)
-			hedge.Reset(delay)
+			hedge.Reset(s.client.chainReplies.hedgeDelay(minChainHedgeDelay, s.unasked()))
 		case <-mapPoll.C: // A store that is down must not delay the requests to those that have replaced it.
 			if m := s.client.Map(); m != s.shardMap {
 				s.shardMap = m
@@ -164,6 +163,15 @@
 	return nil
 }
 
+// unasked returns the two stores that get the request next.
+func (s *chainSearch) unasked() []StoreID {
+	var ids []StoreID
+	for _, m := range s.members[s.sent:min(s.sent+2, len(s.members))] {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
 // addMembers adds the stores of the map that are not in the search yet.
 func (s *chainSearch) addMembers() {
 	if s.shardMap == nil {
@@ -201,7 +209,7 @@
 				reply, err = wire.Call[ChainRequest, ChainReply](ctx, link, KindChain, req)
 			}
 			if err == nil {
-				s.client.recordReply(KindChain, time.Since(startedAt))
+				s.client.recordReply(KindChain, member.ID, time.Since(startedAt))
 			}
 			recordRequest(KindChain, startedAt, err)
 			select {
--- a/turns/client.go
+++ b/turns/client.go
@@ -32,7 +32,7 @@
 	clockOnce sync.Once
 	cache     cache
 	// chainReplies and closeReplies set when slow stores are not waited for any longer.
-	chainReplies, closeReplies replyTime
+	chainReplies, closeReplies replyTimes
 	// background runs the requests to stores, some of which continue after a
 	// majority has replied.
 	background errgroup.Group
--- a/turns/hedge.go
+++ b/turns/hedge.go
@@ -7,13 +7,13 @@
 	"github.com/banyanspur/banyanspur/wire"
 )
 
-// replyTime estimates the time within which nine tenths of the replies of stores arrive.
-// Where all stores are slow, asking further ones after a fixed time would add work for them
-// when they can bear it least. The zero value is ready for use; it is safe for concurrent
+// replyTimes estimates, for each store, the time within which nine tenths of its replies
+// arrive. Where all stores are slow, asking further ones after a fixed time would add work for
+// them when they can bear it least. The zero value is ready for use; it is safe for concurrent
 // use.
-type replyTime struct {
-	mu       sync.Mutex
-	estimate time.Duration // 0 as long as there is no reply
+type replyTimes struct {
+	mu        sync.Mutex
+	estimates map[StoreID]time.Duration
 }
 
 const (
@@ -26,33 +26,44 @@
 	estimateFall = 0.98
 )
 
-// add records the time that a reply took.
-func (r *replyTime) add(d time.Duration) {
+// add records the time that a reply of a store took.
+func (r *replyTimes) add(id StoreID, d time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	estimate, ok := r.estimates[id]
 	switch {
-	case r.estimate == 0:
-		r.estimate = min(d, maxHedgeDelay)
-	case d > r.estimate:
-		r.estimate = min(time.Duration(float64(r.estimate)*estimateRise), maxHedgeDelay)
+	case !ok:
+		estimate = d
+	case d > estimate:
+		estimate = time.Duration(float64(estimate) * estimateRise)
 	default:
-		r.estimate = max(time.Duration(float64(r.estimate)*estimateFall), time.Millisecond)
+		estimate = time.Duration(float64(estimate) * estimateFall)
 	}
+	if r.estimates == nil {
+		r.estimates = map[StoreID]time.Duration{}
+	}
+	r.estimates[id] = min(max(estimate, time.Millisecond), maxHedgeDelay)
 }
 
-// hedgeDelay returns how long to wait for stores before others are asked, at least minimum.
-func (r *replyTime) hedgeDelay(minimum time.Duration) time.Duration {
+// hedgeDelay returns how long to wait for other stores before those in further are asked: as
+// long as the fastest of these takes itself, at least minimum. So one slow store delays no
+// request while the others are fast.
+func (r *replyTimes) hedgeDelay(minimum time.Duration, further []StoreID) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(r.estimate, minimum)
+	delay := maxHedgeDelay
+	for _, id := range further {
+		delay = min(delay, r.estimates[id])
+	}
+	return max(delay, minimum)
 }
 
-// recordReply records the time that a reply to a request took.
-func (c *Client) recordReply(kind wire.Kind, d time.Duration) {
+// recordReply records the time that a store's reply to a request took.
+func (c *Client) recordReply(kind wire.Kind, id StoreID, d time.Duration) {
 	switch kind {
 	case KindClose:
-		c.closeReplies.add(d)
+		c.closeReplies.add(id, d)
 	case KindChain:
-		c.chainReplies.add(d)
+		c.chainReplies.add(id, d)
 	}
 }
