fleet, platform: a plan that no message could carry is refused

The leader committed a plan of any size. Keys take more in the decoded form than in the operator's, so the bound of 16 MiB on the request does not suffice.

A plan whose two forms take more than 16 MiB is refused with payloadTooLarge, 413 for operators. That is over four times the configuration of 13,000 accounts and 1,800 targets in CAPACITY.md.

--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -8,6 +8,7 @@
 	"github.com/banyanspur/banyanspur/limit"
 	"github.com/banyanspur/banyanspur/plan"
 	"github.com/banyanspur/banyanspur/types"
+	"github.com/banyanspur/banyanspur/wire"
 )
 
 const (
@@ -197,6 +198,10 @@
 	return c.planTable
 }
 
+// maxDocumentBytes is the maximum size of a plan in both of its forms. A snapshot, which has
+// the rest of the state besides, is sent in one message.
+const maxDocumentBytes = wire.MaxMessageBytes - 8<<20
+
 // put replaces the plan. A plan whose version is not higher than that of the
 // plan in force is acknowledged without effect.
 func (c *Control) put(ctx context.Context, req PutPlan) (Result, error) {
@@ -209,6 +214,9 @@
 	if err != nil || upToDate {
 		return Result{PlanVersion: version}, err
 	}
+	if n := len(types.Encode(req.Document)); n > maxDocumentBytes {
+		return Result{}, types.NewFault(types.CodePayloadTooLarge, "the configuration takes %d bytes, at most %d are possible", n, maxDocumentBytes)
+	}
 	result, err := c.propose(ctx, Command{Put: &req})
 	c.Log.Write(event.OrderDecided, event.Fields{
 		"version": req.Document.Plan.Version, "inForce": result.PlanVersion, "changed": result.Changed, "failed": err != nil,
