host: read the settings file again at SIGHUP and every second

Cause: the platform may write the settings file anew, with or without SIGHUP. The program ignored both until its next start, so that it went on with seeds, limits, losses and an address of the target list that no longer held.

Change: the host reads the file every second and at once at SIGHUP. Contents that stay the same for 0.1 s and are valid are compared with the settings in force. Seeds, losses, zoneLosses, targetList, coldOver, coldSlack, keyStaleMS, graceSeconds and, except on stores, memoryMB change while the host runs (event 105). All other fields keep their values (event 106), also targetPace, paceSelective, and on stores memoryMB, linkMbps and catchUpSeconds. An invalid file is logged once (event 107). Hosts that may bootstrap the group keep the seeds of their start until it exists, since hosts that disagree could bootstrap two groups.

TestSignalMakesProgramReadItsSettings fails before the change (no request to the new address of the list in 20 s); the other new tests use new functions. TestBootstrapKeepsItsSeeds fails if the bootstrap uses the changed seeds.

--- a/cmd/banyanspur/join.go
+++ b/cmd/banyanspur/join.go
@@ -21,8 +21,11 @@
 	} `positional-args:"true" required:"true"`
 }
 
-// Execute runs one host until SIGTERM or SIGINT.
+// Execute runs one host until SIGTERM or SIGINT. SIGHUP makes it read its settings file again.
 func (c *joinCommand) Execute([]string) error {
+	reload := make(chan os.Signal, 1) // One signal that waits is enough: it makes the process read the whole file.
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	b, err := os.ReadFile(c.Settings)
 	if err != nil {
 		return errors.Wrap(err, "banyanspur: read settings")
@@ -33,15 +36,14 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP) // Settings are not reloaded: changes apply at the next start.
 	log, stopLog := event.NewAsync(os.Stdout)
 	defer stopLog()
 	n := &host.Node{
 		Role: c.Role.Name, Settings: settings, HeaderNames: platform.HeaderNames, ReadyPath: platform.ReadyPath,
-		OperatorHandler: platform.NewOperatorHandler, Log: log,
+		OperatorHandler: platform.NewOperatorHandler, SettingsFile: c.Settings, Reload: reload, Log: log,
 	}
 	if settings.TargetListAddress != "" {
-		n.ListTargets = platform.NewTargetLister(settings.TargetListAddress)
+		n.ListTargets = platform.NewMovingTargetLister(n.TargetListAddress)
 	}
 	err = n.Run(ctx)
 	if err != nil {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -10,6 +10,9 @@
 	HostDraining         = Kind{102, logrus.InfoLevel, "host draining"}
 	HostStopped          = Kind{103, logrus.InfoLevel, "host stopped"}
 	HostFailed           = Kind{104, logrus.ErrorLevel, "host failed"}
+	SettingsChanged      = Kind{105, logrus.InfoLevel, "changed settings in force"}
+	SettingsKept         = Kind{106, logrus.WarnLevel, "changed settings need a restart"}
+	SettingsRefused      = Kind{107, logrus.WarnLevel, "settings file refused, the settings in force stay"}
 	LeaderElected        = Kind{201, logrus.InfoLevel, "replica became leader"}
 	LeaderLost           = Kind{202, logrus.WarnLevel, "replica stopped leading"}
 	LogTruncated         = Kind{203, logrus.WarnLevel, "incomplete record cut from the end of the log"}
@@ -80,7 +83,7 @@
 // Catalog returns all kinds of events, ordered by number.
 func Catalog() []Kind {
 	return []Kind{
-		HostStarted, HostDraining, HostStopped, HostFailed,
+		HostStarted, HostDraining, HostStopped, HostFailed, SettingsChanged, SettingsKept, SettingsRefused,
 		LeaderElected, LeaderLost, LogTruncated, LogCorrupt, SnapshotWritten,
 		SnapshotInstalled, StorageFailed, DiskIOFailed, GroupBootstrapped, MembersChanged,
 		ShardMoved, ShardCopied, CopyFailed, ExpiryUnproven, StoreCapacity, ShardReformed, ReformExpired, DiskSlow, MembershipInDoubt,
--- a/fleet/bootstrap.go
+++ b/fleet/bootstrap.go
@@ -114,7 +114,8 @@
 	}
 	initialMembers := quorum.Members{}
 	allReady := true
-	for _, seed := range c.Seeds {
+	seeds := c.bootstrapSeeds()
+	for _, seed := range seeds {
 		r, err := c.sendHello(ctx, seed)
 		switch {
 		case err != nil:
@@ -127,7 +128,7 @@
 		allReady = allReady && r.MayBootstrap
 		initialMembers.Voters = append(initialMembers.Voters, quorum.Member{ID: r.ID, Host: types.HostID(seed)})
 	}
-	if !allReady || c.Address != slices.Min(c.Seeds) {
+	if !allReady || c.Address != slices.Min(seeds) {
 		return false, nil
 	}
 	slices.SortFunc(initialMembers.Voters, func(a, b quorum.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -49,6 +49,7 @@
 	syncedAt atomic.Int64
 
 	mu            sync.Mutex // guards the fields below
+	seeds         []string   // instead of Seeds after [Client.SetSeeds], or nil
 	controlHosts  []string   // addresses from the last sync reply
 	leader        string     // address of the last known leader, or empty
 	nextCandidate int        // index of the control host to try while the leader is unknown
@@ -173,11 +174,22 @@
 // candidates returns the addresses of all known control hosts without
 // duplicates. Callers must hold c.mu.
 func (c *Client) candidates() []string {
-	addresses := slices.Concat(c.controlHosts, c.Seeds)
+	seeds := c.Seeds
+	if c.seeds != nil {
+		seeds = c.seeds
+	}
+	addresses := slices.Concat(c.controlHosts, seeds)
 	slices.Sort(addresses)
 	return slices.Compact(addresses)
 }
 
+// SetSeeds replaces [Client.Seeds]. It may be called while the client runs.
+func (c *Client) SetSeeds(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = seeds
+}
+
 // selectHosts returns the address of the leader, if known, or else those of all control
 // hosts, the next one to try first.
 func (c *Client) selectHosts() []string {
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -69,6 +70,7 @@
 	replica *replica
 	id      quorum.ReplicaID
 	changes broadcast
+	seeds   atomic.Pointer[[]string] // instead of Seeds after [Control.Change], or nil
 	// commandSets are those that the other replicas have declared.
 	commandSets commandSets
 
--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -98,7 +98,8 @@
 	// holdCopies keeps stores that are started from now on from copying shards while it
 	// is set.
 	holdCopies atomic.Bool
-	disk       []store.Disk // of the first control hosts
+	disk       []store.Disk     // of the first control hosts
+	running    []*fleet.Control // those that were started, in this order
 }
 
 func newFleet(t testing.TB, controls int) *testFleet {
@@ -139,6 +140,7 @@
 				return targets, nil
 			},
 		}
+		f.running = append(f.running, c)
 		c.Register(server)
 		g.Go(func() error {
 			err := c.Run(ctx)
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -115,7 +115,7 @@
 // controlAddresses returns the addresses of the seeds and of the members in s,
 // without duplicates.
 func (c *Control) controlAddresses(s quorum.Status) []string {
-	addresses := slices.Clone(c.Seeds)
+	addresses := slices.Clone(c.currentSeeds())
 	for _, m := range s.Members.All() {
 		addresses = append(addresses, string(m.Host))
 	}
--- a/gate/backlog.go
+++ b/gate/backlog.go
@@ -36,9 +36,8 @@
 // that reads gets a piece at a time although others of its account do not read. It is safe
 // for concurrent use.
 type Backlog struct {
-	limit int64
-
 	mu       sync.Mutex
+	limit    int64
 	used     int64                     // 0 <= used; sum of accounts
 	accounts map[types.AccountID]int64 // without accounts that hold nothing
 }
@@ -48,6 +47,13 @@
 	return &Backlog{limit: limit, accounts: map[types.AccountID]int64{}}
 }
 
+// SetLimit changes the number of bytes. What is held beyond it stays until it is released.
+func (b *Backlog) SetLimit(limit int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = limit
+}
+
 // Take takes n bytes for a call of an account that holds own bytes already. It reports
 // whether the bytes are within the part of the call.
 func (b *Backlog) Take(account types.AccountID, own, n int64) bool {
--- a/gate/call.go
+++ b/gate/call.go
@@ -113,8 +113,8 @@
 // planIsStale reports whether the plan is too old to decide by it what does not exist or
 // is not allowed, as on a host that was frozen or is cut off.
 func (c *call) planIsStale() bool {
-	g := c.gate
-	return g.MaxPlanStaleness > 0 && g.Fleet.Staleness() > g.MaxPlanStaleness
+	longest := c.gate.settings().MaxPlanStaleness
+	return longest > 0 && c.gate.Fleet.Staleness() > longest
 }
 
 // requestURI returns the path and query exactly as the caller sent them.
--- a/gate/cold.go
+++ b/gate/cold.go
@@ -107,7 +107,7 @@
 		return 0, l, false
 	}
 	left = g.cold.cold.Left(id, s.ColdTime, now)
-	return left, g.ColdBound.Limit(s.ColdRate), left > 0
+	return left, g.settings().ColdBound.Limit(s.ColdRate), left > 0
 }
 
 // coldFound returns the targets that this host has found to have started, if their services
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -83,6 +83,7 @@
 	Log event.Log
 
 	initOnce     sync.Once
+	changed      atomic.Pointer[Settings] // settings in force; nil as long as they are those above
 	pool         fetch.Pool
 	dialer       relay.Dialer
 	relayServer  relay.Server
--- a/host/entry.go
+++ b/host/entry.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/banyanspur/banyanspur/config"
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/gate"
@@ -21,11 +22,15 @@
 	gt := &gate.Gate{
 		Host: n.Settings.Host, Zone: n.Settings.Zone, HeaderNames: n.HeaderNames, Fleet: n.client, Clock: n.clock, MaxPlanStaleness: n.Settings.MaxKeyStaleness(), Log: n.Log,
 		DialTarget: n.DialTarget, RelayAddress: n.Settings.PeerAddress(), Secret: n.secret,
-		ColdBound: n.coldBound(), TargetPace: n.Settings.TargetPace, PaceSelective: n.Settings.PaceSelective,
+		ColdBound: coldBound(n.Settings), TargetPace: n.Settings.TargetPace, PaceSelective: n.Settings.PaceSelective,
 		Backlog: gate.NewBacklog(gate.BacklogBytes(n.Settings.MemoryMB)),
 		Turns:   &turns.Client{Peers: n.peers, Zone: n.Settings.Zone, Map: func() *turns.Map { return n.client.View().Map }},
 	}
 	n.client.OnChange = func(v fleet.View) { gt.TargetsChanged(v.Targets) }
+	n.onSettings(func(s config.NodeSettings) {
+		gt.Change(gate.Settings{MaxPlanStaleness: s.MaxKeyStaleness(), ColdBound: coldBound(s)})
+		gt.Backlog.SetLimit(gate.BacklogBytes(s.MemoryMB))
+	})
 	listener, err := listen(ctx, n.Settings.CallerListen)
 	if err != nil {
 		return err
@@ -42,12 +47,13 @@
 		defer stop() // Not earlier: the gate returns its shares of rate limits over the links.
 		return gt.Run(gateCtx)
 	})
-	server := &gate.Server{Gate: gt, Listener: listener, Grace: n.Settings.Grace()}
+	server := &gate.Server{Gate: gt, Listener: listener}
 	g.Go(server.Serve)
 	g.Go(func() error {
 		defer stopGate()
 		waitEither(ctx, serveCtx)
 		n.Log.Write(event.HostDraining, event.Fields{"host": n.Settings.Host})
+		server.Grace = n.inForce().Grace()
 		if err := server.Drain(serveCtx); err != nil {
 			n.Log.Write(event.HostFailed, event.Fields{"host": n.Settings.Host, "error": err.Error(), "step": "drain"})
 		}
--- a/host/node.go
+++ b/host/node.go
@@ -5,9 +5,9 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -53,9 +53,16 @@
 	// DialTarget opens connections of an entry host to targets. The default is
 	// [fetch.DialTCP].
 	DialTarget func(ctx context.Context, address string) (net.Conn, error)
+	// SettingsFile is the file that Settings were read from. Its changes are applied while the
+	// process runs, as far as possible. If it is empty, there are none.
+	SettingsFile string
+	// Reload makes the process read SettingsFile at once. It may be nil.
+	Reload <-chan os.Signal
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
+	changed    atomic.Pointer[config.NodeSettings] // settings in force; nil as long as they are Settings
+	appliers   []func(s config.NodeSettings)       // called after each change
 	secret     string
 	peers      *wire.Pool
 	client     *fleet.Client
@@ -102,6 +109,9 @@
 	if err != nil {
 		return err
 	}
+	if n.SettingsFile != "" {
+		g.Go(func() error { return n.watchSettings(serveCtx) })
+	}
 	err = g.Wait()
 	if ctx.Err() != nil && errors.Is(err, context.Canceled) {
 		err = nil // A regular shutdown.
@@ -119,20 +129,24 @@
 		}
 		secret = strings.TrimSpace(string(b))
 	}
-	if mb := n.Settings.MemoryMB; mb > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(mb<<20)))
+	if n.Settings.MemoryMB > 0 {
+		setMemoryLimit(n.Settings)
 	}
 	n.secret = secret
 	n.clock = types.NewBootClock()
 	n.peers = &wire.Pool{Secret: secret, Log: n.Log, OwnAddress: n.Settings.PeerAddress()}
 	n.peerServer = &wire.Server{Secret: secret, Log: n.Log, OnPeer: n.peers.Redial}
 	n.client = &fleet.Client{Host: n.Settings.Host, Zone: n.Settings.Zone, Seeds: n.Settings.SeedPeerAddresses(), Peers: n.peers, Clock: n.clock, Log: n.Log}
+	n.onSettings(func(s config.NodeSettings) { n.client.SetSeeds(s.SeedPeerAddresses()) })
+	if n.Role != NodeStore {
+		n.onSettings(setMemoryLimit)
+	}
 	return nil
 }
 
 // coldBound returns the bound on the requests to cold targets.
-func (n *Node) coldBound() limit.ColdBound {
-	return limit.ColdBound{Over: n.Settings.ColdOver, Slack: n.Settings.ColdSlack}
+func coldBound(s config.NodeSettings) limit.ColdBound {
+	return limit.ColdBound{Over: s.ColdOver, Slack: s.ColdSlack}
 }
 
 // startPeerServer serves connections from other processes of the fleet, and the given
@@ -184,8 +198,11 @@
 func (n *Node) startControl(ctx, serveCtx context.Context, g *errgroup.Group, stop func()) error {
 	control := &fleet.Control{
 		Address: n.Settings.PeerAddress(), Seeds: n.Settings.SeedPeerAddresses(), AllowBootstrap: n.Settings.Founding, Dir: n.Settings.DataDir,
-		Losses: n.Settings.Losses, ZoneLosses: n.Settings.ZoneLosses, Peers: n.peers, Clock: n.clock, ListTargets: n.ListTargets, ColdBound: n.coldBound(), TargetPace: n.Settings.TargetPace, Log: n.Log,
+		Losses: n.Settings.Losses, ZoneLosses: n.Settings.ZoneLosses, Peers: n.peers, Clock: n.clock, ListTargets: n.ListTargets, ColdBound: coldBound(n.Settings), TargetPace: n.Settings.TargetPace, Log: n.Log,
 	}
+	n.onSettings(func(s config.NodeSettings) {
+		control.Change(fleet.ControlSettings{Seeds: s.SeedPeerAddresses(), Losses: s.Losses, ZoneLosses: s.ZoneLosses, ColdBound: coldBound(s)})
+	})
 	control.Register(n.peerServer)
 	if err := n.startPeerServer(serveCtx, g, nil); err != nil {
 		return err
--- a/host/operator.go
+++ b/host/operator.go
@@ -59,7 +59,7 @@
 // unknown.
 func (n *Node) drainOperators(server *http.Server, cancelRequests context.CancelFunc) {
 	defer cancelRequests()
-	wait := time.Duration(operatorDrainShare * float64(n.Settings.Grace()))
+	wait := time.Duration(operatorDrainShare * float64(n.inForce().Grace()))
 	if shutdown(server, wait) == nil {
 		return
 	}
