gate: a connection that is reset before the request does not make a target unreachable

Cause: a target at its limit of connections resets new ones. Such a request got 502 although it had provably not run. Since the check right before the write, it goes on to another target, but the first counted as unreachable, and, when it accepted the next connection, as one that has started and is cold.

Change: fetch.Error tells whether there was a connection. Only a target to which none could be opened counts as unreachable.

--- a/fetch/begin.go
+++ b/fetch/begin.go
@@ -17,12 +17,12 @@
 // begin takes a connection and writes as much of request to it as the kernel accepts at once,
 // n bytes. As long as no byte was accepted, the request cannot have reached the target, and
 // begin goes on to the next connection if it has taken an idle one. stop keeps ctx from
-// closing the connection.
+// closing the connection. A returned error is an *[Error].
 func (p *Pool) begin(ctx context.Context, address string, request []byte, newOnly bool) (_ *conn, n int, stop func() bool, err error) {
 	for {
 		c, err := p.connect(ctx, address, newOnly)
 		if err != nil {
-			return nil, 0, nil, err
+			return nil, 0, nil, &Error{Err: err}
 		}
 		c.setBusy(true)
 		stop := context.AfterFunc(ctx, func() { _ = c.Close() })
@@ -37,7 +37,7 @@
 		c.setBusy(false)
 		_ = c.Close()
 		if !c.idled || ctx.Err() != nil {
-			return nil, 0, nil, err
+			return nil, 0, nil, &Error{Connected: true, Err: err}
 		}
 		if errors.Is(err, errClosedBefore) {
 			idleCloses.Inc()
--- a/fetch/do.go
+++ b/fetch/do.go
@@ -40,7 +40,9 @@
 	// Sent is true unless it is certain that no byte of the request reached the
 	// target.
 	Sent bool
-	Err  error
+	// Connected is true if there was a connection to the target.
+	Connected bool
+	Err       error
 }
 
 // Error returns a description of the failure.
@@ -93,7 +95,7 @@
 	}
 	c, n, stop, err := p.begin(ctx, address, request, r.NewConnection)
 	if err != nil {
-		return nil, &Error{Err: err}
+		return nil, err
 	}
 	resp := &Response{Reused: c.used, pool: p, address: address, conn: c, written: make(chan struct{}), stopCancel: stop}
 	c.used = true
@@ -108,7 +110,7 @@
 		c.setBusy(false)
 		_ = c.Close()
 		_ = writer.Wait() // It ends since the connection is closed.
-		return nil, &Error{Sent: true, Err: err}
+		return nil, &Error{Sent: true, Connected: true, Err: err}
 	}
 	return resp, nil
 }
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -32,7 +32,8 @@
 	// outcomeMayHaveRun means that the target sent no valid response but may have
 	// run the request.
 	outcomeMayHaveRun
-	// outcomeUnreachable means that no connection to the target could be opened.
+	// outcomeUnreachable means that no connection to the target could be opened, or that the
+	// target closed it before the request was sent.
 	outcomeUnreachable
 	// outcomeExpired means that the deadline passed, the caller disconnected or the host
 	// is stopping.
@@ -201,7 +202,8 @@
 	switch {
 	case !mayHaveReached && c.remaining() > 0 && !canceled:
 		c.gate.limits.targets.refund(t.ID)
-		if !errors.Is(err, relay.ErrHostLost) {
+		// A target that resets a new connection may be at its limit of connections, and is up.
+		if !errors.Is(err, relay.ErrHostLost) && (fetchErr == nil || !fetchErr.Connected) {
 			c.gate.recordUnreachable(t)
 		}
 		return outcomeUnreachable
