soak: the deployment under faults runs the program within its limits

The test ran its own binary with a whole processor for each host. That binary differs from the program in signals, log, flags and linking, and without limits late processes never show.

It now builds the program once by the build line of deploy/system.toml, starts each host by the run line of its role, and writes settings with the template of the platform. Each process runs for its share of every 100 ms, also after it was started again; a fault that freezes a process and the quota have one owner, so neither continues what the other has stopped. Descriptors are limited, links between hosts have a rate (connections that a host accepts), and a process above its memory is killed. A process that ends by itself with no fault of its host fails the test. Both sizes have these limits.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -13,7 +13,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/banyanspur/banyanspur/host"
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -29,17 +28,21 @@
 	programs               float64 // per second
 }
 
-// deploymentSizes are the sizes by name. The grown one has the hosts, targets, callers and
-// memory limits of a deployment that users run, and a tenth of its 88 programs a second.
+// deploymentSizes are the sizes by name. Their hosts run the program within the limits of a
+// deployment that users run. The grown one has its hosts, targets and callers, and a tenth of
+// its 88 programs a second.
 var deploymentSizes = map[string]deploymentSize{
 	"small": {
-		fleet:  fleetSize{controls: 3, stores: 3, entries: 3, zones: 3, losses: 1, grace: 4, pace: true, plan: deploymentPlan},
+		fleet: fleetSize{
+			controls: 3, stores: 3, entries: 3, zones: 3, losses: 1, grace: 4, catchUp: 7.6, plan: deploymentPlan,
+			limits: deploymentLimits, asProgram: true,
+		},
 		models: 3, plain: 2, callers: 12, programs: 2,
 	},
 	"grown": {
 		fleet: fleetSize{
-			controls: 5, stores: 9, entries: 60, zones: 4, losses: 2, grace: 8, pace: true, plan: deploymentPlan,
-			memoryMB: map[host.NodeRole]int{host.NodeEntry: 184, host.NodeStore: 324, host.NodeControl: 280},
+			controls: 5, stores: 9, entries: 60, zones: 4, losses: 2, grace: 8, catchUp: 7.6, plan: deploymentPlan,
+			limits: deploymentLimits, asProgram: true,
 		},
 		models: 45, plain: 11, callers: 156, programs: 8.8,
 	},
@@ -82,9 +85,10 @@
 	planned    bool
 }
 
-// TestDeploymentUnderFaults guards against faults that only real processes show: requests
-// that are refused or lost in calm and around planned stops, acknowledged plans and turns
-// that are lost, and service that returns late, when hosts of a deployment under load fail
+// TestDeploymentUnderFaults guards against faults that only the program itself shows, with the
+// processor time, memory, descriptors and links that it has: requests that are refused or lost
+// in calm and around planned work, acknowledged plans and turns that are lost, processes that
+// end by themselves, and service that returns late, when hosts of a deployment under load fail
 // in series and all lose power at the end.
 func TestDeploymentUnderFaults(t *testing.T) {
 	size, ok := deploymentSizes[*sizeName]
@@ -143,6 +147,7 @@
 	finish()
 	d.checkServed(restartedAt)
 	d.checkStops()
+	d.checkEnds()
 	checkConfiguration(t, d.fleet, d.acked)
 	checkRuns(t, c, tg)
 	checkPrompts(t, c, tg)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -33,6 +33,10 @@
 	mu      sync.Mutex
 	process *exec.Cmd     // nil once the test has stopped it
 	exited  chan struct{} // closed when process has exited
+	quota   quota
+	ends    []processEnd
+	// peakMemory is the most anonymous memory of any of its processes, in bytes.
+	peakMemory int
 
 	// disturbedAt is when the process was last started or a fault of the host ended.
 	disturbedAt time.Time
@@ -48,6 +52,7 @@
 	rand        *rand.Rand
 	peers       *wire.Pool
 	client      *fleetpkg.Client // follows the fleet as a host does
+	program     *program         // nil for the test binary
 }
 
 // Ports of each host, on its own addresses.
@@ -67,6 +72,12 @@
 func newFleet(t *testing.T, size fleetSize, seed uint64, listAddress, binary string) *fleet {
 	t.Helper()
 	f := &fleet{t: t, size: size, netPrefix: fmt.Sprintf("127.%d", 20+os.Getpid()%200), listAddress: listAddress, rand: rand.New(&lockedSource{source: rand.NewPCG(seed, 1)})}
+	if size.asProgram {
+		var err error
+		if f.program, err = builtProgram(); err != nil {
+			t.Fatal(err)
+		}
+	}
 	for i := range size.controls + size.stores + size.entries {
 		h := &testHost{t: t, number: i + 1, dir: t.TempDir(), binary: binary}
 		role, n := size.role(i)
@@ -96,6 +107,8 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	r.limitRate(f.size.limits[h.role].linkMbps)
+	go r.accept()
 	h.relay = r
 	file, err := os.Create(filepath.Join(h.dir, "log"))
 	if err != nil {
@@ -114,12 +127,6 @@
 	text := fmt.Sprintf("host = %q\nzone = %q\naddress = %q\nbind = \"%s.2.%d\"\npeerPorts = [%d, %d]\nseeds = [%s]\n",
 		h.name, h.zone, address, f.netPrefix, h.number, peerPort, metricsPort, seeds)
 	text += fmt.Sprintf("founding = %t\nlosses = %d\ngraceSeconds = %.1f\ntargetList = %q\n", founding, f.size.losses, f.size.grace, f.listAddress)
-	if f.size.pace {
-		text += "targetPace = true\npaceSelective = true\n"
-	}
-	if mb := f.size.memoryMB[h.role]; mb > 0 {
-		text += fmt.Sprintf("memoryMB = %d\n", mb)
-	}
 	switch h.role {
 	case host.NodeEntry:
 		text += fmt.Sprintf("callerListen = \"%s:%d\"\nreadyListen = \"%s:%d\"\n", address, callerPort, address, readyPort)
@@ -129,6 +136,9 @@
 	if h.role != host.NodeEntry {
 		text += fmt.Sprintf("dataDir = %q\n", filepath.Join(h.dir, "data"))
 	}
+	if f.program != nil {
+		text = f.programSettings(h, founding)
+	}
 	file := filepath.Join(h.dir, "settings.toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
@@ -142,32 +152,48 @@
 	settings := f.writeSettings(h, founding)
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), settingsEnv+"="+settings, roleEnv+"="+string(h.role), partitionEnv+"="+h.partition().file, "GOMAXPROCS=1")
+	if f.program != nil {
+		cmd = f.program.command(h.role, settings)
+	}
 	if h.binary != "" {
 		cmd = exec.Command(h.binary, "join", string(h.role), "--settings", settings)
 		cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
 	}
 	output := pipeWriter{h.log}
 	cmd.Stdout, cmd.Stderr = output, output
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if err := cmd.Start(); err != nil {
 		f.t.Fatal(err)
 	}
 	exited := make(chan struct{})
+	h.process, h.exited, h.disturbedAt, h.quota = cmd, exited, time.Now(), quota{}
 	go func() {
 		_ = cmd.Wait() // A killed process exits with an error.
+		h.recordEnd(cmd)
 		close(exited)
 	}()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.process, h.exited, h.disturbedAt = cmd, exited, time.Now()
+	f.enforceLimits(h, cmd, exited)
 }
 
-// signal sends a signal to a host's process.
+// signal sends a signal to a host's process. SIGSTOP freezes the process until SIGCONT,
+// whatever its quota of processor time.
 func (h *testHost) signal(sig syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.process != nil {
-		_ = h.process.Process.Signal(sig) // The process may have exited already.
+	if h.process == nil {
+		return
 	}
+	switch sig {
+	case syscall.SIGSTOP:
+		h.quota.frozen = true
+	case syscall.SIGCONT:
+		h.quota.frozen = false
+		if h.quota.spent {
+			return // The process continues with its next period.
+		}
+	}
+	_ = h.process.Process.Signal(sig) // The process may have exited already.
 }
 
 // hasExited reports whether a host's process has exited though the test has not stopped it.
@@ -185,17 +211,19 @@
 	}
 }
 
-// stop sends a signal to a host's process and waits for the process to exit.
-func (h *testHost) stop(sig syscall.Signal) {
+// stop sends a signal to a host's process and waits for the process to exit. It returns the
+// state of the process, or nil if there was none.
+func (h *testHost) stop(sig syscall.Signal) *os.ProcessState {
 	h.mu.Lock()
 	cmd, exited := h.process, h.exited
 	h.process = nil
 	h.mu.Unlock()
 	if cmd == nil {
-		return
+		return nil
 	}
 	_ = cmd.Process.Signal(sig) // The process may have exited already.
 	<-exited
+	return cmd.ProcessState
 }
 
 // stopAll kills all hosts. If the test has failed, it keeps their logs.
--- a/soak/main_test.go
+++ b/soak/main_test.go
@@ -41,7 +41,9 @@
 		os.Exit(0)
 	}
 	flag.Parse()
-	os.Exit(m.Run())
+	code := m.Run()
+	removeProgram()
+	os.Exit(code)
 }
 
 // runHost runs one host until SIGTERM.
--- a/soak/relay_test.go
+++ b/soak/relay_test.go
@@ -36,6 +36,40 @@
 	conns map[net.Conn]bool
 	// silenced is closed to make the connections that are open discard all bytes for good.
 	silenced chan struct{}
+
+	toHost, fromHost link
+}
+
+// link delays bytes to a rate over all connections in one direction.
+type link struct {
+	bytesPerSecond float64 // 0 for no limit
+
+	mu   sync.Mutex
+	free time.Time // when the bytes so far have passed
+}
+
+// limitRate limits the bytes in either direction, before any are forwarded.
+func (r *relay) limitRate(mbps float64) {
+	r.toHost.bytesPerSecond, r.fromHost.bytesPerSecond = mbps*1e6/8, mbps*1e6/8
+}
+
+// wait returns when n more bytes have passed.
+func (l *link) wait(n int) {
+	if l.bytesPerSecond == 0 {
+		return
+	}
+	l.mu.Lock()
+	now := time.Now()
+	if l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(n) / l.bytesPerSecond * float64(time.Second)))
+	free := l.free
+	l.mu.Unlock()
+	// Waits shorter than the machine can sleep add up until they are long enough.
+	if wait := free.Sub(now); wait > time.Millisecond {
+		time.Sleep(wait)
+	}
 }
 
 // newRelay starts a relay that listens on address and forwards to hostAddress.
@@ -45,7 +79,6 @@
 		return nil, err
 	}
 	r := &relay{hostAddress: hostAddress, listener: l, conns: map[net.Conn]bool{}, silenced: make(chan struct{})}
-	go r.accept()
 	return r, nil
 }
 
@@ -144,6 +177,11 @@
 		case modeDelay:
 			time.Sleep(relayDelay)
 		}
+		if dropMode == modeDropTo {
+			r.toHost.wait(n)
+		} else {
+			r.fromHost.wait(n)
+		}
 		if _, werr := to.Write(b[:n]); err != nil || werr != nil {
 			return
 		}
--- a/soak/size_test.go
+++ b/soak/size_test.go
@@ -11,10 +11,14 @@
 type fleetSize struct {
 	controls, stores, entries, zones int
 
-	losses   int     // number of hosts with a disk that may be lost at once
-	grace    float64 // seconds
-	memoryMB map[host.NodeRole]int
-	pace     bool
+	losses  int     // number of hosts with a disk that may be lost at once
+	grace   float64 // seconds
+	catchUp float64 // seconds; used if asProgram is set
+	// limits holds what hosts have, by role.
+	limits map[host.NodeRole]hostLimits
+	// asProgram is set if hosts run the program as deploy/system.toml builds and starts it,
+	// instead of the test binary.
+	asProgram bool
 	// plan returns the plan with a version in the platform's format.
 	plan func(version int) []byte
 }
