soak: planned work of every host, and lost requests at all times

Planned stops hit entry hosts only, SIGHUP was never sent, and lost requests were looked for beside these stops alone.

Control hosts and stores now stop as planned one after another, and again beside entry hosts; SIGHUPs come at random times to all hosts. Beside planned work and without a fault for 4 s no request may be cut, at whatever host; at all times at most three requests of kept connections that a target ran may be cut at hosts without a fault. Turns are continued at random entry hosts all the time, also at those with faults; none may be answered as unknown. No turn may miss all targets in five tries in calm while nine tenths of first turns reach one.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -76,6 +76,9 @@
 	acked   int // newest version that the operator got an acknowledgment of
 	replies map[string]int
 	ack     chan struct{} // gets a value at each acknowledgment, if it is received
+	hangups []hangup
+	// brokeOff reports whether the target that ran an attempt ended meanwhile; nil if none does.
+	brokeOff func(a attempt) bool
 }
 
 // period is the time of a fault, or of a planned stop.
@@ -130,6 +133,8 @@
 	g.Go(func() error { d.load.run(ctx, seed, programs); return nil })
 	g.Go(func() error { d.change(ctx); return nil })
 	g.Go(func() error { d.restartExited(ctx); return nil })
+	g.Go(func() error { d.hangUp(ctx, seed); return nil })
+	g.Go(func() error { d.continueTurns(ctx, seed); return nil })
 	var restartedAt time.Time
 	finish := sync.OnceFunc(func() {
 		cancel()
@@ -146,7 +151,8 @@
 	types.Sleep(ctx, 2*window)
 	finish()
 	d.checkServed(restartedAt)
-	d.checkStops()
+	d.checkLost()
+	d.checkUnreached()
 	d.checkEnds()
 	checkConfiguration(t, d.fleet, d.acked)
 	checkRuns(t, c, tg)
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -20,16 +20,22 @@
 //	go test ./soak -timeout 0 -seeds 50 -first 1000 -for 20s
 //
 // TestDeploymentUnderFaults runs programs with open connections, rotation by readiness and
-// retries against a deployment, small by default. Faults overlap and come in series; planned
-// stops follow in calm, then all hosts of a role, or all hosts, fail. At the end all hosts
-// lose power right after an acknowledged change, and as many as tolerated lose their disks.
-// The test counts per 2 s what was offered, connected and served, and why the rest was not.
+// retries against a deployment, small by default. Its hosts run the program as
+// deploy/system.toml builds and starts it, with settings from its template, and have the
+// limits of a deployment: each process is stopped for the rest of each 100 ms beyond its share
+// of the processor, is killed if it exceeds its memory, and has so many descriptors; the
+// relays delay traffic between hosts to the rates of their links. Faults overlap and come in
+// series; planned stops of control hosts, stores and entry hosts follow in calm, then all hosts
+// of a role, or all hosts, fail. SIGHUPs come at all times. At the end all hosts lose power
+// right after an acknowledged change, and as many as tolerated lose their disks. The test
+// counts per 2 s what was offered, connected and served, and why the rest was not, also by
+// availability zone, client account and kind of request.
 // The size "grown" has 74 hosts and 56 targets; it takes 2 to 3 of 8 processors at 25
 // programs a second and 4 at 70 (-programs):
 //
 //	go test ./soak -run TestDeploymentUnderFaults -timeout 0 -size grown -first 1 -seeds 1 -for 60s
 //
 // Not injected: writes that a loss of power takes back without a trace, since no process is
-// asked what it has synced, and hosts without power that do not answer at all: a killed
-// process resets its connections.
+// asked what it has synced, slow syncs, links of a limited rate to callers and targets, and
+// hosts without power that do not answer at all: a killed process resets its connections.
 package soak
--- /dev/null
+++ b/soak/lost_test.go
@@ -0,0 +1,191 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/types"
+)
+
+const (
+	// maxCuts is how many requests of kept connections may end without a response though a
+	// target has run them, at hosts without a fault and beside no planned work.
+	maxCuts = 3
+	// hangupTime is the time after a SIGHUP within which requests count as sent beside it.
+	hangupTime = 2500 * time.Millisecond
+	// stopSettles is the time after a planned stop within which requests count as sent
+	// beside it.
+	stopSettles = time.Second
+	// continueInterval is the time between two turns that continue an earlier one.
+	continueInterval = 100 * time.Millisecond
+	// unreachedTries is after how many tries a turn must have reached a target, in calm while
+	// reachedShare of first turns do.
+	unreachedTries = 5
+	reachedShare   = 0.9
+)
+
+// continueTurns continues turns that were answered whole in the last retainedTime at random
+// entry hosts, also at those that have a fault, until ctx ends. [checkRuns] checks that none
+// is answered as unknown.
+func (d *deployment) continueTurns(ctx context.Context, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 13))
+	var g errgroup.Group
+	for types.Sleep(ctx, continueInterval) {
+		a, ok := d.randomTurn(r)
+		if !ok {
+			continue
+		}
+		entry := d.fleet.entries()[r.IntN(d.fleet.size.entries)]
+		g.Go(func() error {
+			d.callers.sendTo(context.Background(), entry, attempt{
+				account: a.account, path: a.path, requestBody: "on;", previous: a.id, program: "again " + a.id,
+				budget: 100 * a.budget, maxTokens: a.maxTokens, timeout: turnTimeout,
+			})
+			return nil
+		})
+	}
+	_ = g.Wait() // The goroutines always return nil.
+}
+
+// randomTurn returns a turn of a program that was answered whole in the last retainedTime.
+func (d *deployment) randomTurn(r *rand.Rand) (attempt, bool) {
+	d.callers.mu.Lock()
+	defer d.callers.mu.Unlock()
+	list := d.callers.attempts
+	from, _ := slices.BinarySearchFunc(list, time.Now().Add(-retainedTime), func(a attempt, t time.Time) int { return a.endedAt.Compare(t) })
+	for range 20 { // Most requests are no turns.
+		if from == len(list) {
+			break
+		}
+		a := list[from+r.IntN(len(list)-from)]
+		if a.path == "/turn/" && a.status == http.StatusOK && a.complete && !strings.HasPrefix(a.program, "again ") {
+			return a, true
+		}
+	}
+	return attempt{}, false
+}
+
+// isCut reports whether a request that the host had read, or that a target had run, ended
+// without a complete response before its time.
+func (d *deployment) isCut(a attempt) bool {
+	took := a.endedAt.Sub(a.sentAt)
+	if a.complete || !a.connected || took >= a.timeout-50*time.Millisecond || d.brokeOff != nil && d.brokeOff(a) {
+		return false
+	}
+	return took > unreadTime || len(d.targets.runsOf(a.id)) > 0
+}
+
+// plannedBeside returns the planned work beside an attempt: stops of any host, and SIGHUPs of
+// its own host before it ended.
+func (d *deployment) plannedBeside(a attempt) (work []string) {
+	for _, p := range d.faults {
+		if p.planned && a.endedAt.After(p.from) && a.sentAt.Before(p.to.Add(stopSettles)) {
+			work = append(work, fmt.Sprintf("%s: %s, %v before the end", p.host, p.what, a.endedAt.Sub(p.from)))
+		}
+	}
+	for _, h := range d.hangups {
+		if h.host == a.entry && a.endedAt.After(h.at) && a.sentAt.Before(h.at.Add(hangupTime)) {
+			work = append(work, fmt.Sprintf("%s: SIGHUP, %v before the end", h.host, a.endedAt.Sub(h.at)))
+		}
+	}
+	return work
+}
+
+// checkLost checks that no request ends without a complete response beside planned work if no
+// fault was active from calmTime before, and that at all times at most maxCuts do that a target
+// had run, over kept connections to hosts without a fault of their own. A change of the plan is
+// sent every changeInterval, so there is no time without one to compare with.
+func (d *deployment) checkLost() {
+	cuts, planned, beside, atDeadline := 0, 0, 0, 0
+	for _, a := range d.callers.attempts {
+		disturbed := d.isDisturbed(a)
+		work := d.plannedBeside(a)
+		if !disturbed && len(work) > 0 {
+			beside++
+		}
+		if a.status == http.StatusOK && !a.complete && !disturbed && a.endedAt.Sub(a.sentAt) >= a.timeout-50*time.Millisecond {
+			atDeadline++
+		}
+		if !d.isCut(a) {
+			continue
+		}
+		runs := len(d.targets.runsOf(a.id))
+		text := fmt.Sprintf("%s %s on %s, sent at %.3f, reused connection %t, ran %d times, ended after %v with status %d: %s",
+			a.path, a.id, a.entry, a.sentAt.Sub(d.started).Seconds(), a.reused, runs, a.endedAt.Sub(a.sentAt), a.status, a.failure)
+		if !disturbed && len(work) > 0 {
+			planned++
+			d.t.Errorf("lost beside planned work: %s; %s", text, strings.Join(work[:min(len(work), 5)], ", "))
+		}
+		if a.reused && runs > 0 && !d.isFaulty(a.entry, a.endedAt, a.sentAt.Add(-calmTime)) {
+			cuts++
+			d.t.Logf("cut: %s", text)
+		}
+	}
+	if cuts > maxCuts {
+		d.t.Errorf("%d requests over kept connections to hosts without a fault ended without a response though a target had run them, at most %d may", cuts, maxCuts)
+	}
+	d.t.Logf("%d requests beside planned work, %d lost; %d of %d requests cut on hosts without a fault; %d responses in calm open at their deadline; %d SIGHUPs",
+		beside, planned, cuts, len(d.callers.attempts), atDeadline, len(d.hangups))
+	if beside == 0 || len(d.hangups) == 0 {
+		d.t.Error("nothing was sent beside planned work")
+	}
+}
+
+// isInCalm reports whether no fault was active from calmTime before an attempt until its end,
+// and none of a group of hosts from recoveryTime before.
+func (d *deployment) isInCalm(a attempt) bool {
+	for _, p := range d.faults {
+		settled := calmTime
+		if p.host == "group" {
+			settled = recoveryTime
+		}
+		if !p.planned && p.from.Before(a.endedAt) && p.to.After(a.sentAt.Add(-settled)) {
+			return false
+		}
+	}
+	return true
+}
+
+// checkUnreached checks that no turn that continues another one reaches no target in
+// unreachedTries in calm while reachedShare of first turns do.
+func (d *deployment) checkUnreached() {
+	type tries struct{ sent, reached int }
+	later := map[string]*tries{} // by program and input
+	var first tries
+	for _, a := range d.callers.attempts {
+		if a.path != "/turn/" || !a.connected || a.status == http.StatusPaymentRequired || !d.isInCalm(a) {
+			continue
+		}
+		n := &first
+		if a.previous != "" {
+			key := a.program + " " + a.previous + " " + a.requestBody
+			if n = later[key]; n == nil {
+				n = &tries{}
+				later[key] = n
+			}
+		}
+		n.sent++
+		if len(d.targets.runsOf(a.id)) > 0 {
+			n.reached++
+		}
+	}
+	share := float64(first.reached) / float64(max(1, first.sent))
+	most := 0
+	for key, n := range later {
+		if n.reached > 0 {
+			continue
+		}
+		most = max(most, n.sent)
+		if n.sent >= unreachedTries && share >= reachedShare {
+			d.t.Errorf("a turn reached no target in %d tries in calm, %.2f of first turns do: %.60s", n.sent, share, key)
+		}
+	}
+	d.t.Logf("%d of %d first turns reached a target in calm; one of %d later turns reached none in %d tries", first.reached, first.sent, len(later), most)
+}
--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -80,14 +80,14 @@
 }
 
 // injectSeries injects bursts of faults that overlap, each followed by a calm time with
-// planned stops of entry hosts, for about duration.
+// planned work, for about duration.
 func (d *deployment) injectSeries(duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		d.injectBurst(min(burstTime, duration/2))
 		d.fleet.waitRecovered()
 		d.note("all hosts with a disk have recovered; load average %s", loadAverage())
 		time.Sleep(calmTime)
-		d.stopInTurn(min(calmSpan, duration/2))
+		d.doPlannedWork(min(calmSpan, duration/2))
 		if time.Now().Before(end) {
 			d.injectGroupFault()
 		}
@@ -245,12 +245,7 @@
 	atOnce := max(1, f.size.entries/20)
 	for end := time.Now().Add(length); time.Now().Before(end) && len(hosts) > 0; time.Sleep(interval) {
 		for _, h := range hosts[:min(atOnce, len(hosts))] {
-			g.Go(func() {
-				d.during(h, "planned stop", true, func() {
-					h.stop(syscall.SIGTERM)
-					f.start(h, false)
-				})
-			})
+			g.Go(func() { d.stopPlanned(h) })
 		}
 		hosts = hosts[min(atOnce, len(hosts)):]
 		if f.size.entries <= 3 {
--- a/soak/served_test.go
+++ b/soak/served_test.go
@@ -109,33 +109,6 @@
 	}
 }
 
-// checkStops checks that no request ends without a complete response around a planned stop
-// of its host, unless another fault was active or its time had passed.
-func (d *deployment) checkStops() {
-	lost, checked := 0, 0
-	for _, p := range d.faults {
-		if !p.planned {
-			continue
-		}
-		for _, a := range d.callers.attempts {
-			if a.entry != p.host || a.sentAt.Before(p.from) || a.sentAt.After(p.to) || d.isDisturbed(a) {
-				continue
-			}
-			checked++
-			took := a.endedAt.Sub(a.sentAt)
-			if a.complete || took >= a.timeout-50*time.Millisecond || !a.connected {
-				continue
-			}
-			if runs := d.targets.runsOf(a.id); len(runs) > 0 || took > unreadTime {
-				lost++
-				d.t.Errorf("%s %s on %s, sent %v after its planned stop began, reused connection %t, ran %d times, ended after %v with status %d: %s",
-					a.path, a.id, a.entry, a.sentAt.Sub(p.from), a.reused, len(runs), took, a.status, a.failure)
-			}
-		}
-	}
-	d.t.Logf("%d requests were sent to hosts during their planned stops, %d had no complete response", checked, lost)
-}
-
 // isDisturbed reports whether a fault was active from calmTime before an attempt until its
 // end.
 func (d *deployment) isDisturbed(a attempt) bool {
