soak: shares served in calm by availability zone, account and kind of request

A group of requests that is served badly was hidden by the others. The share served in calm is now checked for each availability zone, client account and kind of request against the bound of all requests: over the whole calm time, and within each window that holds at least 30 requests of the group.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -151,6 +151,7 @@
 	types.Sleep(ctx, 2*window)
 	finish()
 	d.checkServed(restartedAt)
+	d.checkShares(restartedAt)
 	d.checkLost()
 	d.checkUnreached()
 	d.checkEnds()
