--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -82,13 +82,19 @@
 	return took > unreadTime || len(d.targets.runsOf(a.id)) > 0
 }
 
-// plannedBeside returns the planned work beside an attempt: stops of any host, and SIGHUPs of
-// its own host before it ended.
+// plannedBeside returns the planned work beside an attempt: stops of any host, that of its own
+// host first, and SIGHUPs of its own host before it ended.
 func (d *deployment) plannedBeside(a attempt) (work []string) {
 	for _, p := range d.faults {
-		if p.planned && a.endedAt.After(p.from) && a.sentAt.Before(p.to.Add(stopSettles)) {
-			work = append(work, fmt.Sprintf("%s: %s, %v before the end", p.host, p.what, a.endedAt.Sub(p.from)))
+		if !p.planned || !a.endedAt.After(p.from) || !a.sentAt.Before(p.to.Add(stopSettles)) {
+			continue
+		}
+		text := fmt.Sprintf("%s: %s, %v before the end", p.host, p.what, a.endedAt.Sub(p.from))
+		if p.host == a.entry {
+			work = slices.Insert(work, 0, text)
+			continue
 		}
+		work = append(work, text)
 	}
 	for _, h := range d.hangups {
 		if h.host == a.entry && a.endedAt.After(h.at) && a.sentAt.Before(h.at.Add(hangupTime)) {
