soak: targets, plans and addresses of hosts change in the deployment under faults

TestDeploymentUnderFaults ran with targets that never failed and with changes of a note only. The test checks that no request is handled as only a version allows that can no longer be in force, and that draining targets get no requests of hosts in touch. A control host, a store and an entry host are replaced at other addresses. Requests that a target broke off by ending do not count as lost.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -67,6 +67,9 @@
 	targets *targets
 	load    *load
 	started time.Time
+	// versions are those of the plan, and probes the requests that check them.
+	versions *versions
+	probes   *callers
 
 	mu      sync.Mutex
 	faults  []period
@@ -98,6 +101,7 @@
 
 func runDeployment(t *testing.T, size deploymentSize, seed uint64) {
 	begin := time.Now()
+	size.fleet.plan = changingPlan(seed)
 	c, tg := startSize(t, size.fleet, seed, size.models, size.plain)
 	tg.mu.Lock()
 	tg.events, tg.eventGap, tg.slowTurns, tg.calls = turnEvents, turnEventGap, slowTurns, map[string]time.Duration{}
@@ -107,6 +111,7 @@
 	tg.mu.Unlock()
 	c.attempts = nil
 	d := &deployment{t: t, fleet: c.fleet, callers: c, targets: tg, started: begin, replies: map[string]int{}, ack: make(chan struct{}), acked: 1}
+	d.versions, d.probes = newVersions(seed), &callers{fleet: c.fleet, lastID: 5_000_000}
 	d.note("the first turn was served")
 	d.fleet.waitRecovered()
 	d.note("all shards have all copies")
@@ -124,7 +129,11 @@
 		programs = *rate
 	}
 	g.Go(func() error { d.load.run(ctx, seed, programs); return nil })
-	g.Go(func() error { d.change(ctx); return nil })
+	g.Go(func() error { d.change(ctx, seed); return nil })
+	g.Go(func() error { d.sendChecks(ctx, seed); return nil })
+	g.Go(func() error { d.readVersions(ctx, seed); return nil })
+	churn := newChurn(d, seed)
+	g.Go(func() error { churn.run(ctx); return nil })
 	g.Go(func() error { d.restartExited(ctx); return nil })
 	var restartedAt time.Time
 	finish := sync.OnceFunc(func() {
@@ -134,6 +143,7 @@
 	})
 	defer finish() // Also if a wait has timed out.
 	types.Sleep(ctx, calmTime+window)
+	d.replaceHosts()
 	d.injectSeries(*duration)
 	types.Sleep(ctx, calmTime+window)
 	restartedAt = d.injectFinalFault()
@@ -141,8 +151,12 @@
 	d.checkTurns()
 	types.Sleep(ctx, 2*window)
 	finish()
-	d.checkServed(restartedAt)
-	d.checkStops()
+	d.withoutBrokenOff(func() {
+		d.checkServed(restartedAt)
+		d.checkStops()
+	})
+	churn.checkDrained()
+	d.checkVersions()
 	checkConfiguration(t, d.fleet, d.acked)
 	checkRuns(t, c, tg)
 	checkPrompts(t, c, tg)
@@ -154,29 +168,6 @@
 	d.t.Logf("%7.3f %s", time.Since(d.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// change sends new versions of the plan until ctx ends.
-func (d *deployment) change(ctx context.Context) {
-	for version := 2; types.Sleep(ctx, changeInterval); version++ {
-		begin := time.Now()
-		code, _ := d.fleet.requestConfig(version, http.MethodPut, d.fleet.size.plan(version))
-		d.mu.Lock()
-		d.replies[fmt.Sprint(code)]++
-		if code == http.StatusOK {
-			d.acked = version
-		}
-		d.mu.Unlock()
-		if took := time.Since(begin); code != http.StatusOK || took > time.Second {
-			d.note("version %d: status %d after %v", version, code, took.Round(time.Millisecond))
-		}
-		if code == http.StatusOK {
-			select {
-			case d.ack <- struct{}{}:
-			default:
-			}
-		}
-	}
-}
-
 // checkTurns checks that turns with a complete response in the last retainedTime can be
 // continued. It samples maxSample of them.
 func (d *deployment) checkTurns() {
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -23,6 +23,9 @@
 // retries against a deployment, small by default. Faults overlap and come in series; planned
 // stops follow in calm, then all hosts of a role, or all hosts, fail. At the end all hosts
 // lose power right after an acknowledged change, and as many as tolerated lose their disks.
+// All the while targets crash, return, are slow, drain, leave, are added and get the addresses
+// of others, and operators move, split, add and remove routes, keys and timeouts, two at once
+// at times. A control host, a store and an entry host are replaced at other addresses.
 // The test counts per 2 s what was offered, connected and served, and why the rest was not.
 // The size "grown" has 74 hosts and 56 targets; it takes 2 to 3 of 8 processors at 25
 // programs a second and 4 at 70 (-programs):
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -25,6 +25,7 @@
 	id, account, key, path, body string
 	target                       string
 	startedAt                    time.Time
+	server                       *targetServer
 }
 
 // targets are the targets of the fleet and the server that lists them in the
@@ -54,6 +55,8 @@
 	// slowTurns is the number of turns of which one takes slowTurnFactor times as long; no
 	// turn does if it is 0.
 	slowTurns int
+	// misdirected counts the requests for other targets, which were refused.
+	misdirected atomic.Int64
 }
 
 const slowTurnFactor = 6
@@ -86,9 +89,9 @@
 func startTargets(models, plain int) (*targets, string, error) {
 	t := &targets{runs: map[string][]run{}, arrivals: map[string][]time.Time{}, draining: map[string]bool{}, events: 2, eventGap: 10 * time.Millisecond}
 	for i := range models + plain {
-		service, handler := "models", t.serveTurn
+		service := "models"
 		if i >= models {
-			service, handler = "plain", t.serveCall
+			service = "plain"
 		}
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
@@ -98,7 +101,7 @@
 		t.list = append(t.list, map[string]any{
 			"id": id, "service": service, "address": l.Addr().String(), "zone": fmt.Sprint("zone-", i%3), "version": "v1", "slots": 50, "state": "ready", "cold_left_ms": 0,
 		})
-		t.serve(l, handler)
+		t.serveTarget(l, id, service)
 	}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -117,12 +120,36 @@
 }
 
 func (t *targets) serve(l net.Listener, h http.HandlerFunc) {
-	s := &targetServer{address: l.Addr().String()}
+	s := &targetServer{address: l.Addr().String(), handler: h}
+	s.serveOn(l)
+	t.servers = append(t.servers, s)
+}
+
+// serveTarget starts a target of a service. It refuses requests for other targets.
+func (t *targets) serveTarget(l net.Listener, id, service string) *targetServer {
+	s := &targetServer{address: l.Addr().String(), id: id, service: service, inFlight: map[string]bool{}, brokenOff: map[string]bool{}}
 	s.handler = func(w http.ResponseWriter, r *http.Request) {
-		h(w, r.WithContext(context.WithValue(r.Context(), serverKey{}, s)))
+		if name := r.Header.Get("X-Target-Instance"); name != "" && name != id {
+			t.refuseMisdirected(w, r)
+			return
+		}
+		requestID := r.Header.Get("X-Request-Id")
+		s.setInFlight(requestID, true)
+		// The end of the response is written after the handler has returned.
+		defer time.AfterFunc(responseFlushTime, func() { s.setInFlight(requestID, false) })
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		r = r.WithContext(context.WithValue(r.Context(), serverKey{}, s))
+		if service == "models" {
+			t.serveTurn(w, r)
+			return
+		}
+		t.serveCall(w, r)
 	}
 	s.serveOn(l)
 	t.servers = append(t.servers, s)
+	return s
 }
 
 func (t *targets) close() {
@@ -136,18 +163,24 @@
 
 // targetServer is the process of one target, which can end and start again.
 type targetServer struct {
-	address string
-	handler http.HandlerFunc
+	address     string
+	id, service string // empty if this is the server of the list
+	handler     http.HandlerFunc
+	slowdown    atomic.Int64 // factor by which requests take longer, if it is above 1
+	leaving     atomic.Bool  // responses close their connections
 
-	mu      sync.Mutex
-	server  *http.Server // nil while the process is down
-	stopped bool         // for good
+	mu          sync.Mutex
+	idleTimeout time.Duration   // connections that are idle for so long are closed; 0 means never
+	server      *http.Server    // nil while the process is down
+	stopped     bool            // for good
+	inFlight    map[string]bool // requests that run, by ID
+	brokenOff   map[string]bool // requests that ran when the process ended, by ID
 }
 
 func (s *targetServer) serveOn(l net.Listener) {
-	server := &http.Server{Handler: s.handler}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	server := &http.Server{Handler: s.handler, IdleTimeout: s.idleTimeout}
 	if s.stopped {
 		_ = l.Close()
 		return
@@ -227,8 +260,9 @@
 	if t.draining[target] {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	server := r.Context().Value(serverKey{}).(*targetServer)
 	t.runs[id] = append(t.runs[id], run{
-		id: id, target: target, account: r.Header.Get("X-Tenant"), key: r.Header.Get("Authorization"), path: r.URL.Path, body: digest(string(body)), startedAt: time.Now(),
+		id: id, target: target, server: server, account: r.Header.Get("X-Tenant"), key: r.Header.Get("Authorization"), path: r.URL.Path, body: digest(string(body)), startedAt: time.Now(),
 	})
 	crashing := strings.HasSuffix(string(body), crashingInput)
 	if crashing {
@@ -236,7 +270,7 @@
 	}
 	t.mu.Unlock()
 	if crashing {
-		r.Context().Value(serverKey{}).(*targetServer).crash(crashDowntime)
+		server.crash(crashDowntime)
 		return "", false
 	}
 	if ms, ok := strings.CutPrefix(string(body), waitInput); ok {
@@ -254,7 +288,7 @@
 	if !ok {
 		return
 	}
-	time.Sleep(cmp.Or(t.calls[r.URL.Path], plainCallTime))
+	time.Sleep(cmp.Or(t.calls[r.URL.Path], plainCallTime) * slowdown(r))
 	if t.faulty.Load() && writesStrayRefusal(id) {
 		respondAfterRefusal(w, id, "done "+id)
 		return
@@ -269,7 +303,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	gap := t.eventGap
+	gap := t.eventGap * slowdown(r)
 	if t.slowTurns > 0 && xxhash.Sum64String(id)%uint64(t.slowTurns) == 0 {
 		gap *= slowTurnFactor
 	}
