turns: a store that has replied no longer counts as full

What callers see: 503, "the store has no capacity", while only one of three stores is full at a time.

Cause: since a request waits for each store's reply, its results come over a longer time. A store that had refused it for lack of capacity counted as full for the rest of the call, even after it had accepted the request, so that a second full store ended the call.

Change: the last result of a store counts, as its comment said.

TestStoresThatWereFullInTurn failed before, two times of two, and passes now.

--- a/turns/call.go
+++ b/turns/call.go
@@ -57,7 +57,7 @@
 	sent    int
 	results chan storeResult[Resp]
 	replies map[StoreID]Resp
-	// noCapacity contains the stores whose last result is that they have no capacity.
+	// noCapacity is set for the stores whose last result is that they have no capacity.
 	noCapacity map[StoreID]bool
 }
 
@@ -85,20 +85,16 @@
 	for {
 		select {
 		case result := <-s.results:
-			switch {
-			case result.err == nil:
+			s.noCapacity[result.store] = isNoCapacity(result.err)
+			if result.err == nil {
 				s.replies[result.store] = result.reply
 				if s.placement.HasQuorum(func(id StoreID) bool { _, ok := s.replies[id]; return ok }) {
 					return s.replies, nil
 				}
-			case isNoCapacity(result.err):
-				s.noCapacity[result.store] = true
-			}
-			if result.err == nil {
 				continue
 			}
 			s.send(len(s.stores))
-			if len(s.noCapacity) > 0 && !s.placement.HasQuorum(func(id StoreID) bool { return !s.noCapacity[id] }) {
+			if !s.placement.HasQuorum(func(id StoreID) bool { return !s.noCapacity[id] }) {
 				return nil, errNoCapacity
 			}
 		case <-hedge.C:
--- a/turns/call_test.go
+++ b/turns/call_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,3 +71,42 @@
 		t.Errorf("the stores were back at other addresses after 0.3 s, and a turn was not written in 4 s: %v", err)
 	}
 }
+
+// TestStoresThatWereFullInTurn guards against calls that are refused since a majority of the
+// stores had no capacity, though never at the same time: one of them has replied since.
+func TestStoresThatWereFullInTurn(t *testing.T) {
+	const room = 1 << 30
+	var free [3]atomic.Int64
+	stores := 0
+	c := &cluster{t: t, peers: newPeers(), virtual: true}
+	c.capacityOf = func() turns.Capacity {
+		own := &free[stores]
+		own.Store(room)
+		stores++
+		return turns.Capacity{FreeBytes: func(string) (int64, error) { return own.Load(), nil }}
+	}
+	startCluster(c, 3)
+	c.setRetention(time.Minute)
+	w := c.client()
+	for i := range 3 {
+		c.writeTurnOn(turns.Turn{ID: "first"}, "p", i)
+	}
+	free[0].Store(0)
+	free[1].Store(0)
+	c.advance(2 * time.Second)
+	newer := c.changedMap(func(*turns.Placement) {})
+	c.shardMap.Store(newer) // Stores without it let the requests wait.
+	c.stores[0].SetMap(newer)
+	var g errgroup.Group
+	g.Go(func() error { return reserve(t, w, "other", "a") })
+	time.Sleep(20 * time.Millisecond)
+	free[0].Store(room)
+	c.elapsed.Add(int64(200 * time.Millisecond)) // The free space that is known has expired.
+	waitFor(t, func() bool { return c.claimCount(0, "other") > 0 })
+	c.stores[1].SetMap(newer)
+	time.Sleep(50 * time.Millisecond)
+	c.stores[2].SetMap(newer)
+	if err := g.Wait(); err != nil {
+		t.Errorf("only one of three stores was full at a time: %v", err)
+	}
+}
