turns: a shard without a majority does not count as slow stores

What callers see: 503, "the stores are too slow for more turns", for programs whose stores are all up and fast.

Cause: a client admits fewer reservations after each that has ended without a majority, whatever shard it was for. So the shards whose stores are down took the reservations of all others. One that ended because its caller had left raised the bound, though it shows nothing of the stores.

Change: a reservation lowers the bound only if a majority of its shard's stores is connected, and one whose caller has left changes nothing.

--- a/turns/admit.go
+++ b/turns/admit.go
@@ -48,13 +48,24 @@
 	return true
 }
 
-// end records the outcome of a reservation. late is set if the stores have not replied in
-// time.
-func (a *admission) end(late bool) {
+// outcome is what a reservation shows of the stores.
+type outcome int
+
+const (
+	inTime  outcome = iota
+	late            // the stores have not replied in time
+	unknown         // nothing: the caller has left, or a majority of the shard's stores is not connected
+)
+
+// end records the outcome of a reservation.
+func (a *admission) end(o outcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.inProgress--
-	if !late {
+	switch o {
+	case unknown:
+		return
+	case inTime:
 		a.cut = max(0, a.cut-1)
 		return
 	}
--- a/turns/client.go
+++ b/turns/client.go
@@ -100,10 +100,27 @@
 		return errStoresSlow
 	}
 	err := c.reserve(ctx, b)
-	c.admission.end(types.IsCode(err, errNoQuorum.Code) && errors.Is(ctx.Err(), context.DeadlineExceeded))
+	c.admission.end(c.outcomeOf(ctx, ShardOf(b.Account, b.Program), err))
 	return err
 }
 
+// outcomeOf returns what a reservation that has ended with err shows of the stores.
+func (c *Client) outcomeOf(ctx context.Context, shard Shard, err error) outcome {
+	switch {
+	case !types.IsCode(err, errNoQuorum.Code):
+		return inTime
+	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return unknown // The caller has left.
+	}
+	m := c.Map()
+	p := m.Placement(shard)
+	connected := func(id StoreID) bool { return c.Peers.Link(m.Members[id].Address).IsConnected() }
+	if len(p.Current) == 0 || !p.HasQuorum(connected) {
+		return unknown
+	}
+	return late
+}
+
 func (c *Client) reserve(ctx context.Context, b Budget) error {
 	req := ClaimRequest{
 		Shard: ShardOf(b.Account, b.Program), Account: b.Account, Program: b.Program,
