turns: copies of moves that have ended are not reported any more

Cause: a store reports every 0.1 s to the leader which shards it has copied, and kept each of them in that list for ever. So each store to which a shard has ever moved went on with ten requests a second after the moves, and repeated those that were late, on hosts with a quarter of a processor.

Change: a shard is reported as long as its epoch is that of the copy.

TestEndedMovesAreNotReported failed before: 16 shards.

--- a/turns/copy.go
+++ b/turns/copy.go
@@ -26,13 +26,15 @@
 )
 
 // CopiedShards returns the shards that this store has copied completely, with
-// the epoch of the move. The configuration group then ends these moves.
+// the epoch of the move, unless it has ended. The configuration group then ends these moves.
 func (s *Store) CopiedShards() map[Shard]Epoch {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	copied := map[Shard]Epoch{}
 	for shard, epoch := range s.copiedEpochs {
-		copied[shard] = epoch
+		if s.shardMap.Placement(shard).Epoch == epoch {
+			copied[shard] = epoch
+		}
 	}
 	return copied
 }
--- a/turns/copy_test.go
+++ b/turns/copy_test.go
@@ -158,3 +158,15 @@
 		}
 	}
 }
+
+// TestEndedMovesAreNotReported guards against a store that reports its copies to the leader ten
+// times a second for as long as it runs, though the moves have ended.
+func TestEndedMovesAreNotReported(t *testing.T) {
+	c := newCluster(t, 3)
+	writeTurn(t, c.client(), "choir", "p", "first", "")
+	added := c.addStore()
+	c.moveAll(0, 1, added)
+	if copied := c.stores[added].CopiedShards(); len(copied) > 0 {
+		t.Errorf("%d shards are still reported as copied", len(copied))
+	}
+}
