host, fleet, gate: tests of settings that change while a host runs

The bound on cold targets on the leader and on entry hosts, the grace period and the memory limit, and the limits that a store reads only when it starts.

--- a/fleet/settings_test.go
+++ b/fleet/settings_test.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/fleet"
+	"github.com/banyanspur/banyanspur/limit"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
@@ -91,3 +92,33 @@
 	c.SetSeeds([]string{leader.start(ctx, t)})
 	waitFor(t, "a sync request to the leader", func() bool { return leader.syncs.Load() > 0 })
 }
+
+// TestColdBoundChangesOnLeader guards against a leader that divides what a cold target may get
+// by the bound with which it was started.
+func TestColdBoundChangesOnLeader(t *testing.T) {
+	f := newFleet(t, 1)
+	f.runAll()
+	c, _ := f.client("entry-1")
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	defer cancel()
+	putColdPlan(ctx, t, c)
+	waitFor(t, "the list", func() bool { return len(c.View().Targets) > 0 })
+	bound := limit.ColdBound{Over: 10, Slack: 100}
+	f.running[0].Change(fleet.ControlSettings{Seeds: f.seeds, Losses: 1, ColdBound: bound})
+	admitted, start := 0, time.Now()
+	for time.Since(start) < time.Second {
+		reply, err := c.Limits(ctx, fleet.LimitsRequest{
+			Host: "entry-1", TargetDemands: map[types.TargetID]limit.Demand{"t1": {Holder: "entry-1", Rate: 1000, Waiting: 500}},
+			TargetsCold: fleet.ColdTargets{"t1": 3 * time.Second},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		admitted += reply.TargetAllotments["t1"].AdmitNow
+		time.Sleep(10 * time.Millisecond)
+	}
+	before := limit.ColdBound{}.Limit(20)
+	if most := float64(before.Burst) + float64(before.Rate)*time.Since(start).Seconds() + 1; float64(admitted) <= most {
+		t.Errorf("%d requests were admitted, as with the bound before the change (%.1f)", admitted, most)
+	}
+}
--- a/gate/settings_test.go
+++ b/gate/settings_test.go
@@ -1,11 +1,15 @@
 package gate_test
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/gate"
+	"github.com/banyanspur/banyanspur/limit"
 )
 
 // TestMaxPlanStalenessChanges guards against a host that goes on with the bound on the age of
@@ -43,3 +47,20 @@
 		t.Error("200 bytes are not free although 400 of 1000 are held")
 	}
 }
+
+// TestColdBoundChangesOnHost guards against a host that limits cold targets by the bound with
+// which it was started.
+func TestColdBoundChangesOnHost(t *testing.T) {
+	b, change := newColdTestbed(t)
+	bound := limit.ColdBound{Over: 0.5}
+	b.gate.Change(gate.Settings{ColdBound: bound})
+	b.addTarget("plain", respondOK)
+	change(func(list []fleet.Target) []fleet.Target {
+		list[0].ColdLeft = 5 * time.Second
+		return list
+	})
+	b.send(testRequest{path: "/charge/", key: "choir-key"})
+	if want := fmt.Sprintf(`"limit":%v`, bound.Limit(coldRate).Rate); !strings.Contains(b.log.String(), want) {
+		t.Errorf("the log does not contain %s:\n%s", want, b.log.String())
+	}
+}
--- a/host/reload_test.go
+++ b/host/reload_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -116,8 +117,8 @@
 	b.waitFor("a request for the list", func() bool { return requests.Load() > before })
 }
 
-// run runs the host in this process until the end of the test.
-func (b *reloadBed) run() (reload chan<- os.Signal) {
+// run runs the host in this process until the end of the test or until stop is called.
+func (b *reloadBed) run(role host.NodeRole) (reload chan<- os.Signal, stop func()) {
 	b.t.Helper()
 	contents, err := os.ReadFile(b.file)
 	if err != nil {
@@ -128,7 +129,10 @@
 		b.t.Fatal(err)
 	}
 	signals := make(chan os.Signal)
-	n := &host.Node{Role: host.NodeControl, Settings: settings, HeaderNames: platform.HeaderNames, SettingsFile: b.file, Reload: signals, Log: event.New(&b.log)}
+	n := &host.Node{
+		Role: role, Settings: settings, HeaderNames: platform.HeaderNames, OperatorHandler: platform.NewOperatorHandler,
+		SettingsFile: b.file, Reload: signals, Log: event.New(&b.log),
+	}
 	n.ListTargets = platform.NewMovingTargetLister(n.TargetListAddress)
 	ctx, cancel := context.WithCancel(context.Background())
 	var g errgroup.Group
@@ -139,7 +143,7 @@
 			b.t.Error(err)
 		}
 	})
-	return signals
+	return signals, cancel
 }
 
 // TestSettingsFileIsReadAgain guards against a host that goes on with the settings with which
@@ -149,7 +153,7 @@
 	first, firstRequests := listServer(t)
 	second, secondRequests := listServer(t)
 	b.write(b.settings("zone-0", first))
-	b.run()
+	b.run(host.NodeControl)
 	b.isUsed(firstRequests)
 	b.write(b.settings("zone-1", second))
 	b.isUsed(secondRequests)
@@ -169,7 +173,7 @@
 	first, firstRequests := listServer(t)
 	second, secondRequests := listServer(t)
 	b.write(b.settings("zone-0", first))
-	reload := b.run()
+	reload, _ := b.run(host.NodeControl)
 	b.isUsed(firstRequests)
 	b.write(b.head("zone-0"))
 	reload <- syscall.SIGHUP
@@ -188,6 +192,74 @@
 	}
 }
 
+// TestGracePeriodChanges guards against a host that stops by the grace period with which it
+// was started: an order in flight, of a host without a leader, is answered in time for the
+// shorter one.
+func TestGracePeriodChanges(t *testing.T) {
+	b := newReloadBed(t, 4)
+	operator := b.ip + ":17231"
+	settings := func(grace float64) string {
+		return b.head("zone-0") + fmt.Sprintf("dataDir = %q\noperatorListen = %q\ngraceSeconds = %v\n", b.dir, operator, grace)
+	}
+	b.write(settings(40))
+	reload, stop := b.run(host.NodeControl)
+	b.write(settings(1))
+	reload <- syscall.SIGHUP
+	b.waitFor("the event", func() bool { return cmp.Equal([]string{"graceSeconds"}, b.log.fields(event.SettingsChanged)) })
+	var g errgroup.Group
+	var answered time.Time
+	g.Go(func() error {
+		_, err := orderRetire(t, operator)
+		answered = time.Now()
+		return err
+	})
+	time.Sleep(500 * time.Millisecond) // The order is in flight.
+	stopped := time.Now()
+	stop()
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if took := answered.Sub(stopped); took > time.Second {
+		t.Errorf("the order was answered %v after the stop, with a grace period of 1 s", took)
+	}
+}
+
+// TestMemoryLimitChanges guards against a process whose runtime collects garbage by the memory
+// with which it was started.
+func TestMemoryLimitChanges(t *testing.T) {
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
+	b := newReloadBed(t, 5)
+	settings := func(megabytes int) string {
+		return b.head("zone-0") + fmt.Sprintf("dataDir = %q\nmemoryMB = %d\n", b.dir, megabytes)
+	}
+	b.write(settings(900))
+	reload, _ := b.run(host.NodeControl)
+	for _, megabytes := range []int64{600, 1000} {
+		b.write(settings(int(megabytes)))
+		reload <- syscall.SIGHUP
+		b.waitFor("the limit of the runtime", func() bool { return debug.SetMemoryLimit(-1) == megabytes<<20*6/10 })
+	}
+}
+
+// TestStoreKeepsItsLimits guards against an event that says that limits have changed which a
+// store reads only when it starts.
+func TestStoreKeepsItsLimits(t *testing.T) {
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
+	b := newReloadBed(t, 6)
+	settings := func(limits string) string { return b.head("zone-0") + fmt.Sprintf("dataDir = %q\n", b.dir) + limits }
+	b.write(settings("memoryMB = 900\nlinkMbps = 100\ncatchUpSeconds = 4\n"))
+	reload, _ := b.run(host.NodeStore)
+	b.write(settings("memoryMB = 600\nlinkMbps = 200\ncatchUpSeconds = 5\n"))
+	reload <- syscall.SIGHUP
+	b.waitFor("the event", func() bool { return len(b.log.fields(event.SettingsKept)) > 0 })
+	if diff := cmp.Diff([]string{"memoryMB catchUpSeconds linkMbps"}, b.log.fields(event.SettingsKept)); diff != "" {
+		t.Errorf("fields that need a restart (-want +got):\n%s", diff)
+	}
+	if changed := b.log.fields(event.SettingsChanged); len(changed) > 0 {
+		t.Errorf("changed fields: %v", changed)
+	}
+}
+
 // TestSignalMakesProgramReadItsSettings guards against a program that ends at SIGHUP, or goes
 // on with its settings.
 func TestSignalMakesProgramReadItsSettings(t *testing.T) {
