soak: requests of programs are checked for the service that ran them

At an address that passes from one target to another, a request could run on another service. Crashed targets stay in the list for up to 5 s, so that the next target at the address gets requests for them.

--- a/soak/churn_test.go
+++ b/soak/churn_test.go
@@ -25,7 +25,7 @@
 	// address.
 	reuseTime = 2 * time.Second
 	// maxListed is how long a target that has crashed stays in the list.
-	maxListed = 3 * time.Second
+	maxListed = 5 * time.Second
 	// churnSlowdown is how much longer requests take at a slow target.
 	churnSlowdown = 3
 	// One in idleClosers targets closes connections that are idle for targetIdleTimeout.
@@ -298,13 +298,29 @@
 			reached++
 			if a, ok := attempts[id]; ok && a.sentAt.After(from.Add(drainTime)) && c.d.isInTouch(a) {
 				late++
-				c.d.t.Errorf("target %s got %s %s from %s %v after the list had shown that it drains", r.server.id, r.path, id, a.entry, a.sentAt.Sub(from))
+				c.d.t.Errorf("target %s got %s %s, sent at %v, from %s %v after the list had shown that it drains", r.server.id, r.path, id, a.sentAt.Sub(c.d.started), a.entry, a.sentAt.Sub(from))
 			}
 		}
 	}
 	c.d.t.Logf("targets: %v; %d drained and got %d requests, %d too late; %d requests for other targets were refused", c.events, len(c.drains), reached, late, c.targets.misdirected.Load())
 }
 
+// checkServices checks that no request of a program ran on another service than that of its
+// route, in particular at an address that has passed from one target to another.
+func (d *deployment) checkServices() {
+	for _, a := range d.callers.attempts {
+		service := "plain"
+		if a.path == "/turn/" {
+			service = "models"
+		}
+		for _, r := range d.targets.runsOf(a.id) {
+			if r.server.service != service {
+				d.t.Errorf("%s %s, sent for target %s, ran on %s of the service %s", a.path, a.id, r.target, r.server.id, r.server.service)
+			}
+		}
+	}
+}
+
 // withoutBrokenOff runs a check without the requests that a target has broken off by ending
 // while it ran them.
 func (d *deployment) withoutBrokenOff(check func()) {
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -156,6 +156,7 @@
 		d.checkStops()
 	})
 	churn.checkDrained()
+	d.checkServices()
 	d.checkVersions()
 	checkConfiguration(t, d.fleet, d.acked)
 	checkRuns(t, c, tg)
