--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -168,6 +168,7 @@
 	})
 	d.checkEnds()
 	churn.checkDrained()
+	d.checkServices()
 	d.checkVersions()
 	checkConfiguration(t, d.fleet, d.acked)
 	checkRuns(t, c, tg)
