turns: a test waits for the reply that it is about

TestStoresThatWereFullInTurn went on once the first store had the claim in its index, which is before its reply: on a busy machine the second store refused earlier than that, and the call was refused rightly (one run of the package at a load of 32).

--- a/turns/call_test.go
+++ b/turns/call_test.go
@@ -1,8 +1,10 @@
 package turns_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -72,6 +74,19 @@
 	}
 }
 
+// claimReplies returns the line of the metrics that counts the replies to claims, or nothing.
+func claimReplies(t *testing.T) string {
+	t.Helper()
+	var b bytes.Buffer
+	metrics.WritePrometheus(&b, false)
+	for line := range strings.Lines(b.String()) {
+		if strings.HasPrefix(line, `banyanspur_turns_reply_seconds_count{kind="turns.claim"}`) {
+			return line
+		}
+	}
+	return ""
+}
+
 // TestStoresThatWereFullInTurn guards against calls that are refused since a majority of the
 // stores had no capacity, though never at the same time: one of them has replied since.
 func TestStoresThatWereFullInTurn(t *testing.T) {
@@ -98,11 +113,12 @@
 	c.shardMap.Store(newer) // Stores without it let the requests wait.
 	c.stores[0].SetMap(newer)
 	var g errgroup.Group
+	replies := claimReplies(t)
 	g.Go(func() error { return reserve(t, w, "other", "a") })
 	time.Sleep(20 * time.Millisecond)
 	free[0].Store(room)
 	c.elapsed.Add(int64(200 * time.Millisecond)) // The free space that is known has expired.
-	waitFor(t, func() bool { return c.claimCount(0, "other") > 0 })
+	waitFor(t, func() bool { return claimReplies(t) != replies })
 	c.stores[1].SetMap(newer)
 	time.Sleep(50 * time.Millisecond)
 	c.stores[2].SetMap(newer)
