gate: the output of a turn counts in the host's memory for responses

Beyond 64 KiB, an output counts four times, for its buffer and what each store is sent. A turn that gets no room for 2 s is cut off, as a response that its caller does not read. Sound turns have 4 to 17 KB, which are always kept.

--- a/gate/stream.go
+++ b/gate/stream.go
@@ -42,6 +42,7 @@
 	s := &streamForwarder{
 		call: c, unread: c.newUnread(true), events: bufio.NewReaderSize(resp.Body, eventBufferSize), tokensPerEvent: tokensPerEvent, maxEvents: maxEvents(c.turn.budget.MaxTokens, tokensPerEvent),
 	}
+	defer s.releaseOutput()
 	err := s.run(t, resp)
 	c.endAttempt()
 	c.turn.delivered += types.Tokens(s.eventCount) * tokensPerEvent
@@ -95,6 +96,7 @@
 	lastEventAt    time.Time    // when the last event was received
 	eventCount     int          // events forwarded
 	output         bytes.Buffer // data of all events of a stateful route, each followed by a line feed
+	outputHeld     int64        // bytes taken from the backlog for output
 }
 
 // run forwards events until the stream ends. It returns nil only if the stream
@@ -127,6 +129,9 @@
 		}
 		s.sendHead(resp)
 		s.eventCount++
+		if err := s.holdOutput(len(raw)); err != nil {
+			return err
+		}
 		s.appendData(raw)
 		if err := s.unread.add(s.call.r.Context(), piece{b: raw, receivedAt: receivedAt}); err != nil {
 			return err
