--- a/wire/bounds.go
+++ b/wire/bounds.go
@@ -29,8 +29,8 @@
 	// chunkBytes is the size of the parts in which large frames are read, and up to which a
 	// frame is read without a part of the budget.
 	chunkBytes = 256 << 10
-	// frameBudgetBytes bounds the memory of all large frames that a process is receiving. The
-	// smallest processes have 122 MB.
+	// frameBudgetBytes bounds the memory of all large frames that a process is receiving. A
+	// store's heap has 86 MB.
 	frameBudgetBytes = 32 << 20
 	// requestBudgetBytes bounds the bodies of the requests that a server is handling.
 	requestBudgetBytes = 32 << 20
