--- a/soak/doc.go
+++ b/soak/doc.go
@@ -30,8 +30,9 @@
 // right after an acknowledged change, and as many as tolerated lose their disks. The test
 // counts per 2 s what was offered, connected and served, and why the rest was not, also by
 // availability zone, client account and kind of request.
-// The size "grown" has 74 hosts and 56 targets; it takes 2 to 3 of 8 processors at 25
-// programs a second and 4 at 70 (-programs):
+// The size "grown" has 74 hosts and 56 targets; it takes 2 of 8 processors at 30 programs a
+// second and 3 to 4 at 88 (-programs). On a machine with a load average above 50 the hosts get
+// less than their share:
 //
 //	go test ./soak -run TestDeploymentUnderFaults -timeout 0 -size grown -first 1 -seeds 1 -for 60s
 //
