fleet: shards stay where they are while many stores are silent

Cause: a store that the leader has not heard from for 2.5 s counted as lost, and its shards moved to others, which were as late.

Change: while more stores are silent than may be lost at once, the time is 10 s. Stores whose disk is known to be lost do not count as silent.

--- a/fleet/shards.go
+++ b/fleet/shards.go
@@ -17,6 +17,11 @@
 	// move to another one. It is longer than two sync requests of
 	// [DefaultSyncWait].
 	storeTimeout = 2500 * time.Millisecond
+	// manySilentTimeout is that time while more stores are unresponsive than may be lost at
+	// once. They are likely to be late, all of them, or cut off for a moment: moves would
+	// only add copies to the work of stores that cannot bear it, and make every request
+	// start again.
+	manySilentTimeout = 4 * storeTimeout
 	// mapQuietPeriod is the minimum time between the last registration of a
 	// store and the creation of the shard map.
 	mapQuietPeriod = 700 * time.Millisecond
@@ -62,7 +67,8 @@
 // desired placement. It must be called within asLeader.
 func (c *Control) nextCommands(now types.Mono) []Command {
 	m, _ := c.machine.Map()
-	candidates := c.machine.Candidates(func(id turns.StoreID) bool { return c.live(id, now) })
+	timeout := c.silenceTimeout(m, now)
+	candidates := c.machine.Candidates(func(id turns.StoreID) bool { return c.silence(id, now) < timeout })
 	if len(m.Shards) == 0 {
 		return c.initMapCommands(candidates, now)
 	}
@@ -83,11 +89,38 @@
 	return commands
 }
 
-// live reports whether a store has sent a request within storeTimeout. Right
-// after an election all stores count as live, so that they have time to find
-// the new leader.
+// silence returns how long a store has not sent a request. It counts from the election, so
+// that stores have time to find a new leader.
+func (c *Control) silence(id turns.StoreID, now types.Mono) time.Duration {
+	return now.Sub(max(c.lastSeen[id], c.leaderSince))
+}
+
+// live reports whether a store has sent a request within storeTimeout.
 func (c *Control) live(id turns.StoreID, now types.Mono) bool {
-	return now.Sub(max(c.lastSeen[id], c.leaderSince)) < storeTimeout
+	return c.silence(id, now) < storeTimeout
+}
+
+// silenceTimeout returns how long a store may be unresponsive before its shards move.
+func (c *Control) silenceTimeout(m turns.Map, now types.Mono) time.Duration {
+	silent, largestZone, zones := 0, 0, map[types.ZoneID]int{}
+	for id, member := range m.Members {
+		if !m.IsAssigned(id) || c.machine.Destroyed(id) {
+			continue
+		}
+		zones[member.Zone]++
+		largestZone = max(largestZone, zones[member.Zone])
+		if !c.live(id, now) {
+			silent++
+		}
+	}
+	tolerated := max(1, c.Losses)
+	if c.ZoneLosses > 0 {
+		tolerated = max(tolerated, largestZone)
+	}
+	if silent > tolerated {
+		return manySilentTimeout
+	}
+	return storeTimeout
 }
 
 // initMapCommands returns the command that creates the shard map, or nil if
--- /dev/null
+++ b/fleet/silent_stores_test.go
@@ -0,0 +1,39 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// TestManySilentStoresKeepTheirShards guards against shards that move while more stores are
+// unresponsive than may be lost at once, since all of them are late: the copies add to the work
+// of stores that cannot bear it, and each change of a placement makes all requests start again.
+func TestManySilentStoresKeepTheirShards(t *testing.T) {
+	f := newFleet(t, 3)
+	events := &eventCounter{}
+	f.log = event.New(events)
+	f.runAll()
+	for i := range 5 {
+		f.addStore(types.HostID(fmt.Sprint("store-", i)))
+	}
+	c, _ := f.client("entry-1")
+	waitFor(t, "the shard map", func() bool { return c.View().Map != nil && len(c.View().Map.Shards) > 0 })
+	before := events.count(event.ShardMoved)
+	for _, s := range f.stores[:2] {
+		s.stop()
+	}
+	time.Sleep(5 * time.Second)
+	for _, s := range f.stores[:2] {
+		s.run()
+	}
+	time.Sleep(time.Second)
+	if n := events.count(event.ShardMoved) - before; n > 0 {
+		t.Errorf("%d moves of shards while two of five stores did not respond for 5 s, and one may be lost", n)
+	}
+	f.stores[0].stop()
+	waitFor(t, "moves from the lost store", func() bool { return events.count(event.ShardMoved) > before })
+}
