wire: each chunk of a large frame that arrives shows that the peer is alive

The response to a ping waits behind a frame that is being received, and the frame counted only once it was complete: a link on which it takes over 1.2 s was ended, and dialed for the same frame again. A plan of 4 MB over 30 Mbit/s would not have arrived.

TestLargeFrameOverSlowLink fails before: a reply of 3 MiB over 1 MB/s is lost after 1.2 s.

--- a/wire/large_test.go
+++ b/wire/large_test.go
@@ -125,3 +125,17 @@
 	}
 	_ = g.Wait()
 }
+
+// TestLargeFrameOverSlowLink guards against a link that is taken for dead while a large frame
+// arrives, since the response to a ping is behind it: a large plan would never arrive.
+func TestLargeFrameOverSlowLink(t *testing.T) {
+	p := newProxy(t, startBlobServer(t))
+	p.delay.Store(int64(4 * time.Millisecond)) // Some megabyte per second.
+	l := startPool(t, &wire.Pool{}).Link(p.address)
+	waitConnected(t, l)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if _, err := wire.Call[blobRequest, []byte](ctx, l, blob, blobRequest{Reply: 3 << 20}); err != nil {
+		t.Errorf("%v; %d connections", err, p.conns.Load())
+	}
+}
--- a/wire/liveness.go
+++ b/wire/liveness.go
@@ -65,7 +65,7 @@
 
 	unconfirmed atomic.Bool   // a frame was sent since the last one was received
 	timer       *time.Timer   // runs while unconfirmed
-	frames      atomic.Uint64 // frames and pongs received
+	frames      atomic.Uint64 // frames, chunks of large ones and pongs received
 }
 
 func newLiveness() *liveness {
@@ -90,7 +90,7 @@
 	}
 }
 
-// received records that a frame or a pong was received.
+// received records that a frame, a chunk of one or a pong was received.
 func (l *liveness) received() {
 	l.frames.Add(1)
 	if l.unconfirmed.Swap(false) {
--- a/wire/receive.go
+++ b/wire/receive.go
@@ -107,7 +107,7 @@
 	timer := time.AfterFunc(s.frameTimeout, func() { cancel(errFrameTimeout) })
 	defer timer.Stop()
 	f := &frame{cancel: cancel}
-	if err := f.read(ctx, r); err != nil {
+	if err := f.read(ctx, r, s.liveness.received); err != nil {
 		received.release(f)
 		if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
 			err = cause
@@ -117,14 +117,16 @@
 	return f, nil
 }
 
-// read reads a frame in chunks, which it joins once the frame is complete.
-func (f *frame) read(ctx context.Context, r io.Reader) (err error) {
+// read reads a frame in chunks, which it joins once the frame is complete. It calls progress
+// for each chunk.
+func (f *frame) read(ctx context.Context, r io.Reader, progress func()) (err error) {
 	f.bytes, err = io.ReadAll(io.LimitReader(r, chunkBytes))
 	if err != nil || len(f.bytes) < chunkBytes {
 		return err
 	}
 	chunks, size := [][]byte{f.bytes}, len(f.bytes)
 	for {
+		progress()
 		if err := received.take(ctx, f); err != nil {
 			return err
 		}
