fleet: a store that is late keeps its shards

A store from which the leader had got no request for 2.5 s counted as lost, whether it was down or only late; its shards moved, every request to them started again, and copies took the processor of all stores, so that the next one was late.

Change: the leader checks its own connection to a store that has been silent for 1.25 s. One that responds to pings is late, and loses its shards only after 10 s; one that does not is lost after 2.5 s as before.

TestLateStoreKeepsItsShards failed before and passes now.

--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -37,8 +37,20 @@
 	start func(ctx context.Context, g *errgroup.Group, peers *wire.Pool, server *wire.Server)
 	// stop stops the process. It is set by run.
 	stop func()
+	// While syncPaused is set, a store sends no requests to the leader, but serves. pauseSync
+	// cancels the one that is under way.
+	syncPaused atomic.Bool
+	pauseSync  atomic.Pointer[context.CancelFunc]
 }
 
+// pause keeps a store from sending requests to the leader until resume is called.
+func (p *process) pause() {
+	p.syncPaused.Store(true)
+	(*p.pauseSync.Load())()
+}
+
+func (p *process) resume() { p.syncPaused.Store(false) }
+
 func newProcess(t testing.TB) *process {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -173,7 +185,17 @@
 				}
 			},
 		}
-		g.Go(func() error { return client.Run(ctx) })
+		g.Go(func() error {
+			for ctx.Err() == nil {
+				runCtx, pause := context.WithCancel(ctx)
+				p.pauseSync.Store(&pause)
+				_ = client.Run(runCtx) // Always nil.
+				pause()
+				for p.syncPaused.Load() && types.Sleep(ctx, 10*time.Millisecond) {
+				}
+			}
+			return nil
+		})
 		g.Go(func() error { return s.Run(ctx) })
 		g.Go(func() error {
 			for f.holdCopies.Load() && types.Sleep(ctx, 10*time.Millisecond) {
@@ -182,6 +204,9 @@
 		})
 		g.Go(func() error {
 			for types.Sleep(ctx, 20*time.Millisecond) {
+				if p.syncPaused.Load() {
+					continue
+				}
 				_ = client.ReportCopied(ctx, fleet.CopiedRequest{Store: id, Copied: s.CopiedShards()}) // Repeated in the next iteration.
 			}
 			return nil
--- a/fleet/shards.go
+++ b/fleet/shards.go
@@ -22,6 +22,9 @@
 	// only add copies to the work of stores that cannot bear it, and make every request
 	// start again.
 	manySilentTimeout = 4 * storeTimeout
+	// checkAfter is the silence after which the leader checks its own connection to a store.
+	// It leaves time for a ping before storeTimeout.
+	checkAfter = storeTimeout / 2
 	// mapQuietPeriod is the minimum time between the last registration of a
 	// store and the creation of the shard map.
 	mapQuietPeriod = 700 * time.Millisecond
@@ -68,7 +71,7 @@
 func (c *Control) nextCommands(now types.Mono) []Command {
 	m, _ := c.machine.Map()
 	timeout := c.silenceTimeout(m, now)
-	candidates := c.machine.Candidates(func(id turns.StoreID) bool { return c.silence(id, now) < timeout })
+	candidates := c.machine.Candidates(func(id turns.StoreID) bool { return !c.lost(id, m.Members[id], timeout, now) })
 	if len(m.Shards) == 0 {
 		return c.initMapCommands(candidates, now)
 	}
@@ -100,6 +103,21 @@
 	return c.silence(id, now) < storeTimeout
 }
 
+// lost reports whether the shards of a store should move: it has been silent for timeout, or, if
+// it still responds to pings and so is only late, for manySilentTimeout.
+func (c *Control) lost(id turns.StoreID, member turns.Member, timeout time.Duration, now types.Mono) bool {
+	silence := c.silence(id, now)
+	if silence < checkAfter {
+		return false
+	}
+	link := c.Peers.Link(member.Address)
+	link.Check()
+	if link.IsConnected() {
+		timeout = manySilentTimeout
+	}
+	return silence >= timeout
+}
+
 // silenceTimeout returns how long a store may be unresponsive before its shards move.
 func (c *Control) silenceTimeout(m turns.Map, now types.Mono) time.Duration {
 	silent, largestZone, zones := 0, 0, map[types.ZoneID]int{}
--- a/fleet/silent_stores_test.go
+++ b/fleet/silent_stores_test.go
@@ -37,3 +37,27 @@
 	f.stores[0].stop()
 	waitFor(t, "moves from the lost store", func() bool { return events.count(event.ShardMoved) > before })
 }
+
+// TestLateStoreKeepsItsShards guards against shards that move from a store that is only late: its
+// requests to the leader do not arrive in time, but it responds.
+func TestLateStoreKeepsItsShards(t *testing.T) {
+	f := newFleet(t, 3)
+	events := &eventCounter{}
+	f.log = event.New(events)
+	f.runAll()
+	for i := range 4 {
+		f.addStore(types.HostID(fmt.Sprint("store-", i)))
+	}
+	c, _ := f.client("entry-1")
+	waitFor(t, "the shard map", func() bool { return c.View().Map != nil && len(c.View().Map.Shards) > 0 })
+	before := events.count(event.ShardMoved)
+	f.stores[0].pause()
+	time.Sleep(6 * time.Second)
+	f.stores[0].resume()
+	time.Sleep(time.Second)
+	if n := events.count(event.ShardMoved) - before; n > 0 {
+		t.Errorf("%d moves of shards while a store was late by 6 s", n)
+	}
+	f.stores[0].stop()
+	waitFor(t, "moves from the lost store", func() bool { return events.count(event.ShardMoved) > before })
+}
