--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -201,8 +201,11 @@
 	s.server = nil
 	time.AfterFunc(d, func() {
 		l, err := net.Listen("tcp4", s.address)
-		if err != nil {
-			panic(err) // The port stays reserved for this test by its loopback address.
+		for end := time.Now().Add(waitTimeout); err != nil; l, err = net.Listen("tcp4", s.address) {
+			if time.Now().After(end) {
+				panic(err)
+			}
+			time.Sleep(10 * time.Millisecond) // A connection of another process may have the port for a while.
 		}
 		s.serveOn(l)
 	})
