fleet: the test of large plans sends an order again that had no clear response

An operator is told that the outcome is unknown and sends the same order again; the test now does so, for as long as its steps may take. What it checks is the same.

--- a/fleet/large_plan_test.go
+++ b/fleet/large_plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -20,8 +21,12 @@
 		req.Document.Body = make([]byte, size)
 		ctx, cancel := context.WithTimeout(t.Context(), stepTimeout)
 		defer cancel()
-		_, err := c.Put(ctx, req)
-		return err
+		for { // As an operator does: an order without a clear response is sent again.
+			_, err := c.Put(ctx, req)
+			if !types.IsCode(err, types.CodeUnavailable) || !types.Sleep(ctx, 100*time.Millisecond) {
+				return err
+			}
+		}
 	}
 	if err := put(1, 15<<20); err != nil {
 		t.Fatal(err)
