--- a/turns/retention_test.go
+++ b/turns/retention_test.go
@@ -164,7 +164,7 @@
 // they were copied from, and against moves that make turns live ever longer.
 func TestCopiedTurnsKeepTheirAge(t *testing.T) {
 	c := newVirtualCluster(t, 3, 5*time.Minute)
-	writeTurn(t, c.client(), "choir", "p", "one", "")
+	c.writeTurnOn(turns.Turn{ID: "one"}, "p", 0, 1) // Not on a majority of the stores that follow.
 	c.advance(4 * time.Minute)
 	c.addStore()
 	c.setRetention(5 * time.Minute)
