--- a/fleet/silent_stores_test.go
+++ b/fleet/silent_stores_test.go
@@ -9,19 +9,27 @@
 	"github.com/banyanspur/banyanspur/types"
 )
 
-// TestManySilentStoresKeepTheirShards guards against shards that move while more stores are
-// unresponsive than may be lost at once, since all of them are late: the copies add to the work
-// of stores that cannot bear it, and each change of a placement makes all requests start again.
-func TestManySilentStoresKeepTheirShards(t *testing.T) {
+// newFleetWithMap returns a fleet with the given number of stores and a shard map, of which one
+// store may be lost, and counts its events.
+func newFleetWithMap(t *testing.T, stores int) (*testFleet, *eventCounter) {
+	t.Helper()
 	f := newFleet(t, 3)
 	events := &eventCounter{}
 	f.log = event.New(events)
 	f.runAll()
-	for i := range 5 {
+	for i := range stores {
 		f.addStore(types.HostID(fmt.Sprint("store-", i)))
 	}
 	c, _ := f.client("entry-1")
 	waitFor(t, "the shard map", func() bool { return c.View().Map != nil && len(c.View().Map.Shards) > 0 })
+	return f, events
+}
+
+// TestManySilentStoresKeepTheirShards guards against shards that move while more stores are
+// unresponsive than may be lost at once, since all of them are late: the copies add to the work
+// of stores that cannot bear it, and each change of a placement makes all requests start again.
+func TestManySilentStoresKeepTheirShards(t *testing.T) {
+	f, events := newFleetWithMap(t, 5)
 	before := events.count(event.ShardMoved)
 	for _, s := range f.stores[:2] {
 		s.stop()
@@ -41,15 +49,7 @@
 // TestLateStoreKeepsItsShards guards against shards that move from a store that is only late: its
 // requests to the leader do not arrive in time, but it responds.
 func TestLateStoreKeepsItsShards(t *testing.T) {
-	f := newFleet(t, 3)
-	events := &eventCounter{}
-	f.log = event.New(events)
-	f.runAll()
-	for i := range 4 {
-		f.addStore(types.HostID(fmt.Sprint("store-", i)))
-	}
-	c, _ := f.client("entry-1")
-	waitFor(t, "the shard map", func() bool { return c.View().Map != nil && len(c.View().Map.Shards) > 0 })
+	f, events := newFleetWithMap(t, 4)
 	before := events.count(event.ShardMoved)
 	f.stores[0].pause()
 	time.Sleep(6 * time.Second)
--- a/turns/call_test.go
+++ b/turns/call_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,18 +89,7 @@
 // TestStoresThatWereFullInTurn guards against calls that are refused since a majority of the
 // stores had no capacity, though never at the same time: one of them has replied since.
 func TestStoresThatWereFullInTurn(t *testing.T) {
-	const room = 1 << 30
-	var free [3]atomic.Int64
-	stores := 0
-	c := &cluster{t: t, peers: newPeers(), virtual: true}
-	c.capacityOf = func() turns.Capacity {
-		own := &free[stores]
-		own.Store(room)
-		stores++
-		return turns.Capacity{FreeBytes: func(string) (int64, error) { return own.Load(), nil }}
-	}
-	startCluster(c, 3)
-	c.setRetention(time.Minute)
+	c, free := newClusterWithRoom(t)
 	w := c.client()
 	for i := range 3 {
 		c.writeTurnOn(turns.Turn{ID: "first"}, "p", i)
@@ -116,7 +104,7 @@
 	replies := claimReplies(t)
 	g.Go(func() error { return reserve(t, w, "other", "a") })
 	time.Sleep(20 * time.Millisecond)
-	free[0].Store(room)
+	free[0].Store(diskRoom)
 	c.elapsed.Add(int64(200 * time.Millisecond)) // The free space that is known has expired.
 	waitFor(t, func() bool { return claimReplies(t) != replies })
 	c.stores[1].SetMap(newer)
--- a/turns/capacity_test.go
+++ b/turns/capacity_test.go
@@ -58,22 +58,32 @@
 	}
 }
 
-// TestStoreAcceptsTurnsOnceDiskHasRoom guards against a store that still refuses turns when
-// its disk has room again, until its next check for expired turns: the disks of two stores
-// are full one after the other, never both at once, and each turn needs one of them.
-func TestStoreAcceptsTurnsOnceDiskHasRoom(t *testing.T) {
-	const room = 1 << 30
-	var free [3]atomic.Int64
+// diskRoom is the free space of a disk that is not full.
+const diskRoom = 1 << 30
+
+// newClusterWithRoom starts three stores in virtual time, and returns the free space of the
+// disk of each, which a test can change.
+func newClusterWithRoom(t *testing.T) (*cluster, *[3]atomic.Int64) {
+	t.Helper()
+	free := &[3]atomic.Int64{}
 	stores := 0
 	c := &cluster{t: t, peers: newPeers(), virtual: true}
 	c.capacityOf = func() turns.Capacity {
 		own := &free[stores]
-		own.Store(room)
+		own.Store(diskRoom)
 		stores++
 		return turns.Capacity{FreeBytes: func(string) (int64, error) { return own.Load(), nil }}
 	}
-	startCluster(c, 3)
+	startCluster(c, len(free))
 	c.setRetention(time.Minute)
+	return c, free
+}
+
+// TestStoreAcceptsTurnsOnceDiskHasRoom guards against a store that still refuses turns when
+// its disk has room again, until its next check for expired turns: the disks of two stores
+// are full one after the other, never both at once, and each turn needs one of them.
+func TestStoreAcceptsTurnsOnceDiskHasRoom(t *testing.T) {
+	c, free := newClusterWithRoom(t)
 	w := c.client()
 	writeTurn(t, w, "choir", "p", "first", "")
 	for i := range 2 {
@@ -83,7 +93,7 @@
 	if err := settleTurn(withTimeout(t, time.Second), w, "choir", "p", "refused", "first"); err == nil {
 		t.Error("a turn was written with two full disks")
 	}
-	free[0].Store(room)
+	free[0].Store(diskRoom)
 	c.elapsed.Add(int64(200 * time.Millisecond)) // Without a check for expired turns.
 	if err := settleTurn(withTimeout(t, time.Second), w, "choir", "p", "second", "first"); err != nil {
 		t.Errorf("a turn while one disk is full: %v", err)
