fleet, turns, fetch: names and comments that say what a value is for

The long time until a store counts as lost holds for late stores, too, not only while many are silent: it is longStoreTimeout now. The search for a chain takes the account and the turn instead of a request, and the comments on the hedge and on idle connections say what they are. Nothing else changes; the tests of chains and of silent stores pass.

--- a/fetch/pool.go
+++ b/fetch/pool.go
@@ -21,7 +21,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address; the most recently used one is last
-	// estimates tells how long targets keep idle connections, by address.
+	// estimates holds an estimate for each target, by address, of how long it keeps an idle
+	// connection open.
 	estimates map[string]*idleEstimate
 }
 
--- a/fleet/shards.go
+++ b/fleet/shards.go
@@ -17,11 +17,11 @@
 	// move to another one. It is longer than two sync requests of
 	// [DefaultSyncWait].
 	storeTimeout = 2500 * time.Millisecond
-	// manySilentTimeout is that time while more stores are unresponsive than may be lost at
-	// once. They are likely to be late, all of them, or cut off for a moment: moves would
-	// only add copies to the work of stores that cannot bear it, and make every request
-	// start again.
-	manySilentTimeout = 4 * storeTimeout
+	// longStoreTimeout is that time for a store that still responds to pings, and for all
+	// stores while more of them are unresponsive than may be lost at once. They are likely to
+	// be late, or cut off for a moment: moves would only add copies to the work of stores
+	// that cannot bear it, and make every request start again.
+	longStoreTimeout = 4 * storeTimeout
 	// checkAfter is the silence after which the leader checks its own connection to a store.
 	// It leaves time for a ping before storeTimeout.
 	checkAfter = storeTimeout / 2
@@ -104,7 +104,7 @@
 }
 
 // lost reports whether the shards of a store should move: it has been silent for timeout, or, if
-// it still responds to pings and so is only late, for manySilentTimeout.
+// it still responds to pings and so is only late, for longStoreTimeout.
 func (c *Control) lost(id turns.StoreID, member turns.Member, timeout time.Duration, now types.Mono) bool {
 	silence := c.silence(id, now)
 	if silence < checkAfter {
@@ -113,7 +113,7 @@
 	link := c.Peers.Link(member.Address)
 	link.Check()
 	if link.IsConnected() {
-		timeout = manySilentTimeout
+		timeout = longStoreTimeout
 	}
 	return silence >= timeout
 }
@@ -136,7 +136,7 @@
 		tolerated = max(tolerated, largestZone)
 	}
 	if silent > tolerated {
-		return manySilentTimeout
+		return longStoreTimeout
 	}
 	return storeTimeout
 }
--- a/turns/chain.go
+++ b/turns/chain.go
@@ -11,7 +11,7 @@
 )
 
 // minChainHedgeDelay is the shortest time for which the client waits for a reply to a
-// chain request before it also sends the request to all other stores.
+// chain request before it asks further stores.
 const minChainHedgeDelay = 20 * time.Millisecond
 
 // maxCachedAge is the age up to which a cached turn may be continued without
@@ -22,7 +22,7 @@
 
 // Chain is [Client.ChainOf] for a turn whose program is not known.
 func (c *Client) Chain(ctx context.Context, account types.AccountID, id TurnID) ([]Turn, error) {
-	return c.chain(ctx, ChainRequest{Account: account, Turn: id}, noShard)
+	return c.chain(ctx, account, id, noShard)
 }
 
 // ChainOf returns a turn and all turns before it, oldest first. The turn is most likely one
@@ -32,16 +32,15 @@
 // fault if too few stores have replied to be certain, or if the turn may be lost (see
 // [MayBeLost]).
 func (c *Client) ChainOf(ctx context.Context, account types.AccountID, program types.ProgramID, id TurnID) ([]Turn, error) {
-	return c.chain(ctx, ChainRequest{Account: account, Turn: id}, ShardOf(account, program))
+	return c.chain(ctx, account, id, ShardOf(account, program))
 }
 
 // noShard stands for a shard that is not known.
 const noShard Shard = ShardCount
 
-// chain returns the turn of a request and all turns before it. likely is the shard that is
-// likely to have them.
-func (c *Client) chain(ctx context.Context, req ChainRequest, likely Shard) ([]Turn, error) {
-	account, id := req.Account, req.Turn
+// chain returns a turn and all turns before it. likely is the shard that is likely to have
+// them.
+func (c *Client) chain(ctx context.Context, account types.AccountID, id TurnID, likely Shard) ([]Turn, error) {
 	var chain []Turn
 	for id != "" {
 		t, ok := c.cache.get(account, id)
