store: a disk performs and reports all operations on files

A loss of power keeps or loses each write and each name that no sync covered.

Directories, new files, renames, removals and truncations now go through store.Disk as well, which reports each operation to Observe. Turn stores, replicas, control hosts and nodes pass their disk on. What is synced, and when, has not changed.

--- a/fleet/bootstrap.go
+++ b/fleet/bootstrap.go
@@ -55,17 +55,17 @@
 	_, _, err := quorum.ReadMembers(c.dir())
 	if errors.Is(err, store.ErrCorrupt) {
 		c.Log.Write(event.LogCorrupt, event.Fields{"folder": c.dir(), "error": err.Error()})
-		if err := os.RemoveAll(c.Dir); err != nil {
+		if err := c.Disk.RemoveAll(c.Dir); err != nil {
 			return errors.Wrap(err, "fleet: delete corrupt data directory")
 		}
 	}
 	_, err = os.Stat(c.dir())
 	if errors.Is(err, os.ErrNotExist) && c.AllowBootstrap {
-		if err := store.WriteFile(c.Dir, bootstrapMarker, []byte{1}); err != nil {
+		if err := c.Disk.WriteFile(c.Dir, bootstrapMarker, []byte{1}); err != nil {
 			return err
 		}
 	}
-	id, err := quorum.LoadOrCreateID(c.dir(), types.HostID(c.Address))
+	id, err := quorum.LoadOrCreateIDOn(c.Disk, c.dir(), types.HostID(c.Address))
 	c.mu.Lock()
 	c.id = id
 	c.mu.Unlock()
@@ -121,7 +121,7 @@
 		case err != nil:
 			allReady = false
 		case r.Bootstrapped && r.Members.IsVoter(c.id):
-			return true, quorum.Bootstrap(c.dir(), r.Members)
+			return true, quorum.BootstrapOn(c.Disk, c.dir(), r.Members)
 		case r.Bootstrapped:
 			return true, nil
 		}
@@ -133,7 +133,7 @@
 	}
 	slices.SortFunc(initialMembers.Voters, func(a, b quorum.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	c.Log.Write(event.GroupBootstrapped, event.Fields{"group": types.ConfigGroup, "voters": len(initialMembers.Voters)})
-	return true, quorum.Bootstrap(c.dir(), initialMembers)
+	return true, quorum.BootstrapOn(c.Disk, c.dir(), initialMembers)
 }
 
 func (c *Control) sendHello(ctx context.Context, address string) (HelloReply, error) {
--- a/fleet/command_set.go
+++ b/fleet/command_set.go
@@ -82,7 +82,7 @@
 
 // save writes the declarations of the members of the group, and drops those of others. It
 // does nothing if no declaration has changed since the last successful call.
-func (s *commandSets) save(dir string, members quorum.Members) error {
+func (s *commandSets) save(disk store.Disk, dir string, members quorum.Members) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.unsaved {
@@ -93,7 +93,7 @@
 			delete(s.declared, id)
 		}
 	}
-	err := store.WriteFile(dir, commandSetsFile, types.Encode(s.declared))
+	err := disk.WriteFile(dir, commandSetsFile, types.Encode(s.declared))
 	s.unsaved = err != nil
 	return err
 }
@@ -146,7 +146,7 @@
 		}
 	}
 	_ = group.Wait() // Members that do not reply keep their last declaration.
-	if err := c.commandSets.save(c.Dir, s.Members); err != nil {
+	if err := c.commandSets.save(c.Disk, c.Dir, s.Members); err != nil {
 		c.Log.Write(event.DiskIOFailed, event.Fields{"path": commandSetsFile, "error": err.Error()})
 	}
 }
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -40,7 +40,7 @@
 	AllowBootstrap bool
 	// Dir is the data directory. No other host may use it.
 	Dir string
-	// Disk performs the writes and syncs of the replica.
+	// Disk performs the operations on the files in Dir.
 	Disk store.Disk
 	// Losses is how many hosts with a disk may fail at the same time. If there
 	// are enough stores, each shard has 2*Losses+1 copies.
--- a/host/node.go
+++ b/host/node.go
@@ -19,6 +19,7 @@
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/gate"
 	"github.com/banyanspur/banyanspur/limit"
+	"github.com/banyanspur/banyanspur/store"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
 )
@@ -58,6 +59,8 @@
 	SettingsFile string
 	// Reload makes the process read SettingsFile at once. It may be nil.
 	Reload <-chan os.Signal
+	// Disk performs the operations on the files of a control host or a store.
+	Disk store.Disk
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
@@ -197,7 +200,7 @@
 // stop once its replica has stopped.
 func (n *Node) startControl(ctx, serveCtx context.Context, g *errgroup.Group, stop func()) error {
 	control := &fleet.Control{
-		Address: n.Settings.PeerAddress(), Seeds: n.Settings.SeedPeerAddresses(), AllowBootstrap: n.Settings.Founding, Dir: n.Settings.DataDir,
+		Address: n.Settings.PeerAddress(), Seeds: n.Settings.SeedPeerAddresses(), AllowBootstrap: n.Settings.Founding, Dir: n.Settings.DataDir, Disk: n.Disk,
 		Losses: n.Settings.Losses, ZoneLosses: n.Settings.ZoneLosses, Peers: n.peers, Clock: n.clock, ListTargets: n.ListTargets, ColdBound: coldBound(n.Settings), TargetPace: n.Settings.TargetPace, Log: n.Log,
 	}
 	n.onSettings(func(s config.NodeSettings) {
--- a/host/store.go
+++ b/host/store.go
@@ -26,7 +26,7 @@
 // calls stop.
 func (n *Node) startStore(ctx, serveCtx context.Context, g *errgroup.Group, stop func()) error {
 	store := &turns.Store{
-		Dir: filepath.Join(n.Settings.DataDir, "turns"), Clock: types.NewClock(), Log: n.Log,
+		Dir: filepath.Join(n.Settings.DataDir, "turns"), Disk: n.Disk, Clock: types.NewClock(), Log: n.Log,
 		Capacity: turns.Capacity{MemoryBytes: n.Settings.MemoryMB << 20 / indexShare},
 		CatchUp:  n.Settings.CatchUp(), LinkBytesPerSecond: n.Settings.LinkBytesPerSecond(),
 	}
--- a/quorum/durable.go
+++ b/quorum/durable.go
@@ -19,9 +19,14 @@
 	Entries []Entry    `json:"entries,omitempty"`
 }
 
-// LoadOrCreateID returns the ID stored in a replica's directory. If there is
-// none, it generates and stores one for a replica on the given host.
+// LoadOrCreateID is [LoadOrCreateIDOn] of the zero [store.Disk].
 func LoadOrCreateID(dir string, host types.HostID) (ReplicaID, error) {
+	return LoadOrCreateIDOn(store.Disk{}, dir, host)
+}
+
+// LoadOrCreateIDOn returns the ID stored in a replica's directory. If there is
+// none, it generates and stores one for a replica on the given host.
+func LoadOrCreateIDOn(disk store.Disk, dir string, host types.HostID) (ReplicaID, error) {
 	b, err := os.ReadFile(filepath.Join(dir, identityFile))
 	if err == nil {
 		return ReplicaID(b), nil
@@ -30,7 +35,7 @@
 		return "", errors.Wrap(err, "quorum: read identity")
 	}
 	id := NewReplicaID(host)
-	return id, store.WriteFile(dir, identityFile, []byte(id))
+	return id, disk.WriteFile(dir, identityFile, []byte(id))
 }
 
 // ReadMembers reports whether the replica in dir belongs to a group, and returns
@@ -49,10 +54,13 @@
 	return err == nil, s.Members, err
 }
 
-// Bootstrap stores the group's initial membership for the replica in dir. It
+// Bootstrap is [BootstrapOn] of the zero [store.Disk].
+func Bootstrap(dir string, members Members) error { return BootstrapOn(store.Disk{}, dir, members) }
+
+// BootstrapOn stores the group's initial membership for the replica in dir. It
 // returns an error if the replica already belongs to a group.
-func Bootstrap(dir string, members Members) error {
-	l, recovered, err := store.Open(dir)
+func BootstrapOn(disk store.Disk, dir string, members Members) error {
+	l, recovered, err := disk.Open(dir)
 	if err != nil {
 		return err
 	}
@@ -66,7 +74,7 @@
 // openStore opens the replica's directory and restores the state machine and the
 // core from it.
 func (r *Replica[C, R]) openStore() error {
-	id, err := LoadOrCreateID(r.Dir, r.Host)
+	id, err := LoadOrCreateIDOn(r.Disk, r.Dir, r.Host)
 	if err != nil {
 		return err
 	}
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -48,7 +48,7 @@
 	// Dir is the directory for this replica's durable state. No other replica may
 	// use it.
 	Dir string
-	// Disk performs the replica's writes and syncs.
+	// Disk performs the operations on the files in Dir.
 	Disk store.Disk
 	// Host is the host that the replica runs on.
 	Host types.HostID
--- a/store/disk.go
+++ b/store/disk.go
@@ -1,15 +1,59 @@
 package store
 
-import "os"
+import (
+	"os"
+	"path/filepath"
 
-// Disk performs the writes and syncs of logs and journals. The zero value uses
-// the operating system's. Tests set the fields to delay or to fail operations.
+	"github.com/cockroachdb/errors"
+)
+
+// Disk performs the operations on files and directories of logs, journals and single
+// files. The zero value uses the operating system's. Tests set the fields to delay, to fail
+// or to record operations.
 type Disk struct {
 	// Write writes b at the end of f. The default is [os.File.Write].
 	Write func(f *os.File, b []byte) (int, error)
 	// Sync makes the content of the file or directory f durable. The default is
 	// [os.File.Sync].
 	Sync func(f *os.File) error
+	// Observe, if it is not nil, is called after each operation that has changed or
+	// synced a file or directory, before its caller continues. It may be called by several
+	// goroutines at once.
+	Observe func(op Op)
+}
+
+// Op is an operation that a [Disk] has performed.
+type Op struct {
+	Kind OpKind `json:"kind"`
+	// Path is the file or directory.
+	Path string `json:"path"`
+	// To is the new path of a renamed file.
+	To string `json:"to,omitempty"`
+	// Data holds the bytes that were appended. It is valid only during the call of Observe.
+	Data []byte `json:"data,omitempty"`
+	// Size is the size to which a file was truncated.
+	Size int64 `json:"size,omitempty"`
+}
+
+// OpKind is the kind of an [Op].
+type OpKind string
+
+// The kinds of operations.
+const (
+	OpMkdir    OpKind = "mkdir"    // a directory was created
+	OpCreate   OpKind = "create"   // an empty file was created, or an existing one emptied
+	OpAppend   OpKind = "append"   // Data was written at the end of a file
+	OpTruncate OpKind = "truncate" // a file was truncated to Size
+	OpSync     OpKind = "sync"     // a file was synced
+	OpSyncDir  OpKind = "syncDir"  // a directory was synced
+	OpRename   OpKind = "rename"   // a file was renamed to To, in place of another one if there was one
+	OpRemove   OpKind = "remove"   // a file or an empty directory was removed
+)
+
+func (d Disk) observe(op Op) {
+	if d.Observe != nil {
+		d.Observe(op)
+	}
 }
 
 func (d Disk) write(f *os.File, b []byte) error {
@@ -17,13 +61,101 @@
 	if d.Write != nil {
 		write = d.Write
 	}
-	_, err := write(f, b)
+	n, err := write(f, b)
+	if n > 0 {
+		d.observe(Op{Kind: OpAppend, Path: f.Name(), Data: b[:n]})
+	}
 	return err
 }
 
-func (d Disk) sync(f *os.File) error {
+// sync syncs the file f.
+func (d Disk) sync(f *os.File) error { return d.syncAs(f, OpSync) }
+
+func (d Disk) syncAs(f *os.File, kind OpKind) error {
+	sync := (*os.File).Sync
 	if d.Sync != nil {
-		return d.Sync(f)
+		sync = d.Sync
+	}
+	err := sync(f)
+	if err == nil {
+		d.observe(Op{Kind: kind, Path: f.Name()})
+	}
+	return err
+}
+
+// openFile opens a file with the given flags besides [os.O_WRONLY].
+func (d Disk) openFile(path string, flags int) (*os.File, error) {
+	_, statErr := os.Lstat(path)
+	f, err := os.OpenFile(path, flags|os.O_WRONLY, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	if flags&os.O_TRUNC != 0 || errors.Is(statErr, os.ErrNotExist) {
+		d.observe(Op{Kind: OpCreate, Path: path})
+	}
+	return f, nil
+}
+
+// mkdirAll creates a directory and those above it that do not exist.
+func (d Disk) mkdirAll(dir string) error {
+	if info, err := os.Stat(dir); err == nil && info.IsDir() {
+		return nil
+	}
+	if parent := filepath.Dir(dir); parent != dir {
+		if err := d.mkdirAll(parent); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(dir, dirMode); err != nil && !errors.Is(err, os.ErrExist) {
+		return errors.Wrap(err, "store: create directory")
+	}
+	d.observe(Op{Kind: OpMkdir, Path: dir})
+	return nil
+}
+
+func (d Disk) truncate(f *os.File, size int64) error {
+	if err := f.Truncate(size); err != nil {
+		return errors.Wrap(err, "store: truncate file")
+	}
+	d.observe(Op{Kind: OpTruncate, Path: f.Name(), Size: size})
+	return nil
+}
+
+func (d Disk) rename(from, to string) error {
+	if err := os.Rename(from, to); err != nil {
+		return errors.Wrap(err, "store: rename file")
+	}
+	d.observe(Op{Kind: OpRename, Path: from, To: to})
+	return nil
+}
+
+func (d Disk) remove(path string) error {
+	if err := os.Remove(path); err != nil {
+		return errors.Wrap(err, "store: remove file")
+	}
+	d.observe(Op{Kind: OpRemove, Path: path})
+	return nil
+}
+
+// RemoveAll removes a directory with all that it contains. It is no error if there is none.
+func (d Disk) RemoveAll(dir string) error {
+	entries, err := os.ReadDir(dir)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "store: list directory")
+	}
+	for _, e := range entries {
+		path := filepath.Join(dir, e.Name())
+		if e.IsDir() {
+			err = d.RemoveAll(path)
+		} else {
+			err = d.remove(path)
+		}
+		if err != nil {
+			return err
+		}
 	}
-	return f.Sync()
+	return d.remove(dir)
 }
--- a/store/file.go
+++ b/store/file.go
@@ -36,22 +36,22 @@
 // and returns once it is durable. After a crash the file has either the old or
 // the new content. The directory is created if needed.
 func (d Disk) WriteFile(dir, name string, b []byte) error {
-	if err := os.MkdirAll(dir, dirMode); err != nil {
-		return errors.Wrap(err, "store: create directory")
+	if err := d.mkdirAll(dir); err != nil {
+		return err
 	}
 	path := filepath.Join(dir, name)
 	if err := d.writeAndSync(path+".new", b); err != nil {
 		return err
 	}
-	if err := os.Rename(path+".new", path); err != nil {
-		return errors.Wrap(err, "store: rename file")
+	if err := d.rename(path+".new", path); err != nil {
+		return err
 	}
 	return d.syncDir(dir)
 }
 
 // writeAndSync writes b to a new or truncated file and syncs it.
 func (d Disk) writeAndSync(path string, b []byte) error {
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	f, err := d.openFile(path, os.O_CREATE|os.O_TRUNC)
 	if err != nil {
 		return errors.Wrap(err, "store: create file")
 	}
@@ -85,5 +85,5 @@
 		return errors.Wrap(err, "store: open directory")
 	}
 	defer f.Close()
-	return errors.Wrap(d.sync(f), "store: sync directory")
+	return errors.Wrap(d.syncAs(f, OpSyncDir), "store: sync directory")
 }
--- a/store/journal.go
+++ b/store/journal.go
@@ -42,8 +42,8 @@
 // and then starts a new segment. It returns [ErrCorrupt] if a damaged frame is
 // followed by an intact one in its segment.
 func (d Disk) OpenJournal(dir string, visit func(at Location, record []byte) error) (*Journal, error) {
-	if err := os.MkdirAll(dir, dirMode); err != nil {
-		return nil, errors.Wrap(err, "store: create directory")
+	if err := d.mkdirAll(dir); err != nil {
+		return nil, err
 	}
 	segments, err := listSegments(dir)
 	if err != nil {
@@ -172,7 +172,7 @@
 
 // Rotate starts a new segment.
 func (j *Journal) Rotate() error {
-	f, err := os.OpenFile(j.segmentPath(j.segment+1), os.O_CREATE|os.O_EXCL|os.O_APPEND|os.O_WRONLY, fileMode)
+	f, err := j.disk.openFile(j.segmentPath(j.segment+1), os.O_CREATE|os.O_EXCL|os.O_APPEND)
 	if errors.Is(err, os.ErrExist) {
 		j.segment++ // An earlier call created the file but failed to sync its directory.
 		return j.Rotate()
@@ -201,7 +201,7 @@
 	if segment == j.segment {
 		return nil
 	}
-	return errors.Wrap(os.Remove(j.segmentPath(segment)), "store: remove segment")
+	return j.disk.remove(j.segmentPath(segment))
 }
 
 // Close closes the journal. All appended records are already durable.
--- a/store/log.go
+++ b/store/log.go
@@ -51,8 +51,8 @@
 // the log and its content. It returns [ErrCorrupt] if the snapshot or a frame
 // other than an incomplete last one is damaged.
 func (d Disk) Open(dir string) (*Log, Recovered, error) {
-	if err := os.MkdirAll(dir, dirMode); err != nil {
-		return nil, Recovered{}, errors.Wrap(err, "store: create directory")
+	if err := d.mkdirAll(dir); err != nil {
+		return nil, Recovered{}, err
 	}
 	segments, err := listSegments(dir)
 	if err != nil {
@@ -102,7 +102,7 @@
 	}
 	for i, segment := range segments {
 		last := i == len(segments)-1
-		frames, truncated, err := readSegment(l.segmentPath(segment), last)
+		frames, truncated, err := l.disk.readSegment(l.segmentPath(segment), last)
 		if err != nil {
 			return r, err
 		}
@@ -118,7 +118,7 @@
 // readSegment returns the payloads of the frames in one segment. In the last
 // segment, it removes an incomplete frame from the end and returns its size as
 // truncated. In any other segment, an incomplete frame is corruption.
-func readSegment(path string, last bool) (frames [][]byte, truncated int, err error) {
+func (d Disk) readSegment(path string, last bool) (frames [][]byte, truncated int, err error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "store: read segment")
@@ -139,23 +139,23 @@
 	if !last || containsFrame(rest[1:]) {
 		return nil, 0, errors.Wrapf(ErrCorrupt, "%s at byte %d", filepath.Base(path), offset)
 	}
-	if err := truncate(path, int64(offset)); err != nil {
+	if err := d.truncatePath(path, int64(offset)); err != nil {
 		return nil, 0, err
 	}
 	return frames, len(rest), nil
 }
 
-// truncate truncates a file to size and syncs it.
-func truncate(path string, size int64) error {
+// truncatePath truncates a file to size and syncs it.
+func (d Disk) truncatePath(path string, size int64) error {
 	f, err := os.OpenFile(path, os.O_RDWR, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "store: open segment to truncate")
 	}
 	defer f.Close()
-	if err := f.Truncate(size); err != nil {
-		return errors.Wrap(err, "store: truncate segment")
+	if err := d.truncate(f, size); err != nil {
+		return err
 	}
-	return errors.Wrap(f.Sync(), "store: sync truncated segment")
+	return errors.Wrap(d.sync(f), "store: sync truncated segment")
 }
 
 // openLastSegment opens the last segment for appending, or the first one of a
@@ -171,7 +171,7 @@
 // openSegment opens the segment l.segment for appending and creates it if
 // needed.
 func (l *Log) openSegment() error {
-	f, err := os.OpenFile(l.segmentPath(l.segment), os.O_CREATE|os.O_APPEND|os.O_WRONLY, fileMode)
+	f, err := l.disk.openFile(l.segmentPath(l.segment), os.O_CREATE|os.O_APPEND)
 	if err != nil {
 		return errors.Wrap(err, "store: open segment")
 	}
@@ -247,8 +247,8 @@
 		if s >= segment {
 			continue
 		}
-		if err := os.Remove(l.segmentPath(s)); err != nil {
-			return errors.Wrap(err, "store: remove segment")
+		if err := l.disk.remove(l.segmentPath(s)); err != nil {
+			return err
 		}
 	}
 	return l.disk.syncDir(l.dir)
--- a/turns/store.go
+++ b/turns/store.go
@@ -20,7 +20,7 @@
 type Store struct {
 	// Dir is the store's directory. No other store may use it.
 	Dir string
-	// Disk performs the writes and syncs of the journal.
+	// Disk performs the operations on the files in Dir.
 	Disk store.Disk
 	// Clock is the process's monotonic clock.
 	Clock types.Clock
@@ -110,7 +110,7 @@
 	err := s.open()
 	if errors.Is(err, store.ErrCorrupt) {
 		s.Log.Write(event.LogCorrupt, event.Fields{"folder": s.Dir, "error": err.Error()})
-		if err = os.RemoveAll(s.Dir); err != nil {
+		if err = s.Disk.RemoveAll(s.Dir); err != nil {
 			return "", errors.Wrap(err, "turns: remove the corrupt directory")
 		}
 		err = s.open()
@@ -126,7 +126,7 @@
 	id, err := os.ReadFile(filepath.Join(s.Dir, identityFile))
 	if errors.Is(err, os.ErrNotExist) {
 		id = []byte(types.RandomID())
-		err = store.WriteFile(s.Dir, identityFile, id)
+		err = s.Disk.WriteFile(s.Dir, identityFile, id)
 	}
 	if err != nil {
 		return errors.Wrap(err, "turns: read or create the identity")
