store: names of directories are durable when they are used

Disk.MakeDir creates a directory, syncs the one above it, also for a directory that it finds, and logs and journals call it when they are opened. If the directory above an existing one must not be synced, it is used as it is: the platform has created it.

--- a/crash/model.go
+++ b/crash/model.go
@@ -308,6 +308,42 @@
 	return nil
 }
 
+// Clone writes the current content to dir, with all that is not durable, as after the end of the
+// processes, and returns a model of it.
+func (m *Model) Clone(dir string) (*Model, error) {
+	if err := m.LosePower(dir, func(bool) Fate { return Kept }); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &Model{Root: dir, root: m.tree().clone(map[*node]*node{}), err: m.err}, nil
+}
+
+// clone copies a node and all below it. copies are those made before, by their original.
+func (n *node) clone(copies map[*node]*node) *node {
+	if n == nil || copies[n] != nil {
+		return copies[n]
+	}
+	c := &node{isDir: n.isDir, content: slices.Clone(n.content), size: n.size}
+	copies[n] = c
+	for _, w := range n.writes {
+		c.writes = append(c.writes, &write{at: w.at, data: w.data})
+	}
+	if n.isDir {
+		c.names, c.current = map[string]*node{}, map[string]*node{}
+	}
+	for name, child := range n.names {
+		c.names[name] = child.clone(copies)
+	}
+	for name, child := range n.current {
+		c.current[name] = child.clone(copies)
+	}
+	for _, ch := range n.changes {
+		c.changes = append(c.changes, &change{name: ch.name, from: ch.from, target: ch.target.clone(copies)})
+	}
+	return c
+}
+
 // Load makes the model hold the content of Root, all of it durable.
 func (m *Model) Load() error {
 	m.mu.Lock()
--- a/store/disk.go
+++ b/store/disk.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Disk performs the operations on files and directories of logs, journals and single
@@ -96,13 +97,15 @@
 	return f, nil
 }
 
-// mkdirAll creates a directory and those above it that do not exist.
-func (d Disk) mkdirAll(dir string) error {
+// MakeDir creates a directory and those above it that do not exist, and makes its name durable,
+// also if an earlier process has created the directory and has ended before it synced the one
+// above. Processes call it at their start for each directory that they create.
+func (d Disk) MakeDir(dir string) error {
 	if info, err := os.Stat(dir); err == nil && info.IsDir() {
-		return nil
+		return d.syncFoundName(dir)
 	}
 	if parent := filepath.Dir(dir); parent != dir {
-		if err := d.mkdirAll(parent); err != nil {
+		if err := d.MakeDir(parent); err != nil {
 			return err
 		}
 	}
@@ -110,7 +113,18 @@
 		return errors.Wrap(err, "store: create directory")
 	}
 	d.observe(Op{Kind: OpMkdir, Path: dir})
-	return nil
+	return d.syncDir(filepath.Dir(dir))
+}
+
+// syncFoundName makes the name of a directory durable that existed. The one above it need not
+// belong to this process: if it must not be opened or synced, its owner has created the
+// directory, and is responsible for its name.
+func (d Disk) syncFoundName(dir string) error {
+	err := d.syncDir(filepath.Dir(dir))
+	if errors.IsAny(err, os.ErrPermission, unix.EROFS) {
+		return nil
+	}
+	return err
 }
 
 func (d Disk) truncate(f *os.File, size int64) error {
--- a/store/file.go
+++ b/store/file.go
@@ -36,8 +36,10 @@
 // and returns once it is durable. After a crash the file has either the old or
 // the new content. The directory is created if needed.
 func (d Disk) WriteFile(dir, name string, b []byte) error {
-	if err := d.mkdirAll(dir); err != nil {
-		return err
+	if _, err := os.Stat(dir); err != nil {
+		if err := d.MakeDir(dir); err != nil {
+			return err
+		}
 	}
 	path := filepath.Join(dir, name)
 	if err := d.writeAndSync(path+".new", b); err != nil {
--- a/store/journal.go
+++ b/store/journal.go
@@ -42,7 +42,7 @@
 // and then starts a new segment. It returns [ErrCorrupt] if a damaged frame is
 // followed by an intact one in its segment.
 func (d Disk) OpenJournal(dir string, visit func(at Location, record []byte) error) (*Journal, error) {
-	if err := d.mkdirAll(dir); err != nil {
+	if err := d.MakeDir(dir); err != nil {
 		return nil, err
 	}
 	segments, err := listSegments(dir)
--- a/store/log.go
+++ b/store/log.go
@@ -51,7 +51,7 @@
 // the log and its content. It returns [ErrCorrupt] if the snapshot or a frame
 // other than an incomplete last one is damaged.
 func (d Disk) Open(dir string) (*Log, Recovered, error) {
-	if err := d.mkdirAll(dir); err != nil {
+	if err := d.MakeDir(dir); err != nil {
 		return nil, Recovered{}, err
 	}
 	segments, err := listSegments(dir)
