crash, soak: disks hang before some losses of power

A sync takes about a millisecond here, so that a loss of power rarely met writes that were not durable. The message of a loss names what it took. The model no longer panics when the root of its directory is removed.

--- a/crash/follow.go
+++ b/crash/follow.go
@@ -16,13 +16,13 @@
 // Follower follows the directory that one process after another uses, each with a
 // [RecordingDisk]. Set Dir. What tests change in the directory between two processes counts as
 // not durable, and a directory that they have removed as new. The methods must not be called
-// concurrently.
+// concurrently, except Hang.
 type Follower struct {
 	Dir string
 
 	model   *Model // nil before the first start
 	reading errgroup.Group
-	// unreported counts the operations that were found in the directory only.
+	// unreported is [Loss.Unreported] until now.
 	unreported int
 }
 
@@ -31,13 +31,20 @@
 type Loss struct {
 	Writes, LostWrites, TornWrites int
 	Names, LostNames               int
-	// Unreported are the operations since the loss before that were found in the directory
-	// only: a killed process may have performed one in each goroutine, and a test any number.
+	// Unreported is the most operations of one process since the loss before that were found
+	// in the directory only: when it is killed, it may have performed one in each goroutine
+	// and not reported it. Those of tests count, too.
 	Unreported int
 	// Details are the writes and names in words, with what has become of them.
 	Details string
 }
 
+// String returns the counts and the details, for messages of tests.
+func (l Loss) String() string {
+	return fmt.Sprintf("%d of %d writes lost, %d torn, %d of %d names lost, %d operations not reported: %s",
+		l.LostWrites, l.Writes, l.TornWrites, l.LostNames, l.Names, l.Unreported, l.Details)
+}
+
 // Start starts a process and follows its operations. The process before must have exited.
 //
 // The log is a pipe: it keeps what a killed process has written, and a limit on the size of
@@ -51,7 +58,7 @@
 		return errors.Wrap(err, "crash: create a pipe")
 	}
 	defer w.Close() // The process has its own.
-	cmd.Env = append(cmd.Env, fmt.Sprintf("%s=/dev/fd/%d", LogEnv, 3+len(cmd.ExtraFiles)))
+	cmd.Env = append(cmd.Env, fmt.Sprintf("%s=/dev/fd/%d", LogEnv, 3+len(cmd.ExtraFiles)), HangEnv+"="+f.hangFile())
 	cmd.ExtraFiles = append(cmd.ExtraFiles, w)
 	if err := cmd.Start(); err != nil {
 		_ = r.Close() // Nothing has been written.
@@ -80,6 +87,18 @@
 	}
 }
 
+// Hang lets the syncs of processes hang, or continue. What they have written meanwhile is not
+// durable, and must not be acknowledged.
+func (f *Follower) Hang(hang bool) error {
+	err := os.RemoveAll(f.hangFile())
+	if hang {
+		err = os.WriteFile(f.hangFile(), nil, 0o600)
+	}
+	return errors.Wrap(err, "crash: let syncs hang or continue")
+}
+
+func (f *Follower) hangFile() string { return f.Dir + ".hang" }
+
 // settle waits until all operations of the last process are known, and adds those that it
 // could not report before it was killed.
 func (f *Follower) settle() error {
@@ -95,7 +114,7 @@
 		return err
 	}
 	n, err := f.model.Reconcile()
-	f.unreported += n
+	f.unreported = max(f.unreported, n)
 	return err
 }
 
--- a/crash/follow_test.go
+++ b/crash/follow_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
@@ -92,6 +93,29 @@
 
 var ignoreDetails = cmpopts.IgnoreFields(crash.Loss{}, "Details")
 
+// TestHang guards against syncs that return while the disk hangs.
+func TestHang(t *testing.T) {
+	f := &crash.Follower{Dir: filepath.Join(t.TempDir(), "data")}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), dirEnv+"="+f.Dir)
+	if err := errors.Join(f.Hang(true), f.Start(cmd)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(200 * time.Millisecond) // The process takes some 20 ms otherwise.
+	_ = cmd.Process.Kill()             // It may have exited.
+	_ = cmd.Wait()                     // It is killed.
+	if err := f.Hang(false); err != nil {
+		t.Fatal(err)
+	}
+	l, err := f.LosePower(func(bool) crash.Fate { return crash.Lost })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(map[string]string{}, read(t, f.Dir)); diff != "" {
+		t.Errorf("durable though syncs hang (-want +got):\n%s\n%+v", diff, l)
+	}
+}
+
 // TestReconcile guards against operations of a killed process that are taken for others: a
 // rename that may be lost as a whole only, and appends after which the former bytes remain.
 func TestReconcile(t *testing.T) {
--- a/crash/model_test.go
+++ b/crash/model_test.go
@@ -90,6 +90,11 @@
 			{Kind: store.OpSync, Path: dir("d/f")},
 			{Kind: store.OpSyncDir, Path: dir("d")},
 		}, []string{"", "d/f=ab"}},
+		{"the root may be removed and created", append(synced[:len(synced):len(synced)],
+			store.Op{Kind: store.OpRemove, Path: dir("f")},
+			store.Op{Kind: store.OpRemove, Path: "/data"},
+			store.Op{Kind: store.OpMkdir, Path: "/data"},
+		), []string{"", "f=ab"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			m := &crash.Model{Root: "/data"}
--- a/crash/record.go
+++ b/crash/record.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -10,8 +11,16 @@
 	"github.com/banyanspur/banyanspur/store"
 )
 
-// LogEnv is the environment variable that names the file to which [RecordingDisk] writes.
-const LogEnv = "BANYANSPUR_DISK_LOG"
+// The environment variables of [RecordingDisk].
+const (
+	// LogEnv names the file to which the disk writes its operations.
+	LogEnv = "BANYANSPUR_DISK_LOG"
+	// HangEnv names a file. The disk does not begin to sync while it exists.
+	HangEnv = "BANYANSPUR_DISK_HANG"
+)
+
+// hangInterval is how often a sync that hangs looks whether it may begin.
+const hangInterval = time.Millisecond
 
 // RecordingDisk returns a disk that writes its operations to the file that [LogEnv] names,
 // each before its caller continues. It returns a disk that records nothing if the variable is
@@ -27,7 +36,15 @@
 	}
 	var mu sync.Mutex
 	e := cbor.NewEncoder(f)
-	return store.Disk{Observe: func(op store.Op) {
+	hang := os.Getenv(HangEnv)
+	syncFile := func(f *os.File) error {
+		for ; ; time.Sleep(hangInterval) {
+			if _, err := os.Stat(hang); err != nil {
+				return f.Sync()
+			}
+		}
+	}
+	return store.Disk{Sync: syncFile, Observe: func(op store.Op) {
 		mu.Lock()
 		defer mu.Unlock()
 		if err := e.Encode(op); err != nil {
--- a/crash/states.go
+++ b/crash/states.go
@@ -59,6 +59,23 @@
 	return Fate(r.IntN(3))
 }
 
+// RandomLoss returns a random kind of a loss of power, with a name for messages: one that takes
+// all that is not durable, one that takes each write and name by itself, or names only.
+func RandomLoss(r *rand.Rand) (name string, fate func(isName bool) Fate) {
+	switch r.IntN(3) {
+	case 0:
+		return "all", func(bool) Fate { return Lost }
+	case 1:
+		return "each by itself", func(isName bool) Fate { return RandomFate(r, isName) }
+	}
+	return "names", func(isName bool) Fate {
+		if !isName {
+			return Kept
+		}
+		return RandomFate(r, isName)
+	}
+}
+
 // combinations returns the number of states, or more than limit if it is larger.
 func combinations(writes, names, limit int) int {
 	count := 1
