quorum, fleet: a replica without its log is not back under its identity

Nothing tied the identity of a replica to its log, and a control host kept the permission to create the group after the group existed. A host whose configuration was lost was back under its identity with an empty log, or with a new identity and the permission: seeds that had all lost their configuration would have created a second group.

- The log of a new replica is created before its identity, whose ID says so.
- The permission (marker) is removed durably once the group exists, before the replica takes part in it.
- A corrupt replica is removed with its identity first, and the directory above is synced before another identity is used.
Only the replica is removed, not the whole data directory.
- Files of an identity that a killed process has renamed are made durable before they are used (Disk.ReadFile).

Directories of earlier builds open as before: their IDs have no prefix.

--- a/crash/model_test.go
+++ b/crash/model_test.go
@@ -135,7 +135,7 @@
 	if _, err := j.Append([][]byte{[]byte("record")}); err != nil {
 		t.Fatal(err)
 	}
-	if err := errors.Join(j.Rotate(), j.Remove(1), j.Close(), d.RemoveAll(filepath.Join(root, "a"))); err != nil {
+	if err := errors.Join(j.Rotate(), j.Remove(1), j.Close(), d.RemoveAll(filepath.Join(root, "a"), "file")); err != nil {
 		t.Fatal(err)
 	}
 	if err := m.LosePower(kept, func(bool) crash.Fate { return crash.Kept }); err != nil {
--- a/fleet/bootstrap.go
+++ b/fleet/bootstrap.go
@@ -49,29 +49,43 @@
 }
 
 // loadIdentity reads the replica's identity, or creates it on the first start.
-// If the replica's state is corrupt, it deletes the data directory, so that the
-// replica joins the group under a new identity.
+// If the replica's state is corrupt or a part of it is missing, loadIdentity deletes it, so that
+// the replica joins the group under a new identity.
 func (c *Control) loadIdentity() error {
-	_, _, err := quorum.ReadMembers(c.dir())
-	if errors.Is(err, store.ErrCorrupt) {
-		c.Log.Write(event.LogCorrupt, event.Fields{"folder": c.dir(), "error": err.Error()})
-		if err := c.Disk.RemoveAll(c.Dir); err != nil {
-			return errors.Wrap(err, "fleet: delete corrupt data directory")
+	if _, err := os.Stat(c.dir()); errors.Is(err, os.ErrNotExist) && c.AllowBootstrap {
+		if err := c.Disk.WriteFile(c.Dir, bootstrapMarker, []byte{1}); err != nil {
+			return err
 		}
 	}
-	_, err = os.Stat(c.dir())
-	if errors.Is(err, os.ErrNotExist) && c.AllowBootstrap {
-		if err := c.Disk.WriteFile(c.Dir, bootstrapMarker, []byte{1}); err != nil {
+	id, err := c.readIdentity()
+	if errors.Is(err, store.ErrCorrupt) {
+		c.Log.Write(event.LogCorrupt, event.Fields{"folder": c.dir(), "error": err.Error()})
+		if err := c.removeMarker(); err != nil { // What is removed may have been a group of this host.
 			return err
 		}
+		if err := quorum.RemoveOn(c.Disk, c.dir()); err != nil {
+			return errors.Wrap(err, "fleet: delete the corrupt replica")
+		}
+		id, err = c.readIdentity()
 	}
-	id, err := quorum.LoadOrCreateIDOn(c.Disk, c.dir(), types.HostID(c.Address))
 	c.mu.Lock()
 	c.id = id
 	c.mu.Unlock()
 	return err
 }
 
+func (c *Control) readIdentity() (quorum.ReplicaID, error) {
+	if _, _, err := quorum.ReadMembers(c.dir()); err != nil {
+		return "", err
+	}
+	return quorum.LoadOrCreateIDOn(c.Disk, c.dir(), types.HostID(c.Address))
+}
+
+// removeMarker makes sure that this host does not bootstrap a group any more.
+func (c *Control) removeMarker() error {
+	return c.Disk.RemoveFile(filepath.Join(c.Dir, bootstrapMarker))
+}
+
 func (c *Control) mayBootstrap() bool {
 	_, err := os.Stat(filepath.Join(c.Dir, bootstrapMarker))
 	return err == nil
@@ -101,8 +115,14 @@
 // the lowest address creates it as soon as every seed reports that it belongs
 // to no group and that all hosts are starting for the first time. A replica
 // that finds an existing group without itself never creates another.
+//
+// Once the group exists, the marker is removed, before this replica acknowledges anything: if
+// all seeds lost their configuration and kept their markers, they would create a second group.
 func (c *Control) bootstrap(ctx context.Context) error {
-	return types.Poll(ctx, bootstrapInterval, c.tryBootstrap)
+	if err := types.Poll(ctx, bootstrapInterval, c.tryBootstrap); err != nil || ctx.Err() != nil {
+		return err
+	}
+	return c.removeMarker()
 }
 
 // tryBootstrap queries all seeds once. It reports whether bootstrapping is
--- a/quorum/durable.go
+++ b/quorum/durable.go
@@ -2,7 +2,7 @@
 
 import (
 	"os"
-	"path/filepath"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -24,20 +24,43 @@
 	return LoadOrCreateIDOn(store.Disk{}, dir, host)
 }
 
+// loggedPrefix begins the random part of an ID that was stored after its log had been created,
+// so that an ID without a log is one that has lost it. Earlier builds stored the ID first.
+const loggedPrefix = "l-"
+
 // LoadOrCreateIDOn returns the ID stored in a replica's directory. If there is
-// none, it generates and stores one for a replica on the given host.
+// none, it generates and stores one for a replica on the given host. It returns
+// [store.ErrCorrupt] if the replica's log is missing, or a part of it: the replica may have
+// voted, and must not do so again under its ID. [RemoveOn] removes it.
 func LoadOrCreateIDOn(disk store.Disk, dir string, host types.HostID) (ReplicaID, error) {
-	b, err := os.ReadFile(filepath.Join(dir, identityFile))
+	if err := disk.MakeDir(dir); err != nil {
+		return "", err
+	}
+	b, err := disk.ReadFile(dir, identityFile)
 	if err == nil {
-		return ReplicaID(b), nil
+		id := ReplicaID(b)
+		if _, random, _ := strings.Cut(string(id), "/"); !strings.HasPrefix(random, loggedPrefix) {
+			return id, nil
+		}
+		return id, errors.Wrapf(store.CheckLog(dir), "quorum: replica %s", id)
 	}
 	if !errors.Is(err, os.ErrNotExist) {
 		return "", errors.Wrap(err, "quorum: read identity")
 	}
-	id := NewReplicaID(host)
+	l, _, err := disk.Open(dir)
+	if err != nil {
+		return "", err
+	}
+	if err := l.Close(); err != nil {
+		return "", err
+	}
+	id := ReplicaID(string(host) + "/" + loggedPrefix + types.RandomID())
 	return id, disk.WriteFile(dir, identityFile, []byte(id))
 }
 
+// RemoveOn removes the replica in dir, whose ID is not used any more.
+func RemoveOn(disk store.Disk, dir string) error { return disk.RemoveAll(dir, identityFile) }
+
 // ReadMembers reports whether the replica in dir belongs to a group, and returns
 // the group's membership as of the replica's last snapshot. A replica that joined
 // the group has no snapshot, and so no membership here, until its log is compacted.
@@ -75,10 +98,11 @@
 // core from it.
 func (r *Replica[C, R]) openStore() error {
 	id, err := LoadOrCreateIDOn(r.Disk, r.Dir, r.Host)
-	if err != nil {
-		return err
+	var l *store.Log
+	var recovered store.Recovered
+	if err == nil {
+		l, recovered, err = r.Disk.Open(r.Dir)
 	}
-	l, recovered, err := r.Disk.Open(r.Dir)
 	if err != nil {
 		if errors.Is(err, store.ErrCorrupt) {
 			r.Log.Write(event.LogCorrupt, event.Fields{"group": r.Group, "error": err.Error()})
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -28,11 +28,6 @@
 	Restore(snapshot []byte) error
 }
 
-// NewReplicaID generates a unique ID for a replica on the given host.
-func NewReplicaID(host types.HostID) ReplicaID {
-	return ReplicaID(string(host) + "/" + types.RandomID())
-}
-
 // Host returns the host that the replica runs on.
 func (id ReplicaID) Host() types.HostID {
 	host, _, _ := strings.Cut(string(id), "/")
--- a/store/disk.go
+++ b/store/disk.go
@@ -151,19 +151,44 @@
 	return nil
 }
 
-// RemoveAll removes a directory with all that it contains. It is no error if there is none.
-func (d Disk) RemoveAll(dir string) error {
-	entries, err := os.ReadDir(dir)
+// RemoveFile durably removes a file. It is no error if there is none, or no directory; a process
+// that was killed may have removed it and not synced the directory.
+func (d Disk) RemoveFile(path string) error {
+	if err := d.remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	err := d.syncDir(filepath.Dir(path))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
 	}
+	return err
+}
+
+// RemoveAll durably removes a directory with all that it contains, first the file that identifies
+// its owner, so that no crash leaves an identity with a part of its files. It is no error if
+// there is no such directory or file.
+func (d Disk) RemoveAll(dir, identity string) error {
+	if err := d.RemoveFile(filepath.Join(dir, identity)); err != nil {
+		return err
+	}
+	if _, err := os.Stat(dir); errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err := d.removeTree(dir); err != nil {
+		return err
+	}
+	return d.syncDir(filepath.Dir(dir))
+}
+
+func (d Disk) removeTree(dir string) error {
+	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return errors.Wrap(err, "store: list directory")
 	}
 	for _, e := range entries {
 		path := filepath.Join(dir, e.Name())
 		if e.IsDir() {
-			err = d.RemoveAll(path)
+			err = d.removeTree(path)
 		} else {
 			err = d.remove(path)
 		}
--- a/store/file.go
+++ b/store/file.go
@@ -51,6 +51,17 @@
 	return d.syncDir(dir)
 }
 
+// ReadFile returns the content of file name in directory dir that [Disk.WriteFile] has written. It
+// makes the name durable first, since a process that was killed may have renamed the file and not
+// synced the directory. The error wraps [os.ErrNotExist] if there is no such file.
+func (d Disk) ReadFile(dir, name string) ([]byte, error) {
+	b, err := os.ReadFile(filepath.Join(dir, name))
+	if err != nil {
+		return nil, errors.Wrap(err, "store: read file")
+	}
+	return b, d.syncDir(dir)
+}
+
 // writeAndSync writes b to a new or truncated file and syncs it.
 func (d Disk) writeAndSync(path string, b []byte) error {
 	f, err := d.openFile(path, os.O_CREATE|os.O_TRUNC)
--- a/store/log.go
+++ b/store/log.go
@@ -58,6 +58,9 @@
 	if err != nil {
 		return nil, Recovered{}, err
 	}
+	if err := checkLog(dir, segments); err != nil {
+		return nil, Recovered{}, err
+	}
 	l := &Log{disk: d, dir: dir}
 	r, err := l.recover(segments)
 	if err != nil {
--- a/turns/store.go
+++ b/turns/store.go
@@ -110,7 +110,7 @@
 	err := s.open()
 	if errors.Is(err, store.ErrCorrupt) {
 		s.Log.Write(event.LogCorrupt, event.Fields{"folder": s.Dir, "error": err.Error()})
-		if err = s.Disk.RemoveAll(s.Dir); err != nil {
+		if err = s.Disk.RemoveAll(s.Dir, identityFile); err != nil {
 			return "", errors.Wrap(err, "turns: remove the corrupt directory")
 		}
 		err = s.open()
