gate, host: a host that stops accepts connections until it ends

A host closed its listener after 0.35 of its grace period, 1.4 s of 4, and ended as soon as no connection was open. Load balancers ask once a second and take a host out after two misses, so that they direct new connections to it for some 2 s, and for longer if too few others are ready: these were refused, or reset if they waited to be accepted.

The listener now stays open until the process ends, which is not earlier than 2.5 s after the signal unless the grace period is shorter. After 0.35 of it, requests that cannot be completed in time are refused as before (503 with Retry-After, not run). At its end the host first returns its shares of rate limits, while requests get 503, and then closes the listener at a moment at which no connection is open or waits to be accepted; a connection whose caller has sent bytes is not closed as unused.

--- a/gate/server_test.go
+++ b/gate/server_test.go
@@ -23,7 +23,7 @@
 const (
 	// testGrace is the grace period of hosts that these tests stop.
 	testGrace = 2 * time.Second
-	// acceptTime is the time for which such a host accepts connections.
+	// acceptTime is the time for which such a host serves all requests.
 	acceptTime = 700 * time.Millisecond
 )
 
@@ -33,14 +33,21 @@
 	responses *bufio.Reader
 }
 
+func newRawCaller(c net.Conn) *rawCaller { return &rawCaller{c, bufio.NewReader(c)} }
+
 // startServer starts a server for the callers of the testbed's gate. dial opens a connection
 // to it, and drain stops it.
 func (b *testbed) startServer() (dial func() *rawCaller, drain func()) {
+	return b.startServerOn(func(l net.Listener) net.Listener { return l }, testGrace)
+}
+
+// startServerOn is like startServer, with a listener that wrap returns and a grace period.
+func (b *testbed) startServerOn(wrap func(net.Listener) net.Listener, grace time.Duration) (dial func() *rawCaller, drain func()) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	s := &gate.Server{Gate: b.gate, Listener: l, Grace: testGrace}
+	s := &gate.Server{Gate: b.gate, Listener: wrap(l), Grace: grace}
 	var g errgroup.Group
 	g.Go(s.Serve)
 	drain = sync.OnceFunc(func() {
@@ -48,7 +55,10 @@
 		if err := s.Drain(context.Background()); err != nil {
 			b.t.Error(err)
 		}
-		if d := time.Since(start); d >= testGrace {
+		if err := s.Close(); err != nil {
+			b.t.Error(err)
+		}
+		if d := time.Since(start); d >= grace {
 			b.t.Errorf("the server took %v to stop", d)
 		}
 		if err := g.Wait(); err != nil {
@@ -63,7 +73,7 @@
 			return &rawCaller{&net.TCPConn{}, bufio.NewReader(strings.NewReader(""))}
 		}
 		b.t.Cleanup(func() { _ = c.Close() })
-		return &rawCaller{c, bufio.NewReader(c)}
+		return newRawCaller(c)
 	}, drain
 }
 
--- a/gate/stopping.go
+++ b/gate/stopping.go
@@ -37,6 +37,12 @@
 	time.AfterFunc(answerWithin, g.endAnswers)
 }
 
+// refuseAll makes the gate refuse all requests from now on before they are sent to any target.
+func (g *Gate) refuseAll() {
+	now := time.Now()
+	g.stopping.Store(&stopSchedule{acceptUntil: now, answersEnd: now})
+}
+
 // withTimeout is [context.WithTimeout], and also ends the context when no more responses can
 // be completed because the host is stopping.
 func (g *Gate) withTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
--- a/host/entry.go
+++ b/host/entry.go
@@ -43,18 +43,22 @@
 	}
 	g.Go(func() error { return n.client.Run(serveCtx) })
 	gateCtx, stopGate := context.WithCancel(serveCtx)
+	gateEnded := make(chan struct{})
 	g.Go(func() error {
-		defer stop() // Not earlier: the gate returns its shares of rate limits over the links.
+		defer close(gateEnded)
 		return gt.Run(gateCtx)
 	})
 	server := &gate.Server{Gate: gt, Listener: listener}
 	g.Go(server.Serve)
 	g.Go(func() error {
-		defer stopGate()
+		defer stop()
 		waitEither(ctx, serveCtx)
 		n.Log.Write(event.HostDraining, event.Fields{"host": n.Settings.Host})
 		server.Grace = n.inForce().Grace()
-		if err := server.Drain(serveCtx); err != nil {
+		err := server.Drain(serveCtx)
+		stopGate()
+		<-gateEnded // It returns its shares of rate limits over the links, which end with stop.
+		if err = errors.CombineErrors(err, server.Close()); err != nil {
 			n.Log.Write(event.HostFailed, event.Fields{"host": n.Settings.Host, "error": err.Error(), "step": "drain"})
 		}
 		return nil
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -236,3 +236,70 @@
 		t.Error("too few requests were served")
 	}
 }
+
+// rotationTime is how long a load balancer that asks once a second may direct connections to a
+// host that is not ready: two misses take it out.
+const rotationTime = 2 * time.Second
+
+// maxEndTime is the time before the end of a process within which it may refuse connections: it
+// closes its listener and ends.
+const maxEndTime = 150 * time.Millisecond
+
+// TestStopAcceptsUntilItEnds guards against connections that a host refuses or resets while it
+// stops: load balancers go on using it until two checks of its readiness have failed, or, if too
+// few other hosts are ready, until it has ended.
+func TestStopAcceptsUntilItEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		seed        uint64
+		maxSendTime time.Duration // how long after a connection is opened its request is sent
+		calledFor   time.Duration // time after the SIGTERM until which connections are opened
+	}{
+		"as in rotation":           {seed: 43, calledFor: 2200 * time.Millisecond},
+		"until the end":            {seed: 44, calledFor: stopGrace},
+		"requests are sent late":   {seed: 45, calledFor: stopGrace, maxSendTime: time.Second},
+		"late, and as in rotation": {seed: 46, calledFor: 2200 * time.Millisecond, maxSendTime: 500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) { testStopAccepts(t, c.seed, c.calledFor, c.maxSendTime) })
+	}
+}
+
+func testStopAccepts(t *testing.T, seed uint64, calledFor, maxSendTime time.Duration) {
+	const interval = 15 * time.Millisecond
+	c, tg := startServing(t, seed, 2, 2)
+	r := rand.New(rand.NewPCG(seed, 0))
+	entry := c.fleet.hosts[6]
+	address := net.JoinHostPort(c.fleet.address(entry), strconv.Itoa(callerPort))
+	wait, exited := startStop(entry)
+	var requests []*stopRequest
+	for at := time.Duration(0); at < calledFor; at += interval {
+		sent := at + time.Duration(r.Int64N(int64(maxSendTime)+1))
+		requests = append(requests, &stopRequest{
+			id: c.newID(), path: "/charge/", takes: time.Duration(r.IntN(100)) * time.Millisecond, opened: at, headSent: sent, sent: min(sent, stopGrace-1),
+		})
+	}
+	outcomes, refused := make([]stopOutcome, len(requests)), make([]error, len(requests))
+	var g errgroup.Group
+	for i, r := range requests {
+		g.Go(func() error {
+			outcomes[i], refused[i] = r.send(address, wait)
+			return nil
+		})
+	}
+	ended := exited()
+	_ = g.Wait() // All goroutines return nil.
+	if ended >= stopGrace || ended < rotationTime {
+		t.Errorf("the process has ended after %v, want %v at least and less than %v", ended, rotationTime, stopGrace)
+	}
+	counts := map[int]int{}
+	for i, r := range requests {
+		o := outcomes[i]
+		counts[o.code]++
+		if r.sent < ended-maxEndTime && (refused[i] != nil || o.err != nil) {
+			t.Errorf("opened after %v, sent after %v, the process has ended after %v: status %d, refused: %v, %v", r.opened, r.sent, ended, o.code, refused[i], o.err)
+		}
+		if ran := len(tg.runsOf(r.id)); ran > 1 || ran == 1 && (o.code == 0 || o.code == http.StatusServiceUnavailable) {
+			t.Errorf("sent after %v: status %d, %d targets have run it", r.sent, o.code, ran)
+		}
+	}
+	t.Logf("the process has ended after %v; requests by status, 0 for none: %v", ended, counts)
+}
