gate: a host that stops stores turns that their targets have completed

At 0.85 of the grace period a host ended all that it did for its callers, also the writes of turns whose targets had completed them and whose stores were late. The caller had all events and no end, though the process had 0.15 of the grace period left.

Turns are now stored until 0.92; connections are closed at 0.88 only if no turn is being stored.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -29,7 +29,7 @@
 	if c.route.Kind == plan.NonIdempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancelDeadline := c.gate.withTimeout(ctx, remaining)
+	ctx, cancelDeadline := withTimeout(ctx, c.gate.answersCtx, remaining)
 	attemptTimeout := time.Duration(attemptTimeoutFactor * float64(c.route.Objective))
 	if c.route.Kind != plan.Idempotent || !hasAlternative || c.runs+1 >= c.route.Attempts || attemptTimeout <= 0 || remaining <= 2*attemptTimeout {
 		return ctx, func() bool { return true }, cancelDeadline
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -100,6 +100,9 @@
 	stopping     atomic.Pointer[stopSchedule] // set when this host drains itself
 	answersCtx   context.Context              //nolint:containedctx // Ends when a host that stops ends its requests.
 	endAnswers   context.CancelFunc
+	commits      atomic.Int32    // turns that are being stored
+	commitsCtx   context.Context //nolint:containedctx // Ends when a host that stops ends storing turns.
+	endCommits   context.CancelFunc
 	// background runs the work that continues after the caller has its response,
 	// under backgroundCtx.
 	background       errgroup.Group
@@ -135,6 +138,7 @@
 		g.initRelay()
 		g.backgroundCtx, g.cancelBackground = context.WithCancel(context.Background())
 		g.answersCtx, g.endAnswers = context.WithCancel(context.Background())
+		g.commitsCtx, g.endCommits = context.WithCancel(context.Background())
 	})
 }
 
--- a/gate/late_store_test.go
+++ b/gate/late_store_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
 )
 
 // TestTurnWaitsForLateStore guards against turns that are refused shortly before a store replies
@@ -23,3 +25,31 @@
 		t.Errorf("a store whose disk takes 1.1 s for a sync; the caller waits for 5 s; after %v (-want +got):\n%s", time.Since(begin), diff)
 	}
 }
+
+// TestStoppingHostStoresCompletedTurn guards against a host that stops and breaks off a turn
+// whose target has completed it, since the stores are late near the end of the grace period.
+func TestStoppingHostStoresCompletedTurn(t *testing.T) {
+	const grace, sync = 4 * time.Second, 300 * time.Millisecond
+	b := newTestbed(t)
+	// The target ends at 0.8 of the grace period, the host its own responses at 0.85.
+	const work = 3200 * time.Millisecond
+	b.addTarget("models", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Proof", "p")
+		w.Header().Set("Content-Type", "text/event-stream")
+		writeEvent(w, 0, "one")
+		time.Sleep(work - 100*time.Millisecond)
+		b.syncLatency.Store(int64(sync))
+	})
+	dial, drain := b.startServerOn(func(l net.Listener) net.Listener { return l }, grace)
+	caller := dial()
+	start := time.Now()
+	var g errgroup.Group
+	g.Go(func() error { drain(); return nil })
+	time.Sleep(100 * time.Millisecond)
+	caller.send("turn", "/chat/", "1.1", "Deadline: 5000\r\n")
+	resp, body, err := caller.receive()
+	if resp.StatusCode != http.StatusOK || body != "id: 0\ndata: one\n\n" || err != nil {
+		t.Errorf("%v after the start of the stop: status %d, body %q, %v", time.Since(start), resp.StatusCode, body, err)
+	}
+	_ = g.Wait() // It always returns nil.
+}
--- a/gate/server.go
+++ b/gate/server.go
@@ -29,6 +29,10 @@
 	// closeShare is the fraction of the grace period after which connections are closed
 	// whose callers have not read their responses.
 	closeShare = 0.88
+	// commitShare is the fraction of the grace period until which turns that targets have
+	// completed are stored. What remains is for their ends, and for returning the host's
+	// shares of rate limits.
+	commitShare = 0.92
 	// endShare is the fraction of the grace period after which the host no longer waits for
 	// connections to be accepted and answered.
 	endShare = 0.93
@@ -99,7 +103,7 @@
 func (s *Server) Drain(ctx context.Context) error {
 	s.init()
 	s.start = time.Now()
-	s.Gate.Drain(s.share(acceptShare), s.share(answerShare))
+	s.Gate.Drain(s.share(acceptShare), s.share(answerShare), s.share(commitShare))
 	types.Sleep(ctx, s.share(acceptShare))
 	for !s.isDrained(ctx) {
 		time.Sleep(closePollInterval)
@@ -123,7 +127,7 @@
 	elapsed := time.Since(s.start)
 	open, _ := s.conns.closeUnused(unusedTime)
 	if elapsed >= s.share(closeShare) {
-		return true
+		return s.Gate.commits.Load() == 0 || elapsed >= s.share(commitShare)
 	}
 	inRotation := ctx.Err() == nil && elapsed < min(rotationTime, s.share(answerShare))
 	relays := s.Gate.relayServer.Active() > 0 && elapsed < s.share(answerShare) // For the requests of other hosts.
--- a/gate/stopping.go
+++ b/gate/stopping.go
@@ -29,12 +29,14 @@
 // connections. For acceptFor from now, all requests are served, and from then on those whose
 // deadline passes within answerWithin from now. All others are refused before they are sent to
 // any target. After answerWithin no request is sent, and those in flight end with a response
-// that says so if it has not begun. It must be called once.
-func (g *Gate) Drain(acceptFor, answerWithin time.Duration) {
+// that says so if it has not begun. Turns that targets have completed are stored for
+// commitWithin, so that their callers get the end. It must be called once.
+func (g *Gate) Drain(acceptFor, answerWithin, commitWithin time.Duration) {
 	g.init()
 	now := time.Now()
 	g.stopping.Store(&stopSchedule{acceptUntil: now.Add(acceptFor), answersEnd: now.Add(answerWithin)})
 	time.AfterFunc(answerWithin, g.endAnswers)
+	time.AfterFunc(commitWithin, g.endCommits)
 }
 
 // refuseAll makes the gate refuse all requests from now on before they are sent to any target.
@@ -43,11 +45,11 @@
 	g.stopping.Store(&stopSchedule{acceptUntil: now, answersEnd: now})
 }
 
-// withTimeout is [context.WithTimeout], and also ends the context when no more responses can
-// be completed because the host is stopping.
-func (g *Gate) withTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+// withTimeout is [context.WithTimeout], and also ends the context when stopCtx ends because the
+// host is stopping.
+func withTimeout(ctx, stopCtx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(ctx, d)
-	unlink := context.AfterFunc(g.answersCtx, cancel)
+	unlink := context.AfterFunc(stopCtx, cancel)
 	return ctx, func() {
 		unlink()
 		cancel()
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -40,7 +40,7 @@
 	if !c.turn.hasClaim && c.turn.previous == "" {
 		return c.takeFromLimit()
 	}
-	ctx, cancel := c.gate.withTimeout(c.r.Context(), admitTimeout(c.remaining()))
+	ctx, cancel := withTimeout(c.r.Context(), c.gate.answersCtx, admitTimeout(c.remaining()))
 	defer cancel()
 	var limited *errorResponse
 	var chainErr, budgetErr error
@@ -174,8 +174,10 @@
 			Input: c.body, Output: output, Target: c.target,
 		}
 	}
+	c.gate.commits.Add(1)
+	defer c.gate.commits.Add(-1)
 	// What was sent to the caller counts even if the caller disconnected.
-	ctx, cancel := c.gate.withTimeout(context.WithoutCancel(c.r.Context()), commitTimeout)
+	ctx, cancel := withTimeout(context.WithoutCancel(c.r.Context()), c.gate.commitsCtx, commitTimeout)
 	defer cancel()
 	err := c.gate.Turns.Settle(ctx, c.turn.budget, used, turn)
 	c.turn.settled = err == nil
