--- a/quorum/append.go
+++ b/quorum/append.go
@@ -125,14 +125,18 @@
 	}
 }
 
-// sendAppend sends a replica the next entries that it lacks, or a heartbeat if it
-// lacks none. If they have been compacted away it sends a snapshot instead.
+// sendAppend sends a replica the next entries that it lacks, or a heartbeat if it lacks none or
+// has not acknowledged the last ones yet. If they have been compacted away it sends a snapshot
+// instead.
 func (c *Core) sendAppend(now types.Mono, id ReplicaID, p *progress) {
+	p.lastSentAt = now
 	if id == c.id {
-		p.lastSentAt = now
 		return
 	}
-	p.lastSentAt = now
+	if p.inFlight {
+		c.sendHeartbeat(now, id, p)
+		return
+	}
 	prev := p.next - 1
 	term, ok := c.termAt(prev)
 	if !ok {
@@ -140,9 +144,27 @@
 		return
 	}
 	entries := c.nextBatch(p.next)
-	p.inFlight = len(entries) > 0
+	if len(entries) > 0 {
+		p.inFlight = true
+		p.batch.end, p.batch.sentAt = prev+Index(len(entries)), now
+	}
+	c.sendAppendAfter(now, id, prev, term, entries)
+}
+
+// sendHeartbeat sends a replica an append without entries, after an entry that it is known to
+// have. Every log has the start, before the first entry, in common.
+func (c *Core) sendHeartbeat(now types.Mono, id ReplicaID, p *progress) {
+	prev := p.match
+	term, ok := c.termAt(prev)
+	if !ok {
+		prev, term = 0, 0
+	}
+	c.sendAppendAfter(now, id, prev, term, nil)
+}
+
+func (c *Core) sendAppendAfter(now types.Mono, id ReplicaID, prev Index, prevTerm Term, entries []Entry) {
 	c.sendImmediately(Message{
-		Kind: MsgAppend, To: id, Term: c.hardState.Term, Index: prev, LogTerm: term,
+		Kind: MsgAppend, To: id, Term: c.hardState.Term, Index: prev, LogTerm: prevTerm,
 		Entries: entries, Commit: c.commit, SentAt: now, Time: c.LogTime(now),
 	})
 }
@@ -151,6 +173,7 @@
 // the snapshot's data; the caller of the core adds it before sending.
 func (c *Core) sendSnapshot(now types.Mono, id ReplicaID, p *progress) {
 	p.inFlight = true
+	p.batch.end, p.batch.sentAt = c.snap.Index, now
 	snap := c.snap
 	c.sendImmediately(Message{
 		Kind: MsgSnapshot, To: id, Term: c.hardState.Term, Commit: c.commit,
@@ -237,21 +260,42 @@
 		c.stepAppendRefusal(now, m, p)
 		return
 	}
-	p.inFlight = false
+	c.updateInFlight(now, m, p)
 	p.match = max(p.match, m.Index)
 	p.next = max(p.match+1, min(p.next, c.lastIndex()+1))
 	c.advanceCommit()
-	if p.match < c.lastIndex() {
+	if p.match < c.lastIndex() && !p.inFlight {
 		c.sendAppend(now, m.From, p)
 	}
 }
 
+// maxResendDoublings makes the longest delay until a batch is sent again 32 heartbeats.
+const maxResendDoublings = 5
+
+// updateInFlight finds out from a replica's reply whether the batch in flight was acknowledged
+// or lost. A replica replies to what it was sent in that order, once that is stored; so a reply
+// to a later heartbeat that does not acknowledge the batch shows that it was lost, or that the
+// replica has restarted. Since a heartbeat may overtake a large batch on the way, the batch is
+// sent again after a delay that doubles each time.
+func (c *Core) updateInFlight(now types.Mono, m Message, p *progress) {
+	switch {
+	case !p.inFlight:
+	case m.Index >= p.batch.end || m.SentAt == p.batch.sentAt:
+		p.inFlight = false
+		p.batch.resends = 0
+	case m.SentAt > p.batch.sentAt && now.Sub(p.batch.sentAt) >= c.timing.Heartbeat<<min(p.batch.resends, maxResendDoublings):
+		p.inFlight = false
+		p.batch.resends++
+	}
+}
+
 // stepAppendRefusal moves the replica's next index back and retries the append.
 func (c *Core) stepAppendRefusal(now types.Mono, m Message, p *progress) {
 	if m.RefusedIndex != p.next-1 || m.RefusedIndex <= p.match {
 		return // The reply is to an append that has been superseded.
 	}
 	p.next = max(m.Index+1, p.match+1)
+	p.inFlight = false
 	c.sendAppend(now, m.From, p)
 }
 
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -67,13 +67,21 @@
 type progress struct {
 	match        Index // the replica has synced all entries up to this index
 	next         Index // the next entry to send; greater than match
-	inFlight     bool  // an append with entries or a snapshot has not been acknowledged yet
+	inFlight     bool  // the batch below has not been acknowledged yet, and is not known to be lost
+	batch        batch // the last entries or snapshot that were sent
 	lastSentAt   types.Mono
 	ackedSentAt  types.Mono // SentAt of the newest message that the replica replied to
 	hasReplied   bool       // ackedSentAt is set
 	trackedSince types.Mono // when the leader began to track the replica
 }
 
+// batch is what a leader has sent to a replica in one append or as a snapshot.
+type batch struct {
+	end     Index // last entry, of the snapshot too
+	sentAt  types.Mono
+	resends int // how often it was sent again since the replica last acknowledged one
+}
+
 // Core is the protocol state of one replica. It is not safe for concurrent use.
 type Core struct {
 	id     ReplicaID
