fleet: moves go on until their copies end or their stores are lost

Cause: the leader computed the desired stores of each shard anew every 0.1 s, and canceled or redirected a move whenever they differed from the move's, also when it only knew less than before. A new leader takes each store for live for 2.5 s; while more stores are silent than may be lost, the time after which a store counts as lost rises from 2.5 to 10 s; a process that answers at the address of a lost store makes that one count as late. Each time the moves from the lost store were canceled, and began again a moment later with a new epoch, new lists and requests that start again. A store that was added, or came back, redirected moves likewise.

Change: a store that is lost remains so until it sends a request to the leader. A move that is copied ends, whatever stores would be chosen by then. One in progress is canceled only if all current stores have sent a request to this leader, so that nothing needs to be copied, and redirected only if a store that it moves to was lost or replaced and another one can take its place; then the stores that have a part of the shard come first.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -79,6 +79,7 @@
 	members     quorum.Members
 	lastSeen    map[turns.StoreID]types.Mono                  // time of each store's last request
 	copied      map[turns.StoreID]map[turns.Shard]turns.Epoch // each store's last report of copied shards
+	lost        map[turns.StoreID]bool                        // the stores whose shards should move, until they send a request
 	// platformTargets is the platform's list, sorted by ID. targets is that list
 	// together with what targets have announced.
 	platformTargets []Target
@@ -159,6 +160,7 @@
 	c.leaderSince = leaderSince
 	c.lastSeen = map[turns.StoreID]types.Mono{}
 	c.copied = map[turns.StoreID]map[turns.Shard]turns.Epoch{}
+	c.lost = map[turns.StoreID]bool{}
 	c.platformTargets, c.targets, c.zoneSizes = nil, Targets{}, nil
 	c.draining = drain.Table{}
 	c.hostZones = map[types.ZoneID]bool{}
--- a/fleet/shards.go
+++ b/fleet/shards.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/banyanspur/banyanspur/event"
@@ -13,18 +12,6 @@
 const (
 	// shardsInterval is how often the leader checks the placement of shards.
 	shardsInterval = 100 * time.Millisecond
-	// storeTimeout is how long a store may be unresponsive before its shards
-	// move to another one. It is longer than two sync requests of
-	// [DefaultSyncWait].
-	storeTimeout = 2500 * time.Millisecond
-	// longStoreTimeout is that time for a store that still responds to pings, and for all
-	// stores while more of them are unresponsive than may be lost at once. They are likely to
-	// be late, or cut off for a moment: moves would only add copies to the work of stores
-	// that cannot bear it, and make every request start again.
-	longStoreTimeout = 4 * storeTimeout
-	// checkAfter is the silence after which the leader checks its own connection to a store.
-	// It leaves time for a ping before storeTimeout.
-	checkAfter = storeTimeout / 2
 	// mapQuietPeriod is the minimum time between the last registration of a
 	// store and the creation of the shard map.
 	mapQuietPeriod = 700 * time.Millisecond
@@ -70,8 +57,8 @@
 // desired placement. It must be called within asLeader.
 func (c *Control) nextCommands(now types.Mono) []Command {
 	m, _ := c.machine.Map()
-	timeout := c.silenceTimeout(m, now)
-	candidates := c.machine.Candidates(func(id turns.StoreID) bool { return !c.lost(id, m.Members[id], timeout, now) })
+	c.updateLost(m, now)
+	candidates := c.machine.Candidates(func(id turns.StoreID) bool { return !c.lost[id] })
 	if len(m.Shards) == 0 {
 		return c.initMapCommands(candidates, now)
 	}
@@ -85,62 +72,13 @@
 		if reform := c.expireReform(shard, p); reform != nil {
 			commands = append(commands, Command{Reform: reform})
 		}
-		if move := c.nextMove(shard, p, candidates); move != nil {
+		if move := c.nextMove(shard, p, candidates, now); move != nil {
 			commands = append(commands, Command{Move: move})
 		}
 	}
 	return commands
 }
 
-// silence returns how long a store has not sent a request. It counts from the election, so
-// that stores have time to find a new leader.
-func (c *Control) silence(id turns.StoreID, now types.Mono) time.Duration {
-	return now.Sub(max(c.lastSeen[id], c.leaderSince))
-}
-
-// live reports whether a store has sent a request within storeTimeout.
-func (c *Control) live(id turns.StoreID, now types.Mono) bool {
-	return c.silence(id, now) < storeTimeout
-}
-
-// lost reports whether the shards of a store should move: it has been silent for timeout, or, if
-// it still responds to pings and so is only late, for longStoreTimeout.
-func (c *Control) lost(id turns.StoreID, member turns.Member, timeout time.Duration, now types.Mono) bool {
-	silence := c.silence(id, now)
-	if silence < checkAfter {
-		return false
-	}
-	link := c.Peers.Link(member.Address)
-	link.Check()
-	if link.IsConnected() {
-		timeout = longStoreTimeout
-	}
-	return silence >= timeout
-}
-
-// silenceTimeout returns how long a store may be unresponsive before its shards move.
-func (c *Control) silenceTimeout(m turns.Map, now types.Mono) time.Duration {
-	silent, largestZone, zones := 0, 0, map[types.ZoneID]int{}
-	for id, member := range m.Members {
-		if !m.IsAssigned(id) || c.machine.Destroyed(id) {
-			continue
-		}
-		zones[member.Zone]++
-		largestZone = max(largestZone, zones[member.Zone])
-		if !c.live(id, now) {
-			silent++
-		}
-	}
-	tolerated := max(1, c.Losses)
-	if c.ZoneLosses > 0 {
-		tolerated = max(tolerated, largestZone)
-	}
-	if silent > tolerated {
-		return longStoreTimeout
-	}
-	return storeTimeout
-}
-
 // initMapCommands returns the command that creates the shard map, or nil if
 // more stores may still register.
 func (c *Control) initMapCommands(candidates []turns.Candidate, now types.Mono) []Command {
@@ -156,42 +94,6 @@
 	return []Command{{InitMap: &initMap}}
 }
 
-// nextMove returns the next step in the placement of a shard, or nil if there
-// is none.
-func (c *Control) nextMove(shard turns.Shard, p turns.Placement, candidates []turns.Candidate) *Move {
-	copies := max(len(p.Current), turns.ReplicaCount(c.Losses, len(candidates)))
-	desired := turns.ChooseStores(shard, p.Current, candidates, copies, c.ZoneLosses > 0)
-	move := &Move{Shard: shard, Epoch: p.Epoch}
-	switch {
-	case len(desired) < copies:
-		return nil // Fewer copies would not tolerate the configured losses.
-	case len(p.Next) == 0 && slices.Equal(desired, p.Current):
-		return nil
-	case len(p.Next) == 0:
-		move.Next = desired
-	case slices.Equal(p.Next, desired) && c.allCopied(shard, p):
-		move.Done = true
-	case slices.Equal(p.Next, desired):
-		return nil
-	case slices.Equal(p.Current, desired):
-		// The current placement is the desired one again, so cancel the move.
-	default:
-		move.Next = desired
-	}
-	return move
-}
-
-// allCopied reports whether every store that a move adds to a shard has copied
-// all its data.
-func (c *Control) allCopied(shard turns.Shard, p turns.Placement) bool {
-	for _, id := range p.Next {
-		if !slices.Contains(p.Current, id) && c.copied[id][shard] != p.Epoch {
-			return false
-		}
-	}
-	return true
-}
-
 // retire marks the store on a host as retiring. It fails if too few live stores
 // would remain.
 func (c *Control) retire(ctx context.Context, req Retire) (RetireStatus, error) {
