--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -342,7 +343,8 @@
 			continue
 		}
 		h := f.hosts[f.rand.IntN(len(f.hosts))]
-		selected := faults[f.rand.IntN(len(faults))]
+		choices := slices.Concat(faults, powerFaults)
+		selected := choices[f.rand.IntN(len(choices))]
 		f.t.Logf("%s: %s for %v", h.name, selected.name, length)
 		selected.inject(f, h, length)
 		h.disturbedAt = time.Now()
