--- a/crash/search.go
+++ b/crash/search.go
@@ -25,10 +25,10 @@
 	Check func(acknowledged, found S) error
 	// States bounds the states that are tried after each operation. The default is 64.
 	States int
-	// Restarts is how many of them are continued: another process opens them, and its
-	// operations are followed as well, those of a process that follows a killed one and those
-	// of one that follows a loss of power.
-	Restarts int
+	// ContinuedShare is the part of the states that are continued, selected at random: the
+	// operations of the process that opens them are followed as well. These are states after
+	// a loss of power and those after the process was killed while something was not durable.
+	ContinuedShare float64
 	// Rand selects states if there are too many.
 	Rand *rand.Rand
 
@@ -111,13 +111,19 @@
 		if s.err != nil {
 			return
 		}
-		f.tryState(fate, f.depth > 0 && s.Rand.IntN(len(states)) < s.Restarts)
+		f.tryState(fate, f.isContinued())
 	}
-	if f.depth > 0 && s.Restarts > 0 && s.err == nil {
+	writes, names := f.model.Pending()
+	if writes+names > 0 && s.err == nil && f.isContinued() {
 		f.continueKilled()
 	}
 }
 
+// isContinued reports, at random, whether the operations of the next process are followed.
+func (f *follower[S]) isContinued() bool {
+	return f.depth > 0 && f.search.Rand.Float64() < f.search.ContinuedShare
+}
+
 // tryState opens one state, and follows the operations of the process that opens it if
 // restarted is set.
 func (f *follower[S]) tryState(fate func(bool) Fate, restarted bool) {
--- a/store/disk.go
+++ b/store/disk.go
@@ -117,14 +117,19 @@
 }
 
 // syncFoundName makes the name of a directory durable that existed. The one above it need not
-// belong to this process: if it must not be opened or synced, its owner has created the
-// directory, and is responsible for its name.
+// belong to this process: if it cannot be opened, or synced at all, its owner has created the
+// directory and is responsible for its name.
 func (d Disk) syncFoundName(dir string) error {
-	err := d.syncDir(filepath.Dir(dir))
-	if errors.IsAny(err, os.ErrPermission, unix.EROFS) {
+	f, err := os.Open(filepath.Dir(dir))
+	if err != nil {
 		return nil
 	}
-	return err
+	defer f.Close()
+	err = d.syncAs(f, OpSyncDir)
+	if errors.IsAny(err, os.ErrPermission, unix.EROFS, unix.EINVAL, unix.ENOTSUP) {
+		return nil
+	}
+	return errors.Wrap(err, "store: sync directory")
 }
 
 func (d Disk) truncate(f *os.File, size int64) error {
@@ -164,12 +169,14 @@
 	return err
 }
 
-// RemoveAll durably removes a directory with all that it contains, first the file that identifies
-// its owner, so that no crash leaves an identity with a part of its files. It is no error if
-// there is no such directory or file.
-func (d Disk) RemoveAll(dir, identity string) error {
-	if err := d.RemoveFile(filepath.Join(dir, identity)); err != nil {
-		return err
+// RemoveAll durably removes a directory with all that it contains. The files whose names are given
+// are removed first, and durably, so that no crash leaves an identity with a part of what belongs
+// to it. It is no error if there is no such directory or file.
+func (d Disk) RemoveAll(dir string, first ...string) error {
+	for _, name := range first {
+		if err := d.RemoveFile(filepath.Join(dir, name)); err != nil {
+			return err
+		}
 	}
 	if _, err := os.Stat(dir); errors.Is(err, os.ErrNotExist) {
 		return nil
--- a/turns/compact.go
+++ b/turns/compact.go
@@ -162,13 +162,13 @@
 			return err
 		}
 	}
+	if err := s.journal.Remove(segments...); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, n := range segments {
-		if err := s.journal.Remove(n); err != nil {
-			return err
-		}
-		s.mu.Lock()
 		s.index.removeSegment(n)
-		s.mu.Unlock()
 	}
 	return nil
 }
--- a/turns/store.go
+++ b/turns/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -70,6 +71,10 @@
 const (
 	identityFile = "identity"
 	journalDir   = "journal"
+	// journaledPrefix begins the ID of a store that was stored after the journal had been
+	// created. Earlier builds stored the ID first, and their journals have no list of segments
+	// until this build has opened them.
+	journaledPrefix = "j-"
 	// queueCapacity is the maximum number of writes that wait for the disk.
 	queueCapacity = 4096
 	// maxBatchBytes is the size of inputs and outputs at which a batch of
@@ -100,8 +105,8 @@
 }
 
 // Open reads the store's directory, which it creates if needed, and returns the
-// store's ID. If the directory is corrupt, Open removes it and the store gets a
-// new ID, as after the loss of a disk.
+// store's ID. If the directory is corrupt or a part of it is missing, Open removes it and the
+// store gets a new ID, as after the loss of a disk.
 func (s *Store) Open() (StoreID, error) {
 	s.opened = time.Now()
 	s.queue = make(chan pendingWrite, queueCapacity)
@@ -121,21 +126,52 @@
 	return s.id, err
 }
 
+// open reads the directory. An identity without its journal is one that has lost it, and must not
+// be used any more: the store would answer that turns do not exist which it has acknowledged.
 func (s *Store) open() error {
 	s.index = newIndex()
-	id, err := os.ReadFile(filepath.Join(s.Dir, identityFile))
+	if err := s.Disk.MakeDir(s.Dir); err != nil {
+		return err
+	}
+	id, err := s.Disk.ReadFile(s.Dir, identityFile)
 	if errors.Is(err, os.ErrNotExist) {
-		id = []byte(types.RandomID())
-		err = s.Disk.WriteFile(s.Dir, identityFile, id)
+		return s.create()
 	}
 	if err != nil {
-		return errors.Wrap(err, "turns: read or create the identity")
+		return errors.Wrap(err, "turns: read the identity")
 	}
 	s.id = StoreID(id)
-	s.journal, err = s.Disk.OpenJournal(filepath.Join(s.Dir, journalDir), s.replay)
+	journaled := strings.HasPrefix(string(id), journaledPrefix)
+	if _, err := os.Stat(s.journalDir()); errors.Is(err, os.ErrNotExist) {
+		journaled = true // Earlier builds have created the journal when the store was opened, too.
+	}
+	return s.openJournal(journaled)
+}
+
+// create creates the journal and then the identity of a new store. A journal without an identity
+// is what remains of a store whose directory was being removed or created.
+func (s *Store) create() error {
+	if err := s.Disk.RemoveAll(s.journalDir()); err != nil {
+		return err
+	}
+	s.id = StoreID(journaledPrefix + types.RandomID())
+	if err := s.openJournal(false); err != nil {
+		return err
+	}
+	if err := s.Disk.WriteFile(s.Dir, identityFile, []byte(s.id)); err != nil {
+		return errors.CombineErrors(err, s.journal.Close())
+	}
+	return nil
+}
+
+func (s *Store) openJournal(mustExist bool) error {
+	var err error
+	s.journal, err = s.Disk.OpenJournalOf(store.JournalOwner{ID: string(s.id), MustExist: mustExist}, s.journalDir(), s.replay)
 	return err
 }
 
+func (s *Store) journalDir() string { return filepath.Join(s.Dir, journalDir) }
+
 // replay adds a journal record to the index.
 func (s *Store) replay(location store.Location, b []byte) error {
 	r, err := types.Decode[record](b)
