fleet: an identity is told to other hosts once it is durable

A host whose disk refused the identity told it to the seeds all the same, and created another one with the next attempt, 100 ms later. The seeds could create the group with a voter that never exists.

The identity is now kept only if it has been stored.

--- a/fleet/bootstrap.go
+++ b/fleet/bootstrap.go
@@ -68,10 +68,13 @@
 		}
 		id, err = c.readIdentity()
 	}
+	if err != nil {
+		return err // Others must not learn an identity that is not durable.
+	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.id = id
-	c.mu.Unlock()
-	return err
+	return nil
 }
 
 func (c *Control) readIdentity() (quorum.ReplicaID, error) {
--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"github.com/banyanspur/banyanspur/crash"
 	"github.com/banyanspur/banyanspur/fleet"
@@ -155,3 +156,34 @@
 		})
 	}
 }
+
+// TestIdentityIsToldOnceDurable guards against a group that is created with a voter that never
+// exists: a host tells the seeds an identity that its disk has refused, and creates another one
+// with the next attempt.
+func TestIdentityIsToldOnceDurable(t *testing.T) {
+	f := newFleet(t, 3)
+	refused := make(chan struct{}, 1000)
+	f.disk = []store.Disk{{Sync: func(file *os.File) error {
+		if filepath.Base(file.Name()) != "identity.new" {
+			return file.Sync()
+		}
+		refused <- struct{}{}
+		return unix.EIO
+	}}}
+	f.controls[0].run()
+	_, peers := f.client("entry-1")
+	for range 2 { // The second attempt follows the end of the first one.
+		select {
+		case <-refused:
+		case <-time.After(stepTimeout):
+			t.Fatal("no identity was written")
+		}
+	}
+	waitFor(t, "a connection", func() bool {
+		_, err := hello(peers, f.controls[0].address)
+		return err == nil || types.IsCode(err, types.CodeUnavailable)
+	})
+	if r, err := hello(peers, f.controls[0].address); err == nil {
+		t.Errorf("told identity %s, which is not durable", r.ID)
+	}
+}
