turns: late replies of the sources of a copy count

Cause: a request for turns was given up after 0.7 s and repeated. A store does the work of each request that it gets, also if nobody waits for the reply any longer, so a source that took longer did all of it in vain, and the copy failed and began again with new lists: it never ended, and its work made the source later still.

Change: a source has one request of a shard's copy at a time, whose reply counts for up to 10 s. After 0.7 s its turns may be requested from other sources that list them. Parts that were made smaller grow again once one is in time. Lists are waited for likewise. A copy whose move has changed ends at once instead of after its next failure; parts that are under way are stored nevertheless.

--- a/turns/continued.go
+++ b/turns/continued.go
@@ -36,7 +36,7 @@
 		g.Go(func() error {
 			to := req
 			to.To = id
-			reply, err := callStore[ContinuedRequest, ContinuedReply](ctx, link, KindContinued, to, storeTimeout)
+			reply, err := callStore[ContinuedRequest, ContinuedReply](ctx, link, KindContinued, to, storeTimeout, storeTimeout)
 			if err == nil {
 				results <- storeResult[ContinuedReply]{store: id, reply: reply}
 			}
--- a/turns/copy.go
+++ b/turns/copy.go
@@ -18,11 +18,15 @@
 	copyInterval = 50 * time.Millisecond
 	// copyRetryDelay is the pause after a failed copy.
 	copyRetryDelay = 100 * time.Millisecond
-	// listTimeout limits the request for the list of turns of a shard, and
-	// fetchTimeout one for turns. After it, another store that has them is asked,
-	// so it is well below the 6 s within which all copies must be complete.
+	// listTimeout limits the wait for a connection over which a shard's turns are listed.
+	// After fetchTimeout without turns, another store that has them is asked, so it is well
+	// below the 6 s within which all copies must be complete.
 	listTimeout  = 2 * time.Second
 	fetchTimeout = 700 * time.Millisecond
+	// maxReplyTime limits the wait for the reply of a store that is late. It is long, since a
+	// store does the work of a request also if that is given up. A connection that breaks ends
+	// its requests sooner.
+	maxReplyTime = 10 * time.Second
 )
 
 // CopiedShards returns the shards that this store has copied completely, with
@@ -45,17 +49,9 @@
 // as slow as [Store.CatchUp] permits.
 func (s *Store) CopyShards(ctx context.Context, peers *wire.Pool) error {
 	var g errgroup.Group
-	pace := newCopyPace(s.opened, s.CatchUp, s.LinkBytesPerSecond)
+	pace := newCopyPace(ctx, s.opened, s.CatchUp, s.LinkBytesPerSecond)
 	g.SetLimit(pace.maxShards())
-	var mu sync.Mutex // guards running
-	running := map[Shard]bool{}
-	setRunning := func(shard Shard, run bool) (was bool) {
-		mu.Lock()
-		defer mu.Unlock()
-		was = running[shard]
-		running[shard] = run
-		return was
-	}
+	copies := runningCopies{}
 	for types.Sleep(ctx, copyInterval) {
 		s.mu.RLock()
 		shardMap := s.shardMap
@@ -65,23 +61,73 @@
 		}
 		for i, p := range shardMap.Shards {
 			shard := Shard(i)
-			if !slices.Contains(p.Next, s.id) || slices.Contains(p.Current, s.id) || s.hasCopied(shard, p.Epoch) || setRunning(shard, true) {
+			copies.cancelOlder(shard, p.Epoch)
+			if !slices.Contains(p.Next, s.id) || slices.Contains(p.Current, s.id) || s.hasCopied(shard, p.Epoch) {
+				continue
+			}
+			copyCtx, ok := copies.begin(ctx, shard, p.Epoch)
+			if !ok {
 				continue
 			}
 			started := g.TryGo(func() error {
-				defer setRunning(shard, false)
-				if err := s.copyShard(ctx, peers, pace, shardMap, shard); err != nil && ctx.Err() == nil {
+				defer copies.end(shard)
+				if err := s.copyShard(copyCtx, peers, pace, shardMap, shard); err != nil && copyCtx.Err() == nil {
 					s.Log.Write(event.CopyFailed, event.Fields{"shard": shard, "epoch": p.Epoch, "error": err.Error()})
-					types.Sleep(ctx, copyRetryDelay)
+					types.Sleep(copyCtx, copyRetryDelay)
 				}
 				return nil
 			})
 			if !started {
-				setRunning(shard, false)
+				copies.end(shard)
 			}
 		}
 	}
-	return g.Wait()
+	_ = g.Wait() // The goroutines return no errors.
+	return pace.group.Wait()
+}
+
+// runningCopies are the copies that a store makes, at most one of each shard. It is safe for
+// concurrent use.
+type runningCopies struct {
+	mu     sync.Mutex
+	copies map[Shard]runningCopy
+}
+
+type runningCopy struct {
+	epoch  Epoch
+	cancel context.CancelFunc
+}
+
+// begin returns the context of a copy. ok is false if the shard is already being copied.
+func (r *runningCopies) begin(ctx context.Context, shard Shard, epoch Epoch) (copyCtx context.Context, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, running := r.copies[shard]; running {
+		return nil, false
+	}
+	if r.copies == nil {
+		r.copies = map[Shard]runningCopy{}
+	}
+	copyCtx, cancel := context.WithCancel(ctx)
+	r.copies[shard] = runningCopy{epoch: epoch, cancel: cancel}
+	return copyCtx, true
+}
+
+// cancelOlder cancels the copy of a shard if its move is not the present one. It would only
+// delay the next copy.
+func (r *runningCopies) cancelOlder(shard Shard, epoch Epoch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if running, ok := r.copies[shard]; ok && running.epoch != epoch {
+		running.cancel()
+	}
+}
+
+func (r *runningCopies) end(shard Shard) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.copies[shard].cancel()
+	delete(r.copies, shard)
 }
 
 func (s *Store) hasCopied(shard Shard, epoch Epoch) bool {
@@ -162,7 +208,7 @@
 		link := peers.Link(m.Members[id].Address)
 		g.Go(func() error {
 			req := ListRequest{To: id, Shard: shard, Epoch: p.Epoch}
-			reply, err := callStore[ListRequest, ListReply](ctx, link, KindList, req, listTimeout)
+			reply, err := callStore[ListRequest, ListReply](ctx, link, KindList, req, listTimeout, maxReplyTime)
 			if types.IsCode(err, types.CodeBadRequest) {
 				reply, err = s.copyFromEarlierBuild(ctx, link, CopyRequest{To: id, Shard: shard, Epoch: p.Epoch})
 			}
@@ -211,15 +257,17 @@
 // list that it returns is empty, since nothing is missing any more.
 func (s *Store) copyFromEarlierBuild(ctx context.Context, link *wire.Link, req CopyRequest) (ListReply, error) {
 	for {
-		part, err := callStore[CopyRequest, CopyReply](ctx, link, KindCopy, req, listTimeout)
+		part, err := callStore[CopyRequest, CopyReply](ctx, link, KindCopy, req, listTimeout, maxReplyTime)
 		if err != nil {
 			return ListReply{}, err
 		}
 		if err := s.persistPrograms(ctx, part.Programs); err != nil {
 			return ListReply{}, err
 		}
-		ages := make([]time.Duration, len(part.Turns))
-		copy(ages, part.Ages)
+		ages := map[turnKey]time.Duration{}
+		for i, age := range part.Ages {
+			ages[turnKey{part.Turns[i].Account, part.Turns[i].ID}] = age
+		}
 		if err := s.persistCopied(ctx, part.Turns, ages); err != nil || part.Done {
 			return ListReply{}, err
 		}
@@ -229,21 +277,22 @@
 
 // persistCopied makes copied turns with the given ages durable. Turns that this
 // store already has are not written again.
-func (s *Store) persistCopied(ctx context.Context, turns []Turn, ages []time.Duration) error {
+func (s *Store) persistCopied(ctx context.Context, turns []Turn, ages map[turnKey]time.Duration) error {
 	var records []record
 	s.mu.Lock()
-	for i, t := range turns {
+	for _, t := range turns {
+		key := turnKey{t.Account, t.ID}
 		if s.index.hasTurn(t) {
-			s.index.markUsed(turnKey{t.Account, t.ID}, s.retained.Add(-ages[i]))
+			s.index.markUsed(key, s.retained.Add(-ages[key]))
 			continue
 		}
-		records = append(records, record{Turn: &t, age: ages[i]})
+		records = append(records, record{Turn: &t, age: ages[key]})
 	}
 	s.mu.Unlock()
 	if len(records) == 0 {
 		return nil
 	}
-	return s.persist(ctx, records...)
+	return s.enqueue(ctx, pendingWrite{records: records, skipKnown: true})
 }
 
 // persistPrograms makes the claims of copied programs durable.
@@ -262,13 +311,16 @@
 }
 
 // callStore sends one request to a store and returns the reply. It waits for a
-// connection if there is none. The timeout covers both.
-func callStore[Req, Resp any](ctx context.Context, link *wire.Link, kind wire.Kind, req Req, timeout time.Duration) (Resp, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	if !link.WaitConnected(ctx) {
+// connection, for connectTimeout, if there is none, and then for the reply, for replyTimeout.
+func callStore[Req, Resp any](ctx context.Context, link *wire.Link, kind wire.Kind, req Req, connectTimeout, replyTimeout time.Duration) (Resp, error) {
+	connectCtx, cancel := context.WithTimeout(ctx, connectTimeout)
+	connected := link.WaitConnected(connectCtx)
+	cancel()
+	if !connected {
 		var zero Resp
 		return zero, types.NewFault(types.CodeUnavailable, "no connection to the store")
 	}
+	ctx, cancel = context.WithTimeout(ctx, replyTimeout)
+	defer cancel()
 	return wire.Call[Req, Resp](ctx, link, kind, req)
 }
--- a/turns/fetch.go
+++ b/turns/fetch.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/banyanspur/banyanspur/types"
@@ -49,30 +51,50 @@
 	return reply, nil
 }
 
-// shardCopy fetches the turns of one shard that a store lacks.
+// shardCopy fetches the turns of one shard that a store lacks. Only the goroutine of the copy
+// uses its fields.
 type shardCopy struct {
 	shardMap *Map
 	peers    *wire.Pool
 	missing  map[turnKey]*missingTurn
 	pace     *copyPace
-	// failures counts the failed requests to each source. The source with the fewest is
-	// asked next, and among equal ones that from which a part would arrive first.
+	// failures counts the failed and late requests to each source. The source with the fewest
+	// is asked next, and among equal ones that from which a part would arrive first.
 	failures map[StoreID]int
-	// partBytes is the size of a part. It is halved after a failure, since a part
-	// may be too large for fetchTimeout over a slow link.
+	// failed is the number of requests that have failed since the last reply.
+	failed int
+	// requests are those without a reply, at most one to each source. A source that is late
+	// does the work of each request that it gets, so that it would be later still if they were
+	// given up and repeated.
+	requests map[StoreID]*fetchRequest
+	results  chan storeResult[FetchReply]
+	// partBytes is the size of a part. It is halved after a failed or late request, since a
+	// part may be too large for fetchTimeout over a slow link, and doubled by one in time.
 	partBytes int
 	fetched   int
 }
 
+// fetchRequest is a request for a part that has no reply yet.
+type fetchRequest struct {
+	refs   []TurnRef
+	lateAt time.Time
+	late   bool // the turns may be requested from other sources, too
+}
+
 // missingTurn is a turn that has not been fetched yet.
 type missingTurn struct {
 	bytes   int
 	age     time.Duration // the lowest of its sources
 	sources []StoreID
+	// requested is set while a request for the turn is under way that is not late.
+	requested bool
 }
 
 func newShardCopy(m *Map, peers *wire.Pool, pace *copyPace) *shardCopy {
-	return &shardCopy{shardMap: m, peers: peers, pace: pace, missing: map[turnKey]*missingTurn{}, failures: map[StoreID]int{}, partBytes: maxCopyBytes}
+	return &shardCopy{
+		shardMap: m, peers: peers, pace: pace, missing: map[turnKey]*missingTurn{}, failures: map[StoreID]int{},
+		requests: map[StoreID]*fetchRequest{}, results: make(chan storeResult[FetchReply], len(m.Members)), partBytes: maxCopyBytes,
+	}
 }
 
 // addMissing adds the listed turns that the index lacks, and marks the others
@@ -112,41 +134,126 @@
 	return sum
 }
 
-// fetch fetches one part of the missing turns from the best source, when the pace
-// permits. It fails once the best source has failed too often.
+// fetch requests one part of the missing turns from the best source, when the pace permits, if
+// there are any that no request is under way for, and waits until a request has ended or is
+// late. It fails once too many requests in a row have failed.
 func (c *shardCopy) fetch(ctx context.Context, s *Store) error {
-	if !c.pace.acquire(ctx) {
+	if _, ok := c.nextSource(); ok {
+		if !c.pace.acquire(ctx) {
+			return ctx.Err()
+		}
+		source, _ := c.nextSource() // Others may have become faster meanwhile.
+		refs, size := c.nextPart(source)
+		if c.pace.wait(ctx, size); ctx.Err() != nil {
+			c.pace.release()
+			return ctx.Err()
+		}
+		c.request(s, source, refs)
+	}
+	timer := time.NewTimer(time.Until(c.nextLate()))
+	defer timer.Stop()
+	select {
+	case result := <-c.results:
+		return c.receive(result)
+	case now := <-timer.C:
+		c.markLate(now)
+		return nil
+	case <-ctx.Done():
 		return ctx.Err()
 	}
-	defer c.pace.release()
-	source, refs, size := c.nextPart()
-	ended := c.pace.requested(source)
-	c.pace.wait(ctx, size)
-	req := FetchRequest{To: source, Turns: refs}
-	reply, err := callStore[FetchRequest, FetchReply](ctx, c.peers.Link(c.shardMap.Members[source].Address), KindFetch, req, fetchTimeout)
-	ended()
-	if err != nil {
-		c.failures[source]++
-		c.partBytes = max(c.partBytes/2, minPartBytes)
-		if ctx.Err() != nil || c.failures[source] > maxFetchFailures {
-			return err
+}
+
+// request requests turns from a source in the background, and ends what acquire has begun when
+// the reply is stored or late. What arrives is stored also if the copy has ended meanwhile,
+// since the next one of the shard needs it as well.
+func (c *shardCopy) request(s *Store, source StoreID, refs []TurnRef) {
+	c.requests[source] = &fetchRequest{refs: refs, lateAt: time.Now().Add(fetchTimeout)}
+	c.setRequested(refs, true)
+	ages := map[turnKey]time.Duration{}
+	for _, ref := range refs {
+		key := turnKey{ref.Account, ref.ID}
+		ages[key] = c.missing[key].age
+	}
+	link, ended := c.peers.Link(c.shardMap.Members[source].Address), c.pace.requested(source)
+	release := sync.OnceFunc(c.pace.release)
+	late := time.AfterFunc(fetchTimeout, release)
+	c.pace.group.Go(func() error {
+		ctx := c.pace.ctx
+		defer release()
+		defer late.Stop()
+		reply, err := callStore[FetchRequest, FetchReply](ctx, link, KindFetch, FetchRequest{To: source, Turns: refs}, fetchTimeout, maxReplyTime)
+		ended()
+		if err == nil {
+			err = s.persistCopied(ctx, reply.Turns, ages)
 		}
+		c.results <- storeResult[FetchReply]{store: source, reply: reply, err: err} // Has room for one of each source.
 		return nil
+	})
+}
+
+// setRequested records of missing turns whether a request for them is under way that is not
+// late.
+func (c *shardCopy) setRequested(refs []TurnRef, requested bool) {
+	for _, ref := range refs {
+		if m := c.missing[turnKey{ref.Account, ref.ID}]; m != nil {
+			m.requested = requested
+		}
 	}
-	ages := make([]time.Duration, 0, len(reply.Turns))
-	for _, t := range reply.Turns {
-		age := time.Duration(0)
-		if m := c.missing[turnKey{t.Account, t.ID}]; m != nil {
-			age = m.age
+}
+
+// nextLate returns when the next request will be late, or the end of the longest wait for a
+// reply if all of them are.
+func (c *shardCopy) nextLate() time.Time {
+	next := time.Now().Add(maxReplyTime)
+	for _, r := range c.requests {
+		if !r.late && r.lateAt.Before(next) {
+			next = r.lateAt
 		}
-		ages = append(ages, age)
 	}
-	if err := s.persistCopied(ctx, reply.Turns, ages); err != nil {
-		return err
+	return next
+}
+
+// markLate marks the requests that are late, whose turns may then be requested from other
+// sources. Their replies count nevertheless.
+func (c *shardCopy) markLate(now time.Time) {
+	for source, r := range c.requests {
+		if !r.late && !r.lateAt.After(now) {
+			r.late = true
+			c.setRequested(r.refs, false)
+			c.slowDown(source)
+		}
+	}
+}
+
+// slowDown records a failed or late request to a source.
+func (c *shardCopy) slowDown(source StoreID) {
+	c.failures[source]++
+	c.partBytes = max(c.partBytes/2, minPartBytes)
+}
+
+// receive handles the end of a request.
+func (c *shardCopy) receive(result storeResult[FetchReply]) error {
+	r := c.requests[result.store]
+	delete(c.requests, result.store)
+	if !r.late { // Otherwise another request for them may be under way.
+		c.setRequested(r.refs, false)
 	}
-	c.fetched += len(reply.Turns)
+	if result.err != nil {
+		if !r.late {
+			c.slowDown(result.store)
+		}
+		if c.failed++; c.failed > maxFetchFailures {
+			return result.err
+		}
+		return nil
+	}
+	c.failed = 0
+	if !r.late {
+		c.partBytes = min(2*c.partBytes, maxCopyBytes)
+	}
+	c.fetched += len(result.reply.Turns)
 	before := c.missingBytes()
-	c.remove(source, refs, reply.Turns)
+	c.remove(result.store, r.refs, result.reply.Turns)
 	c.pace.addMissing(c.missingBytes() - before)
 	return nil
 }
@@ -154,32 +261,41 @@
 // minPartBytes is the size of a part on the slowest links, one or two first turns.
 const minPartBytes = 32 << 10
 
-// maxFetchFailures is the number of failed requests to the best source after
-// which a copy fails and begins with new lists.
+// maxFetchFailures is the number of failed requests in a row after which a copy fails and begins
+// with new lists.
 const maxFetchFailures = 4
 
-// nextPart returns the source to ask next and some missing turns that it has.
-func (c *shardCopy) nextPart() (source StoreID, refs []TurnRef, size int) {
+// nextSource returns the source to ask next. ok is false if there is none: requests to all
+// sources of what is missing are under way.
+func (c *shardCopy) nextSource() (source StoreID, ok bool) {
 	counts := map[StoreID]int{}
 	for _, m := range c.missing {
+		if m.requested {
+			continue
+		}
 		for _, id := range m.sources {
-			counts[id]++
+			if c.requests[id] == nil {
+				counts[id]++
+			}
 		}
 	}
-	var sources []StoreID
-	for id := range counts {
-		sources = append(sources, id)
+	if len(counts) == 0 {
+		return "", false
 	}
-	source = slices.MinFunc(sources, func(a, b StoreID) int {
+	return slices.MinFunc(slices.Collect(maps.Keys(counts)), func(a, b StoreID) int {
 		return cmp.Or(cmp.Compare(c.failures[a], c.failures[b]), c.pace.compareSources(a, b), cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
-	})
+	}), true
+}
+
+// nextPart returns some missing turns that a source has, and their size.
+func (c *shardCopy) nextPart(source StoreID) (refs []TurnRef, size int) {
 	for key, m := range c.missing {
-		if size < c.partBytes && slices.Contains(m.sources, source) {
+		if size < c.partBytes && !m.requested && slices.Contains(m.sources, source) {
 			refs = append(refs, TurnRef{Account: key.account, ID: key.id})
 			size += m.bytes
 		}
 	}
-	return source, refs, size
+	return refs, size
 }
 
 // remove removes the turns that were fetched from a source. A requested turn
--- a/turns/pace.go
+++ b/turns/pace.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -24,19 +26,22 @@
 	// shards, at which shards are copied even if there is time for less.
 	minCopyRate   = 2 << 20
 	minRateShards = 4
-	// maxConcurrentParts limits the lists and parts that are requested at the same time,
-	// and so their memory: 2 MB on the links, and some 6 MB decoded. At 13 MB/s, it
-	// allows for 150 ms from a request until the part is on disk.
+	// maxConcurrentParts limits the lists and parts that are requested at the same time and
+	// not late, and so their memory: 2 MB on the links, and some 6 MB decoded. At 13 MB/s, it
+	// allows for 150 ms from a request until the part is on disk. Late parts are bounded by one
+	// of each source of a shard.
 	maxConcurrentParts = 8
 )
 
 // copyPace spreads the copies of all shards of a store over the time that is left for
 // them, and over their sources. It is safe for concurrent use.
 type copyPace struct {
-	opened   time.Time     // when the store was opened
-	span     time.Duration // the time for all copies, or 0 if there is no limit
-	linkRate float64       // the most that copies may take, in bytes per second; 0 for no limit
-	parts    chan struct{} // holds an element for each list or part that is requested
+	opened   time.Time       // when the store was opened
+	span     time.Duration   // the time for all copies, or 0 if there is no limit
+	linkRate float64         // the most that copies may take, in bytes per second; 0 for no limit
+	parts    chan struct{}   // holds an element for each list or part that is requested
+	group    errgroup.Group  // runs the requests for parts
+	ctx      context.Context //nolint:containedctx // Ends the requests for parts, which outlive the copy of a shard.
 
 	mu      sync.Mutex // guards the fields below
 	shards  int        // that are being copied
@@ -52,9 +57,9 @@
 	parts    int           // that are requested from it now
 }
 
-func newCopyPace(opened time.Time, catchUp time.Duration, linkBytesPerSecond float64) *copyPace {
+func newCopyPace(ctx context.Context, opened time.Time, catchUp time.Duration, linkBytesPerSecond float64) *copyPace {
 	return &copyPace{
-		opened: opened, span: time.Duration(catchUpShare * float64(catchUp)), linkRate: linkCopyShare * linkBytesPerSecond,
+		ctx: ctx, opened: opened, span: time.Duration(catchUpShare * float64(catchUp)), linkRate: linkCopyShare * linkBytesPerSecond,
 		parts: make(chan struct{}, maxConcurrentParts), sources: map[StoreID]*sourceLoad{},
 	}
 }
@@ -101,7 +106,8 @@
 }
 
 // acquire waits until a list or a part may be requested, and reports whether it may:
-// not if ctx has ended. The caller must call release after it has stored the reply.
+// not if ctx has ended. The caller must call release after it has stored the reply, or once the
+// reply is late.
 func (p *copyPace) acquire(ctx context.Context) bool {
 	select {
 	case p.parts <- struct{}{}:
--- a/turns/pace_test.go
+++ b/turns/pace_test.go
@@ -95,3 +95,30 @@
 	}
 	c.requireMajorities()
 }
+
+// TestCopiesFromLateSources guards against copies that never end, and keep their sources busy,
+// because each request for turns is given up shortly before a source that is late replies.
+func TestCopiesFromLateSources(t *testing.T) {
+	c := newLostDisk(t, 240, 16<<10)
+	c.catchUp = 8 * time.Second
+	c.setReplyLatency(900*time.Millisecond, 0, 1)
+	before := requestsHandled("turns.fetch")
+	took := c.copyAll()
+	requests := requestsHandled("turns.fetch") - before
+	t.Logf("copied in %v with %d requests", took, requests)
+	// One for each shard and source, and the parts that are smaller after a late one.
+	if limit := uint64(4 * turns.ShardCount); requests > limit {
+		t.Errorf("turns were requested %d times, want at most %d", requests, limit)
+	}
+	c.setReplyLatency(0, 0, 1)
+	c.requireMajorities()
+}
+
+// setReplyLatency restarts stores that delay all that they send.
+func (c *lostDisk) setReplyLatency(latency time.Duration, stores ...int) {
+	for _, i := range stores {
+		c.stores[i].shutDown()
+		c.stores[i].replyLatency = latency
+		c.restartStore(i)
+	}
+}
