turns: a move does not multiply the writes of its shard

Cause: while a shard moves, each turn was sent to all stores of both lists at once, six or more with five copies, instead of the three of a shard that does not move. After the loss of a store most shards move, so stores got twice the writes beside the copies, at the time at which they had least processor time for it.

--- a/turns/call.go
+++ b/turns/call.go
@@ -1,6 +1,7 @@
 package turns
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -65,7 +66,7 @@
 	p := m.Placement(shard)
 	call := &shardCall[Req, Resp]{
 		client: c, shard: shard, shardMap: m, placement: p, kind: kind, newRequest: newRequest,
-		stores: c.sortByDistance(m, rotated(p.All(), int(shard))), results: make(chan storeResult[Resp]),
+		stores: c.sortForMove(m, p, c.sortByDistance(m, rotated(p.All(), int(shard)))), results: make(chan storeResult[Resp]),
 		replies: map[StoreID]Resp{}, noCapacity: map[StoreID]bool{},
 	}
 	call.ctx, call.cancel = context.WithCancel(context.WithoutCancel(ctx))
@@ -186,11 +187,33 @@
 }
 
 // initialRequests returns the number of stores that a request is sent to at
-// once: all of them, or only a majority for close requests, since each replica of
-// the turn costs traffic. During a move it is always all of them.
+// once: all of them, or only the first that are a quorum for close requests, since each replica
+// of the turn costs traffic and work of the store. During a move the stores also copy.
 func initialRequests(p Placement, stores []StoreID, kind wire.Kind) int {
-	if kind != KindClose || len(p.Next) > 0 {
+	if kind != KindClose {
 		return len(stores)
 	}
-	return min(len(stores), len(stores)/2+1) // 0 as long as there is no shard map.
+	for n := range stores {
+		if p.HasQuorum(func(id StoreID) bool { return slices.Contains(stores[:n], id) }) {
+			return n
+		}
+	}
+	return len(stores)
+}
+
+// sortForMove returns the stores sorted stably: first those with a connection that are in both
+// lists of a placement, since they count for the quorum of each.
+func (c *Client) sortForMove(m *Map, p Placement, ids []StoreID) []StoreID {
+	if len(p.Next) == 0 {
+		return ids
+	}
+	order := func(id StoreID) int {
+		if slices.Contains(p.Current, id) && slices.Contains(p.Next, id) && c.Peers.Link(m.Members[id].Address).IsConnected() {
+			return 0
+		}
+		return 1
+	}
+	sorted := slices.Clone(ids)
+	slices.SortStableFunc(sorted, func(a, b StoreID) int { return cmp.Compare(order(a), order(b)) })
+	return sorted
 }
--- a/turns/moving_write_test.go
+++ b/turns/moving_write_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -57,3 +58,28 @@
 		}
 	}
 }
+
+// TestMoveDoesNotMultiplyWrites guards against turns that are written to all stores of both lists
+// while their shard moves: twice the work, beside the copies, for stores that had to be late
+// already for a shard to move.
+func TestMoveDoesNotMultiplyWrites(t *testing.T) {
+	c := newCluster(t, 5)
+	added := c.addStore()
+	c.setMap(c.movingMap(0, 1, 2, 3, added))
+	w := c.client()
+	writeTurn(t, w, "choir", "p", "first", "") // From now on all stores are connected.
+	const writes, majority = 20, 3
+	more := 0
+	for i := range writes {
+		before := requestsHandled("turns.close")
+		writeTurn(t, w, "choir", "p", turns.TurnID(fmt.Sprint("turn", i)), "")
+		time.Sleep(5 * time.Millisecond) // Requests that were sent at once arrive.
+		if requestsHandled("turns.close")-before > majority {
+			more++ // Also if a store was late.
+		}
+	}
+	t.Logf("%d of %d turns were sent to more than %d stores", more, writes, majority)
+	if more > writes/2 {
+		t.Errorf("%d of %d turns were sent to more than %d of 6 stores, want at most half of them", more, writes, majority)
+	}
+}
