turns: sources wait a moment for the map of a copy

Cause: a store whose map was older than the move refused to list a shard's turns at once, though the map arrives a moment later.

Change: the request for a list waits up to 0.3 s for the map, as writes do.

TestSourcesWithoutMapGetEachListRequestOnce failed before: 144 requests for lists instead of 48.

--- a/turns/copy_test.go
+++ b/turns/copy_test.go
@@ -170,3 +170,23 @@
 		t.Errorf("%d shards are still reported as copied", len(copied))
 	}
 }
+
+// TestSourcesWithoutMapGetEachListRequestOnce guards against copies that fail and begin again
+// because their sources get the map of the move a moment later than the store that copies.
+func TestSourcesWithoutMapGetEachListRequestOnce(t *testing.T) {
+	c := newCluster(t, 3)
+	writeTurn(t, c.client(), "choir", "p", "first", "")
+	c.catchUp = 8 * time.Second
+	added := c.addStore()
+	before := requestsHandled("turns.list")
+	m := c.movingMap(0, 1, added)
+	c.stores[added].SetMap(m)
+	time.Sleep(250 * time.Millisecond)
+	c.setMap(m)
+	c.endMove(added)
+	requests := requestsHandled("turns.list") - before
+	t.Logf("%d requests for lists", requests)
+	if most := uint64(3*turns.ShardCount + 3*4); requests > most { // Some may be sent late.
+		t.Errorf("%d requests for the lists of %d shards on three stores, want at most %d", requests, turns.ShardCount, most)
+	}
+}
--- a/turns/fetch.go
+++ b/turns/fetch.go
@@ -12,9 +12,10 @@
 	"github.com/banyanspur/banyanspur/wire"
 )
 
-// handleList lists the turns of a shard. Like [Store.handleCopy], it fails until
-// this store has the map with the epoch of the copy.
-func (s *Store) handleList(_ context.Context, req ListRequest) (ListReply, error) {
+// handleList lists the turns of a shard. Like [Store.handleCopy], it fails unless this store has
+// the map with the epoch of the copy, for which it waits a moment.
+func (s *Store) handleList(ctx context.Context, req ListRequest) (ListReply, error) {
+	s.awaitMap(ctx, req.To, req.Shard, req.Epoch)
 	s.mu.RLock()
 	err := s.checkRequest(req.To, req.Shard, req.Epoch)
 	var reply ListReply
