soak: two whole small deployments

Faults that need the load, the hosts or the limits of a small deployment at its whole rate do not show there.

The sizes orders and booking have the hosts, availability zones, limits, targets, callers, kinds of programs and rates of two deployments: 33 and 42 programs a second. The recovery time is part of a size: 12 s for these two. The logs of hosts that were replaced are kept with the others when a test fails; they were lost.

--- a/soak/changes_test.go
+++ b/soak/changes_test.go
@@ -128,10 +128,10 @@
 
 // changingPlan returns the plans of a deployment by version. Each is that of deploymentPlan
 // and a planState.
-func changingPlan(seed uint64) func(version int) []byte {
+func changingPlan(seed uint64, slots, cacheTokens int) func(version int) []byte {
 	return func(version int) []byte {
 		var doc map[string]any
-		if err := json.Unmarshal(deploymentPlan(version), &doc); err != nil {
+		if err := json.Unmarshal(deploymentPlan(version, slots, cacheTokens), &doc); err != nil {
 			panic(err) // Cannot happen: the document is valid JSON.
 		}
 		s := stateOf(seed, version)
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -17,43 +17,13 @@
 )
 
 var (
-	sizeName = flag.String("size", "small", "size of the deployment: small or grown")
+	sizeName = flag.String("size", "small", "size of the deployment: small, orders, booking or grown")
 	rate     = flag.Float64("programs", 0, "programs that start each second; 0 means that of the size")
 )
 
-// deploymentSize is a fleet with its targets and callers.
-type deploymentSize struct {
-	fleet                  fleetSize
-	models, plain, callers int
-	programs               float64 // per second
-}
-
-// deploymentSizes are the sizes by name. Their hosts run the program within the limits of a
-// deployment that users run. The grown one has its hosts, targets and callers, and a tenth of
-// its 88 programs a second.
-var deploymentSizes = map[string]deploymentSize{
-	"small": {
-		fleet: fleetSize{
-			controls: 3, stores: 3, entries: 3, zones: 3, losses: 1, grace: 4, catchUp: 7.6, plan: deploymentPlan,
-			limits: deploymentLimits, asProgram: true,
-		},
-		models: 3, plain: 2, callers: 12, programs: 2,
-	},
-	"grown": {
-		fleet: fleetSize{
-			controls: 5, stores: 9, entries: 60, zones: 4, losses: 2, grace: 8, catchUp: 7.6, plan: deploymentPlan,
-			limits: deploymentLimits, asProgram: true,
-		},
-		models: 45, plain: 11, callers: 156, programs: 8.8,
-	},
-}
-
 const (
 	// calmTime is the time after the end of a fault from which on requests must be served.
 	calmTime = 4 * time.Second
-	// recoveryTime is the time after the restart of all hosts from which on a quarter of
-	// the former share must be served.
-	recoveryTime = 15 * time.Second
 	// changeInterval is the time between two changes of the plan.
 	changeInterval = time.Second
 	// retainedTime is for how long turns are continued in the test, out of the 60 s that the
@@ -108,7 +78,7 @@
 
 func runDeployment(t *testing.T, size deploymentSize, seed uint64) {
 	begin := time.Now()
-	size.fleet.plan = changingPlan(seed)
+	size.fleet.plan = changingPlan(seed, size.slots, size.cacheTokens)
 	c, tg := startSize(t, size.fleet, seed, size.models, size.plain)
 	tg.mu.Lock()
 	tg.events, tg.eventGap, tg.slowTurns, tg.calls = turnEvents, turnEventGap, slowTurns, map[string]time.Duration{}
@@ -123,7 +93,7 @@
 	d.fleet.waitRecovered()
 	d.note("all shards have all copies")
 	b := &balancer{fleet: c.fleet, misses: map[*testHost]int{}}
-	d.load = &load{callers: c, balancer: b}
+	d.load = &load{callers: c, balancer: b, kinds: size.kinds}
 	for i := range size.callers {
 		d.load.pool = append(d.load.pool, b.newCaller(i))
 	}
@@ -156,7 +126,7 @@
 	d.injectSeries(*duration)
 	types.Sleep(ctx, calmTime+window)
 	restartedAt = d.injectFinalFault()
-	types.Sleep(ctx, recoveryTime)
+	types.Sleep(ctx, d.recoveryTime())
 	d.checkTurns()
 	types.Sleep(ctx, 2*window)
 	finish()
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -49,6 +49,7 @@
 	netPrefix   string // first two octets of all addresses
 	listAddress string // address of the server that lists the targets
 	hosts       []*testHost
+	started     []*testHost // hosts, and those that were replaced
 	rand        *rand.Rand
 	peers       *wire.Pool
 	client      *fleetpkg.Client // follows the fleet as a host does
@@ -115,6 +116,7 @@
 		f.t.Fatal(err)
 	}
 	h.log = &hostLog{File: file}
+	f.started = append(f.started, h)
 }
 
 // writeSettings writes the settings file of a host and returns its path.
@@ -226,18 +228,17 @@
 	return cmd.ProcessState
 }
 
-// stopAll kills all hosts. If the test has failed, it keeps their logs.
+// stopAll kills all hosts. If the test has failed, it keeps their logs, also those of hosts that
+// were replaced.
 func (f *fleet) stopAll() {
-	for _, h := range f.hosts {
+	for _, h := range f.started {
 		h.stop(syscall.SIGKILL)
-		if h.relay != nil {
-			h.relay.close()
-		}
+		h.relay.close()
 	}
 	if !f.t.Failed() {
 		return
 	}
-	for _, h := range f.hosts {
+	for _, h := range f.started {
 		f.t.Logf("log of %s saved as %s", h.name, saveLog(f.t, h))
 	}
 }
--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -181,12 +181,12 @@
 }
 
 // isInCalm reports whether no fault was active from calmTime before an attempt until its end,
-// and none of a group of hosts from recoveryTime before.
+// and none of a group of hosts from the recovery time before.
 func (d *deployment) isInCalm(a attempt) bool {
 	for _, p := range d.faults {
 		settled := calmTime
 		if p.host == "group" {
-			settled = recoveryTime
+			settled = d.recoveryTime()
 		}
 		if !p.planned && p.from.Before(a.endedAt) && p.to.After(a.sentAt.Add(-settled)) {
 			return false
--- a/soak/programs_test.go
+++ b/soak/programs_test.go
@@ -52,8 +52,9 @@
 	accounts = 8
 )
 
-// deploymentPlan returns the plan of a deployment with the given version.
-func deploymentPlan(version int) []byte {
+// deploymentPlan returns the plan of a deployment with the given version, whose targets have
+// engines of the given size.
+func deploymentPlan(version, slots, cacheTokens int) []byte {
 	route := func(prefix, kind, service string, timeout time.Duration, objective, priority int) map[string]any {
 		return map[string]any{
 			"name": "r" + prefix, "hostname": "soak.example", "path_prefix": prefix, "route_kind": kind, "timeout_ms": timeout.Milliseconds(),
@@ -79,7 +80,7 @@
 	b, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "tenants": list, "note": fmt.Sprint("version ", version),
 		"services": []any{
-			map[string]any{"name": "models", "max_connections": 470, "engine": map[string]any{"slots": 12, "kv_tokens": 471337, "stride": tokensPerEvent}},
+			map[string]any{"name": "models", "max_connections": 470, "engine": map[string]any{"slots": slots, "kv_tokens": cacheTokens, "stride": tokensPerEvent}},
 			map[string]any{"name": "plain", "max_connections": 420},
 		},
 	})
@@ -170,6 +171,7 @@
 	callers  *callers
 	balancer *balancer
 	pool     []*caller
+	kinds    []programKind
 	programs atomic.Int64
 
 	mu       sync.Mutex
@@ -231,7 +233,7 @@
 func (l *load) runProgram(ctx context.Context, r *rand.Rand, program string) {
 	l.programs.Add(1)
 	c := l.pool[r.IntN(len(l.pool))]
-	turns, account, previous := 1+r.IntN(11), accountName(r.IntN(accounts)), ""
+	turns, account, previous := l.turnsOf(r), accountName(r.IntN(accounts)), ""
 	budget := turns * turnEvents * tokensPerEvent
 	if r.Float64() < looping {
 		turns = 1000
@@ -257,6 +259,16 @@
 	}
 }
 
+// turnsOf returns the number of turns of a program of a random kind.
+func (l *load) turnsOf(r *rand.Rand) int {
+	n, share := 0, r.Float64()
+	for n < len(l.kinds)-1 && share >= l.kinds[n].share {
+		share -= l.kinds[n].share
+		n++
+	}
+	return 1 + r.IntN(2*l.kinds[n].turns-1)
+}
+
 // turn sends a turn, and again if it failed.
 func (l *load) turn(ctx context.Context, r *rand.Rand, c *caller, a attempt) attempt {
 	var last attempt
--- a/soak/replace_test.go
+++ b/soak/replace_test.go
@@ -48,7 +48,6 @@
 	h := &testHost{t: f.t, role: old.role, zone: old.zone, number: replacementNumber + i, dir: f.t.TempDir(), binary: old.binary}
 	h.name = fmt.Sprintf("%s-%d", h.role, h.number-1)
 	f.startRelay(h)
-	f.t.Cleanup(func() { h.stop(syscall.SIGKILL) }) // Does nothing once stopAll has stopped it.
 	return h
 }
 
--- a/soak/retire_test.go
+++ b/soak/retire_test.go
@@ -85,7 +85,6 @@
 	h := &testHost{t: f.t, role: host.NodeStore, zone: f.hosts[i].zone, number: f.hosts[i].number + 9, dir: f.t.TempDir(), binary: f.hosts[i].binary}
 	h.name = fmt.Sprintf("%s-%d", h.role, h.number-1)
 	f.startRelay(h)
-	f.t.Cleanup(func() { h.stop(syscall.SIGKILL) }) // Does nothing once stopAll has stopped it.
 	f.start(h, false)
 	return h
 }
--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -114,7 +114,7 @@
 	case 5:
 		d.during(all, "all hosts frozen", false, func() { f.freezeAll(down + time.Second) })
 	}
-	time.Sleep(recoveryTime + calmTime)
+	time.Sleep(d.recoveryTime() + calmTime)
 	f.waitRecovered()
 }
 
--- a/soak/served_test.go
+++ b/soak/served_test.go
@@ -73,7 +73,7 @@
 	for _, p := range d.faults {
 		settled := calmTime
 		if p.host == "group" {
-			settled = recoveryTime
+			settled = d.recoveryTime()
 		}
 		if !p.planned && p.from.Before(begin.Add(window+turnTimeout)) && p.to.After(begin.Add(-settled)) {
 			return false
@@ -91,7 +91,7 @@
 		at := begin.Add(time.Duration(n) * window)
 		calm := d.isCalm(at)
 		switch {
-		case at.After(restartedAt.Add(recoveryTime)):
+		case at.After(restartedAt.Add(d.recoveryTime())):
 			after.offered, after.served = after.offered+c.offered, after.served+c.served
 		case calm && at.Before(restartedAt):
 			before.offered, before.served = before.offered+c.offered, before.served+c.served
@@ -100,7 +100,7 @@
 			}
 		}
 	}
-	d.t.Logf("served in calm: %d of %d requests; later than %v after the loss of power: %d of %d", before.served, before.offered, recoveryTime, after.served, after.offered)
+	d.t.Logf("served in calm: %d of %d requests; later than %v after the loss of power: %d of %d", before.served, before.offered, d.recoveryTime(), after.served, after.offered)
 	if before.offered == 0 || after.offered == 0 {
 		d.t.Error("nothing was tested")
 	}
--- a/soak/size_test.go
+++ b/soak/size_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/banyanspur/banyanspur/host"
 )
@@ -14,6 +15,9 @@
 	losses  int     // number of hosts with a disk that may be lost at once
 	grace   float64 // seconds
 	catchUp float64 // seconds; used if asProgram is set
+	// recovery is the time after the restart of all hosts from which on a quarter of the former
+	// share must be served, in seconds.
+	recovery float64
 	// limits holds what hosts have, by role.
 	limits map[host.NodeRole]hostLimits
 	// asProgram is set if hosts run the program as deploy/system.toml builds and starts it,
@@ -26,6 +30,70 @@
 // small is the size of the fleet in most tests.
 var small = fleetSize{controls: 3, stores: 3, entries: 3, zones: 3, losses: 1, grace: 4, plan: planDocument}
 
+// deploymentSize is a fleet with its targets and callers.
+type deploymentSize struct {
+	fleet                  fleetSize
+	models, plain, callers int
+	slots, cacheTokens     int     // of the engine of each target
+	programs               float64 // per second
+	kinds                  []programKind
+}
+
+// programKind is a part of the programs. They have 1 to 2*turns-1 turns.
+type programKind struct {
+	share float64
+	turns int
+}
+
+// deploymentSizes are the sizes by name. Their hosts run the program within the limits of
+// deployments that users run. The sizes "orders" and "booking" are two whole deployments, with
+// their programs a second; the grown one has the hosts, targets and callers of a large one and a
+// tenth of its 88 programs a second.
+var deploymentSizes = map[string]deploymentSize{
+	"small": {
+		fleet: fleetSize{
+			controls: 3, stores: 3, entries: 3, zones: 3, losses: 1, grace: 4, catchUp: 7.6, recovery: 15,
+			limits: deploymentLimits, asProgram: true,
+		},
+		models: 3, plain: 2, callers: 12, slots: 12, cacheTokens: 471337, programs: 2, kinds: []programKind{{1, 6}},
+	},
+	"orders": {
+		fleet: fleetSize{
+			controls: 5, stores: 3, entries: 8, zones: 3, losses: 1, grace: 8, catchUp: 8.3, recovery: 12,
+			limits: map[host.NodeRole]hostLimits{
+				host.NodeEntry:   {share: 0.4, memoryMB: 284, files: 4100, linkMbps: 1000},
+				host.NodeStore:   {share: 0.352, memoryMB: 324, files: 8200, linkMbps: 130},
+				host.NodeControl: deploymentLimits[host.NodeControl],
+			},
+			asProgram: true,
+		},
+		models: 9, plain: 4, callers: 85, slots: 48, cacheTokens: 1333755, programs: 33, kinds: []programKind{{0.7, 4}, {0.3, 11}},
+	},
+	"booking": {
+		fleet: fleetSize{
+			controls: 5, stores: 3, entries: 7, zones: 3, losses: 1, grace: 8, catchUp: 4.9, recovery: 12,
+			limits: map[host.NodeRole]hostLimits{
+				host.NodeEntry:   {share: 0.4, memoryMB: 134, files: 4100, linkMbps: 1000},
+				host.NodeStore:   {share: 0.8, memoryMB: 164, files: 8200, linkMbps: 600},
+				host.NodeControl: deploymentLimits[host.NodeControl],
+			},
+			asProgram: true,
+		},
+		models: 18, plain: 3, callers: 59, slots: 12, cacheTokens: 380106, programs: 42, kinds: []programKind{{0.71, 3}, {0.29, 7}},
+	},
+	"grown": {
+		fleet: fleetSize{
+			controls: 5, stores: 9, entries: 60, zones: 4, losses: 2, grace: 8, catchUp: 7.6, recovery: 15,
+			limits: deploymentLimits, asProgram: true,
+		},
+		models: 45, plain: 11, callers: 156, slots: 12, cacheTokens: 471337, programs: 8.8, kinds: []programKind{{1, 6}},
+	},
+}
+
+func (d *deployment) recoveryTime() time.Duration {
+	return time.Duration(d.fleet.size.recovery * float64(time.Second))
+}
+
 // role returns the role of the host at an index, and its index among those of the role.
 func (s fleetSize) role(i int) (host.NodeRole, int) {
 	switch disks := s.controls + s.stores; {
