soak: disruptions that the deployment test lacked

The deployment test never lets targets lose or spoil answers, retires no store, and hits hosts at random times only, while acknowledgments and partitions decide what may be lost.

Some targets now drop, reset, withhold, break off or spoil some answers, write another answer after theirs at once or late, send responses without a length, or refuse long requests before they are read. A store is added and another one retired; the disks of others are lost right after it is emptied, and at times right after a change was acknowledged. Faults of control hosts and stores follow half of the time right after a change was acknowledged, or 5 to 400 ms after it was sent. Hosts lose power and do not respond to other hosts. A host with a disk is separated from the others, or half of them from the other half: the relays learn from the first bytes of a connection which host has dialed it. Callers start 1.1 to 1.3 times more programs of one kind, move to one zone, give up or send slowly; acknowledgments to operators are lost, and two of them send the same plan. Runs end in one of four ways. TestWholeDeployments plays the sizes orders and booking for a short time.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -42,12 +43,43 @@
 	entry                          string // name of the entry host
 	budget, maxTokens              int    // tokens that the program and the turn may generate; tokenBudget and maxTurnTokens if 0
 	timeout                        time.Duration
-	connected                      bool   // there was a connection to an entry host
-	reused                         bool   // the connection had carried a request before
-	failure                        string // why there is no complete response
+	patience                       time.Duration // after which the caller gives up; 0 means never
+	slow                           bool          // the body takes slowSend
+	connected                      bool          // there was a connection to an entry host
+	reused                         bool          // the connection had carried a request before
+	failure                        string        // why there is no complete response
 	retryAfter                     time.Duration
 }
 
+const (
+	// One in unusualCallers requests is given up by its caller, and one is sent slowly.
+	unusualCallers = 50
+	slowSend       = 300 * time.Millisecond
+)
+
+// impatient makes some requests of programs ones that the caller gives up or sends slowly.
+func (a *attempt) impatient() {
+	switch n := xxhash.Sum64String(a.program + a.path + a.previous); n % unusualCallers {
+	case 0:
+		a.patience = time.Duration(20+n%400) * time.Millisecond
+	case 1:
+		a.slow = true
+	}
+}
+
+// gaveUp reports whether the caller has given up the request.
+func (a attempt) gaveUp() bool {
+	return a.patience > 0 && !a.complete && a.endedAt.Sub(a.sentAt) >= a.patience-20*time.Millisecond
+}
+
+// pause is a reader that is empty after a time.
+type pause time.Duration
+
+func (p pause) Read([]byte) (int, error) {
+	time.Sleep(time.Duration(p))
+	return 0, io.EOF
+}
+
 // guaranteesNotRun reports whether the status guarantees that no target has run
 // the request.
 func (a attempt) guaranteesNotRun() bool {
@@ -92,7 +124,7 @@
 	a.timeout = cmp.Or(a.timeout, 4*time.Second)
 	a.budget, a.maxTokens = cmp.Or(a.budget, tokenBudget), cmp.Or(a.maxTokens, maxTurnTokens)
 	a.id, a.sentAt = c.newID(), time.Now()
-	ctx, cancel := context.WithTimeout(ctx, a.timeout)
+	ctx, cancel := context.WithTimeout(ctx, min(cmp.Or(a.patience, a.timeout), a.timeout))
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		a.connected, a.reused = true, info.Reused
@@ -101,10 +133,15 @@
 		}
 	}})
 	url := fmt.Sprintf("http://%s%s", address, a.path)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(a.requestBody))
+	var body io.Reader = strings.NewReader(a.requestBody)
+	if a.slow {
+		body = io.MultiReader(strings.NewReader(a.requestBody[:1]), pause(slowSend), strings.NewReader(a.requestBody[1:]))
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
 	if err != nil {
 		panic(err) // Cannot happen: the URL is well-formed.
 	}
+	req.ContentLength = int64(len(a.requestBody))
 	req.Host = "soak.example"
 	req.Header.Set("X-Request-Id", a.id)
 	req.Header.Set("Authorization", "Bearer key-"+a.account)
@@ -221,13 +258,18 @@
 	return b
 }
 
-// requestConfig sends a request about the configuration to the control host at
-// index n, modulo their number, and returns the status and the body of the response. The status is 0 if there
-// was none.
+// requestConfig sends a request about the configuration to the control host at index n, modulo
+// their number.
 func (f *fleet) requestConfig(n int, method string, body []byte) (int, []byte) {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	return f.requestControl(n, method, "/v1/config", body, 2*time.Second)
+}
+
+// requestControl sends a request of an operator to the control host at index n, modulo their
+// number, and returns the status and the body of the response. The status is 0 if there was none.
+func (f *fleet) requestControl(n int, method, path string, body []byte, timeout time.Duration) (int, []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	url := fmt.Sprintf("http://%s:%d/v1/config", f.address(f.hosts[n%f.size.controls]), operatorPort)
+	url := fmt.Sprintf("http://%s:%d%s", f.address(f.hosts[n%f.size.controls]), operatorPort, path)
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		panic(err) // Cannot happen: the URL is well-formed.
--- a/soak/changes_test.go
+++ b/soak/changes_test.go
@@ -22,6 +22,8 @@
 	// of the plan may change every changedEvery versions, some 5 s, so that for most of this time
 	// all versions that may be in force agree on them.
 	addedEvery, changedEvery = 8, 10
+	// lostAcks is the share of acknowledgments that are lost while some are.
+	lostAcks = 0.6
 	// tryoutRoutes is the number of routes that are removed and added again.
 	tryoutRoutes = 2
 	// The accounts of the requests that check changes. keyedAccount has keyedKeys keys that
@@ -222,8 +224,11 @@
 	for version := 1; types.Sleep(ctx, changeInterval); {
 		n, operators := r.IntN(d.fleet.size.controls), 1+r.IntN(4)/3
 		var g sync.WaitGroup
+		same := r.IntN(4) == 0 // Both operators send the same plan.
 		for i := range operators {
-			version += 1 + r.IntN(2)
+			if i == 0 || !same {
+				version += 1 + r.IntN(2)
+			}
 			v := version
 			g.Go(func() { d.putVersion(n+i, v) })
 		}
@@ -251,21 +256,23 @@
 	}
 }
 
-// putVersion sends a version of the plan, once more to the next host if there is no clear
-// response. A valid version must not be refused.
+// putVersion sends a version of the plan, and again to other hosts if there is no clear response
+// or if the acknowledgment is lost. A valid version must not be refused.
 func (d *deployment) putVersion(n, version int) {
 	d.versions.send(version)
-	for i := range 2 {
+	for i := range 3 {
+		h := d.fleet.hosts[(n+i)%d.fleet.size.controls]
+		notify(d.sent, h)
 		code := d.put(n+i, version, d.fleet.size.plan(version))
 		if code == http.StatusOK {
+			notify(d.ack, h)
+			if d.losesAcks.Load() && rand.Float64() < lostAcks {
+				continue
+			}
 			d.versions.acknowledge(version)
 			d.mu.Lock()
 			d.acked = max(d.acked, version)
 			d.mu.Unlock()
-			select {
-			case d.ack <- struct{}{}:
-			default:
-			}
 			return
 		}
 		if code >= 400 && code < 500 && code != http.StatusTooManyRequests && code != http.StatusRequestTimeout {
@@ -275,6 +282,14 @@
 	}
 }
 
+// notify sends a value to a channel if it is received at once.
+func notify[T any](c chan<- T, v T) {
+	select {
+	case c <- v:
+	default:
+	}
+}
+
 // put sends a plan to a control host and returns the status.
 func (d *deployment) put(n, version int, b []byte) int {
 	begin := time.Now()
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,11 +25,14 @@
 const (
 	// calmTime is the time after the end of a fault from which on requests must be served.
 	calmTime = 4 * time.Second
+	// shortSeries is how long faults are injected in a short run.
+	shortSeries = 4 * time.Second
 	// changeInterval is the time between two changes of the plan.
 	changeInterval = time.Second
 	// retainedTime is for how long turns are continued in the test, out of the 60 s that the
-	// plan keeps them, and maxSample how many of them.
-	retainedTime = 50 * time.Second
+	// plan keeps them. At the end, maxSample turns of the last sampleTime are.
+	retainedTime = 55 * time.Second
+	sampleTime   = 50 * time.Second
 	maxSample    = 80
 )
 
@@ -48,8 +52,11 @@
 	faults  []period
 	acked   int // newest version that the operator got an acknowledgment of
 	replies map[string]int
-	ack     chan struct{} // gets a value at each acknowledgment, if it is received
-	hangups []hangup
+	// sent and ack get the control host that a change is sent to, and that acknowledges one, if
+	// they are received.
+	sent, ack chan *testHost
+	losesAcks atomic.Bool // acknowledgments of changes are lost
+	hangups   []hangup
 	// brokeOff reports whether the target that ran an attempt ended meanwhile; nil if none does.
 	brokeOff func(a attempt) bool
 }
@@ -72,11 +79,21 @@
 		t.Fatalf("no size %q", *sizeName)
 	}
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runDeployment(t, size, seed) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runDeployment(t, size, seed, false) })
 	}
 }
 
-func runDeployment(t *testing.T, size deploymentSize, seed uint64) {
+// TestWholeDeployments guards against the same faults at the whole rates of two deployments, for a
+// short time and without replaced hosts.
+func TestWholeDeployments(t *testing.T) {
+	for _, name := range []string{"orders", "booking"} {
+		t.Run(name, func(t *testing.T) { runDeployment(t, deploymentSizes[name], *first, true) })
+	}
+}
+
+// runDeployment runs a deployment with the faults of a seed. A short run has a single burst of
+// faults.
+func runDeployment(t *testing.T, size deploymentSize, seed uint64, short bool) {
 	begin := time.Now()
 	size.fleet.plan = changingPlan(seed, size.slots, size.cacheTokens)
 	c, tg := startSize(t, size.fleet, seed, size.models, size.plain)
@@ -87,7 +104,7 @@
 	}
 	tg.mu.Unlock()
 	c.attempts = nil
-	d := &deployment{t: t, fleet: c.fleet, callers: c, targets: tg, started: begin, replies: map[string]int{}, ack: make(chan struct{}), acked: 1}
+	d := &deployment{t: t, fleet: c.fleet, callers: c, targets: tg, started: begin, replies: map[string]int{}, sent: make(chan *testHost), ack: make(chan *testHost), acked: 1}
 	d.versions, d.probes = newVersions(seed), &callers{fleet: c.fleet, lastID: 5_000_000}
 	d.note("the first turn was served")
 	d.fleet.waitRecovered()
@@ -105,10 +122,11 @@
 	if *rate > 0 {
 		programs = *rate
 	}
-	g.Go(func() error { d.load.run(ctx, seed, programs); return nil })
+	g.Go(func() error { d.load.run(ctx, seed, programs, size.kinds); return nil })
 	g.Go(func() error { d.change(ctx, seed); return nil })
 	g.Go(func() error { d.sendChecks(ctx, seed); return nil })
 	g.Go(func() error { d.readVersions(ctx, seed); return nil })
+	g.Go(func() error { tg.disturb(ctx, d, seed); return nil })
 	churn := newChurn(d, seed)
 	g.Go(func() error { churn.run(ctx); return nil })
 	g.Go(func() error { d.restartExited(ctx); return nil })
@@ -121,9 +139,15 @@
 		d.report(restartedAt)
 	})
 	defer finish() // Also if a wait has timed out.
+	g.Go(func() error { d.disruptLoad(ctx, seed, programs); return nil })
 	types.Sleep(ctx, calmTime+window)
-	d.replaceHosts()
-	d.injectSeries(*duration)
+	if short {
+		d.injectSeries(shortSeries)
+	} else {
+		d.replaceHosts()
+		d.retireStore()
+		d.injectSeries(*duration)
+	}
 	types.Sleep(ctx, calmTime+window)
 	restartedAt = d.injectFinalFault()
 	types.Sleep(ctx, d.recoveryTime())
@@ -151,14 +175,14 @@
 	d.t.Logf("%7.3f %s", time.Since(d.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// checkTurns checks that turns with a complete response in the last retainedTime can be
+// checkTurns checks that turns with a complete response in the last sampleTime can be
 // continued. It samples maxSample of them.
 func (d *deployment) checkTurns() {
 	d.callers.mu.Lock()
 	attempts := slices.Clone(d.callers.attempts)
 	d.callers.mu.Unlock()
 	attempts = slices.DeleteFunc(attempts, func(a attempt) bool {
-		return a.path != "/turn/" || a.status != http.StatusOK || !a.complete || time.Since(a.endedAt) > retainedTime
+		return a.path != "/turn/" || a.status != http.StatusOK || !a.complete || time.Since(a.endedAt) > sampleTime
 	})
 	c := &callers{fleet: d.fleet, lastID: 1_000_000}
 	var g errgroup.Group
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -31,8 +31,14 @@
 // All the while targets crash, return, are slow, drain, leave, are added and get the addresses
 // of others, and operators move, split, add and remove routes, keys and timeouts, two at once
 // at times. A control host, a store and an entry host are replaced at other addresses.
+// A store is retired, and disks of others are lost right after it is emptied. Targets lose, break
+// off or spoil some answers, or write bytes after them. Faults of hosts with a disk follow right
+// after a change was acknowledged or sent. Callers press, move to one zone, give up and send
+// slowly; acknowledgments to operators are lost. Hosts are separated from others in pairs.
 // The test counts per 2 s what was offered, connected and served, and why the rest was not,
 // also by availability zone, client account and kind of request.
+// The sizes "orders" and "booking" are two whole deployments of 16 and 15 hosts with 33 and 42
+// programs a second; TestWholeDeployments plays both for a short time.
 // The size "grown" has 74 hosts and 56 targets; it takes 2 of 8 processors at 30 programs a
 // second and 3 to 4 at 88 (-programs). On a machine with a load average above 50 the hosts get
 // less than their share:
@@ -41,5 +47,5 @@
 //
 // Not injected: writes that a loss of power takes back without a trace, since no process is
 // asked what it has synced, slow syncs, links of a limited rate to callers and targets, and
-// hosts without power that do not answer at all: a killed process resets its connections.
+// entry hosts that do not answer callers at all: a killed process resets their connections.
 package soak
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -277,12 +277,7 @@
 		h.signal(syscall.SIGCONT)
 	}},
 	{"data directory lost", func(f *fleet, h *testHost, d time.Duration) {
-		h.stop(syscall.SIGKILL)
-		if err := os.RemoveAll(filepath.Join(h.dir, "data")); err != nil {
-			f.t.Error(err)
-		}
-		time.Sleep(d / 2)
-		f.start(h, false)
+		f.loseDisks([]*testHost{h}, d/2)
 	}},
 	{"torn write", func(f *fleet, h *testHost, d time.Duration) {
 		h.stop(syscall.SIGKILL)
@@ -365,11 +360,7 @@
 // same time and restarts them after d.
 func (f *fleet) killDiskHosts(d time.Duration) {
 	f.t.Logf("all hosts with a disk: killed for %v", d)
-	killTogether(f.diskHosts())
-	time.Sleep(d)
-	for _, h := range f.diskHosts() {
-		f.start(h, false)
-	}
+	f.killControlHosts(f.diskHosts(), d)
 	f.waitRecovered()
 }
 
--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -81,10 +81,14 @@
 // without a complete response before its time.
 func (d *deployment) isCut(a attempt) bool {
 	took := a.endedAt.Sub(a.sentAt)
-	if a.complete || !a.connected || took >= a.timeout-50*time.Millisecond || d.brokeOff != nil && d.brokeOff(a) {
+	if a.complete || a.gaveUp() || !a.connected || took >= a.timeout-50*time.Millisecond || d.brokeOff != nil && d.brokeOff(a) {
 		return false
 	}
-	return (took > unreadTime || len(d.targets.runsOf(a.id)) > 0) && !d.outlivesStop(a)
+	unread := time.Duration(unreadTime)
+	if a.slow {
+		unread += slowSend
+	}
+	return (took > unread || len(d.targets.runsOf(a.id)) > 0) && !d.outlivesStop(a)
 }
 
 // outlivesStop reports whether a target was still at work in the last sixth of the grace period
@@ -122,7 +126,7 @@
 // host first, and SIGHUPs of its own host before it ended.
 func (d *deployment) plannedBeside(a attempt) (work []string) {
 	for _, p := range d.faults {
-		if !p.planned || !a.endedAt.After(p.from) || !a.sentAt.Before(p.to.Add(stopSettles)) {
+		if !p.planned || p.host == "callers" || !a.endedAt.After(p.from) || !a.sentAt.Before(p.to.Add(stopSettles)) {
 			continue
 		}
 		text := fmt.Sprintf("%s: %s, %v before the end", p.host, p.what, a.endedAt.Sub(p.from))
@@ -180,21 +184,6 @@
 	}
 }
 
-// isInCalm reports whether no fault was active from calmTime before an attempt until its end,
-// and none of a group of hosts from the recovery time before.
-func (d *deployment) isInCalm(a attempt) bool {
-	for _, p := range d.faults {
-		settled := calmTime
-		if p.host == "group" {
-			settled = d.recoveryTime()
-		}
-		if !p.planned && p.from.Before(a.endedAt) && p.to.After(a.sentAt.Add(-settled)) {
-			return false
-		}
-	}
-	return true
-}
-
 // checkUnreached checks that no turn that continues another one reaches no target in
 // unreachedTries in calm while reachedShare of first turns do.
 func (d *deployment) checkUnreached() {
@@ -202,7 +191,7 @@
 	later := map[string]*tries{} // by program and input
 	var first tries
 	for _, a := range d.callers.attempts {
-		if a.path != "/turn/" || !a.connected || a.status == http.StatusPaymentRequired || !d.isInCalm(a) {
+		if a.path != "/turn/" || !a.connected || a.status == http.StatusPaymentRequired || a.patience > 0 || !d.isCalm(a.sentAt, a.endedAt) {
 			continue
 		}
 		n := &first
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -33,18 +33,20 @@
 	delete(s.inFlight, id)
 }
 
-// end ends the process, which breaks off the requests that run.
-func (s *targetServer) end() {
+// end ends the process, which breaks off the requests that run. It reports whether the process
+// ran.
+func (s *targetServer) end() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.server == nil {
-		return
+		return false
 	}
 	_ = s.server.Close()
 	s.server = nil
 	for id := range s.inFlight {
 		s.brokenOff[id] = true
 	}
+	return true
 }
 
 // closeIdle starts the process again so that it closes connections which are idle for d.
--- a/soak/programs_test.go
+++ b/soak/programs_test.go
@@ -99,6 +99,13 @@
 
 	mu     sync.Mutex
 	misses map[*testHost]int
+	shift  atomic.Pointer[shift]
+}
+
+// shift is a share of the callers that connect to the hosts of one zone only.
+type shift struct {
+	share float64
+	zone  string
 }
 
 // run checks all entry hosts until ctx ends.
@@ -147,6 +154,11 @@
 	dial := func(choose func(n int) int) func(context.Context, string, string) (net.Conn, error) {
 		return func(ctx context.Context, network, _ string) (net.Conn, error) {
 			list := b.ready()
+			if s := b.shift.Load(); s != nil && float64(number%10) < 10*s.share {
+				if in := slices.DeleteFunc(slices.Clone(list), func(h *testHost) bool { return h.zone != s.zone }); len(in) > 0 {
+					list = in
+				}
+			}
 			dialer := net.Dialer{Timeout: dialTimeout}
 			return dialer.DialContext(ctx, network, fmt.Sprintf("%s:%d", b.fleet.address(list[choose(len(list))]), callerPort))
 		}
@@ -190,9 +202,13 @@
 			client = c.retry
 		}
 		a.timeout = time.Until(deadline)
+		a.impatient()
 		o.last = l.callers.do(sending, client, "soak.example", a)
 		o.connected = o.connected || o.last.connected
 		left := time.Until(deadline)
+		if o.last.gaveUp() {
+			return o.last
+		}
 		if !o.last.mayRepeat() || left < 20*time.Millisecond || ctx.Err() != nil {
 			break
 		}
@@ -216,13 +232,13 @@
 	return a.guaranteesNotRun()
 }
 
-// run starts programs, perSecond on average, until ctx ends, and waits for their ends.
-func (l *load) run(ctx context.Context, seed uint64, perSecond float64) {
+// run starts programs of some kinds, perSecond on average, until ctx ends, and waits for their ends.
+func (l *load) run(ctx context.Context, seed uint64, perSecond float64, kinds []programKind) {
 	r := rand.New(rand.NewPCG(seed, 2))
 	var g errgroup.Group
 	for n := 0; types.Sleep(ctx, time.Duration(r.ExpFloat64()/perSecond*float64(time.Second))); n++ {
 		g.Go(func() error {
-			l.runProgram(ctx, rand.New(rand.NewPCG(seed, uint64(1000+n))), fmt.Sprintf("d%d-%d", seed, n))
+			l.runProgram(ctx, rand.New(rand.NewPCG(seed, uint64(1000+n))), fmt.Sprintf("d%d-%d", seed, n), kinds)
 			return nil
 		})
 	}
@@ -230,10 +246,10 @@
 }
 
 // runProgram runs the turns of a program, each followed by calls at the same time.
-func (l *load) runProgram(ctx context.Context, r *rand.Rand, program string) {
+func (l *load) runProgram(ctx context.Context, r *rand.Rand, program string, kinds []programKind) {
 	l.programs.Add(1)
 	c := l.pool[r.IntN(len(l.pool))]
-	turns, account, previous := l.turnsOf(r), accountName(r.IntN(accounts)), ""
+	turns, account, previous := turnsOf(r, kinds), accountName(r.IntN(accounts)), ""
 	budget := turns * turnEvents * tokensPerEvent
 	if r.Float64() < looping {
 		turns = 1000
@@ -260,13 +276,13 @@
 }
 
 // turnsOf returns the number of turns of a program of a random kind.
-func (l *load) turnsOf(r *rand.Rand) int {
+func turnsOf(r *rand.Rand, kinds []programKind) int {
 	n, share := 0, r.Float64()
-	for n < len(l.kinds)-1 && share >= l.kinds[n].share {
-		share -= l.kinds[n].share
+	for n < len(kinds)-1 && share >= kinds[n].share {
+		share -= kinds[n].share
 		n++
 	}
-	return 1 + r.IntN(2*l.kinds[n].turns-1)
+	return 1 + r.IntN(2*kinds[n].turns-1)
 }
 
 // turn sends a turn, and again if it failed.
--- a/soak/relay_test.go
+++ b/soak/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,8 +33,12 @@
 	mode        atomic.Int32
 	listener    net.Listener
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool
+	mu sync.Mutex
+	// conns holds the open connections, with the addresses that the hosts which dialed them named,
+	// if any.
+	conns map[net.Conn]*atomic.Value
+	// cut holds the number of cuts from other hosts, by address.
+	cut map[string]int
 	// silenced is closed to make the connections that are open discard all bytes for good.
 	silenced chan struct{}
 
@@ -78,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{hostAddress: hostAddress, listener: l, conns: map[net.Conn]bool{}, silenced: make(chan struct{})}
+	r := &relay{hostAddress: hostAddress, listener: l, conns: map[net.Conn]*atomic.Value{}, cut: map[string]int{}, silenced: make(chan struct{})}
 	return r, nil
 }
 
@@ -88,19 +93,51 @@
 func (r *relay) setMode(m relayMode) {
 	previous := relayMode(r.mode.Swap(int32(m)))
 	if m == modeReset || previous > modeReset {
-		r.resetAll()
+		r.resetFrom("")
 	}
 }
 
-// resetAll closes all connections with a TCP reset.
-func (r *relay) resetAll() {
+// resetFrom closes the connections of a host, or all if source is empty, with a TCP reset.
+func (r *relay) resetFrom(source string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for c := range r.conns {
-		_ = c.(*net.TCPConn).SetLinger(0)
-		_ = c.Close()
+	for c, from := range r.conns {
+		if source == "" || from.Load() == source {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+			delete(r.conns, c)
+		}
+	}
+}
+
+// changeCut begins (1) or ends (-1) a cut from a host: its connections are silent while there is
+// one, and are reset in the end.
+func (r *relay) changeCut(source string, delta int) {
+	r.mu.Lock()
+	r.cut[source] += delta
+	r.mu.Unlock()
+	if delta < 0 {
+		r.resetFrom(source)
+	}
+}
+
+// discards reports whether bytes of the connections of a host are discarded.
+func (r *relay) discards(source string, dropMode relayMode) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := relayMode(r.mode.Load())
+	return m == modeDrop || m == dropMode || r.cut[source] > 0
+}
+
+// sourceOf returns the address that the host which dials names in its first bytes, or an empty
+// text.
+func sourceOf(b []byte) string {
+	_, rest, _ := strings.Cut(string(b), "Banyanspur-Address: ")
+	address, _, found := strings.Cut(rest, ":")
+	if !found {
+		return ""
 	}
-	clear(r.conns)
+	return address
 }
 
 // silence makes all open connections discard all bytes for good, without a reset, while new
@@ -114,7 +151,7 @@
 
 func (r *relay) close() {
 	_ = r.listener.Close()
-	r.resetAll()
+	r.resetFrom("")
 }
 
 func (r *relay) accept() {
@@ -141,26 +178,31 @@
 func (r *relay) connect(in net.Conn) {
 	out, err := net.DialTimeout("tcp4", r.hostAddress, time.Second)
 	if err != nil {
+		for relayMode(r.mode.Load()) == modeDrop {
+			time.Sleep(relayDelay) // A host without power does not respond.
+		}
 		_ = in.(*net.TCPConn).SetLinger(0)
 		_ = in.Close()
 		return
 	}
+	source := &atomic.Value{}
+	source.Store("")
 	r.mu.Lock()
-	r.conns[in], r.conns[out] = true, true
+	r.conns[in], r.conns[out] = source, source
 	silenced := r.silenced
 	r.mu.Unlock()
-	go r.forward(out, in, modeDropTo, silenced)
-	r.forward(in, out, modeDropFrom, silenced)
+	go r.forward(out, in, modeDropTo, silenced, source)
+	r.forward(in, out, modeDropFrom, silenced, source)
 }
 
 // forward copies bytes from one connection to another until either ends. It
-// discards them in modeDrop and in dropMode, the mode that drops this direction, and once
-// silenced is closed.
-func (r *relay) forward(to, from net.Conn, dropMode relayMode, silenced <-chan struct{}) {
+// discards them in modeDrop and in dropMode, the mode that drops this direction, once silenced
+// is closed, and while the source is cut off. Ends of connections are not seen meanwhile.
+func (r *relay) forward(to, from net.Conn, dropMode relayMode, silenced <-chan struct{}, source *atomic.Value) {
 	defer to.Close()
 	defer from.Close()
 	b := make([]byte, 32<<10)
-	for {
+	for first := dropMode == modeDropTo; ; {
 		n, err := from.Read(b)
 		select {
 		case <-silenced:
@@ -169,12 +211,22 @@
 			}
 		default:
 		}
-		switch m := relayMode(r.mode.Load()); m {
-		case modeDrop, dropMode:
+		if first {
+			source.Store(sourceOf(b[:n]))
+			first = false
+		}
+		discarded := false
+		for r.discards(source.Load().(string), dropMode) {
+			discarded = true
 			if err == nil {
-				continue // Discard the bytes.
+				break
 			}
-		case modeDelay:
+			time.Sleep(relayDelay) // The end of the connection does not show.
+		}
+		if discarded && err == nil {
+			continue
+		}
+		if relayMode(r.mode.Load()) == modeDelay {
 			time.Sleep(relayDelay)
 		}
 		if dropMode == modeDropTo {
--- a/soak/replace_test.go
+++ b/soak/replace_test.go
@@ -45,12 +45,8 @@
 func (f *fleet) newHost(i int) *testHost {
 	f.t.Helper()
 	old := f.hosts[i]
-	h := &testHost{t: f.t, role: old.role, zone: old.zone, number: replacementNumber + i, dir: f.t.TempDir(), binary: old.binary}
+	h := &testHost{t: f.t, role: old.role, zone: old.zone, number: len(f.started) + 1, dir: f.t.TempDir(), binary: old.binary}
 	h.name = fmt.Sprintf("%s-%d", h.role, h.number-1)
 	f.startRelay(h)
 	return h
 }
-
-// replacementNumber is the number of the host that replaces the first one. Numbers are part of
-// addresses, and the largest fleet has 74 hosts.
-const replacementNumber = 101
--- a/soak/retire_test.go
+++ b/soak/retire_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -14,7 +13,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/banyanspur/banyanspur/host"
 	"github.com/banyanspur/banyanspur/turns"
 )
 
@@ -33,7 +31,8 @@
 func (c *callers) replaceStore(i int, frozenFor, d time.Duration) {
 	f := c.fleet
 	f.t.Helper()
-	retired, added := f.hosts[i], f.addStore(i)
+	retired, added := f.hosts[i], f.newHost(i)
+	f.start(added, false)
 	waitFor(f.t, added.name+" to register", func() bool { return f.isRegistered(added) })
 	n := f.rand.IntN(3)
 	frozen, awake := f.hosts[6+n], f.hosts[6+(n+1)%3]
@@ -79,16 +78,6 @@
 	return ids
 }
 
-// addStore starts a store in the availability zone of the one at index i.
-func (f *fleet) addStore(i int) *testHost {
-	f.t.Helper()
-	h := &testHost{t: f.t, role: host.NodeStore, zone: f.hosts[i].zone, number: f.hosts[i].number + 9, dir: f.t.TempDir(), binary: f.hosts[i].binary}
-	h.name = fmt.Sprintf("%s-%d", h.role, h.number-1)
-	f.startRelay(h)
-	f.start(h, false)
-	return h
-}
-
 // isRegistered reports whether the shard map lists a store.
 func (f *fleet) isRegistered(h *testHost) bool {
 	id, err := os.ReadFile(filepath.Join(h.dir, "data", "turns", "identity"))
@@ -103,20 +92,8 @@
 // requestRetirement orders a store to be emptied (POST), or asks whether it is (GET), and
 // reports whether a control host has agreed.
 func (f *fleet) requestRetirement(method string, h *testHost) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	url := fmt.Sprintf("http://%s:%d/v1/retire/%s", f.address(f.hosts[f.rand.IntN(3)]), operatorPort, h.name)
-	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(`{"deadline_s":10}`))
-	if err != nil {
-		panic(err) // Cannot happen: the URL is well-formed.
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return false
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return err == nil && resp.StatusCode == http.StatusOK && (method == http.MethodPost || strings.Contains(string(body), "complete"))
+	code, body := f.requestControl(f.rand.IntN(f.size.controls), method, "/v1/retire/"+h.name, []byte(`{"deadline_s":10}`), time.Second)
+	return code == http.StatusOK && (method == http.MethodPost || strings.Contains(string(body), "complete"))
 }
 
 // TestStoresAreReplaced guards against turns that are lost, or answered 404, while stores are
--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -63,9 +63,9 @@
 
 // seriesFaults are the faults of a series. Those of disks hit control hosts and stores only.
 var (
-	seriesFaults     = append(faultsNamed("killed", "frozen", "network fault"), silenced)
+	seriesFaults     = append(faultsNamed("killed", "frozen", "network fault"), silenced, fault{"power lost", (*fleet).powerLost})
 	seriesDiskFaults = append(faultsNamed("killed", "frozen", "network fault", "data directory lost", "data directory lost", "torn write"),
-		silenced, fault{"disk full", (*fleet).diskFull})
+		silenced, fault{"disk full", (*fleet).diskFull}, fault{"power lost", (*fleet).powerLost}, fault{"separated", (*fleet).separateHost})
 	silenced = fault{"open connections silent", func(_ *fleet, h *testHost, d time.Duration) {
 		h.relay.silence()
 		time.Sleep(d)
@@ -100,7 +100,7 @@
 	f := d.fleet
 	all := &testHost{name: "group"}
 	down := time.Duration(200+f.rand.IntN(1500)) * time.Millisecond
-	switch f.rand.IntN(6) {
+	switch f.rand.IntN(7) {
 	case 0:
 		d.during(all, "control hosts killed", false, func() { f.killControlHosts(f.controls(), down) })
 	case 1:
@@ -113,6 +113,8 @@
 		d.during(all, "disks lost in turn", false, d.loseDisksInTurn)
 	case 5:
 		d.during(all, "all hosts frozen", false, func() { f.freezeAll(down + time.Second) })
+	case 6:
+		d.during(all, "hosts with a disk split", false, func() { f.splitDiskHosts(4*time.Second + down) })
 	}
 	time.Sleep(d.recoveryTime() + calmTime)
 	f.waitRecovered()
@@ -136,16 +138,7 @@
 	f := d.fleet
 	stores := f.diskHosts()[f.size.controls:]
 	for group := range slices.Chunk(stores, f.size.losses) {
-		killTogether(group)
-		for _, h := range group {
-			if err := os.RemoveAll(filepath.Join(h.dir, "data")); err != nil {
-				f.t.Error(err)
-			}
-		}
-		time.Sleep(500 * time.Millisecond)
-		for _, h := range group {
-			f.start(h, false)
-		}
+		f.loseDisks(group, 500*time.Millisecond)
 		d.waitHost(group[0], "disk lost")
 	}
 }
@@ -179,7 +172,7 @@
 		if f.rand.IntN(2) == 0 {
 			list, choices, most = f.diskHosts(), seriesDiskFaults, f.size.losses
 		}
-		h, selected := list[f.rand.IntN(len(list))], choices[f.rand.IntN(len(choices))]
+		h, selected := d.chooseHost(list), choices[f.rand.IntN(len(choices))]
 		lasting := time.Duration(500+f.rand.IntN(3500)) * time.Millisecond
 		mu.Lock()
 		free := !busy[h] && count(h.role) < most
@@ -255,20 +248,23 @@
 	g.Wait()
 }
 
-// injectFinalFault cuts the power of all hosts right after an acknowledged change, while
-// as many hosts as the fleet tolerates lose their disks, and returns when all have been
-// started again.
+// injectFinalFault injects a fault right after a change and returns when all hosts have been
+// started again: all are killed, all lose power, or as many as the fleet tolerates lose their
+// disks, mostly while all others lose power.
 func (d *deployment) injectFinalFault() time.Time {
 	f := d.fleet
-	disks := slices.Clone(f.diskHosts())
-	f.rand.Shuffle(len(disks), func(i, j int) { disks[i], disks[j] = disks[j], disks[i] })
-	select {
-	case <-d.ack:
-	case <-time.After(waitTimeout):
-		d.t.Errorf("no change was acknowledged in %v", waitTimeout)
+	disks, all, kind := f.randomDiskHosts(nil), &testHost{name: "group"}, f.rand.IntN(6)
+	d.awaitChange()
+	switch kind {
+	case 0:
+		d.during(all, "killed", false, func() { f.killControlHosts(f.hosts, time.Second) })
+	case 1:
+		d.during(all, "power lost", false, func() { f.losePower(nil, 2*time.Second) })
+	case 2:
+		d.during(all, "disks lost", false, func() { f.loseDisks(disks, 2*time.Second) })
+	default:
+		d.during(all, "power and disks lost", false, func() { f.losePower(disks, 2*time.Second) })
 	}
-	all := &testHost{name: "group"}
-	d.during(all, "power lost", false, func() { f.losePower(disks[:f.size.losses], 2*time.Second) })
 	return time.Now()
 }
 
--- a/soak/served_test.go
+++ b/soak/served_test.go
@@ -67,15 +67,21 @@
 	return begin, list
 }
 
-// isCalm reports whether no fault but planned stops was active from calmTime before a
-// window until its requests have ended.
-func (d *deployment) isCalm(begin time.Time) bool {
+// isCalmWindow reports whether a window is calm until its requests have ended.
+func (d *deployment) isCalmWindow(begin time.Time) bool {
+	return d.isCalm(begin, begin.Add(window+turnTimeout))
+}
+
+// isCalm reports whether no fault but planned stops was active, and no more callers were, from
+// calmTime before a time until another; after a fault of a group of hosts, from the recovery time
+// before.
+func (d *deployment) isCalm(from, until time.Time) bool {
 	for _, p := range d.faults {
 		settled := calmTime
 		if p.host == "group" {
 			settled = d.recoveryTime()
 		}
-		if !p.planned && p.from.Before(begin.Add(window+turnTimeout)) && p.to.After(begin.Add(-settled)) {
+		if (!p.planned || p.host == "callers") && p.from.Before(until) && p.to.After(from.Add(-settled)) {
 			return false
 		}
 	}
@@ -89,7 +95,7 @@
 	begin, list := d.counts()
 	for n, c := range list {
 		at := begin.Add(time.Duration(n) * window)
-		calm := d.isCalm(at)
+		calm := d.isCalmWindow(at)
 		switch {
 		case at.After(restartedAt.Add(d.recoveryTime())):
 			after.offered, after.served = after.offered+c.offered, after.served+c.served
@@ -128,7 +134,7 @@
 	begin, list := d.counts()
 	for n, c := range list {
 		at := begin.Add(time.Duration(n) * window)
-		d.t.Logf("%7.1f calm %-5t offered %4d connected %4d served %4d (%.2f) %v", at.Sub(d.started).Seconds(), d.isCalm(at), c.offered, c.connected, c.served, c.share(), c.failures)
+		d.t.Logf("%7.1f calm %-5t offered %4d connected %4d served %4d (%.2f) %v", at.Sub(d.started).Seconds(), d.isCalmWindow(at), c.offered, c.connected, c.served, c.share(), c.failures)
 	}
 	d.t.Logf("%d programs; changes by status: %v", d.load.programs.Load(), d.replies)
 	d.reportEvents("first plan", 305, d.started, true)
--- a/soak/shares_test.go
+++ b/soak/shares_test.go
@@ -40,7 +40,7 @@
 	for _, o := range outcomes {
 		n := int(o.sentAt.Sub(begin) / window)
 		at := begin.Add(time.Duration(n) * window)
-		if !at.Before(restartedAt) || !d.isCalm(at) {
+		if !at.Before(restartedAt) || !d.isCalmWindow(at) {
 			continue
 		}
 		for _, name := range d.groupsOf(o) {
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -55,6 +55,8 @@
 	// slowTurns is the number of turns of which one takes slowTurnFactor times as long; no
 	// turn does if it is 0.
 	slowTurns int
+	// answers is the fault of how targets respond, if there is one.
+	answers atomic.Pointer[answerFault]
 	// misdirected counts the requests for other targets, which were refused.
 	misdirected atomic.Int64
 }
@@ -141,11 +143,15 @@
 			w.Header().Set("Connection", "close")
 		}
 		r = r.WithContext(context.WithValue(r.Context(), serverKey{}, s))
+		serve := t.serveCall
 		if service == "models" {
-			t.serveTurn(w, r)
+			serve = t.serveTurn
+		}
+		if f := t.faultOf(s, requestID); f != nil {
+			s.respondFaulty(w, r, f, serve)
 			return
 		}
-		t.serveCall(w, r)
+		serve(w, r)
 	}
 	s.serveOn(l)
 	t.servers = append(t.servers, s)
@@ -192,23 +198,9 @@
 // crash ends the process, which closes its listener and all connections, and starts
 // it again after d.
 func (s *targetServer) crash(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.server == nil {
-		return
+	if s.end() {
+		time.AfterFunc(d, func() { s.restart(context.Background()) })
 	}
-	_ = s.server.Close()
-	s.server = nil
-	time.AfterFunc(d, func() {
-		l, err := net.Listen("tcp4", s.address)
-		for end := time.Now().Add(waitTimeout); err != nil; l, err = net.Listen("tcp4", s.address) {
-			if time.Now().After(end) {
-				panic(err)
-			}
-			time.Sleep(10 * time.Millisecond) // A connection of another process may have the port for a while.
-		}
-		s.serveOn(l)
-	})
 }
 
 // endRandomly ends single targets, and all targets of a zone at once, until ctx ends.
--- a/soak/zone_test.go
+++ b/soak/zone_test.go
@@ -32,19 +32,8 @@
 // requestEvacuation orders that a zone be evacuated (POST) or taken back (DELETE) at a
 // random control host, and returns the status, or 0 if there is no response.
 func (f *fleet) requestEvacuation(r *rand.Rand, method, zone string) int {
-	ctx, cancel := context.WithTimeout(context.Background(), ackTime)
-	defer cancel()
-	url := fmt.Sprintf("http://%s:%d/v1/evacuations/%s", f.address(f.hosts[r.IntN(3)]), operatorPort, zone)
-	req, err := http.NewRequestWithContext(ctx, method, url, nil)
-	if err != nil {
-		panic(err) // Cannot happen: the URL is well-formed.
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode
+	code, _ := f.requestControl(r.IntN(f.size.controls), method, "/v1/evacuations/"+zone, nil, ackTime)
+	return code
 }
 
 // orderEvacuation sends an order until it is acknowledged and returns when it was.
