Merge branch 'part-sites'

Both branches added losses of power of single hosts to the series: those of part-sites do not respond meanwhile, those of part-power take what no sync has covered. They are one fault now, which does both.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -51,6 +51,7 @@
 	netPrefix   string // first two octets of all addresses
 	listAddress string // address of the server that lists the targets
 	hosts       []*testHost
+	started     []*testHost // hosts, and those that were replaced
 	rand        *rand.Rand
 	peers       *wire.Pool
 	client      *fleetpkg.Client // follows the fleet as a host does
@@ -117,6 +118,7 @@
 		f.t.Fatal(err)
 	}
 	h.log = &hostLog{File: file}
+	f.started = append(f.started, h)
 }
 
 // writeSettings writes the settings file of a host and returns its path.
@@ -228,18 +230,17 @@
 	return cmd.ProcessState
 }
 
-// stopAll kills all hosts. If the test has failed, it keeps their logs.
+// stopAll kills all hosts. If the test has failed, it keeps their logs, also those of hosts that
+// were replaced.
 func (f *fleet) stopAll() {
-	for _, h := range f.hosts {
+	for _, h := range f.started {
 		h.stop(syscall.SIGKILL)
-		if h.relay != nil {
-			h.relay.close()
-		}
+		h.relay.close()
 	}
 	if !f.t.Failed() {
 		return
 	}
-	for _, h := range f.hosts {
+	for _, h := range f.started {
 		f.t.Logf("log of %s saved as %s", h.name, saveLog(f.t, h))
 	}
 }
@@ -278,12 +279,7 @@
 		h.signal(syscall.SIGCONT)
 	}},
 	{"data directory lost", func(f *fleet, h *testHost, d time.Duration) {
-		h.stop(syscall.SIGKILL)
-		if err := os.RemoveAll(filepath.Join(h.dir, "data")); err != nil {
-			f.t.Error(err)
-		}
-		time.Sleep(d / 2)
-		f.start(h, false)
+		f.loseDisks([]*testHost{h}, d/2)
 	}},
 	{"torn write", func(f *fleet, h *testHost, d time.Duration) {
 		h.stop(syscall.SIGKILL)
@@ -367,10 +363,6 @@
 // same time and restarts them after d.
 func (f *fleet) killDiskHosts(d time.Duration) {
 	f.t.Logf("all hosts with a disk: killed for %v", d)
-	killTogether(f.diskHosts())
-	time.Sleep(d)
-	for _, h := range f.diskHosts() {
-		f.start(h, false)
-	}
+	f.killControlHosts(f.diskHosts(), d)
 	f.waitRecovered()
 }
--- a/soak/power_test.go
+++ b/soak/power_test.go
@@ -24,7 +24,7 @@
 
 // powerFaults are losses of power of one host: once, soon after a start, and twice in a row.
 var powerFaults = []fault{
-	{"power lost", func(f *fleet, h *testHost, d time.Duration) { f.losePowerOf([]*testHost{h}, nil, d/2) }},
+	{"power lost", (*fleet).powerLost},
 	{"power lost after a start", func(f *fleet, h *testHost, d time.Duration) {
 		h.stop(syscall.SIGKILL)
 		f.runBriefly([]*testHost{h})
