soak: cuts are checked beside all planned work and for all callers

Requests on changed routes count now, without those that their target broke off. A cut in calm before seven tenths of the request's time is an error at all times: a change of the plan is sent each second, so there is no time without one. A planned stop counts until a second after its grace period.

--- a/soak/churn_test.go
+++ b/soak/churn_test.go
@@ -324,10 +324,12 @@
 // withoutBrokenOff runs a check without the requests that a target has broken off by ending
 // while it ran them.
 func (d *deployment) withoutBrokenOff(check func()) {
-	attempts, outcomes := d.callers.attempts, d.load.outcomes
-	d.callers.attempts = slices.DeleteFunc(slices.Clone(attempts), func(a attempt) bool { return d.targets.brokeOff(a.id) })
+	brokeOff := func(a attempt) bool { return d.targets.brokeOff(a.id) }
+	attempts, probes, outcomes := d.callers.attempts, d.probes.attempts, d.load.outcomes
+	d.callers.attempts = slices.DeleteFunc(slices.Clone(attempts), brokeOff)
+	d.probes.attempts = slices.DeleteFunc(slices.Clone(probes), brokeOff)
 	d.load.outcomes = slices.DeleteFunc(slices.Clone(outcomes), func(o outcome) bool { return !o.served() && d.targets.brokeOff(o.last.id) })
 	d.t.Logf("%d of %d attempts were broken off by targets", len(attempts)-len(d.callers.attempts), len(attempts))
 	check()
-	d.callers.attempts, d.load.outcomes = attempts, outcomes
+	d.callers.attempts, d.probes.attempts, d.load.outcomes = attempts, probes, outcomes
 }
--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -22,12 +22,15 @@
 	maxCuts = 3
 	// hangupTime is the time after a SIGHUP within which requests count as sent beside it.
 	hangupTime = 2500 * time.Millisecond
-	// stopSettles is the time after a planned stop within which requests count as sent
-	// beside it.
+	// stopSettles is the time after a planned stop, or after its grace period if that is longer,
+	// within which requests count as sent beside it.
 	stopSettles = time.Second
 	// stopAccepts is the time after a SIGTERM until which a request must be answered unless its
 	// target works until the end of the grace period.
 	stopAccepts = 3 * time.Second
+	// spentShare is the share of its time after which the end of a request is not blamed on a
+	// change of the plan.
+	spentShare = 0.7
 	// continueInterval is the time between two turns that continue an earlier one.
 	continueInterval = 100 * time.Millisecond
 	// unreachedTries is after how many tries a turn must have reached a target, in calm while
@@ -112,6 +115,9 @@
 
 // workOn returns for how long a target works on a request at least.
 func (t *targets) workOn(a attempt) time.Duration {
+	if a.path == "/timed/" {
+		return timedWork
+	}
 	if a.path != "/turn/" {
 		return cmp.Or(t.calls[a.path], plainCallTime)
 	}
@@ -126,7 +132,11 @@
 // host first, and SIGHUPs of its own host before it ended.
 func (d *deployment) plannedBeside(a attempt) (work []string) {
 	for _, p := range d.faults {
-		if !p.planned || p.host == "callers" || !a.endedAt.After(p.from) || !a.sentAt.Before(p.to.Add(stopSettles)) {
+		to := p.from.Add(time.Duration(d.fleet.size.grace * float64(time.Second)))
+		if to.Before(p.to) {
+			to = p.to
+		}
+		if !p.planned || p.host == "callers" || !a.endedAt.After(p.from) || !a.sentAt.Before(to.Add(stopSettles)) {
 			continue
 		}
 		text := fmt.Sprintf("%s: %s, %v before the end", p.host, p.what, a.endedAt.Sub(p.from))
@@ -147,10 +157,11 @@
 // checkLost checks that no request ends without a complete response beside planned work if no
 // fault was active from calmTime before, and that at all times at most maxCuts do that a target
 // had run, over kept connections to hosts without a fault of their own. A change of the plan is
-// sent every changeInterval, so there is no time without one to compare with.
+// planned work too, for requests that have not used spentShare of their time. One is sent every
+// changeInterval, so there is no time without one to compare with.
 func (d *deployment) checkLost() {
 	cuts, planned, beside, atDeadline := 0, 0, 0, 0
-	for _, a := range d.callers.attempts {
+	for _, a := range slices.Concat(d.callers.attempts, d.probes.attempts) {
 		disturbed := d.isDisturbed(a)
 		work := d.plannedBeside(a)
 		if !disturbed && len(work) > 0 {
@@ -168,6 +179,9 @@
 		if !disturbed && len(work) > 0 {
 			planned++
 			d.t.Errorf("lost beside planned work: %s; %s", text, strings.Join(work[:min(len(work), 5)], ", "))
+		} else if !disturbed && a.endedAt.Sub(a.sentAt) < time.Duration(spentShare*float64(a.timeout)) {
+			planned++
+			d.t.Errorf("lost beside changes of the plan: %s", text)
 		}
 		if a.reused && runs > 0 && !d.isFaulty(a.entry, a.endedAt, a.sentAt.Add(-calmTime)) {
 			cuts++
@@ -178,7 +192,7 @@
 		d.t.Errorf("%d requests over kept connections to hosts without a fault ended without a response though a target had run them, at most %d may", cuts, maxCuts)
 	}
 	d.t.Logf("%d requests beside planned work, %d lost; %d of %d requests cut on hosts without a fault; %d responses in calm open at their deadline; %d SIGHUPs",
-		beside, planned, cuts, len(d.callers.attempts), atDeadline, len(d.hangups))
+		beside, planned, cuts, len(d.callers.attempts)+len(d.probes.attempts), atDeadline, len(d.hangups))
 	if beside == 0 || len(d.hangups) == 0 {
 		d.t.Error("nothing was sent beside planned work")
 	}
--- a/soak/quota_test.go
+++ b/soak/quota_test.go
@@ -165,7 +165,7 @@
 // it. Nothing excuses a process that exceeds its memory.
 func (d *deployment) checkEnds() {
 	peaks := map[host.NodeRole]int{}
-	for _, h := range d.fleet.hosts {
+	for _, h := range d.fleet.started {
 		h.mu.Lock()
 		ends := h.ends
 		peaks[h.role] = max(peaks[h.role], h.peakMemory)
