--- a/turns/copy.go
+++ b/turns/copy.go
@@ -265,8 +265,8 @@
 			return ListReply{}, err
 		}
 		ages := map[turnKey]time.Duration{}
-		for i, age := range part.Ages {
-			ages[turnKey{part.Turns[i].Account, part.Turns[i].ID}] = age
+		for i, t := range part.Turns[:min(len(part.Turns), len(part.Ages))] {
+			ages[turnKey{t.Account, t.ID}] = part.Ages[i]
 		}
 		if err := s.persistCopied(ctx, part.Turns, ages); err != nil || part.Done {
 			return ListReply{}, err
