--- a/store/journal.go
+++ b/store/journal.go
@@ -69,17 +69,19 @@
 // followed by an intact one in its segment, if a segment is missing or shorter than it was, or
 // if the journal belongs to another owner.
 func (d Disk) OpenJournalOf(owner JournalOwner, dir string, visit func(at Location, record []byte) error) (*Journal, error) {
-	if err := d.MakeDir(dir); err != nil {
-		return nil, err
+	// The list is checked before the directory is created: the next process would take an empty
+	// directory for a journal of an earlier build.
+	list, err := readSegmentList(dir)
+	if err == nil {
+		err = list.check(dir, owner)
 	}
-	segments, err := listSegments(dir)
 	if err != nil {
 		return nil, err
 	}
-	list, err := readSegmentList(dir)
-	if err == nil {
-		err = list.check(dir, owner)
+	if err := d.MakeDir(dir); err != nil {
+		return nil, err
 	}
+	segments, err := listSegments(dir)
 	if err != nil {
 		return nil, err
 	}
--- a/turns/crash_test.go
+++ b/turns/crash_test.go
@@ -188,3 +188,27 @@
 		t.Errorf("%+v, %v; want three turns of %s", s, err, id)
 	}
 }
+
+// TestMissingJournalIsNotCreatedForEarlierID guards against a store of an earlier build that has
+// lost its journal, and keeps its ID if the process ends while it opens the directory.
+func TestMissingJournalIsNotCreatedForEarlierID(t *testing.T) {
+	const former = "0123456789abcdef01234567"
+	s := crash.Search[storeState]{
+		Dir: t.TempDir(), Check: checkStore,
+		Open: func(disk store.Disk, root string) (storeState, error) {
+			return reopenStore(disk, filepath.Join(root, "turns"))
+		},
+	}
+	err := s.Run(func(disk store.Disk, root string, acknowledge func(storeState)) error {
+		dir := filepath.Join(root, "turns")
+		if err := disk.WriteFile(dir, "identity", []byte(former)); err != nil {
+			return err
+		}
+		acknowledge(storeState{former: former})
+		_, err := reopenStore(disk, dir)
+		return err
+	})
+	if err != nil {
+		t.Error(err)
+	}
+}
