--- a/store/crash_test.go
+++ b/store/crash_test.go
@@ -239,3 +239,42 @@
 		})
 	}
 }
+
+// TestJournalContinuedByEarlierBuildOpens guards against a journal that counts as corrupt after an
+// earlier build has used it, which removes and adds segments without a change of the list.
+func TestJournalContinuedByEarlierBuildOpens(t *testing.T) {
+	root := t.TempDir()
+	j, _, err := openOwned(store.Disk{}, root)
+	if err != nil {
+		t.Fatal(err)
+	}
+	appendAll(t, j, "first")
+	if err := j.Rotate(); err != nil {
+		t.Fatal(err)
+	}
+	appendAll(t, j, "second")
+	if err := j.Close(); err != nil {
+		t.Fatal(err)
+	}
+	dir := filepath.Join(root, "data", "journal")
+	if err := os.Rename(filepath.Join(dir, "log-0000000000000001"), filepath.Join(dir, "log-0000000000000003")); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		j, found, err := openOwned(store.Disk{}, root)
+		if err != nil || !slices.Contains(found, "first") || !slices.Contains(found, "second") {
+			t.Fatalf("found %q, %v; want the records of both segments", found, err)
+		}
+		appendAll(t, j, "later")
+		if err := j.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// The list is complete again.
+	if err := os.Remove(filepath.Join(dir, "log-0000000000000003")); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := openOwned(store.Disk{}, root); !errors.Is(err, store.ErrCorrupt) {
+		t.Errorf("opened with error %v, want that it is corrupt", err)
+	}
+}
--- a/store/segments.go
+++ b/store/segments.go
@@ -56,7 +56,7 @@
 }
 
 // check returns [ErrCorrupt] if the list is that of another owner, or missing although it must
-// exist, or if a segment on it is missing or shorter than it was.
+// exist, or if a segment on it is missing or shorter than it was, unless the list is outdated.
 func (l segmentList) check(dir string, owner JournalOwner) error {
 	if l.Segments == nil {
 		if owner.MustExist {
@@ -67,6 +67,9 @@
 	if l.Owner != owner.ID {
 		return errors.Wrapf(ErrCorrupt, "the journal belongs to %q", l.Owner)
 	}
+	if outdated, err := l.isOutdated(dir); err != nil || outdated {
+		return err
+	}
 	for _, s := range l.Segments {
 		path := (&Journal{dir: dir}).segmentPath(s.Number)
 		info, err := os.Stat(path)
@@ -83,6 +86,30 @@
 	return nil
 }
 
+// isOutdated reports whether an earlier build, which removes segments without a change of the
+// list, has written to the journal after the list: a segment after the last one on it has
+// content. Since that build the list does not tell which segments are needed.
+func (l segmentList) isOutdated(dir string) (bool, error) {
+	segments, err := listSegments(dir)
+	if err != nil {
+		return false, err
+	}
+	last := l.Segments[len(l.Segments)-1].Number
+	for _, n := range segments {
+		if n <= last {
+			continue
+		}
+		info, err := os.Stat((&Journal{dir: dir}).segmentPath(n))
+		if err != nil {
+			return false, errors.Wrap(err, "store: stat segment")
+		}
+		if info.Size() > 0 {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
 // removed reports whether a segment that exists has been removed from the journal. Segments
 // after the last one on the list were not: an earlier build may have written them.
 func (l segmentList) removed(number uint64) bool {
