--- a/crash/follow_test.go
+++ b/crash/follow_test.go
@@ -13,7 +13,6 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/banyanspur/banyanspur/crash"
-	"github.com/banyanspur/banyanspur/store"
 )
 
 // dirEnv names the directory of a process that is killed.
@@ -30,19 +29,14 @@
 	os.Exit(m.Run())
 }
 
-// useDisk writes a file with a name that is durable, one with a name that is not, and one that
-// it does not report.
+// useDisk writes two durable files and one that it does not report.
 func useDisk(dir string) error {
 	d, err := crash.RecordingDisk()
 	if err != nil {
 		return err
 	}
-	j, err := d.OpenJournal(filepath.Join(dir, "journal"), func(store.Location, []byte) error { return nil })
-	if err != nil {
-		return err
-	}
-	_, err = j.Append([][]byte{[]byte("record")})
-	return errors.Join(err, d.WriteFile(dir, "identity", []byte("id")), os.WriteFile(filepath.Join(dir, "killed"), []byte("x"), 0o600))
+	return errors.Join(d.WriteFile(filepath.Join(dir, "below"), "file", []byte("text")), d.WriteFile(dir, "identity", []byte("id")),
+		os.WriteFile(filepath.Join(dir, "killed"), []byte("x"), 0o600))
 }
 
 // TestFollowerOfKilledProcesses guards against operations of a killed process that are unknown,
