gate: a drained host answers a request that has just arrived

Callers saw: a connection reset while a target ran its request, at the end of a planned stop.

Cause: a host counts as drained at a moment without connections. A request that arrived right after that moment, and that was sent to a target before the host refused all, was cut.

Change: after the host refuses all requests it waits again until it has no connection, and breaks off requests only if closeShare of the grace period has passed.

TestDrainedHostAnswersRequestThatHasJustArrived failed before: "read: connection reset by peer" and "1 connections were closed before their responses were read".

--- a/gate/accept_test.go
+++ b/gate/accept_test.go
@@ -1,6 +1,8 @@
 package gate_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/gate"
 )
 
 // refusal is what a new connection to a host that stops was refused with.
@@ -134,3 +138,53 @@
 	}
 	_ = g.Wait() // It always returns nil.
 }
+
+// endedContext is a context that has ended. onErr runs when Err is called first, as a server does
+// that drains, after it has looked for connections.
+type endedContext struct {
+	context.Context
+	onErr func()
+}
+
+func (c endedContext) Err() error {
+	c.onErr()
+	return c.Context.Err()
+}
+
+// TestDrainedHostAnswersRequestThatHasJustArrived guards against a connection that is cut while a
+// target runs its request, since the host had no connection a moment before and counts as drained.
+func TestDrainedHostAnswersRequestThatHasJustArrived(t *testing.T) {
+	b := newTestbed(t)
+	running := make(chan struct{})
+	b.addTarget("plain", func(w http.ResponseWriter, _ *http.Request) {
+		close(running)
+		time.Sleep(200 * time.Millisecond)
+		w.Header().Set("Proof", "p")
+	})
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &gate.Server{Gate: b.gate, Listener: l, Grace: testGrace}
+	var g, caller errgroup.Group
+	g.Go(s.Serve)
+	ended, end := context.WithCancel(context.Background())
+	end()
+	arrive := sync.OnceFunc(func() {
+		caller.Go(func() error {
+			code, err := callOnce(l.Addr().String(), "late")
+			if code != http.StatusOK {
+				t.Errorf("got status %d, %v", code, err)
+			}
+			return nil
+		})
+		<-running
+	})
+	if err := s.Drain(endedContext{ended, arrive}); err != nil {
+		t.Error(err)
+	}
+	_ = caller.Wait() // It always returns nil.
+	if err := errors.Join(s.Close(), g.Wait()); err != nil {
+		t.Error(err)
+	}
+}
--- a/gate/server.go
+++ b/gate/server.go
@@ -105,11 +105,19 @@
 	s.start = time.Now()
 	s.Gate.Drain(s.share(acceptShare), s.share(answerShare), s.share(commitShare))
 	types.Sleep(ctx, s.share(acceptShare))
+	s.awaitDrained(ctx)
+	s.Gate.refuseAll()
+	s.awaitDrained(ctx) // A request may have arrived just before.
+	if time.Since(s.start) < s.share(closeShare) {
+		return nil
+	}
+	return s.abortActive(s.start.Add(s.share(answerShare)))
+}
+
+func (s *Server) awaitDrained(ctx context.Context) {
 	for !s.isDrained(ctx) {
 		time.Sleep(closePollInterval)
 	}
-	s.Gate.refuseAll()
-	return s.abortActive(s.start.Add(s.share(answerShare)))
 }
 
 // abortActive closes the connections whose request was read before a time and is still in
