fleet: a control host tells its identity once it is durable

Cause: an identity that the disk had refused was kept in memory and told to other hosts until the next attempt created another one. If the disk of a seed was full when all hosts started for the first time, the group could be created with a voter that does not exist, and so tolerate one loss less until it was replaced.

TestIdentityIsToldOnceDurable failed before: the host told "l-8d97..." while the disk refused it, and had "l-ba53..." later. TestFleetBootstrapsAfterFullDisk and TestControlWithoutFilesIsNew pass.

--- a/fleet/bootstrap.go
+++ b/fleet/bootstrap.go
@@ -68,10 +68,13 @@
 		}
 		id, err = c.readIdentity()
 	}
+	if err != nil {
+		return err
+	}
 	c.mu.Lock()
 	c.id = id
 	c.mu.Unlock()
-	return err
+	return nil
 }
 
 func (c *Control) readIdentity() (quorum.ReplicaID, error) {
--- a/fleet/full_disk_test.go
+++ b/fleet/full_disk_test.go
@@ -2,16 +2,19 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/store"
 )
 
 // eventWaiter is the output of a log that waits for an event.
@@ -84,3 +87,27 @@
 		return err == nil && info.Mode().IsRegular()
 	})
 }
+
+// TestIdentityIsToldOnceDurable guards against a control host that tells others an identity
+// that its disk has refused: the group would be created with a voter that does not exist.
+func TestIdentityIsToldOnceDurable(t *testing.T) {
+	f := newFleet(t, 1)
+	var full atomic.Bool
+	var refused atomic.Int32
+	full.Store(true)
+	f.disk = []store.Disk{{Sync: func(file *os.File) error {
+		if full.Load() && filepath.Base(file.Name()) == "identity.new" {
+			refused.Add(1)
+			return errors.New("no space left on device")
+		}
+		return file.Sync()
+	}}}
+	f.runAll()
+	_, peers := f.client("entry-1")
+	waitFor(t, "a refused identity", func() bool { return refused.Load() >= 2 })
+	if r, err := hello(peers, f.controls[0].address); err == nil {
+		t.Errorf("told %+v", r)
+	}
+	full.Store(false)
+	f.waitForVoters(peers, 1, f.controls...)
+}
