turns: tests remove directories after their stores have ended

The directory of a test was removed before its stores were stopped, so that a store that created a segment meanwhile failed the test. A store that was started again creates one with its first append since journals have lists.

--- a/turns/cluster_test.go
+++ b/turns/cluster_test.go
@@ -66,6 +66,7 @@
 func startCluster(c *cluster, stores int) *cluster {
 	t := c.t
 	t.Helper()
+	_ = t.TempDir() // Directories are removed after the stores have ended, which create segments.
 	ctx, cancel := context.WithCancel(context.Background())
 	var g errgroup.Group
 	g.Go(func() error { return c.peers.Run(ctx) })
