gate: a host that stops writes the ends of turns that it has stored

Callers saw: a turn without its end, status 200, whose turn was stored, at 0.88 of the grace period of a host that stops.

Cause: a turn counted as being stored until the store had replied. From closeShare on, the host broke off all requests once no turn was being stored, also one whose end was about to be written.

Change: a turn also counts for turnEndTime after it was stored, until endShare.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -101,6 +101,7 @@
 	answersCtx   context.Context              //nolint:containedctx // Ends when a host that stops ends its requests.
 	endAnswers   context.CancelFunc
 	commits      atomic.Int32    // turns that are being stored
+	committedAt  atomic.Int64    // when the last one was, in Unix nanoseconds
 	commitsCtx   context.Context //nolint:containedctx // Ends when a host that stops ends storing turns.
 	endCommits   context.CancelFunc
 	// background runs the work that continues after the caller has its response,
--- a/gate/late_store_test.go
+++ b/gate/late_store_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,3 +54,57 @@
 	}
 	_ = g.Wait() // It always returns nil.
 }
+
+// lateWriter delays the writes on accepted connections while delay is set, as a process does that
+// gets little of a processor.
+type lateWriter struct {
+	*net.TCPListener
+	delay *atomic.Int64
+}
+
+type lateConn struct {
+	*net.TCPConn
+	delay *atomic.Int64
+}
+
+func (l lateWriter) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return lateConn{c, l.delay}, nil
+}
+
+func (c lateConn) Write(b []byte) (int, error) {
+	time.Sleep(time.Duration(c.delay.Load()))
+	return c.TCPConn.Write(b)
+}
+
+// TestStoppingHostWritesEndOfStoredTurn guards against a host that stops and breaks off a turn
+// that it has just stored, before it has written the end to the caller.
+func TestStoppingHostWritesEndOfStoredTurn(t *testing.T) {
+	// The turn is stored at 0.86 of the grace period. From 0.88 on, no response is waited for.
+	const grace, work, sync, write = 4 * time.Second, 3140 * time.Millisecond, 300 * time.Millisecond, 150 * time.Millisecond
+	b := newTestbed(t)
+	var delay atomic.Int64
+	b.addTarget("models", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Proof", "p")
+		w.Header().Set("Content-Type", "text/event-stream")
+		writeEvent(w, 0, "one")
+		time.Sleep(work - 100*time.Millisecond)
+		b.syncLatency.Store(int64(sync))
+		delay.Store(int64(write))
+	})
+	dial, drain := b.startServerOn(func(l net.Listener) net.Listener { return lateWriter{l.(*net.TCPListener), &delay} }, grace)
+	caller := dial()
+	start := time.Now()
+	var g errgroup.Group
+	g.Go(func() error { drain(); return nil })
+	time.Sleep(100 * time.Millisecond)
+	caller.send("turn", "/chat/", "1.1", "Deadline: 5000\r\n")
+	resp, body, err := caller.receive()
+	if resp.StatusCode != http.StatusOK || body != "id: 0\ndata: one\n\n" || err != nil {
+		t.Errorf("%v after the start of the stop: status %d, body %q, %v", time.Since(start), resp.StatusCode, body, err)
+	}
+	_ = g.Wait() // It always returns nil.
+}
--- a/gate/server.go
+++ b/gate/server.go
@@ -33,6 +33,9 @@
 	// completed are stored. What remains is for their ends, and for returning the host's
 	// shares of rate limits.
 	commitShare = 0.92
+	// turnEndTime is how long a host waits for the end of a turn to be written after it was
+	// stored. It is twice the time for which a processor quota may stop a process.
+	turnEndTime = 200 * time.Millisecond
 	// endShare is the fraction of the grace period after which the host no longer waits for
 	// connections to be accepted and answered.
 	endShare = 0.93
@@ -135,7 +138,7 @@
 	elapsed := time.Since(s.start)
 	open, _ := s.conns.closeUnused(unusedTime)
 	if elapsed >= s.share(closeShare) {
-		return s.Gate.commits.Load() == 0 || elapsed >= s.share(commitShare)
+		return !s.Gate.isCommitting() || elapsed >= s.share(endShare)
 	}
 	inRotation := ctx.Err() == nil && elapsed < min(rotationTime, s.share(answerShare))
 	relays := s.Gate.relayServer.Active() > 0 && elapsed < s.share(answerShare) // For the requests of other hosts.
--- a/gate/stopping.go
+++ b/gate/stopping.go
@@ -45,6 +45,11 @@
 	g.stopping.Store(&stopSchedule{acceptUntil: now, answersEnd: now})
 }
 
+// isCommitting reports whether a turn is being stored, or its end may not have been written yet.
+func (g *Gate) isCommitting() bool {
+	return g.commits.Load() > 0 || time.Since(time.Unix(0, g.committedAt.Load())) < turnEndTime
+}
+
 // withTimeout is [context.WithTimeout], and also ends the context when stopCtx ends because the
 // host is stopping.
 func withTimeout(ctx, stopCtx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -175,7 +175,10 @@
 		}
 	}
 	c.gate.commits.Add(1)
-	defer c.gate.commits.Add(-1)
+	defer func() {
+		c.gate.committedAt.Store(time.Now().UnixNano())
+		c.gate.commits.Add(-1)
+	}()
 	// What was sent to the caller counts even if the caller disconnected.
 	ctx, cancel := withTimeout(context.WithoutCancel(c.r.Context()), c.gate.commitsCtx, commitTimeout)
 	defer cancel()
