quorum: an identity of an earlier build with a part of its log is not used

It is new now, as with an identity of this build. An identity of an earlier build without any log is still used, since that build stored the identity first.

TestControlWithoutFilesIsNew failed before in its two new cases: the host had its former identity and "bootstrapped:true". The tests of crashes in fleet and quorum pass.

--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -134,8 +134,17 @@
 // whatever the file system has done, and that is back under its identity or ready to create a
 // second group.
 func TestControlWithoutFilesIsNew(t *testing.T) {
-	for _, lost := range []string{"config", "config/snapshot", "config/log-0000000000000002"} {
-		t.Run(lost, func(t *testing.T) {
+	for _, c := range []struct {
+		name, lost string
+		earlier    bool // an earlier build has created the identity
+	}{
+		{"all", "config", false},
+		{"snapshot", "config/snapshot", false},
+		{"log", "config/log-0000000000000002", false},
+		{"snapshot of an earlier build", "config/snapshot", true},
+		{"log of an earlier build", "config/log-0000000000000002", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
 			dir := filepath.Join(t.TempDir(), "data")
 			var before controlState
 			err := runSole(store.Disk{}, dir, true, func() (err error) {
@@ -145,7 +154,13 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if err := os.RemoveAll(filepath.Join(dir, lost)); err != nil {
+			if c.earlier {
+				before.id = soleAddress + "/0123456789abcdef01234567"
+				if err := store.WriteFile(filepath.Join(dir, "config"), "identity", []byte(before.id)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := os.RemoveAll(filepath.Join(dir, c.lost)); err != nil {
 				t.Fatal(err)
 			}
 			after, err := restartControl(store.Disk{}, dir)
--- a/quorum/durable.go
+++ b/quorum/durable.go
@@ -39,10 +39,9 @@
 	b, err := disk.ReadFile(dir, identityFile)
 	if err == nil {
 		id := ReplicaID(b)
-		if _, random, _ := strings.Cut(string(id), "/"); !strings.HasPrefix(random, loggedPrefix) {
-			return id, nil
-		}
-		return id, errors.Wrapf(store.CheckLog(dir), "quorum: replica %s", id)
+		_, random, _ := strings.Cut(string(id), "/")
+		err = store.CheckLog(dir, strings.HasPrefix(random, loggedPrefix))
+		return id, errors.Wrapf(err, "quorum: replica %s", id)
 	}
 	if !errors.Is(err, os.ErrNotExist) {
 		return "", errors.Wrap(err, "quorum: read identity")
--- a/store/check.go
+++ b/store/check.go
@@ -7,16 +7,16 @@
 	"github.com/cockroachdb/errors"
 )
 
-// CheckLog returns [ErrCorrupt] unless the log in directory dir has been created and has all
-// files that each crash leaves. It does not read the log.
-func CheckLog(dir string) error {
+// CheckLog returns [ErrCorrupt] if the log in directory dir lacks a file that each crash leaves,
+// or, if mustExist is set, has not been created. It does not read the log.
+func CheckLog(dir string, mustExist bool) error {
 	segments, err := listSegments(dir)
-	if errors.Is(err, os.ErrNotExist) || err == nil && len(segments) == 0 {
-		return errors.Wrap(ErrCorrupt, "the log is missing")
-	}
-	if err != nil {
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return err
 	}
+	if mustExist && len(segments) == 0 {
+		return errors.Wrap(ErrCorrupt, "the log is missing")
+	}
 	return checkLog(dir, segments)
 }
 
