quorum: a follower stays behind for less time after lost batches

Cause: found by the review: while batches are lost and heartbeats pass, the delay until the next attempt doubled up to 32 heartbeats, 2.9 s in a fleet, beside 4 s within which a change must be acknowledged.

Change: the delay ends at 8 heartbeats.

--- a/quorum/append.go
+++ b/quorum/append.go
@@ -269,8 +269,9 @@
 	}
 }
 
-// maxResendDoublings makes the longest delay until a batch is sent again 32 heartbeats.
-const maxResendDoublings = 5
+// maxResendDoublings makes the longest delay until a batch is sent again 8 heartbeats, 0.7 s in a
+// fleet: a follower stays behind for up to that time after a loss has ended.
+const maxResendDoublings = 3
 
 // updateInFlight finds out from a replica's reply whether the batch in flight was acknowledged
 // or lost. A replica replies to what it was sent in that order, once that is stored; so a reply
