--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -16,7 +16,7 @@
 	LeaderElected        = Kind{201, logrus.InfoLevel, "replica became leader"}
 	LeaderLost           = Kind{202, logrus.WarnLevel, "replica stopped leading"}
 	LogTruncated         = Kind{203, logrus.WarnLevel, "incomplete record cut from the end of the log"}
-	LogCorrupt           = Kind{204, logrus.ErrorLevel, "log is corrupt, replica refuses to serve"}
+	LogCorrupt           = Kind{204, logrus.ErrorLevel, "log is corrupt, or a part of it is missing"}
 	SnapshotWritten      = Kind{205, logrus.InfoLevel, "snapshot written"}
 	SnapshotInstalled    = Kind{206, logrus.InfoLevel, "snapshot installed from the leader"}
 	StorageFailed        = Kind{207, logrus.ErrorLevel, "storage failed, replica stops"}
