gate: a completed turn waits for its stores until its caller's deadline

Callers see: while the stores of a shard are late by more than 3 s, every turn that its target completes loses its connection 3 s later without its end (LOST), though its caller would wait on. All turns of a shard that end in these seconds are cut together, so one event makes many cases.

Cause: storing a turn had a fixed timeout of 3 s, whatever time the request had left.

Change: as long as the caller is connected, the timeout is the time left, and at least 3 s. A host that stops still ends it at its share of the grace period. Running the turn again would need the same stores, so that a caller gains nothing from an early cut.

Measured: TestCompletedTurnWaitsForStoresUntilDeadline, stores late by 3.5 s and a caller that waits for 5 s, failed before ("unexpected EOF" after 3.003 s), passes 3 of 3 now. That users saw this is suspected, not shown.

--- a/gate/late_store_test.go
+++ b/gate/late_store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -27,6 +28,25 @@
 	}
 }
 
+// TestCompletedTurnWaitsForStoresUntilDeadline guards against a stream that is cut after its target
+// has completed it, long before its caller's deadline, because the stores have been late for some
+// seconds: all turns that end meanwhile lose their connections at once.
+func TestCompletedTurnWaitsForStoresUntilDeadline(t *testing.T) {
+	b := newTestbed(t)
+	b.addTarget("models", func(w http.ResponseWriter, r *http.Request) {
+		b.syncLatency.Store(int64(3500 * time.Millisecond))
+		time.AfterFunc(time.Second, func() { b.syncLatency.Store(0) })
+		streamEvents("one")(w, r)
+	})
+	begin := time.Now()
+	resp := b.do(t.Context(), turnRequest("a", "", "first;", "1000"))
+	body, err := io.ReadAll(resp.Body)
+	want := fmt.Sprint(http.StatusOK, " id: 0\ndata: one\n\n")
+	if diff := cmp.Diff(want, fmt.Sprint(resp.StatusCode, " ", string(body))); diff != "" || err != nil {
+		t.Errorf("the store is late by 3.5 s; the caller waits for 5 s; after %v %v (-want +got):\n%s", time.Since(begin), err, diff)
+	}
+}
+
 // TestStoppingHostStoresCompletedTurn guards against a host that stops and breaks off a turn
 // whose target has completed it, since the stores are late near the end of the grace period.
 func TestStoppingHostStoresCompletedTurn(t *testing.T) {
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -20,7 +20,7 @@
 	// minAdmitTimeout and maxAdmitTimeout bound the timeout for fetching the chain and
 	// claiming the budget of a turn. The first covers one change of the shard map.
 	minAdmitTimeout = 900 * time.Millisecond
-	maxAdmitTimeout = commitTimeout
+	maxAdmitTimeout = minCommitTimeout
 	// admitShare is the part of its remaining time, as a divisor, that a turn may wait for
 	// stores that are late. Each turn that is refused before they reply is repeated by its
 	// caller, and they do the work of each of its claims, and of their withdrawal.
@@ -180,7 +180,7 @@
 		c.gate.commits.Add(-1)
 	}()
 	// What was sent to the caller counts even if the caller disconnected.
-	ctx, cancel := withTimeout(context.WithoutCancel(c.r.Context()), c.gate.commitsCtx, commitTimeout)
+	ctx, cancel := withTimeout(context.WithoutCancel(c.r.Context()), c.gate.commitsCtx, c.commitTimeout())
 	defer cancel()
 	err := c.gate.Turns.Settle(ctx, c.turn.budget, used, turn)
 	c.turn.settled = err == nil
@@ -192,9 +192,19 @@
 	return err
 }
 
-// commitTimeout is the timeout for storing a turn and settling its claim. It covers
-// a change of the shard map and a restart of all stores.
-const commitTimeout = 3 * time.Second
+// minCommitTimeout is the minimum timeout for storing a turn and settling its claim. It
+// covers a change of the shard map and a restart of all stores.
+const minCommitTimeout = 3 * time.Second
+
+// commitTimeout returns the timeout for storing the turn. As long as its caller waits, the
+// connection is not cut before the deadline because stores are late: the target has completed
+// the turn, and running it again would need the same stores.
+func (c *call) commitTimeout() time.Duration {
+	if c.r.Context().Err() != nil {
+		return minCommitTimeout
+	}
+	return max(minCommitTimeout, c.remaining())
+}
 
 // releaseClaim settles the budget claim of a turn that did not complete, with the
 // tokens that were forwarded to the caller. It runs in the background so that the
@@ -205,7 +215,7 @@
 	}
 	budget, delivered := c.turn.budget, c.turn.delivered
 	c.gate.background.Go(func() error {
-		ctx, cancel := context.WithTimeout(c.gate.backgroundCtx, commitTimeout)
+		ctx, cancel := context.WithTimeout(c.gate.backgroundCtx, minCommitTimeout)
 		defer cancel()
 		if err := c.gate.Turns.Settle(ctx, budget, delivered, nil); err != nil {
 			c.gate.Log.Write(event.TurnDurable, event.Fields{"request": c.id, "program": budget.Program, "error": err.Error()})
