cmd: a host outlives the reader of its log

What callers see: when the process that reads a host's standard output or standard error through a pipe ends, the host ends with the next line that it writes, and all requests in flight on it lose their connections. An entry host writes a line for each request, so it ends at once.

Cause: the Go runtime ends a process by SIGPIPE if a write to descriptor 1 or 2 fails with EPIPE and the signal is neither ignored nor handled.

The commands that run a host ignore the signal. Other commands still end with the reader of their output.

--- a/cmd/banyanspur/join.go
+++ b/cmd/banyanspur/join.go
@@ -23,6 +23,7 @@
 
 // Execute runs one host until SIGTERM or SIGINT. SIGHUP makes it read its settings file again.
 func (c *joinCommand) Execute([]string) error {
+	signal.Ignore(syscall.SIGPIPE)    // Otherwise a host ends with the reader of its log.
 	reload := make(chan os.Signal, 1) // One signal that waits is enough: it makes the process read the whole file.
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
--- a/cmd/banyanspur/run.go
+++ b/cmd/banyanspur/run.go
@@ -21,6 +21,7 @@
 
 // Execute runs one host until SIGTERM or SIGINT.
 func (c *runCommand) Execute([]string) error {
+	signal.Ignore(syscall.SIGPIPE) // Otherwise a host ends with the reader of its log.
 	s, err := readSettings(c.Settings)
 	if err != nil {
 		return err
