host: a connection that cannot be accepted ends no host

What callers see: if the kernel has no memory for a new connection, or passes on the error of one that has failed, the entry host ends, and all requests in flight on it end without their responses. The same on the port of the other hosts, of the metrics and of the readiness check.

Cause: http.Server goes on after EMFILE, ENFILE and aborted connections only. Any other error of accept(2), such as ENOBUFS, ENOMEM or EPROTO, ends Serve; its error ends the group of the process.

Evidence: found by reading, not seen in a run.

Only the close of a listener ends it now.

--- a/host/entry.go
+++ b/host/entry.go
@@ -31,7 +31,7 @@
 		gt.Change(gate.Settings{MaxPlanStaleness: s.MaxKeyStaleness(), ColdBound: coldBound(s)})
 		gt.Backlog.SetLimit(gate.BacklogBytes(s.MemoryMB))
 	})
-	listener, err := listen(ctx, n.Settings.CallerListen)
+	listener, err := listen(ctx, n.Settings.CallerListen, n.Log)
 	if err != nil {
 		return err
 	}
--- a/host/node.go
+++ b/host/node.go
@@ -171,7 +171,7 @@
 
 // serve listens on address before it returns, and serves h in g until ctx ends.
 func (n *Node) serve(ctx context.Context, g *errgroup.Group, address string, h http.Handler) error {
-	listener, err := listen(ctx, address)
+	listener, err := listen(ctx, address, n.Log)
 	if err != nil {
 		return err
 	}
@@ -181,12 +181,12 @@
 
 // listen listens on a TCP address. It makes up to maxListenAttempts attempts,
 // because a terminating process may still use the port.
-func listen(ctx context.Context, address string) (net.Listener, error) {
+func listen(ctx context.Context, address string, log event.Log) (net.Listener, error) {
 	var lastErr error
 	for range maxListenAttempts {
 		l, err := net.Listen("tcp4", address)
 		if err == nil {
-			return l, nil
+			return &retryListener{Listener: l, log: log}, nil
 		}
 		lastErr = err
 		if !types.Sleep(ctx, listenRetryInterval) {
--- a/host/operator.go
+++ b/host/operator.go
@@ -26,7 +26,7 @@
 		stopped()
 		return nil
 	}
-	listener, err := listen(serveCtx, n.Settings.OperatorListen)
+	listener, err := listen(serveCtx, n.Settings.OperatorListen, n.Log)
 	if err != nil {
 		return err
 	}
