--- a/types/background_test.go
+++ b/types/background_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
@@ -41,3 +42,40 @@
 		}
 	}
 }
+
+// TestBackgroundWorkStartsMoreBesideWait guards against work that never ends, or is left out,
+// since it needs further work while the process waits for it, as a dial that asks other hosts.
+func TestBackgroundWorkStartsMoreBesideWait(t *testing.T) {
+	var b types.Background
+	awaited, ended := make(chan struct{}), make(chan struct{})
+	nested := false
+	b.Go(func() {
+		<-awaited
+		inner := make(chan struct{})
+		if b.Go(func() { close(inner) }) {
+			<-inner
+			nested = true
+		}
+	})
+	var waiting errgroup.Group
+	waiting.Go(func() error {
+		defer close(ended)
+		b.Wait()
+		return nil
+	})
+	select {
+	case <-ended:
+		t.Error("Wait has returned before the work")
+	case <-time.After(20 * time.Millisecond):
+	}
+	close(awaited)
+	_ = waiting.Wait() // It always returns nil.
+	if !nested {
+		t.Error("work in progress could not start more")
+	}
+	ran := false
+	b.GoOrRun(func() { ran = true })
+	if !ran {
+		t.Error("the caller does not run the work that comes after the end")
+	}
+}
