wire: a link that is asked for while the pool ends does not end the process

Callers see: a process that stops ends by a panic instead, and every request that is still in flight on it, relayed or served, ends without an answer.

Cause: requests ask the pool for links at any time, also beside the end of Pool.Run. Run waits for the links in a WaitGroup, to which Link then adds from zero: "WaitGroup is reused before previous Wait has returned", in any goroutine.

Evidence: TestLinksBesideEndOfPool panics on the code before in its first 0.1 s, three times of three without the race detector, and is reported as a data race with it (pool.go:68 and 97).

Change: the links run in a types.Background. A link that comes after the end stays unconnected, so that its requests fail as not sent.

Measured: the test passes three times of three, and under the race detector; all tests of the package pass.

--- a/wire/pool.go
+++ b/wire/pool.go
@@ -5,9 +5,8 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/types"
 )
 
 // Pool maintains links to hosts whose addresses become known while the process
@@ -26,8 +25,9 @@
 	links map[string]*pooledLink
 	ready chan struct{} // closed once Run has started the links
 	once  sync.Once
-	ctx   context.Context //nolint:containedctx // All links live as long as Run.
-	group *errgroup.Group
+	ctx   context.Context //nolint:containedctx // All links live as long as Run. It is nil before.
+	// running runs the links.
+	running types.Background
 }
 
 // pooledLink is a link and the function that stops it.
@@ -49,12 +49,11 @@
 }
 
 // Run keeps the links connected until ctx ends, and closes those that were not
-// requested for linkIdleTimeout.
+// requested for linkIdleTimeout. It always returns nil.
 func (p *Pool) Run(ctx context.Context) error {
 	p.init()
-	group, ctx := errgroup.WithContext(ctx)
 	p.mu.Lock()
-	p.ctx, p.group = ctx, group
+	p.ctx = ctx
 	for _, l := range p.links {
 		p.startLink(l)
 	}
@@ -65,7 +64,8 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return group.Wait()
+			p.running.Wait()
+			return nil
 		case <-ticker.C:
 			p.closeIdle()
 		}
@@ -83,7 +83,7 @@
 	if l == nil {
 		l = &pooledLink{Link: &Link{Address: address, Secret: p.Secret, Log: p.Log, OwnAddress: p.OwnAddress, DialTimeout: p.DialTimeout, OnLost: p.checkAll}}
 		p.links[address] = l
-		if p.group != nil {
+		if p.ctx != nil {
 			p.startLink(l)
 		}
 	}
@@ -91,10 +91,13 @@
 	return l.Link
 }
 
+// startLink runs a link, which stays unconnected if the pool ends. The caller must hold mu.
 func (p *Pool) startLink(l *pooledLink) {
 	ctx, cancel := context.WithCancel(p.ctx)
 	l.cancel = cancel
-	p.group.Go(func() error { return l.Run(ctx) })
+	if ctx.Err() == nil {
+		p.running.Go(func() { _ = l.Run(ctx) }) // It always returns nil.
+	}
 }
 
 // Redial makes the link to another process, if there is one to its address, dial now
