relay: a dial beside the end of the dialer does not end the process

Callers see: an entry host that stops ends by a panic instead; the requests that are still in flight on it, and those whose connections it relays, end without an answer, and claims stay unsettled.

Cause: each request that connects to a target gives work to a WaitGroup that Dialer.Run waits for at its end: "WaitGroup is reused before previous Wait has returned", in any goroutine.

Evidence: TestDialsBesideEndOfDialer panics on the code before in its first second, twice of twice without the race detector, and is reported as a data race with it (check.go:30 and dialer.go:101).

Change: the work runs in a types.Background. What comes after the end runs in the caller, so that a dial has an outcome then, too; all of it ends with the timeouts of its dials.

TestDialAfterEndOfDialer, which holds before and after, shows that such dials connect directly and through another host.

--- a/relay/check.go
+++ b/relay/check.go
@@ -19,7 +19,8 @@
 	healCheckInterval = 500 * time.Millisecond
 )
 
-// Run checks the paths to targets that are silent or that were cut, until ctx ends.
+// Run checks the paths to targets that are silent or that were cut, until ctx ends. It always
+// returns nil.
 func (d *Dialer) Run(ctx context.Context) error {
 	for types.Sleep(ctx, checkTick) {
 		for _, address := range d.dueChecks(time.Now()) {
@@ -27,7 +28,8 @@
 		}
 	}
 	d.httpClient().CloseIdleConnections()
-	return d.background.Wait()
+	d.background.Wait()
+	return nil
 }
 
 // dueChecks returns the addresses of the paths to be checked, and marks them as being
@@ -50,7 +52,7 @@
 // check finds out in the background whether a target can be reached directly, and if not,
 // whether it can be reached through another host.
 func (d *Dialer) check(ctx context.Context, address string) {
-	d.background.Go(func() error {
+	d.background.Go(func() {
 		defer func() {
 			d.mu.Lock()
 			defer d.mu.Unlock()
@@ -61,16 +63,15 @@
 		if err == nil {
 			d.setCut(address, nil)
 			d.Keep(address, c)
-			return nil
+			return
 		}
 		if d.isCut(address) || !d.HasHosts() || ctx.Err() != nil {
-			return nil
+			return
 		}
 		relayed, relayErr := d.dialRelayed(ctx, address)
 		if relayErr == nil {
 			d.setCut(address, err)
 			d.Keep(address, relayed)
 		}
-		return nil
 	})
 }
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fetch"
@@ -53,7 +52,8 @@
 	// targets that were not heard from since may hang.
 	silentAt time.Time
 
-	background errgroup.Group
+	// background runs dials, and what follows on them. After the end of Run, callers do.
+	background types.Background
 	clientOnce sync.Once
 	client     *http.Client // for connections to relaying hosts
 }
@@ -98,10 +98,9 @@
 // start runs a dial in the background and returns a channel for its outcome.
 func (d *Dialer) start(ctx context.Context, address string, dial func(ctx context.Context, address string) (net.Conn, error)) <-chan dialed {
 	done := make(chan dialed, 1)
-	d.background.Go(func() error {
+	d.background.GoOrRun(func() {
 		c, err := dial(ctx, address)
 		done <- dialed{c, err}
-		return nil
 	})
 	return done
 }
@@ -141,13 +140,12 @@
 		if r.err != nil {
 			return d.awaitDirect(ctx, address, direct, r.err, keep)
 		}
-		d.background.Go(func() error {
+		d.background.GoOrRun(func() {
 			if late := <-direct; late.err != nil {
 				d.setCut(address, late.err)
 			} else {
 				keep(late.conn)
 			}
-			return nil
 		})
 		return r.conn, nil
 	}
@@ -189,10 +187,9 @@
 // whenDone calls use with the connection of a dial that is no longer waited for, if there
 // is one.
 func (d *Dialer) whenDone(done <-chan dialed, use func(net.Conn)) {
-	d.background.Go(func() error {
+	d.background.GoOrRun(func() {
 		if r := <-done; r.err == nil {
 			use(r.conn)
 		}
-		return nil
 	})
 }
--- a/relay/hosts_test.go
+++ b/relay/hosts_test.go
@@ -158,6 +158,7 @@
 	network network
 	mu      sync.Mutex
 	changes []string
+	stop    func() // ends Run and waits until it has returned
 }
 
 func newDialer(t *testing.T, hosts ...*relayingHost) *dialer {
@@ -186,10 +187,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var g errgroup.Group
 	g.Go(func() error { return d.Run(ctx) })
-	t.Cleanup(func() {
+	d.stop = func() {
 		cancel()
 		_ = g.Wait() // Run always returns nil.
-	})
+	}
+	t.Cleanup(d.stop)
 	return d
 }
 
--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -120,10 +120,9 @@
 		}
 		h := hosts[started]
 		started, pending = started+1, pending+1
-		d.background.Go(func() error {
+		d.background.GoOrRun(func() {
 			c, err := d.dialThrough(ctx, h, address)
 			outcomes <- relayedDial{h, dialed{c, err}}
-			return nil
 		})
 	}
 	startNext()
@@ -165,13 +164,12 @@
 	if n == 0 {
 		return
 	}
-	d.background.Go(func() error {
+	d.background.GoOrRun(func() {
 		for range n {
 			if o := <-outcomes; o.err == nil {
 				_ = o.conn.Close()
 			}
 		}
-		return nil
 	})
 }
 
