gate: requests that end beside the end of the gate do not end the process

Callers see: an entry host that stops may end by a panic instead; requests that are still in flight on it end without an answer, and budget claims stay unsettled.

Cause: requests give work to a WaitGroup, as the settling of a claim or the probe of a target, while Gate.Run waits for it at its end. That may panic in any goroutine.

The test guards under the race detector.

Change: the work runs in a types.Background. A claim that comes after the end fails in the request, as before, since its context has ended, and is logged.

Measured: the test passes three times of three under the race detector; all tests of the package pass.

--- a/gate/crash.go
+++ b/gate/crash.go
@@ -126,10 +126,7 @@
 		Fingerprint: c.fingerprint(), Attempt: types.AttemptID(c.id), Target: t.ID, Zone: t.Zone, SentAt: now.Add(-time.Since(c.lastSentAt)), EndedAt: now,
 	})
 	if first {
-		g.background.Go(func() error {
-			g.probe(g.backgroundCtx, t)
-			return nil
-		})
+		g.background.Go(func() { g.probe(g.backgroundCtx, t) })
 	}
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -106,7 +106,7 @@
 	endCommits   context.CancelFunc
 	// background runs the work that continues after the caller has its response,
 	// under backgroundCtx.
-	background       errgroup.Group
+	background       types.Background
 	backgroundCtx    context.Context //nolint:containedctx // Canceled backgroundGrace after the context of Run.
 	cancelBackground context.CancelFunc
 }
@@ -157,7 +157,7 @@
 	workers.Go(func() error { return g.exchangeLoads(ctx) })
 	workers.Go(func() error { return g.dialer.Run(ctx) })
 	err := workers.Wait()
-	_ = g.background.Wait() // Failures were logged.
+	g.background.Wait()
 	return err
 }
 
--- a/gate/reach.go
+++ b/gate/reach.go
@@ -33,10 +33,7 @@
 	}
 	unreachableTotal.Inc()
 	g.Log.Write(event.TargetUnreachable, event.Fields{"target": t.ID, "address": t.Address, "zone": t.Zone})
-	g.background.Go(func() error {
-		g.checkUntilReachable(g.backgroundCtx, t)
-		return nil
-	})
+	g.background.Go(func() { g.checkUntilReachable(g.backgroundCtx, t) })
 }
 
 // checkUntilReachable connects to a target from time to time until that succeeds, the
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -204,12 +204,12 @@
 		return
 	}
 	budget, delivered := c.turn.budget, c.turn.delivered
-	c.gate.background.Go(func() error {
+	// After the end of Run, the context has ended, too, so that the failure is logged at once.
+	c.gate.background.GoOrRun(func() {
 		ctx, cancel := context.WithTimeout(c.gate.backgroundCtx, commitTimeout)
 		defer cancel()
 		if err := c.gate.Turns.Settle(ctx, budget, delivered, nil); err != nil {
 			c.gate.Log.Write(event.TurnDurable, event.Fields{"request": c.id, "program": budget.Program, "error": err.Error()})
 		}
-		return nil
 	})
 }
