entry: calls that end beside the end of the entry do not end the process

Callers see: a process of the older interface that stops may end by a panic instead; calls that are still in flight end without an answer, and their outcomes are not recorded.

Cause: each call gives its write to the ledger to a WaitGroup, while Entry.Run waits for it at its end. That may panic in any goroutine.

The panic itself was not seen here.

Change: the writes run in a types.Background. After the end, the call makes its write itself, for no longer than it waits for one otherwise.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -57,7 +57,7 @@
 	selections       atomic.Uint64 // number of target selections, the Sequence of a route.Request
 	inFlight         atomic.Int64
 	draining         atomic.Bool
-	backgroundWrites errgroup.Group // ledger writes that Run waits for before it returns
+	backgroundWrites types.Background // ledger writes that Run waits for before it returns
 }
 
 const (
@@ -102,7 +102,7 @@
 		g.Go(func() error { return e.renewSessionLoop(ctx, types.GroupID(i+1)) })
 	}
 	err := g.Wait()
-	_ = e.backgroundWrites.Wait()
+	e.backgroundWrites.Wait()
 	return err
 }
 
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -45,14 +45,24 @@
 // backgroundWriteTimeout.
 func (e *Entry) abandonInBackground(c *call, attempt types.AttemptID) {
 	b := e.newAbandon(c, attempt, true, false)
-	e.backgroundWrites.Go(func() error {
-		ctx, cancel := context.WithTimeout(context.Background(), backgroundWriteTimeout)
-		defer cancel()
+	e.writeInBackground(func(ctx context.Context) {
 		_, _ = e.Client.SubmitCommand(ctx, b.Account, ledger.Command{Abandon: &b}) // On a fault, the attempt was not recorded or will expire.
-		return nil
 	})
 }
 
+// writeInBackground calls write with a context that ends after backgroundWriteTimeout. After the
+// end of Run, the request waits for the write, for as long as it waits for any.
+func (e *Entry) writeInBackground(write func(ctx context.Context)) {
+	within := func(timeout time.Duration) {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		write(ctx)
+	}
+	if !e.backgroundWrites.Go(func() { within(backgroundWriteTimeout) }) {
+		within(ledgerTimeout)
+	}
+}
+
 // newAbandon returns the ledger command that abandons an attempt.
 func (e *Entry) newAbandon(c *call, attempt types.AttemptID, notRun, crashed bool) ledger.Abandon {
 	return ledger.Abandon{
@@ -82,16 +92,13 @@
 	}
 	done := make(chan stored, 1)
 	start := time.Now()
-	e.backgroundWrites.Go(func() error {
-		ctx, cancel := context.WithTimeout(context.Background(), backgroundWriteTimeout)
-		defer cancel()
+	e.writeInBackground(func(ctx context.Context) {
 		result, err := e.Client.SubmitCommand(ctx, c.Account, ledger.Command{Close: &c})
 		metricCloseSeconds.UpdateDuration(start)
 		if err != nil {
 			e.Log.Write(event.CallCloseFailed, event.Fields{"program": c.Program, "call": c.Number, "error": err.Error()})
 		}
 		done <- stored{call: result.Call, err: err}
-		return nil
 	})
 	timer := time.NewTimer(ledgerTimeout)
 	defer timer.Stop()
