panics, gate, host: a panic of a request's handler is answered, logged and counted

Callers see: a request whose handler panics gets no answer, since net/http closes its connection; the log has no event and no metric counts it.

Cause: only net/http recovers such a panic, and writes to standard error.

Change: one handler, panics.Handler, wraps the readiness check, the metrics, the peers' port with its relayed connections, the operators' interface, the administration and the older interface. It writes event 108 with path, value and a bounded stack, counts banyanspur_http_panics_total, and answers with 502 where nothing was written yet. The gate recovers its requests itself, since it knows more: 503 only if the request was sent to no target; the budget claim, the target's slot and the memory of the response are released. http.ErrAbortHandler passes through.

Measured: TestPanicOfRequestIsAnswered fails without the gate's part (the request ends without an answer).

--- a/gate/call.go
+++ b/gate/call.go
@@ -42,6 +42,8 @@
 	// endAttempt closes the response of the target, which then has no request of this call
 	// in flight. It is set while a target has one, and may be called more than once.
 	endAttempt func()
+	unread     *unreadResponse // the response that is being written; nil before
+	finished   bool            // finish was called
 
 	cachedFingerprint types.Fingerprint // set by the first call of fingerprint
 
@@ -209,6 +211,7 @@
 // finish refunds the rate limit if no target may have run the request, releases
 // the budget claim, and logs the end of the request.
 func (c *call) finish() {
+	c.finished = true
 	if c.limitTaken && !c.mayHaveRun {
 		c.gate.limits.accounts.refund(c.account.Name)
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -265,6 +265,7 @@
 	}
 	requestsTotal.Inc()
 	defer setWriteDeadline(http.NewResponseController(w)) // For what the server writes after the handler.
+	defer c.recoverPanic()
 	for _, f := range filters {
 		if resp := f(c); resp != nil {
 			c.writeError(resp)
@@ -272,9 +273,5 @@
 		}
 	}
 	requestSeconds.UpdateDuration(c.start)
-	c.finish()
-	if c.truncated {
-		abortResponse(r)
-		panic(http.ErrAbortHandler) // A truncated response must not look complete.
-	}
+	c.end()
 }
--- a/gate/unread.go
+++ b/gate/unread.go
@@ -87,10 +87,11 @@
 func (p piece) size() int64 { return int64(cap(p.b)) + pieceOverhead }
 
 func (c *call) newUnread(flush bool) *unreadResponse {
-	return &unreadResponse{
+	c.unread = &unreadResponse{
 		backlog: c.gate.Backlog, account: c.accountID(), w: c.w, rc: http.NewResponseController(c.w), flush: flush,
 		added: make(chan struct{}, 1), released: make(chan struct{}, 1),
 	}
+	return c.unread
 }
 
 // hold takes room for a piece that will be written or dropped. always is set if it is to be
--- a/host/entry.go
+++ b/host/entry.go
@@ -12,6 +12,7 @@
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/gate"
+	"github.com/banyanspur/banyanspur/panics"
 	"github.com/banyanspur/banyanspur/relay"
 	"github.com/banyanspur/banyanspur/turns"
 )
@@ -81,10 +82,10 @@
 	return n.serve(ctx, g, n.Settings.ReadyListen, mux)
 }
 
-// serveOn serves h on listener in g until ctx ends.
-func serveOn(ctx context.Context, g *errgroup.Group, listener net.Listener, h http.Handler) {
+// serveOn serves h on listener in g until ctx ends. Panics of h are written to log.
+func serveOn(ctx context.Context, g *errgroup.Group, listener net.Listener, h http.Handler, log event.Log) {
 	server := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: panics.Handler(log, h), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx }, // WebSocket connections end with ctx.
 	}
 	g.Go(func() error { return serve(server, listener) })
--- a/host/node.go
+++ b/host/node.go
@@ -175,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	serveOn(ctx, g, listener, h)
+	serveOn(ctx, g, listener, h, n.Log)
 	return nil
 }
 
--- a/host/operator.go
+++ b/host/operator.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/panics"
 )
 
 const (
@@ -31,7 +32,7 @@
 		return err
 	}
 	requests, cancelRequests := context.WithCancel(context.WithoutCancel(ctx))
-	handler := n.OperatorHandler(n.client)
+	handler := panics.Handler(n.Log, n.OperatorHandler(n.client))
 	server := &http.Server{
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/host/process.go
+++ b/host/process.go
@@ -17,6 +17,7 @@
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/ledger"
 	"github.com/banyanspur/banyanspur/manage"
+	"github.com/banyanspur/banyanspur/panics"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
 )
@@ -141,7 +142,7 @@
 	p.control.Register(server)
 	mux := http.NewServeMux()
 	mux.Handle("/peer", server)
-	return serveUntilDone(ctx, g, p.Settings.PeerListen, mux)
+	return serveUntilDone(ctx, g, p.Settings.PeerListen, mux, p.Log)
 }
 
 // startAdminServer serves the administration interface, health checks and
@@ -154,7 +155,7 @@
 		Client: p.client, ControlHosts: p.Settings.Control, Operators: p.Settings.Operator,
 		Ready: func() bool { return p.entry == nil || p.entry.Ready() },
 	}
-	return serveUntilDone(ctx, g, p.Settings.AdminListen, server.Handler())
+	return serveUntilDone(ctx, g, p.Settings.AdminListen, server.Handler(), p.Log)
 }
 
 // startEntry serves callers until ctx or serveCtx ends. It then drains the host
@@ -165,7 +166,7 @@
 		return errors.Wrap(err, "host: listen for callers")
 	}
 	server := &http.Server{
-		Handler: p.entry.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: callerIdleTimeout,
+		Handler: panics.Handler(p.Log, p.entry.Handler()), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: callerIdleTimeout,
 	}
 	entryCtx, stopEntry := context.WithCancel(serveCtx)
 	g.Go(func() error { return serve(server, listener) })
@@ -204,12 +205,12 @@
 
 // serveUntilDone listens on address before it returns, and serves h in g until
 // ctx ends.
-func serveUntilDone(ctx context.Context, g *errgroup.Group, address string, h http.Handler) error {
+func serveUntilDone(ctx context.Context, g *errgroup.Group, address string, h http.Handler, log event.Log) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "host: listen")
 	}
-	serveOn(ctx, g, listener, h)
+	serveOn(ctx, g, listener, h, log)
 	return nil
 }
 
