--- a/gate/gate.go
+++ b/gate/gate.go
@@ -106,7 +106,7 @@
 	endCommits   context.CancelFunc
 	// background runs the work that continues after the caller has its response,
 	// under backgroundCtx.
-	background       errgroup.Group
+	background       types.Background
 	backgroundCtx    context.Context //nolint:containedctx // Canceled backgroundGrace after the context of Run.
 	cancelBackground context.CancelFunc
 }
@@ -157,7 +157,7 @@
 	workers.Go(func() error { return g.exchangeLoads(ctx) })
 	workers.Go(func() error { return g.dialer.Run(ctx) })
 	err := workers.Wait()
-	_ = g.background.Wait() // Failures were logged.
+	g.background.Wait()
 	return err
 }
 
@@ -265,6 +265,7 @@
 	}
 	requestsTotal.Inc()
 	defer setWriteDeadline(http.NewResponseController(w)) // For what the server writes after the handler.
+	defer c.recoverPanic()
 	for _, f := range filters {
 		if resp := f(c); resp != nil {
 			c.writeError(resp)
@@ -272,9 +273,5 @@
 		}
 	}
 	requestSeconds.UpdateDuration(c.start)
-	c.finish()
-	if c.truncated {
-		abortResponse(r)
-		panic(http.ErrAbortHandler) // A truncated response must not look complete.
-	}
+	c.end()
 }
--- a/host/listen_test.go
+++ b/host/listen_test.go
@@ -43,7 +43,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
-	serveOn(ctx, g, &retryListener{Listener: failing, log: event.New(&log)}, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	serveOn(ctx, g, &retryListener{Listener: failing, log: event.New(&log)}, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), event.Log{})
 	client := http.Client{Timeout: 5 * time.Second}
 	resp, err := client.Get("http://" + inner.Addr().String())
 	if err != nil {
--- a/host/process.go
+++ b/host/process.go
@@ -17,6 +17,7 @@
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/ledger"
 	"github.com/banyanspur/banyanspur/manage"
+	"github.com/banyanspur/banyanspur/panics"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
 )
@@ -165,7 +166,7 @@
 		return errors.Wrap(err, "host: listen for callers")
 	}
 	server := &http.Server{
-		Handler: p.entry.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: callerIdleTimeout,
+		Handler: panics.Handler(p.Log, p.entry.Handler()), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: callerIdleTimeout,
 	}
 	entryCtx, stopEntry := context.WithCancel(serveCtx)
 	g.Go(func() error { return serve(server, &retryListener{Listener: listener, log: p.Log}) })
@@ -209,7 +210,7 @@
 	if err != nil {
 		return errors.Wrap(err, "host: listen")
 	}
-	serveOn(ctx, g, &retryListener{Listener: listener, log: log}, h)
+	serveOn(ctx, g, &retryListener{Listener: listener, log: log}, h, log)
 	return nil
 }
 
