intake: a budget for what a process holds for peers that it does not control

Cause: a host reads whole bodies into memory for any number of callers at once, so that 25 callers with bodies of 4 MiB end an entry host of 134 MB. Each body is bounded, their sum is not.

Change: package intake has a budget of a quarter of the host's memory. Holders charge it as bytes arrive; one that does not fit evicts slow and incomplete ones, or is refused. Nothing uses it yet.

--- /dev/null
+++ b/intake/budget.go
@@ -0,0 +1,312 @@
+package intake
+
+import (
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"github.com/banyanspur/banyanspur/types"
+)
+
+const (
+	// memoryShare is the part of the memory of a host that its budget has, as one in so many.
+	// The limit of the Go runtime is 0.6 of the memory, of which unread responses have an
+	// eighth and what a host keeps for itself about a quarter.
+	memoryShare = 4
+	// defaultBytes is the budget of a host whose memory is not known.
+	defaultBytes = 64 << 20
+	// smallBytes is the memory up to which a holder may use the reserve.
+	smallBytes = 64 << 10
+	// reserveShare is the part of a budget, as one in so many, that only holders of up to
+	// smallBytes may use.
+	reserveShare = 4
+
+	// stallTime is how long a peer may send nothing until it counts as slow.
+	stallTime = 500 * time.Millisecond
+	// minRate is the rate in bytes per second that a peer must reach after stallTime in order
+	// not to count as slow.
+	minRate = 64 << 10
+	// evictWait bounds the wait for evicted holders to release their memory.
+	evictWait = time.Second
+)
+
+var (
+	heldBytes      = metrics.NewGauge("banyanspur_intake_held_bytes", nil)
+	evictionsTotal = metrics.NewCounter("banyanspur_intake_evictions_total")
+	refusalsTotal  = metrics.NewCounter("banyanspur_intake_refusals_total")
+)
+
+// ErrFull is returned if a budget has no memory left for a holder.
+var ErrFull = errors.New("intake: no memory is left for what peers send")
+
+// ErrEvicted is returned to a holder that has lost its memory to others.
+var ErrEvicted = errors.New("intake: the peer was too slow while others needed the memory")
+
+// Bytes returns the size of the budget of a host with the given memory in units of 2^20 bytes,
+// or the default if it is 0.
+func Bytes(memoryMB int64) int64 {
+	if memoryMB <= 0 {
+		return defaultBytes
+	}
+	return memoryMB << 20 / memoryShare
+}
+
+// Budget is the memory that a process has for what peers make it hold. Create it with
+// [NewBudget]. It is safe for concurrent use.
+type Budget struct {
+	mu      sync.Mutex
+	limit   int64
+	used    int64 // 0 <= used; sum over holders
+	leaving int64 // 0 <= leaving <= used; the part of used that evicted holders still have
+	// large is what the holders of more than smallBytes have, by account.
+	large    map[types.AccountID]int64
+	holders  map[*Holder]struct{} // those with held > 0
+	released chan struct{}        // closed with the next release
+}
+
+// NewBudget returns a budget with the given number of bytes.
+func NewBudget(limit int64) *Budget {
+	return &Budget{limit: limit, large: map[types.AccountID]int64{}, holders: map[*Holder]struct{}{}, released: make(chan struct{})}
+}
+
+// SetLimit changes the number of bytes. What is held beyond it stays until it is released.
+func (b *Budget) SetLimit(limit int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = limit
+}
+
+// Used returns the number of bytes that all holders have.
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// Phase says what a process waits for while it holds memory for a peer.
+type Phase int
+
+// The phases of a [Holder].
+const (
+	Receiving Phase = iota // the rest of a request; the holder may be evicted
+	Working                // its own work on a complete request
+	Idle                   // the next request on a connection; the holder may be evicted
+)
+
+// Holder is what a process holds for one request or connection of a peer. Its methods are safe
+// for concurrent use.
+type Holder struct {
+	budget  *Budget
+	account types.AccountID // "" if it is not known
+	evict   func()
+
+	// The fields below are guarded by budget.mu.
+
+	held       int64 // 0 <= held
+	phase      Phase
+	received   int64     // bytes that have arrived in this phase
+	since      time.Time // start of the phase
+	progressAt time.Time // when bytes have last arrived, or the start of the phase
+	evicted    bool
+	closed     bool
+}
+
+// Open returns a holder in the phase [Receiving] that has nothing yet. It must be closed. evict
+// is called at most once if the holder loses its memory; it must make the work on the request
+// end soon, which then closes the holder, and must not block or call the holder or the budget.
+func (b *Budget) Open(account types.AccountID, evict func()) *Holder {
+	now := time.Now()
+	return &Holder{budget: b, account: account, evict: evict, since: now, progressAt: now}
+}
+
+// Received records that n bytes have arrived from the peer. It charges nothing.
+func (h *Holder) Received(n int64) {
+	if n == 0 {
+		return
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.received += n
+	h.progressAt = time.Now()
+}
+
+// Add charges n bytes, such as a copy of what has arrived. If there is no room, it evicts other
+// holders, and waits up to a second until they have released theirs. It fails with an error
+// marked as [ErrFull] if there is still none, and as [ErrEvicted] if h was evicted itself; nothing
+// is charged then.
+func (h *Holder) Add(n int64) error {
+	b := h.budget
+	var timeout <-chan time.Time
+	for {
+		b.mu.Lock()
+		ok, err := b.tryAdd(h, n)
+		released := b.released
+		b.mu.Unlock()
+		if ok || err != nil {
+			return err
+		}
+		if timeout == nil {
+			timer := time.NewTimer(evictWait)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-released:
+		case <-timeout:
+			refusalsTotal.Inc()
+			return errors.WithStack(ErrFull)
+		}
+	}
+}
+
+// tryAdd charges n bytes if there is room. If it returns neither true nor an error, evicted
+// holders are about to release room. It must be called with mu held.
+func (b *Budget) tryAdd(h *Holder, n int64) (bool, error) {
+	if h.evicted || h.closed {
+		return false, errors.WithStack(ErrEvicted)
+	}
+	if b.fits(h, n, b.used) {
+		b.charge(h, n)
+		return true, nil
+	}
+	for !b.fits(h, n, b.used-b.leaving) {
+		v := b.victim(h, n)
+		if v == nil {
+			if b.leaving > 0 {
+				break // It may fit once all have left.
+			}
+			refusalsTotal.Inc()
+			return false, errors.WithStack(ErrFull)
+		}
+		v.evicted = true
+		b.leaving += v.held
+		evictionsTotal.Inc()
+		v.evict()
+	}
+	return false, nil
+}
+
+// fits reports whether h may have n more bytes if used are in use. A holder of more than
+// smallBytes must leave the reserve free, and as much as others of its account have, so that
+// no account takes the room of all others.
+func (b *Budget) fits(h *Holder, n, used int64) bool {
+	if h.held+n <= smallBytes {
+		return used+n <= b.limit
+	}
+	return used+n+b.large[h.account]-h.largeBytes() <= b.limit-b.limit/reserveShare
+}
+
+// largeBytes returns what h has if that is more than smallBytes, else 0.
+func (h *Holder) largeBytes() int64 {
+	if h.held > smallBytes {
+		return h.held
+	}
+	return 0
+}
+
+// victim returns the holder that is to be evicted so that h may have n bytes, or nil if there is
+// none: of the peers that are slow, the one that holds most; if none is, and h stays
+// small, the largest incomplete request beyond smallBytes, or else the connection that has been
+// idle for the longest time.
+func (b *Budget) victim(h *Holder, n int64) *Holder {
+	now := time.Now()
+	var slow, large, idle *Holder
+	for o := range b.holders {
+		switch {
+		case o == h, o.evicted, o.phase == Working:
+		case o.phase == Idle:
+			if idle == nil || o.since.Before(idle.since) {
+				idle = o
+			}
+		case o.isSlow(now):
+			if slow == nil || o.held > slow.held {
+				slow = o
+			}
+		case o.held > smallBytes:
+			if large == nil || o.held > large.held {
+				large = o
+			}
+		}
+	}
+	small := h.held+n <= smallBytes
+	switch {
+	case slow != nil:
+		return slow
+	case small && large != nil:
+		return large
+	case small && idle != nil && now.Sub(idle.since) >= stallTime:
+		return idle
+	}
+	return nil
+}
+
+// isSlow reports whether the peer of an incomplete request is slow.
+func (h *Holder) isSlow(now time.Time) bool {
+	age := now.Sub(h.since)
+	return now.Sub(h.progressAt) >= stallTime || age >= stallTime && float64(h.received) < minRate*age.Seconds()
+}
+
+// charge adds n bytes, which may be negative, to what h has. It must be called with mu held.
+func (b *Budget) charge(h *Holder, n int64) {
+	b.large[h.account] -= h.largeBytes()
+	h.held += n
+	b.used += n
+	if h.evicted {
+		b.leaving += n
+	}
+	b.large[h.account] += h.largeBytes()
+	if b.large[h.account] == 0 {
+		delete(b.large, h.account)
+	}
+	if h.held > 0 {
+		b.holders[h] = struct{}{}
+	} else {
+		delete(b.holders, h)
+	}
+	heldBytes.Add(float64(n))
+	if n < 0 {
+		close(b.released)
+		b.released = make(chan struct{})
+	}
+}
+
+// Release returns n bytes, at most those that h has.
+func (h *Holder) Release(n int64) {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if n = min(n, h.held); n > 0 {
+		h.budget.charge(h, -n)
+	}
+}
+
+// SetPhase changes the phase. A holder that was evicted stays so.
+func (h *Holder) SetPhase(p Phase) {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.phase, h.received, h.since = p, 0, time.Now()
+	h.progressAt = h.since
+}
+
+// Held returns the number of bytes that h has.
+func (h *Holder) Held() int64 {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	return h.held
+}
+
+// Evicted reports whether h has lost its memory to others.
+func (h *Holder) Evicted() bool {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	return h.evicted
+}
+
+// Close returns all that h has. It may be called more than once.
+func (h *Holder) Close() {
+	h.Release(h.Held())
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.closed = true
+}
