intake, host: connections and headers count in the budget of the process

Cause: headers of up to 256 KiB for up to 30 s and connections that send nothing are held for any number of callers, whatever the limits of the plan.

Change: a listener charges each connection and the header that it carries, refuses headers beyond the limits in force with 431, and keeps the kernel's receive buffer small. A node has one budget for all its ports. No port uses the listener yet.

Measured: it builds; no process was run.

--- a/host/node.go
+++ b/host/node.go
@@ -18,6 +18,7 @@
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/gate"
+	"github.com/banyanspur/banyanspur/intake"
 	"github.com/banyanspur/banyanspur/limit"
 	"github.com/banyanspur/banyanspur/store"
 	"github.com/banyanspur/banyanspur/types"
@@ -71,6 +72,8 @@
 	client     *fleet.Client
 	clock      types.Clock
 	peerServer *wire.Server
+	// received bounds what the process holds for its peers on all ports.
+	received *intake.Budget
 }
 
 const (
@@ -137,12 +140,14 @@
 	}
 	n.secret = secret
 	n.clock = types.NewBootClock()
+	n.received = intake.NewBudget(intake.Bytes(n.Settings.MemoryMB))
 	n.peers = &wire.Pool{Secret: secret, Log: n.Log, OwnAddress: n.Settings.PeerAddress()}
 	n.peerServer = &wire.Server{Secret: secret, Log: n.Log, OnPeer: n.peers.Redial}
 	n.client = &fleet.Client{Host: n.Settings.Host, Zone: n.Settings.Zone, Seeds: n.Settings.SeedPeerAddresses(), Peers: n.peers, Clock: n.clock, Log: n.Log}
 	n.onSettings(func(s config.NodeSettings) { n.client.SetSeeds(s.SeedPeerAddresses()) })
 	if n.Role != NodeStore {
 		n.onSettings(setMemoryLimit)
+		n.onSettings(func(s config.NodeSettings) { n.received.SetLimit(intake.Bytes(s.MemoryMB)) })
 	}
 	return nil
 }
--- /dev/null
+++ b/intake/conn.go
@@ -0,0 +1,161 @@
+package intake
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// headerFactor is the memory of a header, as a multiple of its bytes: the received lines
+	// and the fields that are decoded from them.
+	headerFactor = 2
+	// headerSlack is how much of a body the HTTP server may read with the end of a header.
+	headerSlack = 4 << 10
+	// rejectTime is for how long the rest of a refused request is read, so that its caller
+	// receives the response instead of a reset.
+	rejectTime = 500 * time.Millisecond
+)
+
+// Conn is a connection that counts in a [Budget].
+type Conn struct {
+	net.Conn
+	holder *Holder
+	limits func() Limits
+
+	mu sync.Mutex
+	// working is set while a handler has a complete request, and once the connection is no
+	// longer that of the HTTP server. What is read then is not part of a header.
+	working     bool
+	headerBytes int64     // of the header that is being received
+	headerEnd   time.Time // when it must be complete; zero if it has not begun or has no limit
+	deadline    time.Time // read deadline that the HTTP server has set
+}
+
+// Read reads what the peer has sent, and counts it if it belongs to a header. A header that is too
+// large, or for which there is no memory, gets a response that its request has not run.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	if status := c.countHeader(int64(n)); status != 0 {
+		c.reject(status)
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+// countHeader counts n bytes that were read. It returns the status with which the connection must
+// be refused, or 0.
+func (c *Conn) countHeader(n int64) (status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.working {
+		return 0
+	}
+	var limits Limits
+	if c.limits != nil {
+		limits = c.limits()
+	}
+	if c.headerBytes == 0 {
+		c.holder.SetPhase(Receiving)
+		if limits.HeaderTimeout > 0 {
+			c.headerEnd = time.Now().Add(limits.HeaderTimeout)
+			c.applyDeadline()
+		}
+	}
+	c.headerBytes += n
+	c.holder.Received(n)
+	if limits.HeaderBytes > 0 && c.headerBytes > limits.HeaderBytes+headerSlack {
+		return http.StatusRequestHeaderFieldsTooLarge
+	}
+	if err := c.holder.Add(headerFactor * n); errors.Is(err, ErrFull) {
+		return http.StatusServiceUnavailable
+	}
+	return 0
+}
+
+// reject writes a response and reads on for rejectTime.
+func (c *Conn) reject(status int) {
+	end := time.Now().Add(rejectTime)
+	_ = c.SetDeadline(end)
+	text := http.StatusText(status)
+	retryAfter := ""
+	if status == http.StatusServiceUnavailable {
+		retryAfter = "Retry-After: 1\r\n"
+	}
+	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\n%sContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s\n", status, text, retryAfter, len(text)+1, text)
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = w.CloseWrite()
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(struct{ io.Reader }{c.Conn}, receiveBufferBytes))
+}
+
+// SetReadDeadline sets the deadline for reads. While a header is received, its end is one, too.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.applyDeadline()
+}
+
+// applyDeadline must be called with mu held.
+func (c *Conn) applyDeadline() error {
+	t := c.deadline
+	if !c.headerEnd.IsZero() && (t.IsZero() || c.headerEnd.Before(t)) {
+		t = c.headerEnd
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// setState follows the requests on the connection. The HTTP server calls it with StateActive once
+// a header is complete and before it calls its handler.
+func (c *Conn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateActive, http.StateHijacked:
+		c.working = true
+		if !c.headerEnd.IsZero() {
+			c.headerEnd = time.Time{}
+			_ = c.applyDeadline() // Fails if the connection is closed.
+		}
+		c.holder.SetPhase(Working)
+	case http.StateIdle:
+		c.working = false
+		c.holder.Release(headerFactor * c.headerBytes)
+		c.headerBytes = 0
+		c.holder.SetPhase(Idle)
+	}
+}
+
+// Close closes the connection and returns its memory.
+func (c *Conn) Close() error {
+	defer c.holder.Close()
+	return c.Conn.Close()
+}
+
+// SetLinger sets what happens to unsent bytes when the connection is closed.
+func (c *Conn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return syscall.ENOTSUP
+}
+
+// CloseWrite closes the side of the connection that this process writes to.
+func (c *Conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return syscall.ENOTSUP
+}
+
+// SyscallConn returns the raw connection.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
