gate, host: bodies and headers of callers count in the memory of the host

Callers see: a host whose memory runs out ends with all its requests. Each body is bounded by the plan, their sum is not; a header may take 256 KiB and 30 s, whatever the plan says.

Cause: readBody reads any number of bodies into memory, with up to five times their size in buffers that grow.

Change: bodies are read in parts and charged to the budget of the process until their request ends. Headers beyond the plan's size get 431, and slow ones are closed.

Measured: tests of gate and intake pass; no run with a crowd of callers yet.

--- a/gate/call.go
+++ b/gate/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
+	"github.com/banyanspur/banyanspur/intake"
 	"github.com/banyanspur/banyanspur/plan"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
@@ -25,7 +26,8 @@
 	view  fleet.View
 
 	route    *plan.Route
-	account  *plan.Account // nil on anonymous routes
+	account  *plan.Account  // nil on anonymous routes
+	received *intake.Holder // memory of body and its copies; nil without a body
 	body     []byte
 	deadline time.Time // when the caller must have the final response
 
@@ -209,6 +211,9 @@
 // finish refunds the rate limit if no target may have run the request, releases
 // the budget claim, and logs the end of the request.
 func (c *call) finish() {
+	if c.received != nil {
+		defer c.received.Close()
+	}
 	if c.limitTaken && !c.mayHaveRun {
 		c.gate.limits.accounts.refund(c.account.Name)
 	}
--- a/gate/conns.go
+++ b/gate/conns.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/banyanspur/banyanspur/intake"
 )
 
 const (
@@ -39,6 +41,7 @@
 // setState is the ConnState function of an [http.Server]. The server calls it with StateActive
 // before it calls its handler.
 func (t *callerConns) setState(c net.Conn, state http.ConnState) {
+	intake.SetState(c, state)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch state {
@@ -98,8 +101,8 @@
 			continue
 		}
 		aborted++
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // Fails if the connection is lost already.
+		if l, ok := c.(lingerer); ok {
+			_ = l.SetLinger(0) // Fails if the connection is lost already.
 		}
 		known.closed = true
 		_ = c.Close()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -14,6 +14,7 @@
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fetch"
 	"github.com/banyanspur/banyanspur/fleet"
+	"github.com/banyanspur/banyanspur/intake"
 	"github.com/banyanspur/banyanspur/limit"
 	"github.com/banyanspur/banyanspur/relay"
 	"github.com/banyanspur/banyanspur/route"
@@ -79,6 +80,9 @@
 	// Backlog holds the responses that callers have not read yet. The default has the size
 	// for a host whose memory is not known.
 	Backlog *Backlog
+	// Received holds what callers send until their requests have ended. The default has the
+	// size for a host whose memory is not known.
+	Received *intake.Budget
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
@@ -131,6 +135,9 @@
 		if g.Backlog == nil {
 			g.Backlog = NewBacklog(BacklogBytes(0))
 		}
+		if g.Received == nil {
+			g.Received = intake.NewBudget(intake.Bytes(0))
+		}
 		g.limits.init(g)
 		g.targets.clock, g.targets.observesOnReport = g.Clock, g.TargetPace
 		g.targets.observes.Store(g.TargetPace && !g.PaceSelective)
--- a/gate/server.go
+++ b/gate/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/banyanspur/banyanspur/intake"
 	"github.com/banyanspur/banyanspur/plan"
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -80,7 +81,9 @@
 func (s *Server) Serve() error {
 	s.init()
 	defer close(s.served)
-	if err := s.server.Serve(s.Listener); !errors.Is(err, net.ErrClosed) {
+	s.Gate.init()
+	listener := intake.Listen(s.Listener, s.Gate.Received, s.Gate.headerLimits)
+	if err := s.server.Serve(listener); !errors.Is(err, net.ErrClosed) {
 		return errors.Wrap(err, "gate: serve")
 	}
 	return nil
--- a/gate/unsent.go
+++ b/gate/unsent.go
@@ -14,6 +14,11 @@
 // count toward the memory of the host.
 const maxUnsentBytes = 32 << 10
 
+// lingerer is a connection that can be reset.
+type lingerer interface {
+	SetLinger(seconds int) error
+}
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
@@ -40,7 +45,7 @@
 // it lacks its end. A response of HTTP/1.0 may end with its connection, so that this is reset
 // instead of being closed in order.
 func abortResponse(r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok && !r.ProtoAtLeast(1, 1) {
+	if c, ok := r.Context().Value(connKey{}).(lingerer); ok && !r.ProtoAtLeast(1, 1) {
 		_ = c.SetLinger(0) // Fails if the connection is lost already.
 	}
 }
--- a/host/entry.go
+++ b/host/entry.go
@@ -23,7 +23,7 @@
 		Host: n.Settings.Host, Zone: n.Settings.Zone, HeaderNames: n.HeaderNames, Fleet: n.client, Clock: n.clock, MaxPlanStaleness: n.Settings.MaxKeyStaleness(), Log: n.Log,
 		DialTarget: n.DialTarget, RelayAddress: n.Settings.PeerAddress(), Secret: n.secret,
 		ColdBound: coldBound(n.Settings), TargetPace: n.Settings.TargetPace, PaceSelective: n.Settings.PaceSelective,
-		Backlog: gate.NewBacklog(gate.BacklogBytes(n.Settings.MemoryMB)),
+		Backlog: gate.NewBacklog(gate.BacklogBytes(n.Settings.MemoryMB)), Received: n.received,
 		Turns:   &turns.Client{Peers: n.peers, Zone: n.Settings.Zone, Map: func() *turns.Map { return n.client.View().Map }},
 	}
 	n.client.OnChange = func(v fleet.View) { gt.TargetsChanged(v.Targets) }
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -114,8 +114,8 @@
 }
 
 // Open returns a holder in the phase [Receiving] that has nothing yet. It must be closed. evict
-// is called at most once if the holder loses its memory; it must make the work on the request
-// end soon, which then closes the holder, and must not block or call the holder or the budget.
+// is called at most once, if the holder loses its memory; it must make the work on the request
+// end soon, which then closes the holder, and must not block.
 func (b *Budget) Open(account types.AccountID, evict func()) *Holder {
 	now := time.Now()
 	return &Holder{budget: b, account: account, evict: evict, since: now, progressAt: now}
@@ -141,9 +141,12 @@
 	var timeout <-chan time.Time
 	for {
 		b.mu.Lock()
-		ok, err := b.tryAdd(h, n)
+		ok, victims, err := b.tryAdd(h, n)
 		released := b.released
 		b.mu.Unlock()
+		for _, v := range victims {
+			v.evict()
+		}
 		if ok || err != nil {
 			return err
 		}
@@ -162,30 +165,31 @@
 }
 
 // tryAdd charges n bytes if there is room. If it returns neither true nor an error, evicted
-// holders are about to release room. It must be called with mu held.
-func (b *Budget) tryAdd(h *Holder, n int64) (bool, error) {
+// holders are about to release room. It must be called with mu held, and the evict functions of
+// victims after that.
+func (b *Budget) tryAdd(h *Holder, n int64) (ok bool, victims []*Holder, err error) {
 	if h.evicted || h.closed {
-		return false, errors.WithStack(ErrEvicted)
+		return false, nil, errors.WithStack(ErrEvicted)
 	}
 	if b.fits(h, n, b.used) {
 		b.charge(h, n)
-		return true, nil
+		return true, nil, nil
 	}
 	for !b.fits(h, n, b.used-b.leaving) {
 		v := b.victim(h, n)
+		if v == nil && b.leaving > 0 {
+			break // It may fit once all have left.
+		}
 		if v == nil {
-			if b.leaving > 0 {
-				break // It may fit once all have left.
-			}
 			refusalsTotal.Inc()
-			return false, errors.WithStack(ErrFull)
+			return false, nil, errors.WithStack(ErrFull)
 		}
 		v.evicted = true
 		b.leaving += v.held
 		evictionsTotal.Inc()
-		v.evict()
+		victims = append(victims, v)
 	}
-	return false, nil
+	return false, victims, nil
 }
 
 // fits reports whether h may have n more bytes if used are in use. A holder of more than
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -54,10 +54,27 @@
 // countHeader counts n bytes that were read. It returns the status with which the connection must
 // be refused, or 0.
 func (c *Conn) countHeader(n int64) (status int) {
+	inHeader, tooLarge := c.recordHeader(n)
+	switch {
+	case !inHeader:
+		return 0
+	case tooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
+	}
+	c.holder.Received(n)
+	if err := c.holder.Add(headerFactor * n); errors.Is(err, ErrFull) {
+		return http.StatusServiceUnavailable
+	}
+	return 0 // Evicted connections are closed.
+}
+
+// recordHeader records n bytes that were read, and reports whether they belong to a header, and
+// whether that exceeds the limit.
+func (c *Conn) recordHeader(n int64) (inHeader, tooLarge bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.working {
-		return 0
+		return false, false
 	}
 	var limits Limits
 	if c.limits != nil {
@@ -67,18 +84,11 @@
 		c.holder.SetPhase(Receiving)
 		if limits.HeaderTimeout > 0 {
 			c.headerEnd = time.Now().Add(limits.HeaderTimeout)
-			c.applyDeadline()
+			_ = c.applyDeadline() // Fails if the connection is closed.
 		}
 	}
 	c.headerBytes += n
-	c.holder.Received(n)
-	if limits.HeaderBytes > 0 && c.headerBytes > limits.HeaderBytes+headerSlack {
-		return http.StatusRequestHeaderFieldsTooLarge
-	}
-	if err := c.holder.Add(headerFactor * n); errors.Is(err, ErrFull) {
-		return http.StatusServiceUnavailable
-	}
-	return 0
+	return true, limits.HeaderBytes > 0 && c.headerBytes > limits.HeaderBytes+headerSlack
 }
 
 // reject writes a response and reads on for rejectTime.
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -107,8 +107,8 @@
 	MaxHeaderTimeout = 30 * time.Second
 )
 
-// Limits holds the limits on callers' requests that operators set. Only BodyBytes
-// is enforced; if it is 0, entry hosts use a default. A plan whose HeaderBytes exceeds
+// Limits holds the limits on callers' requests that operators set. IdleTimeout is not
+// enforced. If BodyBytes is 0, entry hosts use a default. A plan whose HeaderBytes exceeds
 // MaxHeaderBytes, or whose HeaderTimeout exceeds MaxHeaderTimeout, is not valid, since
 // requests that it allows would be cut off.
 type Limits struct {
