intake, gate: refused requests get their response, and evicted ones never run

Callers see: requests refused in the middle of their body may get a reset instead of 413, 408 or 503, which promises nothing; a caller that sends the body of a request without a route or a key slowly keeps its connection for as long as it likes.

Cause: the connection is closed while bytes of the body arrive; the server reads the rest of an unwanted body without a deadline. A body could be evicted right after its last byte, and a connection after its header was complete, and run nevertheless.

Change: a refused connection is half-closed and read on for half a second. Unwanted bodies have half a second, too. ReadAll ends with the change to Working, after which nothing is evicted, and a gate runs no request of an evicted connection. Holders that wait for room themselves do not count as slow. Connections that have been idle give way to large requests, too, if they hold a quarter of the budget. Event 421 says when a budget refuses or evicts, once a second.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -58,6 +58,7 @@
 	QuarantineFailed     = Kind{411, logrus.WarnLevel, "quarantine of requests could not be changed, will be tried again"}
 	SuspectsChanged      = Kind{412, logrus.InfoLevel, "list of requests that ended targets changed"}
 	ResponseUnread       = Kind{420, logrus.InfoLevel, "response cut off, its caller does not read it"}
+	IntakeFull           = Kind{421, logrus.WarnLevel, "no memory left for what peers send, requests refused or connections closed"}
 	TargetFailed         = Kind{501, logrus.WarnLevel, "target failed during a call"}
 	CachedPrefixReleased = Kind{502, logrus.InfoLevel, "memory held for an ended program given back"}
 	ReleaseFailed        = Kind{503, logrus.WarnLevel, "target did not accept a release, will be sent again"}
@@ -93,7 +94,7 @@
 		TargetsChanged, LeaderReached, LeaderUnreachable, ZoneOrderDecided, ZonesApplied, ServicesEvacuated, EntryDropped,
 		CallOutcomeUnknown, CallQuarantined, SessionExpired, CallCloseFailed,
 		RequestRefused, RequestSent, RequestEnded, TurnDurable, BudgetDecided,
-		QuarantineEnded, QuarantineFailed, SuspectsChanged, ResponseUnread,
+		QuarantineEnded, QuarantineFailed, SuspectsChanged, ResponseUnread, IntakeFull,
 		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull, PathCut, PathHealed, ConnectionRelayed, RelaysChanged,
 		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable, TargetCold, TargetPaced, LoadReportIgnored,
 		LinkLost, PeerRefused, FrameRefused, MessageRefused,
--- a/gate/body.go
+++ b/gate/body.go
@@ -34,34 +34,50 @@
 	c.received = c.gate.Received.Open(c.accountID(), endRead)
 	body, err := intake.ReadAll(c.received, c.r.Body, c.r.ContentLength, limit)
 	unlink()
-	if err == nil {
-		c.received.SetPhase(intake.Working)
-		_ = rc.SetReadDeadline(time.Time{}) // Otherwise the server would wait for the rest of the body without a limit.
-	} else {
-		c.w.Header().Set("Connection", "close") // Otherwise the server would read the rest of the body before it responds,
-		endRead()                               // and some of it afterwards.
+	if err != nil {
+		c.received.Close()
+		return c.bodyError(err)
 	}
+	_ = rc.SetReadDeadline(time.Time{}) // Otherwise the server would wait for the rest of the body without a limit.
+	c.body = body
+	return nil
+}
+
+// bodyError returns the response to a request whose body was not read to its end because of err.
+func (c *call) bodyError(err error) *errorResponse {
+	r := &errorResponse{status: http.StatusBadRequest, reason: "the body is incomplete", bodyLeft: true}
 	switch {
 	case errors.Is(err, intake.ErrTooLarge):
-		return &errorResponse{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
+		r.status, r.reason = http.StatusRequestEntityTooLarge, "the body is too large"
 	case c.received.Evicted():
-		return &errorResponse{status: http.StatusRequestTimeout, reason: "the body arrived too slowly while others needed the memory"}
+		r.status, r.reason = http.StatusRequestTimeout, "the body arrived too slowly while others needed the memory"
 	case errors.Is(err, intake.ErrFull):
-		return noMemory()
-	case err != nil && c.gate.answersEnded():
-		return refusedByStop()
-	case err != nil && c.remaining() <= 0:
-		return &errorResponse{status: http.StatusRequestTimeout, reason: "the body was not received in time"}
-	case err != nil:
-		return &errorResponse{status: http.StatusBadRequest, reason: "the body is incomplete"}
+		r.status, r.reason, r.retryAfter = http.StatusServiceUnavailable, noMemoryReason, busyRetryAfter
+	case c.gate.answersEnded():
+		r = refusedByStop()
+		r.bodyLeft = true
+	case c.remaining() <= 0:
+		r.status, r.reason = http.StatusRequestTimeout, "the body was not received in time"
 	}
-	c.body = body
-	return nil
+	return r
 }
 
-// noMemory returns the response to a request for which the host has no memory left.
-func noMemory() *errorResponse {
-	return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: busyRetryAfter, reason: "the host has no memory left for the request"}
+const (
+	noMemoryReason = "the host has no memory left for the request"
+	// restTime bounds the wait for the rest of a body after a response that does not need it. The
+	// server reads up to 256 KiB of it in order to keep the connection.
+	restTime = 500 * time.Millisecond
+)
+
+// endBody closes the caller's connection if the response was written before the body had been
+// read to its end.
+func (c *call) endBody() {
+	if http.NewResponseController(c.w).Flush() != nil {
+		return // The caller is gone.
+	}
+	if conn, ok := c.r.Context().Value(connKey{}).(*intake.Conn); ok {
+		conn.Linger()
+	}
 }
 
 // headerDelay is how long a part of a header may be late because a packet was lost.
--- a/gate/call.go
+++ b/gate/call.go
@@ -66,6 +66,7 @@
 	status     int
 	retryAfter time.Duration // value of the Retry-After header; 0 to omit it
 	reason     string
+	bodyLeft   bool         // the rest of the body can't be read; the connection ends
 	logFields  event.Fields // additional fields of the log event
 }
 
@@ -194,15 +195,23 @@
 	refusedTotal.Inc()
 	gone := c.r.Context().Err() != nil // Or the caller has half-closed its connection, or its body did not come in time.
 	h := c.w.Header()
-	if gone || c.gate.stopping.Load() != nil {
+	if gone || r.bodyLeft || c.gate.stopping.Load() != nil {
 		h.Set("Connection", "close")
 	}
+	if c.received == nil && c.r.ContentLength != 0 {
+		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(restTime)) // The server reads the body before it responds.
+	}
 	if r.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(r.reason)+1))
 	c.w.WriteHeader(r.status)
 	_, _ = c.w.Write([]byte(r.reason + "\n")) // Fails if the caller is gone.
+	if r.bodyLeft {
+		c.endBody()
+		return
+	}
 	if gone && http.NewResponseController(c.w).Flush() != nil {
 		c.truncated = true
 	}
--- a/gate/server.go
+++ b/gate/server.go
@@ -90,7 +90,7 @@
 }
 
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(net.Conn); ok && s.conns.isClosed(c) {
+	if c, ok := r.Context().Value(connKey{}).(*intake.Conn); ok && (c.Evicted() || s.conns.isClosed(c)) {
 		panic(http.ErrAbortHandler) // Its caller cannot get a response, so that no target may get it.
 	}
 	s.Gate.ServeHTTP(w, r)
--- a/host/node.go
+++ b/host/node.go
@@ -141,6 +141,7 @@
 	n.secret = secret
 	n.clock = types.NewBootClock()
 	n.received = intake.NewBudget(intake.Bytes(n.Settings.MemoryMB))
+	n.received.SetLog(n.Log)
 	n.peers = &wire.Pool{Secret: secret, Log: n.Log, OwnAddress: n.Settings.PeerAddress()}
 	n.peerServer = &wire.Server{Secret: secret, Log: n.Log, OnPeer: n.peers.Redial}
 	n.client = &fleet.Client{Host: n.Settings.Host, Zone: n.Settings.Zone, Seeds: n.Settings.SeedPeerAddresses(), Peers: n.peers, Clock: n.clock, Log: n.Log}
--- a/intake/body.go
+++ b/intake/body.go
@@ -16,17 +16,23 @@
 // ErrTooLarge is returned for a body that exceeds its limit.
 var ErrTooLarge = errors.New("intake: the body is too large")
 
-// ReadAll reads r to its end and charges h as bytes arrive, for at most as much again as has arrived. length is the number of bytes
-// that the peer has announced, or negative if it has not. ReadAll fails with an error marked
+// ReadAll reads r to its end and charges h as bytes arrive, for at most as much again as has
+// arrived. h is in the phase [Working] then and is no longer evicted. length is the number of
+// bytes that the peer has announced, or negative if it has not. ReadAll fails with an error marked
 // as [ErrTooLarge] if there are more than limit bytes; it then has read at most one more. What
 // was charged stays with h.
 func ReadAll(h *Holder, r io.Reader, length, limit int64) ([]byte, error) {
 	b := reader{holder: h, r: io.LimitReader(r, limit+1), length: length}
 	body, err := b.read()
-	if err == nil && int64(len(body)) > limit {
+	switch {
+	case err != nil:
+		return nil, err
+	case int64(len(body)) > limit:
 		return nil, errors.WithStack(ErrTooLarge)
+	case !h.SetPhase(Working):
+		return nil, errors.WithStack(ErrEvicted)
 	}
-	return body, err
+	return body, nil
 }
 
 // reader reads a body in parts, which it joins in a buffer of the whole size once that is no
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
+	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -32,11 +33,7 @@
 	evictWait = time.Second
 )
 
-var (
-	heldBytes      = metrics.NewGauge("banyanspur_intake_held_bytes", nil)
-	evictionsTotal = metrics.NewCounter("banyanspur_intake_evictions_total")
-	refusalsTotal  = metrics.NewCounter("banyanspur_intake_refusals_total")
-)
+var heldBytes = metrics.NewGauge("banyanspur_intake_held_bytes", nil)
 
 // ErrFull is returned if a budget has no memory left for a holder.
 var ErrFull = errors.New("intake: no memory is left for what peers send")
@@ -63,12 +60,15 @@
 	// large is what the holders of more than smallBytes have, by account.
 	large    map[types.AccountID]int64
 	holders  map[*Holder]struct{} // those with held > 0
-	released chan struct{}        // closed with the next release
+	released chan struct{}        // closed with the next release or eviction; nil if nobody waits
+
+	log      event.Log
+	pressure pressure
 }
 
 // NewBudget returns a budget with the given number of bytes.
 func NewBudget(limit int64) *Budget {
-	return &Budget{limit: limit, large: map[types.AccountID]int64{}, holders: map[*Holder]struct{}{}, released: make(chan struct{})}
+	return &Budget{limit: limit, large: map[types.AccountID]int64{}, holders: map[*Holder]struct{}{}}
 }
 
 // SetLimit changes the number of bytes. What is held beyond it stays until it is released.
@@ -78,6 +78,16 @@
 	b.limit = limit
 }
 
+// SetLog sets the log for events of a budget that refuses or evicts. It must be called before the
+// budget is used. Without it, events are discarded.
+func (b *Budget) SetLog(log event.Log) { b.log = log }
+
+func (b *Budget) size() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limit
+}
+
 // Used returns the number of bytes that all holders have.
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
@@ -109,6 +119,8 @@
 	received   int64     // bytes that have arrived in this phase
 	since      time.Time // start of the phase
 	progressAt time.Time // when bytes have last arrived, or the start of the phase
+	served     bool      // it is a connection that has carried a request
+	waiting    bool      // for room, in Add; its peer isn't slow meanwhile
 	evicted    bool
 	closed     bool
 }
@@ -138,42 +150,68 @@
 // is charged then.
 func (h *Holder) Add(n int64) error {
 	b := h.budget
-	var timeout <-chan time.Time
+	ok, released, err := b.tryAdd(h, n, false)
+	if ok || err != nil {
+		return err
+	}
+	timer := time.NewTimer(evictWait)
+	defer timer.Stop()
 	for {
-		b.mu.Lock()
-		ok, victims, err := b.tryAdd(h, n)
-		released := b.released
-		b.mu.Unlock()
-		for _, v := range victims {
-			v.evict()
-		}
-		if ok || err != nil {
-			return err
-		}
-		if timeout == nil {
-			timer := time.NewTimer(evictWait)
-			defer timer.Stop()
-			timeout = timer.C
-		}
 		select {
 		case <-released:
-		case <-timeout:
-			refusalsTotal.Inc()
-			return errors.WithStack(ErrFull)
+			if ok, released, err = b.tryAdd(h, n, false); ok || err != nil {
+				return err
+			}
+		case <-timer.C:
+			return b.giveUp(h)
 		}
 	}
 }
 
-// tryAdd charges n bytes if there is room. If it returns neither true nor an error, evicted
-// holders are about to release room. It must be called with mu held, and the evict functions of
-// victims after that.
-func (b *Budget) tryAdd(h *Holder, n int64) (ok bool, victims []*Holder, err error) {
+// addNow is [Holder.Add] for callers that must not wait. It exceeds the budget by what evicted
+// holders are about to release.
+func (h *Holder) addNow(n int64) error {
+	_, _, err := h.budget.tryAdd(h, n, true)
+	return err
+}
+
+// tryAdd charges n bytes if there is room, or with force if there will be. If it returns neither
+// true nor an error, evicted holders are about to release room, and released is closed with the
+// next change.
+func (b *Budget) tryAdd(h *Holder, n int64, force bool) (ok bool, released <-chan struct{}, err error) {
+	b.mu.Lock()
+	victims, ok, err := b.makeRoom(h, n)
+	if !ok && err == nil && force {
+		b.charge(h, n)
+		ok = true
+	}
+	if h.waiting != (!ok && err == nil) {
+		h.waiting = !h.waiting
+		h.progressAt = time.Now()
+	}
+	if h.waiting && b.released == nil {
+		b.released = make(chan struct{})
+	}
+	released = b.released
+	report := b.report()
+	b.mu.Unlock()
+	for _, v := range victims {
+		v.evict()
+	}
+	report.write(b.log)
+	return ok, released, err
+}
+
+// makeRoom charges n bytes if there is room. Otherwise it evicts holders until there will be
+// room, or fails if there are not enough. It must be called with mu held, and the evict functions
+// of victims after that.
+func (b *Budget) makeRoom(h *Holder, n int64) (victims []*Holder, ok bool, err error) {
 	if h.evicted || h.closed {
-		return false, nil, errors.WithStack(ErrEvicted)
+		return nil, false, errors.WithStack(ErrEvicted)
 	}
 	if b.fits(h, n, b.used) {
 		b.charge(h, n)
-		return true, nil, nil
+		return nil, true, nil
 	}
 	for !b.fits(h, n, b.used-b.leaving) {
 		v := b.victim(h, n)
@@ -181,15 +219,40 @@
 			break // It may fit once all have left.
 		}
 		if v == nil {
-			refusalsTotal.Inc()
-			return false, nil, errors.WithStack(ErrFull)
+			b.recordRefusal()
+			return victims, false, errors.WithStack(ErrFull)
 		}
-		v.evicted = true
-		b.leaving += v.held
-		evictionsTotal.Inc()
+		b.evict(v)
 		victims = append(victims, v)
 	}
-	return false, victims, nil
+	return victims, false, nil
+}
+
+// evict takes the memory of v away. It must be called with mu held, and v.evict after that.
+func (b *Budget) evict(v *Holder) {
+	v.evicted = true
+	b.leaving += v.held
+	b.recordEviction()
+	b.wake()
+}
+
+// wake lets all that wait for room look again. It must be called with mu held.
+func (b *Budget) wake() {
+	if b.released != nil {
+		close(b.released)
+		b.released = nil
+	}
+}
+
+// giveUp ends the wait of h for room.
+func (b *Budget) giveUp(h *Holder) error {
+	b.mu.Lock()
+	b.recordRefusal()
+	h.waiting, h.progressAt = false, time.Now()
+	report := b.report()
+	b.mu.Unlock()
+	report.write(b.log)
+	return errors.WithStack(ErrFull)
 }
 
 // fits reports whether h may have n more bytes if used are in use. A holder of more than
@@ -211,16 +274,18 @@
 }
 
 // victim returns the holder that is to be evicted so that h may have n bytes, or nil if there is
-// none: of the peers that are slow, the one that holds most; if none is, and h stays
-// small, the largest incomplete request beyond smallBytes, or else the connection that has been
-// idle for the longest time.
+// none: of the peers that are slow, the one that holds most; if none is, and h stays small, the
+// largest incomplete request beyond smallBytes; else the connection that has been idle for the
+// longest time, if h stays small or idle ones have as much as the reserve.
 func (b *Budget) victim(h *Holder, n int64) *Holder {
 	now := time.Now()
 	var slow, large, idle *Holder
+	var idleBytes int64
 	for o := range b.holders {
 		switch {
-		case o == h, o.evicted, o.phase == Working:
+		case o == h, o.evicted, o.phase == Working, o.waiting:
 		case o.phase == Idle:
+			idleBytes += o.held
 			if idle == nil || o.since.Before(idle.since) {
 				idle = o
 			}
@@ -240,7 +305,7 @@
 		return slow
 	case small && large != nil:
 		return large
-	case small && idle != nil && now.Sub(idle.since) >= stallTime:
+	case idle != nil && now.Sub(idle.since) >= stallTime && (small || idleBytes > b.limit/reserveShare):
 		return idle
 	}
 	return nil
@@ -271,8 +336,7 @@
 	}
 	heldBytes.Add(float64(n))
 	if n < 0 {
-		close(b.released)
-		b.released = make(chan struct{})
+		b.wake()
 	}
 }
 
@@ -285,12 +349,24 @@
 	}
 }
 
-// SetPhase changes the phase. A holder that was evicted stays so.
-func (h *Holder) SetPhase(p Phase) {
+// SetPhase changes the phase. It returns false if h was evicted before, and stays so.
+func (h *Holder) SetPhase(p Phase) bool {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	h.phase, h.received, h.since = p, 0, time.Now()
 	h.progressAt = h.since
+	return !h.evicted
+}
+
+// becomeIdle returns n bytes and changes the phase to [Idle].
+func (h *Holder) becomeIdle(n int64) {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if n = min(n, h.held); n > 0 {
+		h.budget.charge(h, -n)
+	}
+	h.phase, h.received, h.since = Idle, 0, time.Now()
+	h.progressAt, h.served = h.since, true
 }
 
 // Held returns the number of bytes that h has.
@@ -309,8 +385,10 @@
 
 // Close returns all that h has. It may be called more than once.
 func (h *Holder) Close() {
-	h.Release(h.Held())
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
+	if h.held > 0 {
+		h.budget.charge(h, -h.held)
+	}
 	h.closed = true
 }
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -17,16 +17,17 @@
 	headerFactor = 2
 	// headerSlack is how much of a body the HTTP server may read with the end of a header.
 	headerSlack = 4 << 10
-	// rejectTime is for how long the rest of a refused request is read, so that its caller
+	// lingerTime is for how long the rest of a refused request is read, so that its caller
 	// receives the response instead of a reset.
-	rejectTime = 500 * time.Millisecond
+	lingerTime = 500 * time.Millisecond
 )
 
 // Conn is a connection that counts in a [Budget].
 type Conn struct {
 	net.Conn
-	holder *Holder
-	limits func() Limits
+	holder  *Holder
+	limits  func() Limits
+	onClose func() // may be called more than once
 
 	mu sync.Mutex
 	// working is set while a handler has a complete request, and once the connection is no
@@ -44,7 +45,11 @@
 	if n == 0 {
 		return n, err
 	}
-	if status := c.countHeader(int64(n)); status != 0 {
+	status, alive := c.countHeader(int64(n))
+	switch {
+	case !alive:
+		return 0, net.ErrClosed
+	case status != 0:
 		c.reject(status)
 		return 0, io.EOF
 	}
@@ -52,20 +57,21 @@
 }
 
 // countHeader counts n bytes that were read. It returns the status with which the connection must
-// be refused, or 0.
-func (c *Conn) countHeader(n int64) (status int) {
+// be refused, or 0. alive is false if the connection was evicted.
+func (c *Conn) countHeader(n int64) (status int, alive bool) {
 	inHeader, tooLarge := c.recordHeader(n)
 	switch {
 	case !inHeader:
-		return 0
+		return 0, true
 	case tooLarge:
-		return http.StatusRequestHeaderFieldsTooLarge
+		return http.StatusRequestHeaderFieldsTooLarge, true
 	}
 	c.holder.Received(n)
-	if err := c.holder.Add(headerFactor * n); errors.Is(err, ErrFull) {
-		return http.StatusServiceUnavailable
+	err := c.holder.Add(headerFactor * n)
+	if errors.Is(err, ErrFull) {
+		return http.StatusServiceUnavailable, true
 	}
-	return 0 // Evicted connections are closed.
+	return 0, err == nil
 }
 
 // recordHeader records n bytes that were read, and reports whether they belong to a header, and
@@ -91,22 +97,32 @@
 	return true, limits.HeaderBytes > 0 && c.headerBytes > limits.HeaderBytes+headerSlack
 }
 
-// reject writes a response and reads on for rejectTime.
+// reject writes a response and reads on for lingerTime.
 func (c *Conn) reject(status int) {
-	end := time.Now().Add(rejectTime)
-	_ = c.SetDeadline(end)
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerTime))
 	text := http.StatusText(status)
 	retryAfter := ""
 	if status == http.StatusServiceUnavailable {
 		retryAfter = "Retry-After: 1\r\n"
 	}
 	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\n%sContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s\n", status, text, retryAfter, len(text)+1, text)
-	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = w.CloseWrite()
+	c.Linger()
+}
+
+// Linger ends the side that this process writes to, and discards what the peer sends until it has
+// ended its own, for at most lingerTime. It is called after a response to a request that was not
+// read to its end: if a connection is closed before, its peer may lose the response.
+func (c *Conn) Linger() {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	if c.CloseWrite() == nil {
+		_, _ = io.Copy(io.Discard, struct{ io.Reader }{c.Conn})
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(struct{ io.Reader }{c.Conn}, receiveBufferBytes))
 }
 
+// Evicted reports whether the connection was closed because others needed its memory or its
+// descriptor. A request on it must not be run, since its caller cannot get the response.
+func (c *Conn) Evicted() bool { return c.holder.Evicted() }
+
 // SetReadDeadline sets the deadline for reads. While a header is received, its end is one, too.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -139,14 +155,16 @@
 		c.holder.SetPhase(Working)
 	case http.StateIdle:
 		c.working = false
-		c.holder.Release(headerFactor * c.headerBytes)
+		c.holder.becomeIdle(headerFactor * c.headerBytes)
 		c.headerBytes = 0
-		c.holder.SetPhase(Idle)
 	}
 }
 
 // Close closes the connection and returns its memory.
 func (c *Conn) Close() error {
+	if c.onClose != nil {
+		defer c.onClose()
+	}
 	defer c.holder.Close()
 	return c.Conn.Close()
 }
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -13,7 +13,7 @@
 const (
 	// connBytes is the memory of a connection without a request: its goroutine, the buffers of
 	// the HTTP server and the kernel's socket.
-	connBytes = 8 << 10
+	connBytes = 16 << 10
 	// receiveBufferBytes is how much the kernel keeps for a connection that is not read. The
 	// default is up to 6 MB, which count toward the memory of the host.
 	receiveBufferBytes = 64 << 10
