intake, gate: connections leave descriptors to targets and take bounded memory in the kernel

Callers see: connections that send nothing may take all descriptors, and then no request reaches a target or a store. Bytes that a caller sends on while its request is handled stay in the kernel, up to 128 KiB for each connection, which count toward the memory of the host.

Cause: the number of connections has no bound, and the kernel's buffer does not depend on it.

Change: a listener has at most three quarters of the process's descriptors. A new connection takes the place of one that has sent no request for half a second, or else of the one that has been idle the longest (event 422). New connections get 64 KiB in the kernel until they could take a quarter of the budget, and 8 KiB from then on, which is part of their charge. Accepting never waits for memory.

Measured: TestConnectionsAreBounded.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -59,6 +59,7 @@
 	SuspectsChanged      = Kind{412, logrus.InfoLevel, "list of requests that ended targets changed"}
 	ResponseUnread       = Kind{420, logrus.InfoLevel, "response cut off, its caller does not read it"}
 	IntakeFull           = Kind{421, logrus.WarnLevel, "no memory left for what peers send, requests refused or connections closed"}
+	ConnectionsFull      = Kind{422, logrus.WarnLevel, "no descriptor left for a new connection, another one closed"}
 	TargetFailed         = Kind{501, logrus.WarnLevel, "target failed during a call"}
 	CachedPrefixReleased = Kind{502, logrus.InfoLevel, "memory held for an ended program given back"}
 	ReleaseFailed        = Kind{503, logrus.WarnLevel, "target did not accept a release, will be sent again"}
@@ -94,7 +95,7 @@
 		TargetsChanged, LeaderReached, LeaderUnreachable, ZoneOrderDecided, ZonesApplied, ServicesEvacuated, EntryDropped,
 		CallOutcomeUnknown, CallQuarantined, SessionExpired, CallCloseFailed,
 		RequestRefused, RequestSent, RequestEnded, TurnDurable, BudgetDecided,
-		QuarantineEnded, QuarantineFailed, SuspectsChanged, ResponseUnread, IntakeFull,
+		QuarantineEnded, QuarantineFailed, SuspectsChanged, ResponseUnread, IntakeFull, ConnectionsFull,
 		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull, PathCut, PathHealed, ConnectionRelayed, RelaysChanged,
 		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable, TargetCold, TargetPaced, LoadReportIgnored,
 		LinkLost, PeerRefused, FrameRefused, MessageRefused,
--- a/gate/server.go
+++ b/gate/server.go
@@ -57,6 +57,9 @@
 	Gate *Gate
 	// Listener accepts the connections of callers.
 	Listener net.Listener
+	// MaxConns is how many connections may be open. The default is three quarters of the
+	// descriptors that the process may have; the others are for targets and other hosts.
+	MaxConns int
 	// Grace is the time from the call of [Server.Drain] until the process is killed.
 	Grace time.Duration
 
@@ -83,6 +86,9 @@
 	defer close(s.served)
 	s.Gate.init()
 	listener := intake.Listen(s.Listener, s.Gate.Received, s.Gate.headerLimits)
+	if s.MaxConns > 0 {
+		listener.MaxConns = s.MaxConns
+	}
 	if err := s.server.Serve(listener); !errors.Is(err, net.ErrClosed) {
 		return errors.Wrap(err, "gate: serve")
 	}
--- a/intake/conn_test.go
+++ b/intake/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -42,6 +43,7 @@
 type testServer struct {
 	budget   *intake.Budget
 	listener pipeListener
+	maxConns int
 }
 
 // run runs a server with the limits of the deployed plans while f runs. All memory must have been
@@ -52,6 +54,7 @@
 	l := intake.Listen(&s.listener, s.budget, func() intake.Limits {
 		return intake.Limits{HeaderBytes: 16 << 10, HeaderTimeout: 3 * time.Second}
 	})
+	l.MaxConns = s.maxConns
 	server := &http.Server{Handler: h, ConnState: intake.SetState, ReadHeaderTimeout: 30 * time.Second, IdleTimeout: 2 * time.Minute}
 	var g errgroup.Group
 	g.Go(func() error { return server.Serve(l) })
@@ -162,3 +165,56 @@
 		})
 	})
 }
+
+// TestConnectionsAreBounded guards against callers that take all descriptors of the process: those
+// that have never sent a request give way first, then the one that has been idle the longest, and
+// none with a request that is being handled.
+func TestConnectionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testServer{budget: intake.NewBudget(16 * mib), maxConns: 4}
+		release := make(chan struct{})
+		hold := func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/hold" {
+				<-release
+			}
+			respond(w, r)
+		}
+		get := func(path string) string { return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: a.example\r\n\r\n", path) }
+		s.run(t, hold, func() {
+			working := s.dial(t, get("/hold"))
+			idle := s.dial(t, get("/"))
+			recent := s.dial(t, get("/"))
+			silent := s.dial(t, "")
+			open := func() {
+				time.Sleep(time.Second)
+				if got := status(s.dial(t, get("/"))); got != http.StatusOK {
+					t.Errorf("new connection: status %d", got)
+				}
+			}
+			if a, b := status(idle), status(recent); a != http.StatusOK || b != http.StatusOK {
+				t.Errorf("status %d and %d", a, b)
+			}
+			time.Sleep(time.Second)
+			_, _ = io.WriteString(recent, get("/"))
+			if got := status(recent); got != http.StatusOK {
+				t.Errorf("second request: status %d", got)
+			}
+			open()
+			if got := status(silent); got != 0 {
+				t.Errorf("the silent connection got %d", got)
+			}
+			open()
+			if got := status(idle); got != 0 {
+				t.Errorf("the idle connection got %d", got)
+			}
+			_, _ = io.WriteString(recent, get("/"))
+			if got := status(recent); got != http.StatusOK {
+				t.Errorf("the connection used last: status %d", got)
+			}
+			close(release)
+			if got := status(working); got != http.StatusOK {
+				t.Errorf("the request that was being handled: status %d", got)
+			}
+		})
+	})
+}
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -3,20 +3,33 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
+
+	"github.com/banyanspur/banyanspur/event"
 )
 
 const (
 	// connBytes is the memory of a connection without a request: its goroutine, the buffers of
-	// the HTTP server and the kernel's socket.
+	// the HTTP server, and smallReceiveBytes in the kernel.
 	connBytes = 16 << 10
-	// receiveBufferBytes is how much the kernel keeps for a connection that is not read. The
-	// default is up to 6 MB, which count toward the memory of the host.
-	receiveBufferBytes = 64 << 10
+	// receiveBytes is how much the kernel keeps for a connection that is not read, such as that
+	// of a caller that sends on while its request is handled. The default is up to 6 MB. What the
+	// kernel keeps counts toward the memory of the host.
+	receiveBytes = 64 << 10
+	// smallReceiveBytes is the same for connections that are accepted while so many are open
+	// that all of them could take more than a quarter of the budget.
+	smallReceiveBytes = 8 << 10
+	// receiveShare is the part of the budget, as one in so many, up to which connections get
+	// receiveBytes. It is not charged.
+	receiveShare = 4
+	// connsShare is the part of the descriptors of a process that the connections of a
+	// listener may take: connsShare of 4.
+	connsShare = 3
 )
 
 var refusedConns = metrics.NewCounter("banyanspur_intake_refused_connections_total")
@@ -36,37 +49,142 @@
 	Budget *Budget
 	// Limits returns the limits in force. If it is nil, there are none.
 	Limits func() Limits
+	// MaxConns is how many connections may be open. Beyond it, each new one takes the place of
+	// one that has not sent a request, or else of the one that has been idle for the longest
+	// time. 0 means no limit.
+	MaxConns int
+
+	mu       sync.Mutex
+	conns    map[*Conn]struct{}
+	small    bool // the kernel keeps smallReceiveBytes for new connections
+	loggedAt time.Time
+	closed   int // connections closed for new ones, or not accepted, since loggedAt
 }
 
-// Listen returns a listener that counts the connections of l in a budget. The kernel keeps no more
-// than receiveBufferBytes for each that is not read.
+// Listen returns a listener that counts the connections of l in a budget, with MaxConns set to
+// three quarters of the descriptors that the process may have.
 func Listen(l net.Listener, b *Budget, limits func() Limits) *Listener {
-	if sc, ok := l.(syscall.Conn); ok {
-		if raw, err := sc.SyscallConn(); err == nil {
-			_ = raw.Control(func(fd uintptr) { // Accepted connections inherit the option.
-				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
-			})
-		}
+	il := &Listener{Listener: l, Budget: b, Limits: limits, conns: map[*Conn]struct{}{}}
+	var nofile unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &nofile) == nil && nofile.Cur < 1<<30 {
+		il.MaxConns = int(nofile.Cur) / 4 * connsShare
 	}
-	return &Listener{Listener: l, Budget: b, Limits: limits}
+	il.setReceiveBuffer(receiveBytes)
+	return il
 }
 
-// Accept returns the next connection, of type [*Conn]. Those for which there is no memory are
-// closed.
+// Accept returns the next connection, of type [*Conn]. Those for which there is neither memory
+// nor a place are closed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		c := &Conn{Conn: nc, limits: l.Limits}
-		c.holder = l.Budget.Open("", func() { _ = nc.Close() })
-		if c.holder.Add(connBytes) == nil {
+		if c := l.admit(nc); c != nil {
 			return c, nil
 		}
 		refusedConns.Inc()
+	}
+}
+
+// admit returns the connection that counts for nc, or nil if it has closed nc.
+func (l *Listener) admit(nc net.Conn) *Conn {
+	c := &Conn{Conn: nc, limits: l.Limits}
+	c.holder = l.Budget.Open("", func() { _ = nc.Close() })
+	c.onClose = func() { l.remove(c) }
+	if !l.makePlace() || c.holder.addNow(connBytes) != nil {
 		_ = c.Close()
+		return nil
+	}
+	l.mu.Lock()
+	l.conns[c] = struct{}{}
+	l.resize()
+	l.mu.Unlock()
+	return c
+}
+
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+	l.resize()
+}
+
+// resize changes what the kernel keeps for new connections if their number calls for it. It must
+// be called with mu held.
+func (l *Listener) resize() {
+	n := int64(len(l.conns)) * receiveBytes
+	limit := l.Budget.size() / receiveShare
+	switch {
+	case !l.small && n > limit:
+		l.small = true
+		l.setReceiveBuffer(smallReceiveBytes)
+	case l.small && n < limit/2:
+		l.small = false
+		l.setReceiveBuffer(receiveBytes)
+	}
+}
+
+// setReceiveBuffer sets how much the kernel keeps for connections that are accepted from now on.
+func (l *Listener) setReceiveBuffer(n int) {
+	raw, err := rawConn(l.Listener)
+	if err != nil {
+		return // It is no socket.
+	}
+	_ = raw.Control(func(fd uintptr) { // Accepted connections inherit the option.
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, n/2) // The kernel doubles it.
+	})
+}
+
+// makePlace closes a connection if MaxConns are open. It returns false if there is none to close.
+func (l *Listener) makePlace() bool {
+	l.mu.Lock()
+	full := l.MaxConns > 0 && len(l.conns) >= l.MaxConns
+	var v *Conn
+	if full {
+		v = l.victim()
+		l.closed++
+	}
+	logNow := full && time.Since(l.loggedAt) >= pressureLogInterval
+	fields := event.Fields{"closed": l.closed, "open": len(l.conns), "limit": l.MaxConns}
+	if logNow {
+		l.loggedAt, l.closed = time.Now(), 0
+	}
+	if v != nil {
+		delete(l.conns, v)
+	}
+	l.mu.Unlock()
+	if logNow {
+		l.Budget.log.Write(event.ConnectionsFull, fields)
+	}
+	if v != nil {
+		v.holder.evict()
+	}
+	return !full || v != nil
+}
+
+// victim returns the connection that is to be closed for a new one, or nil if all have requests
+// that are being handled or are new. It must be called with mu held.
+func (l *Listener) victim() *Conn {
+	b := l.Budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	var v *Conn
+	for c := range l.conns {
+		h := c.holder
+		if h.phase == Working || h.evicted || now.Sub(h.since) < stallTime {
+			continue
+		}
+		if v == nil || v.holder.served && !h.served || v.holder.served == h.served && h.since.Before(v.holder.since) {
+			v = c
+		}
+	}
+	if v != nil {
+		b.evict(v.holder)
 	}
+	return v
 }
 
 // SyscallConn returns the raw listener.
