turns, wire: a large turn is encoded once for all stores

Callers see: an entry host runs out of memory under large turns.

Cause: a turn is encoded for each store, encoded again within its envelope, and copied into a frame, and the encoder's own buffer grows by doubling: by reading some 30 MB for a turn of 4 MiB.

Change: turns of 64 KiB and more are encoded once, in a buffer of their size. Each request to a store is a short head followed by the shared encoding, and the connection writes both in one message. The format does not change.

--- a/turns/call.go
+++ b/turns/call.go
@@ -17,12 +17,16 @@
 	err   error
 }
 
+// encodeRequest returns the encoding of a request to a store in two parts, see
+// [wire.CallEncoded]. It may be called for several stores at the same time.
+type encodeRequest func(StoreID, Epoch) (head, tail []byte)
+
 // callShard sends a request to the stores of a shard and returns the replies
 // once a majority has replied. Requests to the other stores continue in the
 // background. If the shard has moved, it starts again with the new placement, until
 // ctx ends. If so many stores have no capacity that there can be no majority, it
 // returns an overloaded fault at once.
-func callShard[Req, Resp any](ctx context.Context, c *Client, shard Shard, kind wire.Kind, newRequest func(StoreID, Epoch) Req) (map[StoreID]Resp, error) {
+func callShard[Resp any](ctx context.Context, c *Client, shard Shard, kind wire.Kind, newRequest encodeRequest) (map[StoreID]Resp, error) {
 	for {
 		m := c.Map()
 		if len(m.Placement(shard).Current) == 0 {
@@ -32,7 +36,7 @@
 			continue
 		}
 		rounds(kind).Inc()
-		call := newShardCall[Req, Resp](ctx, c, m, shard, kind, newRequest)
+		call := newShardCall[Resp](ctx, c, m, shard, kind, newRequest)
 		replies, err := call.run(ctx)
 		time.AfterFunc(storeTimeout, call.cancel)
 		if replies != nil || err != nil {
@@ -44,13 +48,13 @@
 // shardCall is one request to the stores of a placement. A store has one request of it at
 // a time, however late the reply is: a slow store does the work of each request that it
 // gets, so repeating those without a reply would slow it further until no reply is in time.
-type shardCall[Req, Resp any] struct {
+type shardCall[Resp any] struct {
 	client     *Client
 	shard      Shard
 	shardMap   *Map
 	placement  Placement
 	kind       wire.Kind
-	newRequest func(StoreID, Epoch) Req
+	newRequest encodeRequest
 
 	ctx     context.Context //nolint:containedctx // Outlives the call: writes to replicas go on.
 	cancel  context.CancelFunc
@@ -62,9 +66,9 @@
 	noCapacity map[StoreID]bool
 }
 
-func newShardCall[Req, Resp any](ctx context.Context, c *Client, m *Map, shard Shard, kind wire.Kind, newRequest func(StoreID, Epoch) Req) *shardCall[Req, Resp] {
+func newShardCall[Resp any](ctx context.Context, c *Client, m *Map, shard Shard, kind wire.Kind, newRequest encodeRequest) *shardCall[Resp] {
 	p := m.Placement(shard)
-	call := &shardCall[Req, Resp]{
+	call := &shardCall[Resp]{
 		client: c, shard: shard, shardMap: m, placement: p, kind: kind, newRequest: newRequest,
 		stores: c.sortForMove(m, p, c.sortByDistance(m, rotated(p.All(), int(shard)))), results: make(chan storeResult[Resp]),
 		replies: map[StoreID]Resp{}, noCapacity: map[StoreID]bool{},
@@ -77,7 +81,7 @@
 // a fault if ctx has ended or too many stores have no capacity. It first sends the request
 // to the nearest stores, as many as initialRequests returns, and to the others if one of
 // these fails or is slow.
-func (s *shardCall[Req, Resp]) run(ctx context.Context) (map[StoreID]Resp, error) {
+func (s *shardCall[Resp]) run(ctx context.Context) (map[StoreID]Resp, error) {
 	s.send(initialRequests(s.placement, s.stores, s.kind))
 	hedge := time.NewTimer(s.client.closeReplies.hedgeDelay(minSettleHedgeDelay, s.stores[s.sent:]))
 	defer hedge.Stop()
@@ -111,7 +115,7 @@
 }
 
 // hasMoved reports whether the newest map has another placement of the shard.
-func (s *shardCall[Req, Resp]) hasMoved() bool {
+func (s *shardCall[Resp]) hasMoved() bool {
 	m := s.client.Map()
 	if m == s.shardMap {
 		return false
@@ -121,7 +125,7 @@
 }
 
 // send sends the request to stores in the background until n of them have got it.
-func (s *shardCall[Req, Resp]) send(n int) {
+func (s *shardCall[Resp]) send(n int) {
 	for ; s.sent < n; s.sent++ {
 		id := s.stores[s.sent]
 		s.client.background.Go(func() error {
@@ -133,7 +137,7 @@
 
 // callStore sends the request to one store until the store replies or the call is canceled.
 // It sends it again only if the connection is lost or the store returns an error.
-func (s *shardCall[Req, Resp]) callStore(id StoreID) {
+func (s *shardCall[Resp]) callStore(id StoreID) {
 	delay := retryInterval
 	for s.ctx.Err() == nil {
 		address, ok := s.address(id)
@@ -145,7 +149,8 @@
 			continue
 		}
 		startedAt := time.Now()
-		reply, err := wire.Call[Req, Resp](s.ctx, link, s.kind, s.newRequest(id, s.placement.Epoch))
+		head, tail := s.newRequest(id, s.placement.Epoch)
+		reply, err := wire.CallEncoded[Resp](s.ctx, link, s.kind, head, tail)
 		if err == nil {
 			s.client.recordReply(s.kind, id, time.Since(startedAt))
 		}
@@ -164,14 +169,14 @@
 
 // waitConnected waits until the link is connected. It returns false after maxRetryInterval, since
 // the store may have another address by then, or if the call is canceled.
-func (s *shardCall[Req, Resp]) waitConnected(link *wire.Link) bool {
+func (s *shardCall[Resp]) waitConnected(link *wire.Link) bool {
 	ctx, cancel := context.WithTimeout(s.ctx, maxRetryInterval)
 	defer cancel()
 	return link.WaitConnected(ctx)
 }
 
 // address returns the address of a store. ok is false if the store is no longer known.
-func (s *shardCall[Req, Resp]) address(id StoreID) (address string, ok bool) {
+func (s *shardCall[Resp]) address(id StoreID) (address string, ok bool) {
 	m := s.client.Map()
 	if m == nil {
 		m = s.shardMap
--- a/turns/client.go
+++ b/turns/client.go
@@ -145,10 +145,10 @@
 // of a majority. If the claim in req is empty, the claims are only read.
 func (c *Client) sendClaim(ctx context.Context, req ClaimRequest) (Claims, error) {
 	merged := Claims{}
-	replies, err := callShard[ClaimRequest, ClaimReply](ctx, c, req.Shard, KindClaim, func(store StoreID, epoch Epoch) ClaimRequest {
+	replies, err := callShard[ClaimReply](ctx, c, req.Shard, KindClaim, func(store StoreID, epoch Epoch) (head, tail []byte) {
 		to := req // Several stores are sent to at the same time.
 		to.To, to.Epoch = store, epoch
-		return to
+		return types.Encode(to), nil
 	})
 	for _, reply := range replies {
 		for _, claim := range reply.Claims {
@@ -166,11 +166,11 @@
 		Shard: ShardOf(b.Account, b.Program), Account: b.Account, Program: b.Program,
 		Claim: Claim{Attempt: b.Attempt, MaxTokens: b.MaxTokens, Used: used, Settled: true}, Turn: t,
 	}
-	startedAt := c.now()
-	_, err := callShard[CloseRequest, EmptyReply](ctx, c, req.Shard, KindClose, func(store StoreID, epoch Epoch) CloseRequest {
+	startedAt, turn := c.now(), req.shareTurn()
+	_, err := callShard[EmptyReply](ctx, c, req.Shard, KindClose, func(store StoreID, epoch Epoch) (head, tail []byte) {
 		to := req // Several stores are sent to at the same time.
 		to.To, to.Epoch = store, epoch
-		return to
+		return to.encode(turn)
 	})
 	if err == nil && t != nil {
 		c.cache.put(*t, startedAt, c.cacheBytes())
--- a/turns/messages.go
+++ b/turns/messages.go
@@ -53,6 +53,38 @@
 	Turn    *Turn           `json:"turn,omitempty"`
 }
 
+// sharedTurnBytes is the size from which on a turn is encoded once for all stores.
+const sharedTurnBytes = 64 << 10
+
+// closeHead is a [CloseRequest] whose turn is encoded already.
+type closeHead struct {
+	To      StoreID          `json:"to"`
+	Shard   Shard            `json:"shard"`
+	Epoch   Epoch            `json:"epoch"`
+	Account types.AccountID  `json:"account"`
+	Program types.ProgramID  `json:"program"`
+	Claim   Claim            `json:"claim"`
+	Turn    types.RawMessage `json:"turn"`
+}
+
+// shareTurn returns the encoded turn if it is large.
+func (r *CloseRequest) shareTurn() []byte {
+	if r.Turn == nil || r.Turn.memoryBytes() < sharedTurnBytes {
+		return nil
+	}
+	return types.EncodeSized(r.Turn, r.Turn.memoryBytes()+len(r.Turn.Account)+len(r.Turn.ID)+len(r.Turn.Previous)+len(r.Turn.Program)+len(r.Turn.Target))
+}
+
+// encode returns the encoding of r in two parts. turn is the result of shareTurn.
+func (r CloseRequest) encode(turn []byte) (head, tail []byte) {
+	if turn == nil {
+		return types.Encode(r), nil
+	}
+	return types.EncodeHead(func(last types.RawMessage) closeHead {
+		return closeHead{To: r.To, Shard: r.Shard, Epoch: r.Epoch, Account: r.Account, Program: r.Program, Claim: r.Claim, Turn: last}
+	}), turn
+}
+
 // EmptyReply is the reply to a request that returns no data.
 type EmptyReply struct{}
 
--- a/types/codec.go
+++ b/types/codec.go
@@ -1,6 +1,8 @@
 package types
 
 import (
+	"bytes"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -30,6 +32,30 @@
 	return b
 }
 
+// EncodeSized is [Encode] for large values: it takes size bytes of memory at once, and no more
+// if the encoding is not longer.
+func EncodeSized[T any](v T, size int) []byte {
+	b := bytes.NewBuffer(make([]byte, 0, size))
+	if err := cbor.MarshalToBuffer(v, b); err != nil {
+		panic(errors.Wrapf(err, "types: encode %T", v))
+	}
+	return b.Bytes()
+}
+
+// null is the encoding of no value.
+const null = 0xf6
+
+// EncodeHead returns the encoding of v without its last value, a [RawMessage] that newValue has
+// set to the one that it is given. What follows is that value's own encoding, which several
+// messages may share.
+func EncodeHead[T any](newValue func(last RawMessage) T) []byte {
+	b := Encode(newValue(RawMessage{null}))
+	if b[len(b)-1] != null {
+		panic(errors.Newf("types: the raw message is not the last value of %T", newValue(nil)))
+	}
+	return b[:len(b)-1]
+}
+
 // Decode parses a value encoded by [Encode].
 func Decode[T any](b []byte) (T, error) {
 	var v T
--- a/wire/bounds.go
+++ b/wire/bounds.go
@@ -65,7 +65,7 @@
 
 // size returns the approximate memory of an envelope.
 func (e *envelope) size() int {
-	n := len(e.Body) + len(e.Kind)
+	n := len(e.Body) + len(e.tail) + len(e.Kind)
 	if e.Fault != nil {
 		n += len(e.Fault.Message)
 	}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -23,6 +23,9 @@
 	Body  types.RawMessage `json:"body,omitempty"`
 	Fault *types.Fault     `json:"fault,omitempty"`
 	Reply bool             `json:"answer,omitempty"`
+
+	// tail is the rest of Body. It is not copied when the envelope is written.
+	tail []byte
 }
 
 const (
@@ -122,11 +125,11 @@
 	defer s.queue.reuse(envelopes)
 	var frame []byte
 	for i, e := range envelopes {
-		frame = append(frame, types.Encode(e)...)
-		if len(frame) < batchBytes && i < len(envelopes)-1 {
+		frame = e.appendTo(frame)
+		if len(e.tail) == 0 && len(frame) < batchBytes && i < len(envelopes)-1 {
 			continue
 		}
-		if err := s.write(ctx, frame); err != nil {
+		if err := s.write(ctx, frame, e.tail); err != nil {
 			return err
 		}
 		frame = nil
@@ -134,15 +137,43 @@
 	return nil
 }
 
-func (s *stream) write(ctx context.Context, frame []byte) error {
+// appendTo appends the envelope without its tail, which must follow.
+func (e *envelope) appendTo(frame []byte) []byte {
+	if len(e.tail) == 0 {
+		b := types.Encode(*e)
+		if len(frame) == 0 {
+			return b
+		}
+		return append(frame, b...)
+	}
+	frame = append(frame, types.EncodeHead(func(body types.RawMessage) envelope {
+		return envelope{ID: e.ID, Kind: e.Kind, Body: body}
+	})...)
+	return append(frame, e.Body...)
+}
+
+// write writes a frame that consists of two parts.
+func (s *stream) write(ctx context.Context, frame, tail []byte) error {
 	sentFrames.Inc()
-	sentBytes.Add(len(frame))
+	sentBytes.Add(len(frame) + len(tail))
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	if s.dialed {
 		s.liveness.sent()
 	}
-	return s.conn.Write(ctx, websocket.MessageBinary, frame)
+	if len(tail) == 0 {
+		return s.conn.Write(ctx, websocket.MessageBinary, frame)
+	}
+	w, err := s.conn.Writer(ctx, websocket.MessageBinary)
+	if err != nil {
+		return err
+	}
+	for _, part := range [][]byte{frame, tail} {
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
+	}
+	return w.Close()
 }
 
 func (s *stream) readLoop(ctx context.Context, receive func(envelope)) error {
--- a/wire/link.go
+++ b/wire/link.go
@@ -261,6 +261,13 @@
 // Ran reports whether the host may have processed the request, unless the reply
 // cannot be decoded.
 func Call[Req, Resp any](ctx context.Context, l *Link, kind Kind, req Req) (Resp, error) {
+	return CallEncoded[Resp](ctx, l, kind, types.Encode(req), nil)
+}
+
+// CallEncoded is [Call] for a request whose encoding is head followed by tail, such as one that
+// [types.EncodeHead] returns and what it lacks. tail may be shared by requests to several hosts,
+// and must not change until all calls have returned.
+func CallEncoded[Resp any](ctx context.Context, l *Link, kind Kind, head, tail []byte) (Resp, error) {
 	var zero Resp
 	c := l.activeConnection()
 	if c == nil {
@@ -270,7 +277,7 @@
 	if !ok {
 		return zero, errNotConnected
 	}
-	err := c.stream.send(envelope{ID: id, Kind: kind, Body: types.Encode(req)})
+	err := c.stream.send(envelope{ID: id, Kind: kind, Body: head, tail: tail})
 	if errors.Is(err, errMessageTooLarge) {
 		c.pending.remove(id)
 		return zero, errMessageTooLarge
