turns: the cache holds no turn of more than an eighth of its memory

Callers see: chains of ordinary programs are fetched again from stores while others send large turns, since two turns of 4 MiB displace all others from the cache of 8 MiB.

Change: such turns are not cached. Those that continue them fetch them from the stores.

Measured: TestLargestTurnIsContinued fetches its chain; go test ./turns passes.

--- a/turns/cache.go
+++ b/turns/cache.go
@@ -55,9 +55,16 @@
 	return t.Turn, true
 }
 
-// put adds a turn, then evicts the least recently used turns until the cache
-// takes at most maxBytes. writtenAt is 0 unless this process wrote the turn.
+// maxTurnShare is the part of the cache, as one in so many, that a single turn may take. A few
+// large turns would displace those of hundreds of programs.
+const maxTurnShare = 8
+
+// put adds a turn unless it is too large, then evicts the least recently used turns until the
+// cache takes at most maxBytes. writtenAt is 0 unless this process wrote the turn.
 func (c *cache) put(t Turn, writtenAt types.Mono, maxBytes int) {
+	if t.memoryBytes() > maxBytes/maxTurnShare {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.elements == nil {
