gate, fetch: copies of bodies and chains count in the budget before a target runs the request

Callers see: an entry host runs out of memory although each body is within its limit.

Cause: the prompt was built for each attempt from the chain and the body, and copied again behind the head of the request; the chain was held until the response had ended; none of it counted.

Change: chain and body are written to the target without a copy, beyond 64 KiB. The chain counts until the target responds, and the encoding of a turn from 16 KiB on is charged with the body; if there is no memory for it, the request gets 503 and reaches no target. What a target has run is stored whatever the budget says.

--- a/fetch/begin.go
+++ b/fetch/begin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"syscall"
 	"time"
 
@@ -20,7 +21,7 @@
 // n bytes. As long as no byte was accepted, the request cannot have reached the target, and
 // begin goes on to the next connection if it has taken an idle one. stop keeps ctx from
 // closing the connection. A returned error is an *[Error].
-func (p *Pool) begin(ctx context.Context, address string, request []byte, newOnly bool) (_ *conn, n int, stop func() bool, err error) {
+func (p *Pool) begin(ctx context.Context, address string, request net.Buffers, newOnly bool) (_ *conn, n int, stop func() bool, err error) {
 	for {
 		c, err := p.connect(ctx, address, newOnly)
 		if err != nil {
@@ -97,7 +98,7 @@
 // target has not closed the connection: a close that arrives between the check and the write
 // leaves open whether the request has run. If it returns an error, no byte was accepted.
 // Nothing is written to connections other than sockets.
-func (c *conn) writeFirst(b []byte) (n int, err error) {
+func (c *conn) writeFirst(b net.Buffers) (n int, err error) {
 	raw, isSocket := c.rawConn()
 	if !isSocket {
 		return 0, nil
@@ -121,9 +122,9 @@
 
 // writeOnce writes as much of b as the kernel accepts without waiting. An error means that it
 // has accepted nothing.
-func writeOnce(fd int, b []byte) (int, error) {
+func writeOnce(fd int, b net.Buffers) (int, error) {
 	for {
-		n, err := unix.Write(fd, b)
+		n, err := writeBuffers(fd, b)
 		switch err {
 		case nil:
 			return n, nil
@@ -138,6 +139,16 @@
 	}
 }
 
+// maxWrittenParts is the number of parts that the kernel accepts at once.
+const maxWrittenParts = 1024
+
+func writeBuffers(fd int, b net.Buffers) (int, error) {
+	if len(b) == 1 {
+		return unix.Write(fd, b[0])
+	}
+	return unix.Writev(fd, b[:min(len(b), maxWrittenParts)])
+}
+
 // rawConn returns the socket of the connection if it is one.
 func (c *conn) rawConn() (raw syscall.RawConn, ok bool) {
 	sc, ok := c.Conn.(syscall.Conn)
--- a/fetch/do.go
+++ b/fetch/do.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -22,6 +24,9 @@
 	// Header must contain neither Host nor fields that frame the body, such as
 	// Content-Length.
 	Header http.Header
+	// Prefix is sent before Body as a part of it, so that parts which several requests share
+	// need no copy.
+	Prefix [][]byte
 	Body   []byte
 	// ID identifies the request. A response whose header field IDHeader has
 	// another value belongs to another request and is skipped; one without the
@@ -100,10 +105,10 @@
 	resp := &Response{Reused: c.used, pool: p, address: address, conn: c, written: make(chan struct{}), stopCancel: stop}
 	c.used = true
 	var writer errgroup.Group
-	if n == len(request) {
+	if rest := after(request, n); len(rest) == 0 {
 		close(resp.written)
 	} else {
-		writer.Go(func() error { return writeRest(c, request[n:], resp.written) })
+		writer.Go(func() error { return writeRest(c, rest, resp.written) })
 	}
 	if err := resp.readHead(r); err != nil {
 		stop()
@@ -116,27 +121,53 @@
 	return resp, nil
 }
 
-// encode returns head and body as they are sent.
-func (r *Request) encode() ([]byte, error) {
+// copiedBodyBytes is the size of a body up to which it is copied behind the head, so that the
+// request is one buffer.
+const copiedBodyBytes = 64 << 10
+
+// encode returns head and body as they are sent, in one or more parts.
+func (r *Request) encode() (net.Buffers, error) {
+	size := len(r.Body)
+	for _, p := range r.Prefix {
+		size += len(p)
+	}
 	var b bytes.Buffer
-	b.Grow(len(r.Body) + 1<<10)
+	b.Grow(min(size, copiedBodyBytes) + 1<<10)
 	b.WriteString(r.Method + " " + r.RequestTarget + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if err := r.Header.Write(&b); err != nil {
 		return nil, err
 	}
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if size > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n")
 	}
 	b.WriteString("\r\n")
+	if size > copiedBodyBytes {
+		return slices.Concat(net.Buffers{b.Bytes()}, r.Prefix, net.Buffers{r.Body}), nil
+	}
+	for _, p := range r.Prefix {
+		b.Write(p)
+	}
 	b.Write(r.Body)
-	return b.Bytes(), nil
+	return net.Buffers{b.Bytes()}, nil
+}
+
+// after returns what follows the first n bytes of a request.
+func after(request net.Buffers, n int) net.Buffers {
+	for len(request) > 0 && n >= len(request[0]) {
+		request, n = request[1:], n-len(request[0])
+	}
+	if n > 0 {
+		request = slices.Clone(request)
+		request[0] = request[0][n:]
+	}
+	return request
 }
 
 // writeRest sends the rest of a request, and closes written if that succeeds. A target
 // may respond without having read the whole request, so [Pool.Do] ignores the
 // error and relies on the response.
-func writeRest(c *conn, rest []byte, written chan<- struct{}) error {
-	if _, err := c.Write(rest); err != nil {
+func writeRest(c *conn, rest net.Buffers, written chan<- struct{}) error {
+	if _, err := rest.WriteTo(c); err != nil {
 		return err
 	}
 	close(written)
--- a/fetch/fetch_test.go
+++ b/fetch/fetch_test.go
@@ -278,3 +278,36 @@
 	}
 	<-ended
 }
+
+// TestPartsOfBodyAreSentInOrder guards against requests that lose or reorder parts of a body that
+// is not copied, also where the kernel accepts only a part of it at once.
+func TestPartsOfBodyAreSentInOrder(t *testing.T) {
+	bodies := make(chan string, 1)
+	tg := newTarget(t, func(c net.Conn, r *bufio.Reader, _ func() (string, bool)) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			time.Sleep(20 * time.Millisecond) // The connection becomes full.
+			b, _ := io.ReadAll(req.Body)
+			bodies <- string(b)
+			_, _ = io.WriteString(c, okResponse("x", "ok"))
+		}
+	})
+	var p fetch.Pool
+	for _, size := range []int{10, 1000, 100 << 10, 5 << 20} {
+		prefix := [][]byte{[]byte("first"), []byte(strings.Repeat("p", size)), []byte("second")}
+		resp, err := p.Do(t.Context(), tg.address, &fetch.Request{
+			Method: http.MethodPost, RequestTarget: "/", Host: "a.example", Header: http.Header{"Id": {"x"}}, Prefix: prefix, Body: []byte("last"), ID: "x", IDHeader: "Id",
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Close()
+		if got := <-bodies; got != "first"+strings.Repeat("p", size)+"secondlast" {
+			t.Errorf("prefix of %d bytes: body of %d bytes begins with %.20q", size, len(got), got)
+		}
+	}
+}
--- a/gate/body.go
+++ b/gate/body.go
@@ -52,7 +52,8 @@
 	case c.received.Evicted():
 		r.status, r.reason = http.StatusRequestTimeout, "the body arrived too slowly while others needed the memory"
 	case errors.Is(err, intake.ErrFull):
-		r.status, r.reason, r.retryAfter = http.StatusServiceUnavailable, noMemoryReason, busyRetryAfter
+		r = noMemory()
+		r.bodyLeft = true
 	case c.gate.answersEnded():
 		r = refusedByStop()
 		r.bodyLeft = true
@@ -62,12 +63,14 @@
 	return r
 }
 
-const (
-	noMemoryReason = "the host has no memory left for the request"
-	// restTime bounds the wait for the rest of a body after a response that does not need it. The
-	// server reads up to 256 KiB of it in order to keep the connection.
-	restTime = 500 * time.Millisecond
-)
+// noMemory returns the response to a request for which the host has no memory left.
+func noMemory() *errorResponse {
+	return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: busyRetryAfter, reason: "the host has no memory left for the request"}
+}
+
+// restTime bounds the wait for the rest of a body after a response that does not need it. The
+// server reads up to 256 KiB of it in order to keep the connection.
+const restTime = 500 * time.Millisecond
 
 // endBody closes the caller's connection if the response was written before the body had been
 // read to its end.
--- a/gate/call.go
+++ b/gate/call.go
@@ -59,6 +59,7 @@
 	previous   turns.TurnID
 	lastTarget types.TargetID // target that ran the previous turn
 	chain      []turns.Turn
+	chainBytes int64 // charged for chain
 }
 
 // errorResponse is a final response that this host generates itself.
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -144,7 +144,7 @@
 	c.endAttempt = sync.OnceFunc(func() { c.gate.targets.requestEnded(t.ID, choice.tokens) })
 	defer func() { c.endAttempt() }()
 	resp, err := c.gate.pool.Do(ctx, t.Address, &fetch.Request{
-		Method: c.r.Method, RequestTarget: c.requestURI(), Host: c.r.Host, Header: c.targetHeader(t, remaining), Body: c.buildPrompt(),
+		Method: c.r.Method, RequestTarget: c.requestURI(), Host: c.r.Host, Header: c.targetHeader(t, remaining), Prefix: c.promptPrefix(), Body: c.body,
 		ID: c.id, IDHeader: c.gate.HeaderNames.RequestID, MaxBodyBytes: maxResponseBytes,
 	})
 	fields := event.Fields{
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -145,6 +145,7 @@
 		return
 	}
 	s.headSent = true
+	s.call.dropChain()
 	copyHeader(s.call.w.Header(), resp.Header)
 	s.call.status = resp.Status
 	s.call.w.WriteHeader(resp.Status)
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"strconv"
@@ -11,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/intake"
 	"github.com/banyanspur/banyanspur/plan"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
@@ -37,6 +37,9 @@
 // program's budget.
 func (c *call) admit() *errorResponse {
 	c.parseTurnHeaders()
+	if r := c.chargeCopy(); r != nil {
+		return r
+	}
 	if !c.turn.hasClaim && c.turn.previous == "" {
 		return c.takeFromLimit()
 	}
@@ -70,7 +73,10 @@
 	if r := c.turnError(chainErr, budgetErr); r != nil {
 		return r
 	}
-	return limited
+	if limited != nil {
+		return limited
+	}
+	return c.chargeChain()
 }
 
 // turnError returns the error response for the errors of fetching the chain and
@@ -140,23 +146,59 @@
 	c.turn.hasClaim = hasBudget
 }
 
-// buildPrompt returns the request body for the target: the inputs and outputs of
-// all turns in the chain, followed by the new input.
-func (c *call) buildPrompt() []byte {
-	if len(c.turn.chain) == 0 {
-		return c.body
+// minCopyBytes is the size of an input from which on its copies are charged. Smaller ones are
+// short-lived, and copied while few others are.
+const minCopyBytes = 16 << 10
+
+// chargeCopy charges the copy of the input that is sent to the stores, while the request can be
+// refused. Once a target has run the turn, it must be stored.
+func (c *call) chargeCopy() *errorResponse {
+	if !c.route.Stateful || len(c.body) < minCopyBytes || c.received.Add(int64(len(c.body))) == nil {
+		return nil
 	}
-	size := len(c.body)
+	c.turn.settled = true // There is no claim yet.
+	return noMemory()
+}
+
+// chargeChain charges the turns that the request continues until a target responds.
+func (c *call) chargeChain() *errorResponse {
 	for _, t := range c.turn.chain {
-		size += len(t.Input) + len(t.Output)
+		c.turn.chainBytes += int64(len(t.Input) + len(t.Output))
+	}
+	if c.turn.chainBytes == 0 {
+		return nil
 	}
-	b := bytes.NewBuffer(make([]byte, 0, size))
+	if c.received == nil {
+		c.received = c.gate.Received.Open(c.accountID(), func() {})
+		c.received.SetPhase(intake.Working)
+	}
+	if c.received.Add(c.turn.chainBytes) != nil {
+		return noMemory()
+	}
+	return nil
+}
+
+// dropChain returns the memory of the chain. The request can't be sent to another target then.
+func (c *call) dropChain() {
+	if c.turn.chainBytes > 0 {
+		c.turn.chain = nil
+		c.received.Release(c.turn.chainBytes)
+		c.turn.chainBytes = 0
+	}
+}
+
+// promptPrefix returns what precedes the new input in the request body for the target: the
+// inputs and outputs of all turns in the chain.
+func (c *call) promptPrefix() [][]byte {
+	var parts [][]byte
 	for _, t := range c.turn.chain {
-		b.Write(t.Input)
-		b.Write(t.Output)
+		for _, p := range [][]byte{t.Input, t.Output} {
+			if len(p) > 0 {
+				parts = append(parts, p)
+			}
+		}
 	}
-	b.Write(c.body)
-	return b.Bytes()
+	return parts
 }
 
 // commitTurn stores the turn and settles its budget claim with the number of tokens
--- a/host/entry.go
+++ b/host/entry.go
@@ -24,7 +24,7 @@
 		DialTarget: n.DialTarget, RelayAddress: n.Settings.PeerAddress(), Secret: n.secret,
 		ColdBound: coldBound(n.Settings), TargetPace: n.Settings.TargetPace, PaceSelective: n.Settings.PaceSelective,
 		Backlog: gate.NewBacklog(gate.BacklogBytes(n.Settings.MemoryMB)), Received: n.received,
-		Turns:   &turns.Client{Peers: n.peers, Zone: n.Settings.Zone, Map: func() *turns.Map { return n.client.View().Map }},
+		Turns: &turns.Client{Peers: n.peers, Zone: n.Settings.Zone, Map: func() *turns.Map { return n.client.View().Map }},
 	}
 	n.client.OnChange = func(v fleet.View) { gt.TargetsChanged(v.Targets) }
 	n.onSettings(func(s config.NodeSettings) {
