fetch, gate: many unread responses take bounded memory in the kernel

Callers see: a host runs out of memory under callers that do not read large responses, many at once: the kernel keeps up to 0.5 MB of each.

Cause: the buffer of a connection to a target does not depend on their number.

Change: each new connection gets a share of a sixteenth of the host's memory that falls with the number of open ones, at least 16 KiB. Listeners have at most three eighths of the descriptors, not three quarters, since each connection of a caller may need one to a target.

--- a/fetch/conn.go
+++ b/fetch/conn.go
@@ -6,10 +6,12 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // conn is a connection to a target, used by one request at a time.
@@ -24,6 +26,8 @@
 	// headBytes is how many more bytes may be read while readingHead is set.
 	headBytes   int
 	readingHead bool
+	open        *atomic.Int64 // counts the open connections of the pool; nil if it does not count this one
+	closed      atomic.Bool
 }
 
 // quieter is implemented by connections that know whether they can be reused: they are
@@ -48,6 +52,27 @@
 	return c
 }
 
+// limitBuffer makes the kernel keep no more than n bytes that have not been read, if n is positive
+// and less than what it keeps already.
+func (c *conn) limitBuffer(n int64) {
+	if n <= 0 || n >= 2*receiveBufferBytes {
+		return // The kernel doubles the size that it is given.
+	}
+	if raw, isSocket := c.rawConn(); isSocket {
+		_ = raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, int(max(n, minReceiveBytes))/2)
+		})
+	}
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	if c.open != nil && !c.closed.Swap(true) {
+		c.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
 // readHead reads the head of a response to a request with the given method. It fails
 // if the head is longer than maxHeadBytes, which the parser does not limit.
 func (c *conn) readHead(method string) (*http.Response, error) {
--- a/fetch/pool.go
+++ b/fetch/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,6 +19,13 @@
 type Pool struct {
 	// Dial opens a connection to an address. The default is [DialTCP].
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// ReceiveBytes is what the kernel's buffers of a few connections may take of responses that
+	// have not been read: a new connection gets its share of it, at least minReceiveBytes and at
+	// most what receiveBufferBytes allows. 0 means no limit. It must not change after the first
+	// use.
+	ReceiveBytes int64
+
+	open atomic.Int64 // connections that were dialed and have not been closed
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address; the most recently used one is last
@@ -43,6 +51,9 @@
 	// for each response whose caller reads slowly. At a round trip of 40 ms, this allows
 	// 6.4 MB per second.
 	receiveBufferBytes = 256 << 10
+	// minReceiveBytes is the smallest buffer, with which hundreds of connections take a small
+	// part of the memory of a host. At a round trip of 2 ms, it allows 4 MB per second.
+	minReceiveBytes = 16 << 10
 	// silenceTimeout is how long sent data or keepalive probes may remain
 	// unacknowledged before the connection breaks. A sound target may be silent for a
 	// second or so.
@@ -87,7 +98,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(nc), nil
+	c := newConn(nc)
+	c.open = &p.open
+	c.limitBuffer(p.ReceiveBytes / p.open.Add(1))
+	return c, nil
 }
 
 // DialTCP opens a TCP connection within [DefaultDialTimeout]. The connection breaks if
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -138,6 +138,7 @@
 		if g.Received == nil {
 			g.Received = intake.NewBudget(intake.Bytes(0))
 		}
+		g.pool.ReceiveBytes = g.Received.Limit() / responseShare
 		g.limits.init(g)
 		g.targets.clock, g.targets.observesOnReport = g.Clock, g.TargetPace
 		g.targets.observes.Store(g.TargetPace && !g.PaceSelective)
@@ -168,6 +169,10 @@
 	return err
 }
 
+// responseShare is the part of the budget for requests, as one in so many, whose size the kernel's
+// buffers for responses of targets have. It is not charged.
+const responseShare = 4
+
 const (
 	// backgroundGrace is how long Run waits for background work on shutdown.
 	backgroundGrace = 300 * time.Millisecond
--- a/gate/server.go
+++ b/gate/server.go
@@ -57,7 +57,7 @@
 	Gate *Gate
 	// Listener accepts the connections of callers.
 	Listener net.Listener
-	// MaxConns is how many connections may be open. The default is three quarters of the
+	// MaxConns is how many connections may be open. The default is three eighths of the
 	// descriptors that the process may have; the others are for targets and other hosts.
 	MaxConns int
 	// Grace is the time from the call of [Server.Drain] until the process is killed.
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -82,7 +82,8 @@
 // budget is used. Without it, events are discarded.
 func (b *Budget) SetLog(log event.Log) { b.log = log }
 
-func (b *Budget) size() int64 {
+// Limit returns the size of the budget.
+func (b *Budget) Limit() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.limit
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -28,7 +28,8 @@
 	// receiveBytes. It is not charged.
 	receiveShare = 4
 	// connsShare is the part of the descriptors of a process that the connections of a
-	// listener may take: connsShare of 4.
+	// listener may take, in eighths. Each may need another one to a target; the rest is for other
+	// hosts and files.
 	connsShare = 3
 )
 
@@ -62,12 +63,12 @@
 }
 
 // Listen returns a listener that counts the connections of l in a budget, with MaxConns set to
-// three quarters of the descriptors that the process may have.
+// three eighths of the descriptors that the process may have.
 func Listen(l net.Listener, b *Budget, limits func() Limits) *Listener {
 	il := &Listener{Listener: l, Budget: b, Limits: limits, conns: map[*Conn]struct{}{}}
 	var nofile unix.Rlimit
 	if unix.Getrlimit(unix.RLIMIT_NOFILE, &nofile) == nil && nofile.Cur < 1<<30 {
-		il.MaxConns = int(nofile.Cur) / 4 * connsShare
+		il.MaxConns = int(nofile.Cur) * connsShare / 8
 	}
 	il.setReceiveBuffer(receiveBytes)
 	return il
@@ -115,7 +116,7 @@
 // be called with mu held.
 func (l *Listener) resize() {
 	n := int64(len(l.conns)) * receiveBytes
-	limit := l.Budget.size() / receiveShare
+	limit := l.Budget.Limit() / receiveShare
 	switch {
 	case !l.small && n > limit:
 		l.small = true
