host, platform, intake: what all ports receive counts in the memory of the host

Callers see: an operators' port that gets many large bodies at once ends its control host. 150 connections with configurations of 4 MiB short of their end took 416 MB of 280.

Cause: putConfig read each body with io.ReadAll, without a time limit and without a bound on their sum, and other ports held connections and bodies of any number of peers.

Change: intake.ReadBody reads a body that counts in the budget of the process, within a time, and says how to refuse one. Operators' orders are read with it, and large configurations are handled one after another. The refusals are those after which an operator sends a valid configuration again: 503 with Retry-After without memory, 408 after 30 s. A body beyond 16 MiB gets 413 instead of 400. All servers of host accept connections through intake, with an idle time, and do not read bodies that no handler needs.

Evidence: TestUnfinishedConfigurationsTakeLittleMemory, 24 unfinished bodies of 4 MiB to a host of 64 MB: 133 MiB in use before, at most 32 MiB after, and a configuration of 4 MiB is read beside them.

--- a/host/entry.go
+++ b/host/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +11,7 @@
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/gate"
+	"github.com/banyanspur/banyanspur/intake"
 	"github.com/banyanspur/banyanspur/relay"
 	"github.com/banyanspur/banyanspur/turns"
 )
@@ -24,7 +24,7 @@
 		DialTarget: n.DialTarget, RelayAddress: n.Settings.PeerAddress(), Secret: n.secret,
 		ColdBound: coldBound(n.Settings), TargetPace: n.Settings.TargetPace, PaceSelective: n.Settings.PaceSelective,
 		Backlog: gate.NewBacklog(gate.BacklogBytes(n.Settings.MemoryMB)), Received: n.received,
-		Turns:   &turns.Client{Peers: n.peers, Zone: n.Settings.Zone, Map: func() *turns.Map { return n.client.View().Map }},
+		Turns: &turns.Client{Peers: n.peers, Zone: n.Settings.Zone, Map: func() *turns.Map { return n.client.View().Map }},
 	}
 	n.client.OnChange = func(v fleet.View) { gt.TargetsChanged(v.Targets) }
 	n.onSettings(func(s config.NodeSettings) {
@@ -78,18 +78,5 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return n.serve(ctx, g, n.Settings.ReadyListen, mux)
-}
-
-// serveOn serves h on listener in g until ctx ends.
-func serveOn(ctx context.Context, g *errgroup.Group, listener net.Listener, h http.Handler) {
-	server := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: func(net.Listener) context.Context { return ctx }, // WebSocket connections end with ctx.
-	}
-	g.Go(func() error { return serve(server, listener) })
-	g.Go(func() error {
-		<-ctx.Done()
-		return errors.Wrap(server.Close(), "host: close")
-	})
+	return n.serve(ctx, g, n.Settings.ReadyListen, intake.WithoutBodies(mux))
 }
--- /dev/null
+++ b/host/listener.go
@@ -0,0 +1,65 @@
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/intake"
+)
+
+const (
+	headerTimeout  = 5 * time.Second
+	maxHeaderBytes = 64 << 10
+	// idleTimeout is how long a connection may be idle between two requests. It is longer than
+	// that of usual clients, so that none sends a request on a connection that is being closed.
+	idleTimeout = 2 * time.Minute
+	// bodyTimeout bounds the receipt of a body unless the handler sets another time. After a
+	// handler that has not read a body, the server reads up to 256 KiB of it.
+	bodyTimeout = 30 * time.Second
+)
+
+// newServer returns a server for connections of [intake.Listener].
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: boundBodies(h), ConnState: intake.SetState, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+	}
+}
+
+// boundBodies bounds the receipt of bodies by bodyTimeout.
+func boundBodies(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout)) // Fails if the connection is closed.
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// newPeerListener returns a listener that counts its connections in the budget of the process. It
+// leaves the receive buffers of the kernel as they are: copies between regions need them.
+func newPeerListener(l net.Listener, received *intake.Budget) net.Listener {
+	return &intake.Listener{Listener: l, Budget: received}
+}
+
+// serveOn serves h on listener in g until ctx ends.
+func serveOn(ctx context.Context, g *errgroup.Group, listener net.Listener, h http.Handler) {
+	server := newServer(h)
+	server.BaseContext = func(net.Listener) context.Context { return ctx } // WebSocket connections end with ctx.
+	g.Go(func() error { return serve(server, listener) })
+	g.Go(func() error {
+		<-ctx.Done()
+		return errors.Wrap(server.Close(), "host: close")
+	})
+}
+
+func serve(server *http.Server, l net.Listener) error {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "host: serve")
+	}
+	return nil
+}
--- a/host/node.go
+++ b/host/node.go
@@ -46,9 +46,9 @@
 	HeaderNames gate.HeaderNames
 	// ReadyPath is the URL path of an entry host's readiness check.
 	ReadyPath string
-	// OperatorHandler returns the handler of a control host's operator interface. If
-	// it is nil, the interface is not served.
-	OperatorHandler func(client *fleet.Client) http.Handler
+	// OperatorHandler returns the handler of a control host's operator interface, which counts
+	// the bodies of requests in received. If it is nil, the interface is not served.
+	OperatorHandler func(client *fleet.Client, received *intake.Budget) http.Handler
 	// ListTargets reads the platform's list of targets, on a control host. It may be
 	// nil.
 	ListTargets func(ctx context.Context) ([]fleet.Target, error)
@@ -165,13 +165,18 @@
 	for path, h := range handlers {
 		mux.Handle(path, h)
 	}
-	return n.serve(ctx, g, n.Settings.PeerListen(), mux)
+	listener, err := listen(ctx, n.Settings.PeerListen())
+	if err != nil {
+		return err
+	}
+	serveOn(ctx, g, newPeerListener(listener, n.received), intake.WithoutBodies(mux))
+	return nil
 }
 
 func (n *Node) startMetricsServer(ctx context.Context, g *errgroup.Group) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	return n.serve(ctx, g, n.Settings.MetricsAddress(), mux)
+	return n.serve(ctx, g, n.Settings.MetricsAddress(), intake.WithoutBodies(mux))
 }
 
 // serve listens on address before it returns, and serves h in g until ctx ends.
@@ -180,7 +185,7 @@
 	if err != nil {
 		return err
 	}
-	serveOn(ctx, g, listener, h)
+	serveOn(ctx, g, intake.Listen(listener, n.received, nil), h)
 	return nil
 }
 
--- a/host/operator.go
+++ b/host/operator.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/intake"
 )
 
 const (
@@ -31,17 +32,14 @@
 		return err
 	}
 	requests, cancelRequests := context.WithCancel(context.WithoutCancel(ctx))
-	handler := n.OperatorHandler(n.client)
-	server := &http.Server{
-		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			ctx, cancel := context.WithCancel(r.Context())
-			defer cancel()
-			defer context.AfterFunc(requests, cancel)()
-			handler.ServeHTTP(w, r.WithContext(ctx))
-		}),
-	}
-	g.Go(func() error { return serve(server, listener) })
+	handler := n.OperatorHandler(n.client, n.received)
+	server := newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(requests, cancel)()
+		handler.ServeHTTP(w, r.WithContext(ctx))
+	}))
+	g.Go(func() error { return serve(server, intake.Listen(listener, n.received, nil)) })
 	g.Go(func() error {
 		defer stopped()
 		waitEither(ctx, serveCtx)
--- a/host/operator_test.go
+++ b/host/operator_test.go
@@ -30,7 +30,7 @@
 		Role: host.NodeControl, HeaderNames: platform.HeaderNames, OperatorHandler: platform.NewOperatorHandler,
 		Settings: config.NodeSettings{
 			Host: "control-0", Zone: "zone-0", Address: ip, PeerPorts: []int{17200, 17201}, Seeds: []string{ip + ":17211"},
-			OperatorListen: address, DataDir: t.TempDir(), GraceSeconds: 4,
+			OperatorListen: address, DataDir: t.TempDir(), GraceSeconds: 4, MemoryMB: crowdMemoryMB,
 		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/host/process.go
+++ b/host/process.go
@@ -15,6 +15,7 @@
 	"github.com/banyanspur/banyanspur/ctrl"
 	"github.com/banyanspur/banyanspur/entry"
 	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/intake"
 	"github.com/banyanspur/banyanspur/ledger"
 	"github.com/banyanspur/banyanspur/manage"
 	"github.com/banyanspur/banyanspur/types"
@@ -40,12 +41,11 @@
 	clock   types.Clock
 	entry   *entry.Entry
 	control *Control
+	// received bounds what the process holds for its peers on all ports.
+	received *intake.Budget
 }
 
 const (
-	headerTimeout     = 5 * time.Second
-	maxHeaderBytes    = 64 << 10
-	callerIdleTimeout = 2 * time.Minute
 	// shutdownTimeout bounds the wait for requests in flight.
 	shutdownTimeout = ledger.MaxAttemptDuration + 10*time.Second
 	minSecretLength = 16
@@ -119,6 +119,7 @@
 		p.DrainLag = defaultDrainLag
 	}
 	p.clock = types.NewClock()
+	p.received = intake.NewBudget(intake.Bytes(0))
 	s := p.Settings
 	p.client = &ctrl.Client{Hosts: s.Control, Secret: p.Secret, Groups: s.Groups, Log: p.Log}
 	if s.HasRole(config.RoleControl) {
@@ -141,7 +142,12 @@
 	p.control.Register(server)
 	mux := http.NewServeMux()
 	mux.Handle("/peer", server)
-	return serveUntilDone(ctx, g, p.Settings.PeerListen, mux)
+	listener, err := net.Listen("tcp", p.Settings.PeerListen)
+	if err != nil {
+		return errors.Wrap(err, "host: listen for peers")
+	}
+	serveOn(ctx, g, newPeerListener(listener, p.received), intake.WithoutBodies(mux))
+	return nil
 }
 
 // startAdminServer serves the administration interface, health checks and
@@ -154,7 +160,12 @@
 		Client: p.client, ControlHosts: p.Settings.Control, Operators: p.Settings.Operator,
 		Ready: func() bool { return p.entry == nil || p.entry.Ready() },
 	}
-	return serveUntilDone(ctx, g, p.Settings.AdminListen, server.Handler())
+	listener, err := net.Listen("tcp", p.Settings.AdminListen)
+	if err != nil {
+		return errors.Wrap(err, "host: listen for operators")
+	}
+	serveOn(ctx, g, intake.Listen(listener, p.received, nil), server.Handler())
+	return nil
 }
 
 // startEntry serves callers until ctx or serveCtx ends. It then drains the host
@@ -164,11 +175,9 @@
 	if err != nil {
 		return errors.Wrap(err, "host: listen for callers")
 	}
-	server := &http.Server{
-		Handler: p.entry.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: callerIdleTimeout,
-	}
+	server := newServer(p.entry.Handler())
 	entryCtx, stopEntry := context.WithCancel(serveCtx)
-	g.Go(func() error { return serve(server, listener) })
+	g.Go(func() error { return serve(server, intake.Listen(listener, p.received, nil)) })
 	g.Go(func() error {
 		defer stop()
 		return p.entry.Run(entryCtx)
@@ -201,21 +210,3 @@
 	defer cancel()
 	return errors.Wrap(server.Shutdown(ctx), "host: wait for requests in flight")
 }
-
-// serveUntilDone listens on address before it returns, and serves h in g until
-// ctx ends.
-func serveUntilDone(ctx context.Context, g *errgroup.Group, address string, h http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrap(err, "host: listen")
-	}
-	serveOn(ctx, g, listener, h)
-	return nil
-}
-
-func serve(server *http.Server, l net.Listener) error {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "host: serve")
-	}
-	return nil
-}
--- a/types/fault.go
+++ b/types/fault.go
@@ -46,6 +46,7 @@
 	CodeOverloaded       Code = "overloaded"
 	CodeInternal         Code = "internal"
 	CodePayloadTooLarge  Code = "payloadTooLarge"
+	CodeRequestTimeout   Code = "requestTimeout"
 )
 
 // Fault is the only error type that is sent between processes. Create faults
