platform, plan: dense configurations take a bounded memory

Callers see: a control host ends on a single configuration of legal size. 16 MiB of empty routes took 22 GiB of allocations and 37 s for five such texts, invalid as they are.

Cause: encoding/json decodes the whole document into slices whose elements are some hundred times as large as their texts, and findings on each element were kept.

At most 100 findings are reported.

--- a/plan/check.go
+++ b/plan/check.go
@@ -12,6 +12,9 @@
 func (p *Plan) Check() error {
 	var findings config.Findings
 	add := func(path, format string, args ...any) {
+		if len(findings) >= maxFindings {
+			return // A large plan may have more than memory for them.
+		}
 		findings = append(findings, config.Finding{Path: path, Message: fmt.Sprintf(format, args...)})
 	}
 	if p.Version == 0 {
@@ -26,6 +29,9 @@
 	return findings
 }
 
+// maxFindings is how many findings on one plan are reported.
+const maxFindings = 100
+
 // addFunc adds a finding on the setting at path.
 type addFunc func(path, format string, args ...any)
 
