wire, host: messages of all links take a part of the memory of the host

Callers see: anyone who reaches a peer port ends the process, since the sites have no secret. Limits were fixed whatever the memory of the host, and some did not hold for all connections together: 256 KiB of each unfinished frame were free, each connection could queue 32 MiB, and requests of a few bytes were bounded for a connection only.

Change: wire.Budget is the memory of a process for messages, of its server and its links. Frames count from 4 KiB on; those for which there is none left wait for 0.3 s, and then the largest one of the address that sends most ends, not any large one at once. Requests count with what each takes besides its body. The send queues of all links have a common bound. Messages of the fleet do not share the budget of callers, so that those cannot keep them out. A written frame is held once instead of twice. Links that send what is no message are logged with their address.

An invalid frame left no line in the log.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -80,6 +80,7 @@
 	PeerRefused          = Kind{602, logrus.WarnLevel, "link refused, wrong cluster secret"}
 	FrameRefused         = Kind{603, logrus.ErrorLevel, "link ended, the other host sends a frame beyond the limit"}
 	MessageRefused       = Kind{604, logrus.ErrorLevel, "message too large for another host"}
+	FrameInvalid         = Kind{605, logrus.WarnLevel, "link ended, the other process sends what is no message, or too slowly"}
 )
 
 // Catalog returns all kinds of events, ordered by number.
@@ -96,6 +97,6 @@
 		QuarantineEnded, QuarantineFailed, SuspectsChanged, ResponseUnread,
 		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull, PathCut, PathHealed, ConnectionRelayed, RelaysChanged,
 		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable, TargetCold, TargetPaced, LoadReportIgnored,
-		LinkLost, PeerRefused, FrameRefused, MessageRefused,
+		LinkLost, PeerRefused, FrameRefused, MessageRefused, FrameInvalid,
 	}
 }
--- a/host/node.go
+++ b/host/node.go
@@ -141,13 +141,15 @@
 	n.secret = secret
 	n.clock = types.NewBootClock()
 	n.received = intake.NewBudget(intake.Bytes(n.Settings.MemoryMB))
-	n.peers = &wire.Pool{Secret: secret, Log: n.Log, OwnAddress: n.Settings.PeerAddress()}
-	n.peerServer = &wire.Server{Secret: secret, Log: n.Log, OnPeer: n.peers.Redial}
+	messages := wire.NewBudget(n.Settings.MemoryMB << 20)
+	n.peers = &wire.Pool{Secret: secret, Log: n.Log, OwnAddress: n.Settings.PeerAddress(), Budget: messages}
+	n.peerServer = &wire.Server{Secret: secret, Log: n.Log, OnPeer: n.peers.Redial, Budget: messages}
 	n.client = &fleet.Client{Host: n.Settings.Host, Zone: n.Settings.Zone, Seeds: n.Settings.SeedPeerAddresses(), Peers: n.peers, Clock: n.clock, Log: n.Log}
 	n.onSettings(func(s config.NodeSettings) { n.client.SetSeeds(s.SeedPeerAddresses()) })
 	if n.Role != NodeStore {
 		n.onSettings(setMemoryLimit)
 		n.onSettings(func(s config.NodeSettings) { n.received.SetLimit(intake.Bytes(s.MemoryMB)) })
+		n.onSettings(func(s config.NodeSettings) { messages.SetMemory(s.MemoryMB << 20) })
 	}
 	return nil
 }
--- a/wire/bounds.go
+++ b/wire/bounds.go
@@ -26,14 +26,13 @@
 	// sender ends the connection after writeTimeout.
 	frameTimeout = writeTimeout + 5*time.Second
 
-	// chunkBytes is the size of the parts in which large frames are read, and up to which a
-	// frame is read without a part of the budget.
-	chunkBytes = 256 << 10
-	// frameBudgetBytes bounds the memory of all large frames that a process is receiving. A
-	// store's heap has 86 MB.
-	frameBudgetBytes = 32 << 20
-	// requestBudgetBytes bounds the bodies of the requests that a server is handling.
-	requestBudgetBytes = 32 << 20
+	// freePartBytes is the size of the first part of a frame, which is read without a part of
+	// the budget, and chunkBytes the maximum size of the others.
+	freePartBytes = 4 << 10
+	chunkBytes    = 256 << 10
+	// frameWait is for how long a frame waits for memory. A host that does not read for longer
+	// does not respond to pings either, and would be taken for dead.
+	frameWait = minPingTimeout / 2
 	// maxQueuedBytes bounds the memory of the send queue of one connection.
 	maxQueuedBytes = 32 << 20
 	// faultyRedialDelay is the pause after a host has sent a frame beyond maxFrameBytes. It
@@ -45,13 +44,14 @@
 
 var (
 	refusedFrames   = metrics.NewCounter("banyanspur_wire_refused_frames_total")
+	abortedFrames   = metrics.NewCounter("banyanspur_wire_aborted_frames_total")
 	refusedMessages = metrics.NewCounter("banyanspur_wire_refused_messages_total")
 )
 
 // errMessageTooLarge is returned for a message that the receiver would not accept.
 var errMessageTooLarge = types.NewFault(types.CodePayloadTooLarge, "the message is larger than %d bytes", MaxMessageBytes)
 
-// errBudgetFull is the reply to a request while others of requestBudgetBytes are handled.
+// errBudgetFull is the reply to a request while others that take the whole budget are handled.
 var errBudgetFull = types.NewFault(types.CodeOverloaded, "the host handles too many large requests").WithRetryAfter(maxRedialDelay)
 
 func logRefusedFrame(log event.Log, address string) {
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -55,6 +55,9 @@
 // write them.
 var errQueueFull = errors.New("wire: the send queue of the connection is full")
 
+// errInvalidFrame marks the end of a connection whose peer has sent what is no message.
+var errInvalidFrame = errors.New("wire: the frame is not valid")
+
 // stream sends and receives envelopes over one WebSocket connection.
 type stream struct {
 	conn  *websocket.Conn
@@ -68,12 +71,16 @@
 	pingTimeout time.Duration
 	// frameTimeout bounds the receipt of one frame.
 	frameTimeout time.Duration
+	budget       *Budget
+	peer         string // IP address of the other side
 }
 
-func newStream(conn *websocket.Conn, dialed bool) *stream {
+func newStream(conn *websocket.Conn, dialed bool, budget *Budget, peer string) *stream {
 	conn.SetReadLimit(maxFrameBytes)
+	queue := newQueue[envelope](queueLength, maxQueuedBytes)
+	queue.total = &budget.queued
 	return &stream{
-		conn: conn, queue: newQueue[envelope](queueLength, maxQueuedBytes), done: make(chan struct{}), dialed: dialed, liveness: newLiveness(),
+		conn: conn, queue: queue, done: make(chan struct{}), dialed: dialed, liveness: newLiveness(), budget: budget, peer: peer,
 		pingTimeout: minPingTimeout, frameTimeout: frameTimeout,
 	}
 }
@@ -95,6 +102,7 @@
 // for each received envelope, in order.
 func (s *stream) run(ctx context.Context, receive func(envelope)) error {
 	defer close(s.done)
+	defer s.queue.close()
 	defer s.conn.CloseNow()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.writeLoop(ctx) })
@@ -122,7 +130,12 @@
 	defer s.queue.reuse(envelopes)
 	var frame []byte
 	for i, e := range envelopes {
-		frame = append(frame, types.Encode(e)...)
+		if encoded := types.Encode(e); frame == nil {
+			frame = encoded
+		} else {
+			frame = append(frame, encoded...)
+		}
+		envelopes[i].Body = nil // The frame has a copy, which may take long to be written.
 		if len(frame) < batchBytes && i < len(envelopes)-1 {
 			continue
 		}
@@ -154,7 +167,7 @@
 		s.liveness.received()
 		receivedBytes.Add(len(f.bytes))
 		err = decodeFrame(f.bytes, receive)
-		received.release(f)
+		s.budget.frames.release(f)
 		if err != nil {
 			return err
 		}
@@ -166,7 +179,7 @@
 	for len(frame) > 0 {
 		e, rest, err := types.DecodeFirst[envelope](frame)
 		if err != nil {
-			return err
+			return errors.Mark(err, errInvalidFrame)
 		}
 		receive(e)
 		frame = rest
--- a/wire/link.go
+++ b/wire/link.go
@@ -35,6 +35,8 @@
 	DialTimeout time.Duration
 	// OnLost, if set, is called after a connection has been lost.
 	OnLost func()
+	// Budget is that of the process. See [Server].
+	Budget *Budget
 
 	mu        sync.Mutex
 	active    *connection   // nil while the link is not connected
@@ -164,7 +166,7 @@
 	if err != nil {
 		return false, errors.Wrap(err, "wire: dial")
 	}
-	c := &connection{stream: newStream(conn, true), pending: pendingRequests{replies: map[uint64]chan envelope{}}}
+	c := &connection{stream: newStream(conn, true, l.Budget.orDefault(), hostOf(l.Address)), pending: pendingRequests{replies: map[uint64]chan envelope{}}}
 	c.stream.pingTimeout = l.pingTimeout
 	l.setActive(c)
 	defer c.pending.failAll()
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -21,6 +21,8 @@
 	// OwnAddress and DialTimeout are those of the links.
 	OwnAddress  string
 	DialTimeout time.Duration
+	// Budget is that of the process. See [Server].
+	Budget *Budget
 
 	mu    sync.Mutex
 	links map[string]*pooledLink
@@ -81,7 +83,7 @@
 	defer p.mu.Unlock()
 	l := p.links[address]
 	if l == nil {
-		l = &pooledLink{Link: &Link{Address: address, Secret: p.Secret, Log: p.Log, OwnAddress: p.OwnAddress, DialTimeout: p.DialTimeout, OnLost: p.checkAll}}
+		l = &pooledLink{Link: &Link{Address: address, Secret: p.Secret, Log: p.Log, OwnAddress: p.OwnAddress, DialTimeout: p.DialTimeout, Budget: p.Budget, OnLost: p.checkAll}}
 		p.links[address] = l
 		if p.group != nil {
 			p.startLink(l)
--- a/wire/queue.go
+++ b/wire/queue.go
@@ -12,10 +12,13 @@
 	// maxBytes limits the size of the messages that are queued or being written. A single one
 	// may be larger.
 	maxBytes int
+	// total bounds the size of the messages of all queues. It may be nil.
+	total *byteCounter
 
 	mu           sync.Mutex
 	items        []T
 	bytes, taken int // size of all messages, and of those that were taken and not yet written
+	closed       bool
 }
 
 // keptCapacity is up to which capacity an empty queue keeps its memory.
@@ -29,7 +32,7 @@
 // full.
 func (q *queue[T]) put(item T, size int) bool {
 	q.mu.Lock()
-	full := len(q.items) >= q.limit || q.bytes > 0 && q.bytes+size > q.maxBytes
+	full := q.closed || len(q.items) >= q.limit || q.bytes > 0 && q.bytes+size > q.maxBytes || !q.takeTotal(size)
 	if !full {
 		q.items = append(q.items, item)
 		q.bytes += size
@@ -45,6 +48,29 @@
 	return true
 }
 
+// takeTotal counts a message in the total.
+func (q *queue[T]) takeTotal(size int) bool {
+	if q.total == nil {
+		return true
+	}
+	reserve := int64(0)
+	if size <= smallMessageBytes {
+		reserve = q.total.limit.Load() / queueReserve
+	}
+	return q.total.take(int64(size), reserve)
+}
+
+// close drops all messages. Further ones are refused.
+func (q *queue[T]) close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	if q.total != nil {
+		q.total.release(int64(q.bytes))
+	}
+	q.items, q.bytes, q.taken = nil, 0, 0
+}
+
 // take removes and returns all messages, in order. They count until reuse is called.
 func (q *queue[T]) take() []T {
 	q.mu.Lock()
@@ -59,6 +85,9 @@
 func (q *queue[T]) reuse(items []T) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.total != nil {
+		q.total.release(int64(q.taken))
+	}
 	q.bytes, q.taken = q.bytes-q.taken, 0
 	if cap(items) > keptCapacity {
 		return
--- a/wire/receive_test.go
+++ b/wire/receive_test.go
@@ -23,7 +23,7 @@
 		if err != nil {
 			return
 		}
-		s := newStream(conn, false)
+		s := newStream(conn, false, NewBudget(0), "")
 		s.frameTimeout = 500 * time.Millisecond
 		ended <- s.run(r.Context(), func(envelope) {})
 	}))
@@ -79,15 +79,15 @@
 	ctx, cancel := context.WithCancelCause(t.Context())
 	large, small := &frame{cancel: cancel}, &frame{cancel: func(error) { t.Error("the smaller frame ends") }}
 	for range 3 {
-		if err := b.take(ctx, large); err != nil {
+		if err := b.take(ctx, large, chunkBytes); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if err := b.take(ctx, large); !errors.Is(err, errFrameBudget) {
+	if err := b.take(ctx, large, chunkBytes); !errors.Is(err, errFrameBudget) {
 		t.Errorf("the only frame goes on: %v", err)
 	}
 	context.AfterFunc(ctx, func() { b.release(large) })
-	if err := b.take(t.Context(), small); err != nil || !errors.Is(context.Cause(ctx), errFrameBudget) {
+	if err := b.take(t.Context(), small, chunkBytes); err != nil || !errors.Is(context.Cause(ctx), errFrameBudget) {
 		t.Errorf("the smaller frame got %v, the larger one ended with %v", err, context.Cause(ctx))
 	}
 	b.release(small)
--- a/wire/server.go
+++ b/wire/server.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"crypto/subtle"
+	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
@@ -26,11 +26,11 @@
 	// OnPeer, if set, is called with the address of a process that has connected, if
 	// it told one. It must not block.
 	OnPeer func(address string)
+	// Budget bounds the memory of messages. If it is nil, that of a host whose memory is not
+	// known does.
+	Budget *Budget
 
 	handlers map[Kind]handler
-	// requestBytes is the size of the requests that are being handled, except those without a
-	// reply.
-	requestBytes atomic.Int64
 }
 
 // handler handles one encoded request and returns the encoded reply.
@@ -96,7 +96,7 @@
 	if address := r.Header.Get(addressHeader); address != "" && s.OnPeer != nil {
 		s.OnPeer(address)
 	}
-	s.serve(r.Context(), newStream(conn, false), r.RemoteAddr)
+	s.serve(r.Context(), newStream(conn, false, s.Budget.orDefault(), hostOf(r.RemoteAddr)), r.RemoteAddr)
 }
 
 func (s *Server) serve(ctx context.Context, conn *stream, from string) {
@@ -108,25 +108,36 @@
 			s.dispatch(ctx, e) // Messages without a reply are handled in order.
 			return
 		}
-		size := int64(e.size())
-		if n := s.requestBytes.Add(size); n > requestBudgetBytes && n > size {
-			s.requestBytes.Add(-size)
+		size := int64(e.size()) + requestOverhead
+		if !conn.budget.requests.take(size, 0) {
 			s.reply(conn, e.Kind, envelope{ID: e.ID, Reply: true, Fault: errBudgetFull})
 			return
 		}
 		g.Go(func() error {
-			defer s.requestBytes.Add(-size)
+			defer conn.budget.requests.release(size)
 			s.reply(conn, e.Kind, s.dispatch(ctx, e))
 			return nil
 		})
 	})
-	if isOversized(err) {
+	switch {
+	case isOversized(err):
 		logRefusedFrame(s.Log, from)
+	case errors.Is(err, errInvalidFrame), errors.Is(err, errFrameTimeout):
+		abortedFrames.Inc()
+		s.Log.Write(event.FrameInvalid, event.Fields{"address": from, "error": err.Error()})
 	}
 	cancel()
 	_ = g.Wait()
 }
 
+// hostOf returns the IP address of a network address.
+func hostOf(address string) string {
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		return host
+	}
+	return address
+}
+
 // reply sends a reply, or a fault instead of one that cannot be sent.
 func (s *Server) reply(conn *stream, kind Kind, e envelope) {
 	err := conn.send(e)
