relay, gate: relayed connections count in the memory of the host

Callers see: an entry host whose memory runs out ends with all its requests. A relayed connection held each frame of up to 64 KiB until it was complete, for up to 1,000 connections, and the sites have no secret that keeps others from the port.

Change: what arrives of a frame is forwarded at once, from a buffer of 16 KiB, and each connection counts in the budget of the host. Without memory it gets 503, as beyond the number.

--- a/gate/relay.go
+++ b/gate/relay.go
@@ -51,7 +51,7 @@
 
 func (g *Gate) initRelayServer() {
 	g.relayServer = relay.Server{
-		Secret: g.Secret, Log: g.Log, IsTarget: g.isTarget, Accepting: func() bool { return g.offerRelay() != nil },
+		Secret: g.Secret, Log: g.Log, Received: g.Received, IsTarget: g.isTarget, Accepting: func() bool { return g.offerRelay() != nil },
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, relay.TargetTimeout)
 			defer cancel()
--- a/relay/server.go
+++ b/relay/server.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/intake"
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -32,6 +33,9 @@
 	// maxFrameBytes the maximum size of a received frame.
 	frameBytes    = 16 << 10
 	maxFrameBytes = 64 << 10
+	// relayBytes is the memory of a relayed connection: a buffer for each direction, and the
+	// connection to the target.
+	relayBytes = 3 * frameBytes
 	// maxHandshakeBytes is the maximum size of the header of the response to a handshake.
 	maxHandshakeBytes = 16 << 10
 	// statusTargetLost is the close code for a target's connection that broke.
@@ -56,6 +60,9 @@
 	Accepting func() bool
 	// Dial opens a connection to the address of a target.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Received bounds the memory of the connections that the server relays. If it is nil, only
+	// their number is bounded.
+	Received *intake.Budget
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
@@ -84,6 +91,15 @@
 		http.Error(w, "relay: this host does not relay now", http.StatusServiceUnavailable)
 		return
 	}
+	if s.Received != nil {
+		held := s.Received.Open(intake.PeerAccount(r.RemoteAddr), func() {})
+		defer held.Close()
+		held.SetPhase(intake.Working)
+		if held.Add(relayBytes) != nil {
+			http.Error(w, "relay: this host has no memory for more connections", http.StatusServiceUnavailable)
+			return
+		}
+	}
 	target, err := s.Dial(r.Context(), address)
 	fields := event.Fields{"from": types.HostID(r.Header.Get(hostHeader)), "address": address}
 	if err != nil {
@@ -146,14 +162,16 @@
 	}
 }
 
-// toTarget forwards what the peer sends.
+// toTarget forwards what the peer sends, as it arrives: a frame that is not complete takes no
+// memory.
 func toTarget(ctx context.Context, target net.Conn, peer *websocket.Conn) error {
+	b := make([]byte, frameBytes)
 	for {
-		_, b, err := peer.Read(ctx)
+		_, r, err := peer.Reader(ctx)
 		if err != nil {
 			return err
 		}
-		if _, err := target.Write(b); err != nil {
+		if _, err := io.CopyBuffer(struct{ io.Writer }{target}, r, b); err != nil {
 			return err
 		}
 	}
