entry, manage, host: bodies of the older interface count in the memory of the process

Callers see: a process that gets many large bodies at once ends. Each was bounded, 8 MiB of a call and 64 MiB of an order, their sum was not. Slow bodies got 400, as if the request were not valid.

Change: both are read with intake.ReadBody from a budget of the process, 256 MiB unless it is set. Slow bodies get 408 after 30 s, and those without memory 503 with Retry-After. A request without a valid key is answered without reading its body. The messages of a chat are no longer decoded: they took up to sixteen times the memory of their text, and only their presence matters.

Evidence: TestUnfinishedCallsTakeLittleMemory, 16 unfinished bodies of 8 MiB to a process with 32 MiB for them: 137 MiB in use before, below 64 MiB after, and a request beside them is served. TestLargestCallIsServed: a body of 8 MiB is served by the same process. Tests of entry pass; of manage, which has none of its own, those of host.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/banyanspur/banyanspur/ctrl"
 	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/intake"
 	"github.com/banyanspur/banyanspur/ledger"
 	"github.com/banyanspur/banyanspur/route"
 	"github.com/banyanspur/banyanspur/sched"
@@ -42,6 +43,9 @@
 	// HostListFile is the path of the platform's list of live and draining
 	// hosts. If it is empty, no list is read.
 	HostListFile string
+	// Received bounds the memory of the requests that are received. The default is that of a
+	// process whose memory is not known.
+	Received *intake.Budget
 	// Log is where events are written. The zero value discards them.
 	Log event.Log
 
@@ -86,6 +90,9 @@
 		if e.MaxInFlight == 0 {
 			e.MaxInFlight = DefaultMaxInFlight
 		}
+		if e.Received == nil {
+			e.Received = intake.NewBudget(intake.Bytes(0))
+		}
 		e.targetClients = newTargetClients()
 	})
 }
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/banyanspur/banyanspur/ctrl"
 	"github.com/banyanspur/banyanspur/fakes"
 	"github.com/banyanspur/banyanspur/host"
+	"github.com/banyanspur/banyanspur/intake"
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -50,6 +51,16 @@
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	t.Parallel()
+	return startFleet(t)
+}
+
+// receivedBytes is the memory that each process of a fleet has for what peers send. The largest
+// body takes half of it while it is received.
+const receivedBytes = 32 << 20
+
+// startFleet starts a fleet as newFleet does, in a test that is not parallel.
+func startFleet(t *testing.T) *fleet {
+	t.Helper()
 	f := &fleet{t: t, engine: &fakes.Engine{}, booking: &fakes.Service{}, entryAddresses: fakes.FreeAddresses(2)}
 	f.hostList = filepath.Join(t.TempDir(), "hosts")
 	if err := os.WriteFile(f.hostList, nil, 0o600); err != nil {
@@ -62,7 +73,7 @@
 	g.Go(func() error { return f.client.Run(ctx) })
 	run := func(ctx context.Context, s config.Settings) {
 		s.Control, s.Groups, s.Zone = control, 2, "zone-a"
-		p := &host.Process{Settings: s, Secret: clusterSecret, DrainLag: 50 * time.Millisecond}
+		p := &host.Process{Settings: s, Secret: clusterSecret, DrainLag: 50 * time.Millisecond, Received: intake.NewBudget(receivedBytes)}
 		g.Go(func() error { return p.Run(ctx) })
 	}
 	run(ctx, config.Settings{Host: "control-0", Roles: []config.Role{config.RoleControl}, DataDir: t.TempDir(), PeerListen: control[0].Address})
--- a/entry/program.go
+++ b/entry/program.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	req, err := decodeBody[openRequest](w, r)
+	req, err := decodeBody[openRequest](e, w, r)
 	if err != nil {
 		return err
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,6 +12,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/banyanspur/banyanspur/config"
+	"github.com/banyanspur/banyanspur/intake"
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -96,7 +96,8 @@
 	if err != nil {
 		return err
 	}
-	body, err := readBody(w, r)
+	body, held, err := e.readBody(w, r)
+	defer held.Close()
 	if err != nil {
 		return err
 	}
@@ -106,22 +107,39 @@
 	if err := json.Unmarshal(body, &req); err != nil {
 		return badJSON(err)
 	}
-	r.Body = io.NopCloser(bytes.NewReader(body))
-	return e.serveCall(w, r, c, req.Model, "v1/chat/completions", r.Header.Get(headerProgram), r.Header.Get(headerCall))
+	return e.serveBody(w, r, c, req.Model, "v1/chat/completions", r.Header.Get(headerProgram), r.Header.Get(headerCall), body)
 }
 
-// serveCall builds a call from the request and runs it. An empty program stands
+// serveCall reads the body of a call to a service and serves it. An empty program stands
 // for a call that belongs to none.
 func (e *Entry) serveCall(w http.ResponseWriter, r *http.Request, from caller, service, path, program, number string) error {
-	cfg, err := e.config.get(e.Clock())
+	if _, err := e.service(service); err != nil {
+		return err
+	}
+	body, held, err := e.readBody(w, r)
+	defer held.Close()
 	if err != nil {
 		return err
 	}
-	s, ok := cfg.Services[types.ServiceID(service)]
+	return e.serveBody(w, r, from, service, path, program, number, body)
+}
+
+// service returns the service with the given name.
+func (e *Entry) service(name string) (config.Service, error) {
+	cfg, err := e.config.get(e.Clock())
+	if err != nil {
+		return config.Service{}, err
+	}
+	s, ok := cfg.Services[types.ServiceID(name)]
 	if !ok {
-		return types.NewFault(types.CodeNotFound, "there is no service %q", service)
+		return config.Service{}, types.NewFault(types.CodeNotFound, "there is no service %q", name)
 	}
-	body, err := readBody(w, r)
+	return s, nil
+}
+
+// serveBody builds a call from a request whose body has been read, and runs it.
+func (e *Entry) serveBody(w http.ResponseWriter, r *http.Request, from caller, service, path, program, number string, body []byte) error {
+	s, err := e.service(service)
 	if err != nil {
 		return err
 	}
@@ -186,11 +204,28 @@
 // chatRequest contains the fields of a chat-completions request that the entry
 // host evaluates.
 type chatRequest struct {
-	Model               string            `json:"model"`
-	Messages            []json.RawMessage `json:"messages"`
-	Stream              bool              `json:"stream"`
-	MaxTokens           *int64            `json:"max_tokens"`
-	MaxCompletionTokens *int64            `json:"max_completion_tokens"`
+	Model               string     `json:"model"`
+	Messages            isNonEmpty `json:"messages"`
+	Stream              bool       `json:"stream"`
+	MaxTokens           *int64     `json:"max_tokens"`
+	MaxCompletionTokens *int64     `json:"max_completion_tokens"`
+}
+
+// isNonEmpty is set if a JSON array has elements. They are not decoded, since they would take
+// many times the memory of their text.
+type isNonEmpty bool
+
+// UnmarshalJSON implements [json.Unmarshaler].
+func (e *isNonEmpty) UnmarshalJSON(b []byte) error {
+	switch {
+	case string(b) == "null":
+		*e = false
+	case b[0] != '[':
+		return errors.New("messages is not an array")
+	default:
+		*e = len(bytes.TrimSpace(b[1:len(b)-1])) > 0
+	}
+	return nil
 }
 
 // parseChat sets stream and reserve from a chat-completions body.
@@ -199,7 +234,7 @@
 	if err := json.Unmarshal(c.body, &req); err != nil {
 		return badJSON(err)
 	}
-	if len(req.Messages) == 0 {
+	if !req.Messages {
 		return types.NewFault(types.CodeBadRequest, "messages: at least one message is required")
 	}
 	c.stream = req.Stream
@@ -223,26 +258,22 @@
 }
 
 // readBody reads the whole request body. It returns a fault if the body is
-// truncated, exceeds MaxBodyBytes or takes longer than bodyTimeout.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout)) // Not every ResponseWriter supports deadlines.
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, types.NewFault(types.CodePayloadTooLarge, "the request body exceeds %d bytes", MaxBodyBytes)
-	case err != nil:
-		return nil, types.NewFault(types.CodeBadRequest, "the request body was truncated or took longer than %v", bodyTimeout)
+// truncated, exceeds MaxBodyBytes or takes longer than bodyTimeout, or if there is no memory for
+// it. The holder must be closed once the body is no longer used, also after an error.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *intake.Holder, error) {
+	body, held, err := intake.ReadBody(w, r, e.Received, MaxBodyBytes, bodyTimeout)
+	if err != nil {
+		return nil, held, intake.Fault(err)
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	return body, nil
+	return body, held, nil
 }
 
 // decodeBody reads the request body as a single JSON value of type T. Unknown
 // fields and trailing values are rejected.
-func decodeBody[T any](w http.ResponseWriter, r *http.Request) (T, error) {
+func decodeBody[T any](e *Entry, w http.ResponseWriter, r *http.Request) (T, error) {
 	var v T
-	body, err := readBody(w, r)
+	body, held, err := e.readBody(w, r)
+	defer held.Close()
 	if err != nil {
 		return v, err
 	}
--- a/entry/respond.go
+++ b/entry/respond.go
@@ -29,6 +29,7 @@
 	types.CodeOverloaded:       http.StatusServiceUnavailable,
 	types.CodeInternal:         http.StatusInternalServerError,
 	types.CodePayloadTooLarge:  http.StatusRequestEntityTooLarge,
+	types.CodeRequestTimeout:   http.StatusRequestTimeout,
 }
 
 // errorBody is the body of error responses that come from the entry host rather
--- a/host/process.go
+++ b/host/process.go
@@ -34,6 +34,10 @@
 	// [Process.Run] ends. The default is 3 seconds; a negative value means
 	// not at all.
 	DrainLag time.Duration
+	// Received bounds what the process holds for its peers on all ports. The default is a budget
+	// of 256 MiB, since the settings do not tell the memory of the host: the largest order takes
+	// half of it while it is received.
+	Received *intake.Budget
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
@@ -41,14 +45,14 @@
 	clock   types.Clock
 	entry   *entry.Entry
 	control *Control
-	// received bounds what the process holds for its peers on all ports.
-	received *intake.Budget
 }
 
 const (
 	// shutdownTimeout bounds the wait for requests in flight.
 	shutdownTimeout = ledger.MaxAttemptDuration + 10*time.Second
 	minSecretLength = 16
+	// defaultReceivedBytes is the default of [Process.Received].
+	defaultReceivedBytes = 256 << 20
 	// defaultDrainLag is how long a draining host keeps accepting callers,
 	// because the load balancer notices late that it is not ready.
 	defaultDrainLag = 3 * time.Second
@@ -119,7 +123,9 @@
 		p.DrainLag = defaultDrainLag
 	}
 	p.clock = types.NewClock()
-	p.received = intake.NewBudget(intake.Bytes(0))
+	if p.Received == nil {
+		p.Received = intake.NewBudget(defaultReceivedBytes)
+	}
 	s := p.Settings
 	p.client = &ctrl.Client{Hosts: s.Control, Secret: p.Secret, Groups: s.Groups, Log: p.Log}
 	if s.HasRole(config.RoleControl) {
@@ -130,7 +136,7 @@
 	}
 	if s.HasRole(config.RoleEntry) {
 		p.entry = &entry.Entry{
-			Host: s.Host, Zone: s.Zone, Client: p.client, Clock: p.clock, HostListFile: s.HostListFile, Log: p.Log,
+			Host: s.Host, Zone: s.Zone, Client: p.client, Clock: p.clock, HostListFile: s.HostListFile, Received: p.Received, Log: p.Log,
 		}
 	}
 	return nil
@@ -146,7 +152,7 @@
 	if err != nil {
 		return errors.Wrap(err, "host: listen for peers")
 	}
-	serveOn(ctx, g, newPeerListener(listener, p.received), intake.WithoutBodies(mux))
+	serveOn(ctx, g, newPeerListener(listener, p.Received), intake.WithoutBodies(mux))
 	return nil
 }
 
@@ -158,13 +164,13 @@
 	}
 	server := &manage.Server{
 		Client: p.client, ControlHosts: p.Settings.Control, Operators: p.Settings.Operator,
-		Ready: func() bool { return p.entry == nil || p.entry.Ready() },
+		Ready: func() bool { return p.entry == nil || p.entry.Ready() }, Received: p.Received,
 	}
 	listener, err := net.Listen("tcp", p.Settings.AdminListen)
 	if err != nil {
 		return errors.Wrap(err, "host: listen for operators")
 	}
-	serveOn(ctx, g, intake.Listen(listener, p.received, nil), server.Handler())
+	serveOn(ctx, g, intake.Listen(listener, p.Received, nil), server.Handler())
 	return nil
 }
 
@@ -177,7 +183,7 @@
 	}
 	server := newServer(p.entry.Handler())
 	entryCtx, stopEntry := context.WithCancel(serveCtx)
-	g.Go(func() error { return serve(server, intake.Listen(listener, p.received, nil)) })
+	g.Go(func() error { return serve(server, intake.Listen(listener, p.Received, nil)) })
 	g.Go(func() error {
 		defer stop()
 		return p.entry.Run(entryCtx)
--- a/manage/server.go
+++ b/manage/server.go
@@ -1,8 +1,10 @@
 package manage
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +16,7 @@
 	"github.com/banyanspur/banyanspur/admin"
 	"github.com/banyanspur/banyanspur/config"
 	"github.com/banyanspur/banyanspur/ctrl"
+	"github.com/banyanspur/banyanspur/intake"
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -30,6 +33,8 @@
 	// Ready reports whether this host should receive requests of callers. If it
 	// is nil, the host always counts as ready.
 	Ready func() bool
+	// Received bounds the memory of the orders that are received.
+	Received *intake.Budget
 }
 
 const (
@@ -38,6 +43,8 @@
 	controlTimeout = 10 * time.Second
 	// maxOrderBytes is the maximum length of the body of an order, in bytes.
 	maxOrderBytes = 64 << 20
+	// bodyTimeout limits how long an operator may take to send an order.
+	bodyTimeout = 30 * time.Second
 )
 
 // Handler returns the handler for the administration interface, health checks
@@ -49,7 +56,7 @@
 	router.HandleFunc("/readyz", s.ready)
 	api := router.PathPrefix("/admin/v1").Subrouter()
 	api.Handle("/configuration", s.endpoint(s.configuration)).Methods(http.MethodGet)
-	api.Handle("/orders", s.endpoint(s.submitOrder)).Methods(http.MethodPost)
+	api.Handle("/orders", s.orderEndpoint()).Methods(http.MethodPost)
 	api.Handle("/versions/{version}", s.endpoint(s.versionInForce)).Methods(http.MethodGet)
 	api.Handle("/audit", s.endpoint(s.auditRecords)).Methods(http.MethodGet)
 	api.Handle("/groups", s.endpoint(s.hostGroups)).Methods(http.MethodGet)
@@ -72,6 +79,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		operator, ok := s.authenticate(r)
 		if !ok {
+			intake.SkipBody(w, r)
 			writeJSON(w, http.StatusUnauthorized, types.NewFault(types.CodeUnauthorized, "the Authorization header must contain Bearer and an operator's key"))
 			return
 		}
@@ -79,13 +87,34 @@
 		defer cancel()
 		body, err := fn(ctx, operator, r)
 		if err != nil {
-			writeJSON(w, statusOf(err), types.AsFault(err))
+			f := types.AsFault(err)
+			if f.RetryAfter > 0 {
+				w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+			}
+			writeJSON(w, statusOf(err), f)
 			return
 		}
 		writeJSON(w, http.StatusOK, body)
 	})
 }
 
+// orderEndpoint returns a handler that reads an order of an operator and submits it.
+func (s *Server) orderEndpoint() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.endpoint(func(ctx context.Context, operator types.OperatorID, r *http.Request) (any, error) {
+			body, held, err := intake.ReadBody(w, r, s.Received, maxOrderBytes, bodyTimeout)
+			defer held.Close()
+			if err == nil {
+				err = held.Add(int64(len(body))) // For the copy of the decoder.
+			}
+			if err != nil {
+				return nil, intake.Fault(err)
+			}
+			return s.submitOrder(ctx, operator, body)
+		}).ServeHTTP(w, r)
+	})
+}
+
 // authenticate returns the operator whose key is in the Authorization header,
 // whatever the authentication scheme. It returns false if the key is missing or
 // unknown.
@@ -109,6 +138,10 @@
 		return http.StatusConflict
 	case types.CodeNotFound:
 		return http.StatusNotFound
+	case types.CodePayloadTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case types.CodeRequestTimeout:
+		return http.StatusRequestTimeout
 	}
 	return http.StatusServiceUnavailable
 }
@@ -135,9 +168,9 @@
 	Summary string `json:"summary"`
 }
 
-// submitOrder submits the order in the body and returns the decision.
-func (s *Server) submitOrder(ctx context.Context, operator types.OperatorID, r *http.Request) (any, error) {
-	decoder := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxOrderBytes))
+// submitOrder submits an encoded order and returns the decision.
+func (s *Server) submitOrder(ctx context.Context, operator types.OperatorID, encoded []byte) (any, error) {
+	decoder := json.NewDecoder(bytes.NewReader(encoded))
 	decoder.DisallowUnknownFields()
 	var body OrderBody
 	if err := decoder.Decode(&body); err != nil {
