--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -84,6 +84,7 @@
 	FrameRefused         = Kind{603, logrus.ErrorLevel, "link ended, the other host sends a frame beyond the limit"}
 	MessageRefused       = Kind{604, logrus.ErrorLevel, "message too large for another host"}
 	AcceptFailed         = Kind{605, logrus.WarnLevel, "connections cannot be accepted, will be tried again"}
+	FrameInvalid         = Kind{606, logrus.WarnLevel, "link ended, the other process sends what is no message, or too slowly"}
 )
 
 // Catalog returns all kinds of events, ordered by number.
@@ -101,6 +102,6 @@
 		QuarantineEnded, QuarantineFailed, SuspectsChanged, ResponseUnread, IntakeFull, ConnectionsFull,
 		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull, PathCut, PathHealed, ConnectionRelayed, RelaysChanged,
 		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable, TargetCold, TargetPaced, LoadReportIgnored,
-		LinkLost, PeerRefused, FrameRefused, MessageRefused, AcceptFailed,
+		LinkLost, PeerRefused, FrameRefused, MessageRefused, AcceptFailed, FrameInvalid,
 	}
 }
--- a/host/entry.go
+++ b/host/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -12,7 +11,7 @@
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
 	"github.com/banyanspur/banyanspur/gate"
-	"github.com/banyanspur/banyanspur/panics"
+	"github.com/banyanspur/banyanspur/intake"
 	"github.com/banyanspur/banyanspur/relay"
 	"github.com/banyanspur/banyanspur/turns"
 )
@@ -79,18 +78,5 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return n.serve(ctx, g, n.Settings.ReadyListen, mux)
-}
-
-// serveOn serves h on listener in g until ctx ends. Panics of h are written to log.
-func serveOn(ctx context.Context, g *errgroup.Group, listener net.Listener, h http.Handler, log event.Log) {
-	server := &http.Server{
-		Handler: panics.Handler(log, h), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: func(net.Listener) context.Context { return ctx }, // WebSocket connections end with ctx.
-	}
-	g.Go(func() error { return serve(server, listener) })
-	g.Go(func() error {
-		<-ctx.Done()
-		return errors.Wrap(server.Close(), "host: close")
-	})
+	return n.serve(ctx, g, n.Settings.ReadyListen, intake.WithoutBodies(mux))
 }
--- a/host/node.go
+++ b/host/node.go
@@ -46,9 +46,9 @@
 	HeaderNames gate.HeaderNames
 	// ReadyPath is the URL path of an entry host's readiness check.
 	ReadyPath string
-	// OperatorHandler returns the handler of a control host's operator interface. If
-	// it is nil, the interface is not served.
-	OperatorHandler func(client *fleet.Client) http.Handler
+	// OperatorHandler returns the handler of a control host's operator interface, which counts
+	// the bodies of requests in received. If it is nil, the interface is not served.
+	OperatorHandler func(client *fleet.Client, received *intake.Budget) http.Handler
 	// ListTargets reads the platform's list of targets, on a control host. It may be
 	// nil.
 	ListTargets func(ctx context.Context) ([]fleet.Target, error)
@@ -142,13 +142,15 @@
 	n.clock = types.NewBootClock()
 	n.received = intake.NewBudget(intake.Bytes(n.Settings.MemoryMB))
 	n.received.SetLog(n.Log)
-	n.peers = &wire.Pool{Secret: secret, Log: n.Log, OwnAddress: n.Settings.PeerAddress()}
-	n.peerServer = &wire.Server{Secret: secret, Log: n.Log, OnPeer: n.peers.Redial}
+	messages := wire.NewBudget(n.Settings.MemoryMB << 20)
+	n.peers = &wire.Pool{Secret: secret, Log: n.Log, OwnAddress: n.Settings.PeerAddress(), Budget: messages}
+	n.peerServer = &wire.Server{Secret: secret, Log: n.Log, OnPeer: n.peers.Redial, Budget: messages}
 	n.client = &fleet.Client{Host: n.Settings.Host, Zone: n.Settings.Zone, Seeds: n.Settings.SeedPeerAddresses(), Peers: n.peers, Clock: n.clock, Log: n.Log}
 	n.onSettings(func(s config.NodeSettings) { n.client.SetSeeds(s.SeedPeerAddresses()) })
 	if n.Role != NodeStore {
 		n.onSettings(setMemoryLimit)
 		n.onSettings(func(s config.NodeSettings) { n.received.SetLimit(intake.Bytes(s.MemoryMB)) })
+		n.onSettings(func(s config.NodeSettings) { messages.SetMemory(s.MemoryMB << 20) })
 	}
 	return nil
 }
@@ -166,13 +168,18 @@
 	for path, h := range handlers {
 		mux.Handle(path, h)
 	}
-	return n.serve(ctx, g, n.Settings.PeerListen(), mux)
+	listener, err := listen(ctx, n.Settings.PeerListen(), n.Log)
+	if err != nil {
+		return err
+	}
+	serveOn(ctx, g, newPeerListener(listener, n.received), intake.WithoutBodies(mux), n.Log)
+	return nil
 }
 
 func (n *Node) startMetricsServer(ctx context.Context, g *errgroup.Group) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	return n.serve(ctx, g, n.Settings.MetricsAddress(), mux)
+	return n.serve(ctx, g, n.Settings.MetricsAddress(), intake.WithoutBodies(mux))
 }
 
 // serve listens on address before it returns, and serves h in g until ctx ends.
@@ -181,7 +188,7 @@
 	if err != nil {
 		return err
 	}
-	serveOn(ctx, g, listener, h, n.Log)
+	serveOn(ctx, g, intake.Listen(listener, n.received, nil), h, n.Log)
 	return nil
 }
 
--- a/host/process.go
+++ b/host/process.go
@@ -15,9 +15,9 @@
 	"github.com/banyanspur/banyanspur/ctrl"
 	"github.com/banyanspur/banyanspur/entry"
 	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/intake"
 	"github.com/banyanspur/banyanspur/ledger"
 	"github.com/banyanspur/banyanspur/manage"
-	"github.com/banyanspur/banyanspur/panics"
 	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
 )
@@ -34,6 +34,10 @@
 	// [Process.Run] ends. The default is 3 seconds; a negative value means
 	// not at all.
 	DrainLag time.Duration
+	// Received bounds what the process holds for its peers on all ports. The default is a budget
+	// of 256 MiB, since the settings do not tell the memory of the host: the largest order takes
+	// half of it while it is received.
+	Received *intake.Budget
 	// Log receives events. The zero value discards them.
 	Log event.Log
 
@@ -44,12 +48,11 @@
 }
 
 const (
-	headerTimeout     = 5 * time.Second
-	maxHeaderBytes    = 64 << 10
-	callerIdleTimeout = 2 * time.Minute
 	// shutdownTimeout bounds the wait for requests in flight.
 	shutdownTimeout = ledger.MaxAttemptDuration + 10*time.Second
 	minSecretLength = 16
+	// defaultReceivedBytes is the default of [Process.Received].
+	defaultReceivedBytes = 256 << 20
 	// defaultDrainLag is how long a draining host keeps accepting callers,
 	// because the load balancer notices late that it is not ready.
 	defaultDrainLag = 3 * time.Second
@@ -120,6 +123,9 @@
 		p.DrainLag = defaultDrainLag
 	}
 	p.clock = types.NewClock()
+	if p.Received == nil {
+		p.Received = intake.NewBudget(defaultReceivedBytes)
+	}
 	s := p.Settings
 	p.client = &ctrl.Client{Hosts: s.Control, Secret: p.Secret, Groups: s.Groups, Log: p.Log}
 	if s.HasRole(config.RoleControl) {
@@ -130,7 +136,7 @@
 	}
 	if s.HasRole(config.RoleEntry) {
 		p.entry = &entry.Entry{
-			Host: s.Host, Zone: s.Zone, Client: p.client, Clock: p.clock, HostListFile: s.HostListFile, Log: p.Log,
+			Host: s.Host, Zone: s.Zone, Client: p.client, Clock: p.clock, HostListFile: s.HostListFile, Received: p.Received, Log: p.Log,
 		}
 	}
 	return nil
@@ -142,7 +148,12 @@
 	p.control.Register(server)
 	mux := http.NewServeMux()
 	mux.Handle("/peer", server)
-	return serveUntilDone(ctx, g, p.Settings.PeerListen, mux, p.Log)
+	listener, err := net.Listen("tcp", p.Settings.PeerListen)
+	if err != nil {
+		return errors.Wrap(err, "host: listen for peers")
+	}
+	serveOn(ctx, g, newPeerListener(&retryListener{Listener: listener, log: p.Log}, p.Received), intake.WithoutBodies(mux), p.Log)
+	return nil
 }
 
 // startAdminServer serves the administration interface, health checks and
@@ -153,9 +164,14 @@
 	}
 	server := &manage.Server{
 		Client: p.client, ControlHosts: p.Settings.Control, Operators: p.Settings.Operator,
-		Ready: func() bool { return p.entry == nil || p.entry.Ready() },
+		Ready: func() bool { return p.entry == nil || p.entry.Ready() }, Received: p.Received,
+	}
+	listener, err := net.Listen("tcp", p.Settings.AdminListen)
+	if err != nil {
+		return errors.Wrap(err, "host: listen for operators")
 	}
-	return serveUntilDone(ctx, g, p.Settings.AdminListen, server.Handler(), p.Log)
+	serveOn(ctx, g, intake.Listen(&retryListener{Listener: listener, log: p.Log}, p.Received, nil), server.Handler(), p.Log)
+	return nil
 }
 
 // startEntry serves callers until ctx or serveCtx ends. It then drains the host
@@ -165,11 +181,11 @@
 	if err != nil {
 		return errors.Wrap(err, "host: listen for callers")
 	}
-	server := &http.Server{
-		Handler: panics.Handler(p.Log, p.entry.Handler()), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: callerIdleTimeout,
-	}
+	server := newServer(p.entry.Handler(), p.Log)
 	entryCtx, stopEntry := context.WithCancel(serveCtx)
-	g.Go(func() error { return serve(server, &retryListener{Listener: listener, log: p.Log}) })
+	g.Go(func() error {
+		return serve(server, intake.Listen(&retryListener{Listener: listener, log: p.Log}, p.Received, nil))
+	})
 	g.Go(func() error {
 		defer stop()
 		return p.entry.Run(entryCtx)
@@ -202,21 +218,3 @@
 	defer cancel()
 	return errors.Wrap(server.Shutdown(ctx), "host: wait for requests in flight")
 }
-
-// serveUntilDone listens on address before it returns, and serves h in g until
-// ctx ends.
-func serveUntilDone(ctx context.Context, g *errgroup.Group, address string, h http.Handler, log event.Log) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrap(err, "host: listen")
-	}
-	serveOn(ctx, g, &retryListener{Listener: listener, log: log}, h, log)
-	return nil
-}
-
-func serve(server *http.Server, l net.Listener) error {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "host: serve")
-	}
-	return nil
-}
