crowd: tests of processes under clients that do not keep to the limits

Starts three control hosts, three stores and two entry hosts of the program on loopback addresses, with memory limits of 256, 140 and 88 MB, and lets a crowd loose on one of them. Checks that all processes live, that memory (VmHWM, and resident memory with what the kernel holds unread) stays under the limit, that a tenth of the descriptors is left, and that ordinary requests are served beside the crowd and afterwards, the largest legal bodies included. No times, no shares.

The crowds and bounds are fixed before the product changes.

The rows of the other ports and of stores were not run yet.

--- /dev/null
+++ b/crowd/ports_test.go
@@ -0,0 +1,75 @@
+//go:build crowd
+
+package crowd_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/banyanspur/banyanspur/host"
+)
+
+// TestOperatorsExhaustControlHost guards against a control host that runs out of memory or
+// descriptors since clients of its port for operators send more than they may or do not finish.
+func TestOperatorsExhaustControlHost(t *testing.T) {
+	invalid := fmt.Appendf(nil, `{"note":%q}`, bytes.Repeat([]byte("x"), bodyLimit))
+	rows := []row{
+		{name: "unfinished plans", size: 60, do: unfinished(putConfig, bodyLimit, 0)},
+		{name: "unfinished chunks", size: 60, do: chunked(putConfig, 60<<10, bodyLimit/(60<<10))},
+		{name: "chunks without end", size: 60, do: chunked(putConfig, 60<<10, 16*bodyLimit/(60<<10))},
+		{name: "invalid plans", size: 60, do: whole(putConfig, invalid)},
+	}
+	for i := range rows {
+		rows[i].role, rows[i].port = host.NodeControl, operatorPort
+	}
+	runRows(t, append(rows, portRows("operators", host.NodeControl, operatorPort)...))
+}
+
+// TestClientsExhaustPorts guards against a process that runs out of memory or descriptors since
+// clients of the ports for checks of readiness, metrics and other hosts do not finish.
+func TestClientsExhaustPorts(t *testing.T) {
+	runRows(t, portRows("readiness", host.NodeEntry, readyPort))
+	runRows(t, portRows("metrics", host.NodeStore, metricsPort))
+	runRows(t, portRows("peers", host.NodeStore, peerPort))
+	var rows []row
+	for _, role := range []host.NodeRole{host.NodeEntry, host.NodeStore, host.NodeControl} {
+		rows = append(
+			rows, row{name: "unfinished frames", role: role, port: peerPort, size: 32, do: frames(16<<20, true)},
+			row{name: "frames of garbage", role: role, port: peerPort, size: 32, do: frames(8<<20, false)},
+			row{name: "idle peers", role: role, port: peerPort, size: 450, files: 400, do: idlePeer},
+		)
+	}
+	for i, r := range rows {
+		rows[i].name = string(r.role) + ": " + r.name
+	}
+	runRows(t, rows)
+}
+
+// portRows returns what any port that serves HTTP must bear.
+func portRows(name string, role host.NodeRole, port int) []row {
+	post := post("/")
+	return []row{
+		{name: name + ": headers without end", role: role, port: port, size: 200, do: longHeader(240 << 10)},
+		{name: name + ": slow headers", role: role, port: port, size: 200, do: slowHeader},
+		{name: name + ": silent connections", role: role, port: port, size: 450, files: 400, do: silent},
+		{name: name + ": idle connections", role: role, port: port, size: 450, files: 400, do: idle},
+		{name: name + ": unfinished bodies", role: role, port: port, size: 60, do: unfinished(post, bodyLimit, 0)},
+	}
+}
+
+// TestTurnsExhaustStores guards against stores that run out of memory since all entry hosts send
+// them many large turns at once.
+func TestTurnsExhaustStores(t *testing.T) {
+	f := newFleet(t, deploymentFiles)
+	var stops []func()
+	for _, p := range f.hosts[6:] {
+		stops = append(stops, crowd(t, fmt.Sprintf("%s:%d", p.address, callerPort), 16, whole(post("/turn/"), wholeBody)))
+	}
+	f.serveOrdinary(f.first(host.NodeStore), "beside the crowd")
+	for _, stop := range stops {
+		stop()
+	}
+	f.serveAll(f.first(host.NodeStore))
+	f.check()
+}
