intake: listeners of peers keep the kernel's receive buffers

Cause: a listener that was not made by Listen had no map of its connections, and the number of its connections made the kernel's buffers small, which copies between stores need.

Change: only Listen bounds the buffers; the map is made with the first connection.

--- a/intake/listener.go
+++ b/intake/listener.go
@@ -55,6 +55,9 @@
 	// time. 0 means no limit.
 	MaxConns int
 
+	// boundsKernel is set if the kernel's receive buffers are bounded.
+	boundsKernel bool
+
 	mu       sync.Mutex
 	conns    map[*Conn]struct{}
 	small    bool // the kernel keeps smallReceiveBytes for new connections
@@ -65,7 +68,7 @@
 // Listen returns a listener that counts the connections of l in a budget, with MaxConns set to
 // three eighths of the descriptors that the process may have.
 func Listen(l net.Listener, b *Budget, limits func() Limits) *Listener {
-	il := &Listener{Listener: l, Budget: b, Limits: limits, conns: map[*Conn]struct{}{}}
+	il := &Listener{Listener: l, Budget: b, Limits: limits, boundsKernel: true}
 	var nofile unix.Rlimit
 	if unix.Getrlimit(unix.RLIMIT_NOFILE, &nofile) == nil && nofile.Cur < 1<<30 {
 		il.MaxConns = int(nofile.Cur) * connsShare / 8
@@ -99,6 +102,9 @@
 		return nil
 	}
 	l.mu.Lock()
+	if l.conns == nil {
+		l.conns = map[*Conn]struct{}{}
+	}
 	l.conns[c] = struct{}{}
 	l.resize()
 	l.mu.Unlock()
@@ -118,6 +124,7 @@
 	n := int64(len(l.conns)) * receiveBytes
 	limit := l.Budget.Limit() / receiveShare
 	switch {
+	case !l.boundsKernel:
 	case !l.small && n > limit:
 		l.small = true
 		l.setReceiveBuffer(smallReceiveBytes)
