wire: a panic of a message's handler is logged and answered by a fault

Callers see: a process that ends by a panic in the handler of one message of another host, with every request in flight on it.

Cause: handlers run in goroutines of their own, where nothing recovers a panic.

Change: the panic is written as event 605 with the kind and a bounded stack, counted as banyanspur_wire_panics_total, and answered by a fault that the message may have been handled. Messages that change replicated state are registered by HandleState and still end the process, since the state may have been changed in part: claims and closes of stores, and the messages of the replicated log, which is applied in goroutines that recover nothing either. The list of a shard's turns is read under a deferred unlock, so that a panic leaves no lock behind.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -81,6 +81,7 @@
 	PeerRefused          = Kind{602, logrus.WarnLevel, "link refused, wrong cluster secret"}
 	FrameRefused         = Kind{603, logrus.ErrorLevel, "link ended, the other host sends a frame beyond the limit"}
 	MessageRefused       = Kind{604, logrus.ErrorLevel, "message too large for another host"}
+	MessagePanicked      = Kind{605, logrus.ErrorLevel, "handler of a message panicked, the process goes on"}
 )
 
 // Catalog returns all kinds of events, ordered by number.
@@ -98,6 +99,6 @@
 		QuarantineEnded, QuarantineFailed, SuspectsChanged, ResponseUnread,
 		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull, PathCut, PathHealed, ConnectionRelayed, RelaysChanged,
 		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable, TargetCold, TargetPaced, LoadReportIgnored,
-		LinkLost, PeerRefused, FrameRefused, MessageRefused,
+		LinkLost, PeerRefused, FrameRefused, MessageRefused, MessagePanicked,
 	}
 }
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -181,7 +181,7 @@
 func (c *Control) Register(server *wire.Server) {
 	c.init()
 	wire.Handle(server, KindHello, c.hello)
-	wire.Handle(server, KindQuorum, func(_ context.Context, m quorum.Message) (Ack, error) {
+	wire.HandleState(server, KindQuorum, func(_ context.Context, m quorum.Message) (Ack, error) {
 		c.replica.Deliver(m)
 		return Ack{}, nil
 	})
--- a/host/serve.go
+++ b/host/serve.go
@@ -21,7 +21,7 @@
 // must be called before s serves.
 func (c *Control) Register(s *wire.Server) {
 	c.init()
-	wire.Handle(s, ctrl.KindQuorum, c.deliver)
+	wire.HandleState(s, ctrl.KindQuorum, c.deliver)
 	wire.Handle(s, ctrl.KindGroups, c.listReplicas)
 	wire.Handle(s, ctrl.KindJoin, c.join)
 	wire.Handle(s, ctrl.KindLease, c.grantLease)
--- a/turns/fetch.go
+++ b/turns/fetch.go
@@ -16,22 +16,26 @@
 // the map with the epoch of the copy, for which it waits a moment.
 func (s *Store) handleList(ctx context.Context, req ListRequest) (ListReply, error) {
 	s.awaitMap(ctx, req.To, req.Shard, req.Epoch)
-	s.mu.RLock()
-	err := s.checkRequest(req.To, req.Shard, req.Epoch)
-	var reply ListReply
-	if err == nil {
-		for key, t := range s.index.turns {
-			if t.shard == req.Shard {
-				reply.Turns = append(reply.Turns, ListedTurn{Account: key.account, ID: key.id, Bytes: int(t.location.Length), Age: s.retained.Sub(t.lastUsed)})
-			}
-		}
-	}
-	s.mu.RUnlock()
+	turns, err := s.listTurns(req)
 	if err != nil {
 		return ListReply{}, err
 	}
-	reply.Programs = s.shardPrograms(req.Shard)
-	return reply, nil
+	return ListReply{Turns: turns, Programs: s.shardPrograms(req.Shard)}, nil
+}
+
+func (s *Store) listTurns(req ListRequest) ([]ListedTurn, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if err := s.checkRequest(req.To, req.Shard, req.Epoch); err != nil {
+		return nil, err
+	}
+	var turns []ListedTurn
+	for key, t := range s.index.turns {
+		if t.shard == req.Shard {
+			turns = append(turns, ListedTurn{Account: key.account, ID: key.id, Bytes: int(t.location.Length), Age: s.retained.Sub(t.lastUsed)})
+		}
+	}
+	return turns, nil
 }
 
 // handleFetch returns the turns of the request that this store has.
--- a/turns/serve.go
+++ b/turns/serve.go
@@ -16,8 +16,8 @@
 
 // Register adds the handlers of the store's requests to server.
 func (s *Store) Register(server *wire.Server) {
-	wire.Handle(server, KindClaim, s.handleClaim)
-	wire.Handle(server, KindClose, s.handleClose)
+	wire.HandleState(server, KindClaim, s.handleClaim)
+	wire.HandleState(server, KindClose, s.handleClose)
 	wire.Handle(server, KindChain, s.handleChain)
 	wire.Handle(server, KindCopy, s.handleCopy)
 	wire.Handle(server, KindList, s.handleList)
--- a/wire/server.go
+++ b/wire/server.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/panics"
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -55,9 +56,22 @@
 
 // Handle registers fn as the handler of messages of the given kind. fn must be
 // safe for concurrent use.
+//
+// A panic of fn is logged, and the sender gets a fault that the message may have been handled. fn
+// must therefore unlock what it locks by deferred calls.
 func Handle[Req, Resp any](s *Server, kind Kind, fn func(ctx context.Context, req Req) (Resp, error)) {
+	s.register(kind, s.recovering(kind, newHandler(kind, fn)))
+}
+
+// HandleState is like [Handle] for messages that change state whose other replicas rely on it. A
+// panic of fn ends the process, since the state may have been changed in part.
+func HandleState[Req, Resp any](s *Server, kind Kind, fn func(ctx context.Context, req Req) (Resp, error)) {
+	s.register(kind, newHandler(kind, fn))
+}
+
+func newHandler[Req, Resp any](kind Kind, fn func(ctx context.Context, req Req) (Resp, error)) handler {
 	counters := newKindCounters(kind)
-	s.register(kind, func(ctx context.Context, body []byte) ([]byte, error) {
+	return func(ctx context.Context, body []byte) ([]byte, error) {
 		counters.requests.Inc()
 		counters.requestBytes.Add(len(body))
 		req, err := types.Decode[Req](body)
@@ -71,7 +85,25 @@
 		encoded := types.Encode(reply)
 		counters.replyBytes.Add(len(encoded))
 		return encoded, nil
-	})
+	}
+}
+
+var handlerPanics = metrics.NewCounter("banyanspur_wire_panics_total")
+
+// errPanicked is returned for a message whose handler has panicked.
+var errPanicked = types.NewFault(types.CodeInternal, "the host failed to handle the message").WithRan(types.MayHaveRun)
+
+// recovering returns a handler that recovers the panics of h.
+func (s *Server) recovering(kind Kind, h handler) handler {
+	return func(ctx context.Context, body []byte) (reply []byte, err error) {
+		defer func() {
+			if v := recover(); v != nil {
+				panics.Report(s.Log, event.MessagePanicked, handlerPanics, event.Fields{"kind": kind, "bytes": len(body)}, v)
+				reply, err = nil, errPanicked
+			}
+		}()
+		return h(ctx, body)
+	}
 }
 
 func (s *Server) register(kind Kind, h handler) {
