fakes: a test guards what its goroutines share

The race detector reports TestBatch on the code before: its goroutines append to one slice, ordered by the fake clock only. They hold a lock for it now. The package passes under the detector.

--- a/fakes/engine_test.go
+++ b/fakes/engine_test.go
@@ -52,11 +52,14 @@
 func TestBatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &fakes.Engine{Slots: 1, TokenTime: time.Second}
+		var mu sync.Mutex
 		var order []int
 		var wg sync.WaitGroup
 		for _, priority := range []int{0, 1, 3, 2} {
 			wg.Go(func() {
 				e.Generate(context.Background(), fakes.Job{AnswerTokens: 1, Priority: priority})
+				mu.Lock()
+				defer mu.Unlock()
 				order = append(order, priority)
 			})
 			synctest.Wait()
