panics, cmd: the log tells a process that ended by a panic from one that was killed

Operators see: both ends leave the same gap in the log; the reason of a panic is only on standard error, which was not kept.

--- a/cmd/banyanspur/join.go
+++ b/cmd/banyanspur/join.go
@@ -11,6 +11,7 @@
 	"github.com/banyanspur/banyanspur/config"
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/host"
+	"github.com/banyanspur/banyanspur/panics"
 	"github.com/banyanspur/banyanspur/platform"
 )
 
@@ -42,6 +43,9 @@
 	}
 	log, stopLog := event.NewAsync(os.Stdout)
 	defer stopLog()
+	if err := panics.KeepReport(settings.DataDir, disk, log); err != nil {
+		log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "step": "panic report"})
+	}
 	n := &host.Node{
 		Role: c.Role.Name, Settings: settings, HeaderNames: platform.HeaderNames, ReadyPath: platform.ReadyPath,
 		OperatorHandler: platform.NewOperatorHandler, SettingsFile: c.Settings, Reload: reload, Disk: disk, Log: log,
--- a/cmd/banyanspur/run.go
+++ b/cmd/banyanspur/run.go
@@ -12,6 +12,8 @@
 	"github.com/banyanspur/banyanspur/config"
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/host"
+	"github.com/banyanspur/banyanspur/panics"
+	"github.com/banyanspur/banyanspur/store"
 )
 
 type runCommand struct {
@@ -29,6 +31,9 @@
 	defer stop()
 	log, stopLog := event.NewAsync(os.Stderr)
 	defer stopLog()
+	if err := panics.KeepReport(s.DataDir, store.Disk{}, log); err != nil {
+		log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "step": "panic report"})
+	}
 	p := &host.Process{Settings: s, DrainLag: c.DrainLag, Log: log}
 	err = p.Run(ctx)
 	if err != nil {
--- a/store/disk.go
+++ b/store/disk.go
@@ -132,6 +132,16 @@
 	return errors.Wrap(err, "store: sync directory")
 }
 
+// OpenAppend opens a file to append to, and creates it if there is none. Neither the file nor its
+// name is synced.
+func (d Disk) OpenAppend(path string) (*os.File, error) {
+	f, err := d.openFile(path, os.O_CREATE|os.O_APPEND)
+	return f, errors.Wrap(err, "store: open file")
+}
+
+// Clear removes the content of a file, without a sync.
+func (d Disk) Clear(f *os.File) error { return d.truncate(f, 0) }
+
 func (d Disk) truncate(f *os.File, size int64) error {
 	if err := f.Truncate(size); err != nil {
 		return errors.Wrap(err, "store: truncate file")
