host: a process whose memory comes near its limit says so

Operators see: a process that is killed for its memory leaves no trace of how near it was, so that such an end cannot be told from others.

Change: each host reads its resident memory and its peak every two seconds (two system calls), serves them as gauges, and writes event 110 from 0.8 of memoryMB on, once a minute at most. The peak shows a rise between two readings; one that ends the process within two seconds stays unseen.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -15,6 +15,7 @@
 	SettingsRefused      = Kind{107, logrus.WarnLevel, "settings file refused, the settings in force stay"}
 	HandlerPanicked      = Kind{108, logrus.ErrorLevel, "handler of a request panicked, the process goes on"}
 	ProcessCrashed       = Kind{109, logrus.ErrorLevel, "process before this one ended by a panic"}
+	MemoryNearLimit      = Kind{110, logrus.WarnLevel, "memory of the process is near its limit"}
 	LeaderElected        = Kind{201, logrus.InfoLevel, "replica became leader"}
 	LeaderLost           = Kind{202, logrus.WarnLevel, "replica stopped leading"}
 	LogTruncated         = Kind{203, logrus.WarnLevel, "incomplete record cut from the end of the log"}
@@ -89,7 +90,7 @@
 func Catalog() []Kind {
 	return []Kind{
 		HostStarted, HostDraining, HostStopped, HostFailed, SettingsChanged, SettingsKept, SettingsRefused,
-		HandlerPanicked, ProcessCrashed,
+		HandlerPanicked, ProcessCrashed, MemoryNearLimit,
 		LeaderElected, LeaderLost, LogTruncated, LogCorrupt, SnapshotWritten,
 		SnapshotInstalled, StorageFailed, DiskIOFailed, GroupBootstrapped, MembersChanged,
 		ShardMoved, ShardCopied, CopyFailed, ExpiryUnproven, StoreCapacity, ShardReformed, ReformExpired, DiskSlow, MembershipInDoubt,
--- a/host/node.go
+++ b/host/node.go
@@ -94,6 +94,8 @@
 	defer cancel()
 	g, serveCtx := errgroup.WithContext(serveCtx)
 	g.Go(func() error { return n.peers.Run(serveCtx) })
+	memory := &MemoryWatch{Limit: func() int64 { return n.inForce().MemoryMB << 20 }, Log: n.Log}
+	g.Go(func() error { return memory.Run(serveCtx) })
 	if err := n.startMetricsServer(serveCtx, g); err != nil {
 		return err
 	}
--- a/host/reload_test.go
+++ b/host/reload_test.go
@@ -39,6 +39,12 @@
 	return l.b.Write(p)
 }
 
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 // fields returns the field "fields" of each event of a kind, in order.
 func (l *logBuffer) fields(k event.Kind) []string {
 	l.mu.Lock()
