gate, turns: a chain is charged part by part while it is fetched

Callers see: a single small request may end an entry host, if it continues a long chain of large turns: all of it is fetched and held before anything else is decided.

Cause: the chain had no bound but the number of turns, and was charged after the last part.

Change: each part is charged before the next one is fetched. Without memory, the request gets 503 and has not run.

--- a/gate/turn.go
+++ b/gate/turn.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/event"
@@ -55,7 +56,7 @@
 	if c.turn.previous != "" {
 		g.Go(func() error {
 			defer chainFetchSeconds.UpdateDuration(time.Now())
-			c.turn.chain, chainErr = c.gate.Turns.ChainOf(ctx, c.accountID(), c.turn.budget.Program, c.turn.previous)
+			c.turn.chain, chainErr = c.gate.Turns.ChainWithin(ctx, c.accountID(), c.turn.budget.Program, c.turn.previous, c.chargeChain)
 			return nil
 		})
 	}
@@ -73,10 +74,7 @@
 	if r := c.turnError(chainErr, budgetErr); r != nil {
 		return r
 	}
-	if limited != nil {
-		return limited
-	}
-	return c.chargeChain()
+	return limited
 }
 
 // turnError returns the error response for the errors of fetching the chain and
@@ -108,6 +106,9 @@
 
 // chainError returns the error response for an error of fetching the chain.
 func (c *call) chainError(err error) *errorResponse {
+	if errors.Is(err, intake.ErrFull) {
+		return noMemory()
+	}
 	fields := event.Fields{"previous": c.turn.previous, "viewAgeMs": c.gate.Fleet.Staleness().Milliseconds()}
 	if types.IsCode(err, types.CodeNotFound) {
 		return &errorResponse{status: http.StatusNotFound, reason: "there is no such turn", logFields: fields}
@@ -160,21 +161,16 @@
 	return noMemory()
 }
 
-// chargeChain charges the turns that the request continues until a target responds.
-func (c *call) chargeChain() *errorResponse {
-	for _, t := range c.turn.chain {
-		c.turn.chainBytes += int64(len(t.Input) + len(t.Output))
-	}
-	if c.turn.chainBytes == 0 {
-		return nil
-	}
+// chargeChain charges a part of the chain that the request continues, until a target responds.
+func (c *call) chargeChain(bytes int) error {
 	if c.received == nil {
 		c.received = c.gate.Received.Open(c.accountID(), func() {})
 		c.received.SetPhase(intake.Working)
 	}
-	if c.received.Add(c.turn.chainBytes) != nil {
-		return noMemory()
+	if err := c.received.Add(int64(bytes)); err != nil {
+		return err
 	}
+	c.turn.chainBytes += int64(bytes)
 	return nil
 }
 
--- a/turns/cache.go
+++ b/turns/cache.go
@@ -89,4 +89,6 @@
 const turnOverheadBytes = 300
 
 // memoryBytes returns the memory that the turn takes in the cache.
-func (t Turn) memoryBytes() int { return len(t.Input) + len(t.Output) + turnOverheadBytes }
+func (t Turn) memoryBytes() int { return t.dataBytes() + turnOverheadBytes }
+
+func (t Turn) dataBytes() int { return len(t.Input) + len(t.Output) }
--- a/turns/chain.go
+++ b/turns/chain.go
@@ -22,7 +22,7 @@
 
 // Chain is [Client.ChainOf] for a turn whose program is not known.
 func (c *Client) Chain(ctx context.Context, account types.AccountID, id TurnID) ([]Turn, error) {
-	return c.chain(ctx, account, id, noShard)
+	return c.chain(ctx, account, id, noShard, func(int) error { return nil })
 }
 
 // ChainOf returns a turn and all turns before it, oldest first. The turn is most likely one
@@ -32,7 +32,14 @@
 // fault if too few stores have replied to be certain, or if the turn may be lost (see
 // [MayBeLost]).
 func (c *Client) ChainOf(ctx context.Context, account types.AccountID, program types.ProgramID, id TurnID) ([]Turn, error) {
-	return c.chain(ctx, account, id, ShardOf(account, program))
+	return c.ChainWithin(ctx, account, program, id, func(int) error { return nil })
+}
+
+// ChainWithin is [Client.ChainOf] for callers whose memory is limited. grow is called for each part
+// of the chain with the size of its inputs and outputs, before the next one is fetched; if it
+// fails, ChainWithin returns its error.
+func (c *Client) ChainWithin(ctx context.Context, account types.AccountID, program types.ProgramID, id TurnID, grow func(bytes int) error) ([]Turn, error) {
+	return c.chain(ctx, account, id, ShardOf(account, program), grow)
 }
 
 // noShard stands for a shard that is not known.
@@ -40,7 +47,7 @@
 
 // chain returns a turn and all turns before it. likely is the shard that is likely to have
 // them.
-func (c *Client) chain(ctx context.Context, account types.AccountID, id TurnID, likely Shard) ([]Turn, error) {
+func (c *Client) chain(ctx context.Context, account types.AccountID, id TurnID, likely Shard, grow func(int) error) ([]Turn, error) {
 	var chain []Turn
 	for id != "" {
 		t, ok := c.cache.get(account, id)
@@ -48,6 +55,9 @@
 			t, ok = c.cache.getRecent(account, id, c.now(), maxCachedAge)
 		}
 		if ok {
+			if err := grow(t.dataBytes()); err != nil {
+				return nil, err
+			}
 			chain = append(chain, t)
 			id = t.Previous
 			continue
@@ -56,6 +66,13 @@
 		if err != nil {
 			return nil, err
 		}
+		size := 0
+		for _, t := range part {
+			size += t.dataBytes()
+		}
+		if err := grow(size); err != nil {
+			return nil, err
+		}
 		for _, t := range part {
 			c.cache.put(t, 0, c.cacheBytes())
 		}
--- a/turns/chain_test.go
+++ b/turns/chain_test.go
@@ -1,9 +1,12 @@
 package turns_test
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -44,3 +47,33 @@
 		t.Errorf("%d requests for %d chains, want at most %d", sent, programs, limit)
 	}
 }
+
+// TestLongChainsAreAbandoned guards against chains that are fetched to their beginning, however
+// much memory they take, although the client has none left.
+func TestLongChainsAreAbandoned(t *testing.T) {
+	const size = 2 << 20 // A reply has one such turn.
+	c := newCluster(t, 3)
+	w := c.client()
+	previous := turns.TurnID("")
+	for i := range 4 {
+		id := turns.TurnID(fmt.Sprint("t", i))
+		turn := &turns.Turn{Account: "choir", ID: id, Previous: previous, Shard: turns.ShardOf("choir", "p"), Input: make([]byte, size), Output: []byte("out")}
+		b := turns.Budget{Account: "choir", Program: "p", Attempt: types.AttemptID(id), MaxTokens: 1}
+		if err := w.Settle(withTimeout(t, stepTimeout), b, 1, turn); err != nil {
+			t.Fatal(err)
+		}
+		previous = id
+	}
+	full := errors.New("no memory")
+	var parts []int
+	_, err := c.client().ChainWithin(withTimeout(t, stepTimeout), "choir", "p", previous, func(n int) error {
+		parts = append(parts, n)
+		if len(parts) == 2 {
+			return full
+		}
+		return nil
+	})
+	if diff := cmp.Diff([]int{size + 3, size + 3}, parts); diff != "" || !errors.Is(err, full) {
+		t.Errorf("%v, parts (-want +got):\n%s", err, diff)
+	}
+}
