intake: an account at its own limit evicts nobody else

Callers see: with one account at its limit, each further large request of it makes slow callers of other accounts, and connections without a request, lose their memory, although that helps nobody.

Cause: holders were evicted one by one until there was room, without asking whether there would be; the part of an account did not shrink with its own evicted holders.

Change: the holders to be evicted are selected first, in one pass, and none is evicted if all of them are not enough.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -57,7 +57,7 @@
 	limit   int64
 	used    int64 // 0 <= used; sum over holders
 	leaving int64 // 0 <= leaving <= used; the part of used that evicted holders still have
-	// large is what the holders of more than smallBytes have, by account.
+	// large is what the holders of more than smallBytes have, by account, without evicted ones.
 	large    map[types.AccountID]int64
 	holders  map[*Holder]struct{} // those with held > 0
 	released chan struct{}        // closed with the next release or eviction; nil if nobody waits
@@ -203,34 +203,33 @@
 	return ok, released, err
 }
 
-// makeRoom charges n bytes if there is room. Otherwise it evicts holders until there will be
-// room, or fails if there are not enough. It must be called with mu held, and the evict functions
-// of victims after that.
+// makeRoom charges n bytes if there is room. Otherwise it evicts holders so that there will be
+// room, or fails if there are not enough, and then evicts none. It must be called with mu held, and
+// the evict functions of victims after that.
 func (b *Budget) makeRoom(h *Holder, n int64) (victims []*Holder, ok bool, err error) {
 	if h.evicted || h.closed {
 		return nil, false, errors.WithStack(ErrEvicted)
 	}
-	if b.fits(h, n, b.used) {
+	if b.excess(h, n, b.used) <= 0 {
 		b.charge(h, n)
 		return nil, true, nil
 	}
-	for !b.fits(h, n, b.used-b.leaving) {
-		v := b.victim(h, n)
-		if v == nil && b.leaving > 0 {
-			break // It may fit once all have left.
-		}
-		if v == nil {
+	if excess := b.excess(h, n, b.used-b.leaving); excess > 0 {
+		victims, ok = b.victims(h, n, excess)
+		if !ok {
 			b.recordRefusal()
-			return victims, false, errors.WithStack(ErrFull)
+			return nil, false, errors.WithStack(ErrFull)
 		}
+	}
+	for _, v := range victims {
 		b.evict(v)
-		victims = append(victims, v)
 	}
 	return victims, false, nil
 }
 
 // evict takes the memory of v away. It must be called with mu held, and v.evict after that.
 func (b *Budget) evict(v *Holder) {
+	b.addLarge(v, -1)
 	v.evicted = true
 	b.leaving += v.held
 	b.recordEviction()
@@ -256,14 +255,14 @@
 	return errors.WithStack(ErrFull)
 }
 
-// fits reports whether h may have n more bytes if used are in use. A holder of more than
-// smallBytes must leave the reserve free, and as much as others of its account have, so that
-// no account takes the room of all others.
-func (b *Budget) fits(h *Holder, n, used int64) bool {
+// excess returns by how much the memory in use exceeds what there is for h, if h gets n more bytes
+// and used are in use. A holder of more than smallBytes must leave the reserve free, and as
+// much as others of its account have, so that no account takes the room of all others.
+func (b *Budget) excess(h *Holder, n, used int64) int64 {
 	if h.held+n <= smallBytes {
-		return used+n <= b.limit
+		return used + n - b.limit
 	}
-	return used+n+b.large[h.account]-h.largeBytes() <= b.limit-b.limit/reserveShare
+	return used + n + b.large[h.account] - h.largeBytes() - (b.limit - b.limit/reserveShare)
 }
 
 // largeBytes returns what h has if that is more than smallBytes, else 0.
@@ -274,62 +273,26 @@
 	return 0
 }
 
-// victim returns the holder that is to be evicted so that h may have n bytes, or nil if there is
-// none: of the peers that are slow, the one that holds most; if none is, and h stays small, the
-// largest incomplete request beyond smallBytes; else the connection that has been idle for the
-// longest time, if h stays small or idle ones have as much as the reserve.
-func (b *Budget) victim(h *Holder, n int64) *Holder {
-	now := time.Now()
-	var slow, large, idle *Holder
-	var idleBytes int64
-	for o := range b.holders {
-		switch {
-		case o == h, o.evicted, o.phase == Working, o.waiting:
-		case o.phase == Idle:
-			idleBytes += o.held
-			if idle == nil || o.since.Before(idle.since) {
-				idle = o
-			}
-		case o.isSlow(now):
-			if slow == nil || o.held > slow.held {
-				slow = o
-			}
-		case o.held > smallBytes:
-			if large == nil || o.held > large.held {
-				large = o
-			}
-		}
+// addLarge adds what h has, if it is large, to its account, or removes it.
+func (b *Budget) addLarge(h *Holder, sign int64) {
+	if h.evicted {
+		return
 	}
-	small := h.held+n <= smallBytes
-	switch {
-	case slow != nil:
-		return slow
-	case small && large != nil:
-		return large
-	case idle != nil && now.Sub(idle.since) >= stallTime && (small || idleBytes > b.limit/reserveShare):
-		return idle
+	b.large[h.account] += sign * h.largeBytes()
+	if b.large[h.account] == 0 {
+		delete(b.large, h.account)
 	}
-	return nil
-}
-
-// isSlow reports whether the peer of an incomplete request is slow.
-func (h *Holder) isSlow(now time.Time) bool {
-	age := now.Sub(h.since)
-	return now.Sub(h.progressAt) >= stallTime || age >= stallTime && float64(h.received) < minRate*age.Seconds()
 }
 
 // charge adds n bytes, which may be negative, to what h has. It must be called with mu held.
 func (b *Budget) charge(h *Holder, n int64) {
-	b.large[h.account] -= h.largeBytes()
+	b.addLarge(h, -1)
 	h.held += n
 	b.used += n
 	if h.evicted {
 		b.leaving += n
 	}
-	b.large[h.account] += h.largeBytes()
-	if b.large[h.account] == 0 {
-		delete(b.large, h.account)
-	}
+	b.addLarge(h, 1)
 	if h.held > 0 {
 		b.holders[h] = struct{}{}
 	} else {
--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -97,6 +97,25 @@
 	open(t, b, "", 64<<10) // Small ones are served beside all that.
 }
 
+// TestAccountsDoNotEvictInVain guards against an account that is at its own limit and makes others
+// lose their memory, although that does not help it.
+func TestAccountsDoNotEvictInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := intake.NewBudget(16 * mib)
+		open(t, b, "one", 5*mib).SetPhase(intake.Working)
+		other, silent := open(t, b, "other", mib), open(t, b, "", 16<<10)
+		time.Sleep(time.Second)
+		p := b.Open("one", func() {})
+		defer p.Close()
+		if err := p.Add(3 * mib); !errors.Is(err, intake.ErrFull) {
+			t.Errorf("beyond the limit of the account: %v, want %v", err, intake.ErrFull)
+		}
+		if other.evicted.Load() || silent.evicted.Load() {
+			t.Error("others were evicted")
+		}
+	})
+}
+
 // TestSmallRequestsAreServedBesideLarge guards against ordinary requests that are refused while
 // large ones hold what there is.
 func TestSmallRequestsAreServedBesideLarge(t *testing.T) {
