intake: the kernel's buffers shrink in steps with the number of connections

Callers see: on a small host with some hundred connections, the body of an ordinary prompt takes several round trips more, since new connections get 8 KiB from one connection to the next.

Change: 64, 32, 16 and 8 KiB, each half as much where all open connections could take a quarter of the budget. All together take up to half of the budget beyond what is charged.

--- a/intake/listener.go
+++ b/intake/listener.go
@@ -15,17 +15,17 @@
 
 const (
 	// connBytes is the memory of a connection without a request: its goroutine, the buffers of
-	// the HTTP server, and smallReceiveBytes in the kernel.
+	// the HTTP server, and minReceiveBytes in the kernel.
 	connBytes = 16 << 10
 	// receiveBytes is how much the kernel keeps for a connection that is not read, such as that
 	// of a caller that sends on while its request is handled. The default is up to 6 MB. What the
 	// kernel keeps counts toward the memory of the host.
 	receiveBytes = 64 << 10
-	// smallReceiveBytes is the same for connections that are accepted while so many are open
-	// that all of them could take more than a quarter of the budget.
-	smallReceiveBytes = 8 << 10
-	// receiveShare is the part of the budget, as one in so many, up to which connections get
-	// receiveBytes. It is not charged.
+	// minReceiveBytes is the least that the kernel keeps. It is part of connBytes.
+	minReceiveBytes = 8 << 10
+	// receiveShare is the part of the budget, as one in so many, that bounds what the kernel
+	// keeps: a new connection gets half as much each time that all which are open could take
+	// more than that. So all together take up to twice that beyond what is charged.
 	receiveShare = 4
 	// connsShare is the part of the descriptors of a process that the connections of a
 	// listener may take, in eighths. Each may need another one to a target; the rest is for other
@@ -57,7 +57,7 @@
 
 	mu       sync.Mutex
 	conns    map[*Conn]struct{}
-	small    bool // the kernel keeps smallReceiveBytes for new connections
+	receive  int64 // what the kernel keeps for new connections
 	loggedAt time.Time
 	closed   int // connections closed for new ones, or not accepted, since loggedAt
 }
@@ -115,26 +115,34 @@
 // resize changes what the kernel keeps for new connections if their number calls for it. It must
 // be called with mu held.
 func (l *Listener) resize() {
-	n := int64(len(l.conns)) * receiveBytes
-	limit := l.Budget.Limit() / receiveShare
-	switch {
-	case !l.small && n > limit:
-		l.small = true
-		l.setReceiveBuffer(smallReceiveBytes)
-	case l.small && n < limit/2:
-		l.small = false
-		l.setReceiveBuffer(receiveBytes)
+	n, limit := int64(len(l.conns)), l.Budget.Limit()/receiveShare
+	size := receiveSize(n, limit)
+	if size > l.receive && receiveSize(n+n/4, limit) <= l.receive {
+		return // It would change back with a few more connections.
 	}
+	if size != l.receive {
+		l.setReceiveBuffer(size)
+	}
+}
+
+// receiveSize returns what the kernel is to keep for the next one of n connections.
+func receiveSize(n, limit int64) int64 {
+	size := int64(receiveBytes)
+	for size > minReceiveBytes && n*size > limit {
+		size /= 2
+	}
+	return size
 }
 
 // setReceiveBuffer sets how much the kernel keeps for connections that are accepted from now on.
-func (l *Listener) setReceiveBuffer(n int) {
+func (l *Listener) setReceiveBuffer(n int64) {
+	l.receive = n
 	raw, err := rawConn(l.Listener)
 	if err != nil {
 		return // It is no socket.
 	}
 	_ = raw.Control(func(fd uintptr) { // Accepted connections inherit the option.
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, n/2) // The kernel doubles it.
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, int(n/2)) // The kernel doubles it.
 	})
 }
 
