--- a/wire/panic_test.go
+++ b/wire/panic_test.go
@@ -34,7 +34,7 @@
 	if got, err := wire.Call[string, string](t.Context(), link, "echo", "hello"); err != nil || got != "hello" {
 		t.Errorf("the next message got the reply %q, %v", got, err)
 	}
-	if n := strings.Count(log.String(), `"event":605`); n != 2 {
+	if n := strings.Count(log.String(), `"event":607`); n != 2 {
 		t.Errorf("%d panics were logged, want 2: %s", n, log.String())
 	}
 }
