--- a/host/node.go
+++ b/host/node.go
@@ -141,6 +141,7 @@
 	n.secret = secret
 	n.clock = types.NewBootClock()
 	n.received = intake.NewBudget(intake.Bytes(n.Settings.MemoryMB))
+	n.received.SetLog(n.Log)
 	messages := wire.NewBudget(n.Settings.MemoryMB << 20)
 	n.peers = &wire.Pool{Secret: secret, Log: n.Log, OwnAddress: n.Settings.PeerAddress(), Budget: messages}
 	n.peerServer = &wire.Server{Secret: secret, Log: n.Log, OnPeer: n.peers.Redial, Budget: messages}
@@ -171,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	serveOn(ctx, g, newPeerListener(listener, n.received), intake.WithoutBodies(mux))
+	serveOn(ctx, g, intake.ListenHosts(listener, n.received), intake.WithoutBodies(mux))
 	return nil
 }
 
@@ -187,7 +188,7 @@
 	if err != nil {
 		return err
 	}
-	serveOn(ctx, g, intake.Listen(listener, n.received, nil), h)
+	serveOn(ctx, g, listenerOf(listener, n.received), h)
 	return nil
 }
 
--- a/host/process.go
+++ b/host/process.go
@@ -152,7 +152,7 @@
 	if err != nil {
 		return errors.Wrap(err, "host: listen for peers")
 	}
-	serveOn(ctx, g, newPeerListener(listener, p.Received), intake.WithoutBodies(mux))
+	serveOn(ctx, g, intake.ListenHosts(listener, p.Received), intake.WithoutBodies(mux))
 	return nil
 }
 
@@ -170,7 +170,7 @@
 	if err != nil {
 		return errors.Wrap(err, "host: listen for operators")
 	}
-	serveOn(ctx, g, intake.Listen(listener, p.Received, nil), server.Handler())
+	serveOn(ctx, g, listenerOf(listener, p.Received), server.Handler())
 	return nil
 }
 
