--- a/host/listener.go
+++ b/host/listener.go
@@ -26,7 +26,7 @@
 // newServer returns a server for connections of [intake.Listener].
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: boundBodies(h), ConnState: intake.SetState, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+		Handler: boundBodies(h), ConnState: intake.SetState, ConnContext: intake.ConnContext, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 	}
 }
 
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -146,7 +147,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
-	case http.StateActive, http.StateHijacked:
+	case http.StateHijacked: // The handler has set working.
+		c.holder.SetPhase(Idle)
+	case http.StateActive:
 		c.working = true
 		if !c.headerEnd.IsZero() {
 			c.headerEnd = time.Time{}
@@ -160,6 +163,23 @@
 	}
 }
 
+// connKey is the context key of a connection.
+type connKey struct{}
+
+// ConnContext is the ConnContext function of an [http.Server] whose handlers call [Keep].
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Keep makes the connection of a request, which its handler has taken over, keep its place and its
+// memory. Until then it may be closed for another one as if it was idle. ctx is that of the
+// request.
+func Keep(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		c.holder.SetPhase(Working)
+	}
+}
+
 // Close closes the connection and returns its memory.
 func (c *Conn) Close() error {
 	if c.onClose != nil {
--- a/relay/server.go
+++ b/relay/server.go
@@ -115,6 +115,7 @@
 		return // Accept has written the HTTP response.
 	}
 	defer peer.CloseNow()
+	intake.Keep(r.Context())
 	peer.SetReadLimit(maxFrameBytes)
 	relayedTotal.Inc()
 	start := time.Now()
--- a/wire/server.go
+++ b/wire/server.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/intake"
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -103,7 +104,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var g errgroup.Group
 	g.SetLimit(maxConcurrentRequests)
+	kept := false
 	err := conn.run(ctx, func(e envelope) {
+		if !kept { // The connection of what sends no message may be closed for others.
+			kept = true
+			intake.Keep(ctx)
+		}
 		if e.ID == 0 {
 			s.dispatch(ctx, e) // Messages without a reply are handled in order.
 			return
