--- a/host/listener.go
+++ b/host/listener.go
@@ -28,7 +28,7 @@
 // newServer returns a server for connections of [intake.Listener]. Panics of h are written to log.
 func newServer(h http.Handler, log event.Log) *http.Server {
 	return &http.Server{
-		Handler: panics.Handler(log, boundBodies(h)), ConnState: intake.SetState, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+		Handler: panics.Handler(log, boundBodies(h)), ConnState: intake.SetState, ConnContext: intake.ConnContext, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 	}
 }
 
@@ -42,10 +42,12 @@
 	})
 }
 
-// newPeerListener returns a listener that counts its connections in the budget of the process. It
-// leaves the receive buffers of the kernel as they are: copies between regions need them.
-func newPeerListener(l net.Listener, received *intake.Budget) net.Listener {
-	return &intake.Listener{Listener: l, Budget: received}
+// listenerOf returns a listener for a port that only a few clients use, which counts its
+// connections in the budget of the process.
+func listenerOf(l net.Listener, received *intake.Budget) net.Listener {
+	il := intake.Listen(l, received, nil)
+	il.MaxConns /= 3 // An eighth of all descriptors.
+	return il
 }
 
 // serveOn serves h on listener in g until ctx ends. Panics of h are written to log.
--- a/host/node.go
+++ b/host/node.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	serveOn(ctx, g, newPeerListener(listener, n.received), intake.WithoutBodies(mux), n.Log)
+	serveOn(ctx, g, intake.ListenHosts(listener, n.received), intake.WithoutBodies(mux), n.Log)
 	return nil
 }
 
@@ -190,7 +190,7 @@
 	if err != nil {
 		return err
 	}
-	serveOn(ctx, g, intake.Listen(listener, n.received, nil), h, n.Log)
+	serveOn(ctx, g, listenerOf(listener, n.received), h, n.Log)
 	return nil
 }
 
--- a/host/process.go
+++ b/host/process.go
@@ -152,7 +152,7 @@
 	if err != nil {
 		return errors.Wrap(err, "host: listen for peers")
 	}
-	serveOn(ctx, g, newPeerListener(&retryListener{Listener: listener, log: p.Log}, p.Received), intake.WithoutBodies(mux), p.Log)
+	serveOn(ctx, g, intake.ListenHosts(&retryListener{Listener: listener, log: p.Log}, p.Received), intake.WithoutBodies(mux), p.Log)
 	return nil
 }
 
@@ -170,7 +170,7 @@
 	if err != nil {
 		return errors.Wrap(err, "host: listen for operators")
 	}
-	serveOn(ctx, g, intake.Listen(&retryListener{Listener: listener, log: p.Log}, p.Received, nil), server.Handler(), p.Log)
+	serveOn(ctx, g, listenerOf(&retryListener{Listener: listener, log: p.Log}, p.Received), server.Handler(), p.Log)
 	return nil
 }
 
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -55,8 +55,7 @@
 	// time. 0 means no limit.
 	MaxConns int
 
-	// boundsKernel is set if the kernel's receive buffers are bounded.
-	boundsKernel bool
+	sized bool // the buffers of the kernel are those of this package
 
 	mu       sync.Mutex
 	conns    map[*Conn]struct{}
@@ -68,12 +67,20 @@
 // Listen returns a listener that counts the connections of l in a budget, with MaxConns set to
 // three eighths of the descriptors that the process may have.
 func Listen(l net.Listener, b *Budget, limits func() Limits) *Listener {
-	il := &Listener{Listener: l, Budget: b, Limits: limits, boundsKernel: true}
+	il := ListenHosts(l, b)
+	il.Limits, il.sized = limits, true
+	il.setReceiveBuffer(receiveBytes)
+	return il
+}
+
+// ListenHosts is [Listen] for connections of other hosts of the fleet, which send much over long
+// distances. It leaves the buffers of the kernel as they are.
+func ListenHosts(l net.Listener, b *Budget) *Listener {
+	il := &Listener{Listener: l, Budget: b, conns: map[*Conn]struct{}{}}
 	var nofile unix.Rlimit
 	if unix.Getrlimit(unix.RLIMIT_NOFILE, &nofile) == nil && nofile.Cur < 1<<30 {
 		il.MaxConns = int(nofile.Cur) * connsShare / 8
 	}
-	il.setReceiveBuffer(receiveBytes)
 	return il
 }
 
@@ -102,9 +109,6 @@
 		return nil
 	}
 	l.mu.Lock()
-	if l.conns == nil {
-		l.conns = map[*Conn]struct{}{}
-	}
 	l.conns[c] = struct{}{}
 	l.resize()
 	l.mu.Unlock()
@@ -121,7 +125,7 @@
 // resize changes what the kernel keeps for new connections if their number calls for it. It must
 // be called with mu held.
 func (l *Listener) resize() {
-	if !l.boundsKernel {
+	if !l.sized {
 		return
 	}
 	n, limit := int64(len(l.conns)), l.Budget.Limit()/receiveShare
