panics: the process of a test does not end before its panic

Cause: the deferred call of a group lets Wait return while the panic of its goroutine still unwinds, so that the process of the test may end with status 0 before the runtime reports the panic.

Change: it sleeps instead. What the test checks has not changed.

--- a/panics/crash_test.go
+++ b/panics/crash_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
@@ -30,7 +31,7 @@
 	}
 	var g errgroup.Group
 	g.Go(func() error { panic("broken") })
-	_ = g.Wait()
+	time.Sleep(time.Minute) // Wait would return before the panic has ended the process.
 }
 
 // TestReasonOfEndIsLogged guards against a process that has ended by a panic and cannot be told
