gate: an ID that is not UTF-8 is refused before a target runs the request

Callers see: a turn with such a request ID runs at its target, its output arrives, and the response is cut off after 3 s, since no store accepts the turn; with a budget, or a program or previous turn like that, they get 503 for three quarters of a second and more, each time. The report of a crash with such an ID is accepted by no leader, and with it nothing that the host reports from then on.

Cause: types.Encode writes any string, types.Decode refuses strings that are not UTF-8, and header fields may have any byte.

Change: such an ID gets 400 before the body is read. Accepting these strings in Decode instead would let stores write records that an earlier build takes for corrupt when it is started again.

--- a/gate/call.go
+++ b/gate/call.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
@@ -112,6 +113,18 @@
 	return nil
 }
 
+// checkIDs refuses IDs that messages between hosts cannot have. The turn of such a request could
+// run and not be stored.
+func (c *call) checkIDs() *errorResponse {
+	h, headers := c.r.Header, c.gate.HeaderNames
+	for _, id := range []string{c.id, h.Get(headers.Program), h.Get(headers.PreviousTurn)} {
+		if !utf8.ValidString(id) {
+			return &errorResponse{status: http.StatusBadRequest, reason: "an ID in the header is not UTF-8"}
+		}
+	}
+	return nil
+}
+
 // planIsStale reports whether the plan is too old to decide by it what does not exist or
 // is not allowed, as on a host that was frozen or is cut off.
 func (c *call) planIsStale() bool {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -245,6 +245,7 @@
 	(*call).awaitPlan,
 	(*call).findRoute,
 	(*call).authenticate,
+	(*call).checkIDs,
 	(*call).readBody,
 	(*call).refuseLate,
 	(*call).refusePoisonous,
