--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -14,6 +14,8 @@
 	SettingsKept         = Kind{106, logrus.WarnLevel, "changed settings need a restart"}
 	SettingsRefused      = Kind{107, logrus.WarnLevel, "settings file refused, the settings in force stay"}
 	HandlerPanicked      = Kind{108, logrus.ErrorLevel, "handler of a request panicked, the process goes on"}
+	ProcessCrashed       = Kind{109, logrus.ErrorLevel, "process before this one ended by a panic"}
+	MemoryNearLimit      = Kind{110, logrus.WarnLevel, "memory of the process is near its limit"}
 	LeaderElected        = Kind{201, logrus.InfoLevel, "replica became leader"}
 	LeaderLost           = Kind{202, logrus.WarnLevel, "replica stopped leading"}
 	LogTruncated         = Kind{203, logrus.WarnLevel, "incomplete record cut from the end of the log"}
@@ -85,13 +87,14 @@
 	MessageRefused       = Kind{604, logrus.ErrorLevel, "message too large for another host"}
 	AcceptFailed         = Kind{605, logrus.WarnLevel, "connections cannot be accepted, will be tried again"}
 	FrameInvalid         = Kind{606, logrus.WarnLevel, "link ended, the other process sends what is no message, or too slowly"}
+	MessagePanicked      = Kind{607, logrus.ErrorLevel, "handler of a message panicked, the process goes on"}
 )
 
 // Catalog returns all kinds of events, ordered by number.
 func Catalog() []Kind {
 	return []Kind{
 		HostStarted, HostDraining, HostStopped, HostFailed, SettingsChanged, SettingsKept, SettingsRefused,
-		HandlerPanicked,
+		HandlerPanicked, ProcessCrashed, MemoryNearLimit,
 		LeaderElected, LeaderLost, LogTruncated, LogCorrupt, SnapshotWritten,
 		SnapshotInstalled, StorageFailed, DiskIOFailed, GroupBootstrapped, MembersChanged,
 		ShardMoved, ShardCopied, CopyFailed, ExpiryUnproven, StoreCapacity, ShardReformed, ReformExpired, DiskSlow, MembershipInDoubt,
@@ -102,6 +105,6 @@
 		QuarantineEnded, QuarantineFailed, SuspectsChanged, ResponseUnread, IntakeFull, ConnectionsFull,
 		TargetFailed, CachedPrefixReleased, ReleaseFailed, HostListFailed, TargetProbed, TargetLimited, TargetFull, PathCut, PathHealed, ConnectionRelayed, RelaysChanged,
 		TargetDraining, TargetDrainEnded, TargetUnreachable, TargetReachable, TargetCold, TargetPaced, LoadReportIgnored,
-		LinkLost, PeerRefused, FrameRefused, MessageRefused, AcceptFailed, FrameInvalid,
+		LinkLost, PeerRefused, FrameRefused, MessageRefused, AcceptFailed, FrameInvalid, MessagePanicked,
 	}
 }
--- a/host/node.go
+++ b/host/node.go
@@ -97,6 +97,8 @@
 	defer cancel()
 	g, serveCtx := errgroup.WithContext(serveCtx)
 	g.Go(func() error { return n.peers.Run(serveCtx) })
+	memory := &MemoryWatch{Limit: func() int64 { return n.inForce().MemoryMB << 20 }, Log: n.Log}
+	g.Go(func() error { return memory.Run(serveCtx) })
 	if err := n.startMetricsServer(serveCtx, g); err != nil {
 		return err
 	}
@@ -172,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	serveOn(ctx, g, newPeerListener(listener, n.received), intake.WithoutBodies(mux), n.Log)
+	serveOn(ctx, g, intake.ListenHosts(listener, n.received), intake.WithoutBodies(mux), n.Log)
 	return nil
 }
 
@@ -188,7 +190,7 @@
 	if err != nil {
 		return err
 	}
-	serveOn(ctx, g, intake.Listen(listener, n.received, nil), h, n.Log)
+	serveOn(ctx, g, listenerOf(listener, n.received), h, n.Log)
 	return nil
 }
 
--- a/host/operator.go
+++ b/host/operator.go
@@ -8,7 +8,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/event"
-	"github.com/banyanspur/banyanspur/intake"
 )
 
 const (
@@ -39,7 +38,7 @@
 		defer context.AfterFunc(requests, cancel)()
 		handler.ServeHTTP(w, r.WithContext(ctx))
 	}), n.Log)
-	g.Go(func() error { return serve(server, intake.Listen(listener, n.received, nil)) })
+	g.Go(func() error { return serve(server, listenerOf(listener, n.received)) })
 	g.Go(func() error {
 		defer stopped()
 		waitEither(ctx, serveCtx)
