intake: connections of new callers give way after large bodies

Callers see: beside a crowd of 600 connections, ordinary requests got resets, one after another: "a request of 10 bytes to /turn/ was served at attempt 20".

Cause: a host that is late to read takes the peers of new connections for slow, and evicted them for large bodies, and before other large bodies.

Change: large requests go first. Small ones and connections go only for small requests, the oldest first, or if they have a quarter of the budget.

Measured: TestNewConnectionsOutliveLargeBodies fails on the code before.

--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -116,6 +116,25 @@
 	})
 }
 
+// TestNewConnectionsOutliveLargeBodies guards against a host that is late to read from new
+// connections, and closes them instead of refusing large bodies.
+func TestNewConnectionsOutliveLargeBodies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := intake.NewBudget(16 * mib)
+		caller := open(t, b, "", 16<<10)
+		time.Sleep(time.Second)
+		for _, account := range []types.AccountID{"a", "b", "c", "d"} {
+			open(t, b, account, 2900<<10)
+		}
+		for range 300 {
+			open(t, b, "", 16<<10)
+		}
+		if caller.evicted.Load() {
+			t.Error("the connection of a caller was evicted for large bodies")
+		}
+	})
+}
+
 // TestSmallRequestsAreServedBesideLarge guards against ordinary requests that are refused while
 // large ones hold what there is.
 func TestSmallRequestsAreServedBesideLarge(t *testing.T) {
--- a/intake/victims.go
+++ b/intake/victims.go
@@ -6,41 +6,60 @@
 	"time"
 )
 
-// victims returns the holders that are to be evicted so that h may have n bytes, which exceed what
-// there is: first peers that are slow, those that hold most first; then, if h stays small, the
-// largest incomplete requests beyond smallBytes; then the connections that have been idle for the
-// longest time, if h stays small or idle ones have as much as the reserve. ok is false if all
-// of them are not enough. It must be called with mu held.
-func (b *Budget) victims(h *Holder, n, excess int64) (victims []*Holder, ok bool) {
+// candidates are the holders that may be evicted.
+type candidates struct {
+	slow, large, silent, idle []*Holder
+	smallBytes                int64 // of silent and idle
+}
+
+// candidates returns the holders that may be evicted for h: the peers of large incomplete
+// requests that are slow, and those that are not, the largest first; the peers of small ones that
+// are slow and idle connections, the oldest first. It must be called with mu held.
+func (b *Budget) candidates(h *Holder) candidates {
 	now := time.Now()
-	var slow, large, idle []*Holder
-	var idleBytes int64
+	var c candidates
 	for o := range b.holders {
-		switch {
+		switch slow := o.isSlow(now); {
 		case o == h, o.evicted, o.phase == Working, o.waiting:
 		case o.phase == Idle:
-			idleBytes += o.held
+			c.smallBytes += o.held
 			if now.Sub(o.since) >= stallTime {
-				idle = append(idle, o)
+				c.idle = append(c.idle, o)
 			}
-		case o.isSlow(now):
-			slow = append(slow, o)
+		case o.held > smallBytes && slow:
+			c.slow = append(c.slow, o)
 		case o.held > smallBytes:
-			large = append(large, o)
+			c.large = append(c.large, o)
+		case slow:
+			c.smallBytes += o.held
+			c.silent = append(c.silent, o)
 		}
 	}
+	mostFirst := func(a, b *Holder) int { return cmp.Compare(b.held, a.held) }
+	oldestFirst := func(a, b *Holder) int { return a.since.Compare(b.since) }
+	slices.SortFunc(c.slow, mostFirst)
+	slices.SortFunc(c.large, mostFirst)
+	slices.SortFunc(c.silent, oldestFirst)
+	slices.SortFunc(c.idle, oldestFirst)
+	return c
+}
+
+// victims returns the holders that are to be evicted so that h may have n bytes, which exceed what
+// there is. Large requests that are slow come first. Then, if h stays small, come other large ones,
+// since a process that is late itself takes the peers of small ones for slow; and then small
+// ones and idle connections, if h stays small or they have as much as the reserve. ok is false if
+// all of them are not enough. It must be called with mu held.
+func (b *Budget) victims(h *Holder, n, excess int64) (victims []*Holder, ok bool) {
+	c := b.candidates(h)
 	small := h.held+n <= smallBytes
-	if !small {
-		large = nil
+	lists := [][]*Holder{c.slow}
+	if small {
+		lists = append(lists, c.large)
 	}
-	if !small && idleBytes <= b.limit/reserveShare {
-		idle = nil
+	if small || c.smallBytes > b.limit/reserveShare {
+		lists = append(lists, c.silent, c.idle)
 	}
-	mostFirst := func(a, b *Holder) int { return cmp.Compare(b.held, a.held) }
-	slices.SortFunc(slow, mostFirst)
-	slices.SortFunc(large, mostFirst)
-	slices.SortFunc(idle, func(a, b *Holder) int { return a.since.Compare(b.since) })
-	for _, list := range [][]*Holder{slow, large, idle} {
+	for _, list := range lists {
 		for _, v := range list {
 			victims = append(victims, v)
 			excess -= v.held
