intake: a connection that is evicted while its header arrives gets no 400

Callers see: 400, after which they do not repeat a request.

Cause: the read returned an error that the HTTP server takes for a malformed request, and the connection was not closed yet.

Change: the read returns the end of the connection, for which the server writes nothing.

No test reproduces the moment between the eviction and the close.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -48,7 +48,7 @@
 	status, alive := c.countHeader(int64(n))
 	switch {
 	case !alive:
-		return 0, net.ErrClosed
+		return 0, io.EOF // The HTTP server responds with 400 to other errors, and the connection may not be closed yet.
 	case status != 0:
 		c.reject(status)
 		return 0, io.EOF
