intake: connections of peer ports have a bounded part in the kernel

Callers see: a host that many processes send frames at once uses more memory than it has, since what the kernel holds for connections counts. While a frame waits for memory, its connection is not read: 150 connections with frames of 16 MiB held 197 MB in the kernel for an entry host of 88 MB.

Change: the kernel keeps 64 KiB for a connection of a peer port until it has sent a message, and 1 MiB from then on, as much as a link between regions needs.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -177,6 +177,7 @@
 func Keep(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
 		c.holder.SetPhase(Working)
+		c.setReceiveBuffer(keptReceiveBytes)
 	}
 }
 
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -24,6 +24,9 @@
 	// smallReceiveBytes is the same for connections that are accepted while so many are open
 	// that all of them could take more than a quarter of the budget.
 	smallReceiveBytes = 8 << 10
+	// keptReceiveBytes is the same for connections of other hosts. It is what a link of 160
+	// Mbit/s with a round trip of 50 ms needs; the kernel may give less.
+	keptReceiveBytes = 1 << 20
 	// receiveShare is the part of the budget, as one in so many, up to which connections get
 	// receiveBytes. It is not charged.
 	receiveShare = 4
@@ -74,7 +77,7 @@
 }
 
 // ListenHosts is [Listen] for connections of other hosts of the fleet, which send much over long
-// distances. It leaves the buffers of the kernel as they are.
+// distances: those for which [Keep] was called may have keptReceiveBytes in the kernel.
 func ListenHosts(l net.Listener, b *Budget) *Listener {
 	il := &Listener{Listener: l, Budget: b, conns: map[*Conn]struct{}{}}
 	var nofile unix.Rlimit
@@ -104,6 +107,9 @@
 	c := &Conn{Conn: nc, limits: l.Limits}
 	c.holder = l.Budget.Open("", func() { _ = nc.Close() })
 	c.onClose = func() { l.remove(c) }
+	if !l.sized {
+		c.setReceiveBuffer(receiveBytes)
+	}
 	if !l.makePlace() || c.holder.addNow(connBytes) != nil {
 		_ = c.Close()
 		return nil
@@ -151,6 +157,17 @@
 	})
 }
 
+// setReceiveBuffer sets how much the kernel keeps for the connection.
+func (c *Conn) setReceiveBuffer(n int) {
+	raw, err := rawConn(c.Conn)
+	if err != nil {
+		return // It is no socket.
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, n/2) // The kernel doubles it.
+	})
+}
+
 // makePlace closes a connection if MaxConns are open. It returns false if there is none to close.
 func (l *Listener) makePlace() bool {
 	l.mu.Lock()
