crowd: rows of dense plans and of the older interface

Dense plans have 4 MiB of empty routes, of which each takes many times its size once it is decoded. The older interface runs as one process with a whole fleet; its settings name no memory, the bound is 1 GB for 160 connections with bodies of 8 MiB.

--- a/crowd/check_test.go
+++ b/crowd/check_test.go
@@ -117,10 +117,10 @@
 		p.peak.mu.Lock()
 		memory := max(p.peak.resident, p.peak.withUnread)
 		files := p.peak.files
-		f.t.Logf("%s: memory at most %d MB of %d (%d MB unread), descriptors at most %d of %d", p.name, memory>>20, memoryMB[p.role], p.peak.unread>>20, files, f.files)
+		f.t.Logf("%s: memory at most %d MB of %d (%d MB unread), descriptors at most %d of %d", p.name, memory>>20, p.memoryMB, p.peak.unread>>20, files, f.files)
 		p.peak.mu.Unlock()
-		if memory > memoryMB[p.role]<<20 {
-			f.t.Errorf("%s held %d MB, its machine has %d MB", p.name, memory>>20, memoryMB[p.role])
+		if memory > p.memoryMB<<20 {
+			f.t.Errorf("%s held %d MB, its machine has %d MB", p.name, memory>>20, p.memoryMB)
 		}
 		if files > f.files*9/10 {
 			f.t.Errorf("%s had %d descriptors open of %d", p.name, files, f.files)
--- a/crowd/fleet_test.go
+++ b/crowd/fleet_test.go
@@ -88,6 +88,7 @@
 type process struct {
 	name, address, dir string
 	role               host.NodeRole
+	memoryMB           int
 	cmd                *exec.Cmd
 	exited             chan struct{} // closed when cmd has exited
 	peak               peak
@@ -114,7 +115,7 @@
 		case i >= 3:
 			p.role = host.NodeStore
 		}
-		p.name = fmt.Sprintf("%s-%d", p.role, i)
+		p.name, p.memoryMB = fmt.Sprintf("%s-%d", p.role, i), memoryMB[p.role]
 		f.hosts = append(f.hosts, p)
 	}
 	for _, p := range f.hosts {
@@ -149,7 +150,7 @@
 	fields := map[string]any{
 		"node_name": p.name, "role": string(p.role), "ip": p.address, "zone": "zone-1", "internal_ports": []any{peerPort, metricsPort},
 		"seed_nodes": seeds, "bootstrap": true,
-		"limits":          map[string]any{"memory_mb": memoryMB[p.role], "max_fds": f.files, "link_mbps": 1000},
+		"limits":          map[string]any{"memory_mb": p.memoryMB, "max_fds": f.files, "link_mbps": 1000},
 		"fault_tolerance": map[string]any{"machines": 1, "zones": 0},
 		"bounds":          map[string]any{"catch_up_s": 7.6, "grace_s": 8, "strict_revoke": false},
 		"provider":        map[string]any{"address": f.target.listAddress},
@@ -175,13 +176,18 @@
 	if err := os.WriteFile(file, []byte(f.settings(p)), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
+	f.run(p, file, "join", string(p.role))
+}
+
+// run runs the program with a settings file and arguments until the test ends.
+func (f *fleet) run(p *process, settings string, arguments ...string) {
 	log, err := os.Create(filepath.Join(p.dir, "log"))
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	// The shell sets the limit before the program starts, since it may read it then.
-	p.cmd = exec.Command("sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(f.files), program, "join", string(p.role))
-	p.cmd.Env = []string{"BANYANSPUR_SETTINGS=" + file, "GOMAXPROCS=1", "PATH=" + os.Getenv("PATH")} // Hosts have one processor.
+	p.cmd = exec.Command("sh", append([]string{"-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(f.files), program}, arguments...)...)
+	p.cmd.Env = []string{"BANYANSPUR_SETTINGS=" + settings, "GOMAXPROCS=1", "PATH=" + os.Getenv("PATH")} // Hosts have one processor.
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		f.t.Fatal(err)
--- a/crowd/ports_test.go
+++ b/crowd/ports_test.go
@@ -5,7 +5,13 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/banyanspur/banyanspur/host"
 )
@@ -14,11 +20,13 @@
 // descriptors since clients of its port for operators send more than they may or do not finish.
 func TestOperatorsExhaustControlHost(t *testing.T) {
 	invalid := fmt.Appendf(nil, `{"note":%q}`, bytes.Repeat([]byte("x"), bodyLimit))
+	dense := fmt.Appendf(nil, `{"version":1000000,"routes":[%s{}]}`, bytes.Repeat([]byte("{},"), bodyLimit/3)) // Takes many times its size once it is decoded.
 	rows := []row{
 		{name: "unfinished plans", size: 60, do: unfinished(putConfig, bodyLimit, 0)},
 		{name: "unfinished chunks", size: 60, do: chunked(putConfig, 60<<10, bodyLimit/(60<<10))},
 		{name: "chunks without end", size: 60, do: chunked(putConfig, 60<<10, 16*bodyLimit/(60<<10))},
 		{name: "invalid plans", size: 60, do: whole(putConfig, invalid)},
+		{name: "dense plans", size: 16, do: whole(putConfig, dense)},
 	}
 	for i := range rows {
 		rows[i].role, rows[i].port = host.NodeControl, operatorPort
@@ -58,6 +66,39 @@
 	}
 }
 
+// TestCallersExhaustOlderInterface guards against a process of the older interface, whose bodies
+// have up to 8 MiB, that runs out of memory under many of them at once. Its settings name no
+// memory; the process has a whole fleet and its targets.
+func TestCallersExhaustOlderInterface(t *testing.T) {
+	const port, largest, most = 18400, 8 << 20, 1024
+	f := &fleet{t: t, files: deploymentFiles}
+	p := &process{name: "local", address: "127.0.0.1", dir: t.TempDir(), role: "local", memoryMB: most}
+	f.hosts = []*process{p}
+	f.run(p, "", "local", "--port", strconv.Itoa(port), "--data", filepath.Join(p.dir, "data"))
+	f.watch()
+	key := ""
+	for end := time.Now().Add(patience); key == "" && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		f.checkAlive(p)
+		log, _ := os.ReadFile(filepath.Join(p.dir, "log")) // Created by run.
+		if _, rest, found := strings.Cut(string(log), "caller's key  "); found {
+			key, _, _ = strings.Cut(rest, "\n")
+		}
+	}
+	ordinary := func(when string) {
+		body := []byte(`{"model":"assistant","messages":[{"role":"user","content":"Is it free?"}]}`)
+		f.retry("a call "+when, http.MethodPost, fmt.Sprintf("http://127.0.0.1:%d/v1/chat/completions", port), http.Header{"Authorization": {"Bearer " + key}}, body)
+	}
+	ordinary("at first")
+	head := func() string { return header(http.MethodPost, "/v1/chat/completions", key) }
+	for _, do := range []behavior{unfinished(head, largest, 0), chunked(head, 60<<10, largest/(60<<10))} {
+		stop := crowd(t, fmt.Sprintf("127.0.0.1:%d", port), 160, do)
+		ordinary("beside the crowd")
+		stop()
+		ordinary("afterwards")
+	}
+	f.check()
+}
+
 // TestTurnsExhaustStores guards against stores that run out of memory since all entry hosts send
 // them many large turns at once.
 func TestTurnsExhaustStores(t *testing.T) {
