quorum: elections last as long as their votes take to be written

What callers see: after a loss of power, while writes of all control hosts take longer than the election timeout (500 ms), the group elects no leader for half a minute or more. Entry hosts know no plan, so all is refused, and turns from before the fault are not continued in time (LOST).

Cause: a vote counts once it is durable, the candidate's own first and then those of the others. A candidate that had not won, and a voter that had heard no leader, began the next election after 0.1 to 1 s, before the votes of the last one were written.

A replica now waits for two writes that take as long as its last one, at most 3 s, plus the usual jitter.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -106,11 +106,12 @@
 	peers          map[ReplicaID]*progress // non-nil only on a leader
 	termStartIndex Index                   // index of the leader's first entry in its term
 
-	lastLeaderContact types.Mono // time of the last contact with a leader, or of the start
-	lastTick          types.Mono // time of a leader's last Tick, or of its election
-	resumedAt         types.Mono // when a leader that was held up has resumed; <= lastTick
-	lateElections     int        // elections since lastLeaderContact in which no majority voted in time
-	electionDeadline  types.Mono // when to start the next election
+	lastLeaderContact types.Mono    // time of the last contact with a leader, or of the start
+	lastTick          types.Mono    // time of a leader's last Tick, or of its election
+	resumedAt         types.Mono    // when a leader that was held up has resumed; <= lastTick
+	lateElections     int           // elections since lastLeaderContact in which no majority voted in time
+	writeTime         time.Duration // how long the last write took
+	electionDeadline  types.Mono    // when to start the next election
 	cold              coldStart
 	logTime           types.LogTime
 	logTimeAt         types.Mono // clock reading that logTime corresponds to
@@ -286,8 +287,8 @@
 }
 
 func (c *Core) resetElectionDeadline(now types.Mono) {
-	jitter := time.Duration(c.rand.Int64N(int64(c.timing.MinElectionTimeout)))
-	c.electionDeadline = now.Add(c.timing.MinElectionTimeout + jitter)
+	base := max(c.timing.MinElectionTimeout, c.votingTime())
+	c.electionDeadline = now.Add(base + time.Duration(c.rand.Int64N(int64(base))))
 }
 
 // resetRetryDeadline sets the deadline after which a candidate retries its
@@ -296,11 +297,25 @@
 // one. It doubles with each election in which no majority has voted in time, up to
 // maxRetryDoublings times, since votes that arrive after the retry do not count.
 func (c *Core) resetRetryDeadline(now types.Mono) {
-	base := c.timing.MinElectionTimeout / 5 << min(c.lateElections, maxRetryDoublings)
+	base := max(c.timing.MinElectionTimeout/5<<min(c.lateElections, maxRetryDoublings), c.votingTime())
 	jitter := time.Duration(c.rand.Int64N(int64(2 * base)))
 	c.electionDeadline = now.Add(base + jitter)
 }
 
+// votingTime returns how long votes take at least, up to maxVotingTime: the candidate writes its
+// vote, and then the others write theirs. If replicas began the next election sooner, votes would
+// be too late on slow disks, and the leader that they elect, too.
+func (c *Core) votingTime() time.Duration {
+	return min(2*c.writeTime, maxVotingTime*c.timing.MinElectionTimeout)
+}
+
+// maxVotingTime bounds, in units of MinElectionTimeout, how long an election may take after a
+// write that took long, such as that of a snapshot.
+const maxVotingTime = 6
+
+// RecordWrite records how long a write to disk took.
+func (c *Core) RecordWrite(took time.Duration) { c.writeTime = took }
+
 // maxRetryDoublings makes retries wait for 1.6 to 4.8 times MinElectionTimeout.
 const maxRetryDoublings = 3
 
--- a/quorum/late_test.go
+++ b/quorum/late_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/banyanspur/banyanspur/quorum"
+	"github.com/banyanspur/banyanspur/types"
 )
 
 // TestElectionOnLateHosts guards against groups that elect no leader for as long as messages
@@ -23,6 +24,35 @@
 	}
 }
 
+// TestElectionOnSlowDisks guards against groups that elect no leader for as long as writes take more
+// than the election timeout, as on disks that many processes share: before the votes for a candidate
+// were durable, others had begun the next elections.
+func TestElectionOnSlowDisks(t *testing.T) {
+	const limit = 10 * time.Second
+	for _, syncTime := range []time.Duration{300 * time.Millisecond, 600 * time.Millisecond} {
+		for seed := range uint64(20) {
+			s := newSim(seed, 5)
+			s.syncTime = syncTime
+			s.hosts[4].crash(true)
+			s.hosts[4].restartAt = s.now.Add(time.Minute)
+			for s.run(time.Second); s.lastAck == 0 && s.now < types.Mono(limit); s.run(time.Second) {
+			}
+			if s.lastAck == 0 {
+				t.Errorf("seed %d, %v for a write: no command was acknowledged within %v, %d leaders", seed, syncTime, limit, len(s.leaders))
+			}
+		}
+	}
+}
+
+// beginWrite begins to make what is queued durable.
+func (h *simHost) beginWrite() {
+	out := h.queued
+	h.writing, h.queued = &out, quorum.Output{}
+	if out.HardState != nil || len(out.Entries) > 0 {
+		h.stalledUntil = max(h.stalledUntil, h.sim.now.Add(h.sim.syncTime))
+	}
+}
+
 // TestLeaderThatWasHeldUpGoesOn guards against leaders that resign after their process was
 // held up for about as long as the election timeout, though no other leader was elected.
 func TestLeaderThatWasHeldUpGoesOn(t *testing.T) {
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -26,6 +26,7 @@
 	hosts     []*simHost
 	inTransit []packet
 	latency   time.Duration    // time until a message is handled, besides tickInterval
+	syncTime  time.Duration    // time that a write takes at least
 	steps     int              // number of outputs handled so far
 	fault     func(h *simHost) // injected into the host that handles output faultStep
 	faultStep int              // the value of steps at which fault is injected; -1 for none
@@ -236,8 +237,7 @@
 			if h.queued.HardState == nil && len(h.queued.Entries)+len(h.queued.AfterSync) == 0 && h.queued.Install == nil {
 				return
 			}
-			out := h.queued
-			h.writing, h.queued = &out, quorum.Output{}
+			h.beginWrite()
 		}
 		if h.sim.now < h.stalledUntil || h.crashesAt(crashBeforeSync) {
 			return
@@ -245,6 +245,7 @@
 		out := *h.writing
 		h.persist(out)
 		h.writing = nil
+		h.core.RecordWrite(h.sim.syncTime)
 		if h.crashesAt(crashAfterSync) || h.crashesAt(crashWithDiskLoss) {
 			return
 		}
--- a/quorum/writes.go
+++ b/quorum/writes.go
@@ -207,6 +207,7 @@
 	p := r.writing
 	r.writing = nil
 	r.lastWrite = result.took
+	r.core.RecordWrite(result.took)
 	writeSeconds.Update(result.took.Seconds())
 	if result.took > slowWrite {
 		r.logSlowWrite(result.took, false)
