intake: what is discarded of refused requests is bounded

Callers see: beside a crowd of 600 connections that send bodies of 4 MiB, ordinary turns got 503 ("no majority of the shard's stores replied", "no target accepted the request"): the host was late.

Cause: after a refusal the host discarded for half a second whatever the peer sent, as fast as it could.

Change: up to 256 KiB are discarded, as the HTTP server does; a peer that sends more waits until the connection is closed.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -20,6 +20,9 @@
 	// lingerTime is for how long the rest of a refused request is read, so that its caller
 	// receives the response instead of a reset.
 	lingerTime = 500 * time.Millisecond
+	// lingerBytes is how much of it is read. Discarding all that a crowd sends takes the
+	// processor time of other requests; a peer that sends more has to wait.
+	lingerBytes = 256 << 10
 )
 
 // Conn is a connection that counts in a [Budget].
@@ -109,13 +112,18 @@
 	c.Linger()
 }
 
-// Linger ends the side that this process writes to, and discards what the peer sends until it has
-// ended its own, for at most lingerTime. It is called after a response to a request that was not
-// read to its end: if a connection is closed before, its peer may lose the response.
+// Linger ends the side that this process writes to, and discards up to lingerBytes that the peer
+// sends. It returns once the peer has ended its own side, or after lingerTime. It is called
+// after a response to a request that was not read to its end: if a connection is closed before,
+// its peer may lose the response.
 func (c *Conn) Linger() {
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-	if c.CloseWrite() == nil {
-		_, _ = io.Copy(io.Discard, struct{ io.Reader }{c.Conn})
+	end := time.Now().Add(lingerTime)
+	_ = c.Conn.SetReadDeadline(end)
+	if c.CloseWrite() != nil {
+		return
+	}
+	if n, _ := io.CopyN(io.Discard, c.Conn, lingerBytes); n == lingerBytes {
+		time.Sleep(time.Until(end))
 	}
 }
 
