gate: a refusal or a request for a body does not wait for its caller without end

Callers see: one that sends requests one behind another and reads no response may hold its connection and the memory charged for it without end, since a connection with a request is never evicted.

Cause: the server removes the write deadline after each request, and two writes happen inside the handler before one is set again: the flush of a refusal that leaves a body unread, and the interim response that asks for a body.

Change: both get the deadline that each piece of a response has.

Measured: TestWritesToCallersEnd fails on the code before (1 and 2 writes without a deadline) and passes now; that a caller can fill the buffers just before such a write was not tried.

--- a/gate/body.go
+++ b/gate/body.go
@@ -29,6 +29,7 @@
 	}
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(c.deadline) // If unsupported, the read is bounded by the caller's connection only.
+	setWriteDeadline(rc)               // The first read may tell the caller to continue.
 	endRead := func() { _ = rc.SetReadDeadline(time.Now()) }
 	unlink := context.AfterFunc(c.gate.answersCtx, endRead)
 	c.received = c.gate.Received.Open(c.accountID(), endRead)
--- a/gate/call.go
+++ b/gate/call.go
@@ -209,6 +209,7 @@
 	maps.Copy(fields, r.logFields)
 	c.gate.Log.Write(event.RequestRefused, fields)
 	refusedTotal.Inc()
+	setWriteDeadline(http.NewResponseController(c.w))
 	gone := c.r.Context().Err() != nil // Or the caller has half-closed its connection, or its body did not come in time.
 	h := c.w.Header()
 	if gone || r.bodyLeft || c.gate.stopping.Load() != nil {
