wire: hosts of the smallest size receive the largest reply to a chain

Callers see: on an entry host of 88 MB, a turn that continues one with an input of 4 MiB and an output of 8 MiB is refused each time, and each attempt ends the connection to a store with all that is in flight on it.

Cause: the part of the memory for frames follows the memory of the host, 11 MiB of 88 MB, and a frame that exceeds it alone is refused.

Change: the part is at least 16 MiB. Frames are joined one after another, so that one of this size takes twice as much for a moment, half of what the bound before the change allowed on all hosts.

Measured: TestSmallHostReceivesLargestReply fails on the code before (the connection was lost) and passes now, as do the tests of crowds in the package.

--- a/wire/budget.go
+++ b/wire/budget.go
@@ -17,7 +17,10 @@
 
 	// maxFrameBudget and maxRequestBudget bound these parts, and are those of a host whose memory
 	// is not known. Control hosts of the smallest size must be able to receive a snapshot.
-	maxFrameBudget   = 32 << 20
+	maxFrameBudget = 32 << 20
+	// minFrameBudget lets any host receive the largest reply to a chain, 1 MiB and a turn with an
+	// input of 4 MiB and an output of 8 MiB. A frame that is alone must fit, too.
+	minFrameBudget   = 16 << 20
 	maxRequestBudget = 32 << 20
 	// defaultQueueBudget is the part for send queues if the memory is not known.
 	defaultQueueBudget = 128 << 20
@@ -58,7 +61,7 @@
 func (b *Budget) SetMemory(memory int64) {
 	frames, requests, queued := int64(maxFrameBudget), int64(maxRequestBudget), int64(defaultQueueBudget)
 	if memory > 0 {
-		frames, requests, queued = min(frames, memory/frameShare), min(requests, memory/requestShare), memory/queueShare
+		frames, requests, queued = min(frames, max(minFrameBudget, memory/frameShare)), min(requests, memory/requestShare), memory/queueShare
 	}
 	b.frames.setLimit(int(frames))
 	b.requests.limit.Store(requests)
