gate: a timeout of a caller that overflows does not count as passed

Callers see: 503, the deadline of the request has passed, at once, if the header with their timeout has more milliseconds than a duration can hold.

Cause: the number was multiplied without a check, and the product is negative or arbitrary.

Change: a timeout beyond an hour is an hour, as without the header; the route's timeout bounds it anyway.

Measured: TestLongestCallerTimeouts fails on the code before (503) and passes now.

--- a/gate/call.go
+++ b/gate/call.go
@@ -91,11 +91,12 @@
 }
 
 // callerTimeout returns the timeout from the request's deadline header, or one
-// hour if the header is missing or invalid.
+// hour if the header is missing, invalid or longer.
 func (c *call) callerTimeout() time.Duration {
+	const longest = time.Hour // Other bounds apply, such as the route's timeout.
 	ms, err := strconv.ParseInt(c.r.Header.Get(c.gate.HeaderNames.Deadline), 10, 64)
-	if err != nil || ms <= 0 {
-		return time.Hour // Other bounds apply, such as the route's timeout.
+	if err != nil || ms <= 0 || ms > longest.Milliseconds() {
+		return longest
 	}
 	return time.Duration(ms) * time.Millisecond
 }
