intake: a large request that is alone is served beside idle connections

Callers see: on an entry host of 88 MB with some 300 idle connections, a turn with an input of 4 MiB that continues one of the same size gets 503 each time, in calm, though the host has the memory without these connections.

Cause: idle connections give way to large requests only from a quarter of the budget on, so that a crowd of large requests does not close them, whether there is such a crowd or not.

Change: they also give way, the longest idle first, to a large request beside which nothing large is held.

Measured: TestLargeRequestIsServedBesideIdleConnections fails on the code before (no memory is left) and passes now, as do all tests of the package.

--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -214,3 +214,36 @@
 		h.SetPhase(intake.Idle)
 	}
 }
+
+// TestLargeRequestIsServedBesideIdleConnections guards against a turn that is refused each time,
+// though nothing large is held beside it, since idle connections have a part of the room but less
+// than the reserve: an input of 4 MiB, its copy for the stores, and a chain with a turn of 4 MiB.
+func TestLargeRequestIsServedBesideIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const connBytes, conns, bodyBytes = 16 << 10, 320, 4 * mib
+		b := intake.NewBudget(intake.Bytes(88))
+		var idle []*peer
+		for range conns {
+			p := open(t, b, "", connBytes)
+			p.SetPhase(intake.Idle)
+			idle = append(idle, p)
+		}
+		time.Sleep(time.Second)
+		turn := open(t, b, "a", bodyBytes)
+		turn.SetPhase(intake.Working)
+		for _, n := range []int64{bodyBytes, bodyBytes + 64<<10} {
+			if err := turn.Add(n); err != nil {
+				t.Errorf("add %d bytes: %v", n, err)
+			}
+		}
+		evicted := 0
+		for _, p := range idle {
+			if p.evicted.Load() {
+				evicted++
+			}
+		}
+		if evicted > conns/4 {
+			t.Errorf("%d of %d idle connections are closed", evicted, conns)
+		}
+	})
+}
--- a/intake/victims.go
+++ b/intake/victims.go
@@ -9,13 +9,16 @@
 // victims returns the holders that are to be evicted so that h may have n bytes, which exceed what
 // there is: first peers that are slow, those that hold most first; then, if h stays small, the
 // largest incomplete requests beyond smallBytes; then the connections that have been idle for the
-// longest time, if h stays small or idle ones have as much as the reserve. ok is false if all
-// of them are not enough. It must be called with mu held.
+// longest time, if h stays small, idle ones have as much as the reserve, or no other holder is large:
+// a crowd of large requests must not close them. ok is false if all of them are not enough. It must
+// be called with mu held.
 func (b *Budget) victims(h *Holder, n, excess int64) (victims []*Holder, ok bool) {
 	now := time.Now()
 	var slow, large, idle []*Holder
 	var idleBytes int64
+	alone := true // No other holder is large.
 	for o := range b.holders {
+		alone = alone && (o == h || o.evicted || o.held <= smallBytes)
 		switch {
 		case o == h, o.evicted, o.phase == Working, o.waiting:
 		case o.phase == Idle:
@@ -33,7 +36,7 @@
 	if !small {
 		large = nil
 	}
-	if !small && idleBytes <= b.limit/reserveShare {
+	if !small && !alone && idleBytes <= b.limit/reserveShare {
 		idle = nil
 	}
 	mostFirst := func(a, b *Holder) int { return cmp.Compare(b.held, a.held) }
