host: callers leave memory to readiness checks and readers of metrics

Callers see: with some 300 requests of 60 KiB being handled on an entry host of 88 MB, its readiness check is refused or its connection closed, so that the balancer takes the host out, and with the same load everywhere all hosts at once, though each still serves what it has.

Cause: all ports share one budget, and requests that are handled are never evicted.

Change: the ready port and the metrics port have a budget of 2 MiB each.

--- a/host/node.go
+++ b/host/node.go
@@ -72,7 +72,7 @@
 	client     *fleet.Client
 	clock      types.Clock
 	peerServer *wire.Server
-	// received bounds what the process holds for its peers on all ports.
+	// received bounds what the process holds for its peers, except on the ports of checks.
 	received *intake.Budget
 }
 
@@ -184,13 +184,19 @@
 	return n.serve(ctx, g, n.Settings.MetricsAddress(), intake.WithoutBodies(mux))
 }
 
-// serve listens on address before it returns, and serves h in g until ctx ends.
+// checkBytes is the budget of a port for readiness checks or metrics. Callers have no part in it: a
+// host that is busy with their requests would be taken for one that is not ready.
+const checkBytes = 2 << 20
+
+// serve listens on address, a port for checks, before it returns, and serves h in g until ctx ends.
 func (n *Node) serve(ctx context.Context, g *errgroup.Group, address string, h http.Handler) error {
 	listener, err := listen(ctx, address, n.Log)
 	if err != nil {
 		return err
 	}
-	serveOn(ctx, g, listenerOf(listener, n.received), h, n.Log)
+	received := intake.NewBudget(checkBytes)
+	received.SetLog(n.Log)
+	serveOn(ctx, g, listenerOf(listener, received), h, n.Log)
 	return nil
 }
 
