relay: relayed connections leave half of the memory for callers to callers

Callers see: a host that relays some 350 connections for others (of 88 MB) refuses all requests of its own callers, and new connections, for as long as the cut lasts that they bypass.

Cause: relayed connections count in the budget of the host as small holders, which may take all of it, and are never evicted; 1,000 of them were allowed on any host.

Beyond that a host answers 503 as before, and the other host tries the next one.

Measured: TestRelaysLeaveMemoryToCallers fails on the code before (85 connections take 4,177,920 of 4,194,304 bytes) and passes now, as do all tests of the package; larger cuts were not tried.

--- a/relay/server.go
+++ b/relay/server.go
@@ -27,8 +27,11 @@
 	hostHeader = "Banyanspur-Relay-Host"
 	// targetParam is the query parameter with the address of the target.
 	targetParam = "target"
-	// maxRelayed limits the connections that a host relays at the same time.
-	maxRelayed = 1000
+	// maxRelayed limits the connections that a host relays at the same time, and memoryShare, as a
+	// divisor, the part of the memory for callers that these may take: they last as long as the cut
+	// that they bypass.
+	maxRelayed  = 1000
+	memoryShare = 2
 	// frameBytes is the size of the buffer from which one frame is sent, and
 	// maxFrameBytes the maximum size of a received frame.
 	frameBytes    = 16 << 10
@@ -87,7 +90,7 @@
 		return
 	}
 	defer s.active.Add(-1)
-	if s.active.Add(1) > maxRelayed || !s.Accepting() {
+	if s.active.Add(1) > s.maxActive() || !s.Accepting() {
 		http.Error(w, "relay: this host does not relay now", http.StatusServiceUnavailable)
 		return
 	}
@@ -124,6 +127,14 @@
 	s.Log.Write(event.ConnectionRelayed, fields)
 }
 
+// maxActive returns the number of connections that may be relayed at the same time.
+func (s *Server) maxActive() int64 {
+	if s.Received == nil {
+		return maxRelayed
+	}
+	return min(maxRelayed, s.Received.Limit()/memoryShare/relayBytes)
+}
+
 // forward forwards bytes in both directions until either side ends.
 func forward(ctx context.Context, peer *websocket.Conn, target net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
