--- a/gate/call.go
+++ b/gate/call.go
@@ -91,11 +91,12 @@
 }
 
 // callerTimeout returns the timeout from the request's deadline header, or one
-// hour if the header is missing or invalid.
+// hour if the header is missing, invalid or longer.
 func (c *call) callerTimeout() time.Duration {
+	const longest = time.Hour // Other bounds apply, such as the route's timeout.
 	ms, err := strconv.ParseInt(c.r.Header.Get(c.gate.HeaderNames.Deadline), 10, 64)
-	if err != nil || ms <= 0 {
-		return time.Hour // Other bounds apply, such as the route's timeout.
+	if err != nil || ms <= 0 || ms > longest.Milliseconds() {
+		return longest
 	}
 	return time.Duration(ms) * time.Millisecond
 }
@@ -209,6 +210,7 @@
 	maps.Copy(fields, r.logFields)
 	c.gate.Log.Write(event.RequestRefused, fields)
 	refusedTotal.Inc()
+	setWriteDeadline(http.NewResponseController(c.w))
 	gone := c.r.Context().Err() != nil // Or the caller has half-closed its connection, or its body did not come in time.
 	h := c.w.Header()
 	if gone || r.bodyLeft || c.gate.stopping.Load() != nil {
--- a/intake/victims.go
+++ b/intake/victims.go
@@ -10,6 +10,7 @@
 type candidates struct {
 	slow, large, silent, idle []*Holder
 	smallBytes                int64 // of silent and idle
+	alone                     bool  // no other holder is large
 }
 
 // candidates returns the holders that may be evicted for h: the peers of large incomplete
@@ -17,8 +18,9 @@
 // are slow and idle connections, the oldest first. It must be called with mu held.
 func (b *Budget) candidates(h *Holder) candidates {
 	now := time.Now()
-	var c candidates
+	c := candidates{alone: true}
 	for o := range b.holders {
+		c.alone = c.alone && (o == h || o.evicted || o.held <= smallBytes)
 		switch slow := o.isSlow(now); {
 		case o == h, o.evicted, o.phase == Working, o.waiting:
 		case o.phase == Idle:
@@ -47,8 +49,9 @@
 // victims returns the holders that are to be evicted so that h may have n bytes, which exceed what
 // there is. Large requests that are slow come first. Then, if h stays small, come other large ones,
 // since a process that is late itself takes the peers of small ones for slow; and then small
-// ones and idle connections, if h stays small or they have as much as the reserve. ok is false if
-// all of them are not enough. It must be called with mu held.
+// ones and idle connections, if h stays small, no other holder is large, or they have as much as the
+// reserve: a crowd of large requests must not close them. ok is false if all of them are not
+// enough. It must be called with mu held.
 func (b *Budget) victims(h *Holder, n, excess int64) (victims []*Holder, ok bool) {
 	c := b.candidates(h)
 	small := h.held+n <= smallBytes
@@ -56,7 +59,7 @@
 	if small {
 		lists = append(lists, c.large)
 	}
-	if small || c.smallBytes > b.limit/reserveShare {
+	if small || c.alone || c.smallBytes > b.limit/reserveShare {
 		lists = append(lists, c.silent, c.idle)
 	}
 	for _, list := range lists {
