host: a request whose connection was closed for others does not run

Callers see: a call of the older interface, or an order of an operator, that has run and whose connection is closed without an answer, if the connection is evicted while the end of a slow header is read.

Cause: only the port for callers of the gate asked whether the connection was evicted.

Change: all ports with the server of this package ask before their handler.

--- a/host/listener.go
+++ b/host/listener.go
@@ -32,9 +32,13 @@
 	}
 }
 
-// boundBodies bounds the receipt of bodies by bodyTimeout.
+// boundBodies bounds the receipt of bodies by bodyTimeout. It drops requests whose connection was
+// closed for others, since their callers cannot get a response.
 func boundBodies(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if intake.Evicted(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
 		if r.ContentLength != 0 {
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout)) // Fails if the connection is closed.
 		}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -180,6 +180,13 @@
 	}
 }
 
+// Evicted is [Conn.Evicted] for the connection of a request whose context is ctx. It returns false
+// for connections that are not counted, and without [ConnContext].
+func Evicted(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	return ok && c.Evicted()
+}
+
 // Close closes the connection and returns its memory.
 func (c *Conn) Close() error {
 	if c.onClose != nil {
