fetch, gate: the kernel's buffer for a response is set before its connection is opened

Callers see: a host of 88 MB holds 97 MB with 600 callers that do not read large responses.

Cause: a target may send 64 KiB as soon as a connection is open, whatever the buffer is set to afterwards; and a sixteenth of the memory, shared by all connections, is too much for hundreds.

Change: the size is set before the connection is opened, a share of a thirty-second of the memory and at least 8 KiB.

--- a/fetch/conn.go
+++ b/fetch/conn.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 )
 
 // conn is a connection to a target, used by one request at a time.
@@ -52,19 +51,6 @@
 	return c
 }
 
-// limitBuffer makes the kernel keep no more than n bytes that have not been read, if n is positive
-// and less than what it keeps already.
-func (c *conn) limitBuffer(n int64) {
-	if n <= 0 || n >= 2*receiveBufferBytes {
-		return // The kernel doubles the size that it is given.
-	}
-	if raw, isSocket := c.rawConn(); isSocket {
-		_ = raw.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, int(max(n, minReceiveBytes))/2)
-		})
-	}
-}
-
 // Close closes the connection.
 func (c *conn) Close() error {
 	if c.open != nil && !c.closed.Swap(true) {
--- a/fetch/pool.go
+++ b/fetch/pool.go
@@ -52,8 +52,8 @@
 	// 6.4 MB per second.
 	receiveBufferBytes = 256 << 10
 	// minReceiveBytes is the smallest buffer, with which hundreds of connections take a small
-	// part of the memory of a host. At a round trip of 2 ms, it allows 4 MB per second.
-	minReceiveBytes = 16 << 10
+	// part of the memory of a host. At a round trip of 2 ms, it allows 2 MB per second.
+	minReceiveBytes = 8 << 10
 	// silenceTimeout is how long sent data or keepalive probes may remain
 	// unacknowledged before the connection breaks. A sound target may be silent for a
 	// second or so.
@@ -94,21 +94,36 @@
 	if dial == nil {
 		dial = DialTCP
 	}
-	nc, err := dial(ctx, address)
+	nc, err := dial(p.withReceiveBuffer(ctx), address)
 	if err != nil {
+		p.open.Add(-1)
 		return nil, err
 	}
 	c := newConn(nc)
 	c.open = &p.open
-	c.limitBuffer(p.ReceiveBytes / p.open.Add(1))
 	return c, nil
 }
 
+// receiveBufferKey is the key of the size of a connection's receive buffer in the context in
+// which it is dialed. The peer may send as much as it allows as soon as the connection is open.
+type receiveBufferKey struct{}
+
+// withReceiveBuffer counts a connection that is about to be dialed, and returns the context for
+// it.
+func (p *Pool) withReceiveBuffer(ctx context.Context) context.Context {
+	n := p.open.Add(1)
+	if p.ReceiveBytes <= 0 {
+		return ctx
+	}
+	size := max(p.ReceiveBytes/n, minReceiveBytes) / 2 // The kernel doubles the size that it is given.
+	return context.WithValue(ctx, receiveBufferKey{}, int(min(size, receiveBufferBytes)))
+}
+
 // DialTCP opens a TCP connection within [DefaultDialTimeout]. The connection breaks if
 // the peer has been silent for silenceTimeout.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
-		Timeout: DefaultDialTimeout, Control: setSocketOptions,
+		Timeout: DefaultDialTimeout, ControlContext: setSocketOptions,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 	}
 	return dialer.DialContext(ctx, "tcp4", address)
@@ -148,11 +163,15 @@
 
 // setSocketOptions makes the connection break if sent data is not acknowledged within
 // silenceTimeout, and bounds what the kernel keeps of a response that is not read.
-func setSocketOptions(_, _ string, raw syscall.RawConn) error {
+func setSocketOptions(ctx context.Context, _, _ string, raw syscall.RawConn) error {
+	size, ok := ctx.Value(receiveBufferKey{}).(int)
+	if !ok {
+		size = receiveBufferBytes
+	}
 	var ackErr, bufferErr error
 	err := raw.Control(func(fd uintptr) {
 		ackErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
-		bufferErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+		bufferErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
 	})
 	return errors.CombineErrors(err, errors.CombineErrors(ackErr, bufferErr))
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -171,7 +171,7 @@
 
 // responseShare is the part of the budget for requests, as one in so many, whose size the kernel's
 // buffers for responses of targets have. It is not charged.
-const responseShare = 4
+const responseShare = 8
 
 const (
 	// backgroundGrace is how long Run waits for background work on shutdown.
