crowd: a row of 300 responses that nobody reads

40 of them held. With 300, on the product as it stands, at a load of 17 to 20, an entry host of 88 MB held 188 MB, 132 MB of it bytes of targets that the kernel kept since the host did not read them.

--- a/crowd/entry_test.go
+++ b/crowd/entry_test.go
@@ -66,6 +66,7 @@
 		{name: "slow headers beyond the descriptors", size: 450, files: 400, do: slowHeader},
 		{name: "idle connections", size: 450, files: 400, do: idle},
 		{name: "unread responses", size: 40, do: unreadResponse},
+		{name: "many unread responses", size: 300, do: unreadResponse},
 		{name: "pipelined requests", size: 40, do: pipelined},
 		{name: "unknown key", size: 40, do: unfinished(unknown, bodyLimit, 0)},
 	}
