gate, turns: the end of a turn is late by at most what its retention allows

Callers see: nothing yet. A turn whose end came late may be removed before its caller's time to continue it has passed.

Cause: since a completed turn waits for its stores until its deadline, the end may come later than the first store has the turn, by up to the timeout of the route. The retention allows for 10 s less the 3 s in which the turn that continues it is written.

Change: storing takes 6 s at most.

Measured: tests of late stores pass. Tried before and not kept: a retention with the timeout twice; TestLongChainsKeepNoWholeSegments then fails, 2,257,286 bytes of 1,800,000, as turns stay for 20 s more.

--- a/gate/turn.go
+++ b/gate/turn.go
@@ -230,18 +230,23 @@
 	return err
 }
 
-// minCommitTimeout is the minimum timeout for storing a turn and settling its claim. It
-// covers a change of the shard map and a restart of all stores.
-const minCommitTimeout = 3 * time.Second
+const (
+	// minCommitTimeout is the minimum timeout for storing a turn and settling its claim. It
+	// covers a change of the shard map and a restart of all stores.
+	minCommitTimeout = 3 * time.Second
+	// maxCommitTimeout is the maximum. Stores count the age of a turn from when the first of
+	// them has it, and their retention allows for 7 s until its caller has the end.
+	maxCommitTimeout = 6 * time.Second
+)
 
 // commitTimeout returns the timeout for storing the turn. As long as its caller waits, the
-// connection is not cut before the deadline because stores are late: the target has completed
-// the turn, and running it again would need the same stores.
+// connection is not cut long before the deadline because stores are late: the target has
+// completed the turn, and running it again would need the same stores.
 func (c *call) commitTimeout() time.Duration {
 	if c.r.Context().Err() != nil {
 		return minCommitTimeout
 	}
-	return max(minCommitTimeout, c.remaining())
+	return max(minCommitTimeout, min(c.remaining(), maxCommitTimeout))
 }
 
 // releaseClaim settles the budget claim of a turn that did not complete, with the
--- a/turns/retention.go
+++ b/turns/retention.go
@@ -21,7 +21,7 @@
 	// settleMargin extends the retention by the time from when a turn is written
 	// to when its caller has the end of the stream, and from when a turn that
 	// continues it is sent to when it runs and again to when it is written.
-	// Client.Settle may take 3 s for each.
+	// Client.Settle may take 6 s for the first turn. The second one has its timeout and 3 s.
 	settleMargin = 10 * time.Second
 
 	// expiryInterval is how often a store looks for expired turns.
