intake: at the limit of connections, one that is idle always gives way

Callers see: beside 450 callers that reconnect whenever they are closed, on a host with 400 descriptors, an ordinary call is served at attempt 112: new connections are closed at once.

Cause: connections that had been idle for less than half a second were kept, and all of them are if callers come back fast enough.

Change: an idle connection may be closed at any age. Those that have not sent a request yet are kept for half a second as before.

--- a/intake/listener.go
+++ b/intake/listener.go
@@ -183,7 +183,7 @@
 	var v *Conn
 	for c := range l.conns {
 		h := c.holder
-		if h.phase == Working || h.evicted || now.Sub(h.since) < stallTime {
+		if h.phase == Working || h.evicted || h.phase != Idle && now.Sub(h.since) < stallTime {
 			continue
 		}
 		if v == nil || v.holder.served && !h.served || v.holder.served == h.served && h.since.Before(v.holder.since) {
