wire: a request gives its memory back before its reply is sent

Callers see: one large request after another to the same host is refused now and then as overloaded, though nothing else is handled.

Cause: the memory of a request was released after its reply had been queued, so that the next request of the same host could arrive before.

Change: it is released once the handler has returned.

Measured: TestTurnsOfManyHostsFit, 300 times on two processors at a load of 12: refused 3 times before, never now.

--- a/wire/server.go
+++ b/wire/server.go
@@ -152,8 +152,10 @@
 			return
 		}
 		g.Go(func() error {
-			defer conn.budget.requests.release(size)
-			s.reply(conn, e.Kind, s.dispatch(ctx, e))
+			reply := s.dispatch(ctx, e)
+			e.Body = nil
+			conn.budget.requests.release(size) // Before the reply, after which the next request may be as large.
+			s.reply(conn, e.Kind, reply)
 			return nil
 		})
 	})
