--- a/crowd/check_test.go
+++ b/crowd/check_test.go
@@ -144,7 +144,7 @@
 	f.t.Helper()
 	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	last, attempts := "", 0
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(maxWait); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		for _, p := range f.hosts {
 			f.checkAlive(p)
 		}
--- a/crowd/fleet_test.go
+++ b/crowd/fleet_test.go
@@ -37,8 +37,8 @@
 	bodyLimit = 4 << 20 // of the plan
 	// deploymentFiles is the number of descriptors that hosts have unless a test lowers it.
 	deploymentFiles = 4096
-	// patience bounds the attempts at one ordinary request. It only ends tests that would hang.
-	patience = 90 * time.Second
+	// maxWait bounds the attempts at one ordinary request. It only ends tests that would hang.
+	maxWait = 90 * time.Second
 )
 
 // memoryMB is the memory of hosts, by role: the smallest among the users' deployments.
--- a/crowd/ports_test.go
+++ b/crowd/ports_test.go
@@ -77,7 +77,7 @@
 	f.run(p, "", "local", "--port", strconv.Itoa(port), "--data", filepath.Join(p.dir, "data"))
 	f.watch()
 	key := ""
-	for end := time.Now().Add(patience); key == "" && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(maxWait); key == "" && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		f.checkAlive(p)
 		log, _ := os.ReadFile(filepath.Join(p.dir, "log")) // Created by run.
 		if _, rest, found := strings.Cut(string(log), "caller's key  "); found {
