--- a/panics/handler.go
+++ b/panics/handler.go
@@ -45,11 +45,13 @@
 // Unwrap returns the writer for an [http.ResponseController].
 func (w *writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// WriteHeader counts as a use only for a final status: others may follow a 1xx.
 func (w *writer) WriteHeader(status int) {
 	w.used = w.used || status >= http.StatusOK || status == http.StatusSwitchingProtocols
 	w.ResponseWriter.WriteHeader(status)
 }
 
+// Write sends a part of the body, and the head before it.
 func (w *writer) Write(b []byte) (int, error) {
 	w.used = true
 	return w.ResponseWriter.Write(b)
--- a/turns/messages.go
+++ b/turns/messages.go
@@ -56,7 +56,8 @@
 // sharedTurnBytes is the size from which on a turn is encoded once for all stores.
 const sharedTurnBytes = 64 << 10
 
-// closeHead is a [CloseRequest] whose turn is encoded already.
+// closeHead is a [CloseRequest] whose turn is encoded already. Stores decode it as that type, so
+// that the fields of both must have the same names.
 type closeHead struct {
 	To      StoreID          `json:"to"`
 	Shard   Shard            `json:"shard"`
