quorum: events of elections and votes

While no leader is elected, no log line tells of a candidate, a vote, how long its write took, or why an election failed: the logs of three control hosts over 40 s without a leader hold two lines each. Without them an operator cannot tell slow disks from lost messages.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -35,6 +35,9 @@
 	ReformExpired        = Kind{217, logrus.InfoLevel, "turns that a shard may have lost would have expired"}
 	DiskSlow             = Kind{218, logrus.WarnLevel, "disk took long for a write of a replica"}
 	MembershipInDoubt    = Kind{219, logrus.WarnLevel, "replica has no contact to a leader and asks whether it is still a member"}
+	ElectionStarted      = Kind{220, logrus.InfoLevel, "replica requests votes"}
+	ElectionLost         = Kind{221, logrus.WarnLevel, "election has ended without making the replica the leader"}
+	VoteStored           = Kind{222, logrus.InfoLevel, "vote of a replica is durable"}
 	OrderDecided         = Kind{301, logrus.InfoLevel, "configuration order decided"}
 	ConfigApplied        = Kind{302, logrus.InfoLevel, "configuration version in force"}
 	LeaseLost            = Kind{303, logrus.WarnLevel, "configuration lease ran out, requests are refused"}
@@ -98,6 +101,7 @@
 		LeaderElected, LeaderLost, LogTruncated, LogCorrupt, SnapshotWritten,
 		SnapshotInstalled, StorageFailed, DiskIOFailed, GroupBootstrapped, MembersChanged,
 		ShardMoved, ShardCopied, CopyFailed, ExpiryUnproven, StoreCapacity, ShardReformed, ReformExpired, DiskSlow, MembershipInDoubt,
+		ElectionStarted, ElectionLost, VoteStored,
 		OrderDecided, ConfigApplied, LeaseLost, LeaseAcquired, PlanApplied, PlanRefused,
 		TargetsChanged, LeaderReached, LeaderUnreachable, ZoneOrderDecided, ZonesApplied, ServicesEvacuated, EntryDropped,
 		CallOutcomeUnknown, CallQuarantined, SessionExpired, CallCloseFailed,
--- a/quorum/elect.go
+++ b/quorum/elect.go
@@ -92,6 +92,10 @@
 	}
 }
 
+// candidacy returns how many replicas have voted for this one in the current term. ok is false
+// unless it is a candidate.
+func (c *Core) candidacy() (votes int, ok bool) { return len(c.votes), c.role == Candidate }
+
 // becomeFollower makes the replica a follower of leader, which is empty if
 // unknown. It raises the current term to term if that is later.
 func (c *Core) becomeFollower(now types.Mono, term Term, leader ReplicaID) {
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -72,6 +72,7 @@
 	applied       Index
 	lastRole      Role
 	transferCause string // why this replica has transferred its leadership, if it has
+	candidacy     candidacy
 
 	writer        *writer
 	writing       *pendingOutput // the write under way, or nil
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -53,6 +53,7 @@
 			s.SinceLastReply[m.ID] = r.core.SinceLastReply(m.ID, now)
 		}
 	}
+	r.recordElection(&s, now)
 	if s.Role != r.lastRole {
 		r.recordRoleChange(&s, now)
 	}
--- a/quorum/writes.go
+++ b/quorum/writes.go
@@ -215,6 +215,7 @@
 	if result.err != nil {
 		return result.err
 	}
+	r.recordVote(p.hard, result.took)
 	r.durableHard, r.logBytes = p.hard, result.logBytes
 	if result.snapshotBytes > 0 {
 		r.snapshotBytes = result.snapshotBytes
