quorum: an election that is under way ends before the next one begins

Cause: votes count once two writes are durable, the candidate's and the voter's. A replica that had just started sent its next probe 250 ms after it had requested votes, whatever a write took, and each probe that all confirmed began an election in a new term. From 125 ms a write on, votes of the last term always came too late, and a vote request named a probe that was no longer the last one confirmed. The same on the ordinary way: a candidate that asked for pre-votes again dropped the votes of its current term. TestElectionOnSlowDisks passed since one of its voters is down, so that no cold start takes place.

Now the order of messages keeps elections apart instead of a time limit: no probe and no retry before the replica's own vote is durable, a voter confirms a probe after the writes under way, and votes of the current term count until the term ends. Why this is safe: a probe confirmed later than before was received while cold all the same, and the models already count votes for as long as the candidate's term is current.

--- a/quorum/cold.go
+++ b/quorum/cold.go
@@ -21,6 +21,11 @@
 // replica that sent the probe requests votes immediately. A voter that is still
 // cold grants its vote.
 //
+// The order of messages, not a time limit, keeps elections apart: a replica sends no probe
+// before its own vote is durable and its vote requests are on their way, and a voter confirms
+// the next probe after it has sent the vote that it is writing. However long writes take, all
+// votes for a candidate arrive before all confirmations that could begin its next election.
+//
 // This preserves the lease of a leader that was elected in the meantime. That
 // lease relies on a quorum of replicas that had contact with the leader and so
 // are no longer cold. If one of them has restarted since, it does not grant its
@@ -48,7 +53,7 @@
 
 // tickColdStart sends a probe to all other voters if one is due.
 func (c *Core) tickColdStart(now types.Mono) {
-	if !c.cold.active || now < c.cold.nextProbe || !c.Members().IsVoter(c.id) {
+	if !c.cold.active || now < c.cold.nextProbe || c.awaitsOwnVote() || !c.Members().IsVoter(c.id) {
 		return
 	}
 	c.cold.probeSentAt, c.cold.nextProbe = now, now.Add(c.timing.MinElectionTimeout/coldProbesPerMinElectionTimeout)
@@ -62,7 +67,9 @@
 }
 
 // stepColdProbe handles another replica's probe. It confirms the probe if this
-// replica is cold as well.
+// replica is cold as well, after the writes under way: a vote that is being
+// written then reaches its candidate before the confirmation, which may begin the
+// next election.
 func (c *Core) stepColdProbe(m Message) {
 	if !c.cold.active || c.role == Leader || m.VotersHash != c.votersHash() {
 		return
@@ -72,7 +79,7 @@
 	}
 	c.cold.confirmedSentAt[m.From] = m.SentAt
 	lastTerm, _ := c.termAt(c.lastIndex())
-	c.sendImmediately(Message{
+	c.sendAfterSync(Message{
 		Kind: MsgPreVoteReply, To: m.From, Term: c.hardState.Term, Cold: true,
 		Index: c.lastIndex(), LogTerm: lastTerm, SentAt: m.SentAt,
 	})
@@ -107,7 +114,6 @@
 			return
 		}
 	}
-	c.cold.nextProbe = now.Add(c.timing.MinElectionTimeout / 2) // Allow for the sync that votes need.
 	c.campaign(Candidate, bypassColdStart)
 	c.cold.eligible = false // One election per probe.
 	c.resetRetryDeadline(now)
--- a/quorum/cold_test.go
+++ b/quorum/cold_test.go
@@ -47,19 +47,23 @@
 }
 
 // TestColdStartWithOtherFaults crashes all or some replicas at random times, also
-// during elections, and combines this with suspended hosts, one-way partitions
-// and different clock rates. No two replicas may hold a lease at the same time,
-// and no acknowledged command may be lost.
+// during elections, and combines this with suspended hosts, one-way partitions,
+// different clock rates and, in half of the seeds, slow writes. No two replicas may
+// hold a lease at the same time, and no acknowledged command may be lost.
 func TestColdStartWithOtherFaults(t *testing.T) {
 	for seed := range *coldSeeds {
 		s := newSim(seed, 3+2*int(seed%2))
 		r := rand.New(rand.NewPCG(seed, 5))
 		s.hosts[0].clockRate, s.hosts[1].clockRate = 0.95, 1.05
 		s.run(time.Second)
+		if seed%4 >= 2 {
+			s.syncTime = time.Duration(r.IntN(400)) * time.Millisecond
+		}
 		for range 12 {
 			injectRandomFault(s, r)
 			s.run(time.Duration(r.IntN(500)) * time.Millisecond)
 		}
+		s.syncTime = 0 // The final state is that of replicas that keep up.
 		s.run(4 * time.Second)
 		if diff := cmp.Diff([]string(nil), s.checkFinalState()); diff != "" {
 			t.Errorf("seed %d (-want +got):\n%s", seed, diff)
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -102,7 +102,8 @@
 
 	role           Role
 	leader         ReplicaID
-	votes          map[ReplicaID]bool
+	preVotes       map[ReplicaID]bool      // non-nil only on a pre-candidate
+	votes          map[ReplicaID]bool      // non-nil only on a candidate of the current term
 	peers          map[ReplicaID]*progress // non-nil only on a leader
 	termStartIndex Index                   // index of the leader's first entry in its term
 
--- a/quorum/elect.go
+++ b/quorum/elect.go
@@ -17,6 +17,10 @@
 		c.resetElectionDeadline(now)
 		return
 	}
+	if c.awaitsOwnVote() {
+		c.resetRetryDeadline(now) // Requests for pre-votes would wait for the same sync.
+		return
+	}
 	if c.role == Candidate {
 		c.lateElections++ // A majority has granted its pre-votes, and so would probably vote.
 	}
@@ -67,14 +71,19 @@
 	bypassColdStart                    // all voters have just started; see cold.go
 )
 
+// awaitsOwnVote reports whether this replica is a candidate whose vote requests wait for the
+// sync of its own vote.
+func (c *Core) awaitsOwnVote() bool { return c.votes != nil && !c.votes[c.id] }
+
 // campaign sends requests to all voters: pre-vote requests if role is
 // PreCandidate, or vote requests in a new term if it is Candidate.
 func (c *Core) campaign(role Role, bypass leaseBypass) {
 	c.role = role
 	c.leader = ""
-	c.votes = map[ReplicaID]bool{}
+	c.preVotes = map[ReplicaID]bool{}
 	kind, term := MsgPreVote, c.hardState.Term+1
 	if role == Candidate {
+		c.votes, c.preVotes = map[ReplicaID]bool{}, nil
 		c.hardState = HardState{Term: term, Vote: c.id}
 		kind = MsgVote
 	}
@@ -94,7 +103,7 @@
 
 // candidacy returns how many replicas have voted for this one in the current term. ok is false
 // unless it is a candidate.
-func (c *Core) candidacy() (votes int, ok bool) { return len(c.votes), c.role == Candidate }
+func (c *Core) candidacy() (votes int, ok bool) { return len(c.votes), c.votes != nil }
 
 // becomeFollower makes the replica a follower of leader, which is empty if
 // unknown. It raises the current term to term if that is later.
@@ -108,14 +117,14 @@
 	c.role = Follower
 	c.leader = leader
 	c.peers = nil
-	c.votes = nil
+	c.votes, c.preVotes = nil, nil
 }
 
 // becomeLeader makes the replica the leader of the current term.
 func (c *Core) becomeLeader(now types.Mono) {
 	c.role = Leader
 	c.leader = c.id
-	c.votes = nil
+	c.votes, c.preVotes = nil, nil
 	c.lastLeaderContact, c.lastTick, c.resumedAt = now, now, now
 	c.lateElections = 0
 	c.cold = coldStart{}
@@ -249,29 +258,32 @@
 	if c.role != PreCandidate || m.Refused || m.Term != c.hardState.Term+1 {
 		return
 	}
-	if c.recordVote(m.From) {
+	if c.hasQuorumWith(c.preVotes, m.From) {
 		c.campaign(Candidate, bypassNone)
 		c.resetRetryDeadline(now)
 	}
 }
 
+// stepVoteReply counts a vote. Votes of the current term count until the term ends, also while
+// this replica asks for pre-votes for the next one: on slow disks they take longer than any
+// deadline that was set before.
 func (c *Core) stepVoteReply(now types.Mono, m Message) {
-	if c.role != Candidate || m.Refused {
+	if c.votes == nil || m.Refused {
 		return
 	}
-	if c.recordVote(m.From) {
+	if c.hasQuorumWith(c.votes, m.From) {
 		c.becomeLeader(now)
 	}
 }
 
-// recordVote records a granted vote or pre-vote and reports whether they form a
-// quorum.
-func (c *Core) recordVote(from ReplicaID) bool {
-	c.votes[from] = true
+// hasQuorumWith adds a replica to those that have granted a vote or pre-vote and reports
+// whether they form a quorum.
+func (c *Core) hasQuorumWith(granted map[ReplicaID]bool, from ReplicaID) bool {
+	granted[from] = true
 	members := c.Members()
 	n := 0
 	for _, v := range members.Voters {
-		if c.votes[v.ID] {
+		if granted[v.ID] {
 			n++
 		}
 	}
--- a/quorum/late_test.go
+++ b/quorum/late_test.go
@@ -24,21 +24,56 @@
 	}
 }
 
-// TestElectionOnSlowDisks guards against groups that elect no leader for as long as writes take more
-// than the election timeout, as on disks that many processes share: before the votes for a candidate
-// were durable, others had begun the next elections.
+// TestElectionOnSlowDisks guards against groups that elect no leader while writes take long, as on
+// disks that many processes share: before the votes for a candidate were durable, it or others had
+// begun the next elections. With all voters up, candidates need not wait for the election timeout,
+// so that each probe of a cold start began an election; with one down they do.
 func TestElectionOnSlowDisks(t *testing.T) {
 	const limit = 10 * time.Second
-	for _, syncTime := range []time.Duration{300 * time.Millisecond, 600 * time.Millisecond} {
+	for _, voters := range []int{3, 5} {
+		for _, down := range []int{0, 1} {
+			for _, writeMs := range []time.Duration{100, 130, 300, 600, 1000} {
+				for seed := range uint64(20) {
+					s := newSim(seed, voters)
+					s.syncTime = writeMs * time.Millisecond
+					for _, h := range s.hosts[voters-down:] {
+						h.crash(true)
+						h.restartAt = s.now.Add(time.Minute)
+					}
+					for s.run(time.Second); s.lastAck == 0 && s.now < types.Mono(limit); s.run(time.Second) {
+					}
+					if s.lastAck == 0 {
+						t.Errorf("seed %d, %d of %d voters, %v for a write: no command was acknowledged within %v, %d leaders",
+							seed, voters-down, voters, s.syncTime, limit, len(s.leaders))
+					}
+				}
+			}
+		}
+	}
+}
+
+// TestRestartOnSlowDisks guards against a group without a leader after all voters have restarted at
+// nearly the same time, as after a loss of power, onto disks that are slow from then on.
+func TestRestartOnSlowDisks(t *testing.T) {
+	const limit = 10 * time.Second
+	for _, writeMs := range []time.Duration{100, 130, 300, 600, 1000} {
 		for seed := range uint64(20) {
-			s := newSim(seed, 5)
-			s.syncTime = syncTime
-			s.hosts[4].crash(true)
-			s.hosts[4].restartAt = s.now.Add(time.Minute)
-			for s.run(time.Second); s.lastAck == 0 && s.now < types.Mono(limit); s.run(time.Second) {
+			s := newSim(seed, 3+2*int(seed%2))
+			s.run(2 * time.Second)
+			for _, h := range s.hosts {
+				h.crash(false)
+				h.restartAt = s.now.Add(restartDelay + time.Duration(s.rand.IntN(300))*time.Millisecond)
+			}
+			s.syncTime, s.lastAck = writeMs*time.Millisecond, 0
+			for end := s.now.Add(limit); s.lastAck == 0 && s.now < end; s.run(100 * time.Millisecond) {
 			}
 			if s.lastAck == 0 {
-				t.Errorf("seed %d, %v for a write: no command was acknowledged within %v, %d leaders", seed, syncTime, limit, len(s.leaders))
+				t.Errorf("seed %d, %v for a write: no command was acknowledged within %v", seed, s.syncTime, limit)
+			}
+			s.syncTime = 0 // The final state is that of replicas that keep up.
+			s.run(4 * time.Second)
+			if diff := cmp.Diff([]string(nil), s.checkFinalState()); diff != "" {
+				t.Errorf("seed %d, %v ms for a write (-want +got):\n%s", seed, int(writeMs), diff)
 			}
 		}
 	}
