turns, gate: while stores are slow, turns that continue others are admitted first

Callers whose program had begun got 503 "the stores are too slow for more turns", try after try, while programs that had just begun were served.

Cause: the bound on reservations, which falls to 2 while the stores are late, was shared by all turns alike and refused at once. There are many more first turns than any one program's next turn, and those that were admitted kept the places.

A turn that continues another one now waits for a reservation to end and is admitted before first turns, which are still refused at once, so that the stores get no more work than before. It waits for a third of the time that it has left, and its reservation then has a third of the rest.

--- a/gate/turn.go
+++ b/gate/turn.go
@@ -23,8 +23,9 @@
 	minAdmitTimeout = 900 * time.Millisecond
 	maxAdmitTimeout = minCommitTimeout
 	// admitShare is the part of its remaining time, as a divisor, that a turn may wait for
-	// stores that are late. Each turn that is refused before they reply is repeated by its
-	// caller, and they do the work of each of its claims, and of their withdrawal.
+	// stores that are late, or for its reservation to be admitted. Each turn that is refused
+	// before they reply is repeated by its caller, and they do the work of each of its claims,
+	// and of their withdrawal.
 	admitShare = 3
 )
 
@@ -44,7 +45,8 @@
 	if !c.turn.hasClaim && c.turn.previous == "" {
 		return c.takeFromLimit()
 	}
-	ctx, cancel := withTimeout(c.r.Context(), c.gate.answersCtx, admitTimeout(c.remaining()))
+	timeout := func() time.Duration { return admitTimeout(c.remaining()) }
+	ctx, cancel := withTimeout(c.r.Context(), c.gate.answersCtx, c.remaining())
 	defer cancel()
 	var limited *errorResponse
 	var chainErr, budgetErr error
@@ -56,6 +58,8 @@
 	if c.turn.previous != "" {
 		g.Go(func() error {
 			defer chainFetchSeconds.UpdateDuration(time.Now())
+			ctx, cancel := context.WithTimeout(ctx, timeout())
+			defer cancel()
 			c.turn.chain, chainErr = c.gate.Turns.ChainWithin(ctx, c.accountID(), c.turn.budget.Program, c.turn.previous, c.chargeChain)
 			return nil
 		})
@@ -63,7 +67,7 @@
 	if c.turn.hasClaim {
 		g.Go(func() error {
 			defer budgetClaimSeconds.UpdateDuration(time.Now())
-			budgetErr = c.gate.Turns.Reserve(ctx, c.turn.budget)
+			budgetErr = c.gate.Turns.ReserveWithin(ctx, c.turn.budget, timeout)
 			return nil
 		})
 	}
@@ -142,7 +146,7 @@
 		program = types.ProgramID("turn/" + c.id)
 	}
 	c.turn.budget = turns.Budget{
-		Account: c.accountID(), Program: program, Attempt: types.AttemptID(c.id), Limit: types.Tokens(limit), MaxTokens: types.Tokens(n),
+		Account: c.accountID(), Program: program, Attempt: types.AttemptID(c.id), Limit: types.Tokens(limit), MaxTokens: types.Tokens(n), Continues: c.turn.previous != "",
 	}
 	c.turn.hasClaim = hasBudget
 }
--- a/turns/admit.go
+++ b/turns/admit.go
@@ -1,6 +1,8 @@
 package turns
 
 import (
+	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -8,15 +10,20 @@
 )
 
 // admission bounds the reservations that one client has in progress. While the stores are too
-// slow for them, the bound falls, and further reservations are refused at once, so that the
-// stores have time for the turns that have begun. The zero value is ready for use. It is safe
-// for concurrent use.
+// slow for them, the bound falls, and further reservations of first turns are refused at once, so
+// that the stores have time for the turns that have begun. Turns that continue others wait for a
+// reservation to end, and go before first turns: their callers rely on turns that they have got,
+// and the work of targets on these would be lost. The zero value is ready for use. It is safe for
+// concurrent use.
 type admission struct {
 	mu         sync.Mutex
 	inProgress int
 	// cut is by how much the bound is below maxReservations. It is between 0 and
 	// maxReservations - minReservations.
 	cut float64
+	// waiting are reservations of turns that continue others, oldest first. Each channel is closed
+	// once its reservation is admitted. There are none unless the bound is reached.
+	waiting []chan struct{}
 }
 
 const (
@@ -37,17 +44,45 @@
 // errStoresSlow is returned for a reservation that was not sent to any store.
 var errStoresSlow = types.NewFault(types.CodeOverloaded, "the stores are too slow for more turns").WithRetryAfter(admissionRetryAfter)
 
-// begin reports whether a reservation may begin. If so, end must be called.
-func (a *admission) begin() bool {
+// begin reports whether a reservation may begin, and waits for that until ctx ends if its turn
+// continues another one. If so, end must be called.
+func (a *admission) begin(ctx context.Context, continues bool) bool {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	if float64(a.inProgress) >= maxReservations-a.cut {
+	if a.hasRoom() {
+		a.inProgress++
+		a.mu.Unlock()
+		return true
+	}
+	if !continues {
+		a.mu.Unlock()
 		return false
 	}
-	a.inProgress++
-	return true
+	admitted := make(chan struct{})
+	a.waiting = append(a.waiting, admitted)
+	a.mu.Unlock()
+	select {
+	case <-admitted:
+		return true
+	case <-ctx.Done():
+		return a.leave(admitted)
+	}
+}
+
+// leave removes a reservation from those that wait. It reports whether it was admitted before.
+func (a *admission) leave(admitted chan struct{}) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	i := slices.Index(a.waiting, admitted)
+	if i < 0 {
+		return true
+	}
+	a.waiting = slices.Delete(a.waiting, i, i+1)
+	return false
 }
 
+// hasRoom reports whether another reservation is within the bound. The caller must hold mu.
+func (a *admission) hasRoom() bool { return float64(a.inProgress) < maxReservations-a.cut }
+
 // outcome is what a reservation shows of the stores.
 type outcome int
 
@@ -57,19 +92,23 @@
 	unknown         // nothing: the caller has left, or a majority of the shard's stores is not connected
 )
 
-// end records the outcome of a reservation.
+// end records the outcome of a reservation, and admits those that wait for it.
 func (a *admission) end(o outcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.inProgress--
 	switch o {
-	case unknown:
-		return
 	case inTime:
 		a.cut = max(0, a.cut-1)
-		return
+	case late:
+		a.cut = maxReservations - max(minReservations, (maxReservations-a.cut)*admissionDecrease)
+	case unknown:
+	}
+	for len(a.waiting) > 0 && a.hasRoom() {
+		close(a.waiting[0])
+		a.waiting = slices.Delete(a.waiting, 0, 1)
+		a.inProgress++
 	}
-	a.cut = maxReservations - max(minReservations, (maxReservations-a.cut)*admissionDecrease)
 }
 
 // NotSent reports whether err is the fault of a reservation that was not sent to any store,
--- a/turns/admit_test.go
+++ b/turns/admit_test.go
@@ -52,3 +52,51 @@
 		t.Errorf("%d of %d reservations at healthy shards were refused", refused.Load(), healthy.Load())
 	}
 }
+
+// TestContinuingTurnsAreAdmittedFirst guards against turns that continue others and are refused
+// while first turns are admitted, when stores take so long that only a few reservations are
+// admitted at a time. Callers of the former count them as lost after some tries.
+func TestContinuingTurnsAreAdmittedFirst(t *testing.T) {
+	c, disks := newSlowCluster(t)
+	w := c.client()
+	if err := settleTurn(withTimeout(t, stepTimeout), w, "choir", "p", "first", ""); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range disks {
+		d.slow(300 * time.Millisecond)
+	}
+	const load, firstInterval, continuingInterval = 6 * time.Second, 5 * time.Millisecond, 250 * time.Millisecond
+	var firstRefused, refused, failed atomic.Int64
+	var g errgroup.Group
+	reserve := func(i int, continues bool, timeout time.Duration) {
+		g.Go(func() error {
+			b := turns.Budget{Account: "choir", Program: types.ProgramID(fmt.Sprint("p", i, continues)), Attempt: "a", Limit: 100, MaxTokens: 10, Continues: continues}
+			err := w.ReserveWithin(withTimeout(t, stepTimeout), b, func() time.Duration { return timeout })
+			switch {
+			case !continues && turns.NotSent(err):
+				firstRefused.Add(1)
+			case turns.NotSent(err):
+				refused.Add(1)
+			case continues && err != nil:
+				failed.Add(1)
+			}
+			return nil
+		})
+	}
+	first, continuing := 0, 0
+	for start := time.Now(); time.Since(start) < load; time.Sleep(firstInterval) {
+		reserve(first, false, 250*time.Millisecond) // Too short, so that the bound falls and stays low.
+		if first++; time.Since(start) > time.Duration(continuing+4)*continuingInterval {
+			reserve(continuing, true, 1300*time.Millisecond) // As long as a turn of 4 s may wait.
+			continuing++
+		}
+	}
+	_ = g.Wait() // The goroutines always return nil.
+	t.Logf("%d of %d first turns were refused; of %d that continue others %d were refused, and %d not in time", firstRefused.Load(), first, continuing, refused.Load(), failed.Load())
+	if firstRefused.Load() < int64(first)/2 {
+		t.Fatal("the bound has not fallen")
+	}
+	if n := refused.Load() + failed.Load(); n > 0 {
+		t.Errorf("%d of %d turns that continue others were refused or not in time", n, continuing)
+	}
+}
--- a/turns/client.go
+++ b/turns/client.go
@@ -79,31 +79,53 @@
 	// The maximum numbers of tokens that all turns of the program together, and
 	// this turn alone, may generate.
 	Limit, MaxTokens types.Tokens
+	// Continues is set if the turn continues another one. While the stores are too slow for all
+	// turns, such turns go before others.
+	Continues bool
 }
 
-// Reserve claims a turn's part of its program's budget. If the budget does not
-// cover it, Reserve settles the claim with 0 tokens in the background and returns
+// Reserve is [Client.ReserveWithin] for a reservation that may take until ctx ends.
+func (c *Client) Reserve(ctx context.Context, b Budget) error {
+	return c.ReserveWithin(ctx, b, func() time.Duration { return forever })
+}
+
+// forever is longer than the time that any caller waits.
+const forever = time.Hour
+
+// ReserveWithin claims a turn's part of its program's budget. If the budget does not
+// cover it, ReserveWithin settles the claim with 0 tokens in the background and returns
 // a budgetExceeded fault.
 //
 // Concurrent reservations cannot exceed the budget together: of any set of
 // granted reservations, the one whose claim was written last has read the
-// claims of all others. Reserve reads the claims a second time only if the
+// claims of all others. ReserveWithin reads the claims a second time only if the
 // first reply has an unsettled claim of another attempt. Without one this is
 // not needed, since every concurrent reservation missing from the reply has
 // read this claim.
 //
-// While the stores are too slow, Reserve returns an overloaded fault at once for which
-// [NotSent] is true.
-func (c *Client) Reserve(ctx context.Context, b Budget) error {
-	if !c.admission.begin() {
+// While the stores are too slow, ReserveWithin returns an overloaded fault for which [NotSent] is
+// true: at once, or for a turn that continues another one after it has waited for as long as timeout
+// returns. Once the reservation is admitted, it may take for as long as timeout returns then.
+func (c *Client) ReserveWithin(ctx context.Context, b Budget, timeout func() time.Duration) error {
+	if !c.admit(ctx, b, timeout()) {
 		reservationsRefused.Inc()
 		return errStoresSlow
 	}
+	ctx, cancel := context.WithTimeout(ctx, timeout())
+	defer cancel()
 	err := c.reserve(ctx, b)
 	c.admission.end(c.outcomeOf(ctx, ShardOf(b.Account, b.Program), err))
 	return err
 }
 
+// admit reports whether a reservation is admitted, for which it may wait for up to longest.
+func (c *Client) admit(ctx context.Context, b Budget, longest time.Duration) bool {
+	defer admissionSeconds.UpdateDuration(time.Now())
+	ctx, cancel := context.WithTimeout(ctx, longest)
+	defer cancel()
+	return c.admission.begin(ctx, b.Continues)
+}
+
 // outcomeOf returns what a reservation that has ended with err shows of the stores.
 func (c *Client) outcomeOf(ctx context.Context, shard Shard, err error) outcome {
 	switch {
--- a/turns/metric.go
+++ b/turns/metric.go
@@ -14,6 +14,7 @@
 	batchWrites   = metrics.NewHistogram("banyanspur_turns_batch_writes")
 
 	reservationsRefused = metrics.NewCounter("banyanspur_turns_reservations_refused_total")
+	admissionSeconds    = metrics.NewHistogram("banyanspur_turns_admission_seconds")
 )
 
 // rounds returns the counter of requests to the stores of a shard. A request that starts
