soak, crash: turns that are continued after the final fault, and slower disks

Callers now continue the newest turns of 80 programs from the restart on, until a target has got them, and 80 others once each in the last 4 s; turns of programs count there, too. A 404 or 410 in any try fails. Stores whose disks have lasted longest are lost half of the time, and a third of the final faults come right after a turn was answered. Size orders has syncs of 5 ms, inputs of 17 kB at the mean and turns of 1 to 31 events, as the deployment that it stands for; -finalsync makes syncs slower from the final fault on. Prompts are compared by digests, so that the test does not keep the whole prompt of each turn.

--- a/crash/follow.go
+++ b/crash/follow.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -14,11 +15,13 @@
 )
 
 // Follower follows the directory that one process after another uses, each with a
-// [RecordingDisk]. Set Dir. What tests change in the directory between two processes counts as
+// [RecordingDisk]. Set Dir, and SyncTime before a start. What tests change in the directory between two processes counts as
 // not durable, and a directory that they have removed as new. The methods must not be called
 // concurrently, except Hang.
 type Follower struct {
 	Dir string
+	// SyncTime is how long a sync of the next process takes at least.
+	SyncTime time.Duration
 
 	model   *Model // nil before the first start
 	reading errgroup.Group
@@ -58,7 +61,7 @@
 		return errors.Wrap(err, "crash: create a pipe")
 	}
 	defer w.Close() // The process has its own.
-	cmd.Env = append(cmd.Env, fmt.Sprintf("%s=/dev/fd/%d", LogEnv, 3+len(cmd.ExtraFiles)), HangEnv+"="+f.hangFile())
+	cmd.Env = append(cmd.Env, fmt.Sprintf("%s=/dev/fd/%d", LogEnv, 3+len(cmd.ExtraFiles)), HangEnv+"="+f.hangFile(), SyncTimeEnv+"="+f.SyncTime.String())
 	cmd.ExtraFiles = append(cmd.ExtraFiles, w)
 	if err := cmd.Start(); err != nil {
 		_ = r.Close() // Nothing has been written.
--- a/crash/record.go
+++ b/crash/record.go
@@ -17,6 +17,8 @@
 	LogEnv = "BANYANSPUR_DISK_LOG"
 	// HangEnv names a file. The disk does not begin to sync while it exists.
 	HangEnv = "BANYANSPUR_DISK_HANG"
+	// SyncTimeEnv is the duration that a sync takes at least, as on a slower disk.
+	SyncTimeEnv = "BANYANSPUR_DISK_SYNC_TIME"
 )
 
 // hangInterval is how often a sync that hangs looks whether it may begin.
@@ -34,15 +36,25 @@
 	if err != nil {
 		return store.Disk{}, errors.Wrap(err, "crash: open the log of operations")
 	}
+	var syncTime time.Duration
+	if text := os.Getenv(SyncTimeEnv); text != "" {
+		if syncTime, err = time.ParseDuration(text); err != nil {
+			return store.Disk{}, errors.Wrap(err, "crash: "+SyncTimeEnv)
+		}
+	}
 	var mu sync.Mutex
 	e := cbor.NewEncoder(f)
 	hang := os.Getenv(HangEnv)
 	syncFile := func(f *os.File) error {
+		startedAt := time.Now()
 		for ; ; time.Sleep(hangInterval) {
 			if _, err := os.Stat(hang); err != nil {
-				return f.Sync()
+				break
 			}
 		}
+		err := f.Sync()
+		time.Sleep(syncTime - time.Since(startedAt))
+		return err
 	}
 	return store.Disk{Sync: syncFile, Observe: func(op store.Op) {
 		mu.Lock()
--- /dev/null
+++ b/soak/continued_test.go
@@ -0,0 +1,176 @@
+package soak_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/types"
+)
+
+const (
+	// continuedShare is the share of other turns that must be served in lastSpan for turns that
+	// reach no target to count as lost.
+	continuedShare = 0.8
+	// lastSpan is the time before the end of the run in which each turn that continues another
+	// one must reach a target.
+	lastSpan = 4 * time.Second
+	// minRetryPause is the shortest pause of a caller between two tries.
+	minRetryPause = 100 * time.Millisecond
+)
+
+// continuation is a turn that a caller continues after the final fault, with its tries.
+type continuation struct {
+	turn  attempt   // that is continued
+	until time.Time // by when a target must have got it
+	tries []attempt
+}
+
+// completedTurns returns up to n turns that were answered whole in the last sampleTime, at most one
+// of each program: the newest.
+func (d *deployment) completedTurns(n int) []attempt {
+	d.callers.mu.Lock()
+	defer d.callers.mu.Unlock()
+	newest := map[string]attempt{}
+	for _, a := range d.callers.attempts {
+		if a.path == "/turn/" && a.status == http.StatusOK && a.complete && !strings.HasPrefix(a.program, "again ") && time.Since(a.endedAt) < sampleTime {
+			newest[a.program] = a
+		}
+	}
+	var list []attempt
+	for _, a := range newest {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(a, b attempt) int { return strings.Compare(a.id, b.id) })
+	step := 1 + len(list)/n
+	for i := range list {
+		if i*step < len(list) {
+			list[i] = list[i*step]
+		}
+	}
+	return list[:(len(list)+step-1)/step]
+}
+
+// continueAfter continues turns at random entry hosts from the restart of all hosts on. Callers try
+// again, after the delay that the host asks for, until a target has got the turn or until has passed.
+func (d *deployment) continueAfter(turns []attempt, seed uint64, until time.Time) []*continuation {
+	var g errgroup.Group
+	var list []*continuation
+	for i, t := range turns {
+		c := &continuation{turn: t, until: until}
+		list = append(list, c)
+		r := rand.New(rand.NewPCG(seed, uint64(17_000+i)))
+		g.Go(func() error {
+			for time.Now().Before(until) {
+				c.tries = append(c.tries, d.continueOnce(r, t))
+				last := c.tries[len(c.tries)-1]
+				if len(d.targets.runsOf(last.id)) > 0 {
+					return nil
+				}
+				types.Sleep(context.Background(), max(minRetryPause, last.retryAfter))
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // The goroutines always return nil.
+	return list
+}
+
+// continueOnce continues a turn at a random entry host.
+func (d *deployment) continueOnce(r *rand.Rand, t attempt) attempt {
+	entry := d.fleet.entries()[r.IntN(d.fleet.size.entries)]
+	return d.callers.sendTo(context.Background(), entry, attempt{
+		account: t.account, path: t.path, requestBody: "on;", previous: t.id, program: "again " + t.id,
+		budget: 100 * t.budget, maxTokens: t.maxTokens, timeout: turnTimeout,
+	})
+}
+
+// continueInLastSpan continues turns once each, spread over lastSpan.
+func (d *deployment) continueInLastSpan(turns []attempt, seed uint64) []*continuation {
+	var g errgroup.Group
+	var list []*continuation
+	r := rand.New(rand.NewPCG(seed, 19))
+	for _, t := range turns {
+		c := &continuation{turn: t}
+		list = append(list, c)
+		tryRand := rand.New(rand.NewPCG(seed, r.Uint64()))
+		g.Go(func() error {
+			c.tries = append(c.tries, d.continueOnce(tryRand, t))
+			return nil
+		})
+		types.Sleep(context.Background(), lastSpan/time.Duration(len(turns)))
+	}
+	_ = g.Wait() // The goroutines always return nil.
+	return list
+}
+
+// checkContinued checks that after the final fault each turn that continues another one reaches a
+// target by the end of the recovery time, and each one in lastSpan before end, whatever its response
+// is, if continuedShare of first turns are served then.
+func (d *deployment) checkContinued(recovered, last []*continuation, end time.Time) {
+	from := end.Add(-lastSpan)
+	first, served := 0, 0
+	later := map[string]int{} // by program and input: tries, or -1 once a target has got one
+	for _, a := range d.callers.attempts {
+		if a.path != "/turn/" || a.sentAt.Before(from) || a.sentAt.After(end) || a.patience > 0 || a.status == http.StatusPaymentRequired {
+			continue
+		}
+		if a.previous == "" {
+			first++
+			if a.status == http.StatusOK && a.complete {
+				served++
+			}
+			continue
+		}
+		if strings.HasPrefix(a.program, "again ") {
+			continue // Checked below.
+		}
+		key := a.program + " " + a.previous + " " + digest(a.requestBody)
+		if len(d.targets.runsOf(a.id)) > 0 || later[key] < 0 {
+			later[key] = -1
+			continue
+		}
+		later[key]++
+	}
+	lost := 0
+	report := func(c *continuation, what string) {
+		lost++
+		a := c.tries[len(c.tries)-1]
+		d.t.Logf("lost: turn %s, complete %v before, is continued by no target %s, %d tries: %s on %s: status %d %.120s %s",
+			c.turn.id, a.sentAt.Sub(c.turn.endedAt).Round(time.Millisecond), what, len(c.tries), a.id, a.entry, a.status, a.responseBody, a.failure)
+	}
+	var longest time.Duration
+	for _, c := range recovered {
+		a := c.tries[len(c.tries)-1]
+		runs := d.targets.runsOf(a.id)
+		if len(runs) == 0 || runs[0].startedAt.After(c.until) {
+			report(c, "by the end of the recovery time")
+			continue
+		}
+		longest = max(longest, runs[0].startedAt.Sub(c.tries[0].sentAt))
+	}
+	for _, c := range last {
+		if len(d.targets.runsOf(c.tries[0].id)) == 0 {
+			report(c, "at the end")
+		}
+	}
+	for key, tries := range later {
+		if tries > 0 {
+			lost++
+			d.t.Logf("lost: a turn reached no target at the end in %d tries: %.60s", tries, key)
+		}
+	}
+	d.t.Logf("after the final fault: %d turns continued, the last one after %v; %d at the end, and %d of programs; %d lost; %d of %d first turns served at the end",
+		len(recovered), longest.Round(time.Millisecond), len(last), len(later), lost, served, first)
+	switch {
+	case len(recovered) == 0 || len(last) == 0 || first == 0:
+		d.t.Error("no turn was continued after the final fault")
+	case lost > 0 && float64(served) >= continuedShare*float64(first):
+		d.t.Errorf("%d turns that continue others reached no target after the final fault, %d of %d first turns were served at the end", lost, served, first)
+	}
+}
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -98,7 +98,7 @@
 	size.fleet.plan = changingPlan(seed, size.slots, size.cacheTokens)
 	c, tg := startSize(t, size.fleet, seed, size.models, size.plain)
 	tg.mu.Lock()
-	tg.events, tg.eventGap, tg.slowTurns, tg.calls = turnEvents, turnEventGap, slowTurns, map[string]time.Duration{}
+	tg.events, tg.varied, tg.eventGap, tg.slowTurns, tg.calls = size.events, size.varied, turnEventGap, slowTurns, map[string]time.Duration{}
 	for _, call := range toolCalls {
 		tg.calls[call.path] = call.work
 	}
@@ -110,7 +110,7 @@
 	d.fleet.waitRecovered()
 	d.note("all shards have all copies")
 	b := &balancer{fleet: c.fleet, misses: map[*testHost]int{}}
-	d.load = &load{callers: c, balancer: b, kinds: size.kinds}
+	d.load = &load{callers: c, balancer: b, size: size}
 	for i := range size.callers {
 		d.load.pool = append(d.load.pool, b.newCaller(i))
 	}
@@ -149,10 +149,13 @@
 		d.injectSeries(*duration)
 	}
 	types.Sleep(ctx, calmTime+window)
+	atFault := d.completedTurns(maxSample)
 	restartedAt = d.injectFinalFault()
-	types.Sleep(ctx, d.recoveryTime())
+	recovered := d.continueAfter(atFault, seed, restartedAt.Add(d.recoveryTime()))
+	types.Sleep(ctx, time.Until(restartedAt.Add(d.recoveryTime())))
 	d.checkTurns()
-	types.Sleep(ctx, 2*window)
+	last := d.continueInLastSpan(d.completedTurns(maxSample), seed)
+	end := time.Now()
 	finish()
 	d.withoutBrokenOff(func() {
 		d.checkServed(restartedAt)
@@ -160,6 +163,7 @@
 		d.checkLost()
 		d.checkUnreached()
 	})
+	d.checkContinued(recovered, last, end)
 	d.checkEnds()
 	churn.checkDrained()
 	d.checkServices()
@@ -207,5 +211,10 @@
 		})
 	}
 	_ = g.Wait() // The goroutines always return nil.
+	for _, a := range c.attempts {
+		if a.status == http.StatusNotFound || a.status == http.StatusGone {
+			d.t.Errorf("turn %s had a complete response and is not found by %s on %s at %v", a.previous, a.id, a.entry, a.sentAt)
+		}
+	}
 	d.note("continued %d of %d turns", (len(attempts)+len(attempts)/maxSample)/(1+len(attempts)/maxSample), len(attempts))
 }
--- a/soak/disruptions_test.go
+++ b/soak/disruptions_test.go
@@ -64,9 +64,7 @@
 func (f *fleet) loseDisks(hosts []*testHost, d time.Duration) {
 	killTogether(hosts)
 	for _, h := range hosts {
-		if err := os.RemoveAll(filepath.Join(h.dir, "data")); err != nil {
-			f.t.Error(err)
-		}
+		f.removeData(h)
 	}
 	time.Sleep(d)
 	for _, h := range hosts {
@@ -74,6 +72,22 @@
 	}
 }
 
+// removeData empties the disk of a host whose process has ended.
+func (f *fleet) removeData(h *testHost) {
+	if err := os.RemoveAll(filepath.Join(h.dir, "data")); err != nil {
+		f.t.Error(err)
+	}
+	h.emptiedAt = time.Now()
+}
+
+// oldestDiskHosts returns as many stores as may be lost at once, those whose disks have lasted
+// longest: they have most of the turns.
+func (f *fleet) oldestDiskHosts() []*testHost {
+	stores := slices.Clone(f.diskHosts()[f.size.controls:])
+	slices.SortStableFunc(stores, func(a, b *testHost) int { return a.emptiedAt.Compare(b.emptiedAt) })
+	return stores[:f.size.losses]
+}
+
 // randomDiskHosts returns as many hosts with a disk as may be lost at once, without one of them,
 // mostly stores.
 func (f *fleet) randomDiskHosts(without *testHost) []*testHost {
@@ -157,7 +171,7 @@
 		span, cancel := context.WithTimeout(ctx, loadSpan)
 		switch r.IntN(4) {
 		case 0:
-			kind := d.load.kinds[r.IntN(len(d.load.kinds))]
+			kind := d.load.size.kinds[r.IntN(len(d.load.size.kinds))]
 			more := (1.1 + 0.2*r.Float64()) * kind.share * programs
 			d.pressed(fmt.Sprintf("%.1f more programs a second of about %d turns", more, kind.turns), func() {
 				d.load.run(span, seed+1_000_000*n, more, []programKind{kind})
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -51,6 +51,17 @@
 // host, or all together, also within 0.4 s of a start and twice in a row. Programs of other
 // builds do not report, and get an incomplete frame in their logs instead.
 //
-// Not injected: slow syncs, links of a limited rate to callers and targets, and entry hosts that
+// After the final fault, turns that were answered whole before it are continued at random entry
+// hosts until a target has got them, which must be within the recovery time, and then others once
+// each in the last 4 s, which must each reach a target while first turns are served. Half of the
+// disks lost there are those of the stores that have lasted longest, and a third of the faults come
+// right after a turn was answered.
+//
+// Syncs of the size "orders" take at least 5 ms, its turns have inputs of 17 kB at the mean and 1 to
+// 31 events. For slow disks from the final fault on, and for few processors:
+//
+//	taskset -c 0-3 go test ./soak -run TestDeploymentUnderFaults -timeout 0 -size orders -first 1 -finalsync 300ms
+//
+// Not injected: slow syncs at other times, links of a limited rate to callers and targets, and entry hosts that
 // do not answer callers at all: a killed process resets its connections.
 package soak
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -43,6 +44,8 @@
 
 	// disturbedAt is when the process was last started or a fault of the host ended.
 	disturbedAt time.Time
+	// emptiedAt is when the host was added or lost its disk.
+	emptiedAt time.Time
 }
 
 // fleet is a fleet under test: control hosts, stores and entry hosts, in this order.
@@ -57,6 +60,8 @@
 	peers       *wire.Pool
 	client      *fleetpkg.Client // follows the fleet as a host does
 	program     *program         // nil for the test binary
+	// syncTime is how long syncs of processes that are started take at least, in nanoseconds.
+	syncTime atomic.Int64
 }
 
 // Ports of each host, on its own addresses.
@@ -82,8 +87,9 @@
 			t.Fatal(err)
 		}
 	}
+	f.syncTime.Store(int64(size.syncTime))
 	for i := range size.controls + size.stores + size.entries {
-		h := &testHost{t: t, number: i + 1, dir: t.TempDir(), binary: binary}
+		h := &testHost{t: t, number: i + 1, dir: t.TempDir(), binary: binary, emptiedAt: time.Now()}
 		role, n := size.role(i)
 		h.role, h.zone = role, fmt.Sprint("zone-", n%size.zones)
 		h.name = fmt.Sprintf("%s-%d", h.role, i)
--- a/soak/guarantees_test.go
+++ b/soak/guarantees_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -182,18 +183,18 @@
 // outputs of all turns before it, followed by the turn's own input.
 func checkPrompts(t *testing.T, c *callers, tg *targets) {
 	t.Helper()
-	prompts := map[string]string{"": ""} // by turn ID: inputs and outputs up to and including the turn
+	prompts := map[string]text{"": {sum: *xxhash.New()}} // by turn ID: inputs and outputs up to and including the turn
 	for _, a := range c.attempts {
 		if a.path != "/turn/" {
 			continue
 		}
-		want := prompts[a.previous] + a.requestBody
+		want := prompts[a.previous].with(a.requestBody)
 		for _, r := range tg.runsOf(a.id) {
-			if r.body != digest(want) {
-				t.Errorf("turn %s ran with the prompt %q, not %q", a.id, r.body, digest(want))
+			if r.body != want.digest() {
+				t.Errorf("turn %s ran with the prompt %q, not %q", a.id, r.body, want.digest())
 			}
 		}
-		prompts[a.id] = want + strings.Join(tg.turnOutput(a.id), "\n") + "\n"
+		prompts[a.id] = want.with(strings.Join(tg.turnOutput(a.id), "\n") + "\n")
 	}
 }
 
--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -10,7 +10,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/types"
@@ -121,11 +120,7 @@
 	if a.path != "/turn/" {
 		return cmp.Or(t.calls[a.path], plainCallTime)
 	}
-	work := time.Duration(t.events) * t.eventGap
-	if t.slowTurns > 0 && xxhash.Sum64String(a.id)%uint64(t.slowTurns) == 0 {
-		work *= slowTurnFactor
-	}
-	return work
+	return time.Duration(t.eventsOf(a.id)) * t.gapOf(a.id)
 }
 
 // plannedBeside returns the planned work beside an attempt: stops of any host, that of its own
--- a/soak/power_test.go
+++ b/soak/power_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
@@ -47,6 +46,7 @@
 	if h.disk == nil {
 		h.disk = &crash.Follower{Dir: filepath.Join(h.dir, "data")}
 	}
+	h.disk.SyncTime = time.Duration(f.syncTime.Load())
 	return h.disk.Start(cmd)
 }
 
@@ -104,9 +104,7 @@
 	for _, h := range hosts {
 		if slices.Contains(wiped, h) {
 			f.t.Logf("%s: data directory lost", h.name)
-			if err := os.RemoveAll(filepath.Join(h.dir, "data")); err != nil {
-				f.t.Error(err)
-			}
+			f.removeData(h)
 		}
 	}
 	if len(hosts) > 1 && f.rand.IntN(3) == 0 {
--- a/soak/programs_test.go
+++ b/soak/programs_test.go
@@ -32,14 +32,15 @@
 
 const (
 	turnTimeout = 3 * time.Second
-	// turnEvents events of a turn come turnEventGap apart, the time that an engine takes to
-	// generate them.
-	turnEvents   = 9
-	turnEventGap = 37 * time.Millisecond
+	// defaultEvents is how many events turns have in most sizes. Events come turnEventGap apart,
+	// the time that an engine takes to generate them.
+	defaultEvents = 9
+	turnEventGap  = 37 * time.Millisecond
 	// One in slowTurns turns takes 2 s, so that some are in flight whenever a host stops.
 	slowTurns = 20
-	// inputBytes is the size of a turn's input.
-	inputBytes = 4000
+	// defaultInput is the mean size of a turn's input in most sizes, and maxInput the most.
+	defaultInput = 4000
+	maxInput     = 100_000
 	// turnRetries is how often a program sends a turn again that has failed, retryAttempts
 	// the number of attempts at each request.
 	turnRetries   = 2
@@ -183,7 +184,7 @@
 	callers  *callers
 	balancer *balancer
 	pool     []*caller
-	kinds    []programKind
+	size     deploymentSize
 	programs atomic.Int64
 
 	mu       sync.Mutex
@@ -250,13 +251,13 @@
 	l.programs.Add(1)
 	c := l.pool[r.IntN(len(l.pool))]
 	turns, account, previous := turnsOf(r, kinds), accountName(r.IntN(accounts)), ""
-	budget := turns * turnEvents * tokensPerEvent
+	budget := turns * l.size.maxEvents() * tokensPerEvent
 	if r.Float64() < looping {
 		turns = 1000
 	}
 	for turn := 0; turn < turns && ctx.Err() == nil; turn++ {
-		input := fmt.Sprintf("in %s %d%s;", program, turn, strings.Repeat(" x", inputBytes/2))
-		a := l.turn(ctx, r, c, attempt{account: account, path: "/turn/", requestBody: input, previous: previous, program: program, budget: budget, maxTokens: turnEvents * tokensPerEvent, timeout: turnTimeout})
+		input := fmt.Sprintf("in %s %d%s;", program, turn, strings.Repeat(" x", l.size.inputSize(r)/2))
+		a := l.turn(ctx, r, c, attempt{account: account, path: "/turn/", requestBody: input, previous: previous, program: program, budget: budget, maxTokens: l.size.maxEvents() * tokensPerEvent, timeout: turnTimeout})
 		if a.status != http.StatusOK || !a.complete {
 			return
 		}
@@ -275,6 +276,22 @@
 	}
 }
 
+// inputSize returns the size of the input of a turn, which is drawn if the sizes vary.
+func (s deploymentSize) inputSize(r *rand.Rand) int {
+	if !s.varied {
+		return s.inputBytes
+	}
+	return min(int(r.ExpFloat64()*float64(s.inputBytes)), maxInput)
+}
+
+// maxEvents returns the most events that a turn has.
+func (s deploymentSize) maxEvents() int {
+	if !s.varied {
+		return s.events
+	}
+	return 2*s.events - 1
+}
+
 // turnsOf returns the number of turns of a program of a random kind.
 func turnsOf(r *rand.Rand, kinds []programKind) int {
 	n, share := 0, r.Float64()
--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"flag"
 	"math"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -254,13 +256,43 @@
 	g.Wait()
 }
 
-// injectFinalFault injects a fault right after a change and returns when all hosts have been
+// finalSyncTime is how long syncs take at least from the final fault on, if it is above 0.
+var finalSyncTime = flag.Duration("finalsync", 0, "how long syncs take at least from the final fault on; 0 means as before")
+
+// awaitTurn returns right after a turn was answered whole.
+func (d *deployment) awaitTurn() {
+	d.callers.mu.Lock()
+	n := len(d.callers.attempts)
+	d.callers.mu.Unlock()
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		d.callers.mu.Lock()
+		found := slices.ContainsFunc(d.callers.attempts[n:], func(a attempt) bool { return a.path == "/turn/" && a.status == http.StatusOK && a.complete })
+		n = len(d.callers.attempts)
+		d.callers.mu.Unlock()
+		if found {
+			return
+		}
+	}
+	d.t.Errorf("no turn was answered in %v", waitTimeout)
+}
+
+// injectFinalFault injects a fault right after a change or a turn and returns when all hosts have been
 // started again: all are killed, all lose power, or as many as the fleet tolerates lose their
 // disks, mostly while all others lose power.
 func (d *deployment) injectFinalFault() time.Time {
 	f := d.fleet
 	disks, all, kind := f.randomDiskHosts(nil), &testHost{name: "group"}, f.rand.IntN(6)
-	d.awaitChange()
+	if f.rand.IntN(2) == 0 {
+		disks = f.oldestDiskHosts()
+	}
+	if *finalSyncTime > 0 {
+		f.syncTime.Store(int64(*finalSyncTime))
+	}
+	if f.rand.IntN(3) == 0 {
+		d.awaitTurn()
+	} else {
+		d.awaitChange()
+	}
 	switch kind {
 	case 0:
 		d.during(all, "killed", false, func() { f.killControlHosts(f.hosts, time.Second) })
--- a/soak/size_test.go
+++ b/soak/size_test.go
@@ -16,6 +16,8 @@
 	// recovery is the time after the restart of all hosts from which on a quarter of the former
 	// share must be served, in seconds.
 	recovery float64
+	// syncTime is how long a sync takes at least.
+	syncTime time.Duration
 	// limits holds what hosts have, by role.
 	limits map[host.NodeRole]hostLimits
 	// asProgram is set if hosts run the program as deploy/system.toml builds and starts it,
@@ -35,6 +37,10 @@
 	slots, cacheTokens     int     // of the engine of each target
 	programs               float64 // per second
 	kinds                  []programKind
+	// inputBytes is the mean size of a turn's input, and events the number of its output events:
+	// all have as many, or if varied is set 1 to 2*events-1.
+	inputBytes, events int
+	varied             bool
 }
 
 // programKind is a part of the programs. They have 1 to 2*turns-1 turns.
@@ -54,10 +60,11 @@
 			limits: deploymentLimits, asProgram: true,
 		},
 		models: 3, plain: 2, callers: 12, slots: 12, cacheTokens: 471337, programs: 2, kinds: []programKind{{1, 6}},
+		inputBytes: defaultInput, events: defaultEvents,
 	},
 	"orders": {
 		fleet: fleetSize{
-			controls: 5, stores: 3, entries: 8, zones: 3, losses: 1, grace: 8, catchUp: 8.3, recovery: 12,
+			controls: 5, stores: 3, entries: 8, zones: 3, losses: 1, grace: 8, catchUp: 8.3, recovery: 12, syncTime: 5 * time.Millisecond,
 			limits: map[host.NodeRole]hostLimits{
 				host.NodeEntry:   {share: 0.4, memoryMB: 284, files: 4100, linkMbps: 1000},
 				host.NodeStore:   {share: 0.352, memoryMB: 324, files: 8200, linkMbps: 130},
@@ -66,6 +73,7 @@
 			asProgram: true,
 		},
 		models: 9, plain: 4, callers: 85, slots: 48, cacheTokens: 1333755, programs: 33, kinds: []programKind{{0.7, 4}, {0.3, 11}},
+		inputBytes: 17000, events: 16, varied: true,
 	},
 	"booking": {
 		fleet: fleetSize{
@@ -78,6 +86,7 @@
 			asProgram: true,
 		},
 		models: 18, plain: 3, callers: 59, slots: 12, cacheTokens: 380106, programs: 42, kinds: []programKind{{0.71, 3}, {0.29, 7}},
+		inputBytes: defaultInput, events: defaultEvents,
 	},
 	"grown": {
 		fleet: fleetSize{
@@ -85,6 +94,7 @@
 			limits: deploymentLimits, asProgram: true,
 		},
 		models: 45, plain: 11, callers: 156, slots: 12, cacheTokens: 471337, programs: 8.8, kinds: []programKind{{1, 6}},
+		inputBytes: defaultInput, events: defaultEvents,
 	},
 }
 
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -47,13 +47,14 @@
 	// faulty is set if targets write refusals of other requests and the list has an odd
 	// entry.
 	faulty atomic.Bool
-	// events is the number of output events of a turn, and eventGap the pause before each.
+	// events is the number of output events of a turn, the mean one if varied is set, and eventGap
+	// the pause before each.
 	// calls is how long calls take, by path; plainCallTime if there is no entry.
 	events   int
+	varied   bool
 	eventGap time.Duration
 	calls    map[string]time.Duration
-	// slowTurns is the number of turns of which one takes slowTurnFactor times as long; no
-	// turn does if it is 0.
+	// slowTurns is the number of turns of which one takes slowTurnTime; no turn does if it is 0.
 	slowTurns int
 	// answers is the fault of how targets respond, if there is one.
 	answers atomic.Pointer[answerFault]
@@ -61,25 +62,64 @@
 	misdirected atomic.Int64
 }
 
-const slowTurnFactor = 6
+const slowTurnTime = 2 * time.Second
 
-// digest returns a text that stands for the body of a request: bodies are many and long.
-func digest(body string) string {
-	if len(body) < 1000 {
-		return body
+// gapOf returns the pause before each event of a turn.
+func (t *targets) gapOf(id string) time.Duration {
+	if t.slowTurns > 0 && xxhash.Sum64String(id)%uint64(t.slowTurns) == 0 {
+		return slowTurnTime / time.Duration(t.eventsOf(id))
+	}
+	return t.eventGap
+}
+
+// text is a long text without its content: prompts are many, and contain those before them.
+type text struct {
+	sum   xxhash.Digest
+	size  int
+	short string // the whole text, if it has less than minDigested bytes
+}
+
+// minDigested is the size from which on a text is represented by its digest.
+const minDigested = 1000
+
+// with returns the text followed by s.
+func (t text) with(s string) text {
+	_, _ = t.sum.WriteString(s) // It never returns an error.
+	t.size += len(s)
+	if t.size < minDigested {
+		t.short += s
+	}
+	return t
+}
+
+// digest returns the text if it is short, or else a text that stands for it.
+func (t text) digest() string {
+	if t.size < minDigested {
+		return t.short
 	}
-	return fmt.Sprintf("%d bytes %x", len(body), xxhash.Sum64String(body))
+	return fmt.Sprintf("%d bytes %x", t.size, t.sum.Sum64())
 }
 
+// digest returns the digest of a body.
+func digest(body string) string { return text{sum: *xxhash.New()}.with(body).digest() }
+
 // turnOutput returns the output events of a turn. They depend only on the request
 // ID.
 func (t *targets) turnOutput(id string) (list []string) {
-	for i := range t.events {
-		list = append(list, string(rune('a'+i))+"-"+id)
+	for i := range t.eventsOf(id) {
+		list = append(list, fmt.Sprint(i, "-", id))
 	}
 	return list
 }
 
+// eventsOf returns the number of output events of a turn.
+func (t *targets) eventsOf(id string) int {
+	if !t.varied {
+		return t.events
+	}
+	return 1 + int(xxhash.Sum64String("events "+id)%uint64(2*t.events-1))
+}
+
 // plainCallTime is how long calls take unless [targets] says otherwise.
 const plainCallTime = 5 * time.Millisecond
 
@@ -298,10 +338,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	gap := t.eventGap * slowdown(r)
-	if t.slowTurns > 0 && xxhash.Sum64String(id)%uint64(t.slowTurns) == 0 {
-		gap *= slowTurnFactor
-	}
+	gap := t.gapOf(id) * slowdown(r)
 	for i, data := range t.turnOutput(id) {
 		time.Sleep(gap)
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data)
