--- a/store/journal.go
+++ b/store/journal.go
@@ -104,7 +104,7 @@
 			continue
 		}
 		size, err := j.replay(n, visit)
-		if err == nil {
+		if err == nil && !list.isDurable(n, size) {
 			err = j.disk.syncPath(j.segmentPath(n))
 		}
 		if err != nil {
--- a/store/segments.go
+++ b/store/segments.go
@@ -119,3 +119,9 @@
 func (l segmentList) contains(number uint64) bool {
 	return slices.ContainsFunc(l.Segments, func(s listedSegment) bool { return s.Number == number })
 }
+
+// isDurable reports whether a segment whose frames have a size was durable when the list was
+// written, which only names the size of a segment that is complete.
+func (l segmentList) isDurable(number uint64, size int64) bool {
+	return size > 0 && slices.Contains(l.Segments, listedSegment{Number: number, Size: size})
+}
