store, fleet: a start syncs each directory once

Callers saw 503 "no plan is known yet" long after all control hosts had restarted onto disks whose syncs take long.

Cause: a start makes durable what an earlier process may have left without a sync. Each of its steps did so on its own: identity, marker of the bootstrap, replica and log synced the same two directories seven times, and the log once, one after the other, before the replica took part in an election. A store synced its directory twice.

Now a disk remembers for one process which directories it has synced, until it changes a name in them, and spares the syncs of names that it only finds.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -136,6 +136,7 @@
 
 func (c *Control) init() {
 	c.once.Do(func() {
+		c.Disk = c.Disk.RememberingSyncs()
 		c.machine = &Machine{OnChange: c.changes.notify}
 		if c.Timing == (quorum.Timing{}) {
 			c.Timing = DefaultTiming
--- a/store/disk.go
+++ b/store/disk.go
@@ -21,6 +21,7 @@
 	// synced a file or directory, before its caller continues. It may be called by several
 	// goroutines at once.
 	Observe func(op Op)
+	synced  *syncedDirs // nil unless [Disk.RememberingSyncs] has returned the disk
 }
 
 // Op is an operation that a [Disk] has performed.
@@ -52,6 +53,9 @@
 )
 
 func (d Disk) observe(op Op) {
+	if op.changesName() {
+		d.synced.change(filepath.Dir(op.Path))
+	}
 	if d.Observe != nil {
 		d.Observe(op)
 	}
@@ -77,7 +81,11 @@
 	if d.Sync != nil {
 		sync = d.Sync
 	}
+	changes := d.synced.changesOf(f.Name())
 	err := sync(f)
+	if err == nil && kind == OpSyncDir {
+		d.synced.record(f.Name(), changes)
+	}
 	if err == nil {
 		d.observe(Op{Kind: kind, Path: f.Name()})
 	}
@@ -87,6 +95,9 @@
 // openFile opens a file with the given flags besides [os.O_WRONLY].
 func (d Disk) openFile(path string, flags int) (*os.File, error) {
 	_, statErr := os.Lstat(path)
+	if errors.Is(statErr, os.ErrNotExist) {
+		d.synced.change(filepath.Dir(path))
+	}
 	f, err := os.OpenFile(path, flags|os.O_WRONLY, fileMode)
 	if err != nil {
 		return nil, err
@@ -109,6 +120,7 @@
 			return err
 		}
 	}
+	d.synced.change(filepath.Dir(dir))
 	if err := os.Mkdir(dir, dirMode); err != nil && !errors.Is(err, os.ErrExist) {
 		return errors.Wrap(err, "store: create directory")
 	}
@@ -120,6 +132,9 @@
 // belong to this process: if it cannot be opened, or synced at all, its owner has created the
 // directory and is responsible for its name.
 func (d Disk) syncFoundName(dir string) error {
+	if d.synced.has(filepath.Dir(dir)) {
+		return nil
+	}
 	f, err := os.Open(filepath.Dir(dir))
 	if err != nil {
 		return nil
@@ -151,6 +166,7 @@
 }
 
 func (d Disk) rename(from, to string) error {
+	d.synced.change(filepath.Dir(to))
 	if err := os.Rename(from, to); err != nil {
 		return errors.Wrap(err, "store: rename file")
 	}
@@ -159,6 +175,7 @@
 }
 
 func (d Disk) remove(path string) error {
+	d.synced.change(filepath.Dir(path))
 	if err := os.Remove(path); err != nil {
 		return errors.Wrap(err, "store: remove file")
 	}
@@ -169,10 +186,14 @@
 // RemoveFile durably removes a file. It is no error if there is none, or no directory; a process
 // that was killed may have removed it and not synced the directory.
 func (d Disk) RemoveFile(path string) error {
-	if err := d.remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+	_, err := os.Lstat(path)
+	if !errors.Is(err, os.ErrNotExist) {
+		err = d.remove(path)
+	}
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return err
 	}
-	err := d.syncDir(filepath.Dir(path))
+	err = d.syncFoundDir(filepath.Dir(path))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
 	}
--- a/store/file.go
+++ b/store/file.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "store: read file")
 	}
-	return b, d.syncDir(dir)
+	return b, d.syncFoundDir(dir)
 }
 
 // writeAndSync writes b to a new or truncated file and syncs it.
--- a/store/log.go
+++ b/store/log.go
@@ -184,7 +184,7 @@
 	}
 	l.file = f
 	l.size = info.Size()
-	return l.disk.syncDir(l.dir)
+	return l.disk.syncFoundDir(l.dir)
 }
 
 // Append writes payload as one frame and returns once it is durable. After an
--- a/turns/store.go
+++ b/turns/store.go
@@ -109,6 +109,7 @@
 // store gets a new ID, as after the loss of a disk.
 func (s *Store) Open() (StoreID, error) {
 	s.opened = time.Now()
+	s.Disk = s.Disk.RememberingSyncs()
 	s.queue = make(chan pendingWrite, queueCapacity)
 	s.compactions = make(chan chan struct{})
 	s.copiedEpochs = map[Shard]Epoch{}
