turns, store: a store starts its segment before its first request

Callers saw 503 "cannot reserve the program's budget" and then "the stores are too slow for more turns" right after all stores had restarted onto disks whose syncs take long.

Cause: the first write of a store starts a new segment, with three syncs, before its own. The first reservations after a restart so wait for four syncs, longer than their callers do, and their outcome lowers the bound on reservations for those that follow.

Now the store starts the segment when it begins to run, while the control hosts elect a leader. If that fails, as on a full disk, the first write tries again as before.

--- a/store/journal.go
+++ b/store/journal.go
@@ -64,9 +64,10 @@
 
 // OpenJournalOf opens the journal in directory dir, which it creates if needed, and
 // calls visit for each record found, in the order in which they were written. The first append
-// starts a new segment, so that a journal can be read while the disk refuses writes. It returns
-// [ErrCorrupt] if a damaged frame is followed by an intact one in its segment, if a segment is
-// missing or shorter than it was, or if the journal belongs to another owner.
+// starts a new segment, unless [Journal.Prepare] has, so that a journal can be read while the disk
+// refuses writes. It returns [ErrCorrupt] if a damaged frame is followed by an intact one in its
+// segment, if a segment is missing or shorter than it was, or if the journal belongs to another
+// owner.
 func (d Disk) OpenJournalOf(owner JournalOwner, dir string, visit func(at Location, record []byte) error) (*Journal, error) {
 	// The list is checked before the directory is created: the next process would take an empty
 	// directory for a journal of an earlier build.
@@ -116,7 +117,7 @@
 			unused = append(unused, n)
 		}
 	}
-	if err := j.disk.syncDir(j.dir); err != nil {
+	if err := j.disk.syncFoundDir(j.dir); err != nil {
 		return err
 	}
 	return j.removeFiles(unused)
@@ -230,6 +231,14 @@
 // Size returns the number of bytes in the current segment.
 func (j *Journal) Size() int64 { return j.size }
 
+// Prepare starts a new segment unless there is a current one, so that the next append need not.
+func (j *Journal) Prepare() error {
+	if j.file != nil {
+		return nil
+	}
+	return j.Rotate()
+}
+
 // Rotate starts a new segment.
 func (j *Journal) Rotate() error {
 	if err := j.createNext(); err != nil {
--- a/turns/store.go
+++ b/turns/store.go
@@ -183,9 +183,13 @@
 	return nil
 }
 
-// Run performs the writes to disk until ctx ends.
+// Run performs the writes to disk until ctx ends. The first thing it does is to start a segment: the
+// first requests would wait for that, which takes three syncs.
 func (s *Store) Run(ctx context.Context) error {
 	defer s.journal.Close()
+	if err := s.journal.Prepare(); err != nil {
+		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "step": "rotate"}) // The first write tries again.
+	}
 	for {
 		select {
 		case <-ctx.Done():
