store: segments that were closed are not synced again at the start

Turns that continue others were refused until long after recover_s when all hosts had lost power and their disks were slow: 503 "cannot fetch the chain of turns", "of 3 stores, 0 lack the turn", with a plan in force since 7 s after the restart.

There are dozens: a segment is started not only when one is full.

Only the last segment may have frames that are not durable. The list of segments has the size of the frames that were durable when the others were closed; a segment that has exactly these is not synced.

--- a/store/journal.go
+++ b/store/journal.go
@@ -95,7 +95,9 @@
 }
 
 // replayAll calls visit for the records of all segments that have not been removed, makes what
-// was found durable, and removes the files of the others.
+// was found durable, and removes the files of the others. Segments that were closed when the list
+// was written are durable: there may be dozens, and on a slow disk their syncs would delay the
+// start by many seconds.
 func (j *Journal) replayAll(segments []uint64, list segmentList, visit func(Location, []byte) error) error {
 	var unused []uint64
 	for _, n := range segments {
@@ -105,7 +107,7 @@
 			continue
 		}
 		size, err := j.replay(n, visit)
-		if err == nil {
+		if err == nil && size != list.durableSize(n) {
 			err = j.disk.syncPath(j.segmentPath(n))
 		}
 		if err != nil {
--- a/store/journal_test.go
+++ b/store/journal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -165,3 +166,37 @@
 		t.Errorf("reading a record with another checksum: %v, want ErrCorrupt", err)
 	}
 }
+
+// TestJournalSyncsFewSegments guards against stores that are not back for many seconds after a
+// restart on a slow disk, since they sync each segment of their journal before they serve, though
+// only the last one may have frames that are not durable.
+func TestJournalSyncsFewSegments(t *testing.T) {
+	dir := t.TempDir()
+	j, _ := openJournal(t, dir)
+	const segments = 20
+	for range segments {
+		appendAll(t, j, "record")
+		if err := j.Rotate(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	appendAll(t, j, "last")
+	var synced []string
+	d := store.Disk{Sync: func(f *os.File) error {
+		synced = append(synced, filepath.Base(f.Name()))
+		return f.Sync()
+	}}
+	records := 0
+	next, err := d.OpenJournal(dir, func(store.Location, []byte) error { records++; return nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	if records != segments+1 {
+		t.Errorf("%d records were found, want %d", records, segments+1)
+	}
+	want := []string{filepath.Base(filepath.Dir(dir)), fmt.Sprintf("log-%016d", j.Segment()), filepath.Base(dir)}
+	if diff := cmp.Diff(want, synced); diff != "" {
+		t.Errorf("synced when the journal was opened (-want +got):\n%s", diff)
+	}
+}
--- a/store/segments.go
+++ b/store/segments.go
@@ -119,3 +119,13 @@
 func (l segmentList) contains(number uint64) bool {
 	return slices.ContainsFunc(l.Segments, func(s listedSegment) bool { return s.Number == number })
 }
+
+// durableSize returns the size of the frames of a segment that are known to be durable, or 0.
+func (l segmentList) durableSize(number uint64) int64 {
+	for _, s := range l.Segments {
+		if s.Number == number {
+			return s.Size
+		}
+	}
+	return 0
+}
