--- a/store/segments.go
+++ b/store/segments.go
@@ -120,8 +120,12 @@
 	return slices.ContainsFunc(l.Segments, func(s listedSegment) bool { return s.Number == number })
 }
 
-// isDurable reports whether a segment whose frames have a size was durable when the list was
-// written, which only names the size of a segment that is complete.
-func (l segmentList) isDurable(number uint64, size int64) bool {
-	return size > 0 && slices.Contains(l.Segments, listedSegment{Number: number, Size: size})
+// durableSize returns the size of the frames of a segment that are known to be durable, or 0.
+func (l segmentList) durableSize(number uint64) int64 {
+	for _, s := range l.Segments {
+		if s.Number == number {
+			return s.Size
+		}
+	}
+	return 0
 }
