store, turns: new segments and removals delay no writes

The segment that follows is now created and listed ahead, beside the writes, and old segments are removed beside them. Until the next list is written, the list names no size for a segment that was closed since, so that the next start syncs it as it does the current one. Only turns and claims that are written again still delay writes, by one sync each.

--- a/store/journal.go
+++ b/store/journal.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 )
@@ -22,8 +23,9 @@
 // Journal is a log of records that are read by their [Location] and removed in
 // whole segments. Unlike a [Log], it continues after a failed
 // write, in a new segment. Records of the failed write may or may not be found
-// when the journal is opened again. [Journal.Read] is safe for concurrent use.
-// All other methods must be called from one goroutine.
+// when the journal is opened again. [Journal.Read], [Journal.Remove], [Journal.Segments] and
+// [Journal.CreateSpare] are safe for concurrent use. All other methods must be called from one
+// goroutine.
 //
 // A list names the segments of the journal. Segments that are removed from it do not come back,
 // whatever a crash does to their names, and a segment that is on it and missing is corruption.
@@ -35,12 +37,18 @@
 	segment     uint64   // the current segment, or the last one that was found
 	size        int64
 	writeFailed bool // the end of the current segment is unknown
-	// listed are the segments on the list in the directory, the current one last. If the last
-	// attempt to write the list has failed, the directory may have that one.
+
+	// mu guards the fields below, and the list in the directory. The appending goroutine also holds
+	// it while it changes file and segment.
+	mu sync.Mutex
+	// listed are the segments on the list in the directory, in ascending order, with the sizes of
+	// those that were closed since it was written. If the last attempt to write the list has failed,
+	// the directory may have that one.
 	listed []listedSegment
-	// next is a new segment that is not on the list yet, or nil.
+	// next is a new segment, or nil. It is on the list if spare is set, and then durably there.
 	next       *os.File
 	nextNumber uint64
+	spare      bool
 }
 
 // JournalOwner identifies whose journal is opened.
@@ -241,27 +249,53 @@
 	return j.Rotate()
 }
 
-// Rotate starts a new segment.
+// Rotate starts a new segment. It needs no sync if [Journal.CreateSpare] has created one.
 func (j *Journal) Rotate() error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.file != nil { // Every acknowledged frame is already synced.
+		if i := slices.IndexFunc(j.listed, func(s listedSegment) bool { return s.Number == j.segment }); i >= 0 {
+			j.listed[i].Size = j.size
+		}
+	}
+	if err := j.createSpare(); err != nil {
+		return err
+	}
+	if j.file != nil {
+		_ = j.file.Close()
+	}
+	j.file, j.segment, j.size, j.writeFailed = j.next, j.nextNumber, 0, false
+	j.next, j.spare = nil, false
+	return nil
+}
+
+// CreateSpare creates the segment that the next [Journal.Rotate] starts, unless there is one, so
+// that appends need not wait for the syncs that this takes.
+func (j *Journal) CreateSpare() error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.createSpare()
+}
+
+func (j *Journal) createSpare() error {
+	if j.spare {
+		return nil
+	}
 	if err := j.createNext(); err != nil {
 		return err
 	}
-	closed, empty := j.closedSegments()
-	list := append(closed, listedSegment{Number: j.nextNumber})
+	list, empty := j.neededSegments()
+	list = append(list, listedSegment{Number: j.nextNumber})
 	if err := j.disk.writeSegmentList(j.dir, segmentList{Owner: j.owner, Segments: list}); err != nil {
 		return err
 	}
-	if j.file != nil {
-		_ = j.file.Close() // Every acknowledged frame is already synced.
-	}
-	j.file, j.segment, j.size, j.writeFailed, j.listed = j.next, j.nextNumber, 0, false, list
-	j.next = nil
+	j.listed, j.spare = list, true
 	_ = j.removeFiles(empty) // They are not on the list any more, so that the next start removes them.
 	return nil
 }
 
-// createNext creates the next segment and makes its name durable, unless an earlier call of
-// Rotate has, which failed later.
+// createNext creates the next segment and makes its name durable, unless an earlier call has, and
+// what followed has failed.
 func (j *Journal) createNext() error {
 	if j.next == nil {
 		f, err := j.disk.openFile(j.segmentPath(j.segment+1), os.O_CREATE|os.O_EXCL|os.O_APPEND)
@@ -273,38 +307,37 @@
 	return j.disk.syncDir(j.dir)
 }
 
-// closedSegments returns the segments on the list with their sizes, and the numbers of those
-// without an acknowledged frame.
-func (j *Journal) closedSegments() (closed []listedSegment, empty []uint64) {
+// neededSegments returns the segments on the list that are still needed, and the numbers of those
+// that were closed without an acknowledged frame. The current one has no size unless it is being
+// closed.
+func (j *Journal) neededSegments() (needed []listedSegment, empty []uint64) {
 	for _, s := range j.listed {
-		if j.file != nil && s.Number == j.segment {
-			s.Size = j.size
-		}
-		if s.Size == 0 {
+		if s.Size == 0 && (j.file == nil || s.Number != j.segment) {
 			empty = append(empty, s.Number)
 			continue
 		}
-		closed = append(closed, s)
+		needed = append(needed, s)
 	}
-	return closed, empty
+	return needed, empty
 }
 
 // Segments returns the numbers of all segments, including the current one, in
 // ascending order.
 func (j *Journal) Segments() ([]uint64, error) { return listSegments(j.dir) }
 
-// Remove durably removes segments. The current segment is always kept.
+// Remove durably removes segments. The current segment is always kept, and a list without any
+// other one.
 func (j *Journal) Remove(segments ...uint64) error {
-	segments = slices.DeleteFunc(slices.Clone(segments), func(n uint64) bool { return n == j.segment })
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	segments = slices.DeleteFunc(slices.Clone(segments), func(n uint64) bool { return n == j.segment || j.next != nil && n == j.nextNumber })
 	if len(segments) == 0 {
 		return nil
 	}
-	if j.file == nil {
-		if err := j.Rotate(); err != nil { // The list has at least the current segment.
-			return err
-		}
-	}
 	list := slices.DeleteFunc(slices.Clone(j.listed), func(s listedSegment) bool { return slices.Contains(segments, s.Number) })
+	if len(list) == 0 {
+		return nil // An empty list would stand for a journal of an earlier build.
+	}
 	if len(list) < len(j.listed) {
 		if err := j.disk.writeSegmentList(j.dir, segmentList{Owner: j.owner, Segments: list}); err != nil {
 			return err
--- a/turns/compact.go
+++ b/turns/compact.go
@@ -31,16 +31,18 @@
 
 // compact starts a new segment if the current one is old, rewrites the live
 // turns of the sparsest other segment, up to [maxBatchBytes] of them, and
-// removes the segments that have no live turns. It must be called from the
-// goroutine of [Store.Run].
-func (s *Store) compact() {
-	defer s.updateCapacity()
-	if err := s.compactJournal(); err != nil {
+// the claims in the segments that have no live turns. It returns these segments, which are to be
+// removed with [Store.removeSegments]. It must be called from the goroutine of [Store.Run], whose
+// writes wait meanwhile.
+func (s *Store) compact() (unused []uint64) {
+	unused, err := s.compactJournal()
+	if err != nil {
 		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "step": "compact"})
 	}
+	return unused
 }
 
-func (s *Store) compactJournal() error {
+func (s *Store) compactJournal() (unused []uint64, err error) {
 	s.mu.Lock()
 	now, retention := s.retained, s.retention
 	if retention > 0 {
@@ -49,19 +51,19 @@
 	s.mu.Unlock()
 	if s.journal.Size() > 0 && now.Sub(s.rotatedAt) >= segmentInterval {
 		if err := s.rotate(); err != nil {
-			return err
+			return nil, err
 		}
 	}
 	if retention == 0 {
-		return nil
+		return nil, nil
 	}
 	s.mu.RLock()
 	sparsest := s.index.sparsestTurns(s.journal.Segment())
 	s.mu.RUnlock()
 	if err := s.rewriteTurns(sparsest); err != nil {
-		return err
+		return nil, err
 	}
-	return s.removeSegments(now.Add(-retention / claimsShare))
+	return s.vacateSegments(now.Add(-retention / claimsShare))
 }
 
 // rotate starts a new journal segment.
@@ -69,6 +71,7 @@
 	if err := s.journal.Rotate(); err != nil {
 		return err
 	}
+	s.wantSpare()
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	s.rotatedAt = s.retained
@@ -140,12 +143,12 @@
 	return nil
 }
 
-// removeSegments removes the segments that have no live turns and were last
+// vacateSegments returns the segments that have no live turns and were last
 // written before a time, after it has rewritten the claims in them.
-func (s *Store) removeSegments(before types.Mono) error {
+func (s *Store) vacateSegments(before types.Mono) ([]uint64, error) {
 	segments, err := s.journal.Segments()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	current := s.journal.Segment()
 	s.mu.RLock()
@@ -159,18 +162,24 @@
 	s.mu.RUnlock()
 	for batch := range slices.Chunk(programs, programsPerBatch) {
 		if err := s.rewritePrograms(batch); err != nil {
-			return err
+			return nil, err
 		}
 	}
+	return segments, nil
+}
+
+// removeSegments removes segments that [Store.compact] has returned. Writes go on meanwhile.
+func (s *Store) removeSegments(segments []uint64) {
+	defer s.updateCapacity()
 	if err := s.journal.Remove(segments...); err != nil {
-		return err
+		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "step": "compact"})
+		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, n := range segments {
 		s.index.removeSegment(n)
 	}
-	return nil
 }
 
 // programsPerBatch is the number of programs that are rewritten with one sync,
--- a/turns/retention.go
+++ b/turns/retention.go
@@ -90,10 +90,10 @@
 			s.Log.Write(event.ExpiryUnproven, event.Fields{"sinceMs": retained.Sub(lastProven).Milliseconds()})
 			lastProven = retained
 		}
-		done := make(chan struct{})
+		unused := make(chan []uint64, 1)
 		select {
-		case s.compactions <- done:
-			<-done
+		case s.compactions <- unused:
+			s.removeSegments(<-unused)
 		case <-ctx.Done():
 			return nil
 		}
--- a/turns/stall_test.go
+++ b/turns/stall_test.go
@@ -260,3 +260,32 @@
 		}
 	}
 }
+
+// TestNewSegmentDelaysNoTurn guards against turns that wait on slow disks for the syncs that a new
+// segment of the journal needs, besides their own: at the rate of a deployment a store starts one
+// every few seconds.
+func TestNewSegmentDelaysNoTurn(t *testing.T) {
+	c, disks := newSlowCluster(t)
+	w := c.client()
+	if err := settleTurn(withTimeout(t, stepTimeout), w, "choir", "p", "first", ""); err != nil {
+		t.Fatal(err)
+	}
+	const syncTime, turnBytes, turnCount = 150 * time.Millisecond, 1 << 20, 24 // 8 MiB are a segment.
+	for _, d := range disks {
+		d.slow(syncTime)
+	}
+	var longest time.Duration
+	for i := range turnCount {
+		id := turns.TurnID(fmt.Sprint("t", i))
+		b := turns.Budget{Account: "choir", Program: "p", Attempt: types.AttemptID(id), Limit: 100_000, MaxTokens: 10}
+		began := time.Now()
+		if err := w.Settle(withTimeout(t, stepTimeout), b, 1, &turns.Turn{ID: id, Account: "choir", Shard: turns.ShardOf("choir", "p"), Program: "p", Output: make([]byte, turnBytes)}); err != nil {
+			t.Fatal(err)
+		}
+		longest = max(longest, time.Since(began))
+	}
+	t.Logf("the longest write took %v", longest)
+	if longest > 3*syncTime {
+		t.Errorf("a write took %v with syncs of %v, want at most the sync under way and its own", longest, syncTime)
+	}
+}
--- a/turns/store.go
+++ b/turns/store.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/store"
@@ -46,10 +47,12 @@
 	id      StoreID
 	journal *store.Journal
 	queue   chan pendingWrite
-	// compactions requests [Store.compact] of Run, which then closes the channel
-	// that it has received.
-	compactions chan chan struct{}
+	// compactions requests [Store.compact] of Run, which sends its result to the channel that it
+	// has received.
+	compactions chan chan<- []uint64
 	rotatedAt   types.Mono // when the current segment was started; only used by Run
+	// spareWanted has an element if a segment is to be created ahead.
+	spareWanted chan struct{}
 
 	mu           sync.RWMutex // guards the fields below
 	index        index
@@ -135,7 +138,8 @@
 	s.opened = time.Now()
 	s.Disk = s.Disk.RememberingSyncs()
 	s.queue = make(chan pendingWrite, queueCapacity)
-	s.compactions = make(chan chan struct{})
+	s.compactions = make(chan chan<- []uint64)
+	s.spareWanted = make(chan struct{}, 1)
 	s.copiedEpochs = map[Shard]Epoch{}
 	err := s.open()
 	if errors.Is(err, store.ErrCorrupt) {
@@ -214,15 +218,25 @@
 	if err := s.journal.Prepare(); err != nil {
 		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "step": "rotate"}) // The first write tries again.
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	var g errgroup.Group
+	g.Go(func() error {
+		s.createSpares(ctx)
+		return nil
+	})
+	defer func() {
+		cancel()
+		_ = g.Wait() // The goroutine always returns nil.
+	}()
+	s.wantSpare()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case w := <-s.queue:
 			s.writeBatch(s.collectBatch(w))
-		case done := <-s.compactions:
-			s.compact()
-			close(done)
+		case unused := <-s.compactions:
+			unused <- s.compact()
 		}
 		if s.journal.Size() > maxSegmentBytes {
 			if err := s.rotate(); err != nil {
@@ -232,6 +246,28 @@
 	}
 }
 
+// createSpares creates segments ahead until ctx ends.
+func (s *Store) createSpares(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.spareWanted:
+		}
+		if err := s.journal.CreateSpare(); err != nil {
+			s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "step": "rotate"}) // The rotation tries again.
+		}
+	}
+}
+
+// wantSpare lets a segment be created ahead.
+func (s *Store) wantSpare() {
+	select {
+	case s.spareWanted <- struct{}{}:
+	default:
+	}
+}
+
 // collectBatch returns first and the writes in the queue, up to
 // [maxBatchBytes], so that they share one sync.
 func (s *Store) collectBatch(first pendingWrite) []pendingWrite {
