quorum: probes wait for the confirmations of slow replicas

A group that restarted whole on hosts where a message and its reply take more than 50 ms elected no leader by a cold start, only by ordinary elections.

Cause: a cold replica sent a probe every 50 ms, whatever a confirmation takes, and counts only confirmations of the latest one. Each came after the next probe.

Now a confirmation of an earlier probe, which tells how long confirmations take, delays the next probes to twice that, up to 250 ms. Beyond that ordinary elections are as fast. What a probe and its confirmation mean is unchanged.

The tests of quorum pass (185 s).

--- a/quorum/cold.go
+++ b/quorum/cold.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/banyanspur/banyanspur/types"
@@ -39,6 +41,7 @@
 	active      bool
 	probeSentAt types.Mono         // SentAt of the latest probe, which identifies it
 	nextProbe   types.Mono         // when to send the next probe
+	interval    time.Duration      // between two probes, at least; raised if confirmations take longer
 	confirmedBy map[ReplicaID]bool // the replicas that confirmed the latest probe
 	// eligible is set until the probe has led to an election or has been confirmed
 	// by a replica that takes precedence: one with a more up-to-date log, or with
@@ -47,16 +50,21 @@
 	confirmedSentAt map[ReplicaID]types.Mono // SentAt of the last probe confirmed to each replica
 }
 
-// coldProbesPerMinElectionTimeout is how many probes a cold replica sends in
-// MinElectionTimeout.
-const coldProbesPerMinElectionTimeout = 10
+const (
+	// coldProbesPerMinElectionTimeout is how many probes a cold replica sends in
+	// MinElectionTimeout, unless confirmations take longer.
+	coldProbesPerMinElectionTimeout = 10
+	// minColdProbes is how many it sends at least. If confirmations take longer than that allows,
+	// ordinary elections are as fast.
+	minColdProbes = 2
+)
 
 // tickColdStart sends a probe to all other voters if one is due.
 func (c *Core) tickColdStart(now types.Mono) {
 	if !c.cold.active || now < c.cold.nextProbe || c.awaitsOwnVote() || !c.Members().IsVoter(c.id) {
 		return
 	}
-	c.cold.probeSentAt, c.cold.nextProbe = now, now.Add(c.timing.MinElectionTimeout/coldProbesPerMinElectionTimeout)
+	c.cold.probeSentAt, c.cold.nextProbe = now, now.Add(max(c.cold.interval, c.timing.MinElectionTimeout/coldProbesPerMinElectionTimeout))
 	c.cold.confirmedBy, c.cold.eligible = map[ReplicaID]bool{c.id: true}, true
 	for _, v := range c.Members().Voters {
 		if v.ID != c.id {
@@ -87,7 +95,11 @@
 
 // stepColdReply records another replica's confirmation of the latest probe.
 func (c *Core) stepColdReply(now types.Mono, m Message) {
-	if !c.cold.active || c.role == Leader || m.SentAt != c.cold.probeSentAt {
+	if !c.cold.active || c.role == Leader {
+		return
+	}
+	if m.SentAt != c.cold.probeSentAt {
+		c.slowProbes(now.Sub(m.SentAt))
 		return
 	}
 	if m.Term > c.hardState.Term {
@@ -103,6 +115,13 @@
 	c.campaignColdStart(now)
 }
 
+// slowProbes delays the next probes, since a confirmation has taken so long that the next probe had
+// replaced its own.
+func (c *Core) slowProbes(took time.Duration) {
+	c.cold.interval = max(c.cold.interval, min(2*took, c.timing.MinElectionTimeout/minColdProbes))
+	c.cold.nextProbe = max(c.cold.nextProbe, c.cold.probeSentAt.Add(c.cold.interval))
+}
+
 // campaignColdStart requests votes if all voters have confirmed the latest probe
 // and the replica is eligible.
 func (c *Core) campaignColdStart(now types.Mono) {
--- a/quorum/cold_test.go
+++ b/quorum/cold_test.go
@@ -92,3 +92,31 @@
 		host.outboundPartitionUntil = s.now.Add(delay())
 	}
 }
+
+// TestColdStartOnLateHosts guards against cold starts that never elect a leader while messages take
+// longer than the time between two probes, as on processors that many processes share: each probe
+// replaced the last one before that was confirmed. A leader must be elected before voters grant
+// votes in the ordinary way.
+func TestColdStartOnLateHosts(t *testing.T) {
+	for _, latencyMs := range []time.Duration{20, 40, 60} {
+		for seed := range *coldSeeds {
+			s := newSim(seed, 3+2*int(seed%2))
+			s.latency = latencyMs * time.Millisecond
+			s.run(4 * time.Second)
+			before := len(s.leaders)
+			for _, h := range s.hosts {
+				h.crash(false)
+			}
+			s.run(restartDelay + quorum.DefaultTiming.MinElectionTimeout)
+			if len(s.leaders) == before {
+				t.Errorf("seed %d, %v for a message: no leader was elected", seed, s.latency)
+			}
+			latency := s.latency
+			s.latency = 0 // The final state is that of replicas that keep up.
+			s.run(2 * time.Second)
+			if diff := cmp.Diff([]string(nil), s.checkFinalState()); diff != "" {
+				t.Errorf("seed %d, %v for a message (-want +got):\n%s", seed, latency, diff)
+			}
+		}
+	}
+}
