quorum: outcomes of elections tell who has ended them

An operator could not tell votes that are late from a group that elects another replica.

Cause: a candidacy lasts until its term ends since votes count for that long; the outcomes were those of a candidacy that ended with a retry in the same term.

Now lost, undecided and superseded are told apart. There is still at most one event for each replica and term.

--- a/quorum/core.go
+++ b/quorum/core.go
@@ -296,7 +296,7 @@
 // election. It is shorter than the first timeout, since a retry cannot disrupt a
 // leader: voters ignore vote requests for MinElectionTimeout after contact with
 // one. It doubles with each election in which no majority has voted in time, up to
-// maxRetryDoublings times, since votes that arrive after the retry do not count.
+// maxRetryDoublings times, since votes that arrive after the next election has begun do not count.
 func (c *Core) resetRetryDeadline(now types.Mono) {
 	base := max(c.timing.MinElectionTimeout/5<<min(c.lateElections, maxRetryDoublings), c.votingTime())
 	jitter := time.Duration(c.rand.Int64N(int64(2 * base)))
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -36,15 +36,19 @@
 }
 
 // recordElectionEnd counts how the election under way has ended, and logs it unless the replica
-// was elected.
+// was elected. An election lasts as long as its term: another replica was elected in that, the
+// replica itself has begun the next one, or it has heard of a newer term.
 func (r *Replica[C, R]) recordElectionEnd(s *Status, now types.Mono) {
 	ended := r.candidacy
 	r.candidacy = candidacy{}
 	outcome := "superseded"
+	_, underWay := r.core.candidacy()
 	switch {
 	case s.Role == Leader && s.Term == ended.term:
 		outcome = "won"
 	case s.Term == ended.term:
+		outcome = "lost"
+	case underWay && s.Term == ended.term+1:
 		outcome = "undecided"
 	}
 	metrics.GetOrCreateCounter(`banyanspur_quorum_elections_total{outcome="` + outcome + `"}`).Inc()
