turns: a turn that waits for its admission keeps time for its reservation

A turn that continues another one, with 0.9 s left as on the last try of its caller, waited for its admission for all of that. Admitted near the end, its reservation is given up before the stores can reply: they do the work, the caller gets 503, and the bound falls as if they were late.

Cause: the wait had the timeout of reservations, which is at least 0.9 s, not a third of the time left as intended.

Now it is at most a third of the time until the context ends. With 2.7 s or more left, nothing changes.

Measured: TestWaitForAdmissionLeavesTime failed before, with a wait of 0.90 s of 0.90 s, and passes now.

--- a/turns/admit_test.go
+++ b/turns/admit_test.go
@@ -100,3 +100,39 @@
 		t.Errorf("%d of %d turns that continue others were refused or not in time", n, continuing)
 	}
 }
+
+// TestWaitForAdmissionLeavesTime guards against turns that wait for their admission until hardly any
+// time is left. Their reservations are then given up before the stores can reply, although these
+// do the work, and count as proof that the stores are late.
+func TestWaitForAdmissionLeavesTime(t *testing.T) {
+	const remaining = 900 * time.Millisecond // As of the last try of a caller.
+	c, disks := newSlowCluster(t)
+	w := c.client()
+	if err := settleTurn(withTimeout(t, stepTimeout), w, "choir", "p", "first", ""); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range disks {
+		d.slow(2 * time.Second)
+	}
+	var g errgroup.Group
+	for i := range 100 { // More than are admitted.
+		g.Go(func() error {
+			b := turns.Budget{Account: "choir", Program: types.ProgramID(fmt.Sprint("p", i)), Attempt: "a", Limit: 100, MaxTokens: 10}
+			_ = w.Reserve(withTimeout(t, stepTimeout), b) // Some are refused.
+			return nil
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), remaining)
+	defer cancel()
+	b := turns.Budget{Account: "choir", Program: "late", Attempt: "a", Limit: 100, MaxTokens: 10, Continues: true}
+	start := time.Now()
+	err := w.ReserveWithin(ctx, b, func() time.Duration { return remaining })
+	if took := time.Since(start); !turns.NotSent(err) || took > remaining/2 {
+		t.Errorf("a turn with %v left has waited for its admission for %v: %v", remaining, took, err)
+	}
+	for _, d := range disks {
+		d.slow(0)
+	}
+	_ = g.Wait() // The goroutines always return nil.
+}
--- a/turns/client.go
+++ b/turns/client.go
@@ -105,7 +105,8 @@
 //
 // While the stores are too slow, ReserveWithin returns an overloaded fault for which [NotSent] is
 // true: at once, or for a turn that continues another one after it has waited for as long as timeout
-// returns. Once the reservation is admitted, it may take for as long as timeout returns then.
+// returns, but not for more than a third of the time until ctx ends. Once the reservation is
+// admitted, it may take for as long as timeout returns then.
 func (c *Client) ReserveWithin(ctx context.Context, b Budget, timeout func() time.Duration) error {
 	if !c.admit(ctx, b, timeout()) {
 		reservationsRefused.Inc()
@@ -118,9 +119,17 @@
 	return err
 }
 
+// admissionShare is the part of its remaining time, as a divisor, that a reservation may wait for its
+// admission. One that is admitted with hardly any time left is given up before the stores can reply,
+// makes them work for nothing, and counts as one that they were too late for.
+const admissionShare = 3
+
 // admit reports whether a reservation is admitted, for which it may wait for up to longest.
 func (c *Client) admit(ctx context.Context, b Budget, longest time.Duration) bool {
 	defer admissionSeconds.UpdateDuration(time.Now())
+	if deadline, ok := ctx.Deadline(); ok {
+		longest = min(longest, time.Until(deadline)/admissionShare)
+	}
 	ctx, cancel := context.WithTimeout(ctx, longest)
 	defer cancel()
 	return c.admission.begin(ctx, b.Continues)
