gate: a turn without its chain does not wait for its reservation

A turn that is refused since its chain is missing was told so only once its reservation had ended. While stores are slow it now also waits for an admission, and takes a place that a turn which can run needs.

Cause: the fetch of the chain and the reservation were both waited for, whatever the first had found.

Now the failure of the chain ends the reservation, unless the chain itself was not in time: then the stores are late, which the reservation is to show.

Measured: TestTurnWithoutChainIsRefusedAtOnce (a store that takes 1.1 s for a sync) had the 404 after 1.11 s before, and passes now with less than 0.55 s.

--- a/gate/late_store_test.go
+++ b/gate/late_store_test.go
@@ -124,3 +124,18 @@
 	}
 	_ = g.Wait() // It always returns nil.
 }
+
+// TestTurnWithoutChainIsRefusedAtOnce guards against turns that are refused since their chain is
+// missing, but only once late stores have replied to their reservations, which take the places of
+// turns that can run.
+func TestTurnWithoutChainIsRefusedAtOnce(t *testing.T) {
+	const sync = 1100 * time.Millisecond
+	b := newTestbed(t)
+	b.addTarget("models", streamEvents("one"))
+	b.syncLatency.Store(int64(sync))
+	begin := time.Now()
+	code, body := b.send(turnRequest("b", "none", "next;", "1000"))
+	if took := time.Since(begin); code != http.StatusNotFound || took > sync/2 {
+		t.Errorf("after %v: status %d, %q", took, code, body)
+	}
+}
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -48,6 +48,8 @@
 	timeout := func() time.Duration { return admitTimeout(c.remaining()) }
 	ctx, cancel := withTimeout(c.r.Context(), c.gate.answersCtx, c.remaining())
 	defer cancel()
+	claimCtx, cancelClaim := context.WithCancel(ctx)
+	defer cancelClaim()
 	var limited *errorResponse
 	var chainErr, budgetErr error
 	var g errgroup.Group
@@ -61,13 +63,16 @@
 			ctx, cancel := context.WithTimeout(ctx, timeout())
 			defer cancel()
 			c.turn.chain, chainErr = c.gate.Turns.ChainWithin(ctx, c.accountID(), c.turn.budget.Program, c.turn.previous, c.chargeChain)
+			if chainErr != nil && ctx.Err() == nil {
+				cancelClaim() // The turn is refused. If the stores are late, the reservation is to show it.
+			}
 			return nil
 		})
 	}
 	if c.turn.hasClaim {
 		g.Go(func() error {
 			defer budgetClaimSeconds.UpdateDuration(time.Now())
-			budgetErr = c.gate.Turns.ReserveWithin(ctx, c.turn.budget, timeout)
+			budgetErr = c.gate.Turns.ReserveWithin(claimCtx, c.turn.budget, timeout)
 			return nil
 		})
 	}
