quorum: the test of a stop waits until a write hangs

The test is wrong: it made the leader's disk hang while the write of its first proposal could still be under way, past the check for a stall. The followers committed the second proposal; the leader only queued its write, which does not begin once the replica stops. So no write hung, and Run rightly returned none.

It now waits until an operation on the leader's disk hangs, and checks all that it did.

--- a/quorum/stall_test.go
+++ b/quorum/stall_test.go
@@ -255,7 +255,14 @@
 	g.propose([]byte("x"))
 	leader := g.waitForLeader()
 	g.disks[leader].stall(time.Hour)
-	g.propose([]byte("x")) // The write that hangs.
+	// The write before may still be under way, past the check for a stall. This one is only queued
+	// then, and does not begin if the replica is stopped first.
+	g.propose([]byte("x"))
+	for deadline := time.Now().Add(10 * time.Second); g.disks[leader].stalledOperations() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no write hangs")
+		}
+	}
 	start := time.Now()
 	if err := g.cancelReplica(leader); err == nil {
 		t.Error("Run returned no error, though a write had not ended")
