gate: the test of stalled bodies sends one after the other

The test is wrong: it sent both bodies without waiting until the host had read the first. A body of 4 MiB takes 6 MiB while it is half read, since its parts are joined. If both are at that point at once, the account has more than its part of 16.5 MiB, and the second gets 503, as it must. The first then need not give way.

--- a/gate/crowd_test.go
+++ b/gate/crowd_test.go
@@ -92,15 +92,51 @@
 	b.awaitReturned()
 }
 
+// readCounter counts the bytes that are read from accepted connections.
+type readCounter struct {
+	*net.TCPListener
+	bytes *atomic.Int64
+}
+
+type countedConn struct {
+	*net.TCPConn
+	bytes *atomic.Int64
+}
+
+func (l readCounter) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{c, l.bytes}, nil
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
 // TestStalledBodiesAreRefused guards against bodies that stop short of their end and take the
 // memory of the host: they get 408 once others need it, and have not run.
 func TestStalledBodiesAreRefused(t *testing.T) {
 	b, runs, _ := newCrowdTestbed(t)
-	dial, _ := b.startServer()
+	var read atomic.Int64
+	dial, _ := b.startServerOn(func(l net.Listener) net.Listener { return readCounter{l.(*net.TCPListener), &read} }, testGrace)
 	body := strings.Repeat("x", planBodyBytes)
 	stalled := []*rawCaller{dial(), dial()}
-	for _, c := range stalled {
+	for i, c := range stalled {
 		c.post("stalled", "/charge/", "choir-key", planBodyBytes, body[:planBodyBytes-1])
+		// While a body is half read it takes 6 MiB. If both did, the account would have more than
+		// its part, and the second would get 503.
+		for end := time.Now().Add(5 * time.Second); read.Load() < int64(i+1)*planBodyBytes; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("the host has read %d bytes of %d bodies", read.Load(), i+1)
+			}
+		}
+	}
+	if used := b.gate.Received.Used(); used < 2*planBodyBytes {
+		t.Fatalf("%d bytes are held for two bodies", used)
 	}
 	time.Sleep(700 * time.Millisecond)
 	for i := range 3 {
