gate: tests with late stores do not add the time of the machine's disk

TestStoppingHostStoresCompletedTurn and TestStoppingHostWritesEndOfStoredTurn were cut once at 3.681 s of a grace period of 4 s, that is at 0.92, until which turns are stored; TestTurnWaitsForLateStore failed once after 11.4 s. The tests are wrong: their store took the stated time of a sync and that of the machine's disk, and the targets of the first two counted from the start of their request, which is later by the time that the store took to admit the turn.

A sync now takes the stated time in total, and the targets end at the stated fraction of the grace period from the start of the stop. The syncs, the bounds and the checks are the same.

--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -263,8 +263,10 @@
 
 func (b *testbed) startStore(ctx context.Context, g *errgroup.Group) {
 	s := &turns.Store{Dir: b.t.TempDir(), Clock: types.NewClock(), Disk: store.Disk{Sync: func(f *os.File) error {
-		time.Sleep(time.Duration(b.syncLatency.Load()))
-		return f.Sync()
+		start := time.Now()
+		err := f.Sync() // Counts toward syncLatency: a busy disk alone can take a second.
+		time.Sleep(time.Duration(b.syncLatency.Load()) - time.Since(start))
+		return err
 	}}}
 	id, err := s.Open()
 	if err != nil {
--- a/gate/late_store_test.go
+++ b/gate/late_store_test.go
@@ -52,17 +52,18 @@
 func TestStoppingHostStoresCompletedTurn(t *testing.T) {
 	const grace, sync = 4 * time.Second, 300 * time.Millisecond
 	b := newTestbed(t)
+	var stop turnDuringStop
 	// The target ends at 0.8 of the grace period, the host its own responses at 0.85.
 	const work = 3200 * time.Millisecond
 	b.addTarget("models", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Proof", "p")
 		w.Header().Set("Content-Type", "text/event-stream")
 		writeEvent(w, 0, "one")
-		time.Sleep(work - 100*time.Millisecond)
+		time.Sleep(time.Until(stop.begin.Add(work)))
 		b.syncLatency.Store(int64(sync))
 	})
 	dial, drain := b.startServerOn(func(l net.Listener) net.Listener { return l }, grace)
-	requireTurnDuringStop(t, dial, drain)
+	stop.requireTurn(t, dial, drain)
 }
 
 // lateWriter delays the writes on accepted connections while delay is set, as a process does that
@@ -97,30 +98,38 @@
 	const grace, work, sync, write = 4 * time.Second, 3140 * time.Millisecond, 300 * time.Millisecond, 150 * time.Millisecond
 	b := newTestbed(t)
 	var delay atomic.Int64
+	var stop turnDuringStop
 	b.addTarget("models", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Proof", "p")
 		w.Header().Set("Content-Type", "text/event-stream")
 		writeEvent(w, 0, "one")
-		time.Sleep(work - 100*time.Millisecond)
+		time.Sleep(time.Until(stop.begin.Add(work)))
 		b.syncLatency.Store(int64(sync))
 		delay.Store(int64(write))
 	})
 	dial, drain := b.startServerOn(func(l net.Listener) net.Listener { return lateWriter{l.(*net.TCPListener), &delay} }, grace)
-	requireTurnDuringStop(t, dial, drain)
+	stop.requireTurn(t, dial, drain)
 }
 
-// requireTurnDuringStop stops a host and checks that a turn sent right after is answered whole.
-func requireTurnDuringStop(t *testing.T, dial func() *rawCaller, drain func()) {
+// turnDuringStop is a stop of a host during which a turn is sent.
+type turnDuringStop struct {
+	// begin is when the host began to stop. Targets end by it: the time after the start of their
+	// request would be later in the grace period by as much as the store took to admit the turn.
+	begin time.Time
+}
+
+// requireTurn stops a host and checks that a turn sent right after is answered whole.
+func (s *turnDuringStop) requireTurn(t *testing.T, dial func() *rawCaller, drain func()) {
 	t.Helper()
 	caller := dial()
-	start := time.Now()
+	s.begin = time.Now()
 	var g errgroup.Group
 	g.Go(func() error { drain(); return nil })
 	time.Sleep(100 * time.Millisecond)
 	caller.send("turn", "/chat/", "1.1", "Deadline: 5000\r\n")
 	resp, body, err := caller.receive()
 	if resp.StatusCode != http.StatusOK || body != "id: 0\ndata: one\n\n" || err != nil {
-		t.Errorf("%v after the start of the stop: status %d, body %q, %v", time.Since(start), resp.StatusCode, body, err)
+		t.Errorf("%v after the start of the stop: status %d, body %q, %v", time.Since(s.begin), resp.StatusCode, body, err)
 	}
 	_ = g.Wait() // It always returns nil.
 }
