fleet: hosts of tests keep their ports until the test ends

TestMoveFromStoreThatIsLostMeanwhile failed once: "bind: address already in use". The tests are wrong: a host took the number of a free port, gave the port back, and listened on it later, at its start and at each restart. Any socket of the machine could get the port meanwhile, and if it kept it for 2 s, the test failed. With a connection that takes the port before each start, in a trial, the test and TestMovesEndWhenStoreReturns fail in 4 of 4 runs with that error.

A bound socket that does not listen now keeps the port for the whole test. The trial's connection cannot get the port any more, and 0 of 4 runs fail.

--- a/fleet/hosts_test.go
+++ b/fleet/hosts_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
@@ -53,12 +54,31 @@
 
 func newProcess(t testing.TB) *process {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	return &process{t: t, address: reserveAddress(t), dir: filepath.Join(t.TempDir(), "data")}
+}
+
+// reserveAddress returns an address that only listeners which ask for it get until the test ends.
+// Its socket is bound and does not listen: connections are refused, and the kernel gives the port
+// to no other socket while no process of the test listens on it.
+func reserveAddress(t testing.TB) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	// Listeners have the option, too; sockets that all have it may share a port.
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := unix.Getsockname(fd)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return &process{t: t, address: l.Addr().String(), dir: filepath.Join(t.TempDir(), "data")}
+	return fmt.Sprint("127.0.0.1:", name.(*unix.SockaddrInet4).Port)
 }
 
 // run starts the process, and stops it at the end of the test.
