turns: what a compaction writes again shares its sync with waiting requests

Requests waited on slow disks until a store had written again the claims of up to 500 programs and turns of 1 MB, each with a sync of its own, every 2 s.

A compaction runs between two batches of writes. It now takes the requests that wait and writes them together with what it writes again. The order of the records of a program stays: its claims are read before, and the records of the requests come first in the frame.

--- a/turns/compact.go
+++ b/turns/compact.go
@@ -60,10 +60,11 @@
 	s.mu.RLock()
 	sparsest := s.index.sparsestTurns(s.journal.Segment())
 	s.mu.RUnlock()
-	if err := s.rewriteTurns(sparsest); err != nil {
+	rewrites, err := s.rewriteTurns(sparsest)
+	if err != nil {
 		return nil, err
 	}
-	return s.vacateSegments(now.Add(-retention / claimsShare))
+	return s.vacateSegments(now.Add(-retention/claimsShare), rewrites)
 }
 
 // rotate starts a new journal segment.
@@ -105,10 +106,9 @@
 	return keys
 }
 
-// rewriteTurns appends turns to the current segment.
-func (s *Store) rewriteTurns(keys []turnKey) error {
-	var records [][]byte
-	var moved []turnKey
+// rewriteTurns returns turns as they are to be written again.
+func (s *Store) rewriteTurns(keys []turnKey) ([]rewrite, error) {
+	var rewrites []rewrite
 	for _, key := range keys {
 		s.mu.RLock()
 		t := s.index.turns[key]
@@ -122,30 +122,21 @@
 		}
 		b, err := s.journal.Read(location)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		records, moved = append(records, b), append(moved, key)
 		rewritten.Add(len(b))
+		rewrites = append(rewrites, rewrite{encoded: b, moved: func(to store.Location) {
+			s.index.addBytes(to, s.retained)
+			s.index.moveTurn(key, to)
+		}})
 	}
-	if len(records) == 0 {
-		return nil
-	}
-	locations, err := s.journal.Append(records)
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i, key := range moved {
-		s.index.addBytes(locations[i], s.retained)
-		s.index.moveTurn(key, locations[i])
-	}
-	return nil
+	return rewrites, nil
 }
 
 // vacateSegments returns the segments that have no live turns and were last
-// written before a time, after it has rewritten the claims in them.
-func (s *Store) vacateSegments(before types.Mono) ([]uint64, error) {
+// written before a time, after it has written the claims in them again, and the given records. It
+// writes the requests that wait meanwhile with them.
+func (s *Store) vacateSegments(before types.Mono, rewrites []rewrite) ([]uint64, error) {
 	segments, err := s.journal.Segments()
 	if err != nil {
 		return nil, err
@@ -160,12 +151,17 @@
 	storedTurns.Set(float64(len(s.index.turns)))
 	journalBytes.Set(float64(s.index.bytes))
 	s.mu.RUnlock()
-	for batch := range slices.Chunk(programs, programsPerBatch) {
-		if err := s.rewritePrograms(batch); err != nil {
+	for {
+		chunk := programs[:min(len(programs), programsPerBatch)]
+		programs = programs[len(chunk):]
+		if rewrites = append(rewrites, s.rewritePrograms(chunk)...); len(rewrites) == 0 {
+			return segments, nil
+		}
+		if err := s.writeBatch(s.collectBatch(), rewrites); err != nil {
 			return nil, err
 		}
+		rewrites = nil
 	}
-	return segments, nil
 }
 
 // removeSegments removes segments that [Store.compact] has returned. Writes go on meanwhile.
@@ -202,28 +198,20 @@
 	return keys
 }
 
-// rewritePrograms appends all claims of programs to the current segment.
-func (s *Store) rewritePrograms(keys []programKey) error {
-	var records [][]byte
-	var moved []*programClaims
+// rewritePrograms returns all claims of programs as they are to be written again. No other record of
+// these programs may be written before.
+func (s *Store) rewritePrograms(keys []programKey) (rewrites []rewrite) {
 	s.mu.RLock()
+	defer s.mu.RUnlock()
 	for _, key := range keys {
 		program := s.index.programs[key]
-		moved = append(moved, program)
-		records = append(records, types.Encode(record{Program: &Program{Account: key.account, Program: key.program, Claims: program.claims.sorted()}}))
-	}
-	s.mu.RUnlock()
-	locations, err := s.journal.Append(records)
-	if err != nil {
-		return err
+		encoded := types.Encode(record{Program: &Program{Account: key.account, Program: key.program, Claims: program.claims.sorted()}})
+		rewrites = append(rewrites, rewrite{encoded: encoded, moved: func(to store.Location) {
+			program.first, program.last = to.Segment, to.Segment
+			s.index.addBytes(to, s.retained)
+		}})
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i, program := range moved {
-		program.first, program.last = locations[i].Segment, locations[i].Segment
-		s.index.addBytes(locations[i], s.retained)
-	}
-	return nil
+	return rewrites
 }
 
 // segmentInterval is how often a new segment is started. A segment is removed
--- a/turns/retention_test.go
+++ b/turns/retention_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io/fs"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -297,3 +298,58 @@
 	}
 	return size
 }
+
+// TestCompactionDelaysNoTurn guards against turns that wait on slow disks while a store writes the
+// claims of many programs again and removes old segments, every 2 s.
+func TestCompactionDelaysNoTurn(t *testing.T) {
+	const keep, programs, syncTime = time.Minute, 1200, 150 * time.Millisecond
+	disks := []*slowDisk{{}, {}, {}}
+	c := &cluster{t: t, peers: newPeers(), virtual: true}
+	for _, d := range disks {
+		c.disks = append(c.disks, d.disk())
+	}
+	startCluster(c, 3)
+	c.setRetention(keep)
+	w := c.client()
+	var g errgroup.Group
+	g.SetLimit(50)
+	for i := range programs {
+		g.Go(func() error {
+			b := turns.Budget{Account: "choir", Program: types.ProgramID(fmt.Sprint("p", i)), Attempt: "a", Limit: 100, MaxTokens: 10}
+			return w.Settle(withTimeout(t, stepTimeout), b, 1, nil)
+		})
+	}
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	c.advance(16 * time.Second) // A new segment is started after 15 s.
+	for _, d := range disks {
+		d.slow(syncTime)
+	}
+	var stop atomic.Bool
+	g.Go(func() error {
+		defer stop.Store(true)
+		c.advance(24 * time.Second) // The old one is removed after a quarter of the retention.
+		return nil
+	})
+	var longest time.Duration
+	writes := 0
+	for i := 0; !stop.Load(); i++ {
+		began := time.Now()
+		if err := settleTurn(withTimeout(t, stepTimeout), w, "choir", "p", turns.TurnID(fmt.Sprint("t", i)), ""); err != nil {
+			t.Fatal(err)
+		}
+		longest = max(longest, time.Since(began))
+		writes++
+	}
+	_ = g.Wait() // It always returns nil.
+	for i, s := range c.stores {
+		if removed, err := filepath.Glob(filepath.Join(s.dir, "journal", "log-*1")); err != nil || len(removed) > 0 {
+			t.Errorf("store %d still has its first segment: %v", i, err)
+		}
+	}
+	t.Logf("%d writes, the longest took %v", writes, longest)
+	if longest > 3*syncTime {
+		t.Errorf("a write took %v with syncs of %v, want at most the sync under way and its own", longest, syncTime)
+	}
+}
--- a/turns/store.go
+++ b/turns/store.go
@@ -234,7 +234,7 @@
 		case <-ctx.Done():
 			return nil
 		case w := <-s.queue:
-			s.writeBatch(s.collectBatch(w))
+			s.writeBatch(s.collectBatch(w), nil)
 		case unused := <-s.compactions:
 			unused <- s.compact()
 		}
@@ -268,10 +268,9 @@
 	}
 }
 
-// collectBatch returns first and the writes in the queue, up to
+// collectBatch returns the given writes and those in the queue, up to
 // [maxBatchBytes], so that they share one sync.
-func (s *Store) collectBatch(first pendingWrite) []pendingWrite {
-	batch := []pendingWrite{first}
+func (s *Store) collectBatch(batch ...pendingWrite) []pendingWrite {
 	size := 0
 	for size < maxBatchBytes {
 		select {
@@ -296,30 +295,44 @@
 	return len(r.Turn.Input) + len(r.Turn.Output)
 }
 
-// writeBatch appends all records of a batch to the journal with one sync, adds
+// rewrite is a record that is written again, so that its segment can be removed.
+type rewrite struct {
+	encoded []byte
+	// moved is called with the new location once the record is durable. The caller holds mu.
+	moved func(store.Location)
+}
+
+// writeBatch appends all records of a batch, and rewrites, to the journal with one sync, adds
 // them to the index and reports the outcome to each write.
-func (s *Store) writeBatch(batch []pendingWrite) {
+func (s *Store) writeBatch(batch []pendingWrite, rewrites []rewrite) error {
 	records := s.recordsToWrite(batch)
-	encoded := make([][]byte, 0, len(records))
+	encoded := make([][]byte, 0, len(records)+len(rewrites))
 	for _, r := range records {
 		encoded = append(encoded, types.Encode(r))
 	}
+	for _, r := range rewrites {
+		encoded = append(encoded, r.encoded)
+	}
 	batchWrites.Update(float64(len(batch)))
 	startedAt := time.Now()
 	locations, err := s.journal.Append(encoded)
 	appendSeconds.UpdateDuration(startedAt)
 	if err != nil {
-		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "records": len(records)})
+		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "records": len(encoded)})
 	} else {
 		s.mu.Lock()
 		for i, r := range records {
 			s.index.add(r, locations[i], s.retained)
 		}
+		for i, r := range rewrites {
+			r.moved(locations[len(records)+i])
+		}
 		s.mu.Unlock()
 	}
 	for _, w := range batch {
 		w.done <- err
 	}
+	return err
 }
 
 // recordsToWrite returns the records of a batch. Requests that are repeated while the
