gate, turns: a turn waits for its reservation for half of its time

Callers got 503 "the stores are too slow for more turns" for as long as syncs took 600 ms, though the stores could have claimed and written every turn in time. Turns that continue others were refused with the rest.

Cause: a reservation was given up after a third of the time that its turn had. A claim that just misses a sync takes two of them, 1.2 s of a caller's 3 s. Each one given up lowered the bound on reservations by 0.3 of itself, to 2; each was repeated, and its claim withdrawn, which kept the stores as busy as before. A turn that had waited for its admission had even less time for its reservation, so that the bound stayed low: it fell because turns waited for it.

Now a reservation, and the chain, may take half of the time: writing the turn takes the stores about as long as claiming it. The wait for admission, a third of the time as before, does not shorten the reservation.

TestContinuingTurnsAreAdmittedFirst: its one call has the new parameters, and the same times.

--- a/gate/late_store_test.go
+++ b/gate/late_store_test.go
@@ -28,6 +28,35 @@
 	}
 }
 
+// TestTurnsWaitForSlowSyncs guards against turns that are refused though stores that take 0.9 s for
+// a sync could claim and write all of them before their callers' deadlines, 5 s: a claim that just
+// misses a sync takes two. Each one that is given up lowers the bound on reservations, until most
+// turns are refused.
+func TestTurnsWaitForSlowSyncs(t *testing.T) {
+	b := newTestbed(t)
+	b.addTarget("models", streamEvents("one"))
+	b.syncLatency.Store(int64(900 * time.Millisecond))
+	const offered, interval = 100, 40 * time.Millisecond
+	var failed atomic.Int64
+	var g errgroup.Group
+	for i := range offered {
+		g.Go(func() error {
+			r := turnRequest(fmt.Sprint("a", i), "", "first;", "1000")
+			r.header["Program"] = fmt.Sprint("p", i)
+			code, body := b.send(r)
+			if code != http.StatusOK && failed.Add(1) <= 3 {
+				t.Logf("%d %s", code, body)
+			}
+			return nil
+		})
+		time.Sleep(interval)
+	}
+	_ = g.Wait() // The goroutines always return nil.
+	if n := failed.Load(); n > 0 {
+		t.Errorf("%d of %d turns were refused", n, offered)
+	}
+}
+
 // TestCompletedTurnWaitsForStoresUntilDeadline guards against a stream that is cut after its target
 // has completed it, long before its caller's deadline, because the stores have been late for some
 // seconds: all turns that end meanwhile lose their connections at once.
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -23,10 +23,15 @@
 	minAdmitTimeout = 900 * time.Millisecond
 	maxAdmitTimeout = minCommitTimeout
 	// admitShare is the part of its remaining time, as a divisor, that a turn may wait for
-	// stores that are late, or for its reservation to be admitted. Each turn that is refused
-	// before they reply is repeated by its caller, and they do the work of each of its claims,
-	// and of their withdrawal.
-	admitShare = 3
+	// stores that are late. A turn that is refused before they reply is repeated by its caller,
+	// and they do the work of each of its claims, and of their withdrawal. Writing the turn takes
+	// them about as long as its claim, so after more than half of the time it could not be written
+	// before the deadline.
+	admitShare = 2
+	// queueShare is the part of its remaining time, as a divisor, that a turn may wait for its
+	// reservation to be admitted. The reservation then has as much time as any other, so that the
+	// bound on reservations does not fall because turns have waited for it.
+	queueShare = 3
 )
 
 // admitTimeout returns the timeout for admitting a turn that has the given time left.
@@ -45,7 +50,7 @@
 	if !c.turn.hasClaim && c.turn.previous == "" {
 		return c.takeFromLimit()
 	}
-	timeout := func() time.Duration { return admitTimeout(c.remaining()) }
+	timeout := admitTimeout(c.remaining())
 	ctx, cancel := withTimeout(c.r.Context(), c.gate.answersCtx, c.remaining())
 	defer cancel()
 	var limited *errorResponse
@@ -58,7 +63,7 @@
 	if c.turn.previous != "" {
 		g.Go(func() error {
 			defer chainFetchSeconds.UpdateDuration(time.Now())
-			ctx, cancel := context.WithTimeout(ctx, timeout())
+			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
 			c.turn.chain, chainErr = c.gate.Turns.ChainWithin(ctx, c.accountID(), c.turn.budget.Program, c.turn.previous, c.chargeChain)
 			return nil
@@ -67,7 +72,7 @@
 	if c.turn.hasClaim {
 		g.Go(func() error {
 			defer budgetClaimSeconds.UpdateDuration(time.Now())
-			budgetErr = c.gate.Turns.ReserveWithin(ctx, c.turn.budget, timeout)
+			budgetErr = c.gate.Turns.ReserveWithin(ctx, c.turn.budget, c.remaining()/queueShare, timeout)
 			return nil
 		})
 	}
--- a/turns/admit_test.go
+++ b/turns/admit_test.go
@@ -71,7 +71,7 @@
 	reserve := func(i int, continues bool, timeout time.Duration) {
 		g.Go(func() error {
 			b := turns.Budget{Account: "choir", Program: types.ProgramID(fmt.Sprint("p", i, continues)), Attempt: "a", Limit: 100, MaxTokens: 10, Continues: continues}
-			err := w.ReserveWithin(withTimeout(t, stepTimeout), b, func() time.Duration { return timeout })
+			err := w.ReserveWithin(withTimeout(t, stepTimeout), b, timeout, timeout)
 			switch {
 			case !continues && turns.NotSent(err):
 				firstRefused.Add(1)
--- a/turns/client.go
+++ b/turns/client.go
@@ -86,7 +86,7 @@
 
 // Reserve is [Client.ReserveWithin] for a reservation that may take until ctx ends.
 func (c *Client) Reserve(ctx context.Context, b Budget) error {
-	return c.ReserveWithin(ctx, b, func() time.Duration { return forever })
+	return c.ReserveWithin(ctx, b, forever, forever)
 }
 
 // forever is longer than the time that any caller waits.
@@ -104,14 +104,14 @@
 // read this claim.
 //
 // While the stores are too slow, ReserveWithin returns an overloaded fault for which [NotSent] is
-// true: at once, or for a turn that continues another one after it has waited for as long as timeout
-// returns. Once the reservation is admitted, it may take for as long as timeout returns then.
-func (c *Client) ReserveWithin(ctx context.Context, b Budget, timeout func() time.Duration) error {
-	if !c.admit(ctx, b, timeout()) {
+// true: at once, or for a turn that continues another one after it has waited for longestWait. Once
+// the reservation is admitted, it may take for timeout.
+func (c *Client) ReserveWithin(ctx context.Context, b Budget, longestWait, timeout time.Duration) error {
+	if !c.admit(ctx, b, longestWait) {
 		reservationsRefused.Inc()
 		return errStoresSlow
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout())
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := c.reserve(ctx, b)
 	c.admission.end(c.outcomeOf(ctx, ShardOf(b.Account, b.Program), err))
