quorum: a candidate waits until the others have written their votes

Callers saw 503 "no plan is known yet" for some seconds longer than an election takes.

Cause: a replica set its deadlines before its first write, when it did not know how long writes take. A rival candidate of the same term, whose own vote had just become durable, found its deadline passed and asked for pre-votes at once, 120 ms before the votes of the others were durable. A voter could do the same while it wrote its vote.

Now a replica that writes its vote, for itself or for another one, begins no election before that is durable, and then sets its deadlines anew, with the time that the write took. A candidate that too many have refused need not wait for them.

Why this is safe: it only delays elections; who may vote for whom is unchanged.

--- a/quorum/cold.go
+++ b/quorum/cold.go
@@ -53,7 +53,7 @@
 
 // tickColdStart sends a probe to all other voters if one is due.
 func (c *Core) tickColdStart(now types.Mono) {
-	if !c.cold.active || now < c.cold.nextProbe || c.awaitsOwnVote() || !c.Members().IsVoter(c.id) {
+	if !c.cold.active || now < c.cold.nextProbe || c.awaitsVote || !c.Members().IsVoter(c.id) {
 		return
 	}
 	c.cold.probeSentAt, c.cold.nextProbe = now, now.Add(c.timing.MinElectionTimeout/coldProbesPerMinElectionTimeout)
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -104,6 +104,8 @@
 	leader         ReplicaID
 	preVotes       map[ReplicaID]bool      // non-nil only on a pre-candidate
 	votes          map[ReplicaID]bool      // non-nil only on a candidate of the current term
+	refusals       int                     // of votes, in the current term of a candidate
+	awaitsVote     bool                    // the vote in hardState is not durable yet
 	peers          map[ReplicaID]*progress // non-nil only on a leader
 	termStartIndex Index                   // index of the leader's first entry in its term
 
--- a/quorum/elect.go
+++ b/quorum/elect.go
@@ -1,6 +1,10 @@
 package quorum
 
-import "github.com/banyanspur/banyanspur/types"
+import (
+	"time"
+
+	"github.com/banyanspur/banyanspur/types"
+)
 
 // Tick does the work that is due at now: it starts elections, sends heartbeats
 // and makes a leader step down that has lost contact with its quorum.
@@ -17,7 +21,7 @@
 		c.resetElectionDeadline(now)
 		return
 	}
-	if c.awaitsOwnVote() {
+	if c.awaitsVote {
 		c.resetRetryDeadline(now) // Requests for pre-votes would wait for the same sync.
 		return
 	}
@@ -71,10 +75,6 @@
 	bypassColdStart                    // all voters have just started; see cold.go
 )
 
-// awaitsOwnVote reports whether this replica is a candidate whose vote requests wait for the
-// sync of its own vote.
-func (c *Core) awaitsOwnVote() bool { return c.votes != nil && !c.votes[c.id] }
-
 // campaign sends requests to all voters: pre-vote requests if role is
 // PreCandidate, or vote requests in a new term if it is Candidate.
 func (c *Core) campaign(role Role, bypass leaseBypass) {
@@ -83,8 +83,8 @@
 	c.preVotes = map[ReplicaID]bool{}
 	kind, term := MsgPreVote, c.hardState.Term+1
 	if role == Candidate {
-		c.votes, c.preVotes = map[ReplicaID]bool{}, nil
-		c.hardState = HardState{Term: term, Vote: c.id}
+		c.votes, c.preVotes, c.refusals = map[ReplicaID]bool{}, nil, 0
+		c.hardState, c.awaitsVote = HardState{Term: term, Vote: c.id}, true
 		kind = MsgVote
 	}
 	lastTerm, _ := c.termAt(c.lastIndex())
@@ -109,7 +109,7 @@
 // unknown. It raises the current term to term if that is later.
 func (c *Core) becomeFollower(now types.Mono, term Term, leader ReplicaID) {
 	if term > c.hardState.Term {
-		c.hardState = HardState{Term: term}
+		c.hardState, c.awaitsVote = HardState{Term: term}, false
 	}
 	if c.role != Follower {
 		c.resetElectionDeadline(now)
@@ -232,7 +232,7 @@
 		!pre && m.Term == c.hardState.Term && (c.hardState.Vote == "" || c.hardState.Vote == m.From)
 	granted := voteAvailable && c.isUpToDate(m.Index, m.LogTerm)
 	if granted && !pre {
-		c.hardState.Vote = m.From
+		c.hardState.Vote, c.awaitsVote = m.From, true
 		c.resetElectionDeadline(now)
 	}
 	reply := Message{Kind: m.Kind + 1, To: m.From, Term: m.Term, Refused: !granted}
@@ -240,6 +240,9 @@
 		reply.Term = max(c.hardState.Term, 1)
 	}
 	c.sendAfterSync(reply)
+	if granted && !pre {
+		c.sendAfterSync(Message{Kind: MsgVoteReply, To: c.id, Term: c.hardState.Term, Refused: true})
+	}
 }
 
 // isUpToDate reports whether a log whose last entry has the given index and term
@@ -267,15 +270,45 @@
 // stepVoteReply counts a vote. Votes of the current term count until the term ends, also while
 // this replica asks for pre-votes for the next one: on slow disks they take longer than any
 // deadline that was set before.
+//
+// A replica also tells itself that its vote is durable, with a refusal if it is for another one.
 func (c *Core) stepVoteReply(now types.Mono, m Message) {
-	if c.votes == nil || m.Refused {
-		return
+	if m.From == c.id {
+		c.voteWritten(now)
 	}
-	if c.hasQuorumWith(c.votes, m.From) {
+	switch {
+	case c.votes == nil:
+	case m.Refused:
+		if c.refusals++; len(c.Members().Voters)-c.refusals < c.Members().Quorum() {
+			c.retrySoon(now) // The others have given their votes, so that they need no more time.
+		}
+	case c.hasQuorumWith(c.votes, m.From):
 		c.becomeLeader(now)
 	}
 }
 
+// voteWritten is called once this replica's vote in the current term is durable. The others may
+// still be writing theirs, which takes them about as long as this one has taken, and up to twice
+// that if another write was under way. The deadlines were set when that time was not known, as for
+// the first write after a start: they would end the election before it is decided.
+func (c *Core) voteWritten(now types.Mono) {
+	c.awaitsVote = false
+	if c.votes == nil {
+		c.resetElectionDeadline(now)
+	} else {
+		c.resetRetryDeadline(now)
+	}
+	c.cold.nextProbe = max(c.cold.nextProbe, now.Add(c.votingTime()))
+}
+
+// retrySoon sets the deadline of a candidate that cannot win any more. The one that has won, if any,
+// has time to tell the others.
+func (c *Core) retrySoon(now types.Mono) {
+	base := c.timing.MinElectionTimeout / 5
+	c.electionDeadline = min(c.electionDeadline, now.Add(base+time.Duration(c.rand.Int64N(int64(2*base)))))
+	c.cold.nextProbe = min(c.cold.nextProbe, c.electionDeadline)
+}
+
 // hasQuorumWith adds a replica to those that have granted a vote or pre-vote and reports
 // whether they form a quorum.
 func (c *Core) hasQuorumWith(granted map[ReplicaID]bool, from ReplicaID) bool {
--- a/quorum/late_test.go
+++ b/quorum/late_test.go
@@ -113,3 +113,34 @@
 		t.Errorf("%d of %d leaders went on, want half of them", kept, seeds)
 	}
 }
+
+// TestRivalCandidatesOnSlowDisks guards against candidates that begin the next election before the
+// votes of the present one are durable, after all voters have started at different times onto slow
+// disks: a candidate whose own vote was durable asked for pre-votes again at once, since its deadline
+// was set when it did not know how long a write takes, and the one that had won lost its term. Two
+// elections of three writes each may be necessary, after an election timeout.
+func TestRivalCandidatesOnSlowDisks(t *testing.T) {
+	for _, voters := range []int{3, 5} {
+		for _, syncTime := range []time.Duration{600 * time.Millisecond, time.Second} {
+			limit, longest := 6*syncTime+2*quorum.DefaultTiming.MinElectionTimeout, time.Duration(0)
+			for seed := range uint64(80) {
+				s := newSim(seed, voters)
+				s.run(2 * time.Second)
+				var last types.Mono
+				for _, h := range s.hosts {
+					h.crash(false)
+					h.restartAt = s.now.Add(restartDelay + time.Duration(s.rand.IntN(800))*time.Millisecond)
+					last = max(last, h.restartAt)
+				}
+				s.syncTime, s.lastAck = syncTime, 0
+				for end := last.Add(2 * limit); s.lastAck == 0 && s.now < end; s.run(tickInterval) {
+				}
+				longest = max(longest, s.now.Sub(last))
+			}
+			t.Logf("%d voters, %v for a write: a command was acknowledged after %v at most", voters, syncTime, longest)
+			if longest > limit {
+				t.Errorf("%d voters, %v for a write: a command was acknowledged after %v, want at most %v", voters, syncTime, longest, limit)
+			}
+		}
+	}
+}
