--- a/turns/client.go
+++ b/turns/client.go
@@ -86,7 +86,7 @@
 
 // Reserve is [Client.ReserveWithin] for a reservation that may take until ctx ends.
 func (c *Client) Reserve(ctx context.Context, b Budget) error {
-	return c.ReserveWithin(ctx, b, func() time.Duration { return forever })
+	return c.ReserveWithin(ctx, b, forever)
 }
 
 // forever is longer than the time that any caller waits.
@@ -104,15 +104,14 @@
 // read this claim.
 //
 // While the stores are too slow, ReserveWithin returns an overloaded fault for which [NotSent] is
-// true: at once, or for a turn that continues another one after it has waited for as long as timeout
-// returns, but not for more than a third of the time until ctx ends. Once the reservation is
-// admitted, it may take for as long as timeout returns then.
-func (c *Client) ReserveWithin(ctx context.Context, b Budget, timeout func() time.Duration) error {
-	if !c.admit(ctx, b, timeout()) {
+// true: at once, or for a turn that continues another one after it has waited for a third of the time
+// until ctx ends. Once the reservation is admitted, it may take for timeout.
+func (c *Client) ReserveWithin(ctx context.Context, b Budget, timeout time.Duration) error {
+	if !c.admit(ctx, b) {
 		reservationsRefused.Inc()
 		return errStoresSlow
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout())
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := c.reserve(ctx, b)
 	c.admission.end(c.outcomeOf(ctx, ShardOf(b.Account, b.Program), err))
@@ -124,14 +123,14 @@
 // makes them work for nothing, and counts as one that they were too late for.
 const admissionShare = 3
 
-// admit reports whether a reservation is admitted, for which it may wait for up to longest.
-func (c *Client) admit(ctx context.Context, b Budget, longest time.Duration) bool {
+// admit reports whether a reservation is admitted, and waits for it as [Client.ReserveWithin] does.
+func (c *Client) admit(ctx context.Context, b Budget) bool {
 	defer admissionSeconds.UpdateDuration(time.Now())
 	if deadline, ok := ctx.Deadline(); ok {
-		longest = min(longest, time.Until(deadline)/admissionShare)
+		limited, cancel := context.WithTimeout(ctx, time.Until(deadline)/admissionShare)
+		defer cancel()
+		ctx = limited
 	}
-	ctx, cancel := context.WithTimeout(ctx, longest)
-	defer cancel()
 	return c.admission.begin(ctx, b.Continues)
 }
 
