types, quorum: bound the memory of decoded messages

A message of 4 MiB could end a control host: its empty elements, one byte each, allocate 544 MiB when it is decoded. Whoever reaches a peer port without a secret can send it.

Cause: the decoder makes a slice or a map for the announced number of elements, each as large as its type. The only bound was 4 Mi elements for each list.

Before a message is decoded, CheckMemory now walks its encoding beside its type, which is examined once, and adds up what lists, maps, strings, pointers and errors of values of the wrong type take, nested ones too. Beyond 256 KiB a message may take 32 times its size up to 64 MiB, or 4 times its size. Messages that by their size and type cannot take 256 KiB are not walked. What is stored is read without the bound, so that durable state stays readable and all replicas apply the same commands.

--- a/admin/machine.go
+++ b/admin/machine.go
@@ -164,7 +164,7 @@
 // [Machine.Snapshot]. If the snapshot is invalid, it returns an error and leaves
 // the state unchanged.
 func (m *Machine) Restore(snapshot []byte) error {
-	s, err := types.Decode[state](snapshot)
+	s, err := types.DecodeStored[state](snapshot)
 	if err != nil {
 		return err
 	}
@@ -172,6 +172,9 @@
 	return nil
 }
 
+// CheckMemory returns an error if a snapshot takes too much memory for its size.
+func (m *Machine) CheckMemory(snapshot []byte) error { return types.CheckMemory[state](snapshot) }
+
 // Version returns the version in force.
 func (m *Machine) Version() types.Version { return m.state.Fleet.Version }
 
--- a/fleet/command_set.go
+++ b/fleet/command_set.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return
 	}
-	if declared, err := types.Decode[map[quorum.ReplicaID]CommandSet](b); err == nil && declared != nil {
+	if declared, err := types.DecodeStored[map[quorum.ReplicaID]CommandSet](b); err == nil && declared != nil {
 		s.declared = declared
 	}
 }
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -258,7 +258,7 @@
 
 // Restore replaces the state by one that [Machine.Snapshot] returned.
 func (m *Machine) Restore(snapshot []byte) error {
-	s, err := types.Decode[state](snapshot)
+	s, err := types.DecodeStored[state](snapshot)
 	if err != nil {
 		return err
 	}
@@ -269,6 +269,9 @@
 	return nil
 }
 
+// CheckMemory returns an error if a snapshot takes too much memory for its size.
+func (m *Machine) CheckMemory(snapshot []byte) error { return types.CheckMemory[state](snapshot) }
+
 // PlanVersion returns the version of the plan in force, or 0 if there is none.
 func (m *Machine) PlanVersion() types.Version {
 	if m.state.Document == nil {
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -39,7 +39,7 @@
 // Restore replaces the state with one that [Machine.Snapshot] returned. If the
 // snapshot cannot be decoded, the state is unchanged.
 func (m *Machine) Restore(snapshot []byte) error {
-	s, err := types.Decode[state](snapshot)
+	s, err := types.DecodeStored[state](snapshot)
 	if err != nil {
 		return err
 	}
@@ -47,6 +47,9 @@
 	return nil
 }
 
+// CheckMemory returns an error if a snapshot takes too much memory for its size.
+func (m *Machine) CheckMemory(snapshot []byte) error { return types.CheckMemory[state](snapshot) }
+
 func refuse(f *types.Fault) Result { return Result{Fault: f} }
 
 // ensureAccount returns the state of an account and creates it if there is none.
--- a/quorum/durable.go
+++ b/quorum/durable.go
@@ -72,7 +72,7 @@
 		joined, err := store.HasFrames(dir)
 		return joined, Members{}, err
 	}
-	s, err := types.Decode[Snapshot](b)
+	s, err := types.DecodeStored[Snapshot](b)
 	return err == nil, s.Members, err
 }
 
@@ -131,14 +131,14 @@
 func recoverOptions(recovered store.Recovered) (Options, error) {
 	var o Options
 	if recovered.Snapshot != nil {
-		s, err := types.Decode[Snapshot](recovered.Snapshot)
+		s, err := types.DecodeStored[Snapshot](recovered.Snapshot)
 		if err != nil {
 			return o, err
 		}
 		o.Snapshot = s
 	}
 	for _, frame := range recovered.Frames {
-		rec, err := types.Decode[logRecord](frame)
+		rec, err := types.DecodeStored[logRecord](frame)
 		if err != nil {
 			return o, errors.Mark(err, store.ErrCorrupt)
 		}
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"github.com/banyanspur/banyanspur/event"
@@ -26,6 +27,9 @@
 	Snapshot() []byte
 	// Restore replaces the state by one that Snapshot has encoded.
 	Restore(snapshot []byte) error
+	// CheckMemory returns an error if a snapshot of another replica takes too much memory for
+	// its size.
+	CheckMemory(snapshot []byte) error
 }
 
 // Host returns the host that the replica runs on.
@@ -252,7 +256,7 @@
 	if err != nil {
 		return // The leader's own storage is damaged. The replica stops at the next write.
 	}
-	s, err := types.Decode[Snapshot](b)
+	s, err := types.DecodeStored[Snapshot](b)
 	if err != nil {
 		return
 	}
@@ -277,7 +281,7 @@
 }
 
 func (r *Replica[C, R]) applyCommand(e Entry) {
-	command, err := types.Decode[C](e.Data)
+	command, err := types.DecodeStored[C](e.Data) // Deliver has examined those of others.
 	var result proposalResult[R]
 	if err == nil {
 		result.value = r.Machine.Apply(e.Time, command)
@@ -312,15 +316,38 @@
 }
 
 // Deliver queues a message from the network. It never blocks: if the queue is
-// full, the message is dropped, as the network may do.
+// full, the message is dropped, as the network may do. So is one whose commands or snapshot take
+// too much memory for their size: what is committed must be applied.
 func (r *Replica[C, R]) Deliver(m Message) {
 	r.init()
+	if r.checkMemory(m) != nil {
+		denseMessages.Inc()
+		return
+	}
 	select {
 	case r.inbox <- func(now types.Mono) { r.core.Step(now, m) }:
 	default:
 	}
 }
 
+// denseMessages counts instead of an event for each, since anyone may send them.
+var denseMessages = metrics.NewCounter("banyanspur_quorum_dense_messages_total")
+
+func (r *Replica[C, R]) checkMemory(m Message) error {
+	for _, e := range m.Entries {
+		if e.Kind != KindCommand {
+			continue
+		}
+		if err := types.CheckMemory[C](e.Data); err != nil {
+			return err
+		}
+	}
+	if m.Snapshot == nil || m.Snapshot.Data == nil {
+		return nil
+	}
+	return r.Machine.CheckMemory(m.Snapshot.Data)
+}
+
 // newRand returns a randomly seeded generator, so that each process draws
 // different election timeouts.
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/quorum/replica_test.go
+++ b/quorum/replica_test.go
@@ -35,6 +35,8 @@
 	return err
 }
 
+func (c *counter) CheckMemory(b []byte) error { return types.CheckMemory[counter](b) }
+
 // testGroup is a group of replicas in one process.
 type testGroup struct {
 	t         testing.TB
--- a/store/segments.go
+++ b/store/segments.go
@@ -43,7 +43,7 @@
 	if err != nil || len(rest) != 0 {
 		return segmentList{}, errors.Wrap(ErrCorrupt, segmentListName)
 	}
-	list, err := types.Decode[segmentList](payload)
+	list, err := types.DecodeStored[segmentList](payload)
 	if err != nil || len(list.Segments) == 0 {
 		return segmentList{}, errors.Wrap(ErrCorrupt, segmentListName)
 	}
--- a/turns/serve.go
+++ b/turns/serve.go
@@ -151,7 +151,7 @@
 		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "turn": key.id, "step": "read"})
 		return Turn{}, false, errDiskFailed
 	}
-	r, err := types.Decode[record](b)
+	r, err := types.DecodeStored[record](b)
 	if err != nil || r.Turn == nil {
 		return Turn{}, false, errors.Wrap(errDiskFailed, "the record does not contain a turn")
 	}
--- a/turns/store.go
+++ b/turns/store.go
@@ -174,7 +174,7 @@
 
 // replay adds a journal record to the index.
 func (s *Store) replay(location store.Location, b []byte) error {
-	r, err := types.Decode[record](b)
+	r, err := types.DecodeStored[record](b)
 	if err != nil {
 		return errors.Mark(err, store.ErrCorrupt)
 	}
--- a/types/codec.go
+++ b/types/codec.go
@@ -56,8 +56,19 @@
 	return b[:len(b)-1]
 }
 
-// Decode parses a value encoded by [Encode].
+// Decode parses a value encoded by [Encode]. It refuses one that takes too much memory for its size;
+// see [CheckMemory].
 func Decode[T any](b []byte) (T, error) {
+	if err := CheckMemory[T](b); err != nil {
+		var v T
+		return v, err
+	}
+	return DecodeStored[T](b)
+}
+
+// DecodeStored is [Decode] for what this process has accepted before, such as its durable state. It
+// must be readable whatever memory it takes.
+func DecodeStored[T any](b []byte) (T, error) {
 	var v T
 	if err := decodeMode.Unmarshal(b, &v); err != nil {
 		return v, errors.Wrapf(err, "types: decode %T", v)
@@ -69,8 +80,11 @@
 type RawMessage = cbor.RawMessage
 
 // DecodeFirst parses the first of several concatenated values and returns the
-// remaining bytes.
+// remaining bytes. It refuses what [Decode] does.
 func DecodeFirst[T any](b []byte) (v T, rest []byte, err error) {
+	if err := CheckMemory[T](b); err != nil {
+		return v, nil, err
+	}
 	rest, err = decodeMode.UnmarshalFirst(b, &v)
 	if err != nil {
 		return v, nil, errors.Wrapf(err, "types: decode %T", v)
