intake: small requests of one account leave room for those of others

One account's requests of up to 64 KiB could take the whole budget while they are handled, and every other account got 503 until the first of them ended.

Cause: only large requests were bounded by account. What is handled cannot be evicted, and small requests needed nothing but free memory.

A small request now leaves free as much as others of its account have, up to 1/64 of the budget; once its account has more than 15/64, an eighth. So the first request of an account may use the last bytes, each account leaves some for the next one, and an account that is alone uses seven eighths. For this room, large requests that still arrive are not evicted. Connections belong to no account and are not bounded by it.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -23,6 +23,13 @@
 	// reserveShare is the part of a budget, as one in so many, that only holders of up to
 	// smallBytes may use.
 	reserveShare = 4
+	// accountShares of so many parts of a budget (accountShare) are what the small requests of one
+	// account may have as long as they leave accountRoom, as one in so many, for those of others:
+	// together the reserve, which they may need beside large requests. What they have beyond that
+	// must leave aloneRoom, as one in so many.
+	accountShares, accountShare = 15, 64
+	accountRoom                 = 64
+	aloneRoom                   = 8
 
 	// stallTime is how long a peer may send nothing until it counts as slow.
 	stallTime = 500 * time.Millisecond
@@ -57,8 +64,10 @@
 	limit   int64
 	used    int64 // 0 <= used; sum over holders
 	leaving int64 // 0 <= leaving <= used; the part of used that evicted holders still have
-	// large is what the holders of more than smallBytes have, by account, without evicted ones.
+	// large is what the holders of more than smallBytes have, by account, without evicted ones, and
+	// small what the others have, without holders of no account.
 	large    map[types.AccountID]int64
+	small    map[types.AccountID]int64
 	holders  map[*Holder]struct{} // those with held > 0
 	released chan struct{}        // closed with the next release or eviction; nil if nobody waits
 
@@ -68,7 +77,7 @@
 
 // NewBudget returns a budget with the given number of bytes.
 func NewBudget(limit int64) *Budget {
-	return &Budget{limit: limit, large: map[types.AccountID]int64{}, holders: map[*Holder]struct{}{}}
+	return &Budget{limit: limit, large: map[types.AccountID]int64{}, small: map[types.AccountID]int64{}, holders: map[*Holder]struct{}{}}
 }
 
 // SetLimit changes the number of bytes. What is held beyond it stays until it is released.
@@ -229,7 +238,7 @@
 
 // evict takes the memory of v away. It must be called with mu held, and v.evict after that.
 func (b *Budget) evict(v *Holder) {
-	b.addLarge(v, -1)
+	b.addToAccount(v, -1)
 	v.evicted = true
 	b.leaving += v.held
 	b.recordEviction()
@@ -257,10 +266,11 @@
 
 // excess returns by how much the memory in use exceeds what there is for h, if h gets n more bytes
 // and used are in use. A holder of more than smallBytes must leave the reserve free, and as
-// much as others of its account have, so that no account takes the room of all others.
+// much as others of its account have, so that no account takes the room of all others. For a
+// smaller one see smallRoom.
 func (b *Budget) excess(h *Holder, n, used int64) int64 {
 	if h.held+n <= smallBytes {
-		return used + n - b.limit
+		return used + n + b.smallRoom(h, n) - b.limit
 	}
 	return used + n + b.large[h.account] - h.largeBytes() - (b.limit - b.limit/reserveShare)
 }
@@ -273,26 +283,52 @@
 	return 0
 }
 
-// addLarge adds what h has, if it is large, to its account, or removes it.
-func (b *Budget) addLarge(h *Holder, sign int64) {
+// smallRoom returns what h, which stays small with n more bytes, must leave free, so that small
+// requests of other accounts find room: as much as others of its account have, up to accountRoom; and
+// aloneRoom once its account has more than accountShare. Connections belong to no account yet, and leave
+// nothing.
+func (b *Budget) smallRoom(h *Holder, n int64) int64 {
+	if h.account == "" {
+		return 0
+	}
+	others := b.small[h.account]
+	if !h.evicted {
+		others -= h.held - h.largeBytes()
+	}
+	if others+h.held+n > b.limit/accountShare*accountShares {
+		return b.limit / aloneRoom
+	}
+	return min(others, b.limit/accountRoom)
+}
+
+// addToAccount adds what h has to its account, or removes it.
+func (b *Budget) addToAccount(h *Holder, sign int64) {
 	if h.evicted {
 		return
 	}
-	b.large[h.account] += sign * h.largeBytes()
-	if b.large[h.account] == 0 {
-		delete(b.large, h.account)
+	if h.held > smallBytes {
+		addTo(b.large, h.account, sign*h.held)
+	} else if h.account != "" {
+		addTo(b.small, h.account, sign*h.held)
+	}
+}
+
+// addTo adds n to an element of m, which has none that are 0.
+func addTo(m map[types.AccountID]int64, account types.AccountID, n int64) {
+	if m[account] += n; m[account] == 0 {
+		delete(m, account)
 	}
 }
 
 // charge adds n bytes, which may be negative, to what h has. It must be called with mu held.
 func (b *Budget) charge(h *Holder, n int64) {
-	b.addLarge(h, -1)
+	b.addToAccount(h, -1)
 	h.held += n
 	b.used += n
 	if h.evicted {
 		b.leaving += n
 	}
-	b.addLarge(h, 1)
+	b.addToAccount(h, 1)
 	if h.held > 0 {
 		b.holders[h] = struct{}{}
 	} else {
--- a/intake/victims.go
+++ b/intake/victims.go
@@ -56,7 +56,7 @@
 	c := b.candidates(h)
 	small := h.held+n <= smallBytes
 	lists := [][]*Holder{c.slow}
-	if small {
+	if small && b.used-b.leaving+n > b.limit { // Not for what the account must leave to others.
 		lists = append(lists, c.large)
 	}
 	if small || c.alone || c.smallBytes > b.limit/reserveShare {
