quorum: a probe sent before a vote begins no election after it

A group of five whose voters started within 0.8 s of each other, at 600 ms a write, acknowledged nothing for 5.46 s, and for 7.30 s at 1 s, since a candidate began the next term while it still wrote its vote in the present one.

Cause: confirmations wait for the writes of those who send them. Those of a probe that a replica had sent before it became a candidate in the ordinary way came in while its own vote was being written, and counted as a reason for a cold election. The fault showed once queues kept confirmations beside pre-votes.

--- a/quorum/cold.go
+++ b/quorum/cold.go
@@ -43,7 +43,7 @@
 	nextProbe   types.Mono         // when to send the next probe
 	interval    time.Duration      // between two probes, at least; raised if confirmations take longer
 	confirmedBy map[ReplicaID]bool // the replicas that confirmed the latest probe
-	// eligible is set until the probe has led to an election or has been confirmed
+	// eligible is set until this replica has given its vote or the probe has been confirmed
 	// by a replica that takes precedence: one with a more up-to-date log, or with
 	// an equal log and a lower ID.
 	eligible        bool
@@ -133,8 +133,7 @@
 			return
 		}
 	}
-	c.campaign(Candidate, bypassColdStart)
-	c.cold.eligible = false // One election per probe.
+	c.campaign(Candidate, bypassColdStart) // One election per probe: it is not eligible from then on.
 	c.resetRetryDeadline(now)
 }
 
--- a/quorum/elect.go
+++ b/quorum/elect.go
@@ -84,7 +84,8 @@
 	kind, term := MsgPreVote, c.hardState.Term+1
 	if role == Candidate {
 		c.votes, c.preVotes, c.refusals = map[ReplicaID]bool{}, nil, 0
-		c.hardState, c.awaitsVote = HardState{Term: term, Vote: c.id}, true
+		c.hardState = HardState{Term: term, Vote: c.id}
+		c.voteGiven()
 		kind = MsgVote
 	}
 	lastTerm, _ := c.termAt(c.lastIndex())
@@ -232,7 +233,8 @@
 		!pre && m.Term == c.hardState.Term && (c.hardState.Vote == "" || c.hardState.Vote == m.From)
 	granted := voteAvailable && c.isUpToDate(m.Index, m.LogTerm)
 	if granted && !pre {
-		c.hardState.Vote, c.awaitsVote = m.From, true
+		c.hardState.Vote = m.From
+		c.voteGiven()
 		c.resetElectionDeadline(now)
 	}
 	reply := Message{Kind: m.Kind + 1, To: m.From, Term: m.Term, Refused: !granted}
@@ -287,6 +289,10 @@
 	}
 }
 
+// voteGiven is called when this replica has given its vote in the current term. Confirmations of
+// a probe that it has sent before may arrive meanwhile, and must not begin another election.
+func (c *Core) voteGiven() { c.awaitsVote, c.cold.eligible = true, false }
+
 // voteWritten is called once this replica's vote in the current term is durable. The others may
 // still be writing theirs, which takes them about as long as this one has taken, and up to twice
 // that if another write was under way. The deadlines were set when that time was not known, as for
