turns: a store writes up to 8 MiB in one sync

Callers saw 503 "the stores are too slow for more turns" in waves of some 14 s, each time the turns that were admitted had begun to write (size orders, 600 ms more for each sync from the final fault on: at times 0 of 300 requests in 2 s, at times half).

Cause: a store wrote 1 MiB in one sync. With syncs of 600 ms that is 1.7 MB/s, less than a deployment's turns take; claims waited behind the turns.

Now a batch may have 8 MiB, as a segment. On fast disks nothing changes: a batch has what has arrived during the write before.

--- a/turns/store.go
+++ b/turns/store.go
@@ -80,12 +80,14 @@
 	journaledPrefix = "j-"
 	// queueCapacity is the maximum number of writes that wait for the disk.
 	queueCapacity = 4096
-	// maxBatchBytes is the size of inputs and outputs at which a batch of
-	// writes that share one sync is complete.
-	maxBatchBytes = 1 << 20
 	// maxSegmentBytes is the size of the current segment above which a new one is
 	// started.
 	maxSegmentBytes = 8 << 20
+	// maxBatchBytes is the size of inputs and outputs at which a batch of
+	// writes that share one sync is complete. It is the most that a store writes in one sync, so
+	// that with syncs of a second it still takes what a link of 64 Mbit/s brings. Batches only
+	// grow while a sync takes that long.
+	maxBatchBytes = maxSegmentBytes
 )
 
 // record is a journal record. Either Turn or Program is set.
