--- a/turns/compact.go
+++ b/turns/compact.go
@@ -17,6 +17,8 @@
 	// turns are rewritten, so that the journal takes at most about twice the
 	// space of the live turns.
 	sparseShare = 2
+	// maxRewriteBytes is the size of live turns from which on a compaction rewrites no more.
+	maxRewriteBytes = 1 << 20
 	// claimsShare is the part of the retention, as a divisor, for which a segment
 	// without live turns is kept. It limits how often the claims in it are
 	// rewritten.
@@ -30,7 +32,7 @@
 )
 
 // compact starts a new segment if the current one is old, rewrites the live
-// turns of the sparsest other segment, up to [maxBatchBytes] of them, and
+// turns of the sparsest other segment, up to [maxRewriteBytes] of them, and
 // the claims in the segments that have no live turns. It returns these segments, which are to be
 // removed with [Store.removeSegments]. It must be called from the goroutine of [Store.Run], whose
 // writes wait meanwhile.
@@ -98,7 +100,7 @@
 	var keys []turnKey
 	size := 0
 	for _, key := range sparsest.keys {
-		if t := x.turns[key]; t != nil && t.location.Segment == number && size < maxBatchBytes {
+		if t := x.turns[key]; t != nil && t.location.Segment == number && size < maxRewriteBytes {
 			keys = append(keys, key)
 			size += int(t.location.Length)
 		}
--- a/turns/slow_sync_test.go
+++ b/turns/slow_sync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,3 +78,90 @@
 		t.Errorf("the turns were written in %v, want at most %v", took, limit)
 	}
 }
+
+// TestRotationHoldsUpNoReservation guards against reservations that wait while a store starts another
+// segment, which takes three syncs, and so are given up on disks whose syncs take long. A reservation
+// waits for the sync under way and its own one.
+func TestRotationHoldsUpNoReservation(t *testing.T) {
+	const syncTime, outputBytes, interval, load = 400 * time.Millisecond, 100_000, 20 * time.Millisecond, 6 * time.Second
+	c, disks := newSlowCluster(t)
+	w := c.client()
+	if err := settleTurn(withTimeout(t, stepTimeout), w, "choir", "p", "first", ""); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range disks {
+		d.slow(syncTime)
+	}
+	var longest atomic.Int64
+	var g errgroup.Group
+	n := 0
+	for start := time.Now(); time.Since(start) < load; time.Sleep(interval) {
+		n++
+		b := turns.Budget{Account: "choir", Program: types.ProgramID(fmt.Sprint("p", n)), Attempt: "a", Limit: 100, MaxTokens: 10}
+		g.Go(func() error {
+			began := time.Now()
+			if err := w.Reserve(withTimeout(t, stepTimeout), b); err != nil {
+				return err
+			}
+			for took := int64(time.Since(began)); ; {
+				if old := longest.Load(); took <= old || longest.CompareAndSwap(old, took) {
+					break
+				}
+			}
+			turn := turns.Turn{ID: turns.TurnID("t" + b.Program), Account: "choir", Program: b.Program, Output: make([]byte, outputBytes)}
+			return w.Settle(withTimeout(t, stepTimeout), b, 1, &turn)
+		})
+	}
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	took := time.Duration(longest.Load())
+	t.Logf("%d turns of %d bytes; the longest reservation took %v, a sync %v", n, outputBytes, took, syncTime)
+	if limit := 3 * syncTime; took > limit {
+		t.Errorf("a reservation took %v, want at most %v", took, limit)
+	}
+}
+
+// TestCompactionsLeaveTimeForReservations guards against stores that spend most of the time of a disk
+// whose syncs take long on starting, rewriting and removing segments, while reservations wait.
+func TestCompactionsLeaveTimeForReservations(t *testing.T) {
+	const syncTime, load = 200 * time.Millisecond, 6 * time.Second
+	disks := []*slowDisk{{}, {}, {}}
+	c := &cluster{t: t, peers: newPeers(), virtual: true}
+	for _, d := range disks {
+		c.disks = append(c.disks, d.disk())
+	}
+	startCluster(c, 3)
+	w := c.client()
+	if err := settleTurn(withTimeout(t, stepTimeout), w, "choir", "p", "first", ""); err != nil {
+		t.Fatal(err)
+	}
+	ctx := withTimeout(t, load)
+	var g errgroup.Group
+	for i, s := range c.stores {
+		s.SetRetention(time.Minute, 0)
+		disks[i].slow(syncTime)
+		g.Go(func() error {
+			for {
+				c.elapsed.Add(int64(5 * time.Second)) // Each check ages the segments.
+				select {
+				case s.ticks <- time.Time{}:
+				case <-ctx.Done():
+					return nil
+				}
+			}
+		})
+	}
+	n := 0
+	for ctx.Err() == nil {
+		b := turns.Budget{Account: "choir", Program: types.ProgramID(fmt.Sprint("p", n)), Attempt: "a", Limit: 100, MaxTokens: 10}
+		if w.Reserve(ctx, b) == nil {
+			n++
+		}
+	}
+	_ = g.Wait() // The goroutines always return nil.
+	t.Logf("%d reservations, one after the other, within the time of %d syncs", n, load/syncTime)
+	if least := int(load / syncTime / 2); n < least {
+		t.Errorf("%d reservations, one after the other, within the time of %d syncs, want at least %d", n, load/syncTime, least)
+	}
+}
