intake: new connections give way to others if all places are taken by them

Beside a crowd of silent connections that connects again at once, an ordinary caller needed up to hundreds of attempts.

Cause, as suspected: a full listener spared connections younger than 0.5 s that had sent no request. A crowd keeps all places taken by such connections, so places became free only as they reached that age, 300 a second of 150, and went to whichever of some 6,000 new connections a second came next.

If no other connection can give way, the oldest new one without a whole header now does. A caller that sends its request at once keeps its place unless as many connections as there are places arrive before the request is read.

--- a/intake/listener.go
+++ b/intake/listener.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"sync"
@@ -55,7 +56,7 @@
 	Limits func() Limits
 	// MaxConns is how many connections may be open. Beyond it, each new one takes the place of
 	// one that has not sent a request, or else of the one that has been idle for the longest
-	// time. 0 means no limit.
+	// time, or of the oldest one that is new. 0 means no limit.
 	MaxConns int
 
 	sized bool // the buffers of the kernel are those of this package
@@ -204,19 +205,35 @@
 }
 
 // victim returns the connection that is to be closed for a new one, or nil if all have requests
-// that are being handled or are new. It must be called with mu held.
+// that are being handled. New ones without a request come last, the oldest first: if a crowd that
+// connects again and again has taken all places, all of them are new, and if none gave way, other
+// callers would get a place by chance only. A caller that sends its request at once keeps its place
+// unless as many connections as there are places arrive before it is read. It must be called with mu
+// held.
 func (l *Listener) victim() *Conn {
 	b := l.Budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
+	isNew := func(h *Holder) int {
+		if h.phase != Idle && now.Sub(h.since) < stallTime {
+			return 1
+		}
+		return 0
+	}
+	isServed := func(h *Holder) int {
+		if h.served {
+			return 1
+		}
+		return 0
+	}
 	var v *Conn
 	for c := range l.conns {
 		h := c.holder
-		if h.phase == Working || h.evicted || h.phase != Idle && now.Sub(h.since) < stallTime {
+		if h.phase == Working || h.evicted {
 			continue
 		}
-		if v == nil || v.holder.served && !h.served || v.holder.served == h.served && h.since.Before(v.holder.since) {
+		if v == nil || cmp.Or(cmp.Compare(isNew(h), isNew(v.holder)), cmp.Compare(isServed(h), isServed(v.holder)), h.since.Compare(v.holder.since)) < 0 {
 			v = c
 		}
 	}
