fleet: late stores keep their shards though they stop and return one by one

TestManySilentStoresKeepTheirShards failed once at a load of 20 to 23, with 24 moves. It is a real fault. While more stores are silent than may be lost at once, none of them is to lose its shards for 10 s. But a store counted only after 2.5 s, and the first one to reach them was lost at that moment, if the second had sent its last request a little later. And once one store had returned, the other one alone was silent, for more than 2.5 s, and was lost at once. Stores that are late do neither at the same moment.

A store now counts from 1.25 s on, when the leader also begins to check its connection, and the longer time applies for 2.5 s more after the last moment at which too many were late. A single silent store is lost after 2.5 s as before, unless others are late by 1.25 s; one that stays away while the others return, up to 2.5 s later.

The test has both cases, with 0.2 s between the stops and 0.6 s between the returns.

--- a/fleet/control.go
+++ b/fleet/control.go
@@ -77,9 +77,11 @@
 	mu          sync.Mutex // guards id and the fields below, which are valid only on the leader
 	leaderSince types.Mono // start of the leadership that the fields below belong to
 	members     quorum.Members
-	lastSeen    map[turns.StoreID]types.Mono                  // time of each store's last request
-	copied      map[turns.StoreID]map[turns.Shard]turns.Epoch // each store's last report of copied shards
-	lost        map[turns.StoreID]bool                        // the stores whose shards should move, until they send a request
+	lastSeen    map[turns.StoreID]types.Mono // time of each store's last request
+	// manyLateUntil is when returnTime ends after more stores have been late than may be lost.
+	manyLateUntil types.Mono
+	copied        map[turns.StoreID]map[turns.Shard]turns.Epoch // each store's last report of copied shards
+	lost          map[turns.StoreID]bool                        // the stores whose shards should move, until they send a request
 	// platformTargets is the platform's list, sorted by ID. targets is that list
 	// together with what targets have announced.
 	platformTargets []Target
@@ -160,7 +162,7 @@
 	c.leaderSince = leaderSince
 	c.lastSeen = map[turns.StoreID]types.Mono{}
 	c.copied = map[turns.StoreID]map[turns.Shard]turns.Epoch{}
-	c.lost = map[turns.StoreID]bool{}
+	c.lost, c.manyLateUntil = map[turns.StoreID]bool{}, 0
 	c.platformTargets, c.targets, c.zoneSizes = nil, Targets{}, nil
 	c.draining = drain.Table{}
 	c.hostZones = map[types.ZoneID]bool{}
--- a/fleet/silence.go
+++ b/fleet/silence.go
@@ -18,8 +18,14 @@
 	// that cannot bear it, and make every request start again.
 	longStoreTimeout = 4 * storeTimeout
 	// checkAfter is the silence after which the leader checks its own connection to a store.
-	// It leaves time for a ping before storeTimeout.
+	// It leaves time for a ping before storeTimeout. From then on the store counts as late: two
+	// stores that stop at the same time have sent their last requests up to [DefaultSyncWait]
+	// apart, and the first must not be lost before the second counts.
 	checkAfter = storeTimeout / 2
+	// returnTime is how long longStoreTimeout applies to all stores after more have been late
+	// than may be lost at once. Late stores do not return at the same moment, and the last of
+	// them have already been silent for storeTimeout.
+	returnTime = storeTimeout
 )
 
 // silence returns how long a store has not sent a request. It counts from the election, so
@@ -72,22 +78,25 @@
 
 // silenceTimeout returns how long a store may be unresponsive before its shards move.
 func (c *Control) silenceTimeout(m turns.Map, now types.Mono) time.Duration {
-	silent, largestZone, zones := 0, 0, map[types.ZoneID]int{}
+	late, largestZone, zones := 0, 0, map[types.ZoneID]int{}
 	for id, member := range m.Members {
 		if !m.IsAssigned(id) || c.machine.Destroyed(id) {
 			continue
 		}
 		zones[member.Zone]++
 		largestZone = max(largestZone, zones[member.Zone])
-		if !c.live(id, now) {
-			silent++
+		if c.silence(id, now) >= checkAfter {
+			late++
 		}
 	}
 	tolerated := max(1, c.Losses)
 	if c.ZoneLosses > 0 {
 		tolerated = max(tolerated, largestZone)
 	}
-	if silent > tolerated {
+	if late > tolerated {
+		c.manyLateUntil = now.Add(returnTime)
+	}
+	if now < c.manyLateUntil {
 		return longStoreTimeout
 	}
 	return storeTimeout
--- a/fleet/silent_stores_test.go
+++ b/fleet/silent_stores_test.go
@@ -29,21 +29,32 @@
 // unresponsive than may be lost at once, since all of them are late: the copies add to the work
 // of stores that cannot bear it, and each change of a placement makes all requests start again.
 func TestManySilentStoresKeepTheirShards(t *testing.T) {
-	f, events := newFleetWithMap(t, 5)
-	before := events.count(event.ShardMoved)
-	for _, s := range f.stores[:2] {
-		s.stop()
-	}
-	time.Sleep(5 * time.Second)
-	for _, s := range f.stores[:2] {
-		s.run()
+	for _, test := range []struct {
+		name        string
+		stops, runs time.Duration // between those of the two stores
+	}{
+		{"at once", 0, 0},
+		{"the second stops later", 200 * time.Millisecond, 0},
+		{"the second returns later", 0, 600 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f, events := newFleetWithMap(t, 5)
+			before := events.count(event.ShardMoved)
+			f.stores[0].stop()
+			time.Sleep(test.stops)
+			f.stores[1].stop()
+			time.Sleep(5 * time.Second)
+			f.stores[0].run()
+			time.Sleep(test.runs)
+			f.stores[1].run()
+			time.Sleep(time.Second)
+			if n := events.count(event.ShardMoved) - before; n > 0 {
+				t.Errorf("%d moves of shards while two of five stores did not respond for 5 s, and one may be lost", n)
+			}
+			f.stores[0].stop()
+			waitFor(t, "moves from the lost store", func() bool { return events.count(event.ShardMoved) > before })
+		})
 	}
-	time.Sleep(time.Second)
-	if n := events.count(event.ShardMoved) - before; n > 0 {
-		t.Errorf("%d moves of shards while two of five stores did not respond for 5 s, and one may be lost", n)
-	}
-	f.stores[0].stop()
-	waitFor(t, "moves from the lost store", func() bool { return events.count(event.ShardMoved) > before })
 }
 
 // TestLateStoreKeepsItsShards guards against shards that move from a store that is only late: its
