gate: the test of planned ends waits for the probe

TestPlannedEndIsNoCrash failed in 4 of some 47 runs at a load of 35 to 40, and once at 47: 2 crashes reported instead of 1. The test is wrong: it slept for 150 ms until its target had been probed, which happens 100 ms after the end, and then listed the next target under the same ID. If the probe was later, the list no longer had the first target as draining, and its end counted as a crash, as it should.

The test now waits until the log shows the probe.

--- a/gate/crash_test.go
+++ b/gate/crash_test.go
@@ -54,6 +54,16 @@
 	}
 }
 
+// awaitProbe waits until a target has been probed after an interrupted request.
+func (b *testbed) awaitProbe() {
+	b.t.Helper()
+	for start := time.Now(); !strings.Contains(b.log.String(), `"event":505`); time.Sleep(10 * time.Millisecond) {
+		if time.Since(start) > 30*time.Second {
+			b.t.Fatal("no target was probed")
+		}
+	}
+}
+
 // TestEndedTargetIsReported guards against missing that a target ended while it ran a
 // request, and against taking a target for ended that only broke off its response.
 func TestEndedTargetIsReported(t *testing.T) {
@@ -96,8 +106,8 @@
 			b.gate.TargetsChanged(nil)
 		})
 		b.send(testRequest{path: "/charge/", key: "choir-key", body: "first"})
-		time.Sleep(150 * time.Millisecond) // Until the target is probed.
-		b.addCrashingTarget("plain")       // Under the same ID.
+		b.awaitProbe()
+		b.addCrashingTarget("plain") // Under the same ID, so that the end before is no longer planned.
 		b.gate.TargetsChanged(b.fleet.View().Targets)
 		b.send(testRequest{path: "/charge/", key: "choir-key", body: "second"})
 		want := map[bool]int{true: 1, false: 2}[draining]
