--- a/quorum/merge.go
+++ b/quorum/merge.go
@@ -35,8 +35,9 @@
 }
 
 // mergeAfterSync adds a message, which replaces an earlier one of the same kind to the same
-// replica; the confirmation of a probe, see cold.go, is not of the kind of a pre-vote. Of two acknowledgements in the same term, the highest index and time count, since
-// a log that matches that of a term's leader continues to do so.
+// replica; the confirmation of a probe, see cold.go, is not of the kind of a pre-vote. Of two
+// acknowledgements in the same term, the highest index and time count, since a log that matches
+// that of a term's leader continues to do so.
 func (o *Output) mergeAfterSync(m Message) {
 	i := slices.IndexFunc(o.AfterSync, func(p Message) bool {
 		return p.Kind == m.Kind && p.To == m.To && (m.Kind != MsgPreVoteReply || p.Cold == m.Cold)
--- a/turns/client.go
+++ b/turns/client.go
@@ -125,7 +125,9 @@
 
 // admit reports whether a reservation is admitted, and waits for it as [Client.ReserveWithin] does.
 func (c *Client) admit(ctx context.Context, b Budget) bool {
-	defer admissionSeconds.UpdateDuration(time.Now())
+	if b.Continues {
+		defer admissionSeconds.UpdateDuration(time.Now())
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		limited, cancel := context.WithTimeout(ctx, time.Until(deadline)/admissionShare)
 		defer cancel()
--- /dev/null
+++ b/turns/write.go
@@ -0,0 +1,192 @@
+package turns
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/store"
+	"github.com/banyanspur/banyanspur/types"
+)
+
+// pendingWrite is a list of records that waits for the disk. The error of the
+// write, or nil, is sent to done.
+type pendingWrite struct {
+	records []record
+	// skipKnown leaves out turns that the store already has when the write begins.
+	skipKnown bool
+	done      chan<- error
+}
+
+// Run performs the writes to disk until ctx ends. The first thing it does is to start a segment: the
+// first requests would wait for that, which takes three syncs.
+func (s *Store) Run(ctx context.Context) error {
+	defer s.journal.Close()
+	if err := s.journal.Prepare(); err != nil {
+		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "step": "rotate"}) // The first write tries again.
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var g errgroup.Group
+	g.Go(func() error {
+		s.createSpares(ctx)
+		return nil
+	})
+	defer func() {
+		cancel()
+		_ = g.Wait() // The goroutine always returns nil.
+	}()
+	s.wantSpare()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case w := <-s.queue:
+			s.writeBatch(s.collectBatch(w), nil)
+		case unused := <-s.compactions:
+			unused <- s.compact()
+		}
+		if s.journal.Size() > maxSegmentBytes {
+			if err := s.rotate(); err != nil {
+				s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "step": "rotate"})
+			}
+		}
+	}
+}
+
+// createSpares creates segments ahead until ctx ends.
+func (s *Store) createSpares(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.spareWanted:
+		}
+		if err := s.journal.CreateSpare(); err != nil {
+			s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "step": "rotate"}) // The rotation tries again.
+		}
+	}
+}
+
+// wantSpare lets a segment be created ahead.
+func (s *Store) wantSpare() {
+	select {
+	case s.spareWanted <- struct{}{}:
+	default:
+	}
+}
+
+// collectBatch returns the given writes and those in the queue, up to
+// [maxBatchBytes], so that they share one sync.
+func (s *Store) collectBatch(batch ...pendingWrite) []pendingWrite {
+	size := 0
+	for size < maxBatchBytes {
+		select {
+		case w := <-s.queue:
+			batch = append(batch, w)
+			for _, r := range w.records {
+				size += r.payloadBytes()
+			}
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// payloadBytes returns the size of the turn's input and output, or 0 for a
+// program.
+func (r record) payloadBytes() int {
+	if r.Turn == nil {
+		return 0
+	}
+	return len(r.Turn.Input) + len(r.Turn.Output)
+}
+
+// rewrite is a record that is written again, so that its segment can be removed.
+type rewrite struct {
+	encoded []byte
+	// moved is called with the new location once the record is durable. The caller holds mu.
+	moved func(store.Location)
+}
+
+// writeBatch appends all records of a batch, and rewrites, to the journal with one sync, adds
+// them to the index and reports the outcome to each write.
+func (s *Store) writeBatch(batch []pendingWrite, rewrites []rewrite) error {
+	records := s.recordsToWrite(batch)
+	encoded := make([][]byte, 0, len(records)+len(rewrites))
+	for _, r := range records {
+		encoded = append(encoded, types.Encode(r))
+	}
+	for _, r := range rewrites {
+		encoded = append(encoded, r.encoded)
+	}
+	batchWrites.Update(float64(len(batch)))
+	startedAt := time.Now()
+	locations, err := s.journal.Append(encoded)
+	appendSeconds.UpdateDuration(startedAt)
+	if err != nil {
+		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "records": len(encoded)})
+	} else {
+		s.mu.Lock()
+		for i, r := range records {
+			s.index.add(r, locations[i], s.retained)
+		}
+		for i, r := range rewrites {
+			r.moved(locations[len(records)+i])
+		}
+		s.mu.Unlock()
+	}
+	for _, w := range batch {
+		w.done <- err
+	}
+	return err
+}
+
+// recordsToWrite returns the records of a batch. Requests that are repeated while the
+// disk stalls wait for it together with the first ones: their turns are written once.
+func (s *Store) recordsToWrite(batch []pendingWrite) []record {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var records []record
+	added := map[turnKey]bool{}
+	for _, w := range batch {
+		for _, r := range w.records {
+			if r.Turn != nil {
+				key := turnKey{r.Turn.Account, r.Turn.ID}
+				if w.skipKnown && (added[key] || s.index.hasTurn(*r.Turn)) {
+					continue
+				}
+				added[key] = true
+			}
+			records = append(records, r)
+		}
+	}
+	return records
+}
+
+// persist writes records to the journal and returns once they are durable.
+func (s *Store) persist(ctx context.Context, records ...record) error {
+	return s.enqueue(ctx, pendingWrite{records: records})
+}
+
+// enqueue queues a write and returns once it is durable.
+func (s *Store) enqueue(ctx context.Context, w pendingWrite) error {
+	done := make(chan error, 1)
+	w.done = done
+	select {
+	case s.queue <- w:
+	case <-ctx.Done():
+		return errOverloaded
+	}
+	select {
+	case err := <-done:
+		if err != nil {
+			return errDiskFailed
+		}
+		return nil
+	case <-ctx.Done():
+		return errOverloaded.WithRan(types.MayHaveRun)
+	}
+}
