quorum: the members of a group are read beside its founding

ReadMembers, which answers the others meanwhile, looked for the

group without members; whoever asked joined without any.

--- a/quorum/durable.go
+++ b/quorum/durable.go
@@ -70,7 +70,13 @@
 	}
 	if b == nil {
 		joined, err := store.HasFrames(dir)
-		return joined, Members{}, err
+		if err != nil || !joined {
+			return false, Members{}, err
+		}
+		// BootstrapOn, which another goroutine may have called meanwhile, writes the snapshot first.
+		if b, err = store.ReadSnapshot(dir); err != nil || b == nil {
+			return err == nil, Members{}, err
+		}
 	}
 	s, err := types.DecodeStored[Snapshot](b)
 	return err == nil, s.Members, err
--- a/quorum/members_test.go
+++ b/quorum/members_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/banyanspur/banyanspur/quorum"
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -54,3 +56,28 @@
 		})
 	}
 }
+
+// TestMembersAreReadBesideBootstrap guards against a host that reports, to one that asks while it
+// founds the group, that the group exists and has no members. The other one would take part in it
+// without knowing them, and never stand for election.
+func TestMembersAreReadBesideBootstrap(t *testing.T) {
+	want := quorum.Members{Voters: []quorum.Member{{ID: "h0/x", Host: "h0"}, {ID: "h1/x", Host: "h1"}}}
+	for range 300 {
+		dir := t.TempDir()
+		var g errgroup.Group
+		g.Go(func() error { return quorum.Bootstrap(dir, want) })
+		for joined := false; !joined; {
+			var got quorum.Members
+			var err error
+			if joined, got, err = quorum.ReadMembers(dir); err != nil {
+				t.Fatal(err)
+			}
+			if joined && !got.Equal(want) {
+				t.Errorf("the group exists with the members %+v", got)
+			}
+		}
+		if err := g.Wait(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
