quorum: three tests share how they create their replica

A read of the change: two new tests repeated the setup of TestCompactionKeepsLongBacklog. Their checks are the same. Measured: the three tests pass.

--- a/quorum/backlog_test.go
+++ b/quorum/backlog_test.go
@@ -23,14 +23,7 @@
 func TestCompactionKeepsLongBacklog(t *testing.T) {
 	const entries, entryBytes, firstCommit = 24, 1 << 20, 20
 	dir := t.TempDir()
-	self, err := quorum.LoadOrCreateID(dir, "h0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	members := quorum.Members{Voters: []quorum.Member{{ID: self, Host: "h0"}, {ID: "h1/x", Host: "h1"}, {ID: "h2/x", Host: "h2"}}}
-	if err := quorum.Bootstrap(dir, members); err != nil {
-		t.Fatal(err)
-	}
+	self, _ := bootstrapOneOfThree(t, dir)
 	disk := &secondFrameFails{}
 	f := startFollower(t, dir, store.Disk{Write: disk.write})
 	appendEntry := func(i quorum.Index) quorum.Message {
@@ -148,3 +141,18 @@
 	defer d.mu.Unlock()
 	return d.failed
 }
+
+// bootstrapOneOfThree creates a replica of host h0 in dir, in a group with two others that do not run.
+// It returns its ID and the members of the group.
+func bootstrapOneOfThree(t *testing.T, dir string) (quorum.ReplicaID, quorum.Members) {
+	t.Helper()
+	self, err := quorum.LoadOrCreateID(dir, "h0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	members := quorum.Members{Voters: []quorum.Member{{ID: self, Host: "h0"}, {ID: "h1/x", Host: "h1"}, {ID: "h2/x", Host: "h2"}}}
+	if err := quorum.Bootstrap(dir, members); err != nil {
+		t.Fatal(err)
+	}
+	return self, members
+}
--- a/quorum/dense_test.go
+++ b/quorum/dense_test.go
@@ -42,14 +42,7 @@
 	const n = 1 << 20
 	dense := append(binary.BigEndian.AppendUint32([]byte{0x9a}, n), bytes.Repeat([]byte{0xf6}, n)...)
 	dir := t.TempDir()
-	self, err := quorum.LoadOrCreateID(dir, "h0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	members := quorum.Members{Voters: []quorum.Member{{ID: self, Host: "h0"}, {ID: "h1/x", Host: "h1"}, {ID: "h2/x", Host: "h2"}}}
-	if err := quorum.Bootstrap(dir, members); err != nil {
-		t.Fatal(err)
-	}
+	self, members := bootstrapOneOfThree(t, dir)
 	m := &items{applied: make(chan int, 10)}
 	r := &quorum.Replica[[]item, int]{Dir: dir, Host: "h0", Machine: m, Clock: types.NewClock(), Send: func(quorum.Message) {}}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/quorum/election_test.go
+++ b/quorum/election_test.go
@@ -55,14 +55,7 @@
 	for _, test := range tests {
 		t.Run(test.outcome, func(t *testing.T) {
 			dir := t.TempDir()
-			self, err := quorum.LoadOrCreateID(dir, "h0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			members := quorum.Members{Voters: []quorum.Member{{ID: self, Host: "h0"}, {ID: "h1/x", Host: "h1"}, {ID: "h2/x", Host: "h2"}}}
-			if err := quorum.Bootstrap(dir, members); err != nil {
-				t.Fatal(err)
-			}
+			self, _ := bootstrapOneOfThree(t, dir)
 			var log lockedBuffer
 			sent := make(chan quorum.Message, 1000)
 			r := &quorum.Replica[[]byte, int]{
