soak: the next disk is lost as soon as it may be

The soak waited up to 40 s until all copies of a lost disk were complete before it took the next one, so that late copies showed nowhere: callers count from catch_up_s after the start of the store that lost its disk.

TestDisksLostAtCatchUp takes the next disk at that time.

--- /dev/null
+++ b/soak/catchup_test.go
@@ -0,0 +1,54 @@
+package soak_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+)
+
+// fillTime is how long stores are written to before the first disk is lost. With the time until the
+// final fault, it is less than the retention, so that all turns must be copied.
+var (
+	fillTime  = flag.Duration("fill", 5*time.Second, "how long stores are written to before a disk is lost")
+	slowSyncs = flag.Duration("sync", 0, "how long syncs take at least; 0 means that of the size")
+)
+
+// TestDisksLostAtCatchUp guards against turns that are lost with a disk, since the store that lost its
+// disk before has not copied all of its turns by the time after which the next one may be lost. The
+// stores hold what the whole rate of the deployment writes in fillTime.
+func TestDisksLostAtCatchUp(t *testing.T) {
+	size := deploymentSizes[*sizeName]
+	size.fleet.syncTime = max(size.fleet.syncTime, *slowSyncs)
+	runDeployment(t, size, *first, faultPlan{(*deployment).loseOldestDisks, (*deployment).loseDisksAndPower})
+}
+
+// loseOldestDisks takes the oldest disks, as many as may be lost at once, and returns at the time
+// after which the next ones may be lost.
+func (d *deployment) loseOldestDisks() {
+	time.Sleep(*fillTime)
+	f := d.fleet
+	hosts := f.oldestDiskHosts()
+	d.during(hosts[0], "disks lost", false, func() { f.loseDisks(hosts, time.Second) })
+	restartedAt := time.Now()
+	for !f.shardsComplete() && time.Since(restartedAt) < f.catchUpTime() {
+		time.Sleep(20 * time.Millisecond)
+	}
+	d.note("copies complete: %t, %v after the restart of %s; load average %s", f.shardsComplete(), time.Since(restartedAt).Round(time.Millisecond), hosts[0].name, loadAverage())
+	time.Sleep(time.Until(restartedAt.Add(f.catchUpTime())))
+}
+
+// loseDisksAndPower takes the oldest disks right after a turn was answered, while all other hosts
+// lose power.
+func (d *deployment) loseDisksAndPower() time.Time {
+	f := d.fleet
+	disks := f.oldestDiskHosts()
+	d.awaitTurn()
+	d.during(&testHost{name: "group"}, "power and disks lost", false, func() { f.losePower(disks, time.Second) })
+	return time.Now()
+}
+
+// catchUpTime is the time after which the next disk may be lost, counted from the start of the host
+// that lost the one before.
+func (f *fleet) catchUpTime() time.Duration {
+	return time.Duration(f.size.catchUp * float64(time.Second))
+}
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -79,7 +79,7 @@
 		t.Fatalf("no size %q", *sizeName)
 	}
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runDeployment(t, size, seed, false) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runDeployment(t, size, seed, longRun) })
 	}
 }
 
@@ -87,13 +87,33 @@
 // short time and without replaced hosts.
 func TestWholeDeployments(t *testing.T) {
 	for _, name := range []string{"orders", "booking"} {
-		t.Run(name, func(t *testing.T) { runDeployment(t, deploymentSizes[name], *first, true) })
+		t.Run(name, func(t *testing.T) { runDeployment(t, deploymentSizes[name], *first, shortRun) })
 	}
 }
 
-// runDeployment runs a deployment with the faults of a seed. A short run has a single burst of
-// faults.
-func runDeployment(t *testing.T, size deploymentSize, seed uint64, short bool) {
+// faultPlan is what happens to a deployment under load: inject returns once its faults have ended, and
+// end injects the final fault and returns when all hosts have been started again.
+type faultPlan struct {
+	inject func(d *deployment)
+	end    func(d *deployment) time.Time
+}
+
+// The fault plans of long and short runs. A short run has a single burst of faults.
+var (
+	longRun = faultPlan{func(d *deployment) {
+		d.replaceHosts()
+		d.retireStore()
+		d.injectSeries(*duration)
+		time.Sleep(calmTime + window)
+	}, (*deployment).injectFinalFault}
+	shortRun = faultPlan{func(d *deployment) {
+		d.injectSeries(shortSeries)
+		time.Sleep(calmTime + window)
+	}, (*deployment).injectFinalFault}
+)
+
+// runDeployment runs a deployment with faults that depend on a seed.
+func runDeployment(t *testing.T, size deploymentSize, seed uint64, plan faultPlan) {
 	begin := time.Now()
 	size.fleet.plan = changingPlan(seed, size.slots, size.cacheTokens)
 	c, tg := startSize(t, size.fleet, seed, size.models, size.plain)
@@ -141,16 +161,9 @@
 	defer finish() // Also if a wait has timed out.
 	g.Go(func() error { d.disruptLoad(ctx, seed, programs); return nil })
 	types.Sleep(ctx, calmTime+window)
-	if short {
-		d.injectSeries(shortSeries)
-	} else {
-		d.replaceHosts()
-		d.retireStore()
-		d.injectSeries(*duration)
-	}
-	types.Sleep(ctx, calmTime+window)
+	plan.inject(d)
 	atFault := d.completedTurns(maxSample)
-	restartedAt = d.injectFinalFault()
+	restartedAt = plan.end(d)
 	recovered := d.continueAfter(atFault, seed, restartedAt.Add(d.recoveryTime()))
 	types.Sleep(ctx, time.Until(restartedAt.Add(d.recoveryTime())))
 	d.checkTurns()
--- a/soak/disruptions_test.go
+++ b/soak/disruptions_test.go
@@ -137,10 +137,10 @@
 	old, added := f.hosts[i], f.newHost(i)
 	d.during(added, "added, to replace "+old.name, false, func() { f.start(added, false) })
 	// A new host counts as lost until it has caught up.
-	time.Sleep(time.Duration(f.size.catchUp * float64(time.Second)))
+	time.Sleep(f.catchUpTime())
 	if f.rand.IntN(2) == 0 {
 		d.loseAfter("disks lost after a change", old, func() { d.awaitChange() })
-		time.Sleep(time.Duration(f.size.catchUp * float64(time.Second)))
+		time.Sleep(f.catchUpTime())
 	}
 	begin := time.Now()
 	waitFor(f.t, old.name+" to be emptied", func() bool {
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -62,6 +62,11 @@
 //
 //	taskset -c 0-3 go test ./soak -run TestDeploymentUnderFaults -timeout 0 -size orders -first 1 -finalsync 300ms
 //
+// TestDisksLostAtCatchUp takes the next disk at the time after which it may be lost, whether the copies
+// for the one before are complete or not. By hand, stores are filled for longer, and on slow disks:
+//
+//	go test ./soak -run TestDisksLostAtCatchUp -timeout 0 -size orders -first 1 -fill 25s -sync 300ms
+//
 // Not injected: slow syncs at other times, links of a limited rate to callers and targets, and entry hosts that
 // do not answer callers at all: a killed process resets its connections.
 package soak
