fleet: the moves of all shards share their syncs

Turns were lost with the second of two disks.

They are proposed at the same time now; the log writes what is proposed together in one sync. With 300 ms a sync on the control hosts, all shards of an empty store have moved after 2.4 s instead of 10.2 s (TestMovesShareSlowSyncs, which failed before; 4.9 s are allowed).

--- a/fleet/reform.go
+++ b/fleet/reform.go
@@ -87,18 +87,24 @@
 	return &Reform{Shard: shard, Epoch: p.Epoch, Expired: true}
 }
 
-// proposeReform proposes a [Reform] and logs it. It returns false if it was not applied. A
-// refusal by [Control.refuseCommandSet] is logged when its text changes.
-func (c *Control) proposeReform(ctx context.Context, r *Reform, p turns.Placement, lastRefusal *string) bool {
-	fields := event.Fields{"shard": r.Shard, "epoch": r.Epoch + 1, "current": p.Current, "next": p.Next, "left": r.Current, "to": r.Next}
-	if refusal := c.refuseCommandSet(ctx, CommandSetReform); refusal != "" {
-		if refusal != *lastRefusal {
-			fields["refusal"] = refusal
-			c.Log.Write(event.ShardReformed, fields)
-		}
-		*lastRefusal = refusal
+// mayReform reports whether the control hosts can apply the reforms among commands. A refusal by
+// [Control.refuseCommandSet] is logged when its text changes.
+func (c *Control) mayReform(ctx context.Context, commands []Command, lastRefusal *string) bool {
+	i := slices.IndexFunc(commands, func(command Command) bool { return command.Reform != nil })
+	if i < 0 {
 		return false
 	}
+	refusal := c.refuseCommandSet(ctx, CommandSetReform)
+	if refusal != "" && refusal != *lastRefusal {
+		c.Log.Write(event.ShardReformed, event.Fields{"shard": commands[i].Reform.Shard, "refusal": refusal})
+	}
+	*lastRefusal = refusal
+	return refusal == ""
+}
+
+// proposeReform proposes a [Reform] and logs it. It returns false if it was not applied.
+func (c *Control) proposeReform(ctx context.Context, r *Reform, p turns.Placement) bool {
+	fields := event.Fields{"shard": r.Shard, "epoch": r.Epoch + 1, "current": p.Current, "next": p.Next, "left": r.Current, "to": r.Next}
 	result, err := c.propose(ctx, Command{Reform: r})
 	switch {
 	case err != nil || !result.Changed:
--- a/fleet/shards.go
+++ b/fleet/shards.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
@@ -37,20 +39,35 @@
 		if err != nil {
 			continue // This host is not the leader.
 		}
-		for _, command := range commands {
+		c.proposeShards(ctx, commands, shardMap, &lastRefusal)
+	}
+	return nil
+}
+
+// proposeShards proposes the commands of one round. Commands that are not applied are computed anew in
+// the next round, or by the next leader. Moves are proposed at the same time, so that they share syncs: a
+// lost disk moves all shards of a store, which must be copied before the next one may be lost.
+func (c *Control) proposeShards(ctx context.Context, commands []Command, shardMap turns.Map, lastRefusal *string) {
+	mayReform := c.mayReform(ctx, commands, lastRefusal)
+	var g errgroup.Group
+	for _, command := range commands {
+		g.Go(func() error {
 			if r := command.Reform; r != nil {
-				c.proposeReform(ctx, r, shardMap.Placement(r.Shard), &lastRefusal)
-				continue // If it was not applied, the next round computes it anew.
+				if mayReform {
+					c.proposeReform(ctx, r, shardMap.Placement(r.Shard))
+				}
+				return nil
 			}
 			if _, err := c.propose(ctx, command); err != nil {
-				break // The next round, or the next leader, computes the commands anew.
+				return nil //nolint:nilerr // Documented above.
 			}
 			if m := command.Move; m != nil {
 				c.Log.Write(event.ShardMoved, event.Fields{"shard": m.Shard, "epoch": m.Epoch + 1, "to": m.Next, "done": m.Done})
 			}
-		}
+			return nil
+		})
 	}
-	return nil
+	_ = g.Wait() // The goroutines always return nil.
 }
 
 // nextCommands returns the commands that bring the shard map closer to the
