turns: copies do not wait for the sync of each part

Turns were lost with the second of two disks: the store that had lost the first one had not copied them within the time after which the next one may be lost. A copy requested no further part from a source, and held one of eight places for parts, until the last part was durable, and requested none before the claims of each list were.

Turns that were used last are fetched first, since they are the ones that callers continue.

--- a/turns/copy.go
+++ b/turns/copy.go
@@ -157,12 +157,15 @@
 			return err
 		}
 	}
+	if err := c.awaitWrites(ctx); err != nil {
+		return err
+	}
 	s.markCopied(shard, p.Epoch, sources, c.fetched)
 	return nil
 }
 
 // listMissing adds the turns that this store needs of a shard to c, and returns the
-// number of stores that have listed theirs. It makes the claims that they have durable.
+// number of stores that have listed theirs. It writes the claims that they have.
 func (s *Store) listMissing(ctx context.Context, c *shardCopy, shard Shard) (sources int, err error) {
 	if !c.pace.acquire(ctx) {
 		return 0, ctx.Err()
@@ -173,14 +176,13 @@
 		return 0, err
 	}
 	for id, list := range lists {
-		if err := s.persistPrograms(ctx, list.Programs); err != nil {
-			return 0, err
-		}
+		c.write(func(ctx context.Context) error { return s.persistPrograms(ctx, list.Programs) })
 		s.mu.Lock()
 		c.addMissing(&s.index, s.retained, id, list.Turns)
 		s.mu.Unlock()
 	}
 	c.removeReplicated(c.shardMap.Placement(shard).Next)
+	c.sortMissing()
 	c.pace.addMissing(c.missingBytes())
 	return len(lists), nil
 }
--- a/turns/fetch.go
+++ b/turns/fetch.go
@@ -62,7 +62,11 @@
 	shardMap *Map
 	peers    *wire.Pool
 	missing  map[turnKey]*missingTurn
-	pace     *copyPace
+	// order holds the keys of missing, those of the turns that were used last first: if the copy is not
+	// complete before another disk is lost, callers are least likely to continue the others. It may hold
+	// turns that are no longer missing.
+	order []turnKey
+	pace  *copyPace
 	// failures counts the failed and late requests to each source. The source with the fewest
 	// is asked next, and among equal ones that from which a part would arrive first.
 	failures map[StoreID]int
@@ -72,7 +76,10 @@
 	// does the work of each request that it gets, so that it would be later still if they were
 	// given up and repeated.
 	requests map[StoreID]*fetchRequest
-	results  chan storeResult[FetchReply]
+	results  chan fetchResult
+	// writes get the outcomes of the writes of what was listed and fetched. The copy goes on
+	// meanwhile, and is complete once all have ended without an error.
+	writes []<-chan error
 	// partBytes is the size of a part. It is halved after a failed or late request, since a
 	// part may be too large for fetchTimeout over a slow link, and doubled by one in time.
 	partBytes int
@@ -86,6 +93,12 @@
 	late   bool // the turns may be requested from other sources, too
 }
 
+// fetchResult is the outcome of a request for a part, whose turns are written in the background.
+type fetchResult struct {
+	storeResult[FetchReply]
+	written <-chan error
+}
+
 // missingTurn is a turn that has not been fetched yet.
 type missingTurn struct {
 	bytes   int
@@ -98,7 +111,7 @@
 func newShardCopy(m *Map, peers *wire.Pool, pace *copyPace) *shardCopy {
 	return &shardCopy{
 		shardMap: m, peers: peers, pace: pace, missing: map[turnKey]*missingTurn{}, failures: map[StoreID]int{},
-		requests: map[StoreID]*fetchRequest{}, results: make(chan storeResult[FetchReply], len(m.Members)), partBytes: maxCopyBytes,
+		requests: map[StoreID]*fetchRequest{}, results: make(chan fetchResult, len(m.Members)), partBytes: maxCopyBytes,
 	}
 }
 
@@ -130,6 +143,13 @@
 	}
 }
 
+// sortMissing sorts the turns in the order in which they are fetched.
+func (c *shardCopy) sortMissing() {
+	c.order = slices.SortedFunc(maps.Keys(c.missing), func(a, b turnKey) int {
+		return cmp.Compare(c.missing[a].age, c.missing[b].age)
+	})
+}
+
 // missingBytes returns the size of the turns that are missing.
 func (c *shardCopy) missingBytes() int64 {
 	var sum int64
@@ -149,11 +169,17 @@
 		}
 		source, _ := c.nextSource() // Others may have become faster meanwhile.
 		refs, size := c.nextPart(source)
+		written, ok := c.pace.acquireWrite(ctx, size)
+		if !ok {
+			c.pace.release()
+			return ctx.Err()
+		}
 		if c.pace.wait(ctx, size); ctx.Err() != nil {
+			written()
 			c.pace.release()
 			return ctx.Err()
 		}
-		c.request(s, source, refs)
+		c.request(s, source, refs, written)
 	}
 	timer := time.NewTimer(time.Until(c.nextLate()))
 	defer timer.Stop()
@@ -169,9 +195,9 @@
 }
 
 // request requests turns from a source in the background, and ends what acquire has begun when
-// the reply is stored or late. What arrives is stored also if the copy has ended meanwhile,
-// since the next one of the shard needs it as well.
-func (c *shardCopy) request(s *Store, source StoreID, refs []TurnRef) {
+// the reply has arrived or is late. It writes what has arrived, also if the copy has ended meanwhile,
+// since the next one of the shard needs it as well, and then calls ended.
+func (c *shardCopy) request(s *Store, source StoreID, refs []TurnRef, ended func()) {
 	c.requests[source] = &fetchRequest{refs: refs, lateAt: time.Now().Add(fetchTimeout)}
 	c.setRequested(refs, true)
 	ages := map[turnKey]time.Duration{}
@@ -179,23 +205,50 @@
 		key := turnKey{ref.Account, ref.ID}
 		ages[key] = c.missing[key].age
 	}
-	link, ended := c.peers.Link(c.shardMap.Members[source].Address), c.pace.requested(source)
+	link, arrived := c.peers.Link(c.shardMap.Members[source].Address), c.pace.requested(source)
 	release := sync.OnceFunc(c.pace.release)
 	late := time.AfterFunc(fetchTimeout, release)
+	written := make(chan error, 1)
 	c.pace.group.Go(func() error {
 		ctx := c.pace.ctx
-		defer release()
-		defer late.Stop()
+		defer ended()
 		reply, err := callStore[FetchRequest, FetchReply](ctx, link, KindFetch, FetchRequest{To: source, Turns: refs}, fetchTimeout, maxReplyTime)
-		ended()
+		arrived()
+		late.Stop()
+		release()
+		c.results <- fetchResult{storeResult[FetchReply]{store: source, reply: reply, err: err}, written} // Has room for one of each source.
 		if err == nil {
-			err = s.persistCopied(ctx, reply.Turns, ages)
+			written <- s.persistCopied(ctx, reply.Turns, ages)
 		}
-		c.results <- storeResult[FetchReply]{store: source, reply: reply, err: err} // Has room for one of each source.
 		return nil
 	})
 }
 
+// write performs a write of the copy in the background.
+func (c *shardCopy) write(do func(ctx context.Context) error) {
+	written := make(chan error, 1)
+	c.writes = append(c.writes, written)
+	c.pace.group.Go(func() error {
+		written <- do(c.pace.ctx)
+		return nil
+	})
+}
+
+// awaitWrites waits until all that was listed and fetched is durable.
+func (c *shardCopy) awaitWrites(ctx context.Context) error {
+	for _, written := range c.writes {
+		select {
+		case err := <-written:
+			if err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // setRequested records of missing turns whether a request for them is under way that is not
 // late.
 func (c *shardCopy) setRequested(refs []TurnRef, requested bool) {
@@ -237,7 +290,7 @@
 }
 
 // receive handles the end of a request.
-func (c *shardCopy) receive(result storeResult[FetchReply]) error {
+func (c *shardCopy) receive(result fetchResult) error {
 	r := c.requests[result.store]
 	delete(c.requests, result.store)
 	if !r.late { // Otherwise another request for them may be under way.
@@ -253,6 +306,7 @@
 		return nil
 	}
 	c.failed = 0
+	c.writes = append(c.writes, result.written)
 	if !r.late {
 		c.partBytes = min(2*c.partBytes, maxCopyBytes)
 	}
@@ -292,10 +346,11 @@
 	}), true
 }
 
-// nextPart returns some missing turns that a source has, and their size.
+// nextPart returns the next missing turns that a source has, and their size.
 func (c *shardCopy) nextPart(source StoreID) (refs []TurnRef, size int) {
-	for key, m := range c.missing {
-		if size < c.partBytes && !m.requested && slices.Contains(m.sources, source) {
+	for _, key := range c.order {
+		m := c.missing[key]
+		if size < c.partBytes && m != nil && !m.requested && slices.Contains(m.sources, source) {
 			refs = append(refs, TurnRef{Account: key.account, ID: key.id})
 			size += m.bytes
 		}
--- a/turns/pace.go
+++ b/turns/pace.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -28,20 +29,25 @@
 	minRateShards = 4
 	// maxConcurrentParts limits the lists and parts that are requested at the same time and
 	// not late, and so their memory: 2 MB on the links, and some 6 MB decoded. At 13 MB/s, it
-	// allows for 150 ms from a request until the part is on disk. Late parts are bounded by one
+	// allows for 150 ms from a request until the reply. Late parts are bounded by one
 	// of each source of a shard.
 	maxConcurrentParts = 8
+	// maxUnwrittenBytes limits the turns that are requested or wait for the disk. A disk whose
+	// syncs take 600 ms still takes 13 MB/s.
+	maxUnwrittenBytes = maxBatchBytes
 )
 
 // copyPace spreads the copies of all shards of a store over the time that is left for
 // them, and over their sources. It is safe for concurrent use.
 type copyPace struct {
-	opened   time.Time       // when the store was opened
-	span     time.Duration   // the time for all copies, or 0 if there is no limit
-	linkRate float64         // the most that copies may take, in bytes per second; 0 for no limit
-	parts    chan struct{}   // holds an element for each list or part that is requested
-	group    errgroup.Group  // runs the requests for parts
-	ctx      context.Context //nolint:containedctx // Ends the requests for parts, which outlive the copy of a shard.
+	opened   time.Time     // when the store was opened
+	span     time.Duration // the time for all copies, or 0 if there is no limit
+	linkRate float64       // the most that copies may take, in bytes per second; 0 for no limit
+	parts    chan struct{} // holds an element for each list or part that is requested
+	// unwritten holds the bytes that are requested or wait for the disk.
+	unwritten *semaphore.Weighted
+	group     errgroup.Group  // runs the requests for parts, and writes
+	ctx       context.Context //nolint:containedctx // Ends the requests for parts, which outlive the copy of a shard.
 
 	mu      sync.Mutex // guards the fields below
 	shards  int        // that are being copied
@@ -60,7 +66,7 @@
 func newCopyPace(ctx context.Context, opened time.Time, catchUp time.Duration, linkBytesPerSecond float64) *copyPace {
 	return &copyPace{
 		ctx: ctx, opened: opened, span: time.Duration(catchUpShare * float64(catchUp)), linkRate: linkCopyShare * linkBytesPerSecond,
-		parts: make(chan struct{}, maxConcurrentParts), sources: map[StoreID]*sourceLoad{},
+		parts: make(chan struct{}, maxConcurrentParts), unwritten: semaphore.NewWeighted(maxUnwrittenBytes), sources: map[StoreID]*sourceLoad{},
 	}
 }
 
@@ -106,8 +112,7 @@
 }
 
 // acquire waits until a list or a part may be requested, and reports whether it may:
-// not if ctx has ended. The caller must call release after it has stored the reply, or once the
-// reply is late.
+// not if ctx has ended. The caller must call release after the reply, or once that is late.
 func (p *copyPace) acquire(ctx context.Context) bool {
 	select {
 	case p.parts <- struct{}{}:
@@ -119,6 +124,16 @@
 
 func (p *copyPace) release() { <-p.parts }
 
+// acquireWrite waits until turns of the given size may be requested, and reports whether they may:
+// not if ctx has ended. The caller must call written once they are written or the request has failed.
+func (p *copyPace) acquireWrite(ctx context.Context, bytes int) (written func(), ok bool) {
+	n := min(int64(bytes), maxUnwrittenBytes)
+	if p.unwritten.Acquire(ctx, n) != nil {
+		return nil, false
+	}
+	return func() { p.unwritten.Release(n) }, true
+}
+
 // wait waits until a part of the given size may be requested.
 func (p *copyPace) wait(ctx context.Context, bytes int) {
 	p.mu.Lock()
--- a/turns/pace_test.go
+++ b/turns/pace_test.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/banyanspur/banyanspur/store"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -122,3 +123,20 @@
 		c.restartStore(i)
 	}
 }
+
+// TestCopiesEndWithinCatchUpOnSlowDisk guards against turns that are lost with the next disk, since the
+// copies of a lost one wait for the sync of each part and each list on a disk whose syncs take long.
+func TestCopiesEndWithinCatchUpOnSlowDisk(t *testing.T) {
+	const catchUp, syncTime = 8300 * time.Millisecond, 300 * time.Millisecond
+	c := newLostDisk(t, 2400, 18<<10)
+	slow := &slowDisk{simulated: true}
+	slow.slow(syncTime)
+	c.disks = []store.Disk{{}, {}, {}, slow.disk()}
+	c.catchUp = catchUp
+	took := c.copyAll()
+	t.Logf("copied in %v, a sync takes %v", took, syncTime)
+	if took > catchUp {
+		t.Errorf("the copies were complete after %v, want less than %v", took, catchUp)
+	}
+	c.requireMajorities()
+}
