turns, event: copies and slow writes of stores can be told from logs and metrics

Whether turns were lost since copies were late, and whether a store or its disk was, could not be told from what a host reports: event 212 had no time, and writes of stores that take long had no event.

Event 212 has the bytes and the times of a copy and since the start of the store, event 223 tells of writes that take 250 ms or longer, two metrics of what is missing and how long copies take.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -38,6 +38,7 @@
 	ElectionStarted      = Kind{220, logrus.InfoLevel, "replica requests votes"}
 	ElectionLost         = Kind{221, logrus.WarnLevel, "election has ended without making the replica the leader"}
 	VoteStored           = Kind{222, logrus.InfoLevel, "vote of a replica is durable"}
+	StoreWriteSlow       = Kind{223, logrus.WarnLevel, "disk took long for a write of a store"}
 	OrderDecided         = Kind{301, logrus.InfoLevel, "configuration order decided"}
 	ConfigApplied        = Kind{302, logrus.InfoLevel, "configuration version in force"}
 	LeaseLost            = Kind{303, logrus.WarnLevel, "configuration lease ran out, requests are refused"}
@@ -101,7 +102,7 @@
 		LeaderElected, LeaderLost, LogTruncated, LogCorrupt, SnapshotWritten,
 		SnapshotInstalled, StorageFailed, DiskIOFailed, GroupBootstrapped, MembersChanged,
 		ShardMoved, ShardCopied, CopyFailed, ExpiryUnproven, StoreCapacity, ShardReformed, ReformExpired, DiskSlow, MembershipInDoubt,
-		ElectionStarted, ElectionLost, VoteStored,
+		ElectionStarted, ElectionLost, VoteStored, StoreWriteSlow,
 		OrderDecided, ConfigApplied, LeaseLost, LeaseAcquired, PlanApplied, PlanRefused,
 		TargetsChanged, LeaderReached, LeaderUnreachable, ZoneOrderDecided, ZonesApplied, ServicesEvacuated, EntryDropped,
 		CallOutcomeUnknown, CallQuarantined, SessionExpired, CallCloseFailed,
--- a/turns/copy.go
+++ b/turns/copy.go
@@ -145,6 +145,7 @@
 // it is then on as many of them as any acknowledged write.
 func (s *Store) copyShard(ctx context.Context, peers *wire.Pool, pace *copyPace, m *Map, shard Shard) error {
 	p := m.Placement(shard)
+	startedAt := time.Now()
 	c := newShardCopy(m, peers, pace)
 	pace.begin()
 	defer func() { pace.end(c.missingBytes()) }()
@@ -160,7 +161,10 @@
 	if err := c.awaitWrites(ctx); err != nil {
 		return err
 	}
-	s.markCopied(shard, p.Epoch, sources, c.fetched)
+	copySeconds.UpdateDuration(startedAt)
+	s.markCopied(shard, p.Epoch, event.Fields{
+		"from": sources, "turns": c.fetched, "bytes": c.fetchedBytes, "tookMs": time.Since(startedAt).Milliseconds(), "sinceStartMs": time.Since(s.opened).Milliseconds(),
+	})
 	return nil
 }
 
@@ -246,13 +250,13 @@
 	return nil, lastErr
 }
 
-// markCopied records and logs that a shard was copied completely, with turnCount
-// turns from the given number of sources.
-func (s *Store) markCopied(shard Shard, epoch Epoch, sources, turnCount int) {
+// markCopied records and logs that a shard was copied completely. fields tell how.
+func (s *Store) markCopied(shard Shard, epoch Epoch, fields event.Fields) {
 	s.mu.Lock()
 	s.copiedEpochs[shard] = epoch
 	s.mu.Unlock()
-	s.Log.Write(event.ShardCopied, event.Fields{"shard": shard, "epoch": epoch, "from": sources, "turns": turnCount})
+	fields["shard"], fields["epoch"] = shard, epoch
+	s.Log.Write(event.ShardCopied, fields)
 }
 
 // copyFromEarlierBuild copies all turns from a store that cannot list them. The
--- a/turns/fetch.go
+++ b/turns/fetch.go
@@ -83,7 +83,8 @@
 	// partBytes is the size of a part. It is halved after a failed or late request, since a
 	// part may be too large for fetchTimeout over a slow link, and doubled by one in time.
 	partBytes int
-	fetched   int
+	// fetched and fetchedBytes count the turns that were fetched, and their inputs and outputs.
+	fetched, fetchedBytes int
 }
 
 // fetchRequest is a request for a part that has no reply yet.
@@ -311,6 +312,9 @@
 		c.partBytes = min(2*c.partBytes, maxCopyBytes)
 	}
 	c.fetched += len(result.reply.Turns)
+	for _, t := range result.reply.Turns {
+		c.fetchedBytes += t.dataBytes()
+	}
 	before := c.missingBytes()
 	c.remove(result.store, r.refs, result.reply.Turns)
 	c.pace.addMissing(c.missingBytes() - before)
--- a/turns/pace.go
+++ b/turns/pace.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
 
@@ -63,6 +64,11 @@
 	parts    int           // that are requested from it now
 }
 
+var (
+	copyMissing = metrics.NewGauge("banyanspur_turns_copy_missing_bytes", nil)
+	copySeconds = metrics.NewHistogram("banyanspur_turns_copy_seconds")
+)
+
 func newCopyPace(ctx context.Context, opened time.Time, catchUp time.Duration, linkBytesPerSecond float64) *copyPace {
 	return &copyPace{
 		ctx: ctx, opened: opened, span: time.Duration(catchUpShare * float64(catchUp)), linkRate: linkCopyShare * linkBytesPerSecond,
@@ -102,6 +108,7 @@
 	defer p.mu.Unlock()
 	p.shards--
 	p.missing -= missing
+	copyMissing.Set(float64(p.missing))
 }
 
 // addMissing adds to the bytes that are missing.
@@ -109,6 +116,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.missing += bytes
+	copyMissing.Set(float64(p.missing))
 }
 
 // acquire waits until a list or a part may be requested, and reports whether it may:
--- a/turns/pace_test.go
+++ b/turns/pace_test.go
@@ -140,3 +140,40 @@
 	}
 	c.requireMajorities()
 }
+
+// TestCopiesFetchRecentTurnsFirst guards against copies that leave the turns which callers are about to
+// continue to the end, so that these are lost if another disk is lost before.
+func TestCopiesFetchRecentTurnsFirst(t *testing.T) {
+	const count, bytes = 40, 64 << 10
+	c := startCluster(&cluster{t: t, peers: newPeers(), virtual: true, linkBytesPerSecond: 1 << 20}, 3)
+	write := func(name string) (ids []turns.TurnID) {
+		for i := range count {
+			turn := turns.Turn{ID: turns.TurnID(fmt.Sprint(name, i)), Input: make([]byte, bytes)}
+			c.writeTurnOn(turn, "p", 0, 2)
+			ids = append(ids, turn.ID)
+		}
+		return ids
+	}
+	older := write("older")
+	c.advance(4 * time.Second)
+	recent := write("recent")
+	c.stores[2].shutDown()
+	added := c.addStore()
+	c.setMap(c.movingMap(0, 1, added))
+	copied := func(ids []turns.TurnID) (n int) {
+		for _, id := range ids {
+			if c.storeHas(added, id) {
+				n++
+			}
+		}
+		return n
+	}
+	waitFor(t, func() bool { return copied(recent) > count/2 })
+	if n := copied(older); n > 0 {
+		t.Errorf("%d of %d older turns were copied before the recent ones", n, count)
+	}
+	c.endMove(added)
+	if n := copied(older) + copied(recent); n != 2*count {
+		t.Errorf("%d of %d turns were copied", n, 2*count)
+	}
+}
--- a/turns/write.go
+++ b/turns/write.go
@@ -126,6 +126,9 @@
 	startedAt := time.Now()
 	locations, err := s.journal.Append(encoded)
 	appendSeconds.UpdateDuration(startedAt)
+	if took := time.Since(startedAt); took > slowWrite {
+		s.Log.Write(event.StoreWriteSlow, event.Fields{"ms": took.Milliseconds(), "writes": len(batch), "bytes": encodedBytes(encoded)})
+	}
 	if err != nil {
 		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "records": len(encoded)})
 	} else {
@@ -144,6 +147,16 @@
 	return err
 }
 
+// slowWrite is how long a write of a batch takes at least to be logged.
+const slowWrite = 250 * time.Millisecond
+
+func encodedBytes(records [][]byte) (n int) {
+	for _, b := range records {
+		n += len(b)
+	}
+	return n
+}
+
 // recordsToWrite returns the records of a batch. Requests that are repeated while the
 // disk stalls wait for it together with the first ones: their turns are written once.
 func (s *Store) recordsToWrite(batch []pendingWrite) []record {
