soak: the limits of accounts are those of the deployments, and change

Accounts had limits of 1,000 requests a second, some 18 times what they ask for. Deployments give 1.6 times that, and change it.

--- a/soak/changes_test.go
+++ b/soak/changes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -50,7 +51,8 @@
 	tryouts [tryoutRoutes]bool
 	added   []int // numbers of the routes /added/NUMBER/
 	keys    [keyedKeys]bool
-	moving  string // account of movingKey
+	moving  string  // account of movingKey
+	rate    float64 // one of accountRates
 }
 
 // stateOf returns the state of a version. Each part of it may change every changedEvery versions,
@@ -81,6 +83,7 @@
 	if random(2) == 0 {
 		s.moving = keyedAccount
 	}
+	s.rate = accountRates[random(len(accountRates))]
 	for n := max(0, version/addedEvery-1); n <= version/addedEvery; n++ {
 		s.added = append(s.added, n)
 	}
@@ -130,13 +133,14 @@
 
 // changingPlan returns the plans of a deployment by version. Each is that of deploymentPlan
 // and a planState.
-func changingPlan(seed uint64, slots, cacheTokens int) func(version int) []byte {
+// Accounts may send requestRate times one of accountRates.
+func changingPlan(seed uint64, slots, cacheTokens int, requestRate float64) func(version int) []byte {
 	return func(version int) []byte {
 		var doc map[string]any
-		if err := json.Unmarshal(deploymentPlan(version, slots, cacheTokens), &doc); err != nil {
+		s := stateOf(seed, version)
+		if err := json.Unmarshal(deploymentPlan(version, slots, cacheTokens, int(math.Ceil(requestRate*s.rate))), &doc); err != nil {
 			panic(err) // Cannot happen: the document is valid JSON.
 		}
-		s := stateOf(seed, version)
 		paths := []string{"/moved/", "/split/", "/timed/", "/keyed/"}
 		for i, present := range s.tryouts {
 			if present {
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -115,7 +115,11 @@
 // runDeployment runs a deployment with faults that depend on a seed.
 func runDeployment(t *testing.T, size deploymentSize, seed uint64, plan faultPlan) {
 	begin := time.Now()
-	size.fleet.plan = changingPlan(seed, size.slots, size.cacheTokens)
+	programs := size.programs
+	if *rate > 0 {
+		programs = *rate
+	}
+	size.fleet.plan = changingPlan(seed, size.slots, size.cacheTokens, size.requestRate(programs))
 	c, tg := startSize(t, size.fleet, seed, size.models, size.plain)
 	tg.mu.Lock()
 	tg.events, tg.varied, tg.eventGap, tg.slowTurns, tg.calls = size.events, size.varied, turnEventGap, slowTurns, map[string]time.Duration{}
@@ -138,10 +142,6 @@
 	defer cancel()
 	var g errgroup.Group
 	g.Go(func() error { b.run(ctx); return nil })
-	programs := size.programs
-	if *rate > 0 {
-		programs = *rate
-	}
 	g.Go(func() error { d.load.run(ctx, seed, programs, size.kinds); return nil })
 	g.Go(func() error { d.change(ctx, seed); return nil })
 	g.Go(func() error { d.sendChecks(ctx, seed); return nil })
--- a/soak/programs_test.go
+++ b/soak/programs_test.go
@@ -53,9 +53,9 @@
 	accounts = 8
 )
 
-// deploymentPlan returns the plan of a deployment with the given version, whose targets have
-// engines of the given size.
-func deploymentPlan(version, slots, cacheTokens int) []byte {
+// deploymentPlan returns the plan of a deployment with the given version and rate limit of each
+// account, whose targets have engines of the given size.
+func deploymentPlan(version, slots, cacheTokens, accountRate int) []byte {
 	route := func(prefix, kind, service string, timeout time.Duration, objective, priority int) map[string]any {
 		return map[string]any{
 			"name": "r" + prefix, "hostname": "soak.example", "path_prefix": prefix, "route_kind": kind, "timeout_ms": timeout.Milliseconds(),
@@ -76,7 +76,7 @@
 	}
 	for i := range accounts {
 		name := accountName(i)
-		list = append(list, map[string]any{"name": name, "api_keys": []string{"key-" + name}, "per_s": 1000, "burst": 1000})
+		list = append(list, map[string]any{"name": name, "api_keys": []string{"key-" + name}, "per_s": accountRate, "burst": accountRate})
 	}
 	b, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "tenants": list, "note": fmt.Sprint("version ", version),
@@ -91,6 +91,23 @@
 	return b
 }
 
+// accountRates are the rate limits of an account, as factors of what it asks for at the mean. The
+// first is that of the deployments.
+var accountRates = []float64{1.6, 2.5}
+
+// requestRate returns how many requests an account sends a second at the mean.
+func (s deploymentSize) requestRate(programs float64) float64 {
+	turns := 0.0
+	for _, k := range s.kinds {
+		turns += k.share * float64(k.turns)
+	}
+	calls := 0.0
+	for _, c := range toolCalls {
+		calls += c.share
+	}
+	return programs * turns * (1 + calls) / accounts
+}
+
 func accountName(i int) string { return fmt.Sprint("account-", i) }
 
 // balancer chooses the entry host of new connections, as a load balancer does that checks
