host: the peak of memory is that of the process alone

Event 110, memory near the limit, was logged at each start of a process in the soak, with peaks of 0.8 to 1.7 GB: getrusage(2) reports the peak of the process that forked it, too. An operator who looks for processes that ended by their memory is misled.

The peak comes from /proc/self/status. TestPeakIsThatOfTheProcess failed before (a peak of 225 MB in a child that used 15 MB).

--- a/host/memory.go
+++ b/host/memory.go
@@ -9,7 +9,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/types"
@@ -76,24 +75,33 @@
 	return nil
 }
 
-// readMemoryUse returns the memory that this process uses.
+// readMemoryUse returns the memory that this process uses. The peak that getrusage(2) reports is no
+// use: it includes that of the process from which this one was forked.
 func readMemoryUse() (MemoryUse, error) {
-	b, err := os.ReadFile("/proc/self/statm")
+	b, err := os.ReadFile("/proc/self/status")
 	if err != nil {
 		return MemoryUse{}, errors.Wrap(err, "host: read memory in use")
 	}
-	fields := strings.Fields(string(b))
-	if len(fields) < 2 {
-		return MemoryUse{}, errors.Newf("host: memory in use: %q", b)
+	now, err := statusBytes(b, "VmRSS:")
+	if err != nil {
+		return MemoryUse{}, err
 	}
-	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	peak, err := statusBytes(b, "VmHWM:")
 	if err != nil {
-		return MemoryUse{}, errors.Wrap(err, "host: read memory in use")
+		return MemoryUse{}, err
 	}
-	var usage unix.Rusage
-	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
-		return MemoryUse{}, errors.Wrap(err, "host: read peak of memory")
+	return MemoryUse{Now: now, Peak: max(now, peak)}, nil
+}
+
+// statusBytes returns the value of a line of /proc/self/status in bytes.
+func statusBytes(status []byte, name string) (int64, error) {
+	for line := range strings.Lines(string(status)) {
+		value, ok := strings.CutPrefix(line, name)
+		if !ok {
+			continue
+		}
+		kb, err := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")), 10, 64)
+		return kb << 10, errors.Wrapf(err, "host: memory in use: %s", line)
 	}
-	now := pages * int64(os.Getpagesize())
-	return MemoryUse{Now: now, Peak: max(now, usage.Maxrss<<10)}, nil
+	return 0, errors.Newf("host: memory in use: no line %s", name)
 }
--- a/host/memory_test.go
+++ b/host/memory_test.go
@@ -1,8 +1,12 @@
 package host_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"os"
+	"os/exec"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -87,3 +91,24 @@
 		t.Errorf("%v: %s", err, log.String())
 	}
 }
+
+// TestPeakIsThatOfTheProcess guards against events that tell of memory near the limit, on each start of
+// a process whose parent has used as much.
+func TestPeakIsThatOfTheProcess(t *testing.T) {
+	const limit, childEnv = 200 << 20, "MEMORY_TEST_CHILD"
+	if os.Getenv(childEnv) != "" {
+		w := host.MemoryWatch{Limit: func() int64 { return limit }, Log: event.New(os.Stdout)}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_ = w.Run(ctx) // It always returns nil.
+		return
+	}
+	used := bytes.Repeat([]byte{1}, limit)
+	child := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$")
+	child.Env = append(os.Environ(), childEnv+"=1")
+	output, err := child.CombinedOutput()
+	runtime.KeepAlive(used)
+	if err != nil || strings.Contains(string(output), `"event":110`) {
+		t.Errorf("%v: %s", err, output)
+	}
+}
