turns: a late source takes no room before the disk from copies

Two sources that do not reply held all 8 MiB with one part of each of 16 shards, and no turn was fetched from the others.

Only turns that have arrived count.

--- a/turns/fetch.go
+++ b/turns/fetch.go
@@ -170,17 +170,11 @@
 		}
 		source, _ := c.nextSource() // Others may have become faster meanwhile.
 		refs, size := c.nextPart(source)
-		written, ok := c.pace.acquireWrite(ctx, size)
-		if !ok {
-			c.pace.release()
-			return ctx.Err()
-		}
 		if c.pace.wait(ctx, size); ctx.Err() != nil {
-			written()
 			c.pace.release()
 			return ctx.Err()
 		}
-		c.request(s, source, refs, written)
+		c.request(s, source, refs)
 	}
 	timer := time.NewTimer(time.Until(c.nextLate()))
 	defer timer.Stop()
@@ -196,9 +190,9 @@
 }
 
 // request requests turns from a source in the background, and ends what acquire has begun when
-// the reply has arrived or is late. It writes what has arrived, also if the copy has ended meanwhile,
-// since the next one of the shard needs it as well, and then calls ended.
-func (c *shardCopy) request(s *Store, source StoreID, refs []TurnRef, ended func()) {
+// the reply has arrived and there is room for it before the disk, or is late. What arrives is written
+// also if the copy has ended meanwhile, since the next one of the shard needs it as well.
+func (c *shardCopy) request(s *Store, source StoreID, refs []TurnRef) {
 	c.requests[source] = &fetchRequest{refs: refs, lateAt: time.Now().Add(fetchTimeout)}
 	c.setRequested(refs, true)
 	ages := map[turnKey]time.Duration{}
@@ -212,19 +206,31 @@
 	written := make(chan error, 1)
 	c.pace.group.Go(func() error {
 		ctx := c.pace.ctx
-		defer ended()
 		reply, err := callStore[FetchRequest, FetchReply](ctx, link, KindFetch, FetchRequest{To: source, Turns: refs}, fetchTimeout, maxReplyTime)
 		arrived()
+		var writeEnded func()
+		if err == nil {
+			writeEnded, err = c.pace.acquireWrite(ctx, reply.dataBytes())
+		}
 		late.Stop()
 		release()
 		c.results <- fetchResult{storeResult[FetchReply]{store: source, reply: reply, err: err}, written} // Has room for one of each source.
 		if err == nil {
 			written <- s.persistCopied(ctx, reply.Turns, ages)
+			writeEnded()
 		}
 		return nil
 	})
 }
 
+// dataBytes returns the size of the inputs and outputs of a reply.
+func (r FetchReply) dataBytes() (n int) {
+	for _, t := range r.Turns {
+		n += t.dataBytes()
+	}
+	return n
+}
+
 // write performs a write of the copy in the background.
 func (c *shardCopy) write(do func(ctx context.Context) error) {
 	written := make(chan error, 1)
@@ -312,9 +318,7 @@
 		c.partBytes = min(2*c.partBytes, maxCopyBytes)
 	}
 	c.fetched += len(result.reply.Turns)
-	for _, t := range result.reply.Turns {
-		c.fetchedBytes += t.dataBytes()
-	}
+	c.fetchedBytes += result.reply.dataBytes()
 	before := c.missingBytes()
 	c.remove(result.store, r.refs, result.reply.Turns)
 	c.pace.addMissing(c.missingBytes() - before)
--- a/turns/pace.go
+++ b/turns/pace.go
@@ -33,7 +33,7 @@
 	// allows for 150 ms from a request until the reply. Late parts are bounded by one
 	// of each source of a shard.
 	maxConcurrentParts = 8
-	// maxUnwrittenBytes limits the turns that are requested or wait for the disk. A disk whose
+	// maxUnwrittenBytes limits the turns that have arrived and wait for the disk. A disk whose
 	// syncs take 600 ms still takes 13 MB/s.
 	maxUnwrittenBytes = maxBatchBytes
 )
@@ -45,7 +45,7 @@
 	span     time.Duration // the time for all copies, or 0 if there is no limit
 	linkRate float64       // the most that copies may take, in bytes per second; 0 for no limit
 	parts    chan struct{} // holds an element for each list or part that is requested
-	// unwritten holds the bytes that are requested or wait for the disk.
+	// unwritten holds the bytes that have arrived and wait for the disk.
 	unwritten *semaphore.Weighted
 	group     errgroup.Group  // runs the requests for parts, and writes
 	ctx       context.Context //nolint:containedctx // Ends the requests for parts, which outlive the copy of a shard.
@@ -120,7 +120,8 @@
 }
 
 // acquire waits until a list or a part may be requested, and reports whether it may:
-// not if ctx has ended. The caller must call release after the reply, or once that is late.
+// not if ctx has ended. The caller must call release after the reply may wait for the disk, or once it is
+// late.
 func (p *copyPace) acquire(ctx context.Context) bool {
 	select {
 	case p.parts <- struct{}{}:
@@ -132,14 +133,14 @@
 
 func (p *copyPace) release() { <-p.parts }
 
-// acquireWrite waits until turns of the given size may be requested, and reports whether they may:
-// not if ctx has ended. The caller must call written once they are written or the request has failed.
-func (p *copyPace) acquireWrite(ctx context.Context, bytes int) (written func(), ok bool) {
+// acquireWrite waits until turns of the given size, which have arrived, may wait for the disk. It fails if
+// ctx ends before. The caller must call ended once they are written.
+func (p *copyPace) acquireWrite(ctx context.Context, bytes int) (ended func(), err error) {
 	n := min(int64(bytes), maxUnwrittenBytes)
-	if p.unwritten.Acquire(ctx, n) != nil {
-		return nil, false
+	if err := p.unwritten.Acquire(ctx, n); err != nil {
+		return nil, err
 	}
-	return func() { p.unwritten.Release(n) }, true
+	return func() { p.unwritten.Release(n) }, nil
 }
 
 // wait waits until a part of the given size may be requested.
