soak: hosts that lose a disk must catch up in time; added hosts have new disks

The soak waited for copies and did not check the time. It does now, by catch_up_s of the deployment, from the start of the host. Hosts that the soak adds had no time of their start, so that the oldest disk of a fleet was often the newest one.

--- a/soak/replace_test.go
+++ b/soak/replace_test.go
@@ -45,7 +45,7 @@
 func (f *fleet) newHost(i int) *testHost {
 	f.t.Helper()
 	old := f.hosts[i]
-	h := &testHost{t: f.t, role: old.role, zone: old.zone, number: len(f.started) + 1, dir: f.t.TempDir(), binary: old.binary}
+	h := &testHost{t: f.t, role: old.role, zone: old.zone, number: len(f.started) + 1, dir: f.t.TempDir(), binary: old.binary, emptiedAt: time.Now()}
 	h.name = fmt.Sprintf("%s-%d", h.role, h.number-1)
 	f.startRelay(h)
 	return h
--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -26,6 +26,8 @@
 	calmSpan = 10 * time.Second
 	// maxEntriesDown is the share of the entry hosts that faults may hit at the same time.
 	maxEntriesDown = 0.16
+	// emptyTime is longer than a host that has lost its disk is down.
+	emptyTime = 5 * time.Second
 	// restartDelay is how often processes that have exited by themselves are started again.
 	restartDelay = 500 * time.Millisecond
 )
@@ -204,7 +206,8 @@
 	g.Wait()
 }
 
-// waitHost waits until a host with a disk does not count as lost.
+// waitHost waits until a host with a disk that has just been started does not count as lost. One that
+// has lost its disk must have caught up by the time after which the next one may be lost.
 func (d *deployment) waitHost(h *testHost, what string) {
 	begin := time.Now()
 	recovered := func() bool { return d.fleet.isVoter(h) }
@@ -218,7 +221,11 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	d.note("%s recovered %v after: %s", h.name, time.Since(begin).Round(time.Millisecond), what)
+	took := time.Since(begin)
+	d.note("%s recovered %v after: %s", h.name, took.Round(time.Millisecond), what)
+	if h.emptiedAt.After(begin.Add(-emptyTime)) && took > d.fleet.catchUpTime() {
+		d.t.Errorf("%s has caught up %v after its start with an empty disk, the next one may be lost after %v", h.name, took, d.fleet.catchUpTime())
+	}
 }
 
 // during records a fault, or a planned stop, of a host while do runs.
