turns: one stall of the stores lowers the bound on reservations once

First turns were refused for long, and turns that continue others waited for their admission, after the disks of the stores had stalled: each reservation that was in progress was late and lowered the bound by 0.7, so that 10 of them brought it from 64 to 2.

Of the reservations that one stall makes late only the first one lowers the bound, from what was in progress: the others had begun before.

--- a/turns/admit.go
+++ b/turns/admit.go
@@ -21,6 +21,8 @@
 	// cut is by how much the bound is below maxReservations. It is between 0 and
 	// maxReservations - minReservations.
 	cut float64
+	// cutAt is when a late reservation has last lowered the bound.
+	cutAt time.Time
 	// waiting are reservations of turns that continue others, oldest first. Each channel is closed
 	// once its reservation is admitted. There are none unless the bound is reached.
 	waiting []chan struct{}
@@ -33,8 +35,8 @@
 	// minReservations are always admitted: their outcome shows whether the stores are
 	// still slow.
 	minReservations = 2
-	// admissionDecrease is the part of the bound that is left after a reservation that has
-	// taken too long. Each one in time raises the bound by one.
+	// admissionDecrease is the part of the reservations in progress that the bound still allows after
+	// one has taken too long. Each one in time raises the bound by one.
 	admissionDecrease = 0.7
 	// admissionRetryAfter is the retry delay of reservations that are refused: the time in
 	// which the outcome of one that was admitted is known.
@@ -92,17 +94,20 @@
 	unknown         // nothing: the caller has left, or a majority of the shard's stores is not connected
 )
 
-// end records the outcome of a reservation, and admits those that wait for it.
-func (a *admission) end(o outcome) {
+// end records the outcome of a reservation that has begun at a time, and admits those that wait for
+// it. Of the reservations that one stall of the stores makes late, only the first one lowers the bound:
+// the others had begun before, and say nothing of how the stores bear the lower one.
+func (a *admission) end(o outcome, begun time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	bound := min(maxReservations-a.cut, float64(a.inProgress))
 	a.inProgress--
-	switch o {
-	case inTime:
+	switch {
+	case o == inTime:
 		a.cut = max(0, a.cut-1)
-	case late:
-		a.cut = maxReservations - max(minReservations, (maxReservations-a.cut)*admissionDecrease)
-	case unknown:
+	case o == late && begun.After(a.cutAt):
+		a.cut = maxReservations - max(minReservations, bound*admissionDecrease)
+		a.cutAt = time.Now()
 	}
 	for len(a.waiting) > 0 && a.hasRoom() {
 		close(a.waiting[0])
--- a/turns/admit_test.go
+++ b/turns/admit_test.go
@@ -136,3 +136,39 @@
 	}
 	_ = g.Wait() // The goroutines always return nil.
 }
+
+// TestStallLowersBoundOnce guards against first turns that are refused for long after a stall of the
+// stores' disks, since each of the reservations that were in progress lowers the bound, to the lowest
+// one.
+func TestStallLowersBoundOnce(t *testing.T) {
+	const stalled, rest, timeout = 40, 20, 500 * time.Millisecond
+	c, disks := newSlowCluster(t)
+	w := c.client()
+	if err := settleTurn(withTimeout(t, stepTimeout), w, "choir", "p", "first", ""); err != nil {
+		t.Fatal(err)
+	}
+	reserve := func(n int, program string) (refused int64) {
+		var notSent atomic.Int64
+		var g errgroup.Group
+		for i := range n {
+			g.Go(func() error {
+				b := turns.Budget{Account: "choir", Program: types.ProgramID(fmt.Sprint(program, i)), Attempt: "a", Limit: 100, MaxTokens: 10}
+				if turns.NotSent(w.ReserveWithin(withTimeout(t, stepTimeout), b, timeout)) {
+					notSent.Add(1)
+				}
+				return nil
+			})
+		}
+		_ = g.Wait() // The goroutines always return nil.
+		return notSent.Load()
+	}
+	for _, d := range disks {
+		d.stall(2 * timeout)
+	}
+	if n := reserve(stalled, "stalled"); n > 0 {
+		t.Errorf("%d of %d reservations were refused before any was late", n, stalled)
+	}
+	if n := reserve(rest, "rest"); n > 0 {
+		t.Errorf("%d of %d reservations at a time were refused after %d were late by one stall", n, rest, stalled)
+	}
+}
--- a/turns/client.go
+++ b/turns/client.go
@@ -111,10 +111,11 @@
 		reservationsRefused.Inc()
 		return errStoresSlow
 	}
+	begun := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := c.reserve(ctx, b)
-	c.admission.end(c.outcomeOf(ctx, ShardOf(b.Account, b.Program), err))
+	c.admission.end(c.outcomeOf(ctx, ShardOf(b.Account, b.Program), err), begun)
 	return err
 }
 
