gate: turns that continue others wait for their stores for three quarters of their time

Another try needs the same stores, and one more write of them.

A turn that continues another one may wait for three quarters of its time, up to 6 s; first turns as before. TestContinuingTurnOutlastsStall: a stall of 3.2 s of 5 s was answered 503 after 2.5 s, and is served now.

--- a/gate/late_store_test.go
+++ b/gate/late_store_test.go
@@ -28,6 +28,24 @@
 	}
 }
 
+// TestContinuingTurnOutlastsStall guards against a turn that continues another one and is refused since
+// the disks of its stores stall for more than half of its time: its caller counts it as lost.
+func TestContinuingTurnOutlastsStall(t *testing.T) {
+	b := newTestbed(t)
+	b.addTarget("models", streamEvents("one"))
+	if code, body := b.send(turnRequest("a", "", "first;", "1000")); code != http.StatusOK {
+		t.Fatal(code, body)
+	}
+	b.syncLatency.Store(int64(3200 * time.Millisecond))
+	time.AfterFunc(time.Second, func() { b.syncLatency.Store(0) })
+	begin := time.Now()
+	code, body := b.send(turnRequest("b", "a", "second;", "1000"))
+	want := fmt.Sprint(http.StatusOK, " id: 0\ndata: one\n\n")
+	if diff := cmp.Diff(want, fmt.Sprint(code, " ", body)); diff != "" {
+		t.Errorf("a store whose disk stalls for 3.2 s; the caller waits for 5 s; after %v (-want +got):\n%s", time.Since(begin), diff)
+	}
+}
+
 // TestTurnsWaitForSlowSyncs guards against turns that are refused though stores that take 0.9 s for
 // a sync could claim and write all of them before their callers' deadlines, 5 s: a claim that just
 // misses a sync takes two. Each one that is given up lowers the bound on reservations, until most
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -28,11 +28,19 @@
 	// them about as long as its claim, so after more than half of the time it could not be written
 	// before the deadline.
 	admitShare = 2
+	// continueShare is the part of its remaining time, instead, that a turn may wait which continues
+	// another one. Stores that are late by more than half of that time have mostly had a stall of their
+	// disks, and write the turn at once after it. Its caller relies on the turn before.
+	continueShare = 0.75
 )
 
 // admitTimeout returns the timeout for admitting a turn that has the given time left.
-func admitTimeout(remaining time.Duration) time.Duration {
-	return min(remaining, max(minAdmitTimeout, min(remaining/admitShare, maxAdmitTimeout)))
+func admitTimeout(remaining time.Duration, continues bool) time.Duration {
+	share, longest := remaining/admitShare, maxAdmitTimeout
+	if continues {
+		share, longest = time.Duration(continueShare*float64(remaining)), maxCommitTimeout
+	}
+	return min(remaining, max(minAdmitTimeout, min(share, longest)))
 }
 
 // admit concurrently deducts the request from the account's rate limit, fetches the
@@ -46,7 +54,7 @@
 	if !c.turn.hasClaim && c.turn.previous == "" {
 		return c.takeFromLimit()
 	}
-	timeout := admitTimeout(c.remaining())
+	timeout := admitTimeout(c.remaining(), c.turn.previous != "")
 	ctx, cancel := withTimeout(c.r.Context(), c.gate.answersCtx, c.remaining())
 	defer cancel()
 	claimCtx, cancelClaim := context.WithCancel(ctx)
