turns: a late reservation leaves a quarter of the bound; tests of admission have disks of their own

Read again: with 2 reservations in progress, one that is late lowered the bound from 64 to 2, and a host refused the third first turn at once. It leaves at least a quarter of the bound now.

The bounds are unchanged.

--- a/turns/admit.go
+++ b/turns/admit.go
@@ -38,6 +38,9 @@
 	// admissionDecrease is the part of the reservations in progress that the bound still allows after
 	// one has taken too long. Each one in time raises the bound by one.
 	admissionDecrease = 0.7
+	// leastDecrease is the least part of the bound that is left then: a host with few reservations in
+	// progress must not refuse the next few because of one that was late.
+	leastDecrease = 0.25
 	// admissionRetryAfter is the retry delay of reservations that are refused: the time in
 	// which the outcome of one that was admitted is known.
 	admissionRetryAfter = 500 * time.Millisecond
@@ -100,13 +103,14 @@
 func (a *admission) end(o outcome, begun time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	bound := min(maxReservations-a.cut, float64(a.inProgress))
+	bound := maxReservations - a.cut
+	lower := max(minReservations, bound*leastDecrease, min(bound, float64(a.inProgress))*admissionDecrease)
 	a.inProgress--
 	switch {
 	case o == inTime:
 		a.cut = max(0, a.cut-1)
 	case o == late && begun.After(a.cutAt):
-		a.cut = maxReservations - max(minReservations, bound*admissionDecrease)
+		a.cut = maxReservations - lower
 		a.cutAt = time.Now()
 	}
 	for len(a.waiting) > 0 && a.hasRoom() {
--- a/turns/admit_test.go
+++ b/turns/admit_test.go
@@ -58,6 +58,9 @@
 // admitted at a time. Callers of the former count them as lost after some tries.
 func TestContinuingTurnsAreAdmittedFirst(t *testing.T) {
 	c, disks := newSlowCluster(t)
+	for _, d := range disks {
+		d.simulate() // A stall of the machine's own disk makes reservations late, too.
+	}
 	w := c.client()
 	if err := settleTurn(withTimeout(t, stepTimeout), w, "choir", "p", "first", ""); err != nil {
 		t.Fatal(err)
@@ -107,6 +110,9 @@
 func TestWaitForAdmissionLeavesTime(t *testing.T) {
 	const remaining = 900 * time.Millisecond // As of the last try of a caller.
 	c, disks := newSlowCluster(t)
+	for _, d := range disks {
+		d.simulate() // A stall of the machine's own disk makes reservations late, too.
+	}
 	w := c.client()
 	if err := settleTurn(withTimeout(t, stepTimeout), w, "choir", "p", "first", ""); err != nil {
 		t.Fatal(err)
@@ -143,6 +149,9 @@
 func TestStallLowersBoundOnce(t *testing.T) {
 	const stalled, rest, timeout = 40, 20, 500 * time.Millisecond
 	c, disks := newSlowCluster(t)
+	for _, d := range disks {
+		d.simulate() // A stall of the machine's own disk makes reservations late, too.
+	}
 	w := c.client()
 	if err := settleTurn(withTimeout(t, stepTimeout), w, "choir", "p", "first", ""); err != nil {
 		t.Fatal(err)
