--- a/turns/admit_test.go
+++ b/turns/admit_test.go
@@ -16,7 +16,12 @@
 // TestShardWithoutMajorityLeavesOthersAdmitted guards against programs of healthy shards that
 // are refused, as if all stores were slow, since the stores of another shard are down.
 func TestShardWithoutMajorityLeavesOthersAdmitted(t *testing.T) {
-	c := newCluster(t, 4)
+	c := &cluster{t: t, peers: newPeers()}
+	for range 4 {
+		disk := &slowDisk{simulated: true} // A stall of the machine's own disk makes reservations late, too.
+		c.disks = append(c.disks, disk.disk())
+	}
+	startCluster(c, 4)
 	const downEvery = 4 // Of so many shards, one has only the store that is down.
 	n := 0
 	c.updatePlacements(func(p *turns.Placement) {
