turns: tests of admission share their cluster of simulated disks

Three tests repeated how they start stores with simulated disks and write a first turn. The tests and their bounds are unchanged; those of admission passed (17 s).

--- a/turns/admit_test.go
+++ b/turns/admit_test.go
@@ -58,18 +58,26 @@
 	}
 }
 
-// TestContinuingTurnsAreAdmittedFirst guards against turns that continue others and are refused
-// while first turns are admitted, when stores take so long that only a few reservations are
-// admitted at a time. Callers of the former count them as lost after some tries.
-func TestContinuingTurnsAreAdmittedFirst(t *testing.T) {
+// newClientOfSlowDisks returns a client of three stores, which have written a turn, and their disks. These
+// are simulated: a stall of the machine's own disk would make reservations late, too.
+func newClientOfSlowDisks(t *testing.T) (*turns.Client, []*slowDisk) {
+	t.Helper()
 	c, disks := newSlowCluster(t)
 	for _, d := range disks {
-		d.simulate() // A stall of the machine's own disk makes reservations late, too.
+		d.simulate()
 	}
 	w := c.client()
 	if err := settleTurn(withTimeout(t, stepTimeout), w, "choir", "p", "first", ""); err != nil {
 		t.Fatal(err)
 	}
+	return w, disks
+}
+
+// TestContinuingTurnsAreAdmittedFirst guards against turns that continue others and are refused
+// while first turns are admitted, when stores take so long that only a few reservations are
+// admitted at a time. Callers of the former count them as lost after some tries.
+func TestContinuingTurnsAreAdmittedFirst(t *testing.T) {
+	w, disks := newClientOfSlowDisks(t)
 	for _, d := range disks {
 		d.slow(300 * time.Millisecond)
 	}
@@ -114,14 +122,7 @@
 // do the work, and count as proof that the stores are late.
 func TestWaitForAdmissionLeavesTime(t *testing.T) {
 	const remaining = 900 * time.Millisecond // As of the last try of a caller.
-	c, disks := newSlowCluster(t)
-	for _, d := range disks {
-		d.simulate() // A stall of the machine's own disk makes reservations late, too.
-	}
-	w := c.client()
-	if err := settleTurn(withTimeout(t, stepTimeout), w, "choir", "p", "first", ""); err != nil {
-		t.Fatal(err)
-	}
+	w, disks := newClientOfSlowDisks(t)
 	for _, d := range disks {
 		d.slow(2 * time.Second)
 	}
@@ -153,14 +154,7 @@
 // one.
 func TestStallLowersBoundOnce(t *testing.T) {
 	const stalled, rest, timeout = 40, 20, 500 * time.Millisecond
-	c, disks := newSlowCluster(t)
-	for _, d := range disks {
-		d.simulate() // A stall of the machine's own disk makes reservations late, too.
-	}
-	w := c.client()
-	if err := settleTurn(withTimeout(t, stepTimeout), w, "choir", "p", "first", ""); err != nil {
-		t.Fatal(err)
-	}
+	w, disks := newClientOfSlowDisks(t)
 	reserve := func(n int, program string) (refused int64) {
 		var notSent atomic.Int64
 		var g errgroup.Group
