fleet, soak: an unused result, a comment beside what it explains

Nobody used what proposeReform returns. The comment about the time for which stores are filled stood over another flag as well.

--- a/fleet/reform.go
+++ b/fleet/reform.go
@@ -102,20 +102,19 @@
 	return refusal == ""
 }
 
-// proposeReform proposes a [Reform] and logs it. It returns false if it was not applied.
-func (c *Control) proposeReform(ctx context.Context, r *Reform, p turns.Placement) bool {
+// proposeReform proposes a [Reform], and logs it if it was applied.
+func (c *Control) proposeReform(ctx context.Context, r *Reform, p turns.Placement) {
 	fields := event.Fields{"shard": r.Shard, "epoch": r.Epoch + 1, "current": p.Current, "next": p.Next, "left": r.Current, "to": r.Next}
 	result, err := c.propose(ctx, Command{Reform: r})
 	switch {
 	case err != nil || !result.Changed:
-		return false
+		return
 	case r.Expired:
 		c.Log.Write(event.ReformExpired, event.Fields{"shard": r.Shard, "afterMs": c.sinceReform(p).Milliseconds()})
 	default:
 		reformedTotal.Inc()
 		c.Log.Write(event.ShardReformed, fields)
 	}
-	return true
 }
 
 func (c *Control) sinceReform(p turns.Placement) time.Duration {
--- a/soak/catchup_test.go
+++ b/soak/catchup_test.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// fillTime is how long stores are written to before the first disk is lost. With the time until the
-// final fault, it is less than the retention, so that all turns must be copied.
 var (
+	// fillTime and the time until the final fault together are less than the retention, so that all
+	// turns must be copied.
 	fillTime  = flag.Duration("fill", 5*time.Second, "how long stores are written to before a disk is lost")
 	slowSyncs = flag.Duration("sync", 0, "how long syncs take at least; 0 means that of the size")
 )
