soak: size grown is the deployment; the stores are asked for the turns of all programs

Size grown of the soak had a tenth of its deployment's programs, a quarter of its bytes a turn, syncs that took no time and 8 client accounts, so that its stores held little and copies of a lost disk ended early. All figures are now those of the deployment: 88 programs a second of 4 and 11 turns, 17 kB a turn, 9 events that vary, syncs of 5 ms, 77 accounts.

The 80 turns that are continued at the end cannot show a loss of one in ten thousand. The chains of all programs of the last 50 s are now read from the stores too, which is cheaper than to run them.

--- a/soak/changes_test.go
+++ b/soak/changes_test.go
@@ -134,11 +134,11 @@
 // changingPlan returns the plans of a deployment by version. Each is that of deploymentPlan
 // and a planState.
 // Accounts may send requestRate times one of accountRates.
-func changingPlan(seed uint64, slots, cacheTokens int, requestRate float64) func(version int) []byte {
+func changingPlan(seed uint64, size deploymentSize, requestRate float64) func(version int) []byte {
 	return func(version int) []byte {
 		var doc map[string]any
 		s := stateOf(seed, version)
-		if err := json.Unmarshal(deploymentPlan(version, slots, cacheTokens, int(math.Ceil(requestRate*s.rate))), &doc); err != nil {
+		if err := json.Unmarshal(deploymentPlan(version, size, int(math.Ceil(requestRate*s.rate))), &doc); err != nil {
 			panic(err) // Cannot happen: the document is valid JSON.
 		}
 		paths := []string{"/moved/", "/split/", "/timed/", "/keyed/"}
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -119,7 +119,7 @@
 	if *rate > 0 {
 		programs = *rate
 	}
-	size.fleet.plan = changingPlan(seed, size.slots, size.cacheTokens, size.requestRate(programs))
+	size.fleet.plan = changingPlan(seed, size, size.requestRate(programs))
 	c, tg := startSize(t, size.fleet, seed, size.models, size.plain)
 	tg.mu.Lock()
 	tg.events, tg.varied, tg.eventGap, tg.slowTurns, tg.calls = size.events, size.varied, turnEventGap, slowTurns, map[string]time.Duration{}
@@ -170,6 +170,7 @@
 	last := d.continueInLastSpan(d.completedTurns(maxSample), seed)
 	end := time.Now()
 	finish()
+	d.checkStored()
 	d.withoutBrokenOff(func() {
 		d.checkServed(restartedAt)
 		d.checkShares(restartedAt)
--- a/soak/programs_test.go
+++ b/soak/programs_test.go
@@ -49,13 +49,11 @@
 	dialTimeout = time.Second
 	// looping is the share of programs that run until their budget is spent.
 	looping = 0.02
-	// accounts is the number of accounts whose limits are above what they ask for.
-	accounts = 8
 )
 
 // deploymentPlan returns the plan of a deployment with the given version and rate limit of each
-// account, whose targets have engines of the given size.
-func deploymentPlan(version, slots, cacheTokens, accountRate int) []byte {
+// account.
+func deploymentPlan(version int, size deploymentSize, accountRate int) []byte {
 	route := func(prefix, kind, service string, timeout time.Duration, objective, priority int) map[string]any {
 		return map[string]any{
 			"name": "r" + prefix, "hostname": "soak.example", "path_prefix": prefix, "route_kind": kind, "timeout_ms": timeout.Milliseconds(),
@@ -74,14 +72,14 @@
 		map[string]any{"name": limitedAccount, "api_keys": []string{"key-" + limitedAccount}, "per_s": limitedRate, "burst": limitedBurst},
 		map[string]any{"name": unlimitedAccount, "api_keys": []string{"key-" + unlimitedAccount}},
 	}
-	for i := range accounts {
+	for i := range size.accounts {
 		name := accountName(i)
 		list = append(list, map[string]any{"name": name, "api_keys": []string{"key-" + name}, "per_s": accountRate, "burst": accountRate})
 	}
 	b, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "tenants": list, "note": fmt.Sprint("version ", version),
 		"services": []any{
-			map[string]any{"name": "models", "max_connections": 470, "engine": map[string]any{"slots": slots, "kv_tokens": cacheTokens, "stride": tokensPerEvent}},
+			map[string]any{"name": "models", "max_connections": 470, "engine": map[string]any{"slots": size.slots, "kv_tokens": size.cacheTokens, "stride": tokensPerEvent}},
 			map[string]any{"name": "plain", "max_connections": 420},
 		},
 	})
@@ -110,7 +108,7 @@
 	for _, c := range toolCalls {
 		calls += c.share
 	}
-	return max(minRequestRate, programs*turns*(1+calls)/accounts)
+	return max(minRequestRate, programs*turns*(1+calls)/float64(s.accounts))
 }
 
 func accountName(i int) string { return fmt.Sprint("account-", i) }
@@ -272,7 +270,7 @@
 func (l *load) runProgram(ctx context.Context, r *rand.Rand, program string, kinds []programKind) {
 	l.programs.Add(1)
 	c := l.pool[r.IntN(len(l.pool))]
-	turns, account, previous := turnsOf(r, kinds), accountName(r.IntN(accounts)), ""
+	turns, account, previous := turnsOf(r, kinds), accountName(r.IntN(l.size.accounts)), ""
 	budget := turns * l.size.maxEvents() * tokensPerEvent
 	if r.Float64() < looping {
 		turns = 1000
--- a/soak/size_test.go
+++ b/soak/size_test.go
@@ -34,6 +34,7 @@
 type deploymentSize struct {
 	fleet                  fleetSize
 	models, plain, callers int
+	accounts               int // whose limits are above what they ask for
 	slots, cacheTokens     int     // of the engine of each target
 	programs               float64 // per second
 	kinds                  []programKind
@@ -59,7 +60,7 @@
 			controls: 3, stores: 3, entries: 3, zones: 3, losses: 1, grace: 8, catchUp: 7.6, recovery: 15,
 			limits: deploymentLimits, asProgram: true,
 		},
-		models: 3, plain: 2, callers: 12, slots: 12, cacheTokens: 471337, programs: 2, kinds: []programKind{{1, 6}},
+		models: 3, plain: 2, callers: 12, accounts: 8, slots: 12, cacheTokens: 471337, programs: 2, kinds: []programKind{{1, 6}},
 		inputBytes: defaultInput, events: defaultEvents,
 	},
 	"orders": {
@@ -72,7 +73,7 @@
 			},
 			asProgram: true,
 		},
-		models: 9, plain: 4, callers: 85, slots: 48, cacheTokens: 1333755, programs: 33, kinds: []programKind{{0.7, 4}, {0.3, 11}},
+		models: 9, plain: 4, callers: 85, accounts: 8, slots: 48, cacheTokens: 1333755, programs: 33, kinds: []programKind{{0.7, 4}, {0.3, 11}},
 		inputBytes: 17000, events: 16, varied: true,
 	},
 	"booking": {
@@ -85,16 +86,16 @@
 			},
 			asProgram: true,
 		},
-		models: 18, plain: 3, callers: 59, slots: 12, cacheTokens: 380106, programs: 42, kinds: []programKind{{0.71, 3}, {0.29, 7}},
+		models: 18, plain: 3, callers: 59, accounts: 8, slots: 12, cacheTokens: 380106, programs: 42, kinds: []programKind{{0.71, 3}, {0.29, 7}},
 		inputBytes: defaultInput, events: defaultEvents,
 	},
 	"grown": {
 		fleet: fleetSize{
-			controls: 5, stores: 9, entries: 60, zones: 4, losses: 2, grace: 8, catchUp: 7.6, recovery: 15,
+			controls: 5, stores: 9, entries: 60, zones: 4, losses: 2, grace: 8, catchUp: 7.6, recovery: 15, syncTime: 5 * time.Millisecond,
 			limits: deploymentLimits, asProgram: true,
 		},
-		models: 45, plain: 11, callers: 156, slots: 12, cacheTokens: 471337, programs: 8.8, kinds: []programKind{{1, 6}},
-		inputBytes: defaultInput, events: defaultEvents,
+		models: 45, plain: 11, callers: 156, accounts: 77, slots: 12, cacheTokens: 471337, programs: 88, kinds: []programKind{{0.7, 4}, {0.3, 11}},
+		inputBytes: 17000, events: 9, varied: true,
 	},
 }
 
