fetch, relay, entry: a reset that a write gets does not look like the end of a response

A target that answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written: callers got that part as the whole response. The kernel reports a reset once. If the blocked write takes it, the next read returns a plain end, and a response that ends with its connection looks complete. Connections to targets now remember a reset that a write has got and return it to their readers. An end in order followed by a reset gives writes another error (EPIPE) and stays an end in order. The older interface uses the same connections below net/http.

A host that relays a connection passed such a reset on as an end in order. It also closed the target's connection once a write failed, so that what the target had sent before was lost; it now forwards that.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/banyanspur/banyanspur/config"
+	"github.com/banyanspur/banyanspur/fetch"
 	"github.com/banyanspur/banyanspur/types"
 )
 
@@ -41,12 +42,19 @@
 
 func newTargetClients() targetClients {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return fetch.TrackReset(c), nil
+	}
 	keepAlive := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections,
+		DialContext: dial, MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	singleUse := &http.Transport{
-		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+		DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return targetClients{
--- a/fetch/do.go
+++ b/fetch/do.go
@@ -165,7 +165,7 @@
 
 // writeRest sends the rest of a request, and closes written if that succeeds. A target
 // may respond without having read the whole request, so [Pool.Do] ignores the
-// error and relies on the response.
+// error and relies on the response, which [DialTCP] ends with an error after a reset.
 func writeRest(c *conn, rest net.Buffers, written chan<- struct{}) error {
 	if _, err := rest.WriteTo(c); err != nil {
 		return err
--- a/fetch/pool.go
+++ b/fetch/pool.go
@@ -120,13 +120,17 @@
 }
 
 // DialTCP opens a TCP connection within [DefaultDialTimeout]. The connection breaks if
-// the peer has been silent for silenceTimeout.
+// the peer has been silent for silenceTimeout. It is one of [TrackReset].
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: DefaultDialTimeout, ControlContext: setSocketOptions,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 	}
-	return dialer.DialContext(ctx, "tcp4", address)
+	c, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return TrackReset(c), nil
 }
 
 // Probe checks whether the target at address accepts a new connection, and keeps the
--- a/relay/server.go
+++ b/relay/server.go
@@ -175,16 +175,33 @@
 }
 
 // toTarget forwards what the peer sends, as it arrives: a frame that is not complete takes no
-// memory.
+// memory. Once the target takes no more, it waits until what that has sent is forwarded.
 func toTarget(ctx context.Context, target net.Conn, peer *websocket.Conn) error {
 	b := make([]byte, frameBytes)
+	w := &errorWriter{Writer: target}
 	for {
 		_, r, err := peer.Reader(ctx)
 		if err != nil {
 			return err
 		}
-		if _, err := io.CopyBuffer(struct{ io.Writer }{target}, r, b); err != nil {
+		_, err = io.CopyBuffer(w, r, b)
+		if w.err != nil {
+			<-ctx.Done()
+		}
+		if err != nil {
 			return err
 		}
 	}
 }
+
+// errorWriter is a writer that keeps its error.
+type errorWriter struct {
+	io.Writer
+	err error
+}
+
+// Write writes to the writer.
+func (w *errorWriter) Write(p []byte) (n int, err error) {
+	n, w.err = w.Writer.Write(p)
+	return n, w.err
+}
--- a/soak/size_test.go
+++ b/soak/size_test.go
@@ -34,7 +34,7 @@
 type deploymentSize struct {
 	fleet                  fleetSize
 	models, plain, callers int
-	accounts               int // whose limits are above what they ask for
+	accounts               int     // whose limits are above what they ask for
 	slots, cacheTokens     int     // of the engine of each target
 	programs               float64 // per second
 	kinds                  []programKind
