fetch, entry: responses with a status that HTTP does not have are no responses

A target in trouble answered with status 000. The parser of net/http takes 000, 099 and +20, and all that is below 200 counted as an interim response: the body was then read as the next head, and a response in it reached the caller. Status 101, which nobody asks for, likewise; 600 and above were forwarded. The older interface handed them on. Now a status must have three digits from 100 to 599, not 101, and an interim response must not have a body (RFC 9110, sections 15 and 15.2); else the target sent no valid response, and callers get 502, or 503 once no target is left.

An interim response without a body is still skipped.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 	"time"
 
@@ -93,7 +94,10 @@
 // stream as they arrive.
 func (e *Entry) send(ctx context.Context, c *call, t config.Target, stream *eventStream) sendResult {
 	var gotConn atomic.Bool // a connection was established, so the target may have received bytes
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
+	trace := &httptrace.ClientTrace{
+		GotConn:        func(httptrace.GotConnInfo) { gotConn.Store(true) },
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return fetch.CheckInterim(http.Header(h)) },
+	}
 	priority := e.fairShare.Priority(c.caller.account, e.Clock())
 	req, err := c.newTargetRequest(httptrace.WithClientTrace(ctx, trace), t, priority)
 	if err != nil {
@@ -121,6 +125,9 @@
 		return sendResult{err: errors.Wrap(err, "entry: send request to target"), ran: types.MayHaveRun}
 	}
 	defer resp.Body.Close()
+	if err := fetch.CheckStatus(resp); err != nil {
+		return sendResult{err: errors.Wrap(err, "entry: response of target"), ran: types.MayHaveRun}
+	}
 	e.targets.Report(t.ID, resp.Header, e.Clock())
 	sent := sendResult{status: resp.StatusCode, contentType: resp.Header.Get("Content-Type"), ran: types.DidRun}
 	if c.stream && resp.StatusCode == http.StatusOK {
--- a/fetch/do.go
+++ b/fetch/do.go
@@ -182,8 +182,14 @@
 		if err != nil {
 			return errors.Wrap(err, "read response")
 		}
-		if raw.StatusCode < http.StatusOK {
-			continue // An interim response; the final one follows.
+		if err := CheckStatus(raw); err != nil {
+			return err
+		}
+		if raw.StatusCode < http.StatusOK { // An interim response; the final one follows.
+			if err := CheckInterim(raw.Header); err != nil {
+				return err
+			}
+			continue
 		}
 		if id := raw.Header.Get(r.IDHeader); id != "" && id != r.ID {
 			strayResponses.Inc()
