turns: copies wait for the lists of all stores that can be reached

A store that copies a shard took the lists of the first majority. With one of five stores lost, the list of the fourth one that is left was not awaited, and three of four turns that were on three of these, and so on a majority already, were fetched once more. Copies of a lost disk then took half as many bytes again over a link that is short of them. Lists now may follow for 0.5 s after a majority, from stores that are connected.

--- a/turns/copy.go
+++ b/turns/copy.go
@@ -153,6 +153,7 @@
 	if err != nil {
 		return err
 	}
+	listedAt := time.Now()
 	for len(c.missing) > 0 {
 		if err := c.fetch(ctx, s); err != nil {
 			return err
@@ -163,7 +164,7 @@
 	}
 	copySeconds.UpdateDuration(startedAt)
 	s.markCopied(shard, p.Epoch, event.Fields{
-		"from": sources, "turns": c.fetched, "bytes": c.fetchedBytes, "tookMs": time.Since(startedAt).Milliseconds(), "sinceStartMs": time.Since(s.opened).Milliseconds(),
+		"from": sources, "turns": c.fetched, "bytes": c.fetchedBytes, "listMs": listedAt.Sub(startedAt).Milliseconds(), "tookMs": time.Since(startedAt).Milliseconds(), "sinceStartMs": time.Since(s.opened).Milliseconds(),
 	})
 	return nil
 }
@@ -191,15 +192,16 @@
 	return len(lists), nil
 }
 
-// reformedListWait is how long a copy of a shard that was formed anew waits for the lists of
-// further stores after a majority has replied. Any of them may be the only one that has
-// a turn.
-const reformedListWait = 500 * time.Millisecond
+// furtherListWait is how long a copy waits for the lists of further stores after a majority has
+// replied. A store that is not waited for may have turns that a majority of the next stores has
+// with it, which would be fetched for nothing, and after a shard was formed anew it may be the only
+// one that has a turn.
+const furtherListWait = 500 * time.Millisecond
 
 // listShard requests the list of a shard's turns from its current stores and
-// returns the replies of the first majority. If the shard was formed anew, it also
-// requests those of the next stores, which may have copied turns that no current store
-// has, and waits for them.
+// returns the replies of a majority, and those that follow within furtherListWait. If the shard
+// was formed anew, it also requests those of the next stores, which may have copied turns that no
+// current store has.
 func (s *Store) listShard(ctx context.Context, peers *wire.Pool, m *Map, shard Shard) (map[StoreID]ListReply, error) {
 	p := m.Placement(shard)
 	ctx, cancel := context.WithCancel(ctx)
@@ -226,9 +228,11 @@
 	complete := func() bool { return p.HasCopyQuorum(func(id StoreID) bool { _, ok := lists[id]; return ok }) }
 	var lastErr error
 	var waited <-chan time.Time // nil until a majority has replied
-	for range sources {
+	pending := slices.Clone(sources)
+	for len(pending) > 0 {
 		select {
 		case result := <-results:
+			pending = slices.DeleteFunc(pending, func(id StoreID) bool { return id == result.store })
 			if result.err != nil {
 				lastErr = result.err
 				continue
@@ -238,10 +242,8 @@
 			return lists, nil
 		}
 		if waited == nil && complete() {
-			if p.ReformedAt == 0 {
-				return lists, nil
-			}
-			waited = time.After(reformedListWait)
+			waited = time.After(furtherListWait)
+			pending = slices.DeleteFunc(pending, func(id StoreID) bool { return !peers.Link(m.Members[id].Address).IsConnected() })
 		}
 	}
 	if complete() {
