turns: what is left on the fewest stores is copied first

After the loss of two disks a twelfth of the turns is left on one store, and half of them on two. Copies fetched what was used last, whatever was left of it, so that with the next two disks turns of the first kind were lost, at eight times the risk. Turns are now fetched by age, of which each store more that has the turn counts as eight times as much.

--- a/turns/fetch.go
+++ b/turns/fetch.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -62,9 +63,8 @@
 	shardMap *Map
 	peers    *wire.Pool
 	missing  map[turnKey]*missingTurn
-	// order holds the keys of missing, those of the turns that were used last first: if the copy is not
-	// complete before another disk is lost, callers are least likely to continue the others. It may hold
-	// turns that are no longer missing.
+	// order holds the keys of missing in the order in which they are fetched, see sortMissing, in case the
+	// copy is not complete before another disk is lost. It may hold turns that are no longer missing.
 	order []turnKey
 	pace  *copyPace
 	// failures counts the failed and late requests to each source. The source with the fewest
@@ -144,13 +144,24 @@
 	}
 }
 
-// sortMissing sorts the turns in the order in which they are fetched.
+// copyRisk is how many times likelier it is, roughly, that the next stores to be lost have all that is
+// left of a turn, for each store less that has it: 8 if the next two of nine stores are lost.
+const copyRisk = 8
+
+// sortMissing sorts the turns in the order in which they are fetched: by how likely it is that they are
+// lost with the next stores and that a caller would have continued them. Callers continue those that
+// were used last.
 func (c *shardCopy) sortMissing() {
-	c.order = slices.SortedFunc(maps.Keys(c.missing), func(a, b turnKey) int {
-		return cmp.Compare(c.missing[a].age, c.missing[b].age)
-	})
+	weight := func(key turnKey) float64 {
+		m := c.missing[key]
+		return float64(m.age+recentAge) * math.Pow(copyRisk, float64(len(m.sources)))
+	}
+	c.order = slices.SortedFunc(maps.Keys(c.missing), func(a, b turnKey) int { return cmp.Compare(weight(a), weight(b)) })
 }
 
+// recentAge is the age up to which turns differ little in how likely it is that they are continued.
+const recentAge = time.Second
+
 // missingBytes returns the size of the turns that are missing.
 func (c *shardCopy) missingBytes() int64 {
 	var sum int64
--- a/turns/lists_test.go
+++ b/turns/lists_test.go
@@ -60,3 +60,39 @@
 		}
 	}
 }
+
+// TestLastCopiesAreFetchedFirst guards against turns that are lost with the next disks, since others of
+// which more stores are left were copied before.
+func TestLastCopiesAreFetchedFirst(t *testing.T) {
+	const count, bytes = 40, 64 << 10
+	c := startCluster(&cluster{t: t, peers: newPeers(), virtual: true, linkBytesPerSecond: 1 << 20}, 5)
+	var last, twice []turns.TurnID // on one and on two stores after the loss, on 0 or 1 and on both
+	write := func(list *[]turns.TurnID, name string, stores ...int) {
+		turn := turns.Turn{ID: turns.TurnID(fmt.Sprint(name, len(*list))), Input: make([]byte, bytes)}
+		c.writeTurnOn(turn, "p", stores...)
+		*list = append(*list, turn.ID)
+	}
+	for i := range count {
+		write(&last, "last", i%2, 3, 4)
+	}
+	c.advance(4 * time.Second)
+	for range count {
+		write(&twice, "twice", 0, 1, 4)
+	}
+	c.stores[3].shutDown()
+	c.stores[4].shutDown()
+	added := c.addStore()
+	c.setMap(c.movingMap(0, 1, 2, added, added)) // As if the other disk's store were not back yet.
+	copied := func(ids []turns.TurnID) (n int) {
+		for _, id := range ids {
+			if c.storeHas(added, id) { // Store 2 adopts others meanwhile, over its own link.
+				n++
+			}
+		}
+		return n
+	}
+	waitFor(t, func() bool { return copied(last) > count/2 })
+	if n := copied(twice); n > 0 {
+		t.Errorf("%d of %d turns that are on two stores were copied before those on one", n, count)
+	}
+}
