turns: stores that have been in a shard adopt what is missing, so that copies use all links

After the loss of two disks at the rate of the grown deployment (17 kB a turn, 40 s of load), the copies were not complete after the catch-up time of 7.6 s, and the next two disks took turns with them: they were answered 503 "may have been lost" for good. The copies of a lost disk arrived over the link of the stores that took its place, mostly of one, at the 12 MB/s that a link of 130 Mbit/s carries, while the stores used 0.1 to 0.18 of 0.27 of a processor and other links were idle.

A turn that lacks one store for a majority may be fetched by any of the next stores that lacks it. The store that copies now asks those that were in the shard to adopt an equal part (turns.adopt); it counts a turn as copied once they have it on disk, and fetches it itself if they are late, full or of an earlier build. Nothing changes for the control hosts. More parts may be under way, 16 instead of 8.

--- a/turns/copy.go
+++ b/turns/copy.go
@@ -51,6 +51,9 @@
 	var g errgroup.Group
 	pace := newCopyPace(ctx, s.opened, s.CatchUp, s.LinkBytesPerSecond)
 	g.SetLimit(pace.maxShards())
+	s.mu.Lock()
+	s.copier = &copier{peers: peers, pace: pace, adopting: map[turnKey]chan struct{}{}}
+	s.mu.Unlock()
 	copies := runningCopies{}
 	for types.Sleep(ctx, copyInterval) {
 		s.mu.RLock()
@@ -141,8 +144,8 @@
 // and from then on acknowledges no write of an older epoch, not even one that it
 // accepted before. So every acknowledged write is in the index of at least one of
 // them before it replies, or is also sent to this store. Each turn is fetched
-// from one of the stores that list it, unless a majority of the next stores lists it:
-// it is then on as many of them as any acknowledged write.
+// from one of the stores that list it, unless a majority of the next stores lists it or has adopted
+// it: it is then on as many of them as any acknowledged write.
 func (s *Store) copyShard(ctx context.Context, peers *wire.Pool, pace *copyPace, m *Map, shard Shard) error {
 	p := m.Placement(shard)
 	startedAt := time.Now()
@@ -155,6 +158,7 @@
 	}
 	listedAt := time.Now()
 	for len(c.missing) > 0 {
+		c.requestAdoptions(ctx, shard)
 		if err := c.fetch(ctx, s); err != nil {
 			return err
 		}
@@ -164,7 +168,7 @@
 	}
 	copySeconds.UpdateDuration(startedAt)
 	s.markCopied(shard, p.Epoch, event.Fields{
-		"from": sources, "turns": c.fetched, "bytes": c.fetchedBytes, "listMs": listedAt.Sub(startedAt).Milliseconds(), "tookMs": time.Since(startedAt).Milliseconds(), "sinceStartMs": time.Since(s.opened).Milliseconds(),
+		"from": sources, "turns": c.fetched, "bytes": c.fetchedBytes, "adoptedTurns": c.adoptedTurns, "adoptedBytes": c.adoptedBytes, "listMs": listedAt.Sub(startedAt).Milliseconds(), "tookMs": time.Since(startedAt).Milliseconds(), "sinceStartMs": time.Since(s.opened).Milliseconds(),
 	})
 	return nil
 }
@@ -187,6 +191,7 @@
 		s.mu.Unlock()
 	}
 	c.removeReplicated(c.shardMap.Placement(shard).Next)
+	c.assign(s.id, c.shardMap.Placement(shard))
 	c.sortMissing()
 	c.pace.addMissing(c.missingBytes())
 	return len(lists), nil
--- a/turns/fetch.go
+++ b/turns/fetch.go
@@ -4,12 +4,10 @@
 	"cmp"
 	"context"
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/banyanspur/banyanspur/types"
 	"github.com/banyanspur/banyanspur/wire"
 )
 
@@ -85,6 +83,15 @@
 	partBytes int
 	// fetched and fetchedBytes count the turns that were fetched, and their inputs and outputs.
 	fetched, fetchedBytes int
+
+	// adopters are the stores that may adopt turns. adoptions are the numbers of requests to them
+	// without a reply.
+	adopters  []StoreID
+	adoptions map[StoreID]int
+	adopted   chan adoptResult
+	// adoptedTurns and adoptedBytes count the turns that others have adopted, and the sizes of their
+	// records.
+	adoptedTurns, adoptedBytes int
 }
 
 // fetchRequest is a request for a part that has no reply yet.
@@ -100,77 +107,14 @@
 	written <-chan error
 }
 
-// missingTurn is a turn that has not been fetched yet.
-type missingTurn struct {
-	bytes   int
-	age     time.Duration // the lowest of its sources
-	sources []StoreID
-	// requested is set while a request for the turn is under way that is not late.
-	requested bool
-}
-
 func newShardCopy(m *Map, peers *wire.Pool, pace *copyPace) *shardCopy {
 	return &shardCopy{
 		shardMap: m, peers: peers, pace: pace, missing: map[turnKey]*missingTurn{}, failures: map[StoreID]int{},
 		requests: map[StoreID]*fetchRequest{}, results: make(chan fetchResult, len(m.Members)), partBytes: maxCopyBytes,
+		adoptions: map[StoreID]int{}, adopted: make(chan adoptResult, maxAdoptions*len(m.Members)),
 	}
 }
 
-// addMissing adds the listed turns that the index lacks, and marks the others
-// as used. The caller must hold the lock of the index.
-func (c *shardCopy) addMissing(x *index, now types.Mono, source StoreID, list []ListedTurn) {
-	for _, t := range list {
-		key, age := turnKey{t.Account, t.ID}, max(0, t.Age)
-		if x.turns[key] != nil {
-			x.markUsed(key, now.Add(-age))
-			continue
-		}
-		m := c.missing[key]
-		if m == nil {
-			m = &missingTurn{bytes: t.Bytes, age: age}
-			c.missing[key] = m
-		}
-		m.age = min(m.age, age)
-		m.sources = append(m.sources, source)
-	}
-}
-
-// removeReplicated removes the turns that a majority of the given stores has listed.
-func (c *shardCopy) removeReplicated(stores []StoreID) {
-	for key, m := range c.missing {
-		if majority(stores, func(id StoreID) bool { return slices.Contains(m.sources, id) }) {
-			delete(c.missing, key)
-		}
-	}
-}
-
-// copyRisk is how many times likelier it is, roughly, that the next stores to be lost have all that is
-// left of a turn, for each store less that has it: 8 if the next two of nine stores are lost.
-const copyRisk = 8
-
-// sortMissing sorts the turns in the order in which they are fetched: by how likely it is that they are
-// lost with the next stores and that a caller would have continued them. Callers continue those that
-// were used last.
-func (c *shardCopy) sortMissing() {
-	weight := func(key turnKey) float64 {
-		m := c.missing[key]
-		return float64(m.age+recentAge) * math.Pow(copyRisk, float64(len(m.sources)))
-	}
-	c.order = slices.SortedFunc(maps.Keys(c.missing), func(a, b turnKey) int { return cmp.Compare(weight(a), weight(b)) })
-}
-
-// recentAge is the age up to which turns differ little in how likely it is that they are continued.
-const recentAge = time.Second
-
-// missingBytes returns the size of the turns that are missing.
-func (c *shardCopy) missingBytes() int64 {
-	var sum int64
-	for _, m := range c.missing {
-		sum += int64(m.bytes)
-	}
-	return sum
-}
-
 // fetch requests one part of the missing turns from the best source, when the pace permits, if
 // there are any that no request is under way for, and waits until a request has ended or is
 // late. It fails once too many requests in a row have failed.
@@ -181,7 +125,8 @@
 		}
 		source, _ := c.nextSource() // Others may have become faster meanwhile.
 		refs, size := c.nextPart(source)
-		if c.pace.wait(ctx, size); ctx.Err() != nil {
+		c.pace.wait(ctx, size)
+		if c.pace.waitLink(ctx, size); ctx.Err() != nil {
 			c.pace.release()
 			return ctx.Err()
 		}
@@ -192,6 +137,9 @@
 	select {
 	case result := <-c.results:
 		return c.receive(result)
+	case result := <-c.adopted:
+		c.receiveAdoption(result)
+		return nil
 	case now := <-timer.C:
 		c.markLate(now)
 		return nil
@@ -348,7 +296,7 @@
 func (c *shardCopy) nextSource() (source StoreID, ok bool) {
 	counts := map[StoreID]int{}
 	for _, m := range c.missing {
-		if m.requested {
+		if m.requested || m.fetcher != ownCopy {
 			continue
 		}
 		for _, id := range m.sources {
@@ -369,7 +317,7 @@
 func (c *shardCopy) nextPart(source StoreID) (refs []TurnRef, size int) {
 	for _, key := range c.order {
 		m := c.missing[key]
-		if size < c.partBytes && m != nil && !m.requested && slices.Contains(m.sources, source) {
+		if size < c.partBytes && m != nil && !m.requested && m.fetcher == ownCopy && slices.Contains(m.sources, source) {
 			refs = append(refs, TurnRef{Account: key.account, ID: key.id})
 			size += m.bytes
 		}
@@ -385,12 +333,6 @@
 		delete(c.missing, turnKey{t.Account, t.ID})
 	}
 	for _, ref := range refs {
-		key := turnKey{ref.Account, ref.ID}
-		if m := c.missing[key]; m != nil {
-			m.sources = slices.DeleteFunc(m.sources, func(id StoreID) bool { return id == source })
-			if len(m.sources) == 0 {
-				delete(c.missing, key)
-			}
-		}
+		c.removeSource(turnKey{ref.Account, ref.ID}, source)
 	}
 }
--- a/turns/messages.go
+++ b/turns/messages.go
@@ -17,6 +17,8 @@
 	// shards are copied with KindCopy.
 	KindList  wire.Kind = "turns.list"
 	KindFetch wire.Kind = "turns.fetch"
+	// KindAdopt is unknown to stores of earlier builds, which then adopt no turns.
+	KindAdopt wire.Kind = "turns.adopt"
 	// KindContinued is unknown to stores of earlier builds. As long as these are
 	// needed for a quorum, no turn expires.
 	KindContinued wire.Kind = "turns.continued"
@@ -208,3 +210,18 @@
 type FetchReply struct {
 	Turns []Turn `json:"turns,omitempty"`
 }
+
+// AdoptRequest asks a store to fetch turns from another store and keep them.
+type AdoptRequest struct {
+	To     StoreID      `json:"to"`
+	Shard  Shard        `json:"shard"`
+	Epoch  Epoch        `json:"epoch"`
+	Source StoreID      `json:"source"`
+	Turns  []ListedTurn `json:"turns"`
+}
+
+// AdoptReply is sent once the turns are durable.
+type AdoptReply struct {
+	// Lacking are the positions of turns in the request that the source did not have.
+	Lacking []int `json:"lacking,omitempty"`
+}
--- a/turns/pace.go
+++ b/turns/pace.go
@@ -29,10 +29,9 @@
 	minCopyRate   = 2 << 20
 	minRateShards = 4
 	// maxConcurrentParts limits the lists and parts that are requested at the same time and
-	// not late, and so their memory: 2 MB on the links, and some 6 MB decoded. At 13 MB/s, it
-	// allows for 150 ms from a request until the reply. Late parts are bounded by one
-	// of each source of a shard.
-	maxConcurrentParts = 8
+	// not late, and so their memory: 4 MB on the links, and some 12 MB decoded. At 13 MB/s, it
+	// allows for 300 ms from a request until the reply. Late parts are bounded by one of each source of a shard.
+	maxConcurrentParts = 16
 	// maxUnwrittenBytes limits the turns that have arrived and wait for the disk. A disk whose
 	// syncs take 600 ms still takes 13 MB/s.
 	maxUnwrittenBytes = maxBatchBytes
@@ -55,7 +54,9 @@
 	started time.Time  // from when on span counts for them
 	missing int64      // bytes of these shards that are known to be missing
 	next    time.Time  // when the next part may be requested
-	sources map[StoreID]*sourceLoad
+	// nextOnLink is when the next part may arrive over the link of this store.
+	nextOnLink time.Time
+	sources    map[StoreID]*sourceLoad
 }
 
 // sourceLoad is what is known of a store from which turns are fetched.
@@ -143,17 +144,35 @@
 	return func() { p.unwritten.Release(n) }, nil
 }
 
-// wait waits until a part of the given size may be requested.
+// wait waits until a part of the given size may be requested, by this store or by one that adopts it.
 func (p *copyPace) wait(ctx context.Context, bytes int) {
 	p.mu.Lock()
 	now := time.Now()
-	at := p.next
+	delay := reserve(&p.next, now, bytes, p.rate(now))
+	p.mu.Unlock()
+	types.Sleep(ctx, delay)
+}
+
+// waitLink waits until a part of the given size may arrive over the link of this store.
+func (p *copyPace) waitLink(ctx context.Context, bytes int) {
+	if p.linkRate <= 0 {
+		return
+	}
+	p.mu.Lock()
+	delay := reserve(&p.nextOnLink, time.Now(), bytes, p.linkRate)
+	p.mu.Unlock()
+	types.Sleep(ctx, delay)
+}
+
+// reserve returns how long to wait until *next, and sets it to the time after which further bytes
+// follow at a rate.
+func reserve(next *time.Time, now time.Time, bytes int, rate float64) time.Duration {
+	at := *next
 	if at.Before(now) {
 		at = now
 	}
-	p.next = at.Add(time.Duration(float64(bytes) / p.rate(now) * float64(time.Second)))
-	p.mu.Unlock()
-	types.Sleep(ctx, at.Sub(now))
+	*next = at.Add(time.Duration(float64(bytes) / rate * float64(time.Second)))
+	return at.Sub(now)
 }
 
 // rate returns at how many bytes per second parts are requested: what is missing is
@@ -164,9 +183,6 @@
 		left := max(p.started.Add(p.span).Sub(now), p.span/lateShare)
 		rate = max(rate, float64(p.missing)/left.Seconds())
 	}
-	if p.linkRate > 0 {
-		rate = min(rate, p.linkRate)
-	}
 	return rate
 }
 
--- a/turns/serve.go
+++ b/turns/serve.go
@@ -22,6 +22,7 @@
 	wire.Handle(server, KindCopy, s.handleCopy)
 	wire.Handle(server, KindList, s.handleList)
 	wire.Handle(server, KindFetch, s.handleFetch)
+	wire.HandleState(server, KindAdopt, s.handleAdopt)
 	wire.Handle(server, KindContinued, s.handleContinued)
 }
 
--- a/turns/store.go
+++ b/turns/store.go
@@ -57,6 +57,7 @@
 	shardMap     *Map            // nil until the first map is received
 	mapChanged   chan struct{}   // closed when shardMap changes; nil if no request waits for that
 	copiedEpochs map[Shard]Epoch // epoch at which each shard was last copied
+	copier       *copier         // nil until CopyShards is called
 	// retained is the time by which the ages of turns and claims are measured. It
 	// starts at 0 and only advances with the checks for expired turns.
 	retained types.Mono
