--- a/soak/power_test.go
+++ b/soak/power_test.go
@@ -94,6 +94,17 @@
 	}
 }
 
+// slowDisk makes syncs of a host take some 25 times as long as the deployments' for d: they hang for most
+// of the time.
+func (f *fleet) slowDisk(h *testHost, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(25 * time.Millisecond) {
+		f.hangDisks([]*testHost{h}, true)
+		time.Sleep(100 * time.Millisecond)
+		f.hangDisks([]*testHost{h}, false)
+	}
+	h.disturbedAt = time.Now()
+}
+
 // losePower is losePowerOf for all hosts.
 func (f *fleet) losePower(wiped []*testHost, d time.Duration) { f.losePowerOf(f.hosts, wiped, d) }
 
--- a/soak/quota_test.go
+++ b/soak/quota_test.go
@@ -43,6 +43,8 @@
 type quota struct {
 	spent  bool // its share of the current period is over
 	frozen bool // by a fault
+	// slowness divides the share of the processor, by a fault; 0 means 1.
+	slowness int
 }
 
 // processEnd is the end of a process that the test has not stopped.
@@ -88,10 +90,30 @@
 		for time.Since(begin) >= quotaPeriod {
 			begin = begin.Add(quotaPeriod)
 		}
-		timer.Reset(run) // Whole, also if the test was scheduled late.
+		timer.Reset(run / time.Duration(h.slowness())) // Whole, also if the test was scheduled late.
 	}
 }
 
+// slowness returns by how much a fault slows a host down.
+func (h *testHost) slowness() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return max(1, h.quota.slowness)
+}
+
+// slowDown gives a host a seventh of its share of the processor for d.
+func (f *fleet) slowDown(h *testHost, d time.Duration) {
+	set := func(slowness int) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.quota.slowness = slowness
+	}
+	set(7)
+	time.Sleep(d)
+	set(1)
+	h.disturbedAt = time.Now()
+}
+
 // setSpent stops a process, or continues it unless a fault has frozen it.
 func (h *testHost) setSpent(cmd *exec.Cmd, spent bool) {
 	h.mu.Lock()
--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -69,7 +69,8 @@
 var (
 	seriesFaults     = append(faultsNamed("killed", "frozen", "network fault"), silenced, fault{"power lost", (*fleet).powerLost})
 	seriesDiskFaults = append(faultsNamed("killed", "frozen", "network fault", "data directory lost", "data directory lost", "torn write"),
-		append(powerFaults, silenced, fault{"disk full", (*fleet).diskFull}, fault{"separated", (*fleet).separateHost})...)
+		append(powerFaults, silenced, fault{"disk full", (*fleet).diskFull}, fault{"separated", (*fleet).separateHost},
+			fault{"slowed", (*fleet).slowDown}, fault{"disk slow", (*fleet).slowDisk})...)
 	silenced = fault{"open connections silent", func(_ *fleet, h *testHost, d time.Duration) {
 		h.relay.Silence()
 		time.Sleep(d)
--- a/soak/stored_test.go
+++ b/soak/stored_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-
 	"slices"
 	"sync/atomic"
 	"time"
