turns: of two stores that copy a shard, neither fetches what another store can adopt

After the loss of two disks of a shard, both stores that take their places chose an equal part of what lacks one store for themselves, so that it was fetched twice. The stores that have been in the shard now adopt all of it, once for both.

Tests of copies pass.

--- a/turns/adopt.go
+++ b/turns/adopt.go
@@ -147,11 +147,14 @@
 
 // assign decides which store fetches each missing turn of a shard: a turn that lacks one store for a
 // majority of the next ones is adopted by one of those that have been in the shard, or fetched by this
-// one, all in equal parts. Stores that copy the same shard choose alike.
-func (c *shardCopy) assign(self StoreID, p Placement) {
-	needed := len(p.Next)/2 + 1
+// one, all in equal parts. If further stores copy the shard, each of them would fetch what this one does,
+// so the others adopt all of it. Stores that copy the same shard choose alike.
+func (c *shardCopy) assign(p Placement) {
+	needed, added := len(p.Next)/2+1, 0
 	for _, id := range p.Next {
-		if id != self && slices.Contains(p.Current, id) && c.peers.Link(c.shardMap.Members[id].Address).IsConnected() {
+		if !slices.Contains(p.Current, id) {
+			added++
+		} else if c.peers.Link(c.shardMap.Members[id].Address).IsConnected() {
 			c.adopters = append(c.adopters, id)
 		}
 	}
@@ -165,7 +168,10 @@
 		if holders != needed-1 {
 			continue
 		}
-		choices := append(slices.DeleteFunc(slices.Clone(c.adopters), func(id StoreID) bool { return slices.Contains(m.sources, id) }), ownCopy)
+		choices := slices.DeleteFunc(slices.Clone(c.adopters), func(id StoreID) bool { return slices.Contains(m.sources, id) })
+		if added == 1 || len(choices) == 0 {
+			choices = append(choices, ownCopy)
+		}
 		m.fetcher = slices.MaxFunc(choices, func(a, b StoreID) int { return cmp.Compare(key.hashWith(a), key.hashWith(b)) })
 	}
 }
--- a/turns/adopt_test.go
+++ b/turns/adopt_test.go
@@ -1,10 +1,12 @@
 package turns_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/banyanspur/banyanspur/turns"
+	"github.com/banyanspur/banyanspur/types"
 )
 
 // limitLinks restarts stores whose links have a limit.
@@ -60,3 +62,26 @@
 		}
 	}
 }
+
+// TestTwoCopiesShareAdoptions guards against turns that are fetched once for each store that copies a
+// shard after the loss of two disks, though one more store is enough for a majority.
+func TestTwoCopiesShareAdoptions(t *testing.T) {
+	c := newCluster(t, 5)
+	lost := &lostDisk{cluster: c}
+	for i := range 60 {
+		id := turns.TurnID(fmt.Sprint("turn", i))
+		lost.written = append(lost.written, id)
+		c.writeTurnOn(turns.Turn{ID: id, Input: make([]byte, 4000)}, types.ProgramID(fmt.Sprint("p", i)), i%3, (i+1)%3, 4)
+	}
+	c.stores[3].shutDown()
+	c.stores[4].shutDown()
+	a, b := c.addStore(), c.addStore()
+	c.setMap(c.movingMap(0, 1, 2, a, b))
+	waitFor(t, func() bool { return len(c.stores[a].CopiedShards()) == turns.ShardCount })
+	c.endMove(b)
+	for id, n := range lost.holders(0, 1, 2, a, b) {
+		if n != 3 {
+			t.Errorf("turn %s is on %d of five stores, want 3", id, n)
+		}
+	}
+}
--- a/turns/copy.go
+++ b/turns/copy.go
@@ -191,7 +191,7 @@
 		s.mu.Unlock()
 	}
 	c.removeReplicated(c.shardMap.Placement(shard).Next)
-	c.assign(s.id, c.shardMap.Placement(shard))
+	c.assign(c.shardMap.Placement(shard))
 	c.sortMissing()
 	c.pace.addMissing(c.missingBytes())
 	return len(lists), nil
