intake, gate: while memory is short, turns that continue others go before first turns

A turn that continues others needs memory for its chain, mostly over 64 KiB, and so could not use the reserve of a quarter for small requests; first turns of 17 kB could, and were served while turns that continue others got 503. The work on the turns before these is lost then.

Package intake passes, and the tests of gate about memory, crowds, chains, bodies and turns (47 s).

--- a/gate/body.go
+++ b/gate/body.go
@@ -33,6 +33,7 @@
 	endRead := func() { _ = rc.SetReadDeadline(time.Now()) }
 	unlink := context.AfterFunc(c.gate.answersCtx, endRead)
 	c.received = c.gate.Received.Open(c.accountID(), endRead)
+	c.received.SetClass(c.memoryClass())
 	body, err := intake.ReadAll(c.received, c.r.Body, c.r.ContentLength, limit)
 	unlink()
 	if err != nil {
@@ -44,6 +45,17 @@
 	return nil
 }
 
+// memoryClass returns the class of the request while memory is short.
+func (c *call) memoryClass() intake.Class {
+	switch {
+	case !c.route.Stateful:
+		return intake.Ordinary
+	case c.r.Header.Get(c.gate.HeaderNames.PreviousTurn) != "":
+		return intake.Continuing
+	}
+	return intake.First
+}
+
 // bodyError returns the response to a request whose body was not read to its end because of err.
 func (c *call) bodyError(err error) *errorResponse {
 	r := &errorResponse{status: http.StatusBadRequest, reason: "the body is incomplete", bodyLeft: true}
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -183,6 +183,7 @@
 func (c *call) chargeChain(bytes int) error {
 	if c.received == nil {
 		c.received = c.gate.Received.Open(c.accountID(), func() {})
+		c.received.SetClass(c.memoryClass())
 		c.received.SetPhase(intake.Working)
 	}
 	if err := c.received.Add(int64(bytes)); err != nil {
