turns: an adopted turn without a reply of its source does not count as expired

Two stores that copy a shard ask a third one to adopt the same turns. If the source does not reply to the first request, the second one found that the turns were not there and reported them as lacking, which means that they have expired at the source: with no other source they counted as copied. And a store whose source was late was asked to adopt nothing more. Found by reading. Turns are now lacking only if the source has replied without them; the others are unfinished, and the store that copies fetches them.

Tests of copies pass.

--- a/turns/adopt.go
+++ b/turns/adopt.go
@@ -46,10 +46,14 @@
 	if err != nil {
 		return AdoptReply{}, err
 	}
+	var fetched bool
 	if len(wanted) > 0 {
-		err = s.adopt(ctx, req.Source, wanted)
+		fetched, err = s.adopt(ctx, req.Source, wanted)
 		s.endAdoption(wanted)
 	}
+	if err != nil {
+		return AdoptReply{}, err
+	}
 	for _, done := range pending {
 		select {
 		case <-done:
@@ -57,15 +61,16 @@
 			return AdoptReply{}, ctx.Err()
 		}
 	}
-	if err != nil {
-		return AdoptReply{}, err
-	}
 	var reply AdoptReply
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	for i, t := range req.Turns {
-		if s.index.turns[turnKey{t.Account, t.ID}] == nil {
+		switch {
+		case s.index.turns[turnKey{t.Account, t.ID}] != nil:
+		case fetched && slices.Contains(wanted, t):
 			reply.Lacking = append(reply.Lacking, i)
+		default:
+			reply.Unfinished = append(reply.Unfinished, i)
 		}
 	}
 	return reply, nil
@@ -107,8 +112,8 @@
 	}
 }
 
-// adopt fetches turns from a store and makes them durable.
-func (s *Store) adopt(ctx context.Context, source StoreID, list []ListedTurn) error {
+// adopt fetches turns from a store and makes them durable. fetched is false if that store has not replied.
+func (s *Store) adopt(ctx context.Context, source StoreID, list []ListedTurn) (fetched bool, err error) {
 	s.mu.RLock()
 	address := s.shardMap.Members[source].Address
 	s.mu.RUnlock()
@@ -121,21 +126,21 @@
 	}
 	pace := s.copier.pace
 	if !pace.acquire(ctx) {
-		return ctx.Err()
+		return false, ctx.Err()
 	}
 	defer pace.release()
 	pace.waitLink(ctx, size)
 	reply, err := callStore[FetchRequest, FetchReply](ctx, s.copier.peers.Link(address), KindFetch, req, fetchTimeout, adoptTimeout/2)
 	if err != nil {
-		return err
+		return false, nil //nolint:nilerr // Documented above.
 	}
 	written, err := pace.acquireWrite(ctx, reply.dataBytes())
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer written()
 	adoptedTotal.Add(len(reply.Turns))
-	return s.persistCopied(ctx, reply.Turns, ages)
+	return true, s.persistCopied(ctx, reply.Turns, ages)
 }
 
 // adoptResult is the outcome of a request to adopt turns from a source.
@@ -203,7 +208,9 @@
 			continue
 		}
 		if req.Source == "" {
-			req.Source = slices.MinFunc(m.sources, c.pace.compareSources)
+			req.Source = slices.MinFunc(m.sources, func(a, b StoreID) int {
+				return cmp.Or(cmp.Compare(c.failures[a], c.failures[b]), c.pace.compareSources(a, b))
+			})
 		}
 		if slices.Contains(m.sources, req.Source) {
 			refs = append(refs, TurnRef{Account: key.account, ID: key.id})
@@ -241,15 +248,20 @@
 		m := c.missing[key]
 		switch {
 		case m == nil:
-		case !slices.Contains(result.reply.Lacking, i):
+		case slices.Contains(result.reply.Lacking, i):
+			m.fetcher = ownCopy
+			c.removeSource(key, result.source)
+		case slices.Contains(result.reply.Unfinished, i):
+			m.fetcher = ownCopy
+		default:
 			c.adoptedTurns++
 			c.adoptedBytes += m.bytes
 			delete(c.missing, key)
-		default:
-			m.fetcher = ownCopy
-			c.removeSource(key, result.source)
 		}
 	}
+	if len(result.reply.Unfinished) > 0 {
+		c.failures[result.source]++
+	}
 	c.pace.addMissing(c.missingBytes() - before)
 }
 
--- a/turns/adopt_test.go
+++ b/turns/adopt_test.go
@@ -85,3 +85,31 @@
 		}
 	}
 }
+
+// TestAdoptionsFromSlowSource guards against turns that count as expired, and so as copied, since the
+// store that adopts them got no reply from the only source, which is slow.
+func TestAdoptionsFromSlowSource(t *testing.T) {
+	c := newCluster(t, 3)
+	lost := &lostDisk{cluster: c}
+	for i := range 80 {
+		id := turns.TurnID(fmt.Sprint("turn", i))
+		lost.written = append(lost.written, id)
+		c.writeTurnOn(turns.Turn{ID: id, Input: make([]byte, 6000)}, "p", 0, 2)
+	}
+	c.stores[2].shutDown()
+	c.catchUp = 8 * time.Second
+	added := c.addStore()
+	m := c.movingMap(0, 1, added)
+	member := m.Members[c.stores[0].id]
+	member.Address = proxy{target: member.Address, bytesPerSecond: 100 << 10}.start(t)
+	m.Members[member.ID] = member
+	start := time.Now()
+	c.setMap(m)
+	c.requireCopied(added, turns.ShardOf("choir", "p"), stepTimeout)
+	t.Logf("copied in %v", time.Since(start))
+	for id, n := range lost.holders(0, 1, added) {
+		if n < 2 {
+			t.Errorf("turn %s is on %d of three stores, want a majority", id, n)
+		}
+	}
+}
--- a/turns/messages.go
+++ b/turns/messages.go
@@ -224,4 +224,6 @@
 type AdoptReply struct {
 	// Lacking are the positions of turns in the request that the source did not have.
 	Lacking []int `json:"lacking,omitempty"`
+	// Unfinished are those of turns that the store lacks since the source has not replied.
+	Unfinished []int `json:"unfinished,omitempty"`
 }
