--- a/turns/adopt_test.go
+++ b/turns/adopt_test.go
@@ -23,7 +23,7 @@
 // 180 turns of 64 KiB were on the lost disk, and the link takes 1.6 MB/s.
 func TestCopiesArriveOverAllLinks(t *testing.T) {
 	const count, bytes, bytesPerSecond = 300, 64 << 10, 2 << 20
-	c := newLostDiskOfFive(t, count, bytes)
+	c := newLostDiskOf(t, 5, 3, count, bytes)
 	c.catchUp = 5 * time.Second
 	c.limitLinks(bytesPerSecond, 0, 1, 2, 3)
 	start := time.Now()
@@ -44,7 +44,7 @@
 // TestCopiesWithoutAdopters guards against copies that never end, or count turns as copied that are not,
 // since the stores that were asked to adopt them do not: one is cut off, one late, one full.
 func TestCopiesWithoutAdopters(t *testing.T) {
-	c := newLostDiskOfFive(t, 60, 4000)
+	c := newLostDiskOf(t, 5, 3, 60, 4000)
 	c.catchUp = 8 * time.Second
 	c.setReplyLatency(1200*time.Millisecond, 1)
 	c.stores[2].shutDown()
--- a/turns/pace_test.go
+++ b/turns/pace_test.go
@@ -12,30 +12,40 @@
 	"github.com/banyanspur/banyanspur/types"
 )
 
-// lostDisk is a cluster of three stores, the last of which loses its disk.
+// lostDisk is a cluster of stores, the last of which loses its disk.
 type lostDisk struct {
 	*cluster
 	written []turns.TurnID
 }
 
-// newLostDisk writes turns of the given size to the cluster, spread over all shards and the
-// same number to each two of the three stores, and shuts the last store down.
+// newLostDisk is newLostDiskOf for three stores, of which each turn is on two.
 func newLostDisk(t *testing.T, count, bytes int) *lostDisk {
 	t.Helper()
-	c := &lostDisk{cluster: newCluster(t, 3)}
+	return newLostDiskOf(t, 3, 2, count, bytes)
+}
+
+// newLostDiskOf writes turns of the given size to a cluster, spread over all shards, each to as many
+// stores as holders, all of which have the same number, and shuts the last store down.
+func newLostDiskOf(t *testing.T, stores, holders, count, bytes int) *lostDisk {
+	t.Helper()
+	c := &lostDisk{cluster: newCluster(t, stores)}
 	var g errgroup.Group
 	g.SetLimit(20)
 	for i := range count {
 		id := turns.TurnID(fmt.Sprint("turn", i))
 		c.written = append(c.written, id)
 		turn := turns.Turn{ID: id, Input: make([]byte, bytes)}
+		var on []int
+		for n := range holders {
+			on = append(on, (i+n)%stores)
+		}
 		g.Go(func() error {
-			c.writeTurnOn(turn, types.ProgramID(fmt.Sprint("p", i)), i%3, (i+1)%3)
+			c.writeTurnOn(turn, types.ProgramID(fmt.Sprint("p", i)), on...)
 			return nil
 		})
 	}
 	_ = g.Wait() // writeTurnOn fails the test itself.
-	c.stores[2].shutDown()
+	c.stores[stores-1].shutDown()
 	return c
 }
 
