--- a/turns/adopt_test.go
+++ b/turns/adopt_test.go
@@ -34,11 +34,7 @@
 	if took > c.catchUp {
 		t.Errorf("the copies were complete after %v, want less than %v", took, c.catchUp)
 	}
-	for id, n := range c.holders(0, 1, 2, 3, added) {
-		if n < 3 {
-			t.Errorf("turn %s is on %d of five stores, want a majority", id, n)
-		}
-	}
+	c.requireHolders(3, 0, 1, 2, 3, added)
 }
 
 // TestCopiesWithoutAdopters guards against copies that never end, or count turns as copied that are not,
@@ -56,11 +52,7 @@
 	c.moveAll(0, 1, 2, 3, added)
 	c.restartStore(3)
 	c.setReplyLatency(0, 1)
-	for id, n := range c.holders(0, 1, 2, 3, added) {
-		if n < 3 {
-			t.Errorf("turn %s is on %d of five stores, want a majority", id, n)
-		}
-	}
+	c.requireHolders(3, 0, 1, 2, 3, added)
 }
 
 // TestTwoCopiesShareAdoptions guards against turns that are fetched once for each store that copies a
@@ -107,9 +99,5 @@
 	c.setMap(m)
 	c.requireCopied(added, turns.ShardOf("choir", "p"), stepTimeout)
 	t.Logf("copied in %v", time.Since(start))
-	for id, n := range lost.holders(0, 1, added) {
-		if n < 2 {
-			t.Errorf("turn %s is on %d of three stores, want a majority", id, n)
-		}
-	}
+	lost.requireHolders(2, 0, 1, added)
 }
--- a/turns/lists_test.go
+++ b/turns/lists_test.go
@@ -21,6 +21,16 @@
 	return list
 }
 
+// requireHolders requires that at least so many of the given stores have each turn.
+func (c *lostDisk) requireHolders(least int, stores ...int) {
+	c.t.Helper()
+	for id, n := range c.holders(stores...) {
+		if n < least {
+			c.t.Errorf("turn %s is on %d of %d stores, want a majority", id, n, len(stores))
+		}
+	}
+}
+
 // TestAllListsAreAwaited guards against copies that fetch what a majority of the next stores has, since
 // they do not wait for the list of the last of these.
 func TestAllListsAreAwaited(t *testing.T) {
