gate, turns: the end of a request that is no whole success tells its cause

Requests of one program cannot be told from others, and a turn that is refused for its budget does not say which claims take it. Change: 407 has the program and, unless the end is a whole success, its cause, whether the caller's connection has taken it, and for turns the stores of the program's shard and those without a connection. 408 has the hosts that have confirmed the turn. 409 has what is used, and the attempts that are not settled.

--- a/gate/call.go
+++ b/gate/call.go
@@ -41,6 +41,8 @@
 	lastEventAt  time.Time // when the last event of a stream was received
 	status       int       // status code of the response
 	truncated    bool      // the response was cut off or never written
+	cause        string    // why the response is no whole success; empty if it is one
+	undelivered  bool      // the response could not be written to the caller's connection
 	target       types.TargetID
 	// endAttempt closes the response of the target, which then has no request of this call
 	// in flight. It is set while a target has one, and may be called more than once.
@@ -202,7 +204,7 @@
 // writeError logs an error response and sends it to the caller, which may have closed its
 // own side of the connection and still read.
 func (c *call) writeError(r *errorResponse) {
-	c.status = r.status
+	c.status, c.cause = r.status, r.reason
 	fields := event.Fields{
 		"request": c.id, "status": r.status, "reason": r.reason, "afterMs": r.retryAfter.Milliseconds(),
 		"account": c.accountID(), "sent": c.mayHaveRun, "tookMs": time.Since(c.start).Milliseconds(),
@@ -230,9 +232,8 @@
 		c.endBody()
 		return
 	}
-	if gone && http.NewResponseController(c.w).Flush() != nil {
-		c.truncated = true
-	}
+	c.undelivered = http.NewResponseController(c.w).Flush() != nil
+	c.truncated = gone && c.undelivered
 }
 
 // finish refunds the rate limit if no target may have run the request, releases
@@ -256,9 +257,32 @@
 		fields["firstMs"] = c.firstEventAt.Sub(c.start).Milliseconds()
 		fields["eventsMs"] = c.lastEventAt.Sub(c.firstEventAt).Milliseconds()
 	}
+	if program := c.r.Header.Get(c.gate.HeaderNames.Program); program != "" {
+		fields["program"] = program
+	}
 	if c.truncated {
 		fields["broken"] = true
 		failedTotal.Inc()
 	}
+	if c.truncated || c.status >= http.StatusMultipleChoices {
+		c.addCause(fields)
+	}
 	c.gate.Log.Write(event.RequestEnded, fields)
 }
+
+// addCause adds to the fields of the end of a request why it is no whole success, and whether its caller's
+// connection has got the end; for a turn also the stores of its program's shard.
+func (c *call) addCause(fields event.Fields) {
+	fields["delivered"] = !c.undelivered && !c.truncated
+	if c.cause != "" {
+		fields["cause"] = c.cause
+	}
+	if c.gate.Turns == nil || c.turn.budget.Program == "" {
+		return
+	}
+	stores, silent := c.gate.Turns.StoresOf(c.turn.budget.Account, c.turn.budget.Program)
+	fields["stores"] = stores
+	if len(silent) > 0 {
+		fields["silentStores"] = silent
+	}
+}
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -104,7 +104,7 @@
 	if types.IsCode(budgetErr, types.CodeBudgetExceeded) {
 		c.turn.settled = true // The client withdraws the claim.
 		c.gate.Log.Write(event.BudgetDecided, event.Fields{
-			"request": c.id, "program": c.turn.budget.Program, "limit": c.turn.budget.Limit, "most": c.turn.budget.MaxTokens, "granted": false,
+			"request": c.id, "program": c.turn.budget.Program, "limit": c.turn.budget.Limit, "most": c.turn.budget.MaxTokens, "granted": false, "reason": types.AsFault(budgetErr).Message,
 		})
 	}
 	switch {
@@ -239,9 +239,12 @@
 	// What was sent to the caller counts even if the caller disconnected.
 	ctx, cancel := withTimeout(context.WithoutCancel(c.r.Context()), c.gate.commitsCtx, c.commitTimeout())
 	defer cancel()
-	err := c.gate.Turns.Settle(ctx, c.turn.budget, used, turn)
+	stores, err := c.gate.Turns.SettleOn(ctx, c.turn.budget, used, turn)
 	c.turn.settled = err == nil
 	fields := event.Fields{"request": c.id, "program": c.turn.budget.Program, "used": used, "bytes": len(output)}
+	if len(stores) > 0 {
+		fields["stores"] = stores
+	}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
--- a/gate/unread.go
+++ b/gate/unread.go
@@ -292,6 +292,9 @@
 		c.truncated = true
 		err = errors.CombineErrors(err, writeErr)
 	}
+	if err != nil {
+		c.cause = err.Error()
+	}
 	if !errors.Is(err, errUnread) {
 		return
 	}
--- a/turns/client.go
+++ b/turns/client.go
@@ -65,9 +65,6 @@
 	// that was formed anew may have been lost. It has no retry delay, since the stores
 	// that replied will not have the turn later.
 	errTurnMayBeLost = types.NewFault(types.CodeUnavailable, "no store has the turn, which may have been lost with the disks of its stores")
-	// errBudgetExceeded is only returned after a majority of the shard's stores
-	// has replied with its claims.
-	errBudgetExceeded = types.NewFault(types.CodeBudgetExceeded, "the program's budget does not cover another turn")
 )
 
 // Budget describes a program's budget and the part of it that one turn
@@ -171,9 +168,29 @@
 		return nil
 	}
 	c.background.Go(func() error { return c.Settle(context.WithoutCancel(ctx), b, 0, nil) })
-	return errBudgetExceeded
+	return budgetExceeded(b, claims)
 }
 
+// budgetExceeded returns the fault of a turn that the budget does not cover. It is only returned after a
+// majority of the shard's stores has replied with its claims. It names the attempts whose claims are not settled.
+func budgetExceeded(b Budget, claims Claims) error {
+	var used types.Tokens
+	var open []types.AttemptID
+	for _, claim := range claims.sorted() {
+		switch {
+		case claim.Settled:
+			used += claim.Used
+		case claim.Attempt != b.Attempt:
+			open = append(open, claim.Attempt)
+		}
+	}
+	return types.NewFault(types.CodeBudgetExceeded, "the program's budget of %d tokens does not cover another %d: %d used, not settled: %d %v",
+		b.Limit, b.MaxTokens, used, len(open), open[:min(len(open), maxOpenNamed)])
+}
+
+// maxOpenNamed is how many attempts a fault names.
+const maxOpenNamed = 4
+
 // sendClaim sends req to the stores of its shard and returns the merged claims
 // of a majority. If the claim in req is empty, the claims are only read.
 func (c *Client) sendClaim(ctx context.Context, req ClaimRequest) (Claims, error) {
@@ -191,16 +208,22 @@
 	return merged, err
 }
 
-// Settle reports how many tokens an attempt has generated, and writes the turn
-// t that it produced unless t is nil. It returns once both are on disk on a
-// majority of the shard's stores. It retries until ctx ends.
+// Settle is [Client.SettleOn] for callers that do not need to know the stores.
 func (c *Client) Settle(ctx context.Context, b Budget, used types.Tokens, t *Turn) error {
+	_, err := c.SettleOn(ctx, b, used, t)
+	return err
+}
+
+// SettleOn reports how many tokens an attempt has generated, and writes the turn
+// t that it produced unless t is nil. It returns once both are on disk on a
+// majority of the shard's stores, with the hosts of these. It retries until ctx ends.
+func (c *Client) SettleOn(ctx context.Context, b Budget, used types.Tokens, t *Turn) ([]types.HostID, error) {
 	req := CloseRequest{
 		Shard: ShardOf(b.Account, b.Program), Account: b.Account, Program: b.Program,
 		Claim: Claim{Attempt: b.Attempt, MaxTokens: b.MaxTokens, Used: used, Settled: true}, Turn: t,
 	}
 	startedAt, turn := c.now(), req.shareTurn()
-	_, err := callShard[EmptyReply](ctx, c, req.Shard, KindClose, func(store StoreID, epoch Epoch) (head, tail []byte) {
+	replies, err := callShard[EmptyReply](ctx, c, req.Shard, KindClose, func(store StoreID, epoch Epoch) (head, tail []byte) {
 		to := req // Several stores are sent to at the same time.
 		to.To, to.Epoch = store, epoch
 		return to.encode(turn)
@@ -208,7 +231,27 @@
 	if err == nil && t != nil {
 		c.cache.put(*t, startedAt, c.cacheBytes())
 	}
-	return err
+	m := c.Map()
+	var hosts []types.HostID
+	for id := range replies {
+		hosts = append(hosts, m.Members[id].Host)
+	}
+	slices.Sort(hosts)
+	return hosts, err
+}
+
+// StoresOf returns the hosts of the stores to which the shard of a program is assigned, and those of them to
+// which there is no connection.
+func (c *Client) StoresOf(account types.AccountID, program types.ProgramID) (hosts, silent []types.HostID) {
+	m := c.Map()
+	for _, id := range m.Placement(ShardOf(account, program)).All() {
+		member := m.Members[id]
+		hosts = append(hosts, member.Host)
+		if !c.Peers.Link(member.Address).IsConnected() {
+			silent = append(silent, member.Host)
+		}
+	}
+	return hosts, silent
 }
 
 // now reads the client's clock. The result is positive.
