turns, gate: a turn of a lost host can be repeated within its budget

Callers saw: after all hosts have lost power, a turn that is repeated gets 402, though the budget of its program covers it, and 402 ends a program: none of its turns reaches a target any more. Cause: the claim of a turn is durable before the turn is sent. If its host is lost before the claim is settled, nobody settles it, and it takes the maximum of a turn from the budget for as long as the program's turns are kept. Change: a claim names the line of turns of its attempt, in which callers send one attempt at a time. Claims of earlier attempts of the line that are not settled are left out up to the maximum of one turn, which is by how much a program may exceed its budget. Control hosts and stores of earlier builds keep such claims without a line, and count them as before.

--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -30,7 +30,7 @@
 // headerNames are the header fields that callers and targets use in these tests.
 var headerNames = gate.HeaderNames{
 	RequestID: "Id", Deadline: "Deadline", Credential: "Authorization", CredentialScheme: "Bearer", Account: "Account", Target: "Target",
-	Signature: "Proof", NotRun: "Not-Run", Load: "Load", TargetLimit: "Limit", Draining: "Leaving", Priority: "Rank", PromptParts: "Prompt", Tokens: "Tokens", Program: "Program",
+	Signature: "Proof", NotRun: "Not-Run", Load: "Load", TargetLimit: "Limit", Draining: "Leaving", Priority: "Rank", PromptParts: "Prompt", Tokens: "Tokens", Program: "Program", Line: "Line",
 	Budget: "Budget", PreviousTurn: "Previous", Internal: []string{"Internal", "Rank", "Target"},
 }
 
--- a/gate/names.go
+++ b/gate/names.go
@@ -37,6 +37,8 @@
 	Tokens string
 	// Program is the ID of the request's program.
 	Program string
+	// Line names the line of turns of the program that the request belongs to. Sub-agents have lines of their own.
+	Line string
 	// Budget is how many tokens all turns of the program together may generate.
 	Budget string
 	// PreviousTurn is the ID of the turn that the request continues.
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -161,6 +161,7 @@
 	}
 	c.turn.budget = turns.Budget{
 		Account: c.accountID(), Program: program, Attempt: types.AttemptID(c.id), Limit: types.Tokens(limit), MaxTokens: types.Tokens(n), Continues: c.turn.previous != "",
+		Line: turns.Line(h.Get(headers.Line)),
 	}
 	c.turn.hasClaim = hasBudget
 }
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -148,6 +148,7 @@
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(a.timeout.Milliseconds(), 10))
 	req.Header.Set("X-Program-Id", a.program)
 	if a.path == "/turn/" {
+		req.Header.Set("X-Session-Id", a.program)
 		req.Header.Set("X-Token-Budget", strconv.Itoa(a.budget))
 		req.Header.Set("X-Token-Usage", fmt.Sprintf("10,%d", a.maxTokens))
 		if a.previous != "" {
--- a/turns/capacity.go
+++ b/turns/capacity.go
@@ -40,7 +40,7 @@
 	// indexedTurnBytes and indexedClaimBytes are the memory that a turn and a
 	// claim take in the index, including the maps.
 	indexedTurnBytes  = 400
-	indexedClaimBytes = 160
+	indexedClaimBytes = 192
 )
 
 var (
--- a/turns/client.go
+++ b/turns/client.go
@@ -79,6 +79,9 @@
 	// Continues is set if the turn continues another one. While the stores are too slow for all
 	// turns, such turns go before others.
 	Continues bool
+	// Line is the line of turns that the turn belongs to. An earlier attempt of the same line does not keep the
+	// turn from being repeated. The default is a turn of no line.
+	Line Line
 }
 
 // Reserve is [Client.ReserveWithin] for a reservation that may take until ctx ends.
@@ -98,7 +101,8 @@
 // claims of all others. ReserveWithin reads the claims a second time only if the
 // first reply has an unsettled claim of another attempt. Without one this is
 // not needed, since every concurrent reservation missing from the reply has
-// read this claim.
+// read this claim. The attempts of one line that were never settled are the exception, see [Budget.Line]:
+// with them, a program may exceed its budget by the maximum of one turn.
 //
 // While the stores are too slow, ReserveWithin returns an overloaded fault for which [NotSent] is
 // true: at once, or for a turn that continues another one after it has waited for a third of the time
@@ -154,7 +158,7 @@
 func (c *Client) reserve(ctx context.Context, b Budget) error {
 	req := ClaimRequest{
 		Shard: ShardOf(b.Account, b.Program), Account: b.Account, Program: b.Program,
-		Claim: Claim{Attempt: b.Attempt, MaxTokens: b.MaxTokens},
+		Claim: Claim{Attempt: b.Attempt, MaxTokens: b.MaxTokens, Line: b.Line},
 	}
 	claims, err := c.sendClaim(ctx, req)
 	if err == nil && claims.HasOtherUnsettled(b.Attempt) {
@@ -164,7 +168,7 @@
 	if err != nil {
 		return err
 	}
-	if claims.TotalCharge() <= b.Limit {
+	if claims.chargeFor(b) <= b.Limit {
 		return nil
 	}
 	c.background.Go(func() error { return c.Settle(context.WithoutCancel(ctx), b, 0, nil) })
--- a/turns/turn.go
+++ b/turns/turn.go
@@ -48,6 +48,10 @@
 	return Shard(xxhash.Sum64String(string(account)+"/"+string(program)) % ShardCount)
 }
 
+// Line names one line of turns of a program. The caller sends a turn of a line only once the attempt before has
+// ended for it; sub-agents have lines of their own.
+type Line string
+
 // Claim reserves a part of a program's budget for one attempt. Settling it
 // replaces the reserved amount by the amount used.
 type Claim struct {
@@ -58,6 +62,8 @@
 	// Settled is set.
 	Used    types.Tokens `json:"used,omitempty"`
 	Settled bool         `json:"settled,omitempty"`
+	// Line is that of the attempt. It is empty if the caller names none or the claim is settled.
+	Line Line `json:"line,omitempty"`
 }
 
 // charge returns the number of tokens that the claim takes from the budget:
@@ -99,6 +105,21 @@
 	return sum
 }
 
+// chargeFor returns the number of tokens that the claims, which include its own, take from the budget of a
+// turn. Another claim of its line that is not settled belongs to an attempt that is over for the caller. Its host may
+// have been lost before a target got the turn, and if all of these claims counted, the caller
+// could not repeat the turn. They are left out up to the maximum of one turn: by so much a program may exceed
+// its budget if targets have run these attempts.
+func (c Claims) chargeFor(b Budget) types.Tokens {
+	var over types.Tokens
+	for id, claim := range c {
+		if id != b.Attempt && !claim.Settled && b.Line != "" && claim.Line == b.Line && over < b.MaxTokens {
+			over += min(max(0, claim.MaxTokens), b.MaxTokens)
+		}
+	}
+	return c.TotalCharge() - min(over, max(0, b.MaxTokens))
+}
+
 // HasOtherUnsettled reports whether any attempt except the given one has an
 // unsettled claim.
 func (c Claims) HasOtherUnsettled(attempt types.AttemptID) bool {
