turns: the sum of a line's claims holds the largest numbers, and stores of earlier builds do not hide a line

What is left out of a sum was subtracted from it after it had been cut to the largest number, so that a turn of that many tokens fitted into any budget. A store of an earlier build replies without the line of a claim, and the first reply counted. Change: claims are left out before they are added; a claim takes its line from any reply.

--- a/turns/turn.go
+++ b/turns/turn.go
@@ -84,6 +84,10 @@
 func (c Claims) Merge(claim Claim) bool {
 	old, ok := c[claim.Attempt]
 	if ok && (old.Settled || !claim.Settled) {
+		if !old.Settled && old.Line == "" {
+			old.Line = claim.Line // Stores of earlier builds keep claims without it.
+			c[claim.Attempt] = old
+		}
 		return false
 	}
 	c[claim.Attempt] = claim
@@ -93,31 +97,28 @@
 // TotalCharge returns the number of tokens that all claims together take from
 // the budget, or the largest number if there are more. Claims have the numbers
 // that callers name.
-func (c Claims) TotalCharge() types.Tokens {
-	var sum types.Tokens
-	for _, claim := range c {
-		charge := max(0, claim.charge())
-		if charge > math.MaxInt64-sum {
-			return math.MaxInt64
-		}
-		sum += charge
-	}
-	return sum
-}
+func (c Claims) TotalCharge() types.Tokens { return c.chargeFor(Budget{}) }
 
-// chargeFor returns the number of tokens that the claims, which include its own, take from the budget of a
-// turn. Another claim of its line that is not settled belongs to an attempt that is over for the caller. Its host may
+// chargeFor is [Claims.TotalCharge] as far as it keeps a turn, whose claim is among them, from running. Another claim of its
+// line that is not settled belongs to an attempt that is over for the caller. Its host may
 // have been lost before a target got the turn, and if all of these claims counted, the caller
 // could not repeat the turn. They are left out up to the maximum of one turn: by so much a program may exceed
 // its budget if targets have run these attempts.
 func (c Claims) chargeFor(b Budget) types.Tokens {
-	var over types.Tokens
+	var sum types.Tokens
+	leftOut := max(0, b.MaxTokens) // that may be
 	for id, claim := range c {
-		if id != b.Attempt && !claim.Settled && b.Line != "" && claim.Line == b.Line && over < b.MaxTokens {
-			over += min(max(0, claim.MaxTokens), b.MaxTokens)
+		charge := max(0, claim.charge())
+		if id != b.Attempt && !claim.Settled && b.Line != "" && claim.Line == b.Line {
+			n := min(charge, leftOut)
+			charge, leftOut = charge-n, leftOut-n
 		}
+		if charge > math.MaxInt64-sum {
+			return math.MaxInt64
+		}
+		sum += charge
 	}
-	return c.TotalCharge() - min(over, max(0, b.MaxTokens))
+	return sum
 }
 
 // HasOtherUnsettled reports whether any attempt except the given one has an
