gate: claims are settled after the stores have been out of reach

Callers saw: 402 for turns that the budget of their program covers, from a host that was never down. Cause: a host that gives up a turn settles its claim within 3 s. If too few stores can be reached for longer, as right after a loss of power or in a partition, the claim kept the maximum of the turn for good.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -94,6 +94,7 @@
 	relaysSum    uint64 // checksum of the hosts that dialer asks; used by exchangeLoads only
 	targets      targetTracker
 	limits       limitShares
+	releases     releases
 	retryBudget  route.RetryBudget
 	crashes      crashDetector
 	begun        begunPrograms
@@ -164,6 +165,7 @@
 	workers.Go(func() error { return g.limits.run(ctx) })
 	workers.Go(func() error { return g.exchangeLoads(ctx) })
 	workers.Go(func() error { return g.dialer.Run(ctx) })
+	workers.Go(func() error { return g.settleReleases(ctx) })
 	err := workers.Wait()
 	g.background.Wait()
 	return err
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -271,21 +271,3 @@
 	}
 	return max(minCommitTimeout, min(c.remaining(), maxCommitTimeout))
 }
-
-// releaseClaim settles the budget claim of a turn that did not complete, with the
-// tokens that were forwarded to the caller. It runs in the background so that the
-// caller does not wait.
-func (c *call) releaseClaim() {
-	if !c.turn.hasClaim || c.turn.settled {
-		return
-	}
-	budget, delivered := c.turn.budget, c.turn.delivered
-	// After the end of Run, the context has ended, too, so that the failure is logged at once.
-	c.gate.background.GoOrRun(func() {
-		ctx, cancel := context.WithTimeout(c.gate.backgroundCtx, minCommitTimeout)
-		defer cancel()
-		if err := c.gate.Turns.Settle(ctx, budget, delivered, nil); err != nil {
-			c.gate.Log.Write(event.TurnDurable, event.Fields{"request": c.id, "program": budget.Program, "error": err.Error()})
-		}
-	})
-}
