turns: stores that copy get neither the requests for lost ones nor writes that they cannot help with

A store that had lost its disk wrote some 480 records a second, 2.6 times its share of all turns, beside its copies. Cause: the store at the address of a lost one rejects requests for that one, and clients sent each of them again after 30, 60, 120 and 240 ms. When one of the other stores was late, clients also sent the turn to the stores that the shard moves to, though after the loss of two of five a majority needs the three that are left, and these are a majority of the next stores, too. So stores were slower for it, and got more. Change: a call asks a store at whose address there is another one no more until it has another address. Of a shard that moves, late writes go to the current stores first, and to the added ones only if these can help.

--- a/turns/call.go
+++ b/turns/call.go
@@ -62,8 +62,9 @@
 	sent    int
 	results chan storeResult[Resp]
 	replies map[StoreID]Resp
-	// noCapacity is set for the stores whose last result is that they have no capacity.
-	noCapacity map[StoreID]bool
+	// noCapacity is set for the stores whose last result is that they have no capacity, and replaced for
+	// those at whose address there is another store, since their disks are lost.
+	noCapacity, replaced map[StoreID]bool
 }
 
 func newShardCall[Resp any](ctx context.Context, c *Client, m *Map, shard Shard, kind wire.Kind, newRequest encodeRequest) *shardCall[Resp] {
@@ -71,7 +72,7 @@
 	call := &shardCall[Resp]{
 		client: c, shard: shard, shardMap: m, placement: p, kind: kind, newRequest: newRequest,
 		stores: c.sortForMove(m, p, c.sortByDistance(m, rotated(p.All(), int(shard)))), results: make(chan storeResult[Resp]),
-		replies: map[StoreID]Resp{}, noCapacity: map[StoreID]bool{},
+		replies: map[StoreID]Resp{}, noCapacity: map[StoreID]bool{}, replaced: map[StoreID]bool{},
 	}
 	call.ctx, call.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	return call
@@ -80,17 +81,18 @@
 // run returns the replies once they are a write quorum, nothing if the shard has moved, and
 // a fault if ctx has ended or too many stores have no capacity. It first sends the request
 // to the nearest stores, as many as initialRequests returns, and to the others if one of
-// these fails or is slow.
+// these fails or is slow: first to the current ones, and then to those that the shard moves to, if they can help.
 func (s *shardCall[Resp]) run(ctx context.Context) (map[StoreID]Resp, error) {
 	s.send(initialRequests(s.placement, s.stores, s.kind))
-	hedge := time.NewTimer(s.client.closeReplies.hedgeDelay(minSettleHedgeDelay, s.stores[s.sent:]))
+	hedgeDelay := s.client.closeReplies.hedgeDelay(minSettleHedgeDelay, s.stores[s.sent:])
+	hedge := time.NewTicker(hedgeDelay)
 	defer hedge.Stop()
 	mapPoll := time.NewTicker(retryInterval)
 	defer mapPoll.Stop()
 	for {
 		select {
 		case result := <-s.results:
-			s.noCapacity[result.store] = isNoCapacity(result.err)
+			s.noCapacity[result.store], s.replaced[result.store] = isNoCapacity(result.err), isReplaced(result.err)
 			if result.err == nil {
 				s.replies[result.store] = result.reply
 				if s.placement.HasQuorum(func(id StoreID) bool { _, ok := s.replies[id]; return ok }) {
@@ -98,12 +100,14 @@
 				}
 				continue
 			}
-			s.send(len(s.stores))
+			s.sendCurrent()
 			if !s.placement.HasQuorum(func(id StoreID) bool { return !s.noCapacity[id] }) {
 				return nil, errNoCapacity
 			}
 		case <-hedge.C:
-			s.send(len(s.stores))
+			if !s.sendCurrent() && s.addedCanHelp() {
+				s.send(len(s.stores))
+			}
 		case <-mapPoll.C:
 			if s.hasMoved() {
 				return nil, nil //nolint:nilnil // Documented above.
@@ -135,6 +139,31 @@
 	}
 }
 
+// sendCurrent sends the request to the current stores that have not got it, and reports whether there are any.
+func (s *shardCall[Resp]) sendCurrent() bool {
+	isAdded := func(id StoreID) bool { return !slices.Contains(s.placement.Current, id) }
+	further := slices.Clone(s.stores[s.sent:])
+	current := slices.DeleteFunc(slices.Clone(further), isAdded)
+	added := slices.DeleteFunc(further, func(id StoreID) bool { return !isAdded(id) })
+	s.stores = slices.Concat(s.stores[:s.sent], current, added)
+	s.send(s.sent + len(current))
+	return len(current) > 0
+}
+
+// addedCanHelp reports whether a majority of the current stores might reply that contains no majority of the
+// next ones. Otherwise a store that is added is not needed for a quorum, and would write, beside its copies, what
+// others are late with: after the loss of two disks of five, all that are left must reply.
+func (s *shardCall[Resp]) addedCanHelp() bool {
+	m, p := s.client.Map(), s.placement
+	needed := len(p.Current)/2 + 1 // of stores in both lists
+	for _, id := range p.Current {
+		if !slices.Contains(p.Next, id) && !s.replaced[id] && s.client.Peers.Link(m.Members[id].Address).IsConnected() {
+			needed--
+		}
+	}
+	return needed < len(p.Next)/2+1
+}
+
 // callStore sends the request to one store until the store replies or the call is canceled.
 // It sends it again only if the connection is lost or the store returns an error.
 func (s *shardCall[Resp]) callStore(id StoreID) {
@@ -160,13 +189,25 @@
 		case <-s.ctx.Done():
 			return
 		}
-		if err == nil || !types.Sleep(s.ctx, delay) {
+		if err == nil || isReplaced(err) && !s.awaitAddress(id, address) || !types.Sleep(s.ctx, delay) {
 			return
 		}
 		delay = min(2*delay, maxRetryInterval)
 	}
 }
 
+// awaitAddress waits until a store has another address than the given one, at which there is another store. It
+// returns false if the call is canceled. Most often the disk of the store is lost, and the other store, which copies
+// what was on it, would have to reject each request again.
+func (s *shardCall[Resp]) awaitAddress(id StoreID, address string) bool {
+	for types.Sleep(s.ctx, retryInterval) {
+		if now, _ := s.address(id); now != address {
+			return true
+		}
+	}
+	return false
+}
+
 // waitConnected waits until the link is connected. It returns false after maxRetryInterval, since
 // the store may have another address by then, or if the call is canceled.
 func (s *shardCall[Resp]) waitConnected(link *wire.Link) bool {
@@ -191,6 +232,12 @@
 	return fault.Code == errNoCapacity.Code && fault.Message == errNoCapacity.Message
 }
 
+// isReplaced reports whether another store than the requested one has replied.
+func isReplaced(err error) bool {
+	fault := types.AsFault(err)
+	return err != nil && fault.Code == errWrongStore.Code && fault.Message == errWrongStore.Message
+}
+
 // initialRequests returns the number of stores that a request is sent to at
 // once: all of them, or only the first that are a quorum for close requests, since each replica
 // of the turn costs traffic and work of the store. During a move the stores also copy.
