turns: several attempts that are not settled do not spend a budget

A turn that is tried three times while hosts and stores return may leave two claims that no target has used: one of the host that lost power, and one whose host has yet to settle it. One turn's maximum is left out, so the third try got 402, which ends the program. Change: if the budget covers the turn unless targets have run all earlier attempts of its line, the caller gets 503.

--- a/turns/client.go
+++ b/turns/client.go
@@ -67,6 +67,10 @@
 	errTurnMayBeLost = types.NewFault(types.CodeUnavailable, "no store has the turn, which may have been lost with the disks of its stores")
 )
 
+// errAttemptsOpen is returned for a turn that the budget covers unless targets have run several earlier
+// attempts of its line, whose hosts are lost or are about to settle their claims.
+var errAttemptsOpen = types.NewFault(types.CodeUnavailable, "earlier attempts of the turn are not settled, which may have used the program's budget")
+
 // Budget describes a program's budget and the part of it that one turn
 // reserves.
 type Budget struct {
@@ -172,6 +176,9 @@
 		return nil
 	}
 	c.background.Go(func() error { return c.Settle(context.WithoutCancel(ctx), b, 0, nil) })
+	if claims.chargeIfOver(b) <= b.Limit {
+		return errAttemptsOpen
+	}
 	return budgetExceeded(b, claims)
 }
 
--- a/turns/turn.go
+++ b/turns/turn.go
@@ -104,9 +104,14 @@
 // have been lost before a target got the turn, and if all of these claims counted, the caller
 // could not repeat the turn. They are left out up to the maximum of one turn: by so much a program may exceed
 // its budget if targets have run these attempts.
-func (c Claims) chargeFor(b Budget) types.Tokens {
+func (c Claims) chargeFor(b Budget) types.Tokens { return c.chargeWithout(b, max(0, b.MaxTokens)) }
+
+// chargeIfOver is chargeFor without any of the claims that it leaves out in part.
+func (c Claims) chargeIfOver(b Budget) types.Tokens { return c.chargeWithout(b, math.MaxInt64) }
+
+// chargeWithout leaves out so many tokens of claims of the turn's line that are not settled.
+func (c Claims) chargeWithout(b Budget, leftOut types.Tokens) types.Tokens {
 	var sum types.Tokens
-	leftOut := max(0, b.MaxTokens) // that may be
 	for id, claim := range c {
 		charge := max(0, claim.charge())
 		if id != b.Attempt && !claim.Settled && b.Line != "" && claim.Line == b.Line {
