soak: a turn whose target ends while it has the request counts as one that reached it

Change: a 502 that is answered while a target ended counts as reached. All other answers count as before.

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/banyanspur/banyanspur/types"
@@ -43,6 +44,7 @@
 	}
 	_ = s.server.Close()
 	s.server = nil
+	s.ends = append(s.ends, time.Now())
 	for id := range s.inFlight {
 		s.brokenOff[id] = true
 	}
@@ -86,6 +88,16 @@
 	w.WriteHeader(http.StatusMisdirectedRequest)
 }
 
+// endedDuring reports whether a target ended while an attempt was under way, which was answered that its target
+// sent no valid response: such a target may have got the request without recording it.
+func (t *targets) endedDuring(a attempt) bool {
+	return a.status == http.StatusBadGateway && slices.ContainsFunc(t.servers, func(s *targetServer) bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return slices.ContainsFunc(s.ends, func(end time.Time) bool { return end.After(a.sentAt) && end.Before(a.endedAt) })
+	})
+}
+
 // brokeOff reports whether the last target that ran a request ended while it ran.
 func (t *targets) brokeOff(id string) bool {
 	runs := t.runsOf(id)
