--- a/soak/doc.go
+++ b/soak/doc.go
@@ -62,11 +62,19 @@
 //
 //	taskset -c 0-3 go test ./soak -run TestDeploymentUnderFaults -timeout 0 -size orders -first 1 -finalsync 300ms
 //
-// TestDisksLostAtCatchUp takes the next disk at the time after which it may be lost, whether the copies
-// for the one before are complete or not. By hand, stores are filled for longer, and on slow disks:
+// TestSilentLossOfPower takes the power of all hosts after replacements, a retirement, lost disks and planned stops, so that
+// connections to them hang. Hosts whose disks are lost return later than the others, and one entry host perhaps never:
+//
+//	go test ./soak -run TestSilentLossOfPower -timeout 0 -size grown -load 45s -first 1 -seeds 10
+//
+// A turn that is refused for the budget of its program must not fit into it: budgets hold one more turn than the
+// program has had, and turns that have reached no target count nothing.
+//
+// TestDisksLostAtCatchUp takes the next disk at the time after which it may be lost, by which the copies
+// for the one before must be complete. By hand, stores are filled for longer, and on slow disks:
 //
 //	go test ./soak -run TestDisksLostAtCatchUp -timeout 0 -size orders -first 1 -fill 25s -sync 300ms
 //
-// Not injected: slow syncs at other times, links of a limited rate to callers and targets, and entry hosts that
-// do not answer callers at all: a killed process resets its connections.
+// Not injected: slow syncs at other times, links of a limited rate to callers and targets, and, but for
+// the silent loss of power, entry hosts that do not answer callers at all: a killed process resets its connections.
 package soak
