gate: turns whose target cannot take them go before first turns at targets with limits

Callers saw: turns that continue others are refused while first turns are served, after the target of the turns before has left or is at its limit, and the others are at the limits that they name. Cause: at any target but its last one, a turn that continues another one had the low precedence of first turns. Change: if its last target is not listed, at its limit, tried or not known, it has the precedence that it would have there.

--- a/gate/call.go
+++ b/gate/call.go
@@ -63,6 +63,7 @@
 	delivered  types.Tokens // tokens that were forwarded to the caller
 	previous   turns.TurnID
 	lastTarget types.TargetID // target that ran the previous turn
+	displaced  bool           // lastTarget cannot take the turn, see isDisplaced
 	chain      []turns.Turn
 	chainBytes int64 // charged for chain
 }
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -63,6 +63,7 @@
 		if c.poisonous() {
 			return c.dispatchError(poisonousReason)
 		}
+		c.turn.displaced = c.isDisplaced(service, tried)
 		choice, probing := c.pickProbe(service, tried)
 		ok := probing
 		if !probing {
--- a/gate/target_limit.go
+++ b/gate/target_limit.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -58,10 +59,24 @@
 }
 
 // lowPrecedence reports whether a request leaves the limit of a target to others: to the
-// turns whose prompt is in the target's cache. On another target each of these would have
-// to be prefilled again, at the cost of the requests that run there.
+// turns whose prompt is in the target's cache, and to those whose target cannot take them. On another target each
+// of the former would have to be prefilled again, at the cost of the requests that run there; the callers of the latter
+// rely on the turns before.
 func (c *call) lowPrecedence(service *plan.Service, id types.TargetID) bool {
-	return service.Engine != nil && id != c.turn.lastTarget
+	return service.Engine != nil && id != c.turn.lastTarget && !c.turn.displaced
+}
+
+// isDisplaced reports whether the call continues a turn whose target cannot take it: it is not known, not
+// listed, at its limit, or was tried.
+func (c *call) isDisplaced(service *plan.Service, tried map[types.TargetID]bool) bool {
+	last := c.turn.lastTarget
+	if c.turn.previous == "" || service.Engine == nil {
+		return false
+	}
+	if last == "" || tried[last] || c.gate.targetLimits.fullFor(last, false, c.gate.Clock()) > 0 {
+		return true
+	}
+	return !slices.ContainsFunc(c.candidates(service, nil), func(t fleet.Target) bool { return t.ID == last })
 }
 
 // takeFromTargetLimit deducts one request from the limit of a target, if it has
