--- a/turns/stall_test.go
+++ b/turns/stall_test.go
@@ -279,11 +279,7 @@
 // segment of the journal needs, besides their own: at the rate of a deployment a store starts one
 // every few seconds.
 func TestNewSegmentDelaysNoTurn(t *testing.T) {
-	c, disks := newSlowCluster(t)
-	w := c.client()
-	if err := settleTurn(withTimeout(t, stepTimeout), w, "choir", "p", "first", ""); err != nil {
-		t.Fatal(err)
-	}
+	w, disks := newClientOfSlowDisks(t)
 	const syncTime, turnBytes, turnCount = 150 * time.Millisecond, 1 << 20, 24 // 8 MiB are a segment.
 	for _, d := range disks {
 		d.slow(syncTime)
