gate: claims that are left when a host ends are all logged

Cause: found by reading. A try that was under way at the end of Run could add its claim after those that wait had been logged, and the order of the list was described wrongly. Change: what is left is logged after the background work has ended.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -168,6 +168,7 @@
 	workers.Go(func() error { return g.settleReleases(ctx) })
 	err := workers.Wait()
 	g.background.Wait()
+	g.logReleases()
 	return err
 }
 
--- a/gate/release.go
+++ b/gate/release.go
@@ -36,7 +36,7 @@
 // settled, and only this host knows that it may be. The zero value is ready to use. It is safe for concurrent use.
 type releases struct {
 	mu sync.Mutex
-	// waiting is ordered by until, and holds at most maxReleases.
+	// waiting is in the order of the last tries, and holds at most maxReleases.
 	waiting []release
 }
 
@@ -51,7 +51,7 @@
 	return true
 }
 
-// take returns the claims that wait, up to n of them, the oldest first.
+// take returns the claims that wait, up to n of them, those first that were tried the longest ago.
 func (l *releases) take(n int) []release {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -88,7 +88,7 @@
 	g.Log.Write(event.TurnDurable, event.Fields{"request": r.budget.Attempt, "program": r.budget.Program, "error": reason})
 }
 
-// settleReleases tries the claims again that wait, until ctx ends. It then logs those that are left.
+// settleReleases tries the claims again that wait, until ctx ends.
 func (g *Gate) settleReleases(ctx context.Context) error {
 	for types.Sleep(ctx, releaseInterval) {
 		var tries errgroup.Group
@@ -100,8 +100,12 @@
 		}
 		_ = tries.Wait() // The goroutines always return nil.
 	}
+	return nil
+}
+
+// logReleases logs the claims that are left when the host ends.
+func (g *Gate) logReleases() {
 	for _, r := range g.releases.take(maxReleases) {
 		g.logUnsettled(r, "the host stops before the stores can be reached")
 	}
-	return nil
 }
