soak: a retired store has to be emptied within the time of the order

Cause: the soak printed how long it takes and waited up to 40 s; deployments ask for 8.9 s (booking) and 12 s. Change: it fails after that.

--- a/soak/disruptions_test.go
+++ b/soak/disruptions_test.go
@@ -146,7 +146,11 @@
 	waitFor(f.t, old.name+" to be emptied", func() bool {
 		return f.requestRetirement("POST", old) && f.requestRetirement("GET", old)
 	})
-	d.note("%s is emptied %v after the order", old.name, time.Since(begin).Round(time.Millisecond))
+	took := time.Since(begin)
+	d.note("%s is emptied %v after the order", old.name, took.Round(time.Millisecond))
+	if took.Seconds() > f.size.retire {
+		d.t.Errorf("%s is emptied %v after the order to retire it, want at most %.1f s", old.name, took, f.size.retire)
+	}
 	f.hosts[i] = added
 	d.loseAfter("disks lost after "+old.name+" was retired", added, func() {
 		old.stop(syscall.SIGKILL)
--- a/soak/size_test.go
+++ b/soak/size_test.go
@@ -13,6 +13,8 @@
 	losses  int     // number of hosts with a disk that may be lost at once
 	grace   float64 // seconds
 	catchUp float64 // seconds; used if asProgram is set
+	// retire is the time within which a store that is retired must be emptied, in seconds.
+	retire float64
 	// recovery is the time after the restart of all hosts from which on a quarter of the former
 	// share must be served, in seconds.
 	recovery float64
@@ -57,7 +59,7 @@
 var deploymentSizes = map[string]deploymentSize{
 	"small": {
 		fleet: fleetSize{
-			controls: 3, stores: 3, entries: 3, zones: 3, losses: 1, grace: 8, catchUp: 7.6, recovery: 15,
+			controls: 3, stores: 3, entries: 3, zones: 3, losses: 1, grace: 8, catchUp: 7.6, retire: 12, recovery: 15,
 			limits: deploymentLimits, asProgram: true,
 		},
 		models: 3, plain: 2, callers: 12, accounts: 8, slots: 12, cacheTokens: 471337, programs: 2, kinds: []programKind{{1, 6}},
@@ -65,7 +67,7 @@
 	},
 	"orders": {
 		fleet: fleetSize{
-			controls: 5, stores: 3, entries: 8, zones: 3, losses: 1, grace: 8, catchUp: 8.3, recovery: 12, syncTime: 5 * time.Millisecond,
+			controls: 5, stores: 3, entries: 8, zones: 3, losses: 1, grace: 8, catchUp: 8.3, retire: 12, recovery: 12, syncTime: 5 * time.Millisecond,
 			limits: map[host.NodeRole]hostLimits{
 				host.NodeEntry:   {share: 0.4, memoryMB: 284, files: 4100, linkMbps: 1000},
 				host.NodeStore:   {share: 0.352, memoryMB: 324, files: 8200, linkMbps: 130},
@@ -78,7 +80,7 @@
 	},
 	"booking": {
 		fleet: fleetSize{
-			controls: 5, stores: 3, entries: 7, zones: 3, losses: 1, grace: 8, catchUp: 4.9, recovery: 12,
+			controls: 5, stores: 3, entries: 7, zones: 3, losses: 1, grace: 8, catchUp: 4.9, retire: 8.9, recovery: 12,
 			limits: map[host.NodeRole]hostLimits{
 				host.NodeEntry:   {share: 0.4, memoryMB: 134, files: 4100, linkMbps: 1000},
 				host.NodeStore:   {share: 0.8, memoryMB: 164, files: 8200, linkMbps: 600},
@@ -91,7 +93,7 @@
 	},
 	"grown": {
 		fleet: fleetSize{
-			controls: 5, stores: 9, entries: 60, zones: 4, losses: 2, grace: 8, catchUp: 7.6, recovery: 15, syncTime: 5 * time.Millisecond,
+			controls: 5, stores: 9, entries: 60, zones: 4, losses: 2, grace: 8, catchUp: 7.6, retire: 12, recovery: 15, syncTime: 5 * time.Millisecond,
 			limits: deploymentLimits, asProgram: true,
 		},
 		models: 45, plain: 11, callers: 156, accounts: 77, slots: 12, cacheTokens: 471337, programs: 88, kinds: []programKind{{0.7, 4}, {0.3, 11}},
