turns: a smaller turn follows a lost attempt

Cause: found by review. What is left out of the claims of a line was the maximum of the turn that asks, and not of the attempt that is lost: with 580 of 900 tokens held by one and 400 used, a turn of 200 was refused for good. Change: the largest open claim of the line is left out, which is the maximum of one turn as well. Result: TestSmallerTurnFollowsLostAttempt failed before.

--- a/turns/client.go
+++ b/turns/client.go
@@ -68,7 +68,7 @@
 )
 
 // errAttemptsOpen is returned for a turn that the budget covers unless targets have run several earlier
-// attempts of its line, whose hosts are lost or are about to settle their claims.
+// attempts of its line, whose hosts are lost or are about to settle their claims. The client withdraws the claim.
 var errAttemptsOpen = types.NewFault(types.CodeUnavailable, "earlier attempts of the turn are not settled, which may have used the program's budget")
 
 // Budget describes a program's budget and the part of it that one turn
@@ -176,7 +176,7 @@
 		return nil
 	}
 	c.background.Go(func() error { return c.Settle(context.WithoutCancel(ctx), b, 0, nil) })
-	if claims.chargeIfOver(b) <= b.Limit {
+	if claims.chargeWithoutLine(b) <= b.Limit {
 		return errAttemptsOpen
 	}
 	return budgetExceeded(b, claims)
@@ -245,12 +245,21 @@
 	m := c.Map()
 	var hosts []types.HostID
 	for id := range replies {
-		hosts = append(hosts, m.Members[id].Host)
+		if member, ok := m.member(id); ok {
+			hosts = append(hosts, member.Host)
+		}
 	}
 	slices.Sort(hosts)
 	return hosts, err
 }
 
+// AttemptsOpen reports whether err is the fault of a reservation that the budget may cover once earlier attempts
+// of its line are settled. Its claim is withdrawn.
+func AttemptsOpen(err error) bool {
+	fault := types.AsFault(err)
+	return err != nil && fault.Code == errAttemptsOpen.Code && fault.Message == errAttemptsOpen.Message
+}
+
 // StoresOf returns the hosts of the stores to which the shard of a program is assigned, and those of them to
 // which there is no connection.
 func (c *Client) StoresOf(account types.AccountID, program types.ProgramID) (hosts, silent []types.HostID) {
--- a/turns/line_test.go
+++ b/turns/line_test.go
@@ -98,3 +98,24 @@
 		t.Errorf("once one of them is settled: %v", err)
 	}
 }
+
+// TestSmallerTurnFollowsLostAttempt guards against a smaller turn that is refused for good since the claim of a lost attempt is
+// larger than the turn itself: one turn's maximum is left out, and not that of the turn that asks.
+func TestSmallerTurnFollowsLostAttempt(t *testing.T) {
+	w := newCluster(t, 3).client()
+	ctx := withTimeout(t, stepTimeout)
+	attempt := func(id types.AttemptID, most types.Tokens) turns.Budget {
+		return turns.Budget{Account: "choir", Program: "p", Attempt: id, Limit: 900, MaxTokens: most, Line: "main"}
+	}
+	for _, id := range []types.AttemptID{"lost", "again"} {
+		if err := w.Reserve(ctx, attempt(id, 580)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := w.Settle(ctx, attempt("again", 580), 400, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Reserve(ctx, attempt("next", 200)); err != nil {
+		t.Errorf("400 of 900 tokens used, 580 held by a lost attempt, 200 asked for: %v", err)
+	}
+}
--- a/turns/map.go
+++ b/turns/map.go
@@ -94,6 +94,15 @@
 	Shards  []Placement        `json:"shards,omitempty"` // empty or of length ShardCount
 }
 
+// member returns the entry of a store. ok is false if there is none, or no map.
+func (m *Map) member(id StoreID) (member Member, ok bool) {
+	if m == nil {
+		return Member{}, false
+	}
+	member, ok = m.Members[id]
+	return member, ok
+}
+
 // Placement returns the placement of a shard. It is empty if m is nil or no
 // stores are assigned yet.
 func (m *Map) Placement(s Shard) Placement {
--- a/turns/turn.go
+++ b/turns/turn.go
@@ -102,19 +102,27 @@
 // chargeFor is [Claims.TotalCharge] as far as it keeps a turn, whose claim is among them, from running. Another claim of its
 // line that is not settled belongs to an attempt that is over for the caller. Its host may
 // have been lost before a target got the turn, and if all of these claims counted, the caller
-// could not repeat the turn. They are left out up to the maximum of one turn: by so much a program may exceed
-// its budget if targets have run these attempts.
-func (c Claims) chargeFor(b Budget) types.Tokens { return c.chargeWithout(b, max(0, b.MaxTokens)) }
+// could not repeat the turn. They are left out up to the largest of them: by the maximum of one turn a program may
+// exceed its budget if targets have run these attempts.
+func (c Claims) chargeFor(b Budget) types.Tokens {
+	largest := max(0, b.MaxTokens)
+	for id, claim := range c {
+		if b.leavesOut(id, claim) {
+			largest = max(largest, claim.charge())
+		}
+	}
+	return c.chargeWithout(b, largest)
+}
 
-// chargeIfOver is chargeFor without any of the claims that it leaves out in part.
-func (c Claims) chargeIfOver(b Budget) types.Tokens { return c.chargeWithout(b, math.MaxInt64) }
+// chargeWithoutLine is chargeFor without any of the claims that it leaves out in part.
+func (c Claims) chargeWithoutLine(b Budget) types.Tokens { return c.chargeWithout(b, math.MaxInt64) }
 
 // chargeWithout leaves out so many tokens of claims of the turn's line that are not settled.
 func (c Claims) chargeWithout(b Budget, leftOut types.Tokens) types.Tokens {
 	var sum types.Tokens
 	for id, claim := range c {
 		charge := max(0, claim.charge())
-		if id != b.Attempt && !claim.Settled && b.Line != "" && claim.Line == b.Line {
+		if b.leavesOut(id, claim) {
 			n := min(charge, leftOut)
 			charge, leftOut = charge-n, leftOut-n
 		}
@@ -126,6 +134,11 @@
 	return sum
 }
 
+// leavesOut reports whether a claim is that of another attempt of the turn's line, and not settled.
+func (b Budget) leavesOut(id types.AttemptID, claim Claim) bool {
+	return id != b.Attempt && !claim.Settled && b.Line != "" && claim.Line == b.Line
+}
+
 // HasOtherUnsettled reports whether any attempt except the given one has an
 // unsettled claim.
 func (c Claims) HasOtherUnsettled(attempt types.AttemptID) bool {
