turns: the reply of a store that ends counts for who is asked next

A current store that has replied and then ended did not count, so that a store that the shard moves to, the only one that could complete the quorum, got nothing for the 5 s of the call. A store that returns at an address where another one had replied was not asked again by the same call. Change: stores that have replied count as such, and a store is asked again after 3 s.

--- a/turns/call.go
+++ b/turns/call.go
@@ -21,6 +21,9 @@
 // [wire.CallEncoded]. It may be called for several stores at the same time.
 type encodeRequest func(StoreID, Epoch) (head, tail []byte)
 
+// replacedRetry is the pause after which a store is asked again at an address where another one has replied.
+const replacedRetry = 3 * time.Second
+
 // callShard sends a request to the stores of a shard and returns the replies
 // once a majority has replied. Requests to the other stores continue in the
 // background. If the shard has moved, it starts again with the new placement, until
@@ -154,16 +157,25 @@
 // next ones. Otherwise a store that is added is not needed for a quorum, and would write, beside its copies, what
 // others are late with: after the loss of two disks of five, all that are left must reply.
 func (s *shardCall[Resp]) addedCanHelp() bool {
-	m, p := s.client.Map(), s.placement
+	p := s.placement
 	needed := len(p.Current)/2 + 1 // of stores in both lists
 	for _, id := range p.Current {
-		if !slices.Contains(p.Next, id) && !s.replaced[id] && s.client.Peers.Link(m.Members[id].Address).IsConnected() {
+		if !slices.Contains(p.Next, id) && s.mayReply(id) {
 			needed--
 		}
 	}
 	return needed < len(p.Next)/2+1
 }
 
+// mayReply reports whether a store has replied, or may: it is connected, and not replaced.
+func (s *shardCall[Resp]) mayReply(id StoreID) bool {
+	if _, ok := s.replies[id]; ok {
+		return true
+	}
+	address, ok := s.address(id)
+	return ok && !s.replaced[id] && s.client.Peers.Link(address).IsConnected()
+}
+
 // callStore sends the request to one store until the store replies or the call is canceled.
 // It sends it again only if the connection is lost or the store returns an error.
 func (s *shardCall[Resp]) callStore(id StoreID) {
@@ -196,16 +208,19 @@
 	}
 }
 
-// awaitAddress waits until a store has another address than the given one, at which there is another store. It
-// returns false if the call is canceled. Most often the disk of the store is lost, and the other store, which copies
-// what was on it, would have to reject each request again.
+// awaitAddress waits until a store has another address than the given one, at which there is another store, for
+// up to replacedRetry. It returns false if the call is canceled. Most often the disk of the store is lost, and the other
+// store, which copies what was on it, would have to reject each request again.
 func (s *shardCall[Resp]) awaitAddress(id StoreID, address string) bool {
-	for types.Sleep(s.ctx, retryInterval) {
+	for begin := time.Now(); time.Since(begin) < replacedRetry; {
+		if !types.Sleep(s.ctx, retryInterval) {
+			return false
+		}
 		if now, _ := s.address(id); now != address {
 			return true
 		}
 	}
-	return false
+	return true
 }
 
 // waitConnected waits until the link is connected. It returns false after maxRetryInterval, since
--- a/turns/replaced_test.go
+++ b/turns/replaced_test.go
@@ -57,3 +57,23 @@
 		t.Errorf("%d turns were sent %d times, want at most %d", writes, n, most)
 	}
 }
+
+// TestReplyOfStoreThatEndsCounts guards against a turn that is not written though enough stores are up: a current store has
+// replied and then ended, another one is late, and the store that the shard moves to must complete the quorum.
+func TestReplyOfStoreThatEndsCounts(t *testing.T) {
+	c := newCluster(t, 4)
+	c.updatePlacements(func(p *turns.Placement) { p.Current = []turns.StoreID{c.stores[0].id, c.stores[1].id, c.stores[2].id} })
+	writeTurn(t, c.client(), "choir", "p", "first", "")
+	c.pauseDisk(1)
+	c.setMap(c.movingMap(0, 1, 3))
+	waitFor(t, func() bool { return c.peers.Link(c.member(1).Address).IsConnected() })
+	w := c.client()
+	var g errgroup.Group
+	g.Go(func() error { return settleTurn(withTimeout(t, 5*time.Second), w, "choir", "p", "second", "first") })
+	waitFor(t, func() bool { return c.storeHas(2, "second") })
+	c.stores[2].shutDown()
+	if err := g.Wait(); err != nil {
+		t.Errorf("stores 0 and 3 are up, and 2 has replied: %v", err)
+	}
+	c.stores[1].resumeDisk()
+}
