gate: a session of any bytes and size is a line

Cause: found by review. Stores cannot decode a claim whose line is not UTF-8, so that such a turn got 503 after 2.5 s, and three of them closed the admission of a host: 35 of 40 first turns of others were refused. Long ones took memory of stores.

--- a/gate/odd_id_test.go
+++ b/gate/odd_id_test.go
@@ -1,7 +1,9 @@
 package gate_test
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -32,3 +34,17 @@
 		t.Errorf("an ID with other characters gets status %d: %s", code, body)
 	}
 }
+
+// TestOddLineIsServed guards against a caller that closes the admission of a host for all others: a line that is not
+// UTF-8, or long, is only a hint, and stores that cannot decode its claim seem to be late.
+func TestOddLineIsServed(t *testing.T) {
+	b := newTestbed(t)
+	b.addTarget("models", streamEvents("one"))
+	for i, line := range []string{"odd\xff", strings.Repeat("long", 2000)} {
+		r := turnRequest(fmt.Sprint("t", i), "", "x", "1000")
+		r.header["Line"] = line
+		if code, body := b.send(r); code != http.StatusOK {
+			t.Errorf("a turn of line %.10q: status %d, %s", line, code, body)
+		}
+	}
+}
