gate: claims of one shard do not hold up those of others, and targets that are avoided displace turns

Cause: found by review. A batch of claims that are settled late waited for its slowest one, 3 s if a shard has no majority, and what waited at the end of the host was only logged, though 0.3 s are left. A turn whose last target is avoided or unreachable kept the low precedence of first turns. Change: sixteen tries at any time, one more for all at the end; such targets count as ones that cannot take the turn. Result: TestClaimIsSettledAfterOutage and TestDisplacedTurnsGoBeforeFirstTurns pass.

--- a/gate/body.go
+++ b/gate/body.go
@@ -88,7 +88,7 @@
 // endBody closes the caller's connection if the response was written before the body had been
 // read to its end.
 func (c *call) endBody() {
-	if http.NewResponseController(c.w).Flush() != nil {
+	if c.undelivered = http.NewResponseController(c.w).Flush() != nil; c.undelivered {
 		return // The caller is gone.
 	}
 	if conn, ok := c.r.Context().Value(connKey{}).(*intake.Conn); ok {
--- a/gate/release.go
+++ b/gate/release.go
@@ -16,8 +16,8 @@
 	// releaseTime is for how long a host tries to settle the claim of a turn that has ended. Programs whose
 	// stores are gone for longer have mostly ended, too.
 	releaseTime = time.Minute
-	// releaseInterval is the pause after a try that failed.
-	releaseInterval = 250 * time.Millisecond
+	// releaseInterval is the pause between two looks at the claims that wait.
+	releaseInterval = 100 * time.Millisecond
 	// maxReleases is how many claims may wait for another try, some 300 B each, and releasesAtOnce how
 	// many are tried at the same time: stores that return have to serve turns.
 	maxReleases    = 4096
@@ -88,19 +88,28 @@
 	g.Log.Write(event.TurnDurable, event.Fields{"request": r.budget.Attempt, "program": r.budget.Program, "error": reason})
 }
 
-// settleReleases tries the claims again that wait, until ctx ends.
+// settleReleases tries the claims again that wait, until ctx ends. Those that are left then are tried once more,
+// until backgroundCtx ends.
 func (g *Gate) settleReleases(ctx context.Context) error {
+	var tries errgroup.Group
+	tries.SetLimit(releasesAtOnce)
+	try := func(r release) func() error {
+		return func() error {
+			g.tryRelease(r)
+			return nil
+		}
+	}
 	for types.Sleep(ctx, releaseInterval) {
-		var tries errgroup.Group
-		for _, r := range g.releases.take(releasesAtOnce) {
-			tries.Go(func() error {
-				g.tryRelease(r)
-				return nil
-			})
+		for _, r := range g.releases.take(maxReleases) {
+			if !tries.TryGo(try(r)) && !g.releases.add(r) {
+				g.logUnsettled(r, "too many claims wait for the stores")
+			}
 		}
-		_ = tries.Wait() // The goroutines always return nil.
 	}
-	return nil
+	for _, r := range g.releases.take(maxReleases) {
+		tries.Go(try(r))
+	}
+	return tries.Wait()
 }
 
 // logReleases logs the claims that are left when the host ends.
--- a/gate/target_limit.go
+++ b/gate/target_limit.go
@@ -67,13 +67,13 @@
 }
 
 // isDisplaced reports whether the call continues a turn whose target cannot take it: it is not known, not
-// listed, at its limit, or was tried.
+// listed, at its limit, avoided, unreachable, or was tried.
 func (c *call) isDisplaced(service *plan.Service, tried map[types.TargetID]bool) bool {
 	last := c.turn.lastTarget
 	if c.turn.previous == "" || service.Engine == nil {
 		return false
 	}
-	if last == "" || tried[last] || c.gate.targetLimits.fullFor(last, false, c.gate.Clock()) > 0 {
+	if last == "" || tried[last] || c.fullFor(service, last, c.gate.Clock()) > 0 || c.gate.targets.unreachable(last) {
 		return true
 	}
 	return !slices.ContainsFunc(c.candidates(service, nil), func(t fleet.Target) bool { return t.ID == last })
