turns: a claim beyond the budget leaves no others out

Cause: found by reading the change as a whole. A claim that is larger than the budget is refused, but until it is withdrawn it was the largest of its line, so that all other open claims were left out: three turns of 580 were granted with 900 tokens. Change: only claims that the budget could have covered count as the largest. Result: TestRefusedClaimLeavesNothingOut; the tests of lines and budgets pass.

--- a/turns/client.go
+++ b/turns/client.go
@@ -172,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	if claims.chargeFor(b) <= b.Limit {
+	if claims.ChargeFor(b) <= b.Limit {
 		return nil
 	}
 	c.background.Go(func() error { return c.Settle(context.WithoutCancel(ctx), b, 0, nil) })
@@ -265,7 +265,10 @@
 func (c *Client) StoresOf(account types.AccountID, program types.ProgramID) (hosts, silent []types.HostID) {
 	m := c.Map()
 	for _, id := range m.Placement(ShardOf(account, program)).All() {
-		member := m.Members[id]
+		member, ok := m.member(id)
+		if !ok {
+			continue
+		}
 		hosts = append(hosts, member.Host)
 		if !c.Peers.Link(member.Address).IsConnected() {
 			silent = append(silent, member.Host)
--- a/turns/line_test.go
+++ b/turns/line_test.go
@@ -60,6 +60,20 @@
 	}
 }
 
+// TestRefusedClaimLeavesNothingOut guards against a program that exceeds its budget by several turns, since a claim beyond any
+// budget, which is refused and not withdrawn yet, is the largest of its line.
+func TestRefusedClaimLeavesNothingOut(t *testing.T) {
+	claims := turns.Claims{}
+	for _, c := range []turns.Claim{{Attempt: "a", MaxTokens: 580}, {Attempt: "b", MaxTokens: 580}, {Attempt: "refused", MaxTokens: 5000}, {Attempt: "next", MaxTokens: 580}} {
+		c.Line = "main"
+		claims.Merge(c)
+	}
+	b := turns.Budget{Attempt: "next", Limit: 900, MaxTokens: 580, Line: "main"}
+	if diff := cmp.Diff(types.Tokens(580+580+5000), claims.ChargeFor(b)); diff != "" {
+		t.Errorf("charge (-want +got):\n%s", diff)
+	}
+}
+
 // TestTurnsOfOtherLinesCount guards against a budget that is exceeded by sub-agents that run turns at the same
 // time: the turn of one line says nothing of another one's.
 func TestTurnsOfOtherLinesCount(t *testing.T) {
--- a/turns/turn.go
+++ b/turns/turn.go
@@ -97,24 +97,24 @@
 // TotalCharge returns the number of tokens that all claims together take from
 // the budget, or the largest number if there are more. Claims have the numbers
 // that callers name.
-func (c Claims) TotalCharge() types.Tokens { return c.chargeFor(Budget{}) }
+func (c Claims) TotalCharge() types.Tokens { return c.ChargeFor(Budget{}) }
 
-// chargeFor is [Claims.TotalCharge] as far as it keeps a turn, whose claim is among them, from running. Another claim of its
+// ChargeFor is [Claims.TotalCharge] as far as it keeps a turn, whose claim is among them, from running. Another claim of its
 // line that is not settled belongs to an attempt that is over for the caller. Its host may
 // have been lost before a target got the turn, and if all of these claims counted, the caller
-// could not repeat the turn. They are left out up to the largest of them: by the maximum of one turn a program may
+// could not repeat the turn. They are left out up to the largest of them that was granted: by the maximum of one turn a program may
 // exceed its budget if targets have run these attempts.
-func (c Claims) chargeFor(b Budget) types.Tokens {
+func (c Claims) ChargeFor(b Budget) types.Tokens {
 	largest := max(0, b.MaxTokens)
 	for id, claim := range c {
-		if b.leavesOut(id, claim) {
+		if b.leavesOut(id, claim) && claim.charge() <= b.Limit { // Larger ones were never granted.
 			largest = max(largest, claim.charge())
 		}
 	}
 	return c.chargeWithout(b, largest)
 }
 
-// chargeWithoutLine is chargeFor without any of the claims that it leaves out in part.
+// chargeWithoutLine is ChargeFor without any of the claims that it leaves out in part.
 func (c Claims) chargeWithoutLine(b Budget) types.Tokens { return c.chargeWithout(b, math.MaxInt64) }
 
 // chargeWithout leaves out so many tokens of claims of the turn's line that are not settled.
