--- a/gate/release.go
+++ b/gate/release.go
@@ -51,13 +51,12 @@
 	return true
 }
 
-// take returns the claims that wait, up to n of them, those first that were tried the longest ago.
-func (l *releases) take(n int) []release {
+// take returns the claims that wait, those first that were tried the longest ago.
+func (l *releases) take() []release {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n = min(n, len(l.waiting))
-	taken := l.waiting[:n:n]
-	l.waiting = l.waiting[n:]
+	taken := l.waiting
+	l.waiting = nil
 	return taken
 }
 
@@ -100,13 +99,13 @@
 		}
 	}
 	for types.Sleep(ctx, releaseInterval) {
-		for _, r := range g.releases.take(maxReleases) {
+		for _, r := range g.releases.take() {
 			if !tries.TryGo(try(r)) && !g.releases.add(r) {
 				g.logUnsettled(r, "too many claims wait for the stores")
 			}
 		}
 	}
-	for _, r := range g.releases.take(maxReleases) {
+	for _, r := range g.releases.take() {
 		tries.Go(try(r))
 	}
 	return tries.Wait()
@@ -114,7 +113,7 @@
 
 // logReleases logs the claims that are left when the host ends.
 func (g *Gate) logReleases() {
-	for _, r := range g.releases.take(maxReleases) {
+	for _, r := range g.releases.take() {
 		g.logUnsettled(r, "the host stops before the stores can be reached")
 	}
 }
--- a/turns/admit.go
+++ b/turns/admit.go
@@ -123,6 +123,5 @@
 // NotSent reports whether err is the fault of a reservation that was not sent to any store,
 // so that there is no claim to settle.
 func NotSent(err error) bool {
-	fault := types.AsFault(err)
-	return err != nil && fault.Code == errStoresSlow.Code && fault.Message == errStoresSlow.Message
+	return isFault(err, errStoresSlow)
 }
--- a/turns/call.go
+++ b/turns/call.go
@@ -243,14 +243,12 @@
 
 // isNoCapacity reports whether a store has refused a request for lack of capacity.
 func isNoCapacity(err error) bool {
-	fault := types.AsFault(err)
-	return fault.Code == errNoCapacity.Code && fault.Message == errNoCapacity.Message
+	return isFault(err, errNoCapacity)
 }
 
 // isReplaced reports whether another store than the requested one has replied.
 func isReplaced(err error) bool {
-	fault := types.AsFault(err)
-	return err != nil && fault.Code == errWrongStore.Code && fault.Message == errWrongStore.Message
+	return isFault(err, errWrongStore)
 }
 
 // initialRequests returns the number of stores that a request is sent to at
--- a/turns/chain.go
+++ b/turns/chain.go
@@ -86,8 +86,7 @@
 // MayBeLost reports whether err is the fault that [Client.Chain] returns for a turn that no
 // store has any more, after a shard was formed anew from a minority of its stores.
 func MayBeLost(err error) bool {
-	fault := types.AsFault(err)
-	return err != nil && fault.Code == errTurnMayBeLost.Code && fault.Message == errTurnMayBeLost.Message
+	return isFault(err, errTurnMayBeLost)
 }
 
 // fetchChain requests a turn and those before it from the stores and returns
--- a/turns/client.go
+++ b/turns/client.go
@@ -253,11 +253,16 @@
 	return hosts, err
 }
 
+// isFault reports whether err is the given fault, perhaps received from another host.
+func isFault(err error, fault *types.Fault) bool {
+	got := types.AsFault(err)
+	return err != nil && got.Code == fault.Code && got.Message == fault.Message
+}
+
 // AttemptsOpen reports whether err is the fault of a reservation that the budget may cover once earlier attempts
 // of its line are settled. Its claim is withdrawn.
 func AttemptsOpen(err error) bool {
-	fault := types.AsFault(err)
-	return err != nil && fault.Code == errAttemptsOpen.Code && fault.Message == errAttemptsOpen.Message
+	return isFault(err, errAttemptsOpen)
 }
 
 // StoresOf returns the hosts of the stores to which the shard of a program is assigned, and those of them to
