turns, gate: a claim is durable once a target works on its turn, not before

Callers saw turns of sub-agents answered 402 after all processes had been killed, which ends a program: they reached no target in any try, while others were served.

Cause: a claim was durable with its turn's maximum before the turn was sent, and only the host that had placed it could settle it. Claims of attempts that were lost before a target got them counted against the other lines of their program for as long as its turns are kept. Turns of no session, third attempts, and claims that were refused and not withdrawn had the same fault. Sub-agents that asked at the same time counted the open claims of each other and were all refused.

Change: before the target, stores hold the claim in memory, and list what they hold in the order of arrival, so that as many turns are granted as the budget covers. The claim becomes durable while the target works, and nothing is handed on before. A turn that is not covered any more is answered 502, since it has run. Turns of no session have the line of their input.

--- a/gate/call.go
+++ b/gate/call.go
@@ -57,15 +57,17 @@
 
 // turnState is the part of a call that belongs to its program.
 type turnState struct {
-	budget     turns.Budget
-	hasClaim   bool // the turn claims a part of the budget; the claim must be settled
-	settled    bool
-	delivered  types.Tokens // tokens that were forwarded to the caller
-	previous   turns.TurnID
-	lastTarget types.TargetID // target that ran the previous turn
-	displaced  bool           // lastTarget cannot take the turn, see isDisplaced
-	chain      []turns.Turn
-	chainBytes int64 // charged for chain
+	budget   turns.Budget
+	hasClaim bool // the turn claims a part of the budget; the claim must be settled or withdrawn
+	settled  bool
+	// confirmation is set once a target may get the turn: until then the stores only hold its claim.
+	confirmation *confirmation
+	delivered    types.Tokens // tokens that were forwarded to the caller
+	previous     turns.TurnID
+	lastTarget   types.TargetID // target that ran the previous turn
+	displaced    bool           // lastTarget cannot take the turn, see isDisplaced
+	chain        []turns.Turn
+	chainBytes   int64 // charged for chain
 }
 
 // errorResponse is a final response that this host generates itself.
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -38,6 +38,9 @@
 	// outcomeExpired means that the deadline passed, the caller disconnected or the host
 	// is stopping.
 	outcomeExpired
+	// outcomeUnconfirmed means that the target ran the request, and that nothing of its response may be
+	// forwarded since the claim on the program's budget is not durable.
+	outcomeUnconfirmed
 )
 
 const (
@@ -82,6 +85,8 @@
 			return nil
 		case outcomeExpired:
 			return c.expired()
+		case outcomeUnconfirmed:
+			return c.dispatchError("cannot make the claim on the program's budget durable: " + c.turn.confirmation.reason())
 		case outcomeNotRun:
 			rejected++
 		case outcomeUnreachable:
@@ -138,6 +143,7 @@
 		return outcomeExpired
 	}
 	c.target, c.lastSentAt = t.ID, time.Now()
+	c.confirmClaim()
 	ctx, stopTimer, cancel := c.attemptContext(remaining, hasAlternative)
 	defer cancel()
 	sentAt := c.gate.Clock()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -125,6 +125,7 @@
 	eventForwardSeconds = metrics.NewHistogram("banyanspur_gate_event_pass_seconds")
 	turnWriteSeconds    = metrics.NewHistogram("banyanspur_gate_turn_write_seconds")
 	budgetClaimSeconds  = metrics.NewHistogram("banyanspur_gate_claim_seconds")
+	confirmWaitSeconds  = metrics.NewHistogram("banyanspur_gate_confirm_wait_seconds")
 	chainFetchSeconds   = metrics.NewHistogram("banyanspur_gate_chain_seconds")
 )
 
--- a/gate/release.go
+++ b/gate/release.go
@@ -61,12 +61,17 @@
 }
 
 // releaseClaim settles the budget claim of a turn that did not complete, with the
-// tokens that were forwarded to the caller. It runs in the background so that the
+// tokens that were forwarded to the caller, or withdraws it if no target got the turn. It runs in the background so that the
 // caller does not wait.
 func (c *call) releaseClaim() {
 	if !c.turn.hasClaim || c.turn.settled {
 		return
 	}
+	if c.turn.confirmation == nil {
+		c.gate.background.GoOrRun(func() { _ = c.gate.Turns.Withdraw(c.gate.backgroundCtx, c.turn.budget) }) // It ends by itself.
+		return
+	}
+	c.turn.confirmation.cancel()
 	r := release{budget: c.turn.budget, used: c.turn.delivered, until: time.Now().Add(releaseTime)}
 	// After the end of Run, the context has ended, too, so that the failure is logged at once.
 	c.gate.background.GoOrRun(func() { c.gate.tryRelease(r) })
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -46,6 +46,10 @@
 	err := s.run(t, resp)
 	c.endAttempt()
 	c.turn.delivered += types.Tokens(s.eventCount) * tokensPerEvent
+	if errors.Is(err, errUnconfirmed) {
+		c.runs++
+		return outcomeUnconfirmed
+	}
 	if !s.headSent && err != nil {
 		return c.classifyError(t, err)
 	}
@@ -93,6 +97,7 @@
 	tokensPerEvent types.Tokens
 	maxEvents      int          // 0 means no limit
 	headSent       bool         // the response header was sent to the caller
+	delayed        bool         // the first event has waited, so that times between the others say nothing of the target
 	lastEventAt    time.Time    // when the last event was received
 	eventCount     int          // events forwarded
 	output         bytes.Buffer // data of all events of a stateful route, each followed by a line feed
@@ -118,7 +123,7 @@
 			return errTooManyEvents
 		}
 		receivedAt := time.Now()
-		if s.headSent {
+		if s.headSent && !s.delayed {
 			s.call.gate.targets.recordUnitTime(t.ID, receivedAt.Sub(s.lastEventAt))
 		}
 		s.lastEventAt, s.call.lastEventAt = receivedAt, receivedAt
@@ -126,6 +131,11 @@
 			s.call.firstEventAt = receivedAt
 			firstEventSeconds.UpdateDuration(s.call.start)
 			s.call.gate.targets.recordPrefill(t.ID, parsePromptParts(s.call.r.Header.Get(s.call.gate.HeaderNames.PromptParts)))
+			waited, err := s.call.awaitClaim()
+			if err != nil {
+				return err
+			}
+			s.delayed = waited
 		}
 		s.sendHead(resp)
 		s.eventCount++
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
@@ -99,7 +98,7 @@
 // turnError returns the error response for the errors of fetching the chain and
 // claiming the budget, or nil if there are none.
 func (c *call) turnError(chainErr, budgetErr error) *errorResponse {
-	if turns.NotSent(budgetErr) || turns.AttemptsOpen(budgetErr) {
+	if turns.NotSent(budgetErr) || turns.Withdrawn(budgetErr) {
 		c.turn.settled = true // There is no claim, or the client withdraws it.
 	}
 	if types.IsCode(budgetErr, types.CodeBudgetExceeded) {
@@ -162,19 +161,11 @@
 	}
 	c.turn.budget = turns.Budget{
 		Account: c.accountID(), Program: program, Attempt: types.AttemptID(c.id), Limit: types.Tokens(limit), MaxTokens: types.Tokens(n), Continues: c.turn.previous != "",
-		Line: lineOf(h.Get(headers.Line)),
+		Line: lineOf(h.Get(headers.Line), c.turn.previous, c.body),
 	}
 	c.turn.hasClaim = hasBudget
 }
 
-// lineOf returns the line that a header field names, which may have any bytes and any size.
-func lineOf(field string) turns.Line {
-	if field == "" {
-		return ""
-	}
-	return turns.Line(strconv.FormatUint(xxhash.Sum64String(field), 36))
-}
-
 // minCopyBytes is the size of an input from which on its copies are charged. Smaller ones are
 // short-lived, and copied while few others are.
 const minCopyBytes = 16 << 10
--- a/turns/admit.go
+++ b/turns/admit.go
@@ -73,6 +73,13 @@
 	}
 }
 
+// enter records that a reservation is in progress whatever the bound is: a target has the turn. end must be called.
+func (a *admission) enter() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.inProgress++
+}
+
 // leave removes a reservation from those that wait. It reports whether it was admitted before.
 func (a *admission) leave(admitted chan struct{}) bool {
 	a.mu.Lock()
--- a/turns/client.go
+++ b/turns/client.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/types"
@@ -67,158 +66,6 @@
 	errTurnMayBeLost = types.NewFault(types.CodeUnavailable, "no store has the turn, which may have been lost with the disks of its stores")
 )
 
-// errAttemptsOpen is returned for a turn that the budget covers unless targets have run several earlier
-// attempts of its line, whose hosts are lost or are about to settle their claims. The client withdraws the claim.
-var errAttemptsOpen = types.NewFault(types.CodeUnavailable, "earlier attempts of the turn are not settled, which may have used the program's budget")
-
-// Budget describes a program's budget and the part of it that one turn
-// reserves.
-type Budget struct {
-	Account types.AccountID
-	Program types.ProgramID
-	Attempt types.AttemptID
-	// The maximum numbers of tokens that all turns of the program together, and
-	// this turn alone, may generate.
-	Limit, MaxTokens types.Tokens
-	// Continues is set if the turn continues another one. While the stores are too slow for all
-	// turns, such turns go before others.
-	Continues bool
-	// Line is the line of turns that the turn belongs to. An earlier attempt of the same line does not keep the
-	// turn from being repeated. The default is a turn of no line.
-	Line Line
-}
-
-// Reserve is [Client.ReserveWithin] for a reservation that may take until ctx ends.
-func (c *Client) Reserve(ctx context.Context, b Budget) error {
-	return c.ReserveWithin(ctx, b, forever)
-}
-
-// forever is longer than the time that any caller waits.
-const forever = time.Hour
-
-// ReserveWithin claims a turn's part of its program's budget. If the budget does not
-// cover it, ReserveWithin settles the claim with 0 tokens in the background and returns
-// a budgetExceeded fault.
-//
-// Concurrent reservations cannot exceed the budget together: of any set of
-// granted reservations, the one whose claim was written last has read the
-// claims of all others. ReserveWithin reads the claims a second time only if the
-// first reply has an unsettled claim of another attempt. Without one this is
-// not needed, since every concurrent reservation missing from the reply has
-// read this claim. The attempts of one line that were never settled are the exception, see [Budget.Line]:
-// with them, a program may exceed its budget by the maximum of one turn.
-//
-// While the stores are too slow, ReserveWithin returns an overloaded fault for which [NotSent] is
-// true: at once, or for a turn that continues another one after it has waited for a third of the time
-// until ctx ends. Once the reservation is admitted, it may take for timeout.
-func (c *Client) ReserveWithin(ctx context.Context, b Budget, timeout time.Duration) error {
-	if !c.admit(ctx, b) {
-		reservationsRefused.Inc()
-		return errStoresSlow
-	}
-	begun := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	err := c.reserve(ctx, b)
-	c.admission.end(c.outcomeOf(ctx, ShardOf(b.Account, b.Program), err), begun)
-	return err
-}
-
-// admissionShare is the part of its remaining time, as a divisor, that a reservation may wait for its
-// admission. One that is admitted with hardly any time left is given up before the stores can reply,
-// makes them work for nothing, and counts as one that they were too late for.
-const admissionShare = 3
-
-// admit reports whether a reservation is admitted, and waits for it as [Client.ReserveWithin] does.
-func (c *Client) admit(ctx context.Context, b Budget) bool {
-	if b.Continues {
-		defer admissionSeconds.UpdateDuration(time.Now())
-	}
-	if deadline, ok := ctx.Deadline(); ok {
-		limited, cancel := context.WithTimeout(ctx, time.Until(deadline)/admissionShare)
-		defer cancel()
-		ctx = limited
-	}
-	return c.admission.begin(ctx, b.Continues)
-}
-
-// outcomeOf returns what a reservation that has ended with err shows of the stores.
-func (c *Client) outcomeOf(ctx context.Context, shard Shard, err error) outcome {
-	switch {
-	case !types.IsCode(err, errNoQuorum.Code):
-		return inTime
-	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return unknown // The caller has left.
-	}
-	m := c.Map()
-	p := m.Placement(shard)
-	connected := func(id StoreID) bool { return c.Peers.Link(m.Members[id].Address).IsConnected() }
-	if len(p.Current) == 0 || !p.HasQuorum(connected) {
-		return unknown
-	}
-	return late
-}
-
-func (c *Client) reserve(ctx context.Context, b Budget) error {
-	req := ClaimRequest{
-		Shard: ShardOf(b.Account, b.Program), Account: b.Account, Program: b.Program,
-		Claim: Claim{Attempt: b.Attempt, MaxTokens: b.MaxTokens, Line: b.Line},
-	}
-	claims, err := c.sendClaim(ctx, req)
-	if err == nil && claims.HasOtherUnsettled(b.Attempt) {
-		req.Claim = Claim{}
-		claims, err = c.sendClaim(ctx, req)
-	}
-	if err != nil {
-		return err
-	}
-	if claims.ChargeFor(b) <= b.Limit {
-		return nil
-	}
-	c.background.Go(func() error { return c.Settle(context.WithoutCancel(ctx), b, 0, nil) })
-	if claims.chargeWithoutLine(b) <= b.Limit {
-		return errAttemptsOpen
-	}
-	return budgetExceeded(b, claims)
-}
-
-// budgetExceeded returns the fault of a turn that the budget does not cover. It is only returned after a
-// majority of the shard's stores has replied with its claims. It names the attempts whose claims are not settled.
-func budgetExceeded(b Budget, claims Claims) error {
-	var used types.Tokens
-	var open []types.AttemptID
-	for _, claim := range claims.sorted() {
-		switch {
-		case claim.Settled:
-			used += claim.Used
-		case claim.Attempt != b.Attempt:
-			open = append(open, claim.Attempt)
-		}
-	}
-	return types.NewFault(types.CodeBudgetExceeded, "the program's budget of %d tokens does not cover another %d: %d used, not settled: %d %v",
-		b.Limit, b.MaxTokens, used, len(open), open[:min(len(open), maxOpenNamed)])
-}
-
-// maxOpenNamed is how many attempts a fault names.
-const maxOpenNamed = 4
-
-// sendClaim sends req to the stores of its shard and returns the merged claims
-// of a majority. If the claim in req is empty, the claims are only read.
-func (c *Client) sendClaim(ctx context.Context, req ClaimRequest) (Claims, error) {
-	merged := Claims{}
-	replies, err := callShard[ClaimReply](ctx, c, req.Shard, KindClaim, func(store StoreID, epoch Epoch) (head, tail []byte) {
-		to := req // Several stores are sent to at the same time.
-		to.To, to.Epoch = store, epoch
-		return types.Encode(to), nil
-	})
-	for _, reply := range replies {
-		for _, claim := range reply.Claims {
-			merged.Merge(claim)
-		}
-	}
-	return merged, err
-}
-
 // Settle is [Client.SettleOn] for callers that do not need to know the stores.
 func (c *Client) Settle(ctx context.Context, b Budget, used types.Tokens, t *Turn) error {
 	_, err := c.SettleOn(ctx, b, used, t)
@@ -253,18 +100,6 @@
 	return hosts, err
 }
 
-// isFault reports whether err is the given fault, perhaps received from another host.
-func isFault(err error, fault *types.Fault) bool {
-	got := types.AsFault(err)
-	return err != nil && got.Code == fault.Code && got.Message == fault.Message
-}
-
-// AttemptsOpen reports whether err is the fault of a reservation that the budget may cover once earlier attempts
-// of its line are settled. Its claim is withdrawn.
-func AttemptsOpen(err error) bool {
-	return isFault(err, errAttemptsOpen)
-}
-
 // StoresOf returns the hosts of the stores to which the shard of a program is assigned, and those of them to
 // which there is no connection.
 func (c *Client) StoresOf(account types.AccountID, program types.ProgramID) (hosts, silent []types.HostID) {
--- a/turns/index.go
+++ b/turns/index.go
@@ -51,6 +51,7 @@
 // programClaims holds the claims of one program.
 type programClaims struct {
 	claims     Claims
+	held       heldClaims
 	lastAccess types.Mono // by a request or a journal record
 	// All journal records of the program that are still needed are in segments
 	// from first to last. Both are 0 before the first record is durable.
@@ -204,6 +205,7 @@
 	x.claims -= len(program.claims)
 	for _, c := range claims {
 		program.claims.Merge(c)
+		program.held = program.held.without(c.Attempt)
 	}
 	x.claims += len(program.claims)
 	return program
--- a/turns/messages.go
+++ b/turns/messages.go
@@ -27,8 +27,8 @@
 // Every request has the ID of the store that it is addressed to, because
 // another store, with an empty directory, may have started at the same address.
 
-// ClaimRequest adds a claim on a program's budget. If the claim's attempt is
-// empty, it only reads the existing claims.
+// ClaimRequest adds a claim on a program's budget, which is durable when the store replies unless
+// it is a held one. If the claim's attempt is empty, it only reads the existing claims.
 type ClaimRequest struct {
 	To      StoreID         `json:"to"`
 	Shard   Shard           `json:"shard"`
@@ -41,6 +41,9 @@
 // ClaimReply lists all claims on the program's budget that the store has.
 type ClaimReply struct {
 	Claims []Claim `json:"claims"`
+	// Held lists the claims of turns that no target has yet, in the order of their arrival. Stores of
+	// earlier builds have them among Claims.
+	Held []Claim `json:"held,omitempty"`
 }
 
 // CloseRequest settles a claim and writes the turn that the attempt produced,
--- a/turns/metric.go
+++ b/turns/metric.go
@@ -15,6 +15,9 @@
 
 	reservationsRefused = metrics.NewCounter("banyanspur_turns_reservations_refused_total")
 	admissionSeconds    = metrics.NewHistogram("banyanspur_turns_admission_seconds")
+	claimsAwaited       = metrics.NewCounter("banyanspur_turns_claims_awaited_total")
+	confirmSeconds      = metrics.NewHistogram("banyanspur_turns_confirm_seconds")
+	confirmsRefused     = metrics.NewCounter("banyanspur_turns_confirms_refused_total")
 )
 
 // rounds returns the counter of requests to the stores of a shard. A request that starts
--- a/turns/serve.go
+++ b/turns/serve.go
@@ -28,30 +28,25 @@
 
 // handleClaim adds a claim and returns all claims on the program's budget that
 // the store had at that moment, including the new one. It replies once the new
-// claim is durable, but later requests read the claim as soon as it is added.
+// claim is durable, or at once if it is held, but later requests read the claim as soon as it is added.
 func (s *Store) handleClaim(ctx context.Context, req ClaimRequest) (ClaimReply, error) {
 	s.awaitMap(ctx, req.To, req.Shard, req.Epoch)
-	key := programKey{req.Account, req.Program}
+	key, claim := programKey{req.Account, req.Program}, req.Claim
 	var reply ClaimReply
 	s.mu.Lock()
 	err := s.checkRequest(req.To, req.Shard, req.Epoch)
-	if err == nil && req.Claim.Attempt != "" {
+	if err == nil && claim.Attempt != "" {
 		err = s.checkCapacity(key, nil)
 	}
 	if err == nil {
-		var program *programClaims
-		if req.Claim.Attempt == "" {
-			program = s.index.addClaims(key, nil, s.retained)
-		} else {
-			program = s.index.addClaims(key, []Claim{req.Claim}, s.retained)
-		}
-		reply.Claims = program.claims.sorted()
+		program := s.index.addRequested(key, claim, s.retained, s.Clock())
+		reply = ClaimReply{Claims: program.claims.sorted(), Held: program.held.list(s.Clock())}
 	}
 	s.mu.Unlock()
-	if err != nil || req.Claim.Attempt == "" {
+	if err != nil || claim.Attempt == "" || claim.Held {
 		return reply, err
 	}
-	return reply, s.persist(ctx, record{Program: &Program{Account: req.Account, Program: req.Program, Claims: []Claim{req.Claim}}})
+	return reply, s.persist(ctx, record{Program: &Program{Account: req.Account, Program: req.Program, Claims: []Claim{claim}}})
 }
 
 // handleClose settles a claim and writes the turn of the request, if any. It
--- a/turns/turn.go
+++ b/turns/turn.go
@@ -64,6 +64,9 @@
 	Settled bool         `json:"settled,omitempty"`
 	// Line is that of the attempt. It is empty if the caller names none or the claim is settled.
 	Line Line `json:"line,omitempty"`
+	// Held is set for a claim that stores keep in memory only, see [heldClaims]. If Settled is set as
+	// well, they forget it. Stores of earlier builds do not know Held, and write both to disk.
+	Held bool `json:"held,omitempty"`
 }
 
 // charge returns the number of tokens that the claim takes from the budget:
