turns, spec: claims that were seen stay seen when they are read again

Cause: a reservation whose first replies had an unsettled claim of another attempt read the claims again and used only the second replies. A claim that one store of the first majority had, and none of the second, was forgotten, so that three turns at the same time could be granted a budget of two.

--- a/turns/reserve.go
+++ b/turns/reserve.go
@@ -203,7 +203,11 @@
 func (c *Client) confirm(ctx context.Context, b Budget) error {
 	v, err := c.sendClaim(ctx, b.request(b.claim()))
 	if err == nil && v.claims.HasOtherUnsettled(b.Attempt) {
-		v, err = c.sendClaim(ctx, b.request(Claim{}))
+		var again programView
+		again, err = c.sendClaim(ctx, b.request(Claim{}))
+		for _, claim := range again.claims { // What was seen before may not yet be on a majority.
+			v.claims.Merge(claim)
+		}
 	}
 	switch {
 	case err != nil:
