wire: canceled requests leave the send queue

A request to a host that does not read stayed in the send queue after its caller had given it up, until the connection ended: its memory counted against the part of all send queues, so requests to other hosts were refused as the queue was "full". CallEncoded returned meanwhile although the queue still used the tail, which its callers share.

CallEncoded now takes a canceled request out of the queue. One that is being written can't be taken back: CallEncoded returns once it is written or the connection has ended, so its callers know when the tail is free. The writer takes one frame's messages at a time instead of all, so that the others can be taken out, and gives their memory back after each frame.

TestQueueIsBoundedInBytes names the batch that it takes, one byte.

--- a/wire/encoded_test.go
+++ b/wire/encoded_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
@@ -57,3 +58,43 @@
 	}
 	_ = g.Wait() // It always returns nil.
 }
+
+// blobHead is a blobRequest whose bytes are encoded already.
+type blobHead struct {
+	Bytes types.RawMessage `json:"bytes"`
+}
+
+// TestCanceledRequestsLeaveSendQueue guards against a host whose memory for send queues stays taken by
+// requests to a silent host after they were given up, so that requests to others are refused.
+func TestCanceledRequestsLeaveSendQueue(t *testing.T) {
+	const memory, tailBytes = 160 << 20, 15 << 20 // Two of three requests fit into a quarter of the memory.
+	p := newProxy(t, startBlobServer(t))
+	pool := startPool(t, &wire.Pool{Budget: wire.NewBudget(memory)})
+	silent, other := pool.Link(p.address), pool.Link(startBlobServer(t))
+	waitConnected(t, silent)
+	waitConnected(t, other)
+	p.delay.Store(int64(2 * time.Second))
+	send := func(ctx context.Context, l *wire.Link) error {
+		head := types.EncodeHead(func(last types.RawMessage) blobHead { return blobHead{last} })
+		_, err := wire.CallEncoded[[]byte](ctx, l, blob, head, types.Encode(make([]byte, tailBytes)))
+		return err
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	returned := make(chan error, 2)
+	var g errgroup.Group
+	for range cap(returned) {
+		g.Go(func() error {
+			returned <- send(ctx, silent)
+			return nil
+		})
+		time.Sleep(50 * time.Millisecond) // The first one is being written by then.
+	}
+	cancel()
+	if err := <-returned; !types.IsCode(err, types.CodeDeadlineExceeded) {
+		t.Errorf("a canceled request: %v", err)
+	}
+	if err := send(t.Context(), other); err != nil {
+		t.Errorf("a request to another host after one was given up: %v", err)
+	}
+	_ = g.Wait()
+}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -26,6 +26,8 @@
 
 	// tail is the rest of Body. It is not copied when the envelope is written.
 	tail []byte
+	// written is closed once an envelope with a tail has been written.
+	written chan struct{}
 }
 
 const (
@@ -127,21 +129,38 @@
 	}
 }
 
-// writeQueued writes the queued envelopes, as many as possible in one frame.
+// writeQueued writes the queued envelopes.
 func (s *stream) writeQueued(ctx context.Context) error {
-	envelopes := s.queue.take()
-	defer s.queue.reuse(envelopes)
+	for {
+		batch := s.queue.take(batchBytes)
+		if len(batch) == 0 {
+			return nil
+		}
+		err := s.writeBatch(ctx, batch)
+		s.queue.reuse(batch)
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// writeBatch writes envelopes, as many as possible in one frame.
+func (s *stream) writeBatch(ctx context.Context, batch []queued[envelope]) error {
 	var frame []byte
-	for i, e := range envelopes {
+	for i := range batch {
+		e := &batch[i].message
 		frame = e.appendTo(frame)
-		envelopes[i].Body = nil // The frame has a copy, which may take long to be written.
-		if len(e.tail) == 0 && len(frame) < batchBytes && i < len(envelopes)-1 {
+		e.Body = nil // The frame has a copy, which may take long to be written.
+		if len(e.tail) == 0 && len(frame) < batchBytes && i < len(batch)-1 {
 			continue
 		}
 		if err := s.write(ctx, frame, e.tail); err != nil {
-			return err
+			return err // The connection ends, and s.done tells that no tail is used any more.
+		}
+		frame, e.tail = nil, nil
+		if e.written != nil {
+			close(e.written)
 		}
-		frame = nil
 	}
 	return nil
 }
--- a/wire/link.go
+++ b/wire/link.go
@@ -69,7 +69,10 @@
 	maxRedialDelay = 100 * time.Millisecond
 )
 
-var unmatchedReplies = metrics.NewCounter("banyanspur_wire_stray_answers_total")
+var (
+	unmatchedReplies  = metrics.NewCounter("banyanspur_wire_stray_answers_total")
+	withdrawnRequests = metrics.NewCounter("banyanspur_wire_withdrawn_requests_total")
+)
 
 // errNotConnected is returned if there was no connection to send a request on,
 // so that the request never left this process.
@@ -263,13 +266,40 @@
 // Ran reports whether the host may have processed the request, unless the reply
 // cannot be decoded.
 func Call[Req, Resp any](ctx context.Context, l *Link, kind Kind, req Req) (Resp, error) {
-	return CallEncoded[Resp](ctx, l, kind, types.Encode(req), nil)
+	return call[Resp](ctx, l, envelope{Kind: kind, Body: types.Encode(req)}, func(*connection, envelope) {})
 }
 
 // CallEncoded is [Call] for a request whose encoding is head followed by tail, such as one that
 // [types.EncodeHead] returns and what it lacks. tail may be shared by requests to several hosts,
 // and must not change until all calls have returned.
+//
+// If ctx ends before the request has been written, it is not sent. If it is being written, CallEncoded
+// returns once tail is no longer used, at the latest when the connection ends.
 func CallEncoded[Resp any](ctx context.Context, l *Link, kind Kind, head, tail []byte) (Resp, error) {
+	e := envelope{Kind: kind, Body: head, tail: tail}
+	if len(tail) > 0 {
+		e.written = make(chan struct{})
+	}
+	return call[Resp](ctx, l, e, (*connection).withdraw)
+}
+
+// withdraw removes an envelope from the send queue, or waits until its tail has been written.
+func (c *connection) withdraw(e envelope) {
+	if c.stream.queue.drop(func(o envelope) bool { return o.ID == e.ID }) {
+		withdrawnRequests.Inc()
+		return
+	}
+	if e.written == nil {
+		return
+	}
+	select {
+	case <-e.written:
+	case <-c.stream.done:
+	}
+}
+
+// call sends a request and waits for the reply until ctx ends, after which it calls canceled.
+func call[Resp any](ctx context.Context, l *Link, e envelope, canceled func(*connection, envelope)) (Resp, error) {
 	var zero Resp
 	c := l.activeConnection()
 	if c == nil {
@@ -279,7 +309,8 @@
 	if !ok {
 		return zero, errNotConnected
 	}
-	err := c.stream.send(envelope{ID: id, Kind: kind, Body: head, tail: tail})
+	e.ID = id
+	err := c.stream.send(e)
 	if errors.Is(err, errMessageTooLarge) {
 		c.pending.remove(id)
 		return zero, errMessageTooLarge
@@ -296,6 +327,7 @@
 		return decodeReply[Resp](e)
 	case <-ctx.Done():
 		c.pending.remove(id)
+		canceled(c, e)
 		return zero, types.NewFault(types.CodeDeadlineExceeded, "the host did not reply in time").WithRan(types.MayHaveRun)
 	}
 }
--- a/wire/queue.go
+++ b/wire/queue.go
@@ -1,6 +1,9 @@
 package wire
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // queue holds messages until they are written. Its memory follows the number of messages
 // in it, since a host has connections to hundreds of others, most of them idle. It is
@@ -16,11 +19,17 @@
 	total *byteCounter
 
 	mu           sync.Mutex
-	items        []T
+	items        []queued[T]
 	bytes, taken int // size of all messages, and of those that were taken and not yet written
 	closed       bool
 }
 
+// queued is a message and its size.
+type queued[T any] struct {
+	message T
+	size    int
+}
+
 // keptCapacity is up to which capacity an empty queue keeps its memory.
 const keptCapacity = 16
 
@@ -34,7 +43,7 @@
 	q.mu.Lock()
 	full := q.closed || len(q.items) >= q.limit || q.bytes > 0 && q.bytes+size > q.maxBytes || !q.takeTotal(size)
 	if !full {
-		q.items = append(q.items, item)
+		q.items = append(q.items, queued[T]{item, size})
 		q.bytes += size
 	}
 	q.mu.Unlock()
@@ -71,29 +80,53 @@
 	q.items, q.bytes, q.taken = nil, 0, 0
 }
 
-// take removes and returns all messages, in order. They count until reuse is called.
-func (q *queue[T]) take() []T {
+// take removes and returns the first messages, in order, until they have batchBytes together. They count
+// until reuse is called. The others can still be dropped.
+func (q *queue[T]) take(batchBytes int) []queued[T] {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	items := q.items
-	q.items, q.taken = nil, q.bytes
+	if len(q.items) == 0 {
+		return nil // What reuse has kept stays.
+	}
+	n := 0
+	for ; n < len(q.items) && q.taken < batchBytes; n++ {
+		q.taken += q.items[n].size
+	}
+	items := q.items[:n]
+	if q.items = q.items[n:]; len(q.items) == 0 {
+		q.items = nil
+	}
 	return items
 }
 
+// drop removes the first message for which match returns true, unless it was taken, and reports whether it has.
+func (q *queue[T]) drop(match func(T) bool) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	i := slices.IndexFunc(q.items, func(m queued[T]) bool { return match(m.message) })
+	if i < 0 {
+		return false
+	}
+	size := q.items[i].size
+	q.items = slices.Delete(q.items, i, i+1)
+	q.bytes -= size
+	if q.total != nil {
+		q.total.release(int64(size))
+	}
+	return true
+}
+
 // reuse records that taken messages are no longer used, and gives their memory back, if it
 // is small and not needed.
-func (q *queue[T]) reuse(items []T) {
+func (q *queue[T]) reuse(items []queued[T]) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.total != nil {
 		q.total.release(int64(q.taken))
 	}
 	q.bytes, q.taken = q.bytes-q.taken, 0
-	if cap(items) > keptCapacity {
-		return
-	}
 	clear(items)
-	if q.items == nil {
+	if q.items == nil && cap(items) <= keptCapacity {
 		q.items = items[:0]
 	}
 }
--- a/wire/receive_test.go
+++ b/wire/receive_test.go
@@ -62,9 +62,9 @@
 	}
 	accepts(150, true) // The only one may be larger.
 	accepts(1, false)
-	q.reuse(q.take())
+	q.reuse(q.take(1))
 	accepts(60, true)
-	items := q.take()
+	items := q.take(1)
 	accepts(60, false) // What is being written counts.
 	accepts(40, true)
 	q.reuse(items)
