turns: the memory of a turn stays charged until no request uses it

SettleOn returns once a majority of the stores has a turn, and the gate then gave the share of the memory for callers' bodies back, while requests to the other stores kept the input and its encoding for up to 0.5 s.

The share is now given back by the last of its two users: the caller's request, and the writing of its turn, which ends with the last request to a store. Late requests may keep 1 MiB of turns together, so that a silent store keeps hardly any callers out: those of larger turns end with the majority's reply, and the others after 0.5 s as before.

--- a/gate/call.go
+++ b/gate/call.go
@@ -29,8 +29,11 @@
 	route    *plan.Route
 	account  *plan.Account  // nil on anonymous routes
 	received *intake.Holder // memory of body and its copies; nil without a body
-	body     []byte
-	deadline time.Time // when the caller must have the final response
+	// releaseMemory closes received once the stores' requests do not use it either. It is nil unless the
+	// turn was written, and must be called once.
+	releaseMemory func()
+	body          []byte
+	deadline      time.Time // when the caller must have the final response
 
 	limitTaken   bool      // one request was deducted from the account's rate limit
 	limited      bool      // a target did not accept the request by the limit that it names
@@ -241,7 +244,10 @@
 // the budget claim, and logs the end of the request.
 func (c *call) finish() {
 	c.finished = true
-	if c.received != nil {
+	switch {
+	case c.releaseMemory != nil:
+		defer c.releaseMemory()
+	case c.received != nil:
 		defer c.received.Close()
 	}
 	if c.limitTaken && !c.mayHaveRun {
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -189,6 +190,22 @@
 	return noMemory()
 }
 
+// keepMemory lets the memory of the request stay charged until what it returns was called too, besides finish.
+func (c *call) keepMemory() (release func()) {
+	if c.received == nil {
+		return nil
+	}
+	// The function must not keep the call, which has the body.
+	held, users := c.received, new(atomic.Int32)
+	users.Store(2)
+	c.releaseMemory = func() {
+		if users.Add(-1) == 0 {
+			held.Close()
+		}
+	}
+	return c.releaseMemory
+}
+
 // chargeChain charges a part of the chain that the request continues, until a target responds.
 func (c *call) chargeChain(bytes int) error {
 	if c.received == nil {
@@ -249,7 +266,7 @@
 	// What was sent to the caller counts even if the caller disconnected.
 	ctx, cancel := withTimeout(context.WithoutCancel(c.r.Context()), c.gate.commitsCtx, c.commitTimeout())
 	defer cancel()
-	stores, err := c.gate.Turns.SettleOn(ctx, c.turn.budget, used, turn)
+	stores, err := c.gate.Turns.SettleOn(ctx, c.turn.budget, used, turn, c.keepMemory())
 	c.turn.settled = err == nil
 	fields := event.Fields{"request": c.id, "program": c.turn.budget.Program, "used": used, "bytes": len(output)}
 	if len(stores) > 0 {
--- a/turns/call.go
+++ b/turns/call.go
@@ -26,10 +26,11 @@
 
 // callShard sends a request to the stores of a shard and returns the replies
 // once a majority has replied. Requests to the other stores continue in the
-// background. If the shard has moved, it starts again with the new placement, until
+// background for storeTimeout, unless the turn in them takes too much memory; memory, which may be nil, tells
+// when they have ended. If the shard has moved, it starts again with the new placement, until
 // ctx ends. If so many stores have no capacity that there can be no majority, it
 // returns an overloaded fault at once.
-func callShard[Resp any](ctx context.Context, c *Client, shard Shard, kind wire.Kind, newRequest encodeRequest) (map[StoreID]Resp, error) {
+func callShard[Resp any](ctx context.Context, c *Client, shard Shard, kind wire.Kind, newRequest encodeRequest, memory *turnMemory) (map[StoreID]Resp, error) {
 	for {
 		m := c.Map()
 		if len(m.Placement(shard).Current) == 0 {
@@ -40,8 +41,14 @@
 		}
 		rounds(kind).Inc()
 		call := newShardCall[Resp](ctx, c, m, shard, kind, newRequest)
+		call.memory = memory
 		replies, err := call.run(ctx)
-		time.AfterFunc(storeTimeout, call.cancel)
+		close(call.ended)
+		if memory.keep() {
+			time.AfterFunc(storeTimeout, call.cancel)
+		} else {
+			call.cancel()
+		}
 		if replies != nil || err != nil {
 			return replies, err
 		}
@@ -58,12 +65,14 @@
 	placement  Placement
 	kind       wire.Kind
 	newRequest encodeRequest
+	memory     *turnMemory // of the turn in the request; nil without one
 
 	ctx     context.Context //nolint:containedctx // Outlives the call: writes to replicas go on.
 	cancel  context.CancelFunc
 	stores  []StoreID // in the order in which they get the request; the first sent of them have
 	sent    int
 	results chan storeResult[Resp]
+	ended   chan struct{} // closed when run has returned, after which nobody receives results
 	replies map[StoreID]Resp
 	// noCapacity is set for the stores whose last result is that they have no capacity, and replaced for
 	// those at whose address there is another store, since their disks are lost.
@@ -74,7 +83,7 @@
 	p := m.Placement(shard)
 	call := &shardCall[Resp]{
 		client: c, shard: shard, shardMap: m, placement: p, kind: kind, newRequest: newRequest,
-		stores: c.sortForMove(m, p, c.sortByDistance(m, rotated(p.All(), int(shard)))), results: make(chan storeResult[Resp]),
+		stores: c.sortForMove(m, p, c.sortByDistance(m, rotated(p.All(), int(shard)))), results: make(chan storeResult[Resp]), ended: make(chan struct{}),
 		replies: map[StoreID]Resp{}, noCapacity: map[StoreID]bool{}, replaced: map[StoreID]bool{},
 	}
 	call.ctx, call.cancel = context.WithCancel(context.WithoutCancel(ctx))
@@ -135,7 +144,9 @@
 func (s *shardCall[Resp]) send(n int) {
 	for ; s.sent < n; s.sent++ {
 		id := s.stores[s.sent]
+		s.memory.acquire()
 		s.client.background.Go(func() error {
+			defer s.memory.release()
 			s.callStore(id)
 			return nil
 		})
@@ -198,6 +209,7 @@
 		recordRequest(s.kind, startedAt, err)
 		select {
 		case s.results <- storeResult[Resp]{store: id, reply: reply, err: err}:
+		case <-s.ended:
 		case <-s.ctx.Done():
 			return
 		}
--- a/turns/client.go
+++ b/turns/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +39,7 @@
 	// background runs the requests to stores, some of which continue after a
 	// majority has replied.
 	background errgroup.Group
+	lateBytes  atomic.Int64 // 0 <= lateBytes; see maxLateBytes
 }
 
 const (
@@ -210,7 +212,7 @@
 		to := req // Several stores are sent to at the same time.
 		to.To, to.Epoch = store, epoch
 		return types.Encode(to), nil
-	})
+	}, nil)
 	for _, reply := range replies {
 		for _, claim := range reply.Claims {
 			merged.Merge(claim)
@@ -221,24 +223,33 @@
 
 // Settle is [Client.SettleOn] for callers that do not need to know the stores.
 func (c *Client) Settle(ctx context.Context, b Budget, used types.Tokens, t *Turn) error {
-	_, err := c.SettleOn(ctx, b, used, t)
+	_, err := c.SettleOn(ctx, b, used, t, nil)
 	return err
 }
 
 // SettleOn reports how many tokens an attempt has generated, and writes the turn
 // t that it produced unless t is nil. It returns once both are on disk on a
 // majority of the shard's stores, with the hosts of these. It retries until ctx ends.
-func (c *Client) SettleOn(ctx context.Context, b Budget, used types.Tokens, t *Turn) ([]types.HostID, error) {
+//
+// Requests to the other stores may go on for storeTimeout, or until the connection to a store ends that has
+// received a part of one. released, if not nil, is called once, when no request uses t and its encoding any
+// longer, perhaps after SettleOn has returned. Only the cache may keep t then.
+func (c *Client) SettleOn(ctx context.Context, b Budget, used types.Tokens, t *Turn, released func()) ([]types.HostID, error) {
+	memory := c.newTurnMemory(t, released)
+	defer memory.release()
 	req := CloseRequest{
 		Shard: ShardOf(b.Account, b.Program), Account: b.Account, Program: b.Program,
 		Claim: Claim{Attempt: b.Attempt, MaxTokens: b.MaxTokens, Used: used, Settled: true}, Turn: t,
 	}
 	startedAt, turn := c.now(), req.shareTurn()
+	if turn != nil {
+		req.Turn = nil // Late requests keep the encoding only.
+	}
 	replies, err := callShard[EmptyReply](ctx, c, req.Shard, KindClose, func(store StoreID, epoch Epoch) (head, tail []byte) {
 		to := req // Several stores are sent to at the same time.
 		to.To, to.Epoch = store, epoch
 		return to.encode(turn)
-	})
+	}, memory)
 	if err == nil && t != nil {
 		c.cache.put(*t, startedAt, c.cacheBytes())
 	}
