wire: small requests are handled beside one that exceeds the limit

byteCounter.take refused every request while one that alone exceeds the part of the memory for requests was handled: beside 7 MiB on a host of 64 MB a request of 10 bytes got "the host handles too many large requests", though nothing was short but the count. Requests of up to 64 KiB may now take a quarter of the part besides; the sums are at takeRequest. take also added what it refused for a moment, so that another request could be refused for it; it compares and swaps now.

TestSmallRequestsBesideLargeOne fails before (0 of 16 handled) and passes.

--- a/wire/budget.go
+++ b/wire/budget.go
@@ -26,10 +26,12 @@
 	defaultQueueBudget = 128 << 20
 	// requestOverhead is the memory of a request besides its body: its goroutine and context.
 	requestOverhead = 4 << 10
-	// smallMessageBytes is the size up to which messages may also take the reserve of the queues,
-	// a quarter of their part, so that replies without a large body are sent in any case.
+	// smallMessageBytes is the size up to which messages may also take a reserve besides the part of the
+	// queues, a quarter of it, so that replies without a large body are sent in any case; and one
+	// besides the part of requests, so that others are served while one that exceeds the part is handled.
 	smallMessageBytes = 64 << 10
 	queueReserve      = 4
+	requestReserve    = 4
 	// aloneShare is the part of a limit, as a divisor, that others may have taken when a message
 	// is accepted that exceeds the rest.
 	aloneShare = 4
@@ -42,7 +44,9 @@
 	frames   *frameBudget
 	joinMu   sync.Mutex
 	requests byteCounter // the requests that are being handled, except those without a reply
-	queued   byteCounter // the messages in all send queues
+	// smallRequests are those of up to smallMessageBytes for which requests had no room.
+	smallRequests byteCounter
+	queued        byteCounter // the messages in all send queues
 }
 
 // defaultBudget is that of processes whose memory is not known.
@@ -65,6 +69,7 @@
 	}
 	b.frames.setLimit(int(frames))
 	b.requests.limit.Store(requests)
+	b.smallRequests.limit.Store(requests / requestReserve)
 	b.queued.limit.Store(queued)
 }
 
@@ -76,6 +81,23 @@
 	return b
 }
 
+// takeRequest counts a request that is about to be handled. It returns the counter that must be released by its
+// size, or nil if there is no room.
+//
+// A host of 88 MB has 5.5 MiB for requests. One of the largest, of 24 MiB, is accepted if others have at most a
+// quarter of that, 1.4 MiB, and small ones may take 1.4 MiB besides: 26.8 MiB together. Without the reserve, all
+// other requests were refused until the large one had ended.
+func (b *Budget) takeRequest(bytes int64) *byteCounter {
+	size := bytes + requestOverhead
+	switch {
+	case b.requests.take(size, 0):
+		return &b.requests
+	case bytes <= smallMessageBytes && b.smallRequests.take(size, 0):
+		return &b.smallRequests
+	}
+	return nil
+}
+
 // byteCounter bounds a number of bytes.
 type byteCounter struct{ used, limit atomic.Int64 }
 
@@ -83,11 +105,15 @@
 // besides: the largest messages may exceed the limit of a small host.
 func (c *byteCounter) take(n, reserve int64) bool {
 	limit := c.limit.Load()
-	if used := c.used.Add(n); used > limit+reserve && used-n > limit/aloneShare {
-		c.used.Add(-n)
-		return false
+	for {
+		used := c.used.Load()
+		if used+n > limit+reserve && used > limit/aloneShare {
+			return false
+		}
+		if c.used.CompareAndSwap(used, used+n) {
+			return true
+		}
 	}
-	return true
 }
 
 func (c *byteCounter) release(n int64) { c.used.Add(-n) }
--- a/wire/crowd_test.go
+++ b/wire/crowd_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/banyanspur/banyanspur/event"
@@ -216,3 +217,51 @@
 		t.Error(err)
 	}
 }
+
+// TestSmallRequestsBesideLargeOne guards against a host that refuses all requests while it handles one that
+// exceeds the memory for requests, and against small ones without a bound beside it.
+func TestSmallRequestsBesideLargeOne(t *testing.T) {
+	const largeBytes, smallBytes, small, fit = 7 << 20, 59 << 10, 40, 16 // 1 MiB, each with 4 KiB besides.
+	s, begun, release := &wire.Server{Budget: wire.NewBudget(crowdMemory)}, make(chan struct{}, small+1), make(chan struct{})
+	wire.Handle(s, blob, func(_ context.Context, q blobRequest) ([]byte, error) {
+		begun <- struct{}{}
+		<-release
+		return make([]byte, q.Reply), nil
+	})
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	l := startPool(t, &wire.Pool{}).Link(strings.TrimPrefix(server.URL, "http://"))
+	waitConnected(t, l)
+	var g errgroup.Group
+	refused := make(chan error, small)
+	g.Go(func() error {
+		_, err := wire.Call[blobRequest, []byte](t.Context(), l, blob, blobRequest{Bytes: make([]byte, largeBytes)})
+		return err
+	})
+	<-begun
+	for range small {
+		g.Go(func() error {
+			_, err := wire.Call[blobRequest, []byte](t.Context(), l, blob, blobRequest{Bytes: make([]byte, smallBytes)})
+			if types.IsCode(err, types.CodeOverloaded) {
+				refused <- err
+				return nil
+			}
+			return err
+		})
+	}
+	var handled int
+	for range small {
+		select {
+		case <-begun:
+			handled++
+		case <-refused:
+		}
+	}
+	close(release)
+	if err := g.Wait(); err != nil {
+		t.Error(err)
+	}
+	if diff := cmp.Diff(fit, handled); diff != "" {
+		t.Errorf("small requests that were handled beside a large one (-want +got):\n%s", diff)
+	}
+}
--- a/wire/server.go
+++ b/wire/server.go
@@ -146,15 +146,16 @@
 			s.dispatch(ctx, e) // Messages without a reply are handled in order.
 			return
 		}
-		size := int64(e.size()) + requestOverhead
-		if !conn.budget.requests.take(size, 0) {
+		bytes := int64(e.size())
+		counter := conn.budget.takeRequest(bytes)
+		if counter == nil {
 			s.reply(conn, e.Kind, envelope{ID: e.ID, Reply: true, Fault: errBudgetFull})
 			return
 		}
 		g.Go(func() error {
 			reply := s.dispatch(ctx, e)
 			e.Body = nil
-			conn.budget.requests.release(size) // Before the reply, after which the next request may be as large.
+			counter.release(bytes + requestOverhead) // Before the reply, after which the next request may be as large.
 			s.reply(conn, e.Kind, reply)
 			return nil
 		})
