--- a/turns/reserve.go
+++ b/turns/reserve.go
@@ -247,7 +247,7 @@
 		to := req // Several stores are sent to at the same time.
 		to.To, to.Epoch = store, epoch
 		return types.Encode(to), nil
-	})
+	}, nil)
 	for _, reply := range replies {
 		v.held = append(v.held, reply.Held)
 		for _, claim := range reply.Claims {
