limit, gate: turns that were refused before are admitted first

Cause: four faults let a turn that continues another one be refused in all its tries while first turns of its account were served. - The issuer filled the buckets of hosts from all that it had. Hosts pressed by first turns drained it in fractions at each renewal, so that a turn that waited at another host found less than one token. - A request counted first turns that wait as if they preceded it, and was refused at once. - Newcomers took tokens before requests that waited, and a renewal discarded what the one before had admitted. A turn that came again after its Retry-After had no precedence. - The measured demand was up to 25 times too low while requests waited, since renewals follow each other within 4 ms: the limit did not count as scarce when it was. Besides, turns whose budgets are used up held parts of the limit until their claims were refused.

Change: limit.Queue admits the requests of a host by precedence and arrival. The issuer serves turns that were refused before, then others, then first turns, over all hosts; hosts report the turns that they have refused, and fill buckets only from what is left. While the limit is scarce, a turn takes its part after its claim was granted. Fields of messages are added, and earlier builds ignore them.

--- a/gate/rate_limit.go
+++ b/gate/rate_limit.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/limit"
 )
@@ -29,11 +31,11 @@
 	if c.account == nil || c.account.Rate <= 0 {
 		return nil
 	}
-	s, low := &c.gate.limits, c.startsProgram()
-	renewed, ahead, ok := s.accounts.tryTake(c.account.Name, low)
+	accounts := &c.gate.limits.accounts
+	w, renewed, ok := accounts.join(c.account.Name, c.limitedRequest())
 	if !ok {
-		defer s.accounts.stopWaiting(c.account.Name, low)
-		if resp := c.awaitLimit(renewed, ahead, low); resp != nil {
+		if resp := c.awaitLimit(w, renewed); resp != nil {
+			accounts.refuse(c.account.Name, w)
 			return resp
 		}
 	}
@@ -44,23 +46,56 @@
 	return nil
 }
 
+// limitedRequest returns what decides on the order in which the account's limit admits the request.
+func (c *call) limitedRequest() (r limitedRequest) {
+	switch {
+	case c.startsProgram():
+		r.precedence = limit.Low
+	case c.turn.previous != "":
+		r = limitedRequest{limit.Ordinary, c.turnKey()}
+	default:
+		r.precedence = limit.Ordinary
+	}
+	return r
+}
+
+// turnKey identifies a turn that continues another one over all attempts of its caller to send it, each of which
+// has a request ID of its own.
+func (c *call) turnKey() limit.TurnKey {
+	h, headers := c.r.Header, c.gate.HeaderNames
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{string(c.accountID()), h.Get(headers.Program), h.Get(headers.Line), string(c.turn.previous)} {
+		_, _ = d.WriteString(part) // Always succeeds.
+		_, _ = d.WriteString("\x00")
+	}
+	return limit.TurnKey(max(1, d.Sum64()))
+}
+
+// limitAfterClaim reports whether the request should ask for a part of its account's limit only once its budget
+// covers it. While the limit is scarce, turns of programs that have used up their budgets would hold parts of it, and
+// keep out turns that can run, for as long as the stores take to tell.
+func (c *call) limitAfterClaim() bool {
+	return c.account != nil && c.account.Rate > 0 && c.turn.hasClaim && c.gate.limits.accounts.scarce(c.account.Name)
+}
+
 // awaitLimit waits until a renewal or the refill of this host's bucket admits the
-// request. A request that would have to wait for too long is refused immediately. ahead
-// is the number of requests of this host that wait before it, renewed is closed after the
-// next renewal, and low is set if the request has low precedence.
-func (c *call) awaitLimit(renewed <-chan struct{}, ahead int, low bool) *errorResponse {
+// request. A request that would have to wait for too long is refused immediately.
+// renewed is closed after the next renewal.
+func (c *call) awaitLimit(w *limit.Waiter, renewed <-chan struct{}) *errorResponse {
 	s := &c.gate.limits
 	deadline := time.Now().Add(min(silentIssuerWait, c.remaining()/2))
 	for issuerReplied := false; ; {
-		queueWait, refillWait := s.accounts.waitTimes(c.account.Name, ahead, c.account.Rate)
-		if issuerReplied && queueWait > s.accounts.maxWait(c.account.Name, low) {
+		queueWait, maxWait, refillWait := s.accounts.waitTimes(c.account.Name, w, c.account.Rate)
+		if issuerReplied && queueWait > maxWait {
 			return c.rateLimited(queueWait)
 		}
 		select {
 		case <-renewed:
 			if !issuerReplied {
 				issuerReplied = true
-				deadline = earlier(deadline, time.Now().Add(s.accounts.maxWait(c.account.Name, low)))
+				_, maxWait, _ = s.accounts.waitTimes(c.account.Name, w, c.account.Rate) // The turn may have been refused before.
+				deadline = earlier(deadline, time.Now().Add(maxWait))
 			}
 		case <-time.After(min(time.Until(deadline), refillWait, max(minRenewalPoll, min(queueWait/2, maxRenewalPoll)))):
 			s.accounts.requestRenewal(c.account.Name)
@@ -69,7 +104,7 @@
 		case <-c.gate.answersCtx.Done():
 			return refusedByStop()
 		}
-		next, ok := s.accounts.retryTake(c.account.Name, low)
+		next, ok := s.accounts.admitted(c.account.Name, w)
 		if ok {
 			return nil
 		}
--- a/gate/share_table.go
+++ b/gate/share_table.go
@@ -23,18 +23,20 @@
 
 // pendingShare is a share of one limit and the requests that wait for it.
 type pendingShare struct {
-	limit.Share
-	waiting      int           // requests waiting for a renewal
-	low          int           // the part of waiting that has low precedence
+	limit.Queue
 	needsRenewal bool          // to be renewed before the next tick
 	renewed      chan struct{} // closed after each renewal
 }
 
-// tryTake deducts one request from a share. low is set if it has low precedence. If the
-// share is exhausted, ok is false and the request counts as waiting until stopWaiting is
-// called; ahead is the number of requests of this host that were waiting before it, and
-// renewed is closed after the next renewal.
-func (t *shareTable[K]) tryTake(id K, low bool) (renewed <-chan struct{}, ahead int, ok bool) {
+// limitedRequest is what decides on the order in which a request is admitted.
+type limitedRequest struct {
+	precedence limit.Precedence
+	turn       limit.TurnKey
+}
+
+// join asks for the admission of a request. If it is not admitted at once, it waits until
+// leave or refuse is called, and renewed is closed after the next renewal.
+func (t *shareTable[K]) join(id K, r limitedRequest) (w *limit.Waiter, renewed <-chan struct{}, admitted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock()
@@ -46,54 +48,49 @@
 		}
 		t.shares[id] = s
 	}
-	s.CountRequest(now)
-	if s.take(low, now) {
-		if s.NeedsRenewal(now) {
-			t.requestRenewalLocked(s)
-		}
-		return nil, 0, true
-	}
-	s.addWaiting(low, 1)
-	t.requestRenewalLocked(s)
-	return s.renewed, s.waiting - 1, false
-}
-
-func (s *pendingShare) take(low bool, now types.Mono) bool {
-	if low {
-		return s.TakeLow(now)
-	}
-	return s.Take(now)
-}
-
-func (s *pendingShare) addWaiting(low bool, n int) {
-	s.waiting += n
-	if low {
-		s.low += n
+	w = s.Join(r.precedence, r.turn, now)
+	if !w.Admitted() || s.NeedsRenewal(now) {
+		t.requestRenewalLocked(s)
 	}
+	return w, s.renewed, w.Admitted()
 }
 
-// retryTake is tryTake for a request that already counts as waiting. It returns a nil
-// channel if there is no longer a share.
-func (t *shareTable[K]) retryTake(id K, low bool) (renewed <-chan struct{}, ok bool) {
+// admitted reports whether a request that waits was admitted meanwhile, or can be. renewed is nil if
+// there is no longer a share.
+func (t *shareTable[K]) admitted(id K, w *limit.Waiter) (renewed <-chan struct{}, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if w.Admitted() {
+		return nil, true
+	}
 	s := t.shares[id]
 	if s == nil {
 		return nil, false // There is no longer a limit, or the host is stopping.
 	}
-	if s.take(low, t.clock()) {
+	if s.Admit(t.clock()); w.Admitted() {
 		return nil, true
 	}
 	t.requestRenewalLocked(s)
 	return s.renewed, false
 }
 
-// stopWaiting ends the wait of a request that tryTake counted as waiting.
-func (t *shareTable[K]) stopWaiting(id K, low bool) {
+// leave ends the wait of a request that is sent without a part of the limit, or not sent.
+func (t *shareTable[K]) leave(id K, w *limit.Waiter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.shares[id]; s != nil {
-		s.addWaiting(low, -1)
+		s.Leave(w)
+	}
+}
+
+// refuse ends the wait of a request whose caller is told to come again. It may come to another host, which is to
+// know.
+func (t *shareTable[K]) refuse(id K, w *limit.Waiter) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.shares[id]; s != nil {
+		s.Refuse(w)
+		t.requestRenewalLocked(s)
 	}
 }
 
@@ -125,29 +122,34 @@
 	}
 }
 
-// maxWait is how long a request should wait for a share. low is set if it has low
-// precedence.
-func (t *shareTable[K]) maxWait(id K, low bool) time.Duration {
+// count counts a request that was not made because another reason refused it first.
+func (t *shareTable[K]) count(id K) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.shares[id]; s != nil {
-		return s.MaxWait(low)
+		s.CountRequest(t.clock())
 	}
-	return 0
 }
 
-// waitTimes returns the estimated time until a request with the given number of
-// requests of this host ahead of it is admitted, and the time until this host's bucket
-// refills by itself if the issuer does not respond, [limit.Never] if the bucket does
+// scarce reports whether the demand for a limit is near it or above.
+func (t *shareTable[K]) scarce(id K) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.shares[id]
+	return s != nil && s.Scarce(t.clock())
+}
+
+// waitTimes returns the estimated time until a request that waits is admitted, for how long it should wait, and the
+// time until this host's bucket refills by itself if the issuer does not respond, [limit.Never] if the bucket does
 // not refill.
-func (t *shareTable[K]) waitTimes(id K, ahead int, rate types.PerSecond) (queueWait, refillWait time.Duration) {
+func (t *shareTable[K]) waitTimes(id K, w *limit.Waiter, rate types.PerSecond) (queueWait, maxWait, refillWait time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.shares[id]
 	if s == nil {
-		return 0, limit.Never
+		return 0, 0, limit.Never
 	}
-	return s.QueueWait(min(ahead, s.waiting-1), rate), max(s.WaitWithoutIssuer(t.clock()), minRenewalPoll)
+	return s.Wait(w, rate), s.MaxWait(w), max(s.WaitWithoutIssuer(t.clock()), minRenewalPoll)
 }
 
 // held returns the allotment of a share and the level of its bucket.
@@ -172,19 +174,17 @@
 			t.remove(id)
 			continue
 		}
-		if s.waiting == 0 && s.Idle(now) > t.idleTTL {
+		if s.Waiting() == 0 && s.Idle(now) > t.idleTTL {
 			if s.MustReport(now) {
-				d := s.Demand(holder, 0, now)
+				d := s.Demand(holder, now)
 				d.Release = true
 				demands[id] = d
 			}
 			t.remove(id)
 			continue
 		}
-		if include(s) && (s.waiting > 0 || s.needsRenewal || s.MustReport(now)) {
-			d := s.Demand(holder, s.waiting-s.low, now)
-			d.Low = s.low
-			demands[id] = d
+		if include(s) && (s.Waiting() > 0 || s.needsRenewal || s.MustReport(now)) {
+			demands[id] = s.Demand(holder, now)
 			s.needsRenewal = false
 		}
 	}
@@ -207,18 +207,18 @@
 }
 
 // apply installs the allotments of a reply to demands that were made at requestedAt,
-// and wakes the requests that wait for any of them.
+// admits requests that wait for any of them, and wakes all that do.
 func (t *shareTable[K]) apply(demands map[K]limit.Demand, allotments map[K]limit.Allotment, requestedAt types.Mono) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock()
-	for id := range demands {
+	for id, d := range demands {
 		s := t.shares[id]
 		if s == nil {
 			continue
 		}
 		if a, ok := allotments[id]; ok {
-			s.Apply(a, requestedAt, now)
+			s.Apply(a, d, requestedAt, now)
 		}
 		close(s.renewed)
 		s.renewed = make(chan struct{})
--- a/gate/target_limit.go
+++ b/gate/target_limit.go
@@ -12,6 +12,7 @@
 
 	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/fleet"
+	"github.com/banyanspur/banyanspur/limit"
 	"github.com/banyanspur/banyanspur/plan"
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -88,15 +89,23 @@
 	if !limited {
 		return true
 	}
-	renewed, _, ok := s.targets.tryTake(id, low)
-	if !ok {
-		ok = c.awaitTargetLimit(id, low, renewed)
-		defer s.targets.stopWaiting(id, low)
+	r := limitedRequest{precedence: limit.Ordinary}
+	if low {
+		r.precedence = limit.Low
 	}
+	w, renewed, ok := s.targets.join(id, r)
 	if ok {
 		return true
 	}
-	queueWait, refillWait := s.targets.waitTimes(id, 0, target.Rate)
+	admitted, unlimited := c.awaitTargetLimit(id, w, renewed)
+	if admitted {
+		return true
+	}
+	defer s.targets.leave(id, w)
+	if unlimited {
+		return true
+	}
+	queueWait, _, refillWait := s.targets.waitTimes(id, w, target.Rate)
 	if s.issuerSilence() > maxIssuerSilence {
 		queueWait = refillWait
 	}
@@ -110,32 +119,32 @@
 }
 
 // awaitTargetLimit waits for a part of a target's limit from the issuer. renewed is
-// closed after the next renewal.
-func (c *call) awaitTargetLimit(id types.TargetID, low bool, renewed <-chan struct{}) bool {
+// closed after the next renewal. It reports whether there was one, or there is no limit any more.
+func (c *call) awaitTargetLimit(id types.TargetID, w *limit.Waiter, renewed <-chan struct{}) (admitted, unlimited bool) {
 	s := &c.gate.limits
 	timeout := time.NewTimer(min(targetLimitWait, c.remaining()/2))
 	defer timeout.Stop()
 	for range targetRenewals {
 		if s.issuerSilence() > maxIssuerSilence {
-			return false
+			return false, false
 		}
 		select {
 		case <-renewed:
 		case <-timeout.C:
-			return false
+			return false, false
 		case <-c.r.Context().Done():
-			return false
+			return false, false
 		}
-		next, ok := s.targets.retryTake(id, low)
+		next, ok := s.targets.admitted(id, w)
 		if _, limited := c.gate.targetLimit(id); ok || !limited {
-			return true
+			return ok, !limited
 		}
 		if next == nil {
-			return false
+			return false, false
 		}
 		renewed = next
 	}
-	return false
+	return false, false
 }
 
 // countLimited counts a request to a target with a limit, and adds the limit to the fields of
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -63,8 +63,11 @@
 	var limited *errorResponse
 	var chainErr, budgetErr error
 	var g errgroup.Group
+	limitLast := c.limitAfterClaim()
 	g.Go(func() error {
-		limited = c.takeFromLimit()
+		if !limitLast {
+			limited = c.takeFromLimit()
+		}
 		return nil
 	})
 	if c.turn.previous != "" {
@@ -91,8 +94,14 @@
 		c.turn.lastTarget = c.turn.chain[n-1].Target
 	}
 	if r := c.turnError(chainErr, budgetErr); r != nil {
+		if limitLast {
+			c.gate.limits.accounts.count(c.account.Name)
+		}
 		return r
 	}
+	if limitLast {
+		return c.takeFromLimit()
+	}
 	return limited
 }
 
--- a/limit/issuer.go
+++ b/limit/issuer.go
@@ -34,8 +34,13 @@
 	// Scarce is set while the demand of all holders together is near the limit or above.
 	// Only then does a holder keep a part of its bucket from requests with low precedence.
 	Scarce bool `json:"scarce,omitempty"`
-	// QueueLength is the number of requests that wait at other holders.
-	QueueLength int `json:"queue,omitempty"`
+	// QueueLength is the number of requests that wait at other holders, QueueRepeated how many of them are
+	// [Repeated], and QueueLow how many are [Low]. Issuers of earlier builds name only the first.
+	QueueLength   int `json:"queue,omitempty"`
+	QueueRepeated int `json:"queueRepeated,omitempty"`
+	QueueLow      int `json:"queueLow,omitempty"`
+	// Repeated are those of [Demand.Keys] that were refused before.
+	Repeated []TurnKey `json:"repeated,omitempty"`
 }
 
 // Demand is a holder's request for an allotment, with its current state.
@@ -53,8 +58,13 @@
 	// issuer keeps a part of its bucket for the others.
 	Waiting int `json:"waiting,omitempty"`
 	Low     int `json:"low,omitempty"`
+	// Repeated is how many of Waiting are known to be [Repeated]. Keys are others of them of which that is
+	// not known. Refused are turns that the holder has refused since.
+	Repeated int       `json:"repeated,omitempty"`
+	Keys     []TurnKey `json:"keys,omitempty"`
+	Refused  []TurnKey `json:"refused,omitempty"`
 	// Held is the newest allotment that the holder has received, without
-	// Tokens, AdmitNow, AdmitLow, Scarce and QueueLength.
+	// what is meant for the requests that were waiting.
 	Held Allotment `json:"held"`
 	// TimeLeft is the time until Held expires; 0 if the holder has none.
 	TimeLeft time.Duration `json:"left"`
@@ -141,6 +151,7 @@
 	updatedAt   types.Mono
 	outstanding map[Holder]*outstandingAllotment
 	demandRate  map[Holder]types.PerSecond
+	refused     refusedTurns
 }
 
 // outstandingAllotment is the state of one holder as known to the issuer. rate
@@ -150,7 +161,18 @@
 	last        Allotment
 	renewedAt   types.Mono // time of the newest demand
 	expiresAt   types.Mono
-	waiting     int // requests still waiting after the newest allotment
+	waiting     waitCounts // after the newest allotment
+}
+
+// waitCounts counts waiting requests by their precedence.
+type waitCounts [precedences]int
+
+// before returns how many requests precede new ones of precedence p.
+func (c waitCounts) before(p Precedence) (n int) {
+	for _, count := range c[:p+1] {
+		n += count
+	}
+	return n
 }
 
 // NewIssuer returns an issuer without a limit, created at now.
@@ -197,30 +219,46 @@
 	h.rate, h.burst = max(h.rate, float64(next.Rate)), max(h.burst, next.Burst)
 	h.renewedAt, h.expiresAt = now, now.Add(maxAllotmentTime)
 	i.level = min(i.level+d.Returned, i.capacity())
-	next.AdmitNow = int(max(0, min(i.level, float64(d.Waiting))))
-	i.level -= float64(next.AdmitNow)
-	reserve := 0.0
+	i.refused.add(d.Refused, now)
+	next.Repeated = i.refused.among(d.Keys, now)
+	others := i.waitingAt(d.Holder, now)
+	next.QueueLength, next.QueueRepeated, next.QueueLow = others.before(Low), others[Repeated], others[Low]
+	repeated := min(d.Repeated+len(next.Repeated), d.Waiting)
+	h.waiting = waitCounts{Repeated: repeated, Ordinary: d.Waiting - repeated, Low: d.Low}
+	next.AdmitNow = i.admit(h, Repeated, 0)
+	next.AdmitNow += i.admit(h, Ordinary, float64(others[Repeated]))
+	reserve := 0.0 // Kept for requests without low precedence, also those that may come.
 	if next.Scarce {
-		reserve = i.reserve()
+		reserve = max(i.reserve(), float64(others.before(Ordinary)+h.waiting.before(Ordinary)))
+	}
+	next.AdmitLow = i.admit(h, Low, reserve)
+	if others[Low]+h.waiting[Low] == 0 {
+		reserve = float64(others.before(Ordinary)) // No bucket is drained by requests with low precedence.
 	}
-	next.AdmitLow = int(max(0, min(i.level-reserve, float64(d.Low))))
-	i.level -= float64(next.AdmitLow)
-	next.Tokens = max(0, min(i.level, next.Burst-d.Tokens))
+	next.Tokens = max(0, min(i.level-reserve, next.Burst-d.Tokens))
 	i.level -= next.Tokens
-	h.waiting = d.Waiting - next.AdmitNow + d.Low - next.AdmitLow
-	next.QueueLength = i.queueLength(d.Holder, now)
 	return next
 }
 
-// queueLength returns the number of requests that wait at all holders but one.
-func (i *Issuer) queueLength(except Holder, now types.Mono) int {
-	n := 0
+// admit admits requests of a holder that wait, as far as the bucket has more than reserve.
+func (i *Issuer) admit(h *outstandingAllotment, p Precedence, reserve float64) int {
+	n := int(max(0, min(i.level-reserve, float64(h.waiting[p]))))
+	h.waiting[p] -= n
+	i.level -= float64(n)
+	return n
+}
+
+// waitingAt returns the numbers of requests that wait at all holders but one.
+func (i *Issuer) waitingAt(except Holder, now types.Mono) (sum waitCounts) {
 	for id, h := range i.outstanding {
-		if id != except && now.Sub(h.renewedAt) < queueReportTime {
-			n += h.waiting
+		if id == except || now.Sub(h.renewedAt) >= queueReportTime {
+			continue
+		}
+		for p, n := range h.waiting {
+			sum[p] += n
 		}
 	}
-	return n
+	return sum
 }
 
 // scarce reports whether requests with high precedence need a reserve. Without need it only
--- a/limit/issuer_test.go
+++ b/limit/issuer_test.go
@@ -342,12 +342,12 @@
 	acct.renew("entry-1", 3, false)
 	acct.renew("entry-2", 4, false)
 	acct.renew("entry-3", 1, false)
-	if diff := cmp.Diff(800*time.Millisecond, acct.holders["entry-3"].QueueWait(0, 10)); diff != "" {
+	if diff := cmp.Diff(800*time.Millisecond, acct.holders["entry-3"].QueueWait(0, limit.Ordinary, 10)); diff != "" {
 		t.Errorf("wait on the third host (-want +got):\n%s", diff)
 	}
 	acct.now = acct.now.Add(time.Second)
 	acct.renew("entry-3", 0, false)
-	if diff := cmp.Diff(100*time.Millisecond, acct.holders["entry-3"].QueueWait(0, 10)); diff != "" {
+	if diff := cmp.Diff(100*time.Millisecond, acct.holders["entry-3"].QueueWait(0, limit.Ordinary, 10)); diff != "" {
 		t.Errorf("wait without requests on other hosts (-want +got):\n%s", diff)
 	}
 }
--- a/limit/programs_test.go
+++ b/limit/programs_test.go
@@ -18,11 +18,11 @@
 	// startsAreLow gives the first request of a program low precedence.
 	startsAreLow bool
 	// maxWait is how long a request may wait before it is refused.
-	maxWait func(s *limit.Share, low bool) time.Duration
+	maxWait func(s *limit.Share, p limit.Precedence) time.Duration
 }
 
 // formerAdmission treats all requests alike.
-var formerAdmission = admission{maxWait: func(*limit.Share, bool) time.Duration { return 400 * time.Millisecond }}
+var formerAdmission = admission{maxWait: func(*limit.Share, limit.Precedence) time.Duration { return 400 * time.Millisecond }}
 
 // presentAdmission is that of package gate.
 var presentAdmission = admission{startsAreLow: true, maxWait: (*limit.Share).MaxWait}
@@ -210,7 +210,10 @@
 		return
 	}
 	s, sentAt := p.shares[p.host], p.now
-	low := start && p.startsAreLow
+	low, precedence := start && p.startsAreLow, limit.Ordinary
+	if low {
+		precedence = limit.Low
+	}
 	s.CountRequest(p.now)
 	take := func() bool {
 		if low {
@@ -238,7 +241,7 @@
 				done(true)
 				return
 			}
-			queueWait, wait := s.QueueWait(0, p.limit.Rate), p.maxWait(s, low)
+			queueWait, wait := s.QueueWait(0, precedence, p.limit.Rate), p.maxWait(s, precedence)
 			if queueWait <= wait && p.now.Sub(sentAt) < wait {
 				p.after(max(10*time.Millisecond, min(queueWait/2, 60*time.Millisecond)), try)
 				return
--- a/limit/share.go
+++ b/limit/share.go
@@ -31,14 +31,21 @@
 	// account's limit. A refusal could end the program, and all that was spent on it
 	// would be lost.
 	maxWait = 600 * time.Millisecond
+	// maxRepeatedWait is how long a turn that was refused before should wait. Its caller has few tries left.
+	maxRepeatedWait = 1200 * time.Millisecond
 	// maxLowWait is how long the first request of a program should wait while the limit
 	// is scarce. If it is refused, nothing is lost, and the programs that have begun
 	// keep what is left.
 	maxLowWait = 100 * time.Millisecond
 )
 
-// rateWindow is the time over which the rate of requests is averaged.
-const rateWindow = time.Second
+const (
+	// rateWindow is the time over which the rate of requests is averaged.
+	rateWindow = time.Second
+	// rateUpdateInterval is the shortest time whose requests count as a rate. Demands of a holder whose
+	// requests wait follow each other within a few milliseconds.
+	rateUpdateInterval = rateWindow / 10
+)
 
 // Apply installs an allotment whose demand was made at demandedAt. While the
 // current allotment is valid, one with a number that is not higher is ignored.
@@ -61,14 +68,19 @@
 }
 
 // MaxWait is how long a request should wait for its account's limit before it is refused.
-// low is set if it has low precedence.
-func (s *Share) MaxWait(low bool) time.Duration {
-	if low && s.allotment.Scarce {
+func (s *Share) MaxWait(p Precedence) time.Duration {
+	if p == Repeated {
+		return maxRepeatedWait
+	}
+	if p == Low && s.allotment.Scarce {
 		return maxLowWait
 	}
 	return maxWait
 }
 
+// Scarce reports whether the demand of all holders is near the limit or above, as far as this holder knows.
+func (s *Share) Scarce(now types.Mono) bool { return s.allotment.Scarce && s.TimeLeft(now) > 0 }
+
 // TakeLow is Take for a request with low precedence, which leaves what was admitted for
 // others, and while the limit is scarce a part of the bucket, to them.
 func (s *Share) TakeLow(now types.Mono) bool {
@@ -118,14 +130,21 @@
 }
 
 // QueueWait estimates how long a request has to wait behind the requests at other
-// holders, as last reported by the issuer, and behind ahead requests at this
-// holder, if the account's limit has the given rate. It returns [Never] if the
-// rate is 0.
-func (s *Share) QueueWait(ahead int, rate types.PerSecond) time.Duration {
+// holders that precede it, as last reported by the issuer, and behind ahead requests at this
+// holder, if the account's limit has the given rate. It returns [Never] if the rate is 0.
+func (s *Share) QueueWait(ahead int, p Precedence, rate types.PerSecond) time.Duration {
 	if rate <= 0 {
 		return Never
 	}
-	return time.Duration(float64(s.allotment.QueueLength+ahead+1) / float64(rate) * float64(time.Second))
+	switch p {
+	case Repeated:
+		ahead += s.allotment.QueueRepeated
+	case Ordinary:
+		ahead += s.allotment.QueueLength - s.allotment.QueueLow
+	default:
+		ahead += s.allotment.QueueLength
+	}
+	return time.Duration(float64(ahead+1) / float64(rate) * float64(time.Second))
 }
 
 // renewThreshold is the fraction of a bucket's capacity below which the allotment
@@ -187,13 +206,12 @@
 	if s.TimeLeft(now) <= 0 {
 		s.returning = 0 // The issuer has already treated these tokens as expired.
 	}
-	if elapsed := now.Sub(s.rateUpdatedAt); elapsed > 0 {
+	if elapsed := now.Sub(s.rateUpdatedAt); elapsed >= rateUpdateInterval {
 		weight := min(1, elapsed.Seconds()/rateWindow.Seconds())
-		s.rate += weight * (s.requests/max(elapsed, rateWindow/10).Seconds() - s.rate)
+		s.rate += weight * (s.requests/elapsed.Seconds() - s.rate)
 		s.requests, s.rateUpdatedAt = 0, now
 	}
-	last := s.allotment
-	last.Tokens, last.AdmitNow, last.AdmitLow, last.QueueLength, last.Scarce = 0, 0, 0, 0, false
+	last := Allotment{Number: s.allotment.Number, Rate: s.allotment.Rate, Burst: s.allotment.Burst, SilentTokens: s.allotment.SilentTokens}
 	returned := s.returning
 	s.returning = 0
 	return Demand{Holder: h, Returned: returned, Waiting: waiting, Rate: types.PerSecond(s.rate), Tokens: s.level, Held: last, TimeLeft: s.TimeLeft(now)}
