turns: writes by kind, and what a refused request lacked

One shard of sixteen refused for "no majority of the shard's stores replied" while all others served, and neither the entry hosts' logs nor those of the stores told which lists the shard had, which store each refused request lacked, and whether a store that wrote for a second at a time wrote live turns or copies.

Histograms of the bytes and records of a batch by kind (live, copy, rewrite), and of the time of a live write from its arrival to its sync; event 223 has the bytes by kind and the longest wait. Refusals (405) and failed ends (408) have the shard, its lists, and each store without a reply with the reason: no connection, no reply since so many ms, or a fault.

--- a/gate/turn.go
+++ b/gate/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -118,7 +119,7 @@
 		if turns.NotSent(budgetErr) {
 			retryAfter = types.AsFault(budgetErr).RetryAfter
 		}
-		return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: retryAfter, reason: "cannot reserve the program's budget: " + budgetErr.Error()}
+		return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: retryAfter, reason: "cannot reserve the program's budget: " + budgetErr.Error(), logFields: turns.QuorumFields(budgetErr)}
 	}
 	return nil
 }
@@ -132,6 +133,7 @@
 	if types.IsCode(err, types.CodeNotFound) {
 		return &errorResponse{status: http.StatusNotFound, reason: "there is no such turn", logFields: fields}
 	}
+	maps.Copy(fields, turns.QuorumFields(err))
 	retryAfter := busyRetryAfter
 	if turns.MayBeLost(err) {
 		retryAfter = 0 // A retry finds the same stores without the turn.
@@ -257,6 +259,7 @@
 	}
 	if err != nil {
 		fields["error"] = err.Error()
+		maps.Copy(fields, turns.QuorumFields(err))
 	}
 	c.gate.Log.Write(event.TurnDurable, fields)
 	return err
--- a/turns/call.go
+++ b/turns/call.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/banyanspur/banyanspur/types"
@@ -34,7 +35,7 @@
 		m := c.Map()
 		if len(m.Placement(shard).Current) == 0 {
 			if !types.Sleep(ctx, retryInterval) {
-				return nil, errNoQuorum
+				return nil, &quorumError{fault: errNoQuorum, shard: shard}
 			}
 			continue
 		}
@@ -68,6 +69,9 @@
 	// noCapacity is set for the stores whose last result is that they have no capacity, and replaced for
 	// those at whose address there is another store, since their disks are lost.
 	noCapacity, replaced map[StoreID]bool
+
+	mu     sync.Mutex // guards states
+	states map[StoreID]requestState
 }
 
 func newShardCall[Resp any](ctx context.Context, c *Client, m *Map, shard Shard, kind wire.Kind, newRequest encodeRequest) *shardCall[Resp] {
@@ -76,6 +80,7 @@
 		client: c, shard: shard, shardMap: m, placement: p, kind: kind, newRequest: newRequest,
 		stores: c.sortForMove(m, p, c.sortByDistance(m, rotated(p.All(), int(shard)))), results: make(chan storeResult[Resp]),
 		replies: map[StoreID]Resp{}, noCapacity: map[StoreID]bool{}, replaced: map[StoreID]bool{},
+		states: map[StoreID]requestState{},
 	}
 	call.ctx, call.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	return call
@@ -116,7 +121,7 @@
 				return nil, nil //nolint:nilnil // Documented above.
 			}
 		case <-ctx.Done():
-			return nil, errNoQuorum
+			return nil, s.noQuorum()
 		}
 	}
 }
@@ -186,16 +191,23 @@
 			return
 		}
 		link := s.client.Peers.Link(address)
+		if !link.IsConnected() {
+			s.setState(id, NoConnection, nil)
+		}
 		if !s.waitConnected(link) {
 			continue
 		}
 		startedAt := time.Now()
+		s.setState(id, NoReply, nil)
 		head, tail := s.newRequest(id, s.placement.Epoch)
 		reply, err := wire.CallEncoded[Resp](s.ctx, link, s.kind, head, tail)
 		if err == nil {
 			s.client.recordReply(s.kind, id, time.Since(startedAt))
 		}
 		recordRequest(s.kind, startedAt, err)
+		if err != nil {
+			s.setState(id, Refused, err)
+		}
 		select {
 		case s.results <- storeResult[Resp]{store: id, reply: reply, err: err}:
 		case <-s.ctx.Done():
--- a/turns/chain.go
+++ b/turns/chain.go
@@ -96,7 +96,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // Ends the requests whose replies are no longer of use.
 	for {
-		s := chainSearch{client: c, req: req, likely: likely, shardMap: c.Map(), lacking: map[StoreID][]Epoch{}, results: make(chan storeResult[ChainReply])}
+		s := chainSearch{client: c, req: req, likely: likely, shardMap: c.Map(), lacking: map[StoreID][]Epoch{}, failed: map[StoreID]error{}, sentAt: map[StoreID]time.Time{}, results: make(chan storeResult[ChainReply])}
 		found := s.run(ctx)
 		switch {
 		case len(found) > 0:
@@ -123,6 +123,9 @@
 	results chan storeResult[ChainReply]
 	// lacking contains the stores that lack the turn, with their epochs.
 	lacking map[StoreID][]Epoch
+	// failed contains the errors of the stores that have failed, and sentAt when each store got the request.
+	failed map[StoreID]error
+	sentAt map[StoreID]time.Time
 }
 
 // run sends the request to one store first, and to the next one whenever one fails or lacks
@@ -150,6 +153,8 @@
 			}
 			if result.err == nil {
 				s.lacking[result.store] = result.reply.Epochs
+			} else if result.err != nil {
+				s.failed[result.store] = result.err
 			}
 			if proven == nil && s.provesMissing() {
 				proven = time.After(storeTimeout)
@@ -215,6 +220,7 @@
 		member, req := s.members[s.sent], s.req
 		link := s.client.Peers.Link(member.Address)
 		req.To = member.ID
+		s.sentAt[member.ID] = time.Now()
 		s.client.background.Go(func() error {
 			startedAt := time.Now()
 			var reply ChainReply
@@ -251,8 +257,12 @@
 	if s.shardMap.mayLackTurns() && s.shardMap.isQuorumOfAll(s.lacking) {
 		return errTurnMayBeLost
 	}
-	return types.NewFault(types.CodeUnavailable, "of %d stores, %d lack the turn, and the shard maps differ: %t", len(s.members), len(s.lacking), s.mapsDiffer()).
+	fault := types.NewFault(types.CodeUnavailable, "of %d stores, %d lack the turn, and the shard maps differ: %t", len(s.members), len(s.lacking), s.mapsDiffer()).
 		WithRetryAfter(time.Second)
+	if s.likely == noShard {
+		return fault
+	}
+	return s.lackingOf(fault)
 }
 
 // mapsDiffer reports whether a store that lacks the turn has another map than
--- a/turns/cluster_test.go
+++ b/turns/cluster_test.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/banyanspur/banyanspur/event"
 	"github.com/banyanspur/banyanspur/store"
 	"github.com/banyanspur/banyanspur/turns"
 	"github.com/banyanspur/banyanspur/types"
@@ -36,6 +37,7 @@
 	// capacityOf returns the capacity of the next store, unless it is nil.
 	capacityOf func() turns.Capacity
 	disks      []store.Disk // of the first stores
+	log        event.Log    // of each store that is added
 }
 
 func newPeers() *wire.Pool { return &wire.Pool{} }
@@ -113,7 +115,7 @@
 // startStore opens and runs a store with the current shard map.
 func (c *cluster) startStore(s *testStore) {
 	c.t.Helper()
-	s.Store = &turns.Store{Dir: s.dir, Disk: s.disk, Clock: types.NewClock(), Capacity: c.capacity, CatchUp: c.catchUp, LinkBytesPerSecond: c.linkBytesPerSecond}
+	s.Store = &turns.Store{Dir: s.dir, Disk: s.disk, Clock: types.NewClock(), Capacity: c.capacity, CatchUp: c.catchUp, LinkBytesPerSecond: c.linkBytesPerSecond, Log: c.log}
 	if c.capacityOf != nil {
 		s.Capacity = c.capacityOf()
 	}
--- a/turns/copy.go
+++ b/turns/copy.go
@@ -305,7 +305,7 @@
 	if len(records) == 0 {
 		return nil
 	}
-	return s.enqueue(ctx, pendingWrite{records: records, skipKnown: true})
+	return s.enqueue(ctx, pendingWrite{kind: copyKind, records: records, skipKnown: true})
 }
 
 // persistPrograms makes the claims of copied programs durable.
@@ -320,7 +320,7 @@
 	if len(records) == 0 {
 		return nil
 	}
-	return s.persist(ctx, records...)
+	return s.enqueue(ctx, pendingWrite{kind: copyKind, records: records})
 }
 
 // callStore sends one request to a store and returns the reply. It waits for a
--- a/turns/write.go
+++ b/turns/write.go
@@ -14,7 +14,9 @@
 // pendingWrite is a list of records that waits for the disk. The error of the
 // write, or nil, is sent to done.
 type pendingWrite struct {
-	records []record
+	kind     writeKind
+	queuedAt time.Time
+	records  []record
 	// skipKnown leaves out turns that the store already has when the write begins.
 	skipKnown bool
 	done      chan<- error
@@ -114,7 +116,10 @@
 // writeBatch appends all records of a batch, and rewrites, to the journal with one sync, adds
 // them to the index and reports the outcome to each write.
 func (s *Store) writeBatch(batch []pendingWrite, rewrites []rewrite) error {
-	records := s.recordsToWrite(batch)
+	records, kinds := s.recordsToWrite(batch)
+	for range rewrites {
+		kinds = append(kinds, rewriteKind)
+	}
 	encoded := make([][]byte, 0, len(records)+len(rewrites))
 	for _, r := range records {
 		encoded = append(encoded, types.Encode(r))
@@ -123,11 +128,15 @@
 		encoded = append(encoded, r.encoded)
 	}
 	batchWrites.Update(float64(len(batch)))
+	sizes := sizesOf(kinds, encoded)
+	sizes.record()
 	startedAt := time.Now()
 	locations, err := s.journal.Append(encoded)
 	appendSeconds.UpdateDuration(startedAt)
 	if took := time.Since(startedAt); took > slowWrite {
-		s.Log.Write(event.StoreWriteSlow, event.Fields{"ms": took.Milliseconds(), "writes": len(batch), "bytes": encodedBytes(encoded)})
+		fields := sizes.fields()
+		fields["ms"], fields["writes"], fields["longestWaitMs"] = took.Milliseconds(), len(batch), longestWait(batch).Milliseconds()
+		s.Log.Write(event.StoreWriteSlow, fields)
 	}
 	if err != nil {
 		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "records": len(encoded)})
@@ -142,6 +151,9 @@
 		s.mu.Unlock()
 	}
 	for _, w := range batch {
+		if w.kind == liveKind {
+			liveWriteSeconds.UpdateDuration(w.queuedAt)
+		}
 		w.done <- err
 	}
 	return err
@@ -150,19 +162,11 @@
 // slowWrite is how long a write of a batch takes at least to be logged.
 const slowWrite = 250 * time.Millisecond
 
-func encodedBytes(records [][]byte) (n int) {
-	for _, b := range records {
-		n += len(b)
-	}
-	return n
-}
-
-// recordsToWrite returns the records of a batch. Requests that are repeated while the
+// recordsToWrite returns the records of a batch, and the kind of each. Requests that are repeated while the
 // disk stalls wait for it together with the first ones: their turns are written once.
-func (s *Store) recordsToWrite(batch []pendingWrite) []record {
+func (s *Store) recordsToWrite(batch []pendingWrite) (records []record, kinds []writeKind) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	var records []record
 	added := map[turnKey]bool{}
 	for _, w := range batch {
 		for _, r := range w.records {
@@ -174,12 +178,13 @@
 				added[key] = true
 			}
 			records = append(records, r)
+			kinds = append(kinds, w.kind)
 		}
 	}
-	return records
+	return records, kinds
 }
 
-// persist writes records to the journal and returns once they are durable.
+// persist writes records of a live turn to the journal and returns once they are durable.
 func (s *Store) persist(ctx context.Context, records ...record) error {
 	return s.enqueue(ctx, pendingWrite{records: records})
 }
@@ -187,7 +192,7 @@
 // enqueue queues a write and returns once it is durable.
 func (s *Store) enqueue(ctx context.Context, w pendingWrite) error {
 	done := make(chan error, 1)
-	w.done = done
+	w.done, w.queuedAt = done, time.Now()
 	select {
 	case s.queue <- w:
 	case <-ctx.Done():
