turns: live writes go before copies, which take a bounded part of a batch

Claims and ends of turns waited in one queue with the megabytes of copies, in order of arrival, and a batch took up to 8 MiB of either. A store that copied, or adopted, wrote for 0.4 to 2.1 s at a time, and a shard that has lost two of five disks needs each of its stores for each write.

Live writes have a queue of their own and go first.

--- a/turns/batch.go
+++ b/turns/batch.go
@@ -49,6 +49,11 @@
 	return sizes
 }
 
+// total returns the bytes of all kinds.
+func (s batchSizes) total() int {
+	return s.bytes[liveKind] + s.bytes[copyKind] + s.bytes[rewriteKind]
+}
+
 // record adds the batch to the metrics of the kinds that it has.
 func (s batchSizes) record() {
 	for kind, n := range s.records {
@@ -62,7 +67,7 @@
 // fields returns the sizes as the fields of a log event.
 func (s batchSizes) fields() event.Fields {
 	return event.Fields{
-		"bytes": s.bytes[liveKind] + s.bytes[copyKind] + s.bytes[rewriteKind], "records": s.records[liveKind] + s.records[copyKind] + s.records[rewriteKind],
+		"bytes": s.total(), "records": s.records[liveKind] + s.records[copyKind] + s.records[rewriteKind],
 		"liveBytes": s.bytes[liveKind], "copyBytes": s.bytes[copyKind], "rewriteBytes": s.bytes[rewriteKind],
 	}
 }
--- a/turns/compact.go
+++ b/turns/compact.go
@@ -62,11 +62,7 @@
 	s.mu.RLock()
 	sparsest := s.index.sparsestTurns(s.journal.Segment())
 	s.mu.RUnlock()
-	rewrites, err := s.rewriteTurns(sparsest)
-	if err != nil {
-		return nil, err
-	}
-	return s.vacateSegments(now.Add(-retention/claimsShare), rewrites)
+	return s.vacateSegments(now.Add(-retention/claimsShare), sparsest)
 }
 
 // rotate starts a new journal segment.
@@ -108,10 +104,14 @@
 	return keys
 }
 
-// rewriteTurns returns turns as they are to be written again.
-func (s *Store) rewriteTurns(keys []turnKey) ([]rewrite, error) {
-	var rewrites []rewrite
-	for _, key := range keys {
+// rewriteTurns returns the first of some turns as they are to be written again, up to a size but at least one, and the
+// others.
+func (s *Store) rewriteTurns(keys []turnKey, most int) (rewrites []rewrite, rest []turnKey, err error) {
+	size := 0
+	for i, key := range keys {
+		if size >= most {
+			return rewrites, keys[i:], nil
+		}
 		s.mu.RLock()
 		t := s.index.turns[key]
 		var location store.Location
@@ -124,21 +124,22 @@
 		}
 		b, err := s.journal.Read(location)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
+		size += len(b)
 		rewritten.Add(len(b))
 		rewrites = append(rewrites, rewrite{encoded: b, moved: func(to store.Location) {
 			s.index.addBytes(to, s.retained)
 			s.index.moveTurn(key, to)
 		}})
 	}
-	return rewrites, nil
+	return rewrites, nil, nil
 }
 
 // vacateSegments returns the segments that have no live turns and were last
-// written before a time, after it has written the claims in them again, and the given records. It
-// writes the requests that wait meanwhile with them.
-func (s *Store) vacateSegments(before types.Mono, rewrites []rewrite) ([]uint64, error) {
+// written before a time, after it has written the claims in them again, and the given turns. What one batch rewrites is
+// bounded like copies. The requests that wait meanwhile share the batches.
+func (s *Store) vacateSegments(before types.Mono, keys []turnKey) ([]uint64, error) {
 	segments, err := s.journal.Segments()
 	if err != nil {
 		return nil, err
@@ -153,17 +154,24 @@
 	storedTurns.Set(float64(len(s.index.turns)))
 	journalBytes.Set(float64(s.index.bytes))
 	s.mu.RUnlock()
-	for {
-		chunk := programs[:min(len(programs), programsPerBatch)]
-		programs = programs[len(chunk):]
-		if rewrites = append(rewrites, s.rewritePrograms(chunk)...); len(rewrites) == 0 {
-			return segments, nil
+	for len(keys) > 0 || len(programs) > 0 {
+		rewrites, rest, err := s.rewriteTurns(keys, s.diskTimes.copyBytes(maxRewriteBytes, true))
+		if err != nil {
+			return nil, err
+		}
+		if keys = rest; len(keys) == 0 {
+			chunk := programs[:min(len(programs), programsPerBatch)]
+			programs = programs[len(chunk):]
+			rewrites = append(rewrites, s.rewritePrograms(chunk)...)
+		}
+		if len(rewrites) == 0 {
+			continue // The turns are gone.
 		}
-		if err := s.writeBatch(s.collectBatch(), rewrites); err != nil {
+		if err := s.writeBatch(s.collectBatch(rewrites), rewrites); err != nil {
 			return nil, err
 		}
-		rewrites = nil
 	}
+	return segments, nil
 }
 
 // removeSegments removes segments that [Store.compact] has returned. Writes go on meanwhile.
--- a/turns/copy.go
+++ b/turns/copy.go
@@ -305,7 +305,7 @@
 	if len(records) == 0 {
 		return nil
 	}
-	return s.enqueue(ctx, pendingWrite{kind: copyKind, records: records, skipKnown: true})
+	return s.enqueueCopies(ctx, records)
 }
 
 // persistPrograms makes the claims of copied programs durable.
@@ -320,7 +320,7 @@
 	if len(records) == 0 {
 		return nil
 	}
-	return s.enqueue(ctx, pendingWrite{kind: copyKind, records: records})
+	return s.enqueueCopies(ctx, records)
 }
 
 // callStore sends one request to a store and returns the reply. It waits for a
--- a/turns/stall_test.go
+++ b/turns/stall_test.go
@@ -21,6 +21,8 @@
 	mu      sync.Mutex
 	until   time.Time
 	latency time.Duration // of each sync
+	// bytesPerSecond limits what is written, so that a sync takes longer with each byte before it; 0 for no limit.
+	bytesPerSecond, unsynced int
 	// simulated is set if syncs only take the times above, and not that of the machine's disk.
 	simulated bool
 	written   int
@@ -56,12 +58,17 @@
 		Write: func(f *os.File, b []byte) (int, error) {
 			d.mu.Lock()
 			d.written += len(b)
+			d.unsynced += len(b)
 			d.mu.Unlock()
 			return f.Write(b)
 		},
 		Sync: func(f *os.File) error {
 			d.mu.Lock()
 			rest, simulated := max(time.Until(d.until), d.latency), d.simulated
+			if d.bytesPerSecond > 0 {
+				rest += time.Duration(float64(d.unsynced) / float64(d.bytesPerSecond) * float64(time.Second))
+			}
+			d.unsynced = 0
 			d.mu.Unlock()
 			time.Sleep(rest)
 			if simulated {
--- a/turns/store.go
+++ b/turns/store.go
@@ -44,7 +44,11 @@
 	opened  time.Time // when Open was called
 	id      StoreID
 	journal *store.Journal
-	queue   chan pendingWrite
+	queue   chan pendingWrite // of live writes
+	copies  copyQueue
+	// copiesReady has an element if copies may wait for the disk.
+	copiesReady chan struct{}
+	diskTimes   diskTimes // only used by Run
 	// compactions requests [Store.compact] of Run, which sends its result to the channel that it
 	// has received.
 	compactions chan chan<- []uint64
@@ -77,15 +81,15 @@
 	// created. Earlier builds stored the ID first, and their journals have no list of segments
 	// until this build has opened them.
 	journaledPrefix = "j-"
-	// queueCapacity is the maximum number of writes that wait for the disk.
+	// queueCapacity is the maximum number of live writes that wait for the disk.
 	queueCapacity = 4096
 	// maxSegmentBytes is the size of the current segment above which a new one is
 	// started.
 	maxSegmentBytes = 8 << 20
 	// maxBatchBytes is the size of inputs and outputs at which a batch of
 	// writes that share one sync is complete. It is the most that a store writes in one sync, so
-	// that with syncs of a second it still takes what a link of 64 Mbit/s brings. Batches only
-	// grow while a sync takes that long.
+	// that with syncs of a second it still takes what a link of 64 Mbit/s brings. Copies take that
+	// much only while a sync takes that long, see [diskTimes].
 	maxBatchBytes = maxSegmentBytes
 )
 
@@ -129,7 +133,7 @@
 func (s *Store) Open() (StoreID, error) {
 	s.opened = time.Now()
 	s.Disk = s.Disk.RememberingSyncs()
-	s.queue = make(chan pendingWrite, queueCapacity)
+	s.queue, s.copiesReady = make(chan pendingWrite, queueCapacity), make(chan struct{}, 1)
 	s.compactions = make(chan chan<- []uint64)
 	s.spareWanted = make(chan struct{}, 1)
 	s.copiedEpochs = map[Shard]Epoch{}
--- a/turns/write.go
+++ b/turns/write.go
@@ -45,7 +45,9 @@
 		case <-ctx.Done():
 			return nil
 		case w := <-s.queue:
-			s.writeBatch(s.collectBatch(w), nil)
+			s.writeNext(w)
+		case <-s.copiesReady:
+			s.writeNext()
 		case unused := <-s.compactions:
 			unused <- s.compact()
 		}
@@ -57,6 +59,13 @@
 	}
 }
 
+// writeNext writes the next batch, if any write waits. A live write may have been received already.
+func (s *Store) writeNext(live ...pendingWrite) {
+	if batch := s.collectBatch(nil, live...); len(batch) > 0 {
+		_ = s.writeBatch(batch, nil) // It reports to the writes.
+	}
+}
+
 // createSpares creates segments ahead until ctx ends.
 func (s *Store) createSpares(ctx context.Context) {
 	for {
@@ -79,33 +88,6 @@
 	}
 }
 
-// collectBatch returns the given writes and those in the queue, up to
-// [maxBatchBytes], so that they share one sync.
-func (s *Store) collectBatch(batch ...pendingWrite) []pendingWrite {
-	size := 0
-	for size < maxBatchBytes {
-		select {
-		case w := <-s.queue:
-			batch = append(batch, w)
-			for _, r := range w.records {
-				size += r.payloadBytes()
-			}
-		default:
-			return batch
-		}
-	}
-	return batch
-}
-
-// payloadBytes returns the size of the turn's input and output, or 0 for a
-// program.
-func (r record) payloadBytes() int {
-	if r.Turn == nil {
-		return 0
-	}
-	return len(r.Turn.Input) + len(r.Turn.Output)
-}
-
 // rewrite is a record that is written again, so that its segment can be removed.
 type rewrite struct {
 	encoded []byte
@@ -116,6 +98,7 @@
 // writeBatch appends all records of a batch, and rewrites, to the journal with one sync, adds
 // them to the index and reports the outcome to each write.
 func (s *Store) writeBatch(batch []pendingWrite, rewrites []rewrite) error {
+	begun := time.Now()
 	records, kinds := s.recordsToWrite(batch)
 	for range rewrites {
 		kinds = append(kinds, rewriteKind)
@@ -150,6 +133,7 @@
 		}
 		s.mu.Unlock()
 	}
+	s.diskTimes.add(sizes.total(), time.Since(begun))
 	for _, w := range batch {
 		if w.kind == liveKind {
 			liveWriteSeconds.UpdateDuration(w.queuedAt)
@@ -183,28 +167,3 @@
 	}
 	return records, kinds
 }
-
-// persist writes records of a live turn to the journal and returns once they are durable.
-func (s *Store) persist(ctx context.Context, records ...record) error {
-	return s.enqueue(ctx, pendingWrite{records: records})
-}
-
-// enqueue queues a write and returns once it is durable.
-func (s *Store) enqueue(ctx context.Context, w pendingWrite) error {
-	done := make(chan error, 1)
-	w.done, w.queuedAt = done, time.Now()
-	select {
-	case s.queue <- w:
-	case <-ctx.Done():
-		return errOverloaded
-	}
-	select {
-	case err := <-done:
-		if err != nil {
-			return errDiskFailed
-		}
-		return nil
-	case <-ctx.Done():
-		return errOverloaded.WithRan(types.MayHaveRun)
-	}
-}
