turns: what is copied of shards without slack goes first

Shard 14 of a grown deployment had lost both disks of a pair that was lost at once, so that all three stores which were left had to reply to each write; nothing made its copies the first, they ended among the last of all shards, 24 to 35 s after the loss, and it refused until then.

Lists, parts, shares of the pace and of the link, and writes that wait for the disk are taken in an order by slack: the number of current stores with a connection beyond a majority. Adoption has the same order by the shard of its request.

--- a/turns/adopt.go
+++ b/turns/adopt.go
@@ -48,7 +48,7 @@
 	}
 	var fetched bool
 	if len(wanted) > 0 {
-		fetched, err = s.adopt(ctx, req.Source, wanted)
+		fetched, err = s.adopt(ctx, req.Shard, req.Source, wanted)
 		s.endAdoption(wanted)
 	}
 	if err != nil {
@@ -113,9 +113,10 @@
 }
 
 // adopt fetches turns from a store and makes them durable. fetched is false if that store has not replied.
-func (s *Store) adopt(ctx context.Context, source StoreID, list []ListedTurn) (fetched bool, err error) {
+func (s *Store) adopt(ctx context.Context, shard Shard, source StoreID, list []ListedTurn) (fetched bool, err error) {
 	s.mu.RLock()
 	address := s.shardMap.Members[source].Address
+	of := slackOf(s.shardMap, shard, s.id, s.copier.peers)
 	s.mu.RUnlock()
 	req := FetchRequest{To: source}
 	ages, size := map[turnKey]time.Duration{}, 0
@@ -125,22 +126,22 @@
 		size += t.Bytes
 	}
 	pace := s.copier.pace
-	if !pace.acquire(ctx) {
+	if !pace.acquire(ctx, of) {
 		return false, ctx.Err()
 	}
 	defer pace.release()
-	pace.waitLink(ctx, size)
+	pace.waitLink(ctx, of, size)
 	reply, err := callStore[FetchRequest, FetchReply](ctx, s.copier.peers.Link(address), KindFetch, req, fetchTimeout, adoptTimeout/2)
 	if err != nil {
 		return false, nil //nolint:nilerr // Documented above.
 	}
-	written, err := pace.acquireWrite(ctx, reply.dataBytes())
+	written, err := pace.acquireWrite(ctx, of, reply.dataBytes())
 	if err != nil {
 		return false, err
 	}
 	defer written()
 	adoptedTotal.Add(len(reply.Turns))
-	return true, s.persistCopied(ctx, reply.Turns, ages)
+	return true, s.persistCopied(ctx, of, reply.Turns, ages)
 }
 
 // adoptResult is the outcome of a request to adopt turns from a source.
@@ -232,7 +233,7 @@
 	}
 	c.adoptions[adopter]++
 	c.setRequested(refs, true)
-	c.pace.wait(ctx, size)
+	c.pace.wait(ctx, c.slack(), size)
 	link, arrived := c.peers.Link(c.shardMap.Members[adopter].Address), c.pace.requested(req.Source)
 	c.pace.group.Go(func() error {
 		reply, err := callStore[AdoptRequest, AdoptReply](c.pace.ctx, link, KindAdopt, req, fetchTimeout, adoptTimeout)
--- a/turns/copy.go
+++ b/turns/copy.go
@@ -1,6 +1,7 @@
 package turns
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -62,8 +63,8 @@
 		if shardMap == nil {
 			continue
 		}
-		for i, p := range shardMap.Shards {
-			shard := Shard(i)
+		for _, shard := range s.shardsBySlack(shardMap, peers) {
+			p := shardMap.Placement(shard)
 			copies.cancelOlder(shard, p.Epoch)
 			if !slices.Contains(p.Next, s.id) || slices.Contains(p.Current, s.id) || s.hasCopied(shard, p.Epoch) {
 				continue
@@ -89,6 +90,18 @@
 	return pace.group.Wait()
 }
 
+// shardsBySlack returns all shards, those with the least slack first.
+func (s *Store) shardsBySlack(m *Map, peers *wire.Pool) []Shard {
+	shards := make([]Shard, len(m.Shards))
+	slacks := make([]slack, len(m.Shards))
+	for i := range m.Shards {
+		shards[i] = Shard(i)
+		slacks[i] = slackOf(m, Shard(i), s.id, peers)
+	}
+	slices.SortStableFunc(shards, func(a, b Shard) int { return cmp.Compare(slacks[a], slacks[b]) })
+	return shards
+}
+
 // runningCopies are the copies that a store makes, at most one of each shard. It is safe for
 // concurrent use.
 type runningCopies struct {
@@ -149,7 +162,7 @@
 func (s *Store) copyShard(ctx context.Context, peers *wire.Pool, pace *copyPace, m *Map, shard Shard) error {
 	p := m.Placement(shard)
 	startedAt := time.Now()
-	c := newShardCopy(m, peers, pace)
+	c := newShardCopy(m, shard, s.id, peers, pace)
 	pace.begin()
 	defer func() { pace.end(c.missingBytes()) }()
 	sources, err := s.listMissing(ctx, c, shard)
@@ -176,7 +189,7 @@
 // listMissing adds the turns that this store needs of a shard to c, and returns the
 // number of stores that have listed theirs. It writes the claims that they have.
 func (s *Store) listMissing(ctx context.Context, c *shardCopy, shard Shard) (sources int, err error) {
-	if !c.pace.acquire(ctx) {
+	if !c.pace.acquire(ctx, c.slack()) {
 		return 0, ctx.Err()
 	}
 	defer c.pace.release()
@@ -185,7 +198,7 @@
 		return 0, err
 	}
 	for id, list := range lists {
-		c.write(func(ctx context.Context) error { return s.persistPrograms(ctx, list.Programs) })
+		c.write(func(ctx context.Context) error { return s.persistPrograms(ctx, c.slack(), list.Programs) })
 		s.mu.Lock()
 		c.addMissing(&s.index, s.retained, id, list.Turns)
 		s.mu.Unlock()
@@ -223,7 +236,7 @@
 			req := ListRequest{To: id, Shard: shard, Epoch: p.Epoch}
 			reply, err := callStore[ListRequest, ListReply](ctx, link, KindList, req, listTimeout, maxReplyTime)
 			if types.IsCode(err, types.CodeBadRequest) {
-				reply, err = s.copyFromEarlierBuild(ctx, link, CopyRequest{To: id, Shard: shard, Epoch: p.Epoch})
+				reply, err = s.copyFromEarlierBuild(ctx, link, slackOf(m, shard, s.id, peers), CopyRequest{To: id, Shard: shard, Epoch: p.Epoch})
 			}
 			results <- storeResult[ListReply]{store: id, reply: reply, err: err}
 			return nil
@@ -268,20 +281,20 @@
 
 // copyFromEarlierBuild copies all turns from a store that cannot list them. The
 // list that it returns is empty, since nothing is missing any more.
-func (s *Store) copyFromEarlierBuild(ctx context.Context, link *wire.Link, req CopyRequest) (ListReply, error) {
+func (s *Store) copyFromEarlierBuild(ctx context.Context, link *wire.Link, of slack, req CopyRequest) (ListReply, error) {
 	for {
 		part, err := callStore[CopyRequest, CopyReply](ctx, link, KindCopy, req, listTimeout, maxReplyTime)
 		if err != nil {
 			return ListReply{}, err
 		}
-		if err := s.persistPrograms(ctx, part.Programs); err != nil {
+		if err := s.persistPrograms(ctx, of, part.Programs); err != nil {
 			return ListReply{}, err
 		}
 		ages := map[turnKey]time.Duration{}
 		for i, t := range part.Turns[:min(len(part.Turns), len(part.Ages))] {
 			ages[turnKey{t.Account, t.ID}] = part.Ages[i]
 		}
-		if err := s.persistCopied(ctx, part.Turns, ages); err != nil || part.Done {
+		if err := s.persistCopied(ctx, of, part.Turns, ages); err != nil || part.Done {
 			return ListReply{}, err
 		}
 		req.From = part.Next
@@ -290,7 +303,7 @@
 
 // persistCopied makes copied turns with the given ages durable. Turns that this
 // store already has are not written again.
-func (s *Store) persistCopied(ctx context.Context, turns []Turn, ages map[turnKey]time.Duration) error {
+func (s *Store) persistCopied(ctx context.Context, of slack, turns []Turn, ages map[turnKey]time.Duration) error {
 	var records []record
 	s.mu.Lock()
 	for _, t := range turns {
@@ -305,11 +318,11 @@
 	if len(records) == 0 {
 		return nil
 	}
-	return s.enqueueCopies(ctx, records)
+	return s.enqueueCopies(ctx, of, records)
 }
 
 // persistPrograms makes the claims of copied programs durable.
-func (s *Store) persistPrograms(ctx context.Context, programs []Program) error {
+func (s *Store) persistPrograms(ctx context.Context, of slack, programs []Program) error {
 	var records []record
 	s.mu.Lock()
 	for _, p := range programs {
@@ -320,7 +333,7 @@
 	if len(records) == 0 {
 		return nil
 	}
-	return s.enqueueCopies(ctx, records)
+	return s.enqueueCopies(ctx, of, records)
 }
 
 // callStore sends one request to a store and returns the reply. It waits for a
--- a/turns/fetch.go
+++ b/turns/fetch.go
@@ -58,6 +58,8 @@
 // shardCopy fetches the turns of one shard that a store lacks. Only the goroutine of the copy
 // uses its fields.
 type shardCopy struct {
+	shard    Shard
+	store    StoreID // that copies
 	shardMap *Map
 	peers    *wire.Pool
 	missing  map[turnKey]*missingTurn
@@ -110,26 +112,29 @@
 	written <-chan error
 }
 
-func newShardCopy(m *Map, peers *wire.Pool, pace *copyPace) *shardCopy {
+func newShardCopy(m *Map, shard Shard, store StoreID, peers *wire.Pool, pace *copyPace) *shardCopy {
 	return &shardCopy{
-		shardMap: m, peers: peers, pace: pace, missing: map[turnKey]*missingTurn{}, failures: map[StoreID]int{},
+		shard: shard, store: store, shardMap: m, peers: peers, pace: pace, missing: map[turnKey]*missingTurn{}, failures: map[StoreID]int{},
 		requests: map[StoreID]*fetchRequest{}, results: make(chan fetchResult, len(m.Members)), partBytes: maxCopyBytes,
 		adoptions: map[StoreID]int{}, toAdopt: map[StoreID][]turnKey{}, adopted: make(chan adoptResult, maxAdoptions*len(m.Members)),
 	}
 }
 
+// slack returns the slack of the shard now.
+func (c *shardCopy) slack() slack { return slackOf(c.shardMap, c.shard, c.store, c.peers) }
+
 // fetch requests one part of the missing turns from the best source, when the pace permits, if
 // there are any that no request is under way for, and waits until a request has ended or is
 // late. It fails once too many requests in a row have failed.
 func (c *shardCopy) fetch(ctx context.Context, s *Store) error {
 	if _, ok := c.nextSource(); ok {
-		if !c.pace.acquire(ctx) {
+		if !c.pace.acquire(ctx, c.slack()) {
 			return ctx.Err()
 		}
 		source, _ := c.nextSource() // Others may have become faster meanwhile.
 		refs, size := c.nextPart(source)
-		c.pace.wait(ctx, size)
-		if c.pace.waitLink(ctx, size); ctx.Err() != nil {
+		c.pace.wait(ctx, c.slack(), size)
+		if c.pace.waitLink(ctx, c.slack(), size); ctx.Err() != nil {
 			c.pace.release()
 			return ctx.Err()
 		}
@@ -172,13 +177,13 @@
 		arrived()
 		var writeEnded func()
 		if err == nil {
-			writeEnded, err = c.pace.acquireWrite(ctx, reply.dataBytes())
+			writeEnded, err = c.pace.acquireWrite(ctx, c.slack(), reply.dataBytes())
 		}
 		late.Stop()
 		release()
 		c.results <- fetchResult{storeResult[FetchReply]{store: source, reply: reply, err: err}, written} // Has room for one of each source.
 		if err == nil {
-			written <- s.persistCopied(ctx, reply.Turns, ages)
+			written <- s.persistCopied(ctx, c.slack(), reply.Turns, ages)
 			writeEnded()
 		}
 		return nil
--- a/turns/pace.go
+++ b/turns/pace.go
@@ -8,7 +8,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/banyanspur/banyanspur/types"
 )
@@ -35,6 +34,8 @@
 	// maxUnwrittenBytes limits the turns that have arrived and wait for the disk. A disk whose
 	// syncs take 600 ms still takes 13 MB/s.
 	maxUnwrittenBytes = maxBatchBytes
+	// maxPaceLag is how far the pace may lag behind, by sleeps that end late, and be made up for.
+	maxPaceLag = 20 * time.Millisecond
 )
 
 // copyPace spreads the copies of all shards of a store over the time that is left for
@@ -43,11 +44,13 @@
 	opened   time.Time     // when the store was opened
 	span     time.Duration // the time for all copies, or 0 if there is no limit
 	linkRate float64       // the most that copies may take, in bytes per second; 0 for no limit
-	parts    chan struct{} // holds an element for each list or part that is requested
-	// unwritten holds the bytes that have arrived and wait for the disk.
-	unwritten *semaphore.Weighted
-	group     errgroup.Group  // runs the requests for parts, and writes
-	ctx       context.Context //nolint:containedctx // Ends the requests for parts, which outlive the copy of a shard.
+	// parts is for the lists and parts that are requested, and unwritten for the bytes that have arrived and wait for
+	// the disk.
+	parts, unwritten *slackSemaphore
+	// turn and linkTurn are held by the one that waits until next, or until nextOnLink.
+	turn, linkTurn *slackSemaphore
+	group          errgroup.Group  // runs the requests for parts, and writes
+	ctx            context.Context //nolint:containedctx // Ends the requests for parts, which outlive the copy of a shard.
 
 	mu      sync.Mutex // guards the fields below
 	shards  int        // that are being copied
@@ -73,7 +76,8 @@
 func newCopyPace(ctx context.Context, opened time.Time, catchUp time.Duration, linkBytesPerSecond float64) *copyPace {
 	return &copyPace{
 		ctx: ctx, opened: opened, span: time.Duration(catchUpShare * float64(catchUp)), linkRate: linkCopyShare * linkBytesPerSecond,
-		parts: make(chan struct{}, maxConcurrentParts), unwritten: semaphore.NewWeighted(maxUnwrittenBytes), sources: map[StoreID]*sourceLoad{},
+		parts: newSlackSemaphore(maxConcurrentParts), unwritten: newSlackSemaphore(maxUnwrittenBytes),
+		turn: newSlackSemaphore(1), linkTurn: newSlackSemaphore(1), sources: map[StoreID]*sourceLoad{},
 	}
 }
 
@@ -120,59 +124,55 @@
 	copyMissing.Set(float64(p.missing))
 }
 
-// acquire waits until a list or a part may be requested, and reports whether it may:
+// acquire waits until a list or a part of a shard with the given slack may be requested, and reports whether it may:
 // not if ctx has ended. The caller must call release after the reply may wait for the disk, or once it is
 // late.
-func (p *copyPace) acquire(ctx context.Context) bool {
-	select {
-	case p.parts <- struct{}{}:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+func (p *copyPace) acquire(ctx context.Context, of slack) bool {
+	return p.parts.acquire(ctx, of, 1) == nil
 }
 
-func (p *copyPace) release() { <-p.parts }
+func (p *copyPace) release() { p.parts.release(1) }
 
 // acquireWrite waits until turns of the given size, which have arrived, may wait for the disk. It fails if
 // ctx ends before. The caller must call ended once they are written.
-func (p *copyPace) acquireWrite(ctx context.Context, bytes int) (ended func(), err error) {
-	n := min(int64(bytes), maxUnwrittenBytes)
-	if err := p.unwritten.Acquire(ctx, n); err != nil {
+func (p *copyPace) acquireWrite(ctx context.Context, of slack, bytes int) (ended func(), err error) {
+	n := min(bytes, maxUnwrittenBytes)
+	if err := p.unwritten.acquire(ctx, of, n); err != nil {
 		return nil, err
 	}
-	return func() { p.unwritten.Release(n) }, nil
+	return func() { p.unwritten.release(n) }, nil
 }
 
 // wait waits until a part of the given size may be requested, by this store or by one that adopts it.
-func (p *copyPace) wait(ctx context.Context, bytes int) {
-	p.mu.Lock()
-	now := time.Now()
-	delay := reserve(&p.next, now, bytes, p.rate(now))
-	p.mu.Unlock()
-	types.Sleep(ctx, delay)
+func (p *copyPace) wait(ctx context.Context, of slack, bytes int) {
+	p.waitTurn(ctx, p.turn, of, &p.next, bytes, p.rate)
 }
 
 // waitLink waits until a part of the given size may arrive over the link of this store.
-func (p *copyPace) waitLink(ctx context.Context, bytes int) {
-	if p.linkRate <= 0 {
+func (p *copyPace) waitLink(ctx context.Context, of slack, bytes int) {
+	if p.linkRate > 0 {
+		p.waitTurn(ctx, p.linkTurn, of, &p.nextOnLink, bytes, func(time.Time) float64 { return p.linkRate })
+	}
+}
+
+// waitTurn waits until *next, in an order by slack, and sets it to the time after which further bytes follow at a rate.
+func (p *copyPace) waitTurn(ctx context.Context, turn *slackSemaphore, of slack, next *time.Time, bytes int, rate func(now time.Time) float64) {
+	if turn.acquire(ctx, of, 1) != nil {
 		return
 	}
+	defer turn.release(1)
 	p.mu.Lock()
-	delay := reserve(&p.nextOnLink, time.Now(), bytes, p.linkRate)
+	delay := time.Until(*next)
 	p.mu.Unlock()
-	types.Sleep(ctx, delay)
-}
-
-// reserve returns how long to wait until *next, and sets it to the time after which further bytes
-// follow at a rate.
-func reserve(next *time.Time, now time.Time, bytes int, rate float64) time.Duration {
-	at := *next
-	if at.Before(now) {
-		at = now
+	types.Sleep(ctx, max(0, delay))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	begin := *next
+	if begin.Before(now.Add(-maxPaceLag)) {
+		begin = now
 	}
-	*next = at.Add(time.Duration(float64(bytes) / rate * float64(time.Second)))
-	return at.Sub(now)
+	*next = begin.Add(time.Duration(float64(bytes) / rate(now) * float64(time.Second)))
 }
 
 // rate returns at how many bytes per second parts are requested: what is missing is
--- a/turns/queue.go
+++ b/turns/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,7 +13,7 @@
 // rest of a batch up to a bound that [diskTimes] sets, so that a live write waits for the batch under way and its own
 // one, and not for all that is copied.
 
-// copyQueue holds the writes of copies that wait for the disk. The zero value is empty. It is safe for concurrent use.
+// copyQueue holds the writes of copies that wait for the disk, in an order by slack. The zero value is empty. It is safe for concurrent use.
 type copyQueue struct {
 	mu     sync.Mutex
 	writes []pendingWrite
@@ -24,8 +25,9 @@
 	q.mu.Lock()
 	for _, w := range writes {
 		q.bytes += w.bytes()
+		i := indexBySlack(q.writes, w.slack, func(w pendingWrite) slack { return w.slack })
+		q.writes = slices.Insert(q.writes, i, w)
 	}
-	q.writes = append(q.writes, writes...)
 	q.mu.Unlock()
 	signal(ready)
 }
@@ -147,9 +149,9 @@
 	return awaitWrite(ctx, done)
 }
 
-// enqueueCopies queues records of copies, in writes that leave room for others in a batch, and returns once all are
+// enqueueCopies queues records of copies of a shard, in writes that leave room for others in a batch, and returns once all are
 // durable. Turns that the store already has when they are written are left out.
-func (s *Store) enqueueCopies(ctx context.Context, records []record) error {
+func (s *Store) enqueueCopies(ctx context.Context, of slack, records []record) error {
 	var writes []pendingWrite
 	begin, size := 0, 0
 	for i, r := range records {
@@ -165,7 +167,7 @@
 	}
 	done := make(chan error, len(writes))
 	for i := range writes {
-		writes[i].kind, writes[i].skipKnown, writes[i].done, writes[i].queuedAt = copyKind, true, done, time.Now()
+		writes[i].kind, writes[i].slack, writes[i].skipKnown, writes[i].done, writes[i].queuedAt = copyKind, of, true, done, time.Now()
 	}
 	s.copies.push(s.copiesReady, writes...)
 	for range writes {
--- a/turns/write.go
+++ b/turns/write.go
@@ -15,6 +15,7 @@
 // write, or nil, is sent to done.
 type pendingWrite struct {
 	kind     writeKind
+	slack    slack // of the shard, for copies
 	queuedAt time.Time
 	records  []record
 	// skipKnown leaves out turns that the store already has when the write begins.
