spec, docs: writes to the next stores alone while a shard that lost two disks moves

Weighed by calculation and in the model, not built: a write of such a shard needs all three stores that are left until the move ends, though with a majority of the next stores it would be as safe. The first version of the model failed: before a majority of the current stores have the map of the move, hosts with the older one prove from them that there is no such turn.

--- a/spec/moves.pml
+++ b/spec/moves.pml
@@ -19,8 +19,11 @@
  * the epoch that it had before it looked. The turn counts as missing if stores that lack it,
  * all with the epoch of a placement, are a majority of each of its lists.
  *
- * Checked: an acknowledged turn is on a majority of the current stores, and never counts as
- * missing. No disk is lost.
+ * With NEXT_ONLY, a design that is not built (docs/design/shard-copies.md), the writer needs a majority of the next
+ * stores alone once a majority of the current ones have the epoch of the move.
+ *
+ * Checked: an acknowledged turn is on a majority of the current stores, with NEXT_ONLY or of the next
+ * ones, and never counts as missing. No disk is lost.
  *
  * Mutants: ACK_LATE acknowledges a write whatever the store's epoch is by then. ADOPT_EARLY
  * says that a turn was adopted before it is on disk. ANY_EPOCH
@@ -61,6 +64,21 @@
 #else
 #define REPLICATED MAJORITY(NEXT_OF(epoch), listed)
 #endif
+/* WRITTEN tells whether a writer may count a write as acknowledged, HELD where an acknowledged turn is. */
+#ifdef NEXT_ONLY
+#define SINCE(s, e) ((storeEpoch[s] >= (e) -> 1 : 0) << (s))
+#define REACHED(e) (SINCE(0, e) | SINCE(1, e) | SINCE(2, e) | SINCE(3, e))
+#ifdef UNFENCED
+#define FENCED(e) true
+#else
+#define FENCED(e) MAJORITY(CURRENT_OF(e), REACHED(e))
+#endif
+#define WRITTEN(e, s) (NEXT_OF(e) == 0 -> MAJORITY(CURRENT_OF(e), s) : (MAJORITY(NEXT_OF(e), s) && (MAJORITY(CURRENT_OF(e), s) || FENCED(e))))
+#define HELD (MAJORITY(CURRENT_OF(epoch), indexed) || NEXT_OF(epoch) != 0 && MAJORITY(NEXT_OF(epoch), indexed))
+#else
+#define WRITTEN(e, s) (MAJORITY(CURRENT_OF(e), s) && (NEXT_OF(e) == 0 || MAJORITY(NEXT_OF(e), s)))
+#define HELD MAJORITY(CURRENT_OF(epoch), indexed)
+#endif
 #define COPIED (MAJORITY(CURRENT_OF(epoch), copiedFrom) && (listed == 0 || REPLICATED || IN(ADDED_IN(epoch), indexed)))
 
 byte epoch;             /* of the newest placement */
@@ -121,8 +139,12 @@
     }
 #ifdef CURRENT
     assert(!MAJORITY(CURRENT_OF(r), set))
+#else
+#ifdef NEXT_PROVES
+    assert(!MAJORITY((NEXT_OF(r) == 0 -> CURRENT_OF(r) : NEXT_OF(r)), set))
 #else
     assert(!(MAJORITY(CURRENT_OF(r), set) && (NEXT_OF(r) == 0 || MAJORITY(NEXT_OF(r), set))))
+#endif
 #endif
   }
   r = 0; i = 0; set = 0
@@ -164,10 +186,10 @@
 end:
   do
   :: atomic { !acked && writerEpoch < epoch -> writerEpoch++; acks = 0 }
-  :: atomic { !acked && MAJORITY(CURRENT_OF(writerEpoch), acks) && (NEXT_OF(writerEpoch) == 0 || MAJORITY(NEXT_OF(writerEpoch), acks)) ->
+  :: atomic { !acked && WRITTEN(writerEpoch, acks) ->
        acked = true; acks = 0; writerEpoch = 0;
        for (i : 0 .. STORES - 1) { waiting[i] = 0 } /* Writes that end later only add copies. */
        i = 0;
-       assert(MAJORITY(CURRENT_OF(epoch), indexed)) }
+       assert(HELD) }
   od
 }
