turns: a lost store does not count as replying since its successor has its address

The slack of a shard counted current stores with a connection to their address, where after the loss of a disk the host is back with an empty store: the shard that had lost two disks seemed to have all five stores, and did not go first. Now a store that another one shares its address with, and that the shard moves away from, does not count.

Only the shards that a store has to copy are looked at, since each look keeps the connections to their stores. The pace may lag by 200 ms instead of 20 ms, as its parts wait one after the other since they have an order: by reading, a sleep that ends 100 ms late on a busy machine would have lost that time of the pace for all of them.

--- a/turns/copy.go
+++ b/turns/copy.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -63,12 +64,11 @@
 		if shardMap == nil {
 			continue
 		}
-		for _, shard := range s.shardsBySlack(shardMap, peers) {
+		for i, p := range shardMap.Shards {
+			copies.cancelOlder(Shard(i), p.Epoch)
+		}
+		for _, shard := range s.shardsToCopy(shardMap, peers) {
 			p := shardMap.Placement(shard)
-			copies.cancelOlder(shard, p.Epoch)
-			if !slices.Contains(p.Next, s.id) || slices.Contains(p.Current, s.id) || s.hasCopied(shard, p.Epoch) {
-				continue
-			}
 			copyCtx, ok := copies.begin(ctx, shard, p.Epoch)
 			if !ok {
 				continue
@@ -90,16 +90,15 @@
 	return pace.group.Wait()
 }
 
-// shardsBySlack returns all shards, those with the least slack first.
-func (s *Store) shardsBySlack(m *Map, peers *wire.Pool) []Shard {
-	shards := make([]Shard, len(m.Shards))
-	slacks := make([]slack, len(m.Shards))
-	for i := range m.Shards {
-		shards[i] = Shard(i)
-		slacks[i] = slackOf(m, Shard(i), s.id, peers)
+// shardsToCopy returns the shards that are moving to this store and not copied yet, those with the least slack first.
+func (s *Store) shardsToCopy(m *Map, peers *wire.Pool) []Shard {
+	slacks := map[Shard]slack{}
+	for i, p := range m.Shards {
+		if shard := Shard(i); slices.Contains(p.Next, s.id) && !slices.Contains(p.Current, s.id) && !s.hasCopied(shard, p.Epoch) {
+			slacks[shard] = slackOf(m, shard, s.id, peers)
+		}
 	}
-	slices.SortStableFunc(shards, func(a, b Shard) int { return cmp.Compare(slacks[a], slacks[b]) })
-	return shards
+	return slices.SortedFunc(maps.Keys(slacks), func(a, b Shard) int { return cmp.Or(cmp.Compare(slacks[a], slacks[b]), cmp.Compare(a, b)) })
 }
 
 // runningCopies are the copies that a store makes, at most one of each shard. It is safe for
--- a/turns/pace.go
+++ b/turns/pace.go
@@ -34,8 +34,8 @@
 	// maxUnwrittenBytes limits the turns that have arrived and wait for the disk. A disk whose
 	// syncs take 600 ms still takes 13 MB/s.
 	maxUnwrittenBytes = maxBatchBytes
-	// maxPaceLag is how far the pace may lag behind, by sleeps that end late, and be made up for.
-	maxPaceLag = 20 * time.Millisecond
+	// maxPaceLag is how far the pace may lag behind and be made up for. On a busy machine, sleeps end 100 ms late.
+	maxPaceLag = 200 * time.Millisecond
 )
 
 // copyPace spreads the copies of all shards of a store over the time that is left for
--- a/turns/priority.go
+++ b/turns/priority.go
@@ -14,16 +14,27 @@
 type slack int
 
 // slackOf returns the slack of a shard. A current store counts as replying if self, which asks, is that store or has
-// a connection to it.
+// a connection to it, unless it is lost: another store has its address then, to which there is a connection, and the
+// shard moves away from it.
 func slackOf(m *Map, shard Shard, self StoreID, peers *wire.Pool) slack {
-	current := m.Placement(shard).Current
+	p := m.Placement(shard)
 	replying := 0
-	for _, id := range current {
-		if id == self || peers.Link(m.Members[id].Address).IsConnected() {
+	for _, id := range p.Current {
+		if id == self || peers.Link(m.Members[id].Address).IsConnected() && (slices.Contains(p.Next, id) || !m.sharesAddress(id)) {
 			replying++
 		}
 	}
-	return slack(replying - (len(current)/2 + 1))
+	return slack(replying - (len(p.Current)/2 + 1))
+}
+
+// sharesAddress reports whether another store has the address of a store.
+func (m *Map) sharesAddress(id StoreID) bool {
+	for other, member := range m.Members {
+		if other != id && member.Address == m.Members[id].Address {
+			return true
+		}
+	}
+	return false
 }
 
 // slackSemaphore is a weighted semaphore. Among those that wait, the one with the least slack is the next, and among equal
--- a/turns/queue.go
+++ b/turns/queue.go
@@ -13,7 +13,8 @@
 // rest of a batch up to a bound that [diskTimes] sets, so that a live write waits for the batch under way and its own
 // one, and not for all that is copied.
 
-// copyQueue holds the writes of copies that wait for the disk, in an order by slack. The zero value is empty. It is safe for concurrent use.
+// copyQueue holds the writes of copies that wait for the disk, in an order by slack. The zero value is empty. It is
+// safe for concurrent use.
 type copyQueue struct {
 	mu     sync.Mutex
 	writes []pendingWrite
