soak: programs start sub-agents on budgets that hardly cover them

Cause: no program of the soak let two turns run at once, so that claims of lost attempts of other lines, and of turns without a session, were never counted against a turn. Checks of unreached turns were three, and two left out every 402. Change: programs start two sub-agents at the mean and up to four, with sessions of their own or none, on budgets that cover what was generated and the turns that run at the same time. Faults strike at the start of sub-agents as well. A 402 counts as reaching no target unless the budget did not hold the turn. One report tells each try, what the entry hosts have logged of it, and what counts. A final fault (-final dark, dark-oldest, dark-shard) leaves the hosts with lost disks without power for longer.

--- a/event/trace.go
+++ b/event/trace.go
@@ -25,27 +25,55 @@
 	Fields map[string]any
 }
 
-// FindRequest reads a log from r and returns the events of a request in log
+// Request returns the ID of the request that the line is about, or "".
+func (l Line) Request() string {
+	id, _ := l.Fields["request"].(string)
+	return id
+}
+
+// FindRequest is [FindRequests] for a single request.
+func FindRequest(r io.Reader, source, request string) ([]Line, error) {
+	return FindRequests(r, source, func(id string) bool { return id == request })
+}
+
+// FindRequests reads a log from r and returns the events of the requests that wanted reports, in log
 // order. Text before the JSON object of a line, such as the name of a host,
 // becomes the line's Source; without such text, source is used. Lines that are
 // not events are skipped.
-func FindRequest(r io.Reader, source, request string) ([]Line, error) {
+func FindRequests(r io.Reader, source string, wanted func(request string) bool) ([]Line, error) {
+	return find(r, source, func(line []byte) bool {
+		_, rest, found := bytes.Cut(line, []byte(requestField))
+		id, _, _ := bytes.Cut(rest, []byte(`"`))
+		return found && (wanted(string(id)) || bytes.IndexByte(id, '\\') >= 0)
+	}, func(l Line) bool { return wanted(l.Request()) })
+}
+
+// requestField precedes the ID of a request in a line of a log.
+const requestField = `"request":"`
+
+// FindProgram reads a log as [FindRequests] does and returns the events that name a program.
+func FindProgram(r io.Reader, source, program string) ([]Line, error) {
+	return find(r, source, func(line []byte) bool { return bytes.Contains(line, []byte(`"program":`)) },
+		func(l Line) bool { return l.Fields["program"] == program })
+}
+
+// find returns the events for which wanted returns true. It parses the lines that may be among them.
+func find(r io.Reader, source string, mayBeWanted func(line []byte) bool, wanted func(Line) bool) ([]Line, error) {
 	var found []Line
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
-		line := scanner.Bytes()
-		if !bytes.Contains(line, []byte(request)) {
+		if !mayBeWanted(scanner.Bytes()) {
 			continue
 		}
-		if l, ok := parseLine(line, source); ok && l.Fields["request"] == request {
+		if l, ok := parseLine(scanner.Bytes(), source); ok && wanted(l) {
 			found = append(found, l)
 		}
 	}
 	return found, errors.Wrap(scanner.Err(), "event: read log")
 }
 
-// maxLineBytes is the maximum length of a log line that [FindRequest] reads.
+// maxLineBytes is the maximum length of a log line that is read.
 const maxLineBytes = 1 << 20
 
 // parseLine parses a log line and reports whether it is an event.
--- a/soak/budget_test.go
+++ b/soak/budget_test.go
@@ -15,54 +15,89 @@
 	budgetSlack = 0.25
 )
 
-// oneMoreTurn returns a budget that covers one more turn after what a program has generated: if
-// anything else counts against it, the turn is refused.
-func oneMoreTurn(generated, maxTokens int) int {
-	return generated + maxTokens + int(budgetSlack*float64(maxTokens))
+// budgetFor returns a budget that covers a number of turns which run at the same time after what a program has
+// generated: if anything else counts against it, one of them is refused.
+func budgetFor(turns, generated, maxTokens int) int {
+	return generated + turns*maxTokens + int(budgetSlack*float64(maxTokens))
 }
 
 // tokens returns how many tokens the caller has received.
 func (a attempt) tokens() int { return tokensPerEvent * strings.Count(a.responseBody, "\n\n") }
 
-// checkBudgetRefusals checks that each turn that was refused since the budget of its program is spent
-// did not fit into it, counting what the turns of the program have generated, and the maximum of those that
-// a target has got and that have not ended whole or with a refusal settleTime before. Turns that
-// have reached no target count nothing.
-func (d *deployment) checkBudgetRefusals(list []attempt) {
+// turnsByProgram returns the attempts at turns by account and program.
+func turnsByProgram(list []attempt) map[string][]attempt {
 	programs := map[string][]attempt{}
 	for _, a := range list {
 		if a.path == "/turn/" {
-			programs[a.account+" "+a.program] = append(programs[a.account+" "+a.program], a)
+			programs[a.programKey()] = append(programs[a.programKey()], a)
 		}
 	}
-	refused, wrong := 0, 0
-	for _, turns := range programs {
+	return programs
+}
+
+func (a attempt) programKey() string { return a.account + " " + a.program }
+
+// checkBudgetRefusals checks that each turn that was refused since the budget of its program is spent
+// did not fit into it. It reports turns of sub-agents among them.
+func (d *deployment) checkBudgetRefusals(list []attempt) {
+	refused, ofAgents, looping, mutual := 0, 0, 0, 0
+	var wrong []unreachedTurn
+	for _, turns := range turnsByProgram(list) {
 		for _, a := range turns {
 			if a.status != http.StatusPaymentRequired {
 				continue
 			}
 			refused++
-			sum := a.maxTokens
-			for _, b := range turns {
-				if b.sentAt.Before(a.endedAt) && b.id != a.id {
-					sum += d.charge(b, a.sentAt.Add(-settleTime))
-				}
-			}
-			if sum > a.budget {
+			if sum := d.chargesBefore(a, turns); sum > a.budget {
 				continue
 			}
-			if wrong++; wrong <= 5 {
-				d.t.Logf("refused: turn %s of program %s on %s at %.3f, budget %d, %d tokens with this turn", a.id, a.program, a.entry, a.sentAt.Sub(d.started).Seconds(), a.budget, sum)
-				for _, b := range turns {
-					d.t.Logf("  %s on %s at %.3f for %v: continues %q, %d runs, status %d, complete %t, %d tokens: %.80s %.80s", b.id, b.entry, b.sentAt.Sub(d.started).Seconds(), b.endedAt.Sub(b.sentAt), b.previous, len(d.targets.runsOf(b.id)), b.status, b.complete, b.tokens(), b.failure, b.responseBody)
-				}
+			wrong = append(wrong, newUnreached(a, turns))
+			if a.isOfAgent() {
+				ofAgents++
+			}
+			if a.loops {
+				looping++
+			}
+			if d.chargesBefore(a, turns)+refusedBeside(a, turns) > a.budget {
+				mutual++
 			}
 		}
 	}
-	d.t.Logf("%d turns refused for their budget, %d wrongly", refused, wrong)
-	if wrong > 0 {
-		d.t.Errorf("%d turns were refused though the budgets of their programs cover them", wrong)
+	d.t.Logf("%d turns refused for their budget, %d wrongly, %d of these of sub-agents, %d of programs that loop, and %d beside others that were refused at the same time and count nothing",
+		refused, len(wrong), ofAgents, looping, mutual)
+	d.reportUnreached(refusedTooEarly, wrong)
+}
+
+// refusedBeside returns the maxima of the turns that were refused for the budget while an attempt was under way.
+func refusedBeside(a attempt, turns []attempt) (sum int) {
+	for _, b := range turns {
+		if b.id != a.id && b.status == http.StatusPaymentRequired && b.sentAt.Before(a.endedAt) && b.endedAt.After(a.sentAt) {
+			sum += b.maxTokens
+		}
+	}
+	return sum
+}
+
+// isOfAgent reports whether the attempt is of a sub-agent that names a session.
+func (a attempt) isOfAgent() bool { return strings.HasPrefix(a.session, a.program+"/") }
+
+// isRightRefusal reports whether a turn was refused since the budget of its program did not hold it, by
+// the attempts at all turns of its program.
+func (d *deployment) isRightRefusal(a attempt, turns []attempt) bool {
+	return a.status == http.StatusPaymentRequired && d.chargesBefore(a, turns) > a.budget
+}
+
+// chargesBefore returns the maximum of a turn and how many tokens the turns of its program, sent before its end,
+// count at most: what they have generated, and the maximum of those that a target has got and that have not ended whole or
+// with a refusal settleTime before. Turns that have reached no target count nothing.
+func (d *deployment) chargesBefore(a attempt, turns []attempt) int {
+	sum := a.maxTokens
+	for _, b := range turns {
+		if b.sentAt.Before(a.endedAt) && b.id != a.id {
+			sum += d.charge(b, a.sentAt.Add(-settleTime))
+		}
 	}
+	return sum
 }
 
 // charge returns how many tokens a turn counts against its program's budget at most, for another turn
@@ -74,7 +109,7 @@
 		return 0
 	case settled && a.status == http.StatusOK && a.complete:
 		return a.tokens()
-	case settled && a.guaranteesNotRun():
+	case settled && (a.status >= 400 && a.status < 500 || a.status == http.StatusServiceUnavailable):
 		return 0
 	}
 	return a.maxTokens
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -36,8 +36,10 @@
 	id, account, path, requestBody string
 	previous                       string // ID of the turn that this one continues
 	program                        string
-	status                         int  // 0 if there was no response
-	complete                       bool // the response body was read to its end
+	session                        string // of the line of turns; that of the program if empty, none if noSession
+	loops                          bool   // the program runs until its budget is spent
+	status                         int    // 0 if there was no response
+	complete                       bool   // the response body was read to its end
 	responseBody                   string
 	sentAt, endedAt                time.Time
 	entry                          string // name of the entry host
@@ -51,6 +53,9 @@
 	retryAfter                     time.Duration
 }
 
+// noSession is the session of attempts that name none.
+const noSession = "none"
+
 const (
 	// One in unusualCallers requests is given up by its caller, and one is sent slowly.
 	unusualCallers = 50
@@ -59,7 +64,7 @@
 
 // impatient makes some requests of programs ones that the caller gives up or sends slowly.
 func (a *attempt) impatient() {
-	switch n := xxhash.Sum64String(a.program + a.path + a.previous); n % unusualCallers {
+	switch n := xxhash.Sum64String(a.program + a.path + a.previous + a.session); n % unusualCallers {
 	case 0:
 		a.patience = time.Duration(20+n%400) * time.Millisecond
 	case 1:
@@ -147,8 +152,10 @@
 	req.Header.Set("Authorization", "Bearer key-"+a.account)
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(a.timeout.Milliseconds(), 10))
 	req.Header.Set("X-Program-Id", a.program)
+	if a.session != noSession {
+		req.Header.Set("X-Session-Id", cmp.Or(a.session, a.program))
+	}
 	if a.path == "/turn/" {
-		req.Header.Set("X-Session-Id", a.program)
 		req.Header.Set("X-Token-Budget", strconv.Itoa(a.budget))
 		req.Header.Set("X-Token-Usage", fmt.Sprintf("10,%d", a.maxTokens))
 		if a.previous != "" {
--- a/soak/continued_test.go
+++ b/soak/continued_test.go
@@ -87,7 +87,7 @@
 	entry := d.fleet.randomEntry(r)
 	return d.callers.sendTo(context.Background(), entry, attempt{
 		account: t.account, path: t.path, requestBody: "on;", previous: t.id, program: "again " + t.id + " " + suffix,
-		budget: oneMoreTurn(0, t.maxTokens), maxTokens: t.maxTokens, timeout: turnTimeout,
+		budget: budgetFor(1, 0, t.maxTokens), maxTokens: t.maxTokens, timeout: turnTimeout,
 	})
 }
 
@@ -112,13 +112,15 @@
 
 // checkContinued checks that after the final fault each turn that continues another one reaches a
 // target by the end of the recovery time, if continuedShare of first turns are served at the end, and
-// each one in lastSpan before end, whatever its response is: targets are less than half full.
+// each one in lastSpan before end, whatever its response is: targets are less than half full. A response that
+// the budget is spent does not count if that is right.
 func (d *deployment) checkContinued(recovered, last []*continuation, end time.Time) {
 	from := end.Add(-lastSpan)
+	programs := turnsByProgram(d.callers.attempts)
 	first, served := 0, 0
-	later := map[string]int{} // by program and input: tries, or -1 once a target has got one
+	later := map[string]*attempt{} // the last try, or nil once a target has got one
 	for _, a := range d.callers.attempts {
-		if a.path != "/turn/" || a.sentAt.Before(from) || a.sentAt.After(end) || a.patience > 0 || a.status == http.StatusPaymentRequired {
+		if a.path != "/turn/" || a.sentAt.Before(from) || a.sentAt.After(end) || a.patience > 0 || d.isRightRefusal(a, programs[a.programKey()]) {
 			continue
 		}
 		if a.previous == "" {
@@ -131,48 +133,47 @@
 		if strings.HasPrefix(a.program, "again ") {
 			continue // Checked below.
 		}
-		key := a.program + " " + a.previous + " " + digest(a.requestBody)
-		if len(d.targets.runsOf(a.id)) > 0 || later[key] < 0 || d.targets.endedDuring(a) {
-			later[key] = -1
+		key := a.turnKey()
+		if tried, ok := later[key]; ok && tried == nil || len(d.targets.runsOf(a.id)) > 0 || d.targets.endedDuring(a) {
+			later[key] = nil
 			continue
 		}
-		later[key]++
-	}
-	late, lost := 0, 0
-	report := func(c *continuation, what string) {
-		a := c.tries[len(c.tries)-1]
-		d.t.Logf("lost: turn %s, complete %v before, is continued by no target %s, %d tries: %s on %s: status %d %.120s %s",
-			c.turn.id, a.sentAt.Sub(c.turn.endedAt).Round(time.Millisecond), what, len(c.tries), a.id, a.entry, a.status, a.responseBody, a.failure)
+		later[key] = &a
 	}
+	var late, lost []unreachedTurn
 	var longest time.Duration
+	lateOfOthers := 0
 	for _, c := range recovered {
-		a := c.tries[len(c.tries)-1]
-		runs := d.targets.runsOf(a.id)
+		runs := d.targets.runsOf(c.tries[len(c.tries)-1].id)
 		if len(runs) == 0 || runs[0].startedAt.After(c.until) {
-			late++
-			report(c, "by the end of the recovery time")
+			late = append(late, unreachedTurn{tries: c.tries, program: c.tries})
 			continue
 		}
 		longest = max(longest, runs[0].startedAt.Sub(c.tries[0].sentAt))
+		if runs[0].startedAt.After(d.othersBackAt.Add(d.recoveryTime())) {
+			lateOfOthers++
+		}
 	}
 	for _, c := range last {
 		if len(d.targets.runsOf(c.tries[0].id)) == 0 {
-			lost++
-			report(c, "at the end")
+			lost = append(lost, unreachedTurn{tries: c.tries, program: c.tries})
 		}
 	}
-	for key, tries := range later {
-		if tries > 0 {
-			lost++
-			d.t.Logf("lost: a turn reached no target at the end in %d tries: %.60s", tries, key)
+	for _, a := range later {
+		if a != nil {
+			lost = append(lost, newUnreached(*a, programs[a.programKey()]))
 		}
 	}
 	d.t.Logf("after the final fault: %d turns to continue, %d late, the last other one after %v; %d at the end and %d of programs, %d lost; %d of %d first turns served at the end",
-		len(recovered), late, longest.Round(time.Millisecond), len(last), len(later), lost, served, first)
-	switch {
-	case len(recovered) == 0 || len(last) == 0 || first == 0:
+		len(recovered), len(late), longest.Round(time.Millisecond), len(last), len(later), len(lost), served, first)
+	if !d.othersBackAt.IsZero() {
+		d.t.Logf("counted from the return of all hosts but those that lost their disks, %d turns were late", len(late)+lateOfOthers)
+	}
+	if len(recovered) == 0 || len(last) == 0 || first == 0 {
 		d.t.Error("no turn was continued after the final fault")
-	case lost > 0 || late > 0 && float64(served) >= continuedShare*float64(first):
-		d.t.Errorf("of turns that continue others, %d reached no target by the end of the recovery time after the final fault, and %d none at the end", late, lost)
 	}
+	if float64(served) >= continuedShare*float64(first) {
+		d.reportUnreached(lateAfterFault, late)
+	}
+	d.reportUnreached(noneAtEnd, lost)
 }
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -60,6 +60,9 @@
 	hangups   []hangup
 	// brokeOff reports whether the target that ran an attempt ended meanwhile; nil if none does.
 	brokeOff func(a attempt) bool
+	// othersBackAt is when all hosts were back after the final fault but those that lost their disks; zero if these
+	// were back at the same time.
+	othersBackAt time.Time
 	// background runs what goes on after a fault, until ended is closed at the latest.
 	background sync.WaitGroup
 	ended      chan struct{}
@@ -140,7 +143,7 @@
 	d.fleet.waitRecovered()
 	d.note("all shards have all copies")
 	b := &balancer{fleet: c.fleet, misses: map[*testHost]int{}}
-	d.load = &load{callers: c, balancer: b, size: size}
+	d.load = &load{callers: c, balancer: b, size: size, forked: make(chan struct{})}
 	for i := range size.callers {
 		d.load.pool = append(d.load.pool, b.newCaller(i))
 	}
@@ -190,6 +193,7 @@
 	})
 	d.checkContinued(recovered, last, end)
 	d.checkBudgetRefusals(c.attempts)
+	d.reportRepeated()
 	d.checkEnds()
 	churn.checkDrained()
 	d.checkServices()
--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -196,36 +196,42 @@
 // checkUnreached checks that no turn that continues another one reaches no target in
 // unreachedTries in calm while reachedShare of first turns do.
 func (d *deployment) checkUnreached() {
-	type tries struct{ sent, reached int }
-	later := map[string]*tries{} // by program and input
+	type tries struct {
+		sent, reached int
+		last          attempt
+	}
+	programs := turnsByProgram(d.callers.attempts)
+	later := map[string]*tries{}
 	var first tries
 	for _, a := range d.callers.attempts {
-		if a.path != "/turn/" || !a.connected || a.status == http.StatusPaymentRequired || a.patience > 0 || !d.isCalm(a.sentAt, a.endedAt) {
+		if a.path != "/turn/" || !a.connected || a.patience > 0 || !d.isCalm(a.sentAt, a.endedAt) || d.isRightRefusal(a, programs[a.programKey()]) {
 			continue
 		}
 		n := &first
 		if a.previous != "" {
-			key := a.program + " " + a.previous + " " + a.requestBody
-			if n = later[key]; n == nil {
+			if n = later[a.turnKey()]; n == nil {
 				n = &tries{}
-				later[key] = n
+				later[a.turnKey()] = n
 			}
 		}
 		n.sent++
+		n.last = a
 		if len(d.targets.runsOf(a.id)) > 0 {
 			n.reached++
 		}
 	}
 	share := float64(first.reached) / float64(max(1, first.sent))
 	most := 0
-	for key, n := range later {
+	var unreached []unreachedTurn
+	for _, n := range later {
 		if n.reached > 0 {
 			continue
 		}
 		most = max(most, n.sent)
 		if n.sent >= unreachedTries && share >= reachedShare {
-			d.t.Errorf("a turn reached no target in %d tries in calm, %.2f of first turns do: %.60s", n.sent, share, key)
+			unreached = append(unreached, newUnreached(n.last, programs[n.last.programKey()]))
 		}
 	}
 	d.t.Logf("%d of %d first turns reached a target in calm; one of %d later turns reached none in %d tries", first.reached, first.sent, len(later), most)
+	d.reportUnreached(noneInCalm, unreached)
 }
--- a/soak/programs_test.go
+++ b/soak/programs_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,10 +44,12 @@
 	// the number of attempts at each request.
 	turnRetries   = 2
 	retryAttempts = 2
+	// Callers that get no connection in any attempt try again after dialPause, up to dialAttempts times: all hosts
+	// are down, for some seconds at most.
+	dialAttempts = 2
+	dialPause    = 300 * time.Millisecond
 	// dialTimeout is how long callers wait for a connection.
 	dialTimeout = time.Second
-	// looping is the share of programs that run until their budget is spent.
-	looping = 0.02
 )
 
 // deploymentPlan returns the plan of a deployment with the given version and rate limit of each
@@ -102,7 +103,7 @@
 func (s deploymentSize) requestRate(programs float64) float64 {
 	turns := 0.0
 	for _, k := range s.kinds {
-		turns += k.share * float64(k.turns)
+		turns += k.share * float64(k.turns) * (1 + k.fan*meanAgents*meanAgentTurns)
 	}
 	calls := 0.0
 	for _, c := range toolCalls {
@@ -206,6 +207,8 @@
 	pool     []*caller
 	size     deploymentSize
 	programs atomic.Int64
+	// forked gets a value when sub-agents of a program start at the same time, if it is received.
+	forked chan struct{}
 
 	mu       sync.Mutex
 	outcomes []outcome
@@ -217,7 +220,7 @@
 	o := outcome{sentAt: time.Now()}
 	deadline := o.sentAt.Add(a.timeout)
 	sending := context.WithoutCancel(ctx) // The end of the test breaks off no requests.
-	for n := range retryAttempts {
+	for n := range retryAttempts + dialAttempts {
 		client := c.kept
 		if n > 0 {
 			client = c.retry
@@ -233,7 +236,14 @@
 		if !o.last.mayRepeat() || left < 20*time.Millisecond || ctx.Err() != nil {
 			break
 		}
-		types.Sleep(ctx, min(o.last.retryAfter, left/3))
+		pause := o.last.retryAfter
+		if !o.connected && n+1 >= retryAttempts {
+			pause = dialPause
+		}
+		types.Sleep(ctx, min(pause, left/3))
+		if o.connected && n+1 >= retryAttempts {
+			break
+		}
 	}
 	o.endedAt = time.Now()
 	l.mu.Lock()
@@ -266,42 +276,6 @@
 	_ = g.Wait() // The goroutines always return nil.
 }
 
-// runProgram runs the turns of a program, each followed by calls at the same time.
-func (l *load) runProgram(ctx context.Context, r *rand.Rand, program string, kinds []programKind) {
-	l.programs.Add(1)
-	c := l.pool[r.IntN(len(l.pool))]
-	turns, account, previous := turnsOf(r, kinds), accountName(r.IntN(l.size.accounts)), ""
-	most, generated := l.size.maxEvents()*tokensPerEvent, 0
-	budget := turns * most
-	loops := r.Float64() < looping
-	if loops {
-		turns = 1000
-	}
-	for turn := 0; turn < turns && ctx.Err() == nil; turn++ {
-		input := fmt.Sprintf("in %s %d%s;", program, turn, strings.Repeat(" x", l.size.inputSize(r)/2))
-		if !loops {
-			budget = oneMoreTurn(generated, most)
-		}
-		a := l.turn(ctx, r, c, attempt{account: account, path: "/turn/", requestBody: input, previous: previous, program: program, budget: budget, maxTokens: most, timeout: turnTimeout})
-		if a.status != http.StatusOK || !a.complete {
-			return
-		}
-		generated += a.tokens()
-		previous = a.id
-		var g errgroup.Group
-		for _, call := range toolCalls {
-			if r.Float64() < call.share {
-				g.Go(func() error {
-					l.request(ctx, c, attempt{account: account, path: call.path, requestBody: "x", program: program, timeout: call.timeout})
-					return nil
-				})
-			}
-		}
-		_ = g.Wait() // The goroutines always return nil.
-		types.Sleep(ctx, time.Duration(r.ExpFloat64()*float64(20*time.Millisecond)))
-	}
-}
-
 // inputSize returns the size of the input of a turn, which is drawn if the sizes vary.
 func (s deploymentSize) inputSize(r *rand.Rand) int {
 	if !s.varied {
@@ -317,28 +291,3 @@
 	}
 	return 2*s.events - 1
 }
-
-// turnsOf returns the number of turns of a program of a random kind.
-func turnsOf(r *rand.Rand, kinds []programKind) int {
-	n, share := 0, r.Float64()
-	for n < len(kinds)-1 && share >= kinds[n].share {
-		share -= kinds[n].share
-		n++
-	}
-	return 1 + r.IntN(2*kinds[n].turns-1)
-}
-
-// turn sends a turn, and again if it failed.
-func (l *load) turn(ctx context.Context, r *rand.Rand, c *caller, a attempt) attempt {
-	var last attempt
-	for range 1 + turnRetries {
-		last = l.request(ctx, c, a)
-		if last.status == http.StatusOK && last.complete || last.status >= 400 && last.status < 429 && last.status != http.StatusRequestTimeout {
-			break
-		}
-		if !types.Sleep(ctx, time.Duration(100+r.IntN(300))*time.Millisecond) {
-			break
-		}
-	}
-	return last
-}
--- a/soak/recovery_test.go
+++ b/soak/recovery_test.go
@@ -62,12 +62,7 @@
 // shardsComplete reports whether all copies of all shards are on stores with their current
 // identities, and no shard is being moved.
 func (f *fleet) shardsComplete() bool {
-	current := map[turns.StoreID]bool{}
-	for _, h := range f.diskHosts()[f.size.controls:] {
-		if id, err := os.ReadFile(filepath.Join(h.dir, "data", "turns", "identity")); err == nil {
-			current[turns.StoreID(id)] = true
-		}
-	}
+	current := f.storesByID()
 	view := f.client.View()
 	if len(current) < f.size.stores || view.Map == nil || len(view.Map.Shards) == 0 {
 		return false
@@ -77,10 +72,16 @@
 			return false
 		}
 		for _, id := range p.Current {
-			if !current[id] {
+			if current[id] == nil {
 				return false
 			}
 		}
 	}
 	return f.client.Staleness() < 3*time.Second
 }
+
+// storeID returns the identity of a store, which changes with the loss of its disk.
+func (h *testHost) storeID() (turns.StoreID, bool) {
+	id, err := os.ReadFile(filepath.Join(h.dir, "data", "turns", "identity"))
+	return turns.StoreID(id), err == nil
+}
--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -284,6 +284,32 @@
 	d.t.Errorf("no turn was answered in %v", waitTimeout)
 }
 
+// maxAfterFork is how long after the start of sub-agents a fault strikes at most: their first turns are between
+// their reservations and their first events then.
+const maxAfterFork = 40 * time.Millisecond
+
+// awaitAgents returns shortly after sub-agents of a program were started together.
+func (d *deployment) awaitAgents() {
+	select {
+	case <-d.load.forked:
+		time.Sleep(time.Duration(d.fleet.rand.Int64N(int64(maxAfterFork))))
+	case <-time.After(waitTimeout):
+		d.t.Errorf("no sub-agents were started together in %v", waitTimeout)
+	}
+}
+
+// awaitMoment returns right after a turn was answered, a change was sent or acknowledged, or sub-agents were started.
+func (d *deployment) awaitMoment() {
+	switch d.fleet.rand.IntN(4) {
+	case 0:
+		d.awaitTurn()
+	case 1:
+		d.awaitAgents()
+	default:
+		d.awaitChange()
+	}
+}
+
 // injectFinalFault injects a fault right after a change or a turn and returns when all hosts have been
 // started again: all are killed, all lose power, or as many as the fleet tolerates lose their
 // disks, mostly while all others lose power.
@@ -296,10 +322,9 @@
 	if *finalSyncTime > 0 {
 		f.syncTime.Store(int64(*finalSyncTime))
 	}
-	if f.rand.IntN(3) == 0 {
-		d.awaitTurn()
-	} else {
-		d.awaitChange()
+	d.awaitMoment()
+	if *finalFault != "" {
+		return d.loseSilently(f.darkLoss(*finalFault))
 	}
 	switch kind {
 	case 0:
--- a/soak/silent_test.go
+++ b/soak/silent_test.go
@@ -46,46 +46,72 @@
 	time.Sleep(time.Until(d.started.Add(*silentFill)))
 }
 
-// losePowerSilently lets all hosts lose power right after a turn or a change, and returns when those have
-// been started again whose disks are not lost.
+// silentLoss is a loss of power of all hosts that nobody is told of.
+type silentLoss struct {
+	wiped []*testHost // that lose their disks
+	gone  *testHost   // that never returns; nil if all do
+	// silence is how long hosts are silent before the others return, and late how much later those return
+	// that have lost their disks.
+	silence, late time.Duration
+	// wholeFleet is set if the recovery time counts from the return of the last host, not of all
+	// others.
+	wholeFleet bool
+}
+
+// losePowerSilently lets all hosts lose power right after a turn, a change or the start of sub-agents, and returns the time
+// from which the recovery time counts.
 func (d *deployment) losePowerSilently() time.Time {
 	f := d.fleet
-	wiped := [][]*testHost{nil, f.randomDiskHosts(nil), f.oldestDiskHosts()}[f.rand.IntN(3)]
-	var gone *testHost
-	if f.rand.IntN(2) == 0 {
-		gone = f.entries()[f.rand.IntN(f.size.entries)]
+	if f.rand.IntN(3) == 0 {
+		kind := darkFaults[f.rand.IntN(len(darkFaults))]
+		d.awaitMoment()
+		return d.loseSilently(f.darkLoss(kind))
 	}
-	silence, late := time.Duration(f.rand.Int64N(int64(maxSilence))), time.Duration(f.rand.Int64N(int64(maxLate)))
+	l := silentLoss{wiped: [][]*testHost{nil, f.randomDiskHosts(nil), f.oldestDiskHosts()}[f.rand.IntN(3)]}
 	if f.rand.IntN(2) == 0 {
-		d.awaitTurn()
-	} else {
-		d.awaitChange()
+		l.gone = f.entries()[f.rand.IntN(f.size.entries)]
+	}
+	l.silence, l.late = time.Duration(f.rand.Int64N(int64(maxSilence))), time.Duration(f.rand.Int64N(int64(maxLate)))
+	d.awaitMoment()
+	return d.loseSilently(l)
+}
+
+// loseSilently lets all hosts lose power. It returns when those have been started again whose disks are not lost, with
+// the time from which the recovery time counts.
+func (d *deployment) loseSilently(l silentLoss) time.Time {
+	f := d.fleet
+	if len(l.wiped) > 0 {
+		d.note("shards with stores on all hosts that lose their disks: %v", f.sharedShards(l.wiped))
 	}
 	d.during(&testHost{name: "group"}, "power lost silently", false, func() {
 		f.silence(f.hosts)
-		time.Sleep(silence)
-		back := slices.DeleteFunc(slices.Clone(f.hosts), func(h *testHost) bool { return h == gone || slices.Contains(wiped, h) })
-		f.cutPower(slices.DeleteFunc(slices.Clone(f.hosts), func(h *testHost) bool { return h == gone }))
+		time.Sleep(l.silence)
+		back := slices.DeleteFunc(slices.Clone(f.hosts), func(h *testHost) bool { return h == l.gone || slices.Contains(l.wiped, h) })
+		f.cutPower(slices.DeleteFunc(slices.Clone(f.hosts), func(h *testHost) bool { return h == l.gone }))
 		f.returnHosts(back)
 	})
-	if gone != nil {
-		gone.gone.Store(true)
-		d.note("%s does not return", gone.name)
-		d.background.Go(func() { d.during(gone, "without power for good", false, func() { <-d.ended }) })
+	d.othersBackAt = time.Now()
+	if l.gone != nil {
+		l.gone.gone.Store(true)
+		d.note("%s does not return", l.gone.name)
+		d.background.Go(func() { d.during(l.gone, "without power for good", false, func() { <-d.ended }) })
 	}
-	for _, h := range wiped {
-		d.note("%s has lost its disk and is back %v later", h.name, late)
+	for _, h := range l.wiped {
+		d.note("%s has lost its disk and is back %v later", h.name, l.late)
 		f.removeData(h)
 	}
-	if len(wiped) > 0 {
+	if len(l.wiped) > 0 {
 		d.background.Go(func() {
-			d.during(wiped[0], "disks lost, still without power", false, func() {
-				time.Sleep(late)
-				f.returnHosts(wiped)
+			d.during(l.wiped[0], "disks lost, still without power", false, func() {
+				time.Sleep(l.late)
+				f.returnHosts(l.wiped)
 			})
 		})
 	}
-	return time.Now()
+	if l.wholeFleet && len(l.wiped) > 0 {
+		return d.othersBackAt.Add(l.late)
+	}
+	return d.othersBackAt
 }
 
 // silence makes hosts stop at the same moment, with their connections open.
--- a/soak/size_test.go
+++ b/soak/size_test.go
@@ -46,12 +46,17 @@
 	varied             bool
 }
 
-// programKind is a part of the programs. They have 1 to 2*turns-1 turns.
+// programKind is a part of the programs. They have 1 to 2*turns-1 turns, of which the share fan starts sub-agents.
 type programKind struct {
 	share float64
 	turns int
+	fan   float64
 }
 
+// smallFan is the share of turns that start sub-agents in the size "small". It is above that of deployments,
+// which have ten times as many programs: without it, none would have sub-agents when a fault strikes.
+const smallFan = 0.3
+
 // deploymentSizes are the sizes by name. Their hosts run the program within the limits of
 // deployments that users run. The sizes "orders" and "booking" are two whole deployments, with
 // their programs a second; the grown one has the hosts, targets and callers of a large one and a
@@ -62,7 +67,7 @@
 			controls: 3, stores: 3, entries: 3, zones: 3, losses: 1, grace: 8, catchUp: 7.6, retire: 12, recovery: 15,
 			limits: deploymentLimits, asProgram: true,
 		},
-		models: 3, plain: 2, callers: 12, accounts: 8, slots: 12, cacheTokens: 471337, programs: 2, kinds: []programKind{{1, 6}},
+		models: 3, plain: 2, callers: 12, accounts: 8, slots: 12, cacheTokens: 471337, programs: 2, kinds: []programKind{{1, 6, smallFan}},
 		inputBytes: defaultInput, events: defaultEvents,
 	},
 	"orders": {
@@ -75,7 +80,7 @@
 			},
 			asProgram: true,
 		},
-		models: 9, plain: 4, callers: 85, accounts: 8, slots: 48, cacheTokens: 1333755, programs: 33, kinds: []programKind{{0.7, 4}, {0.3, 11}},
+		models: 9, plain: 4, callers: 85, accounts: 8, slots: 48, cacheTokens: 1333755, programs: 33, kinds: []programKind{{0.7, 4, 0.05}, {0.3, 11, 0.08}},
 		inputBytes: 17000, events: 16, varied: true,
 	},
 	"booking": {
@@ -88,7 +93,7 @@
 			},
 			asProgram: true,
 		},
-		models: 18, plain: 3, callers: 59, accounts: 8, slots: 12, cacheTokens: 380106, programs: 42, kinds: []programKind{{0.71, 3}, {0.29, 7}},
+		models: 18, plain: 3, callers: 59, accounts: 8, slots: 12, cacheTokens: 380106, programs: 42, kinds: []programKind{{0.71, 3, 0.05}, {0.29, 7, 0.15}},
 		inputBytes: defaultInput, events: defaultEvents,
 	},
 	"grown": {
@@ -96,7 +101,7 @@
 			controls: 5, stores: 9, entries: 60, zones: 4, losses: 2, grace: 8, catchUp: 7.6, retire: 12, recovery: 15, syncTime: 5 * time.Millisecond,
 			limits: deploymentLimits, asProgram: true,
 		},
-		models: 45, plain: 11, callers: 156, accounts: 77, slots: 12, cacheTokens: 471337, programs: 88, kinds: []programKind{{0.7, 4}, {0.3, 11}},
+		models: 45, plain: 11, callers: 156, accounts: 77, slots: 12, cacheTokens: 471337, programs: 88, kinds: []programKind{{0.7, 4, 0.05}, {0.3, 11, 0.08}},
 		inputBytes: 17000, events: 9, varied: true,
 	},
 }
