turns: a refusal for want of stores tells which replies are missing

Cause: an entry host logged "no majority of the shard's stores replied" and nothing else, so that one shard that refuses among sixteen, and the store that it lacks, could only be computed from the logs of all hosts. Change: StoresError wraps the fault with the shard, its lists of stores, and why each reply is missing; events 405, 408 and 407 have them, 407 also the turn that is continued. No decision depends on it.

--- a/gate/call.go
+++ b/gate/call.go
@@ -282,7 +282,10 @@
 		return
 	}
 	stores, silent := c.gate.Turns.StoresOf(c.turn.budget.Account, c.turn.budget.Program)
-	fields["stores"] = stores
+	fields["shard"], fields["stores"] = turns.ShardOf(c.turn.budget.Account, c.turn.budget.Program), stores
+	if c.turn.previous != "" {
+		fields["previous"] = c.turn.previous
+	}
 	if len(silent) > 0 {
 		fields["silentStores"] = silent
 	}
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -118,7 +119,10 @@
 		if turns.NotSent(budgetErr) {
 			retryAfter = types.AsFault(budgetErr).RetryAfter
 		}
-		return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: retryAfter, reason: "cannot reserve the program's budget: " + budgetErr.Error()}
+		return &errorResponse{
+			status: http.StatusServiceUnavailable, retryAfter: retryAfter, logFields: storesFields(budgetErr),
+			reason: "cannot reserve the program's budget: " + budgetErr.Error(),
+		}
 	}
 	return nil
 }
@@ -128,7 +132,8 @@
 	if errors.Is(err, intake.ErrFull) {
 		return noMemory()
 	}
-	fields := event.Fields{"previous": c.turn.previous, "viewAgeMs": c.gate.Fleet.Staleness().Milliseconds()}
+	fields := storesFields(err)
+	maps.Copy(fields, event.Fields{"previous": c.turn.previous, "viewAgeMs": c.gate.Fleet.Staleness().Milliseconds()})
 	if types.IsCode(err, types.CodeNotFound) {
 		return &errorResponse{status: http.StatusNotFound, reason: "there is no such turn", logFields: fields}
 	}
@@ -142,6 +147,23 @@
 	}
 }
 
+// storesFields returns the fields that tell what became of a request at the stores of its shard.
+func storesFields(err error) event.Fields {
+	fields := event.Fields{}
+	var e *turns.StoresError
+	if !errors.As(err, &e) {
+		return fields
+	}
+	fields["shard"], fields["current"], fields["missing"] = e.Shard, e.Current, e.Missing
+	if len(e.Next) > 0 {
+		fields["next"] = e.Next
+	}
+	if len(e.Lacking) > 0 {
+		fields["lacking"] = e.Lacking
+	}
+	return fields
+}
+
 // parseTurnHeaders sets the previous turn and the budget of the call from the
 // request header. A turn without a program gets a program of its own.
 func (c *call) parseTurnHeaders() {
@@ -257,6 +279,7 @@
 	}
 	if err != nil {
 		fields["error"] = err.Error()
+		maps.Copy(fields, storesFields(err))
 	}
 	c.gate.Log.Write(event.TurnDurable, fields)
 	return err
--- a/turns/call.go
+++ b/turns/call.go
@@ -68,6 +68,7 @@
 	// noCapacity is set for the stores whose last result is that they have no capacity, and replaced for
 	// those at whose address there is another store, since their disks are lost.
 	noCapacity, replaced map[StoreID]bool
+	failed               map[StoreID]error // the last errors of stores
 }
 
 func newShardCall[Resp any](ctx context.Context, c *Client, m *Map, shard Shard, kind wire.Kind, newRequest encodeRequest) *shardCall[Resp] {
@@ -75,7 +76,7 @@
 	call := &shardCall[Resp]{
 		client: c, shard: shard, shardMap: m, placement: p, kind: kind, newRequest: newRequest,
 		stores: c.sortForMove(m, p, c.sortByDistance(m, rotated(p.All(), int(shard)))), results: make(chan storeResult[Resp]),
-		replies: map[StoreID]Resp{}, noCapacity: map[StoreID]bool{}, replaced: map[StoreID]bool{},
+		replies: map[StoreID]Resp{}, noCapacity: map[StoreID]bool{}, replaced: map[StoreID]bool{}, failed: map[StoreID]error{},
 	}
 	call.ctx, call.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	return call
@@ -103,9 +104,10 @@
 				}
 				continue
 			}
+			s.failed[result.store] = result.err
 			s.sendCurrent()
 			if !s.placement.HasQuorum(func(id StoreID) bool { return !s.noCapacity[id] }) {
-				return nil, errNoCapacity
+				return nil, s.storesError(errNoCapacity)
 			}
 		case <-hedge.C:
 			if !s.sendCurrent() && s.addedCanHelp() {
@@ -116,7 +118,7 @@
 				return nil, nil //nolint:nilnil // Documented above.
 			}
 		case <-ctx.Done():
-			return nil, errNoQuorum
+			return nil, s.storesError(errNoQuorum)
 		}
 	}
 }
--- a/turns/chain.go
+++ b/turns/chain.go
@@ -96,7 +96,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // Ends the requests whose replies are no longer of use.
 	for {
-		s := chainSearch{client: c, req: req, likely: likely, shardMap: c.Map(), lacking: map[StoreID][]Epoch{}, results: make(chan storeResult[ChainReply])}
+		s := chainSearch{client: c, req: req, likely: likely, shardMap: c.Map(), lacking: map[StoreID][]Epoch{}, failed: map[StoreID]error{}, results: make(chan storeResult[ChainReply])}
 		found := s.run(ctx)
 		switch {
 		case len(found) > 0:
@@ -123,6 +123,7 @@
 	results chan storeResult[ChainReply]
 	// lacking contains the stores that lack the turn, with their epochs.
 	lacking map[StoreID][]Epoch
+	failed  map[StoreID]error // the errors of stores
 }
 
 // run sends the request to one store first, and to the next one whenever one fails or lacks
@@ -148,7 +149,9 @@
 			if result.err == nil && len(result.reply.Turns) > 0 {
 				return result.reply.Turns
 			}
-			if result.err == nil {
+			if result.err != nil {
+				s.failed[result.store] = result.err
+			} else {
 				s.lacking[result.store] = result.reply.Epochs
 			}
 			if proven == nil && s.provesMissing() {
@@ -249,10 +252,10 @@
 // that is not proven missing.
 func (s *chainSearch) uncertainError() error {
 	if s.shardMap.mayLackTurns() && s.shardMap.isQuorumOfAll(s.lacking) {
-		return errTurnMayBeLost
+		return s.storesError(errTurnMayBeLost)
 	}
-	return types.NewFault(types.CodeUnavailable, "of %d stores, %d lack the turn, and the shard maps differ: %t", len(s.members), len(s.lacking), s.mapsDiffer()).
-		WithRetryAfter(time.Second)
+	return s.storesError(types.NewFault(types.CodeUnavailable, "of %d stores, %d lack the turn, and the shard maps differ: %t", len(s.members), len(s.lacking), s.mapsDiffer()).
+		WithRetryAfter(time.Second))
 }
 
 // mapsDiffer reports whether a store that lacks the turn has another map than
