event: trace lists the requests of a program

Cause: tries of a turn have different request IDs, and trace knew only these. Change: with the ID of a program, trace prints for each of its requests when, on which host, the status, the target that it reached if any, why, and the shard with its stores and missing replies, then the lines of failed ones.

--- a/cmd/banyanspur/main.go
+++ b/cmd/banyanspur/main.go
@@ -27,7 +27,7 @@
 	Check    checkCommand    `command:"check" description:"Check settings files and questionnaires"`
 	Generate generateCommand `command:"generate" description:"Generate the configuration from a questionnaire"`
 	Key      keyCommand      `command:"key" description:"Generate a key and print it with its hash"`
-	Trace    traceCommand    `command:"trace" description:"Print all log lines about one request"`
+	Trace    traceCommand    `command:"trace" description:"Print all log lines about one request, or how the requests of a program ended"`
 	Zones    zonesCommand    `command:"zones" description:"Print which zones are evacuated, since when and by which order"`
 	Admin    adminCommand    `command:"admin" description:"Administer a running fleet"`
 }
--- a/cmd/banyanspur/trace.go
+++ b/cmd/banyanspur/trace.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -14,44 +17,97 @@
 
 type traceCommand struct {
 	Args struct {
-		Request string   `positional-arg-name:"request" description:"Request ID, as sent by the caller"`
-		Logs    []string `positional-arg-name:"log" description:"Log files of the hosts that the request may have reached; default: standard input"`
+		ID   string   `positional-arg-name:"id" description:"ID of a request or of a program, as sent by the caller"`
+		Logs []string `positional-arg-name:"log" description:"Log files of the hosts that the requests may have reached; default: standard input"`
 	} `positional-args:"true" required:"true"`
 }
 
 // Execute prints the log lines about a request in order of time. If the request
 // was not served in full, it marks with ">" the line that determined the outcome.
+// If the ID is that of a program, it prints the outcome of each of its requests, followed by
+// the lines of those that were not served in full.
 func (c *traceCommand) Execute([]string) error {
-	lines, err := c.find()
+	logs, err := c.open()
 	if err != nil {
 		return err
 	}
+	lines, err := logs.find(func(r io.Reader, source string) ([]event.Line, error) { return event.FindRequest(r, source, c.Args.ID) })
+	if err != nil {
+		return err
+	}
+	if len(lines) > 0 {
+		event.Sort(lines)
+		printLines(os.Stdout, lines)
+		return nil
+	}
+	if lines, err = logs.findProgram(c.Args.ID); err != nil {
+		return err
+	}
 	if len(lines) == 0 {
-		return errors.Newf("banyanspur: no log line about request %s: it did not reach these hosts, or log lines were dropped (banyanspur_event_dropped_lines_total)", c.Args.Request)
+		return errors.Newf("banyanspur: no log line about a request or a program %s: it did not reach these hosts, or log lines were dropped (banyanspur_event_dropped_lines_total)", c.Args.ID)
 	}
-	event.Sort(lines)
+	printProgram(os.Stdout, lines)
+	return nil
+}
+
+// printLines prints the lines of one request.
+func printLines(w io.Writer, lines []event.Line) {
 	decisive := event.DecisiveLine(lines)
 	for i, l := range lines {
 		mark := " "
 		if i == decisive {
 			mark = ">"
 		}
-		fmt.Println(mark, l)
+		fmt.Fprintln(w, mark, l)
 	}
 	if decisive < 0 {
-		fmt.Println("  The request was served or is still in progress.")
+		fmt.Fprintln(w, "  The request was served or is still in progress.")
+	}
+}
+
+// printProgram prints the outcomes of the requests of a program.
+func printProgram(w io.Writer, lines []event.Line) {
+	for _, o := range event.Outcomes(lines) {
+		fmt.Fprintln(w, o)
+		if event.DecisiveLine(o.Lines()) >= 0 {
+			printLines(w, o.Lines())
+		}
 	}
-	return nil
 }
 
-// find returns the lines about the request from all logs, unsorted.
-func (c *traceCommand) find() ([]event.Line, error) {
+// logFiles are logs by the name of their source. They are read several times.
+type logFiles map[string]func() (io.ReadCloser, error)
+
+// open returns the logs that the command names.
+func (c *traceCommand) open() (logFiles, error) {
+	logs := logFiles{}
 	if len(c.Args.Logs) == 0 {
-		return event.FindRequest(os.Stdin, "stdin", c.Args.Request)
+		text, err := io.ReadAll(os.Stdin)
+		if err != nil {
+			return nil, errors.Wrap(err, "banyanspur: read log")
+		}
+		logs["stdin"] = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(text)), nil }
 	}
-	var all []event.Line
 	for _, name := range c.Args.Logs {
-		lines, err := c.findInFile(name)
+		source := strings.TrimSuffix(filepath.Base(name), filepath.Ext(name))
+		if _, ok := logs[source]; ok {
+			source = name // Files of the same name in several directories.
+		}
+		logs[source] = func() (io.ReadCloser, error) { return os.Open(name) }
+	}
+	return logs, nil
+}
+
+// find returns the lines that read returns of all logs, unsorted.
+func (l logFiles) find(read func(r io.Reader, source string) ([]event.Line, error)) ([]event.Line, error) {
+	var all []event.Line
+	for _, source := range slices.Sorted(maps.Keys(l)) {
+		file, err := l[source]()
+		if err != nil {
+			return nil, errors.Wrap(err, "banyanspur: open log")
+		}
+		lines, err := read(file, source)
+		closeIgnoringError(file)
 		if err != nil {
 			return nil, err
 		}
@@ -60,14 +116,21 @@
 	return all, nil
 }
 
-func (c *traceCommand) findInFile(name string) ([]event.Line, error) {
-	file, err := os.Open(name)
+// findProgram returns all lines of the requests of a program. Only some of their lines name it.
+func (l logFiles) findProgram(program string) ([]event.Line, error) {
+	named, err := l.find(func(r io.Reader, source string) ([]event.Line, error) { return event.FindProgram(r, source, program) })
 	if err != nil {
-		return nil, errors.Wrap(err, "banyanspur: open log")
+		return nil, err
+	}
+	requests := map[string]bool{}
+	for _, line := range named {
+		if id := line.Request(); id != "" {
+			requests[id] = true
+		}
 	}
-	defer closeIgnoringError(file)
-	source := strings.TrimSuffix(filepath.Base(name), filepath.Ext(name))
-	return event.FindRequest(file, source, c.Args.Request)
+	return l.find(func(r io.Reader, source string) ([]event.Line, error) {
+		return event.FindRequests(r, source, func(id string) bool { return requests[id] })
+	})
 }
 
 // closeIgnoringError closes c, which was only read, so that an error has no
