--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -310,6 +310,10 @@
 	}
 }
 
+// finalDowntimes are how long hosts are down in the final fault. After the longest, callers of turns that were
+// open have mostly given up; after the others, they repeat them at hosts that have just started.
+var finalDowntimes = []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second}
+
 // injectFinalFault injects a fault right after a change or a turn and returns when all hosts have been
 // started again: all are killed, all lose power, or as many as the fleet tolerates lose their
 // disks, mostly while all others lose power.
@@ -326,15 +330,16 @@
 	if *finalFault != "" {
 		return d.loseSilently(f.darkLoss(*finalFault))
 	}
+	down := finalDowntimes[f.rand.IntN(len(finalDowntimes))]
 	switch kind {
 	case 0:
-		d.during(all, "killed", false, func() { f.killControlHosts(f.hosts, time.Second) })
+		d.during(all, "killed", false, func() { f.killControlHosts(f.hosts, down) })
 	case 1:
-		d.during(all, "power lost", false, func() { f.losePower(nil, 2*time.Second) })
+		d.during(all, "power lost", false, func() { f.losePower(nil, down) })
 	case 2:
-		d.during(all, "disks lost", false, func() { f.loseDisks(disks, 2*time.Second) })
+		d.during(all, "disks lost", false, func() { f.loseDisks(disks, down) })
 	default:
-		d.during(all, "power and disks lost", false, func() { f.losePower(disks, 2*time.Second) })
+		d.during(all, "power and disks lost", false, func() { f.losePower(disks, down) })
 	}
 	return time.Now()
 }
