soak: turns that are refused together are reported by themselves

Cause: most turns that are wrongly refused for their budget refuse each other, and hid those that claims of lost attempts refuse. Disks that lost power were read one after the other, so that a fleet of 74 hosts was down for 8 s. Change: two reports, power taken from all disks at once, -strike names what the final fault strikes after.

--- a/soak/budget_test.go
+++ b/soak/budget_test.go
@@ -38,34 +38,37 @@
 func (a attempt) programKey() string { return a.account + " " + a.program }
 
 // checkBudgetRefusals checks that each turn that was refused since the budget of its program is spent
-// did not fit into it. It reports turns of sub-agents among them.
+// did not fit into it. Turns that were refused together, though one of them fits, are reported by themselves.
 func (d *deployment) checkBudgetRefusals(list []attempt) {
-	refused, ofAgents, looping, mutual := 0, 0, 0, 0
-	var wrong []unreachedTurn
+	refused, ofAgents, looping := 0, 0, 0
+	var wrong, together []unreachedTurn
 	for _, turns := range turnsByProgram(list) {
 		for _, a := range turns {
 			if a.status != http.StatusPaymentRequired {
 				continue
 			}
 			refused++
-			if sum := d.chargesBefore(a, turns); sum > a.budget {
+			sum := d.chargesBefore(a, turns)
+			switch {
+			case sum > a.budget:
 				continue
+			case sum+refusedBeside(a, turns) > a.budget:
+				together = append(together, newUnreached(a, turns))
+			default:
+				wrong = append(wrong, newUnreached(a, turns))
 			}
-			wrong = append(wrong, newUnreached(a, turns))
 			if a.isOfAgent() {
 				ofAgents++
 			}
 			if a.loops {
 				looping++
 			}
-			if d.chargesBefore(a, turns)+refusedBeside(a, turns) > a.budget {
-				mutual++
-			}
 		}
 	}
-	d.t.Logf("%d turns refused for their budget, %d wrongly, %d of these of sub-agents, %d of programs that loop, and %d beside others that were refused at the same time and count nothing",
-		refused, len(wrong), ofAgents, looping, mutual)
+	d.t.Logf("%d turns refused for their budget, %d wrongly, and %d wrongly with others at the same time; of these %d are of sub-agents and %d of programs that loop",
+		refused, len(wrong), len(together), ofAgents, looping)
 	d.reportUnreached(refusedTooEarly, wrong)
+	d.reportUnreached(refusedTogether, together)
 }
 
 // refusedBeside returns the maxima of the turns that were refused for the budget while an attempt was under way.
--- a/soak/continued_test.go
+++ b/soak/continued_test.go
@@ -174,6 +174,8 @@
 	}
 	if float64(served) >= continuedShare*float64(first) {
 		d.reportUnreached(lateAfterFault, late)
+	} else {
+		d.listUnreached(lateInOutage, late)
 	}
 	d.reportUnreached(noneAtEnd, lost)
 }
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -27,7 +27,7 @@
 // relays delay traffic between hosts to the rates of their links. Faults overlap and come in
 // series; planned stops of control hosts, stores and entry hosts follow in calm, then all hosts
 // of a role, or all hosts, fail. SIGHUPs come at all times. At the end all hosts lose power
-// right after an acknowledged change, and as many as tolerated lose their disks.
+// right after an acknowledged change, a turn or the start of sub-agents, and as many as tolerated lose their disks.
 // All the while targets crash, return, are slow, drain, leave, are added and get the addresses
 // of others, and operators move, split, add and remove routes, keys and timeouts, two at once
 // at times. A control host, a store and an entry host are replaced at other addresses.
@@ -67,8 +67,21 @@
 //
 //	go test ./soak -run TestSilentLossOfPower -timeout 0 -size grown -load 45s -first 1 -seeds 10
 //
-// A turn that is refused for the budget of its program must not fit into it: budgets hold one more turn than the
-// program has had, and turns that have reached no target count nothing.
+// After some turns, programs start up to four sub-agents, which run turns at the same time, each with a session of its
+// own or none. Budgets hold what the program has generated and the turns that run at the same time, and hardly
+// more. A turn that is refused for its budget must not fit into it, and turns that have reached no target count nothing.
+// Some programs loop until their budget is spent.
+//
+// A turn that continues another one and reaches no target though it must is reported with the reason, each of its tries,
+// and what the entry hosts have logged of them: the shard, its stores, and why replies are missing. Of one
+// program, "banyanspur trace PROGRAM LOGS" tells the same from the logs that a failed test keeps.
+//
+// In a dark final fault, all hosts lose power silently and are back after 0.3 s, but those whose disks are lost, which return 7 s
+// later. The disks are random ones (dark), the oldest ones (dark-oldest) or those of one shard (dark-shard).
+// The recovery time counts from the return of the last host, or with -early from that of the others. One in three
+// seeds of TestSilentLossOfPower has such a fault:
+//
+//	go test ./soak -run TestDeploymentUnderFaults -timeout 0 -size grown -first 7306 -for 8s -final dark-shard -early
 //
 // TestDisksLostAtCatchUp takes the next disk at the time after which it may be lost, by which the copies
 // for the one before must be complete. By hand, stores are filled for longer, and on slow disks:
--- a/soak/power_test.go
+++ b/soak/power_test.go
@@ -5,6 +5,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -69,16 +70,23 @@
 	killTogether(hosts)
 	f.hangDisks(hosts, false)
 	name, fate := crash.RandomLoss(f.rand)
+	var g sync.WaitGroup // One after the other, they would be without power for seconds longer.
 	for _, h := range hosts {
-		if h.disk == nil {
-			f.appendTornFrame(h)
-			continue
-		}
-		l, err := h.disk.LosePower(fate)
-		f.t.Logf("%s: power lost, takes %s: %.400s", h.name, name, l)
-		if err != nil || l.Unreported > maxUnreported {
-			f.t.Errorf("%s: the state of its disk is not known: %d operations not reported, %v", h.name, l.Unreported, err)
-		}
+		g.Go(func() { f.takeUnsynced(h, name, fate) })
+	}
+	g.Wait()
+}
+
+// takeUnsynced takes from the disk of a host without power what the loss may take.
+func (f *fleet) takeUnsynced(h *testHost, name string, fate func(isName bool) crash.Fate) {
+	if h.disk == nil {
+		f.appendTornFrame(h)
+		return
+	}
+	l, err := h.disk.LosePower(fate)
+	f.t.Logf("%s: power lost, takes %s: %.400s", h.name, name, l)
+	if err != nil || l.Unreported > maxUnreported {
+		f.t.Errorf("%s: the state of its disk is not known: %d operations not reported, %v", h.name, l.Unreported, err)
 	}
 }
 
--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"math"
@@ -284,6 +285,9 @@
 	d.t.Errorf("no turn was answered in %v", waitTimeout)
 }
 
+// strikeAfter is what faults of all hosts strike after, if it is set.
+var strikeAfter = flag.String("strike", "", "what the final fault strikes after: turn, agents or change; empty for one that depends on the seed")
+
 // maxAfterFork is how long after the start of sub-agents a fault strikes at most: their first turns are between
 // their reservations and their first events then.
 const maxAfterFork = 40 * time.Millisecond
@@ -300,10 +304,11 @@
 
 // awaitMoment returns right after a turn was answered, a change was sent or acknowledged, or sub-agents were started.
 func (d *deployment) awaitMoment() {
-	switch d.fleet.rand.IntN(4) {
-	case 0:
+	kind := []string{"turn", "agents", "change", "change"}[d.fleet.rand.IntN(4)]
+	switch cmp.Or(*strikeAfter, kind) {
+	case "turn":
 		d.awaitTurn()
-	case 1:
+	case "agents":
 		d.awaitAgents()
 	default:
 		d.awaitChange()
--- a/soak/unreached_test.go
+++ b/soak/unreached_test.go
@@ -23,6 +23,9 @@
 	noneAtEnd       = "reaches no target in the last 4 s, whatever it is answered, while first turns are served"
 	noneInCalm      = "reaches no target in five tries or more in calm, while nine tenths of first turns do"
 	refusedTooEarly = "is refused for a budget that covers it"
+	refusedTogether = "is refused for a budget that covers it, together with others that count nothing since they are refused, too"
+	// Such turns break no promise.
+	lateInOutage = "reaches no target by the end of the recovery time after the final fault, while first turns are not served either"
 )
 
 // unreachedTurn is a turn that no target got, or that was refused for its budget, with its tries and those at all turns of
@@ -51,16 +54,21 @@
 	return unreachedTurn{tries: triesOf(a, program), program: program}
 }
 
-// reportUnreached fails the test if there are turns that reached no target though they must have: it tells the reason,
-// what each of their tries was answered by whom, and what the entry host has logged of it.
+// reportUnreached fails the test if there are turns that reached no target though they must have, and lists them.
 func (d *deployment) reportUnreached(reason string, list []unreachedTurn) {
-	if len(list) == 0 {
-		return
+	if len(list) > 0 {
+		d.t.Errorf("%d turns, each of which %s", len(list), reason)
 	}
-	d.t.Errorf("%d turns, each of which %s", len(list), reason)
-	slices.SortFunc(list, func(a, b unreachedTurn) int { return a.tries[0].sentAt.Compare(b.tries[0].sentAt) })
+	d.listUnreached(reason, list)
+}
+
+// listUnreached logs what each try of turns that reached no target was answered, by whom, and what the entry host has
+// logged of it.
+func (d *deployment) listUnreached(reason string, list []unreachedTurn) {
+	slices.SortStableFunc(list, func(a, b unreachedTurn) int { return a.tries[0].sentAt.Compare(b.tries[0].sentAt) })
+	list = slices.CompactFunc(list, func(a, b unreachedTurn) bool { return a.tries[0].id == b.tries[0].id })
 	reported := list[:min(len(list), maxReported)]
-	lines := d.decisions(reported)
+	lines, charged := d.decisions(reported), map[string]bool{}
 	for _, u := range reported {
 		first := u.tries[0]
 		d.t.Logf("turn that continues %q, of program %s, session %s, account %s: %s; %d tries", first.previous, first.program, cmp.Or(first.session, first.program), first.account, reason, len(u.tries))
@@ -73,7 +81,8 @@
 				d.t.Logf("    %s", l)
 			}
 		}
-		if refused {
+		if refused && !charged[first.programKey()] {
+			charged[first.programKey()] = true
 			d.reportCharges(u)
 		}
 	}
