soak: the reason for turns that must be reached at the end

Cause: the text named first turns, whose service this check does not ask for. Change: it names what the check relies on, that targets are less than half full. Result: text only.

--- a/soak/unreached_test.go
+++ b/soak/unreached_test.go
@@ -20,7 +20,7 @@
 // The reasons for which a turn that continues another one must reach a target.
 const (
 	lateAfterFault  = "reaches no target by the end of the recovery time after the final fault, while four fifths of first turns are served at the end"
-	noneAtEnd       = "reaches no target in the last 4 s, whatever it is answered, while first turns are served"
+	noneAtEnd       = "reaches no target in the last 4 s, whatever it is answered, while targets are less than half full"
 	noneInCalm      = "reaches no target in five tries or more in calm, while nine tenths of first turns do"
 	refusedTooEarly = "is refused for a budget that covers it"
 	refusedTogether = "is refused for a budget that covers it, together with others that count nothing since they are refused, too"
