turns: turns that wait for each other's claims are granted one after the other

Cause: which of two held claims goes first was decided by how many stores each had reached first.

Change: claims that wait are told apart from those that may have been granted; of those that wait the smallest ID goes first, and tells the stores before it is granted. A trial that kept the order of arrival let three turns wait for each other until their deadlines.

--- a/turns/held.go
+++ b/turns/held.go
@@ -23,10 +23,10 @@
 // with the store, or after holdTime. No turn hands on anything without a durable claim besides.
 type heldClaims []heldClaim
 
-// hold adds a claim, or lets one that is held already count until the given time.
+// hold adds a claim, or lets one that is held already count until the given time, in its new state.
 func (h heldClaims) hold(claim Claim, until types.Mono) heldClaims {
 	if i := h.find(claim.Attempt); i >= 0 {
-		h[i].until = until
+		h[i] = heldClaim{claim, until}
 		return h
 	}
 	return append(h, heldClaim{claim, until})
@@ -58,7 +58,7 @@
 // addRequested adds the claim of a request, if it has one, and returns its program, which it creates if needed.
 // A held claim changes nothing if the attempt has a durable one: messages may overtake each other.
 func (x *index) addRequested(key programKey, claim Claim, retained, now types.Mono) *programClaims {
-	if claim.Attempt != "" && !claim.Held {
+	if claim.Attempt != "" && claim.Hold == 0 {
 		return x.addClaims(key, []Claim{claim}, retained)
 	}
 	program := x.addClaims(key, nil, retained)
@@ -80,41 +80,48 @@
 	held [][]Claim
 }
 
-// ahead returns the held claims of other turns that go before that of an attempt. Of two turns, the one whose
-// claim has reached more of the stores first goes first, so that as many as the budget covers are granted, and not
-// none of them. An earlier attempt of the same line is over for its caller, and no target has got it.
-func (v programView) ahead(b Budget) Claims {
-	ahead := Claims{}
+// others returns the held claims of other turns for which counts returns true. An earlier attempt of the same line is over
+// for its caller, and no target has got it.
+func (v programView) others(b Budget, counts func(Claim) bool) Claims {
+	others := Claims{}
 	for _, list := range v.held {
-		for _, other := range list {
-			_, durable := v.claims[other.Attempt]
-			if durable || other.Attempt == b.Attempt || b.Line != "" && other.Line == b.Line {
-				continue
-			}
-			if v.isAhead(other.Attempt, b.Attempt) {
-				ahead[other.Attempt] = other
+		for _, c := range list {
+			_, durable := v.claims[c.Attempt]
+			if !durable && c.Attempt != b.Attempt && (b.Line == "" || c.Line != b.Line) && counts(c) {
+				others[c.Attempt] = c
 			}
 		}
 	}
-	return ahead
+	return others
 }
 
-// isAhead reports whether the claim of the attempt other goes before that of own. Where they have reached as many
-// stores first, the smaller ID decides.
-func (v programView) isAhead(other, own types.AttemptID) bool {
-	lead := 0
-	for _, list := range v.held {
-		i := slices.IndexFunc(list, func(c Claim) bool { return c.Attempt == other })
-		j := slices.IndexFunc(list, func(c Claim) bool { return c.Attempt == own })
-		switch {
-		case i == j: // Neither is held.
-		case j < 0 || i >= 0 && i < j:
-			lead++
-		default:
-			lead--
-		}
+// mayBeGranted reports whether a turn may have been granted that does not count that of own: it has waited and was granted,
+// or has not waited and its claim has reached one of the stores before.
+func (v programView) mayBeGranted(c Claim, own types.AttemptID) bool {
+	return c.Hold == HoldGranted || c.Hold == HoldPlaced && v.isBefore(c.Attempt, own)
+}
+
+// goesBefore reports whether a turn goes before that of own: it may have been granted, or it waits as well and has the
+// smaller ID. The order in which claims arrive would not do, since it differs between stores: three turns could each wait for
+// another one.
+func (v programView) goesBefore(c Claim, own types.AttemptID) bool {
+	return v.mayBeGranted(c, own) || c.Hold == HoldWaiting && c.Attempt < own
+}
+
+// isBefore reports whether the claim of one attempt has reached any of the stores before that of another.
+func (v programView) isBefore(one, other types.AttemptID) bool {
+	return slices.ContainsFunc(v.held, func(list []Claim) bool {
+		i := slices.IndexFunc(list, func(c Claim) bool { return c.Attempt == one })
+		j := slices.IndexFunc(list, func(c Claim) bool { return c.Attempt == other })
+		return i >= 0 && (j < 0 || i < j)
+	})
+}
+
+// addDurable adds durable claims that were seen at another time.
+func (v programView) addDurable(claims Claims) {
+	for _, c := range claims {
+		v.claims.Merge(c)
 	}
-	return lead > 0 || lead == 0 && other < own
 }
 
 // chargeWith returns what the durable claims, further ones and that of an attempt itself take from its budget.
--- a/turns/lacking_test.go
+++ b/turns/lacking_test.go
@@ -28,9 +28,9 @@
 	c.stores[0].shutDown()
 	waitFor(t, func() bool { return !c.peers.Link(c.member(0).Address).IsConnected() })
 	b := turns.Budget{Account: "choir", Program: "p", Attempt: "a", Limit: 100, MaxTokens: 10}
-	err := w.Reserve(withTimeout(t, 900*time.Millisecond), b)
+	err := w.Confirm(withTimeout(t, 900*time.Millisecond), b, time.Hour)
 	if !types.IsCode(err, types.CodeUnavailable) {
-		t.Fatalf("a reservation without a majority: %v", err)
+		t.Fatalf("a claim without a majority: %v", err)
 	}
 	shard := turns.ShardOf("choir", "p")
 	want := event.Fields{
@@ -47,7 +47,7 @@
 		if l.Fault != "" {
 			lacking[i].Reason = turns.Refused // It may just have got the request again.
 		} else if l.Reason == turns.NoReply && (l.WaitedMs < 500 || l.WaitedMs > 5000) {
-			t.Errorf("store %s has not replied for %d ms, want the time of the reservation, 900 ms", l.Host, l.WaitedMs)
+			t.Errorf("store %s has not replied for %d ms, want the time of the claim, 900 ms", l.Host, l.WaitedMs)
 		}
 		lacking[i].WaitedMs = 0
 	}
--- a/turns/reserve.go
+++ b/turns/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -126,31 +127,49 @@
 	return late
 }
 
-// reserve places a held claim, and waits as long as it depends on claims that were placed before whether the budget
-// covers it. Each request lets the claim count for longer.
+// reserve places a held claim. Its turn is granted at once if the budget covers it beside all claims that a majority of the
+// stores know. Otherwise it waits until it is its turn, see [programView.goesBefore], and is granted once no other that may
+// have been granted meanwhile takes what it needs: two that were granted at the same time see each other, and try again.
 func (c *Client) reserve(ctx context.Context, b Budget) error {
-	claim := b.claim()
-	claim.Held = true
+	v, err := c.hold(ctx, b, HoldPlaced)
+	if err != nil {
+		return err
+	}
+	all := func(Claim) bool { return true }
+	if v.chargeWith(v.others(b, all), b) <= b.Limit {
+		return nil
+	}
 	for delay := retryInterval; ; delay = min(2*delay, maxRetryInterval) {
-		v, err := c.sendClaim(ctx, b.request(claim))
-		if err != nil {
-			return err
-		}
-		if v.chargeWith(v.ahead(b), b) <= b.Limit {
-			return nil
-		}
 		if v.chargeWith(nil, b) > b.Limit {
 			c.withdraw(ctx, b)
 			return v.refusal(b)
 		}
+		if v, err = c.hold(ctx, b, HoldWaiting); err != nil {
+			return err
+		}
+		if v.chargeWith(v.others(b, func(o Claim) bool { return v.goesBefore(o, b.Attempt) }), b) <= b.Limit {
+			if v, err = c.hold(ctx, b, HoldGranted); err != nil {
+				return err
+			}
+			if v.chargeWith(v.others(b, func(o Claim) bool { return v.mayBeGranted(o, b.Attempt) }), b) <= b.Limit {
+				return nil
+			}
+		}
 		claimsAwaited.Inc()
-		if !types.Sleep(ctx, delay) {
+		if !types.Sleep(ctx, delay/2+rand.N(delay)) {
 			c.withdraw(ctx, b)
 			return errClaimsAhead
 		}
 	}
 }
 
+// hold places a held claim in a state, and lets it count for longer.
+func (c *Client) hold(ctx context.Context, b Budget, state Hold) (programView, error) {
+	claim := b.claim()
+	claim.Hold = state
+	return c.sendClaim(ctx, b.request(claim))
+}
+
 // refusal returns the fault of a turn that the budget does not cover beside the durable claims.
 func (v programView) refusal(b Budget) error {
 	v.claims.Merge(b.claim())
@@ -173,7 +192,7 @@
 func (c *Client) Withdraw(ctx context.Context, b Budget) error {
 	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
 	defer cancel()
-	_, err := c.sendClaim(ctx, b.request(Claim{Attempt: b.Attempt, MaxTokens: b.MaxTokens, Held: true, Settled: true}))
+	_, err := c.sendClaim(ctx, b.request(Claim{Attempt: b.Attempt, MaxTokens: b.MaxTokens, Hold: HoldPlaced, Settled: true}))
 	return err
 }
 
@@ -205,9 +224,7 @@
 	if err == nil && v.claims.HasOtherUnsettled(b.Attempt) {
 		var again programView
 		again, err = c.sendClaim(ctx, b.request(Claim{}))
-		for _, claim := range again.claims { // What was seen before may not yet be on a majority.
-			v.claims.Merge(claim)
-		}
+		v.addDurable(again.claims) // What was seen before may not yet be on a majority.
 	}
 	switch {
 	case err != nil:
--- a/turns/serve.go
+++ b/turns/serve.go
@@ -43,7 +43,7 @@
 		reply = ClaimReply{Claims: program.claims.sorted(), Held: program.held.list(s.Clock())}
 	}
 	s.mu.Unlock()
-	if err != nil || claim.Attempt == "" || claim.Held {
+	if err != nil || claim.Attempt == "" || claim.Hold != 0 {
 		return reply, err
 	}
 	return reply, s.persist(ctx, record{Program: &Program{Account: req.Account, Program: req.Program, Claims: []Claim{claim}}})
--- a/turns/turn.go
+++ b/turns/turn.go
@@ -52,6 +52,18 @@
 // ended for it; sub-agents have lines of their own.
 type Line string
 
+// Hold is the state of a claim that is held in memory. The default is a durable claim.
+type Hold uint8
+
+// States of claims that are held.
+const (
+	// HoldPlaced is a claim that may have been granted, since all others that its host has seen fit beside it.
+	HoldPlaced Hold = iota + 1
+	// HoldWaiting is a claim that waits for others, and HoldGranted one that has waited and was granted.
+	HoldWaiting
+	HoldGranted
+)
+
 // Claim reserves a part of a program's budget for one attempt. Settling it
 // replaces the reserved amount by the amount used.
 type Claim struct {
@@ -64,9 +76,9 @@
 	Settled bool         `json:"settled,omitempty"`
 	// Line is that of the attempt. It is empty if the caller names none or the claim is settled.
 	Line Line `json:"line,omitempty"`
-	// Held is set for a claim that stores keep in memory only, see [heldClaims]. If Settled is set as
-	// well, they forget it. Stores of earlier builds do not know Held, and write both to disk.
-	Held bool `json:"held,omitempty"`
+	// Hold is not empty for a claim that stores keep in memory only, see [heldClaims]. If Settled is set as
+	// well, they forget it. Stores of earlier builds do not know Hold, and write both to disk.
+	Hold Hold `json:"hold,omitempty"`
 }
 
 // charge returns the number of tokens that the claim takes from the budget:
