wire, turns, intake: turns that continue others find memory before first turns

Cause: wire's budget for requests made no difference between them. A large turn, or the claims of first turns while disks are late, took all of a store's part, so that claims and chains of turns that continue others were refused while first turns were served. At entry hosts, small requests of an account that has more than 15/64 of the budget had to leave as much free whether or not they continue a turn.

Change: claims of first turns are marked with low precedence (wire.WithLowPrecedence; hosts of earlier builds ignore the mark). Small requests without it have a reserve of a quarter of the part for requests, which no large request and no first turn takes; while the reserve is in use, claims of first turns are refused. A counter tells how many requests a host refuses for lack of memory. In intake, small requests that continue a turn leave at most a sixteenth.

Not changed: a slow sender's body may still be evicted for a first turn, since the class is the caller's word, and an account's large requests stay below half of the room even if they continue turns.

--- a/intake/class.go
+++ b/intake/class.go
@@ -11,7 +11,8 @@
 )
 
 // firstRoom is the part of a budget, as one in so many, that holders of the class [First] leave free,
-// and continuingRoom the part that larger ones of the class [Continuing] leave, instead of the reserve.
+// and continuingRoom the part that larger ones of the class [Continuing] leave, instead of the reserve. Smaller ones
+// leave at most as much, also if their account has much already.
 const firstRoom, continuingRoom = 8, 16
 
 // SetClass sets the class, which is [Ordinary] before.
@@ -29,8 +30,11 @@
 func (b *Budget) excess(h *Holder, n, used int64) int64 {
 	if h.held+n <= smallBytes {
 		room := b.smallRoom(h, n)
-		if h.class == First {
+		switch h.class {
+		case First:
 			room = max(room, b.limit/firstRoom)
+		case Continuing:
+			room = min(room, b.limit/continuingRoom)
 		}
 		return used + n + room - b.limit
 	}
--- a/intake/class_test.go
+++ b/intake/class_test.go
@@ -52,4 +52,15 @@
 			t.Errorf("%d requests that continue others are handled beside first ones, want at least 20", continuing)
 		}
 	})
+	t.Run("small ones of one account", func(t *testing.T) {
+		b := intake.NewBudget(intake.Bytes(184))
+		continuing := fill(t, b, "one", input)
+		first := fillClass(t, b, intake.First, input)
+		h := b.Open("one", func() {})
+		defer h.Close()
+		h.SetClass(intake.Continuing)
+		if err := h.Add(input); err != nil {
+			t.Errorf("beside %d requests of its account and %d first ones, a small request that continues another: %v", continuing, first, err)
+		}
+	})
 }
--- a/turns/client.go
+++ b/turns/client.go
@@ -164,10 +164,14 @@
 		Shard: ShardOf(b.Account, b.Program), Account: b.Account, Program: b.Program,
 		Claim: Claim{Attempt: b.Attempt, MaxTokens: b.MaxTokens, Line: b.Line},
 	}
-	claims, err := c.sendClaim(ctx, req)
+	claimCtx := ctx
+	if !b.Continues {
+		claimCtx = wire.WithLowPrecedence(ctx)
+	}
+	claims, err := c.sendClaim(claimCtx, req)
 	if err == nil && claims.HasOtherUnsettled(b.Attempt) {
 		req.Claim = Claim{}
-		claims, err = c.sendClaim(ctx, req)
+		claims, err = c.sendClaim(claimCtx, req)
 	}
 	if err != nil {
 		return err
--- a/wire/bounds.go
+++ b/wire/bounds.go
@@ -45,6 +45,7 @@
 var (
 	refusedFrames   = metrics.NewCounter("banyanspur_wire_refused_frames_total")
 	abortedFrames   = metrics.NewCounter("banyanspur_wire_aborted_frames_total")
+	fullRequests    = metrics.NewCounter("banyanspur_wire_full_requests_total")
 	refusedMessages = metrics.NewCounter("banyanspur_wire_refused_messages_total")
 )
 
--- a/wire/budget.go
+++ b/wire/budget.go
@@ -30,6 +30,9 @@
 	// a quarter of their part, so that replies without a large body are sent in any case.
 	smallMessageBytes = 64 << 10
 	queueReserve      = 4
+	// requestReserve is the reserve for requests of that size without low precedence, as a divisor of the part
+	// for requests: large ones and first turns must not keep out the turns that continue others.
+	requestReserve = 4
 	// aloneShare is the part of a limit, as a divisor, that others may have taken when a message
 	// is accepted that exceeds the rest.
 	aloneShare = 4
@@ -42,6 +45,8 @@
 	frames   *frameBudget
 	joinMu   sync.Mutex
 	requests byteCounter // the requests that are being handled, except those without a reply
+	// reserved are those that found no room in requests: small ones without low precedence.
+	reserved byteCounter
 	queued   byteCounter // the messages in all send queues
 }
 
@@ -65,6 +70,7 @@
 	}
 	b.frames.setLimit(int(frames))
 	b.requests.limit.Store(requests)
+	b.reserved.limit.Store(requests / requestReserve)
 	b.queued.limit.Store(queued)
 }
 
@@ -76,6 +82,20 @@
 	return b
 }
 
+// admit charges a request that is to be handled, and returns what it must be released from. It returns nil if
+// there is no room. While others use the reserve, requests with low precedence have none.
+func (b *Budget) admit(size int64, low bool) *byteCounter {
+	switch {
+	case low && b.reserved.used.Load() > 0:
+		return nil
+	case b.requests.take(size, 0):
+		return &b.requests
+	case !low && size <= smallMessageBytes+requestOverhead && b.reserved.take(size, 0):
+		return &b.reserved
+	}
+	return nil
+}
+
 // byteCounter bounds a number of bytes.
 type byteCounter struct{ used, limit atomic.Int64 }
 
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -23,6 +23,8 @@
 	Body  types.RawMessage `json:"body,omitempty"`
 	Fault *types.Fault     `json:"fault,omitempty"`
 	Reply bool             `json:"answer,omitempty"`
+	// Low is set in a request with low precedence, see [WithLowPrecedence]. Earlier builds do not send it.
+	Low bool `json:"low,omitempty"`
 
 	// tail is the rest of Body. It is not copied when the envelope is written.
 	tail []byte
--- a/wire/link.go
+++ b/wire/link.go
@@ -279,7 +279,7 @@
 	if !ok {
 		return zero, errNotConnected
 	}
-	err := c.stream.send(envelope{ID: id, Kind: kind, Body: head, tail: tail})
+	err := c.stream.send(envelope{ID: id, Kind: kind, Body: head, Low: hasLowPrecedence(ctx), tail: tail})
 	if errors.Is(err, errMessageTooLarge) {
 		c.pending.remove(id)
 		return zero, errMessageTooLarge
--- a/wire/server.go
+++ b/wire/server.go
@@ -147,14 +147,16 @@
 			return
 		}
 		size := int64(e.size()) + requestOverhead
-		if !conn.budget.requests.take(size, 0) {
+		charged := conn.budget.admit(size, e.Low)
+		if charged == nil {
+			fullRequests.Inc()
 			s.reply(conn, e.Kind, envelope{ID: e.ID, Reply: true, Fault: errBudgetFull})
 			return
 		}
 		g.Go(func() error {
 			reply := s.dispatch(ctx, e)
 			e.Body = nil
-			conn.budget.requests.release(size) // Before the reply, after which the next request may be as large.
+			charged.release(size) // Before the reply, after which the next request may be as large.
 			s.reply(conn, e.Kind, reply)
 			return nil
 		})
