turns: a missing earlier turn of a chain is not reported as no such turn

Cause: ChainOf returned notFound also if the turn that the caller names exists, and only an earlier one of its chain is missing: 404 ends the program of a caller that was answered whole. Change: it returns the fault for a turn that may be lost, which gate answers 503 without Retry-After. Result: TestLostTurnOfChainIsNotDenied failed before and passes. TestChainOfOtherShards shows that a chain whose turns belong to twelve programs on seven stores is read whole, also after the loss of one store; it held before.

--- a/turns/chain.go
+++ b/turns/chain.go
@@ -28,7 +28,7 @@
 // ChainOf returns a turn and all turns before it, oldest first. The turn is most likely one
 // of the given program, but may be one of any program of the account. It returns a
 // notFound fault only if, for every shard, enough stores have replied that they
-// lack a turn of the chain (see [Placement.HasQuorum]), and an unavailable
+// lack the turn (see [Placement.HasQuorum]), and an unavailable
 // fault if too few stores have replied to be certain, or if the turn may be lost (see
 // [MayBeLost]).
 func (c *Client) ChainOf(ctx context.Context, account types.AccountID, program types.ProgramID, id TurnID) ([]Turn, error) {
@@ -63,6 +63,9 @@
 			continue
 		}
 		part, err := c.fetchChain(ctx, ChainRequest{Account: account, Turn: id}, likely)
+		if len(chain) > 0 && isFault(err, errTurnNotFound) {
+			return nil, errTurnMayBeLost // There is the turn that the caller names.
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -84,7 +87,8 @@
 }
 
 // MayBeLost reports whether err is the fault that [Client.Chain] returns for a turn that no
-// store has any more, after a shard was formed anew from a minority of its stores.
+// store has any more, after a shard was formed anew from a minority of its stores, or for one of an earlier
+// turn of its chain.
 func MayBeLost(err error) bool {
 	return isFault(err, errTurnMayBeLost)
 }
--- a/turns/chain_test.go
+++ b/turns/chain_test.go
@@ -77,3 +77,54 @@
 		t.Errorf("%v, parts (-want +got):\n%s", err, diff)
 	}
 }
+
+// TestChainOfOtherShards guards against turns that cannot be continued since earlier ones of their chain belong to other programs,
+// whose shards are on other stores, some of which are lost: no store has the whole chain.
+func TestChainOfOtherShards(t *testing.T) {
+	const stores, replicas, programs, lost = 7, 3, 12, 2
+	c := newCluster(t, stores)
+	n := 0
+	c.updatePlacements(func(p *turns.Placement) {
+		p.Current = nil
+		for i := range replicas {
+			p.Current = append(p.Current, c.stores[(n+i)%stores].id)
+		}
+		n++
+	})
+	w := c.client()
+	var want []turns.TurnID
+	previous, program := turns.TurnID(""), types.ProgramID("")
+	for i := range programs {
+		program = types.ProgramID(fmt.Sprint("p", i))
+		id := turns.TurnID(fmt.Sprint("t", i))
+		writeTurn(t, w, "choir", program, id, previous)
+		want, previous = append(want, id), id
+	}
+	check := func(state string) {
+		t.Helper()
+		chain, err := c.client().ChainOf(withTimeout(t, stepTimeout), "choir", program, previous)
+		if diff := cmp.Diff(want, turnIDs(chain)); diff != "" {
+			t.Errorf("%s: %v, chain (-want +got):\n%s", state, err, diff)
+		}
+	}
+	check("all stores")
+	c.stores[lost].shutDown()
+	check("one store lost")
+}
+
+// TestLostTurnOfChainIsNotDenied guards against a caller that is told that there is no such turn as the one that it continues,
+// which ends its program, though only an earlier turn of the chain is missing.
+func TestLostTurnOfChainIsNotDenied(t *testing.T) {
+	c := newCluster(t, 3)
+	w := c.client()
+	writeTurn(t, w, "choir", "p", "second", "first")
+	for name, r := range map[string]*turns.Client{"from the stores": c.client(), "from the cache": w} {
+		_, err := r.ChainOf(withTimeout(t, stepTimeout), "choir", "p", "second")
+		if !turns.MayBeLost(err) {
+			t.Errorf("%s: %v, want that a turn may be lost", name, err)
+		}
+	}
+	if _, err := c.client().ChainOf(withTimeout(t, stepTimeout), "choir", "p", "first"); !types.IsCode(err, types.CodeNotFound) {
+		t.Errorf("a turn that no store has: %v, want not found", err)
+	}
+}
