--- a/turns/reserve.go
+++ b/turns/reserve.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/banyanspur/banyanspur/types"
+	"github.com/banyanspur/banyanspur/wire"
 )
 
 // A turn claims its part of its program's budget in two steps. [Client.ReserveWithin], before a target gets the
@@ -167,6 +168,9 @@
 func (c *Client) hold(ctx context.Context, b Budget, state Hold) (programView, error) {
 	claim := b.claim()
 	claim.Hold = state
+	if !b.Continues {
+		ctx = wire.WithLowPrecedence(ctx)
+	}
 	return c.sendClaim(ctx, b.request(claim))
 }
 
--- a/wire/budget.go
+++ b/wire/budget.go
@@ -31,7 +31,9 @@
 	// besides the part of requests, so that others are served while one that exceeds the part is handled.
 	smallMessageBytes = 64 << 10
 	queueReserve      = 4
-	requestReserve    = 4
+	// requestReserve is the reserve for requests of that size without low precedence, as a divisor of the part
+	// for requests: large ones and first turns must not keep out the turns that continue others.
+	requestReserve = 4
 	// aloneShare is the part of a limit, as a divisor, that others may have taken when a message
 	// is accepted that exceeds the rest.
 	aloneShare = 4
@@ -44,9 +46,9 @@
 	frames   *frameBudget
 	joinMu   sync.Mutex
 	requests byteCounter // the requests that are being handled, except those without a reply
-	// smallRequests are those of up to smallMessageBytes for which requests had no room.
-	smallRequests byteCounter
-	queued        byteCounter // the messages in all send queues
+	// reserved are those that found no room in requests: small ones without low precedence.
+	reserved byteCounter
+	queued   byteCounter // the messages in all send queues
 }
 
 // defaultBudget is that of processes whose memory is not known.
@@ -69,7 +71,7 @@
 	}
 	b.frames.setLimit(int(frames))
 	b.requests.limit.Store(requests)
-	b.smallRequests.limit.Store(requests / requestReserve)
+	b.reserved.limit.Store(requests / requestReserve)
 	b.queued.limit.Store(queued)
 }
 
@@ -81,19 +83,16 @@
 	return b
 }
 
-// takeRequest counts a request that is about to be handled. It returns the counter that must be released by its
-// size, or nil if there is no room.
-//
-// A host of 88 MB has 5.5 MiB for requests. One of the largest, of 24 MiB, is accepted if others have at most a
-// quarter of that, 1.4 MiB, and small ones may take 1.4 MiB besides: 26.8 MiB together. Without the reserve, all
-// other requests were refused until the large one had ended.
-func (b *Budget) takeRequest(bytes int64) *byteCounter {
-	size := bytes + requestOverhead
+// admit charges a request that is to be handled, and returns what it must be released from. It returns nil if
+// there is no room. While others use the reserve, requests with low precedence have none.
+func (b *Budget) admit(size int64, low bool) *byteCounter {
 	switch {
+	case low && b.reserved.used.Load() > 0:
+		return nil
 	case b.requests.take(size, 0):
 		return &b.requests
-	case bytes <= smallMessageBytes && b.smallRequests.take(size, 0):
-		return &b.smallRequests
+	case !low && size <= smallMessageBytes+requestOverhead && b.reserved.take(size, 0):
+		return &b.reserved
 	}
 	return nil
 }
--- a/wire/link.go
+++ b/wire/link.go
@@ -309,7 +309,7 @@
 	if !ok {
 		return zero, errNotConnected
 	}
-	e.ID = id
+	e.ID, e.Low = id, hasLowPrecedence(ctx)
 	err := c.stream.send(e)
 	if errors.Is(err, errMessageTooLarge) {
 		c.pending.remove(id)
--- a/wire/server.go
+++ b/wire/server.go
@@ -146,16 +146,17 @@
 			s.dispatch(ctx, e) // Messages without a reply are handled in order.
 			return
 		}
-		bytes := int64(e.size())
-		counter := conn.budget.takeRequest(bytes)
-		if counter == nil {
+		size := int64(e.size()) + requestOverhead
+		charged := conn.budget.admit(size, e.Low)
+		if charged == nil {
+			fullRequests.Inc()
 			s.reply(conn, e.Kind, envelope{ID: e.ID, Reply: true, Fault: errBudgetFull})
 			return
 		}
 		g.Go(func() error {
 			reply := s.dispatch(ctx, e)
 			e.Body = nil
-			counter.release(bytes + requestOverhead) // Before the reply, after which the next request may be as large.
+			charged.release(size) // Before the reply, after which the next request may be as large.
 			s.reply(conn, e.Kind, reply)
 			return nil
 		})
