turns, gate: what the review of the claims has found

Cause, each shown by a test of the review that failed before: - the claim of a turn was made durable while its host still waited for a connection to a target (TestTurnThatReachesNoTargetCountsNothing); - a request panicked if its caller left just before its claim was durable (TestCallerLeavesWhileClaimIsConfirmed); - turns that wait for claims of their own program held places in the admission of all programs (TestWaitForClaimsLeavesOthersAdmitted); - programs of which no target got a turn stayed in the stores' memory and counted nothing (TestHeldClaimsOfManyProgramsAreBounded, which measures the heap against a first round instead of a refusal); - a reservation expired while its host waited for the chain or the limit, so that its turn could run in vain. Four tests of package gate no longer reached what they guard against, since reservations wait for no disk: their store is late to reply now. With the three mutations of the review they fail again (TestTurnWaitsForLateStore, TestContinuingTurnOutlastsStall, TestTurnWithoutChainIsRefusedAtOnce, TestTurnsWithoutBudgetTakeNoLimit).

Change: fetch tells when a first part of a request was written, and the claim is confirmed from then on. Only the first step of a reservation takes a place in the admission. A turn is reserved again if the wait after its reservation took over half of the time for which that counts. Stores drop programs that have neither claims nor turns.

Measured: the tests of the review pass, TestSimultaneousTurnsOfFiveStores and TestClaimsInDifferentOrdersGrantOne among them.

--- a/fetch/do.go
+++ b/fetch/do.go
@@ -38,6 +38,8 @@
 	MaxBodyBytes int64
 	// NewConnection prevents the reuse of an idle connection.
 	NewConnection bool
+	// Begun, if not nil, is called once a first part of the request was written to a connection. It must not block.
+	Begun func()
 }
 
 // Error is a failure to get a response.
@@ -104,6 +106,9 @@
 	}
 	resp := &Response{Reused: c.used, pool: p, address: address, conn: c, written: make(chan struct{}), stopCancel: stop}
 	c.used = true
+	if r.Begun != nil {
+		r.Begun()
+	}
 	var writer errgroup.Group
 	if rest := after(request, n); len(rest) == 0 {
 		close(resp.written)
--- a/gate/call.go
+++ b/gate/call.go
@@ -63,6 +63,8 @@
 	budget   turns.Budget
 	hasClaim bool // the turn claims a part of the budget; the claim must be settled or withdrawn
 	settled  bool
+	// reservedAt is when the claim was granted.
+	reservedAt time.Time
 	// confirmation is set once a target may get the turn: until then the stores only hold its claim.
 	confirmation *confirmation
 	delivered    types.Tokens // tokens that were forwarded to the caller
--- a/gate/confirm.go
+++ b/gate/confirm.go
@@ -23,8 +23,8 @@
 	cancel context.CancelFunc
 }
 
-// confirmClaim begins to make the claim of the turn durable, unless it has begun before. It is called when a target is
-// about to get the turn, so that the stores write the claim while the target reads the prompt.
+// confirmClaim begins to make the claim of the turn durable, unless it has begun before. It is called once a target
+// gets the turn, so that the stores write the claim while the target reads the prompt.
 func (c *call) confirmClaim() {
 	if !c.turn.hasClaim || c.turn.confirmation != nil {
 		return
@@ -44,10 +44,12 @@
 func (f *confirmation) reason() string {
 	select {
 	case <-f.done:
-		return f.err.Error()
+		if f.err != nil {
+			return f.err.Error()
+		}
 	default:
-		return "the caller has left"
 	}
+	return "the caller has left"
 }
 
 // awaitClaim waits until the claim of the turn is durable, and reports whether it was not so at once. Its error is
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -143,7 +143,6 @@
 		return outcomeExpired
 	}
 	c.target, c.lastSentAt = t.ID, time.Now()
-	c.confirmClaim()
 	ctx, stopTimer, cancel := c.attemptContext(remaining, hasAlternative)
 	defer cancel()
 	sentAt := c.gate.Clock()
@@ -152,7 +151,7 @@
 	defer func() { c.endAttempt() }()
 	resp, err := c.gate.pool.Do(ctx, t.Address, &fetch.Request{
 		Method: c.r.Method, RequestTarget: c.requestURI(), Host: c.r.Host, Header: c.targetHeader(t, remaining), Prefix: c.promptPrefix(), Body: c.body,
-		ID: c.id, IDHeader: c.gate.HeaderNames.RequestID, MaxBodyBytes: maxResponseBytes,
+		ID: c.id, IDHeader: c.gate.HeaderNames.RequestID, MaxBodyBytes: maxResponseBytes, Begun: c.confirmClaim,
 	})
 	fields := event.Fields{
 		"request": c.id, "service": service.Name, "leftMs": remaining.Milliseconds(), "answered": err == nil,
--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -206,6 +206,9 @@
 	url   string
 	// syncLatency is how long each sync of the store takes at least, in nanoseconds.
 	syncLatency atomic.Int64
+	// replyLatency is by how much what the store sends is late, in nanoseconds. Links count as lost from 0.6 s on.
+	replyLatency atomic.Int64
+	store        *turns.Store
 }
 
 // newTestbed returns a running testbed.
@@ -276,6 +279,7 @@
 	s.Register(server)
 	h := httptest.NewUnstartedServer(server)
 	h.Config.BaseContext = func(net.Listener) context.Context { return ctx }
+	h.Listener = lateRepliesListener{h.Listener, b, g}
 	h.Start()
 	b.t.Cleanup(h.Close)
 	m := &turns.Map{Members: map[turns.StoreID]turns.Member{id: {ID: id, Address: strings.TrimPrefix(h.URL, "http://")}}}
@@ -283,7 +287,7 @@
 		m.Shards = append(m.Shards, turns.Placement{Epoch: 1, Current: []turns.StoreID{id}})
 	}
 	s.SetMap(m)
-	b.fleet.view.Map = m
+	b.store, b.fleet.view.Map = s, m
 	g.Go(func() error { return s.Run(ctx) })
 }
 
--- a/gate/late_store_test.go
+++ b/gate/late_store_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/banyanspur/banyanspur/turns"
 )
 
 // TestTurnWaitsForLateStore guards against turns that are refused shortly before a store replies
@@ -19,30 +21,29 @@
 func TestTurnWaitsForLateStore(t *testing.T) {
 	b := newTestbed(t)
 	b.addTarget("models", streamEvents("one"))
-	b.syncLatency.Store(int64(1100 * time.Millisecond))
+	b.delayClaims(1100 * time.Millisecond)
 	begin := time.Now()
 	code, body := b.send(turnRequest("a", "", "first;", "1000"))
 	want := fmt.Sprint(http.StatusOK, " id: 0\ndata: one\n\n")
 	if diff := cmp.Diff(want, fmt.Sprint(code, " ", body)); diff != "" {
-		t.Errorf("a store whose disk takes 1.1 s for a sync; the caller waits for 5 s; after %v (-want +got):\n%s", time.Since(begin), diff)
+		t.Errorf("a store that is late by 1.1 s; the caller waits for 5 s; after %v (-want +got):\n%s", time.Since(begin), diff)
 	}
 }
 
 // TestContinuingTurnOutlastsStall guards against a turn that continues another one and is refused since
-// the disks of its stores stall for more than half of its time: its caller counts it as lost.
+// its stores stall for more than half of its time: its caller counts it as lost.
 func TestContinuingTurnOutlastsStall(t *testing.T) {
 	b := newTestbed(t)
 	b.addTarget("models", streamEvents("one"))
 	if code, body := b.send(turnRequest("a", "", "first;", "1000")); code != http.StatusOK {
 		t.Fatal(code, body)
 	}
-	b.syncLatency.Store(int64(3200 * time.Millisecond))
-	time.AfterFunc(time.Second, func() { b.syncLatency.Store(0) })
+	b.delayClaims(3200 * time.Millisecond)
 	begin := time.Now()
 	code, body := b.send(turnRequest("b", "a", "second;", "1000"))
 	want := fmt.Sprint(http.StatusOK, " id: 0\ndata: one\n\n")
 	if diff := cmp.Diff(want, fmt.Sprint(code, " ", body)); diff != "" {
-		t.Errorf("a store whose disk stalls for 3.2 s; the caller waits for 5 s; after %v (-want +got):\n%s", time.Since(begin), diff)
+		t.Errorf("a store that is late by 3.2 s; the caller waits for 5 s; after %v (-want +got):\n%s", time.Since(begin), diff)
 	}
 }
 
@@ -188,7 +189,10 @@
 	const sync = 1100 * time.Millisecond
 	b := newTestbed(t)
 	b.addTarget("models", streamEvents("one"))
-	b.syncLatency.Store(int64(sync))
+	other := turns.Budget{Account: "choir", Program: "p", Attempt: "other", Limit: 1000, MaxTokens: 1000, Line: "other"}
+	if err := b.gate.Turns.Reserve(t.Context(), other); err != nil { // The reservation waits for this one.
+		t.Fatal(err)
+	}
 	begin := time.Now()
 	code, body := b.send(turnRequest("b", "none", "next;", "1000"))
 	if took := time.Since(begin); code != http.StatusNotFound || took > sync/2 {
--- a/gate/tries_test.go
+++ b/gate/tries_test.go
@@ -28,7 +28,7 @@
 	if code, body := b.send(limitedTurn("first", "", "p", "1000000")); code != http.StatusOK {
 		t.Fatal(code, body)
 	}
-	b.syncLatency.Store(int64(300 * time.Millisecond))
+	b.replyLatency.Store(int64(300 * time.Millisecond))
 	const span, interval, continuedEvery = 6 * time.Second, 12 * time.Millisecond, 50
 	var offered, served atomic.Int32
 	var g errgroup.Group
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -87,6 +87,7 @@
 		g.Go(func() error {
 			defer budgetClaimSeconds.UpdateDuration(time.Now())
 			budgetErr = c.gate.Turns.ReserveWithin(claimCtx, c.turn.budget, timeout)
+			c.turn.reservedAt = time.Now()
 			return nil
 		})
 	}
@@ -101,9 +102,23 @@
 		return r
 	}
 	if limitLast {
-		return c.takeFromLimit()
+		limited = c.takeFromLimit()
+	}
+	if limited != nil {
+		return limited
+	}
+	return c.renewClaim()
+}
+
+// renewClaim reserves the turn's part of the budget again if the wait for its chain or for the account's limit took so long that
+// the stores may have forgotten the claim before a target gets the turn.
+func (c *call) renewClaim() *errorResponse {
+	if !c.turn.hasClaim || time.Since(c.turn.reservedAt) < turns.HoldTime/2 {
+		return nil
 	}
-	return limited
+	ctx, cancel := withTimeout(c.r.Context(), c.gate.answersCtx, c.remaining())
+	defer cancel()
+	return c.turnError(nil, c.gate.Turns.ReserveWithin(ctx, c.turn.budget, admitTimeout(c.remaining(), c.turn.previous != "")))
 }
 
 // turnError returns the error response for the errors of fetching the chain and
--- a/turns/held.go
+++ b/turns/held.go
@@ -67,12 +67,23 @@
 	case claim.Attempt == "" || durable:
 	case claim.Settled:
 		program.held = program.held.without(claim.Attempt)
+		x.dropUnused(key, now)
 	default:
 		program.held = program.held.hold(claim, now.Add(holdTime))
 	}
 	return program
 }
 
+// dropUnused removes a program that has neither claims nor turns. A program that is refused, or whose host is lost, before a target gets
+// its first turn leaves nothing that counts as used capacity.
+func (x *index) dropUnused(key programKey, now types.Mono) {
+	program := x.programs[key]
+	held := slices.ContainsFunc(program.held, func(c heldClaim) bool { return c.until > now })
+	if len(program.claims) == 0 && !held && x.programTurns[key] == 0 {
+		delete(x.programs, key)
+	}
+}
+
 // programView is what a majority of the stores of a program's shard know of the claims on its budget.
 type programView struct {
 	claims Claims
--- a/turns/index.go
+++ b/turns/index.go
@@ -216,10 +216,11 @@
 const idleFactor = 2
 
 // evictIdlePrograms removes the programs that have no indexed turn and have not
-// been accessed for idleFactor times the retention.
+// been accessed for idleFactor times the retention, or for holdTime if they have no durable claim.
 func (x *index) evictIdlePrograms(now types.Mono, retention time.Duration) {
 	for key, program := range x.programs {
-		if x.programTurns[key] == 0 && now.Sub(program.lastAccess) > idleFactor*retention {
+		idle := now.Sub(program.lastAccess)
+		if x.programTurns[key] == 0 && (idle > idleFactor*retention || len(program.claims) == 0 && idle > holdTime) {
 			x.claims -= len(program.claims)
 			delete(x.programs, key)
 		}
--- a/turns/reserve.go
+++ b/turns/reserve.go
@@ -79,13 +79,16 @@
 	begun := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	err := c.reserve(ctx, b)
+	v, err := c.hold(ctx, b, HoldPlaced)
 	result := c.outcomeOf(ctx, ShardOf(b.Account, b.Program), err)
 	if result == inTime {
 		result = unknown // Stores hold claims whatever their disks do; [Client.Confirm] shows how slow these are.
 	}
-	c.admission.end(result, begun)
-	return err
+	c.admission.end(result, begun) // Turns that wait for others of their program keep out none of other programs.
+	if err != nil {
+		return err
+	}
+	return c.awaitGrant(ctx, b, v)
 }
 
 // admissionShare is the part of its remaining time, as a divisor, that a reservation may wait for its
@@ -128,16 +131,12 @@
 	return late
 }
 
-// reserve places a held claim. Its turn is granted at once if the budget covers it beside all claims that a majority of the
-// stores know. Otherwise it waits until it is its turn, see [programView.goesBefore], and is granted once no other that may
-// have been granted meanwhile takes what it needs: two that were granted at the same time see each other, and try again.
-func (c *Client) reserve(ctx context.Context, b Budget) error {
-	v, err := c.hold(ctx, b, HoldPlaced)
-	if err != nil {
-		return err
-	}
-	all := func(Claim) bool { return true }
-	if v.chargeWith(v.others(b, all), b) <= b.Limit {
+// awaitGrant returns once a turn is granted whose claim was placed with the reply v. It is granted at once if the budget covers
+// it beside all claims that a majority of the stores know. Otherwise it waits until it is its turn, see [programView.goesBefore], and
+// is granted once no other that may have been granted meanwhile takes what it needs: two that were granted at the same time see
+// each other, and try again.
+func (c *Client) awaitGrant(ctx context.Context, b Budget, v programView) (err error) {
+	if v.chargeWith(v.others(b, func(Claim) bool { return true }), b) <= b.Limit {
 		return nil
 	}
 	for delay := retryInterval; ; delay = min(2*delay, maxRetryInterval) {
@@ -183,6 +182,9 @@
 	return budgetExceeded(b, v.claims)
 }
 
+// HoldTime is how long a reservation counts. A turn that no target has got by then must be reserved again.
+const HoldTime = holdTime
+
 // withdraw withdraws a held claim in the background.
 func (c *Client) withdraw(ctx context.Context, b Budget) {
 	c.background.Go(func() error { return c.Withdraw(context.WithoutCancel(ctx), b) })
