gate: turns that continue others are offered again to full targets

Cause: a target that is full rejects whatever comes, and a turn that continues another one was refused after one round of offers like a first turn. With few tries, some are refused in all of them while first turns of many callers take the places that become free. First turns are refused at once as before. Result: TestContinuingTurnIsOfferedAgain failed before (503) and passes.

--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
@@ -46,8 +47,16 @@
 	// costs a round trip only.
 	maxRejections  = 4
 	maxUnreachable = 8
+
+	// offerShare is the part of its remaining time, as a divisor, for which a turn that continues another one is
+	// offered again, and offerInterval the pause before. Its caller has few tries, and would come again after
+	// about that time. What is left is enough to run most turns.
+	offerShare    = 2
+	offerInterval = busyRetryAfter
 )
 
+var offersTotal = metrics.NewCounter("banyanspur_gate_repeated_offers_total")
+
 // dispatch sends the request to a target and retries on other targets after a
 // rejection, or after a failure if the request is repeatable and the route allows
 // another attempt.
@@ -59,6 +68,7 @@
 	}
 	tried := map[types.TargetID]bool{}
 	rejected, unreachable := 0, 0
+	offerUntil := time.Now().Add(c.remaining() / offerShare)
 	for {
 		if c.poisonous() {
 			return c.dispatchError(poisonousReason)
@@ -70,6 +80,11 @@
 			choice, ok = c.pickTarget(service, tried)
 		}
 		if !ok || rejected >= maxRejections || unreachable >= maxUnreachable {
+			if len(tried) > 0 && c.offerAgain(offerUntil) {
+				clear(tried)
+				rejected, unreachable, c.limited = 0, 0, false
+				continue
+			}
 			return c.noTarget(service)
 		}
 		tried[choice.ID] = true
@@ -95,6 +110,23 @@
 	}
 }
 
+// offerAgain waits for a moment if a turn that continues another one is to be offered again to targets that have
+// not accepted it, and reports whether it is. Targets that are full accept whatever comes when a place is free: each
+// offer more is a chance that first turns, which are refused at once, do not have.
+func (c *call) offerAgain(until time.Time) bool {
+	if c.turn.previous == "" || c.mayHaveRun || time.Now().Add(offerInterval).After(until) {
+		return false
+	}
+	ctx, cancel := withTimeout(c.r.Context(), c.gate.answersCtx, offerInterval)
+	defer cancel()
+	<-ctx.Done()
+	if c.r.Context().Err() != nil || c.gate.answersEnded() {
+		return false
+	}
+	offersTotal.Inc()
+	return true
+}
+
 // dispatchError returns the error response for a request that got no valid
 // response: 503 if no target can have run it, 504 after the deadline, else 502.
 func (c *call) dispatchError(reason string) *errorResponse {
--- a/gate/tries_test.go
+++ b/gate/tries_test.go
@@ -110,3 +110,38 @@
 		t.Errorf("%d of %d refused turns were served when they came again", servedNext, refused)
 	}
 }
+
+// TestContinuingTurnIsOfferedAgain guards against turns that are refused in all tries of their callers while targets that are full
+// take first turns whenever a place is free, since both are offered once.
+func TestContinuingTurnIsOfferedAgain(t *testing.T) {
+	b := newTestbed(t)
+	var fullUntil atomic.Int64
+	var runs atomic.Int32
+	b.addTarget("models", func(w http.ResponseWriter, r *http.Request) {
+		if time.Now().UnixNano() < fullUntil.Load() {
+			rejectNotRun(w, r)
+			return
+		}
+		runs.Add(1)
+		streamEvents("one")(w, r)
+	})
+	if code, body := b.send(turnRequest("first", "", "x", "1000000")); code != http.StatusOK {
+		t.Fatal(code, body)
+	}
+	fullUntil.Store(time.Now().Add(700 * time.Millisecond).UnixNano())
+	begin := time.Now()
+	if code, body := b.send(turnRequest("other", "", "x", "1000000")); code != http.StatusServiceUnavailable || time.Since(begin) > 500*time.Millisecond {
+		t.Errorf("a first turn: %d %s after %v, want 503 at once", code, body, time.Since(begin))
+	}
+	if code, body := b.send(turnRequest("second", "first", "x", "1000000")); code != http.StatusOK {
+		t.Errorf("a turn that continues another one: %d %s", code, body)
+	}
+	fullUntil.Store(time.Now().Add(time.Minute).UnixNano())
+	begin = time.Now()
+	if code, body := b.send(turnRequest("third", "first", "x", "1000000")); code != http.StatusServiceUnavailable || time.Since(begin) > 4*time.Second {
+		t.Errorf("a turn while the target stays full: %d %s after %v, want 503 while there is time to come again", code, body, time.Since(begin))
+	}
+	if n := runs.Load(); n != 2 {
+		t.Errorf("%d runs, want 2", n)
+	}
+}
