--- a/limit/tries_test.go
+++ b/limit/tries_test.go
@@ -34,7 +34,8 @@
 	events  int
 
 	turns, lost, callsServed int
-	tries                    [7]int // turns that were admitted, by the number of the attempt
+	tries                    [7]int       // turns that were admitted, by the number of the attempt
+	sentAt                   []types.Mono // of the requests that were admitted, except those of looping programs
 }
 
 func (l *press) after(d time.Duration, run func()) {
@@ -123,7 +124,12 @@
 }
 
 func (l *press) request(p limit.Precedence, key limit.TurnKey, done func(ok bool, retryAfter time.Duration)) {
-	l.requestAt(l.rand.IntN(l.hosts), p, key, func(ok bool, d time.Duration, _ *simHost) { done(ok, d) })
+	l.requestAt(l.rand.IntN(l.hosts), p, key, func(ok bool, d time.Duration, _ *simHost) {
+		if ok {
+			l.sentAt = append(l.sentAt, l.now)
+		}
+		done(ok, d)
+	})
 }
 
 // simHost is a host of the account.
@@ -211,9 +217,21 @@
 	})
 }
 
+// mostInWindow returns the largest number of requests that were admitted within a window.
+func (l *press) mostInWindow(window time.Duration) (most int) {
+	first := 0
+	for i, at := range l.sentAt {
+		for at.Sub(l.sentAt[first]) > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 // TestContinuingTurnsPrecedeFirstTurns guards against turns that continue others and reach no target in any of their tries,
 // while first turns and calls are served: an account is pressed with many times its limit, which covers these turns. At
-// least nine tenths of those that were refused must be admitted when they come again after their Retry-After.
+// least nine tenths of those that were refused must be admitted when they come again after their Retry-After, and no more requests than the limit allows.
 func TestContinuingTurnsPrecedeFirstTurns(t *testing.T) {
 	for _, hosts := range []int{7, 171} {
 		for _, rate := range []float64{8, 40} {
@@ -230,6 +248,9 @@
 					for seed := range uint64(2) {
 						r := p.simulate(seed)
 						sum.turns, sum.lost, sum.callsServed = sum.turns+r.turns, sum.lost+r.lost, sum.callsServed+r.callsServed
+						if n, allowed := r.mostInWindow(time.Second), 2*int(rate); n > allowed {
+							t.Errorf("%d requests were admitted within a second, at most %d may be", n, allowed)
+						}
 						for i, n := range r.tries {
 							sum.tries[i] += n
 						}
