--- a/gate/cause_test.go
+++ b/gate/cause_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/banyanspur/banyanspur/event"
+	"github.com/banyanspur/banyanspur/turns"
 )
 
 // endOf waits for the event that a request has ended, and returns some of its fields.
@@ -55,3 +56,31 @@
 		t.Errorf("end of a refused turn (-want +got):\n%s", diff)
 	}
 }
+
+// TestRefusalTellsLackingStores guards against a refusal for want of a majority from whose line nobody can tell which
+// shard and stores it was for.
+func TestRefusalTellsLackingStores(t *testing.T) {
+	b := newTestbed(t)
+	b.addTarget("models", streamEvents("one"))
+	b.syncLatency.Store(int64(4 * time.Second))
+	if code, body := b.send(turnRequest("late", "", "x", "1000")); code != http.StatusServiceUnavailable {
+		t.Fatal(code, body)
+	}
+	b.syncLatency.Store(0)
+	for line := range strings.Lines(b.log.String()) {
+		var fields struct {
+			Event, Shard int
+			Request      string
+			Current      []string
+			Lacking      []turns.LackingStore
+		}
+		if json.Unmarshal([]byte(line), &fields) != nil || fields.Event != int(event.RequestRefused.Number) || fields.Request != "late" {
+			continue
+		}
+		if len(fields.Current) != 1 || len(fields.Lacking) != 1 || fields.Lacking[0].Reason != turns.NoReply || fields.Lacking[0].WaitedMs < 1000 {
+			t.Errorf("the one store has not replied for 2.5 s: the refusal tells %+v", fields)
+		}
+		return
+	}
+	t.Error("no refusal of the request is logged")
+}
