--- a/turns/write.go
+++ b/turns/write.go
@@ -120,6 +120,7 @@
 	if took := time.Since(startedAt); took > slowWrite {
 		fields := sizes.fields()
 		fields["ms"], fields["writes"], fields["longestWaitMs"] = took.Milliseconds(), len(batch), longestWait(batch).Milliseconds()
+		fields["copyBound"], fields["copiesWaiting"] = s.diskTimes.bound, s.copies.queued()
 		s.Log.Write(event.StoreWriteSlow, fields)
 	}
 	if err != nil {
@@ -134,7 +135,7 @@
 		}
 		s.mu.Unlock()
 	}
-	s.diskTimes.add(sizes.total(), time.Since(begun))
+	s.diskTimes.add(sizes.bytes[copyKind]+sizes.bytes[rewriteKind], time.Since(begun))
 	for _, w := range batch {
 		if w.kind == liveKind {
 			liveWriteSeconds.UpdateDuration(w.queuedAt)
