event: an outcome keeps the lists of stores of the refusal

Cause: in the trace of a program of size grown, event 407 replaced the current and next stores of event 405 by all stores of the shard. Change: the line with both lists counts. Result: TestOutcomesOfProgram has both lines.

--- a/event/outcome.go
+++ b/event/outcome.go
@@ -62,7 +62,7 @@
 func (o *Outcome) add(l Line) {
 	o.lines = append(o.lines, l)
 	setText(&o.Previous, l.Fields["previous"])
-	if shard, ok := l.Fields["shard"].(float64); ok {
+	if shard, ok := l.Fields["shard"].(float64); ok && (o.Shard == "" || l.Fields["current"] != nil) { // 405 tells more than 407.
 		o.Shard = fmt.Sprintf("shard %.0f", shard)
 		for _, name := range []string{"current", "next", "stores", "lacking"} {
 			if list, ok := l.Fields[name].([]any); ok {
--- a/event/outcome_test.go
+++ b/event/outcome_test.go
@@ -12,7 +12,7 @@
 // Logs of the tries of one turn of program p1, which have IDs of their own: refused for want of stores, refused for the
 // budget, and answered. Another program's request is beside them.
 const programLog = `{"event":405,"request":"r1","status":503,"sent":false,"tookMs":900,"reason":"cannot reserve","shard":14,"current":["store-1","store-2","store-3"],"missing":{"store-2":"no reply","store-1":"no connection"},"time":"2026-01-02T10:00:00.900Z"}
-{"event":407,"request":"r1","program":"p1","previous":"t0","runs":0,"status":503,"tookMs":900,"cause":"cannot reserve","time":"2026-01-02T10:00:00.901Z"}
+{"event":407,"request":"r1","program":"p1","previous":"t0","runs":0,"status":503,"tookMs":900,"cause":"cannot reserve","shard":14,"stores":["store-1","store-2","store-3"],"time":"2026-01-02T10:00:00.901Z"}
 {"event":409,"request":"r2","program":"p1","reason":"40 used, not settled: 1 [r1]","time":"2026-01-02T10:00:01.300Z"}
 {"event":405,"request":"r2","status":402,"sent":false,"tookMs":20,"reason":"the budget does not cover it","time":"2026-01-02T10:00:01.301Z"}
 {"event":407,"request":"r2","program":"p1","previous":"t0","runs":0,"status":402,"tookMs":20,"cause":"the budget does not cover it","shard":14,"stores":["store-1"],"time":"2026-01-02T10:00:01.302Z"}
