turns: lost attempts that their lines have followed keep no other line out

Cause: two or three turns of each of these programs had got to targets when all processes were killed, and their claims were durable. Their lines went on with new attempts, but only the claims of the own line of a turn were left out, up to the maximum of one turn. The others counted besides the attempts that took their place, and the answer was that the budget is spent.

Change: claims have the time at which their attempt began, and settled ones keep their line, so that an attempt that a later one of its line has followed is known to be over. Those of all lines are left out, up to the maximum of one turn together, so that a program still exceeds its budget by one turn at most (TestFollowedAttemptsExceedBudgetByOneTurn). A turn that only such claims keep out gets 503, and is served once the open attempts are settled (TestLostAttemptsOfOtherLinesAreFollowed; on the code before it gets budgetExceeded).

--- a/gate/turn.go
+++ b/gate/turn.go
@@ -188,7 +188,7 @@
 	}
 	c.turn.budget = turns.Budget{
 		Account: c.accountID(), Program: program, Attempt: types.AttemptID(c.id), Limit: types.Tokens(limit), MaxTokens: types.Tokens(n), Continues: c.turn.previous != "",
-		Line: lineOf(h.Get(headers.Line), c.turn.previous, c.body),
+		Line: lineOf(h.Get(headers.Line), c.turn.previous, c.body), At: turns.UnixMilli(c.start.UnixMilli()),
 	}
 	c.turn.hasClaim = hasBudget
 }
--- a/turns/client.go
+++ b/turns/client.go
@@ -86,7 +86,7 @@
 	defer memory.release()
 	req := CloseRequest{
 		Shard: ShardOf(b.Account, b.Program), Account: b.Account, Program: b.Program,
-		Claim: Claim{Attempt: b.Attempt, MaxTokens: b.MaxTokens, Used: used, Settled: true}, Turn: t,
+		Claim: Claim{Attempt: b.Attempt, MaxTokens: b.MaxTokens, Used: used, Settled: true, Line: b.Line, At: b.At}, Turn: t,
 	}
 	startedAt, turn := c.now(), req.shareTurn()
 	if turn != nil {
--- a/turns/held.go
+++ b/turns/held.go
@@ -143,6 +143,6 @@
 			all.Merge(c)
 		}
 	}
-	all.Merge(Claim{Attempt: b.Attempt, MaxTokens: b.MaxTokens, Line: b.Line})
+	all.Merge(b.claim())
 	return all.ChargeFor(b)
 }
--- a/turns/line_test.go
+++ b/turns/line_test.go
@@ -133,3 +133,58 @@
 		t.Errorf("400 of 900 tokens used, 580 held by a lost attempt, 200 asked for: %v", err)
 	}
 }
+
+// TestLostAttemptsOfOtherLinesAreFollowed guards against a turn that is refused for good, though the budget covers it beside what
+// the program has used, since attempts of several other lines were lost after they had got to targets: their lines have
+// gone on. While these are open, the caller is told to try again.
+func TestLostAttemptsOfOtherLinesAreFollowed(t *testing.T) {
+	w := newCluster(t, 3).client()
+	ctx := withTimeout(t, stepTimeout)
+	at := turns.UnixMilli(1)
+	attempt := func(id types.AttemptID, line turns.Line) turns.Budget {
+		at++
+		return turns.Budget{Account: "choir", Program: "p", Attempt: id, Limit: 300, MaxTokens: 64, Line: line, At: at}
+	}
+	lines := []turns.Line{"helper 1", "helper 2", "helper 3"}
+	for _, line := range lines {
+		if err := claim(ctx, w, attempt("lost "+types.AttemptID(line), line)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var again []turns.Budget
+	for _, line := range lines[:2] {
+		again = append(again, attempt("again "+types.AttemptID(line), line))
+		if err := claim(ctx, w, again[len(again)-1]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	fourth := attempt("first of helper 4", "helper 4")
+	if err := w.Reserve(ctx, fourth); !isOpen(err) {
+		t.Errorf("while three lost and two open attempts hold the budget: %v", err)
+	}
+	for _, b := range again {
+		if err := w.Settle(ctx, b, 32, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := claim(ctx, w, fourth); err != nil {
+		t.Errorf("once the open ones are settled with 32 tokens each: %v", err)
+	}
+}
+
+// TestFollowedAttemptsExceedBudgetByOneTurn guards against a program that generates any number of tokens by attempts of several
+// lines that are never settled: all but one turn of them count.
+func TestFollowedAttemptsExceedBudgetByOneTurn(t *testing.T) {
+	w := newCluster(t, 3).client()
+	ctx := withTimeout(t, stepTimeout)
+	granted := 0
+	for i := range 40 {
+		b := turns.Budget{Account: "choir", Program: "p", Attempt: types.AttemptID(fmt.Sprint(i)), Limit: 320, MaxTokens: 64, Line: turns.Line(fmt.Sprint(i % 4)), At: turns.UnixMilli(i + 1)}
+		if claim(ctx, w, b) == nil {
+			granted++
+		}
+	}
+	if most := 320/64 + 1; granted != most {
+		t.Errorf("%d attempts of 64 tokens were granted with a budget of 320, want %d", granted, most)
+	}
+}
--- a/turns/reserve.go
+++ b/turns/reserve.go
@@ -19,8 +19,8 @@
 // disk before it is sent.
 
 var (
-	// errAttemptsOpen is returned for a turn that the budget covers unless targets have run several earlier
-	// attempts of its line, whose hosts are lost or are about to settle their claims. The client withdraws the claim.
+	// errAttemptsOpen is returned for a turn that the budget covers unless several attempts have handed on tokens that are over
+	// for their callers, and whose hosts are lost or are about to settle their claims. The client withdraws the claim.
 	errAttemptsOpen = types.NewFault(types.CodeUnavailable, "earlier attempts of the turn are not settled, which may have used the program's budget")
 	// errClaimsAhead is returned for a turn that the budget covers unless targets get other turns of the program, whose
 	// claims were placed before. The client withdraws the claim.
@@ -45,10 +45,14 @@
 	// Line is the line of turns that the turn belongs to. An earlier attempt of the same line does not keep the
 	// turn from being repeated. The default is a turn of no line.
 	Line Line
+	// At is when the attempt began, by the clock of its host, see [Claim.At]. The default is an unknown time.
+	At UnixMilli
 }
 
 // claim returns the claim of the turn.
-func (b Budget) claim() Claim { return Claim{Attempt: b.Attempt, MaxTokens: b.MaxTokens, Line: b.Line} }
+func (b Budget) claim() Claim {
+	return Claim{Attempt: b.Attempt, MaxTokens: b.MaxTokens, Line: b.Line, At: b.At}
+}
 
 // request returns a request about a claim on the budget.
 func (b Budget) request(claim Claim) ClaimRequest {
@@ -176,7 +180,7 @@
 // refusal returns the fault of a turn that the budget does not cover beside the durable claims.
 func (v programView) refusal(b Budget) error {
 	v.claims.Merge(b.claim())
-	if v.claims.chargeWithoutLine(b) <= b.Limit {
+	if v.claims.chargeWithoutOver(b) <= b.Limit {
 		return errAttemptsOpen
 	}
 	return budgetExceeded(b, v.claims)
--- a/turns/turn.go
+++ b/turns/turn.go
@@ -52,6 +52,9 @@
 // ended for it; sub-agents have lines of their own.
 type Line string
 
+// UnixMilli is a time in milliseconds since 1970.
+type UnixMilli int64
+
 // Hold is the state of a claim that is held in memory. The default is a durable claim.
 type Hold uint8
 
@@ -74,8 +77,11 @@
 	// Settled is set.
 	Used    types.Tokens `json:"used,omitempty"`
 	Settled bool         `json:"settled,omitempty"`
-	// Line is that of the attempt. It is empty if the caller names none or the claim is settled.
+	// Line is that of the attempt. It is empty if the caller names none, or an earlier build has settled the claim.
 	Line Line `json:"line,omitempty"`
+	// At is when the attempt began, by the clock of its host. It orders the attempts of a line, which follow each other by a
+	// tenth of a second or more. Claims of earlier builds have none.
+	At UnixMilli `json:"at,omitempty"`
 	// Hold is not empty for a claim that stores keep in memory only, see [heldClaims]. If Settled is set as
 	// well, they forget it. Stores of earlier builds do not know Hold, and write both to disk.
 	Hold Hold `json:"hold,omitempty"`
@@ -98,9 +104,12 @@
 // replaced if it is not settled and the new one is.
 func (c Claims) Merge(claim Claim) bool {
 	old, ok := c[claim.Attempt]
+	if ok && claim.Line == "" { // Stores and hosts of earlier builds leave it out.
+		claim.Line, claim.At = old.Line, old.At
+	}
 	if ok && (old.Settled || !claim.Settled) {
 		if !old.Settled && old.Line == "" {
-			old.Line = claim.Line // Stores of earlier builds keep claims without it.
+			old.Line, old.At = claim.Line, claim.At
 			c[claim.Attempt] = old
 		}
 		return false
@@ -114,30 +123,32 @@
 // that callers name.
 func (c Claims) TotalCharge() types.Tokens { return c.ChargeFor(Budget{}) }
 
-// ChargeFor is [Claims.TotalCharge] as far as it keeps a turn, whose claim is among them, from running. Another claim of its
-// line that is not settled belongs to an attempt that is over for the caller. Its host may
-// have been lost before a target got the turn, and if all of these claims counted, the caller
-// could not repeat the turn. They are left out up to the largest of them that was granted: by the maximum of one turn a program may
-// exceed its budget if targets have run these attempts.
+// ChargeFor is [Claims.TotalCharge] as far as it keeps a turn, whose claim is among them, from running. Claims of attempts that
+// are over for their callers, and not settled, may be of hosts that were lost before they handed on anything. If all of them
+// counted, callers could not repeat these turns. They are left out up to the largest of them that was granted: by the maximum of one
+// turn a program may exceed its budget if these attempts have handed on their tokens.
 func (c Claims) ChargeFor(b Budget) types.Tokens {
+	over := c.over(b)
 	largest := max(0, b.MaxTokens)
-	for id, claim := range c {
-		if b.leavesOut(id, claim) && claim.charge() <= b.Limit { // Larger ones were never granted.
-			largest = max(largest, claim.charge())
+	for id := range over {
+		if charge := c[id].charge(); charge <= b.Limit { // Larger ones were never granted.
+			largest = max(largest, charge)
 		}
 	}
-	return c.chargeWithout(b, largest)
+	return c.chargeWithout(over, largest)
 }
 
-// chargeWithoutLine is ChargeFor without any of the claims that it leaves out in part.
-func (c Claims) chargeWithoutLine(b Budget) types.Tokens { return c.chargeWithout(b, math.MaxInt64) }
+// chargeWithoutOver is ChargeFor without any of the claims that it leaves out in part.
+func (c Claims) chargeWithoutOver(b Budget) types.Tokens {
+	return c.chargeWithout(c.over(b), math.MaxInt64)
+}
 
-// chargeWithout leaves out so many tokens of claims of the turn's line that are not settled.
-func (c Claims) chargeWithout(b Budget, leftOut types.Tokens) types.Tokens {
+// chargeWithout leaves out so many tokens of the given claims.
+func (c Claims) chargeWithout(over map[types.AttemptID]bool, leftOut types.Tokens) types.Tokens {
 	var sum types.Tokens
 	for id, claim := range c {
 		charge := max(0, claim.charge())
-		if b.leavesOut(id, claim) {
+		if over[id] {
 			n := min(charge, leftOut)
 			charge, leftOut = charge-n, leftOut-n
 		}
@@ -149,9 +160,20 @@
 	return sum
 }
 
-// leavesOut reports whether a claim is that of another attempt of the turn's line, and not settled.
-func (b Budget) leavesOut(id types.AttemptID, claim Claim) bool {
-	return id != b.Attempt && !claim.Settled && b.Line != "" && claim.Line == b.Line
+// over returns the attempts that are not settled although they are over for their callers: the others of the turn's line, and
+// those of other lines that a later attempt of the line has followed.
+func (c Claims) over(b Budget) map[types.AttemptID]bool {
+	latest := map[Line]UnixMilli{}
+	for _, claim := range c {
+		latest[claim.Line] = max(latest[claim.Line], claim.At)
+	}
+	over := map[types.AttemptID]bool{}
+	for id, claim := range c {
+		if id != b.Attempt && !claim.Settled && claim.Line != "" && (claim.Line == b.Line || claim.At > 0 && claim.At < latest[claim.Line]) {
+			over[id] = true
+		}
+	}
+	return over
 }
 
 // HasOtherUnsettled reports whether any attempt except the given one has an
