--- a/gate/tries_test.go
+++ b/gate/tries_test.go
@@ -57,6 +57,7 @@
 		time.Sleep(interval)
 	}
 	_ = g.Wait() // The goroutines always return nil.
+	t.Logf("%d of %d turns served", served.Load(), offered.Load())
 	if offered.Load() == 0 || served.Load() < offered.Load() {
 		t.Errorf("%d of %d turns served beside others whose budgets are used up", served.Load(), offered.Load())
 	}
@@ -106,6 +107,7 @@
 	}
 	close(stop)
 	_ = g.Wait() // The goroutines always return nil.
+	t.Logf("%d of %d refused turns were served when they came again", servedNext, refused)
 	if refused == 0 || servedNext < refused-1 {
 		t.Errorf("%d of %d refused turns were served when they came again", servedNext, refused)
 	}
