--- a/gate/call.go
+++ b/gate/call.go
@@ -29,8 +29,11 @@
 	route    *plan.Route
 	account  *plan.Account  // nil on anonymous routes
 	received *intake.Holder // memory of body and its copies; nil without a body
-	body     []byte
-	deadline time.Time // when the caller must have the final response
+	// releaseMemory closes received once the stores' requests do not use it either. It is nil unless the
+	// turn was written, and must be called once.
+	releaseMemory func()
+	body          []byte
+	deadline      time.Time // when the caller must have the final response
 
 	limitTaken   bool      // one request was deducted from the account's rate limit
 	limited      bool      // a target did not accept the request by the limit that it names
@@ -57,15 +60,19 @@
 
 // turnState is the part of a call that belongs to its program.
 type turnState struct {
-	budget     turns.Budget
-	hasClaim   bool // the turn claims a part of the budget; the claim must be settled
-	settled    bool
-	delivered  types.Tokens // tokens that were forwarded to the caller
-	previous   turns.TurnID
-	lastTarget types.TargetID // target that ran the previous turn
-	displaced  bool           // lastTarget cannot take the turn, see isDisplaced
-	chain      []turns.Turn
-	chainBytes int64 // charged for chain
+	budget   turns.Budget
+	hasClaim bool // the turn claims a part of the budget; the claim must be settled or withdrawn
+	settled  bool
+	// reservedAt is when the claim was granted.
+	reservedAt time.Time
+	// confirmation is set once a target may get the turn: until then the stores only hold its claim.
+	confirmation *confirmation
+	delivered    types.Tokens // tokens that were forwarded to the caller
+	previous     turns.TurnID
+	lastTarget   types.TargetID // target that ran the previous turn
+	displaced    bool           // lastTarget cannot take the turn, see isDisplaced
+	chain        []turns.Turn
+	chainBytes   int64 // charged for chain
 }
 
 // errorResponse is a final response that this host generates itself.
@@ -241,7 +248,10 @@
 // the budget claim, and logs the end of the request.
 func (c *call) finish() {
 	c.finished = true
-	if c.received != nil {
+	switch {
+	case c.releaseMemory != nil:
+		defer c.releaseMemory()
+	case c.received != nil:
 		defer c.received.Close()
 	}
 	if c.limitTaken && !c.mayHaveRun {
@@ -282,7 +292,10 @@
 		return
 	}
 	stores, silent := c.gate.Turns.StoresOf(c.turn.budget.Account, c.turn.budget.Program)
-	fields["stores"] = stores
+	fields["shard"], fields["stores"] = turns.ShardOf(c.turn.budget.Account, c.turn.budget.Program), stores
+	if c.turn.previous != "" {
+		fields["previous"] = c.turn.previous
+	}
 	if len(silent) > 0 {
 		fields["silentStores"] = silent
 	}
--- a/gate/dispatch.go
+++ b/gate/dispatch.go
@@ -39,6 +39,9 @@
 	// outcomeExpired means that the deadline passed, the caller disconnected or the host
 	// is stopping.
 	outcomeExpired
+	// outcomeUnconfirmed means that the target ran the request, and that nothing of its response may be
+	// forwarded since the claim on the program's budget is not durable.
+	outcomeUnconfirmed
 )
 
 const (
@@ -97,6 +100,8 @@
 			return nil
 		case outcomeExpired:
 			return c.expired()
+		case outcomeUnconfirmed:
+			return c.dispatchError("cannot make the claim on the program's budget durable: " + c.turn.confirmation.reason())
 		case outcomeNotRun:
 			rejected++
 		case outcomeUnreachable:
@@ -178,7 +183,7 @@
 	defer func() { c.endAttempt() }()
 	resp, err := c.gate.pool.Do(ctx, t.Address, &fetch.Request{
 		Method: c.r.Method, RequestTarget: c.requestURI(), Host: c.r.Host, Header: c.targetHeader(t, remaining), Prefix: c.promptPrefix(), Body: c.body,
-		ID: c.id, IDHeader: c.gate.HeaderNames.RequestID, MaxBodyBytes: maxResponseBytes,
+		ID: c.id, IDHeader: c.gate.HeaderNames.RequestID, MaxBodyBytes: maxResponseBytes, Begun: c.confirmClaim,
 	})
 	fields := event.Fields{
 		"request": c.id, "service": service.Name, "leftMs": remaining.Milliseconds(), "answered": err == nil,
--- a/gate/turn.go
+++ b/gate/turn.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
@@ -86,6 +87,7 @@
 		g.Go(func() error {
 			defer budgetClaimSeconds.UpdateDuration(time.Now())
 			budgetErr = c.gate.Turns.ReserveWithin(claimCtx, c.turn.budget, timeout)
+			c.turn.reservedAt = time.Now()
 			return nil
 		})
 	}
@@ -100,15 +102,29 @@
 		return r
 	}
 	if limitLast {
-		return c.takeFromLimit()
+		limited = c.takeFromLimit()
+	}
+	if limited != nil {
+		return limited
 	}
-	return limited
+	return c.renewClaim()
+}
+
+// renewClaim reserves the turn's part of the budget again if the wait for its chain or for the account's limit took so long that
+// the stores may have forgotten the claim before a target gets the turn.
+func (c *call) renewClaim() *errorResponse {
+	if !c.turn.hasClaim || time.Since(c.turn.reservedAt) < turns.HoldTime/2 {
+		return nil
+	}
+	ctx, cancel := withTimeout(c.r.Context(), c.gate.answersCtx, c.remaining())
+	defer cancel()
+	return c.turnError(nil, c.gate.Turns.ReserveWithin(ctx, c.turn.budget, admitTimeout(c.remaining(), c.turn.previous != "")))
 }
 
 // turnError returns the error response for the errors of fetching the chain and
 // claiming the budget, or nil if there are none.
 func (c *call) turnError(chainErr, budgetErr error) *errorResponse {
-	if turns.NotSent(budgetErr) || turns.AttemptsOpen(budgetErr) {
+	if turns.NotSent(budgetErr) || turns.Withdrawn(budgetErr) {
 		c.turn.settled = true // There is no claim, or the client withdraws it.
 	}
 	if types.IsCode(budgetErr, types.CodeBudgetExceeded) {
@@ -127,7 +143,7 @@
 		if turns.NotSent(budgetErr) {
 			retryAfter = types.AsFault(budgetErr).RetryAfter
 		}
-		return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: retryAfter, reason: "cannot reserve the program's budget: " + budgetErr.Error()}
+		return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: retryAfter, reason: "cannot reserve the program's budget: " + budgetErr.Error(), logFields: turns.QuorumFields(budgetErr)}
 	}
 	return nil
 }
@@ -141,6 +157,7 @@
 	if types.IsCode(err, types.CodeNotFound) {
 		return &errorResponse{status: http.StatusNotFound, reason: "there is no such turn", logFields: fields}
 	}
+	maps.Copy(fields, turns.QuorumFields(err))
 	retryAfter := busyRetryAfter
 	if turns.MayBeLost(err) {
 		retryAfter = 0 // A retry finds the same stores without the turn.
@@ -171,19 +188,11 @@
 	}
 	c.turn.budget = turns.Budget{
 		Account: c.accountID(), Program: program, Attempt: types.AttemptID(c.id), Limit: types.Tokens(limit), MaxTokens: types.Tokens(n), Continues: c.turn.previous != "",
-		Line: lineOf(h.Get(headers.Line)),
+		Line: lineOf(h.Get(headers.Line), c.turn.previous, c.body),
 	}
 	c.turn.hasClaim = hasBudget
 }
 
-// lineOf returns the line that a header field names, which may have any bytes and any size.
-func lineOf(field string) turns.Line {
-	if field == "" {
-		return ""
-	}
-	return turns.Line(strconv.FormatUint(xxhash.Sum64String(field), 36))
-}
-
 // minCopyBytes is the size of an input from which on its copies are charged. Smaller ones are
 // short-lived, and copied while few others are.
 const minCopyBytes = 16 << 10
@@ -198,6 +207,22 @@
 	return noMemory()
 }
 
+// keepMemory lets the memory of the request stay charged until what it returns was called too, besides finish.
+func (c *call) keepMemory() (release func()) {
+	if c.received == nil {
+		return nil
+	}
+	// The function must not keep the call, which has the body.
+	held, users := c.received, new(atomic.Int32)
+	users.Store(2)
+	c.releaseMemory = func() {
+		if users.Add(-1) == 0 {
+			held.Close()
+		}
+	}
+	return c.releaseMemory
+}
+
 // chargeChain charges a part of the chain that the request continues, until a target responds.
 func (c *call) chargeChain(bytes int) error {
 	if c.received == nil {
@@ -258,7 +283,7 @@
 	// What was sent to the caller counts even if the caller disconnected.
 	ctx, cancel := withTimeout(context.WithoutCancel(c.r.Context()), c.gate.commitsCtx, c.commitTimeout())
 	defer cancel()
-	stores, err := c.gate.Turns.SettleOn(ctx, c.turn.budget, used, turn)
+	stores, err := c.gate.Turns.SettleOn(ctx, c.turn.budget, used, turn, c.keepMemory())
 	c.turn.settled = err == nil
 	fields := event.Fields{"request": c.id, "program": c.turn.budget.Program, "used": used, "bytes": len(output)}
 	if len(stores) > 0 {
@@ -266,6 +291,7 @@
 	}
 	if err != nil {
 		fields["error"] = err.Error()
+		maps.Copy(fields, turns.QuorumFields(err))
 	}
 	c.gate.Log.Write(event.TurnDurable, fields)
 	return err
--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"math"
@@ -284,6 +285,40 @@
 	d.t.Errorf("no turn was answered in %v", waitTimeout)
 }
 
+// strikeAfter is what faults of all hosts strike after, if it is set.
+var strikeAfter = flag.String("strike", "", "what the final fault strikes after: turn, agents or change; empty for one that depends on the seed")
+
+// maxAfterFork is how long after the start of sub-agents a fault strikes at most: their first turns are between
+// their reservations and their first events then.
+const maxAfterFork = 40 * time.Millisecond
+
+// awaitAgents returns shortly after sub-agents of a program were started together.
+func (d *deployment) awaitAgents() {
+	select {
+	case <-d.load.forked:
+		time.Sleep(time.Duration(d.fleet.rand.Int64N(int64(maxAfterFork))))
+	case <-time.After(waitTimeout):
+		d.t.Errorf("no sub-agents were started together in %v", waitTimeout)
+	}
+}
+
+// awaitMoment returns right after a turn was answered, a change was sent or acknowledged, or sub-agents were started.
+func (d *deployment) awaitMoment() {
+	kind := []string{"turn", "agents", "change", "change"}[d.fleet.rand.IntN(4)]
+	switch cmp.Or(*strikeAfter, kind) {
+	case "turn":
+		d.awaitTurn()
+	case "agents":
+		d.awaitAgents()
+	default:
+		d.awaitChange()
+	}
+}
+
+// finalDowntimes are how long hosts are down in the final fault. After the longest, callers of turns that were
+// open have mostly given up; after the others, they repeat them at hosts that have just started.
+var finalDowntimes = []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second}
+
 // injectFinalFault injects a fault right after a change or a turn and returns when all hosts have been
 // started again: all are killed, all lose power, or as many as the fleet tolerates lose their
 // disks, mostly while all others lose power.
@@ -296,20 +331,20 @@
 	if *finalSyncTime > 0 {
 		f.syncTime.Store(int64(*finalSyncTime))
 	}
-	if f.rand.IntN(3) == 0 {
-		d.awaitTurn()
-	} else {
-		d.awaitChange()
+	d.awaitMoment()
+	if *finalFault != "" {
+		return d.loseSilently(f.darkLoss(*finalFault))
 	}
+	down := finalDowntimes[f.rand.IntN(len(finalDowntimes))]
 	switch kind {
 	case 0:
-		d.during(all, "killed", false, func() { f.killControlHosts(f.hosts, time.Second) })
+		d.during(all, "killed", false, func() { f.killControlHosts(f.hosts, down) })
 	case 1:
-		d.during(all, "power lost", false, func() { f.losePower(nil, 2*time.Second) })
+		d.during(all, "power lost", false, func() { f.losePower(nil, down) })
 	case 2:
-		d.during(all, "disks lost", false, func() { f.loseDisks(disks, 2*time.Second) })
+		d.during(all, "disks lost", false, func() { f.loseDisks(disks, down) })
 	default:
-		d.during(all, "power and disks lost", false, func() { f.losePower(disks, 2*time.Second) })
+		d.during(all, "power and disks lost", false, func() { f.losePower(disks, down) })
 	}
 	return time.Now()
 }
--- a/turns/write.go
+++ b/turns/write.go
@@ -14,7 +14,10 @@
 // pendingWrite is a list of records that waits for the disk. The error of the
 // write, or nil, is sent to done.
 type pendingWrite struct {
-	records []record
+	kind     writeKind
+	slack    slack // of the shard, for copies
+	queuedAt time.Time
+	records  []record
 	// skipKnown leaves out turns that the store already has when the write begins.
 	skipKnown bool
 	done      chan<- error
@@ -43,7 +46,9 @@
 		case <-ctx.Done():
 			return nil
 		case w := <-s.queue:
-			s.writeBatch(s.collectBatch(w), nil)
+			s.writeNext(w)
+		case <-s.copiesReady:
+			s.writeNext()
 		case unused := <-s.compactions:
 			unused <- s.compact()
 		}
@@ -55,6 +60,13 @@
 	}
 }
 
+// writeNext writes the next batch, if any write waits. A live write may have been received already.
+func (s *Store) writeNext(live ...pendingWrite) {
+	if batch := s.collectBatch(nil, live...); len(batch) > 0 {
+		_ = s.writeBatch(batch, nil) // It reports to the writes.
+	}
+}
+
 // createSpares creates segments ahead until ctx ends.
 func (s *Store) createSpares(ctx context.Context) {
 	for {
@@ -77,33 +89,6 @@
 	}
 }
 
-// collectBatch returns the given writes and those in the queue, up to
-// [maxBatchBytes], so that they share one sync.
-func (s *Store) collectBatch(batch ...pendingWrite) []pendingWrite {
-	size := 0
-	for size < maxBatchBytes {
-		select {
-		case w := <-s.queue:
-			batch = append(batch, w)
-			for _, r := range w.records {
-				size += r.payloadBytes()
-			}
-		default:
-			return batch
-		}
-	}
-	return batch
-}
-
-// payloadBytes returns the size of the turn's input and output, or 0 for a
-// program.
-func (r record) payloadBytes() int {
-	if r.Turn == nil {
-		return 0
-	}
-	return len(r.Turn.Input) + len(r.Turn.Output)
-}
-
 // rewrite is a record that is written again, so that its segment can be removed.
 type rewrite struct {
 	encoded []byte
@@ -114,7 +99,11 @@
 // writeBatch appends all records of a batch, and rewrites, to the journal with one sync, adds
 // them to the index and reports the outcome to each write.
 func (s *Store) writeBatch(batch []pendingWrite, rewrites []rewrite) error {
-	records := s.recordsToWrite(batch)
+	begun := time.Now()
+	records, kinds := s.recordsToWrite(batch)
+	for range rewrites {
+		kinds = append(kinds, rewriteKind)
+	}
 	encoded := make([][]byte, 0, len(records)+len(rewrites))
 	for _, r := range records {
 		encoded = append(encoded, types.Encode(r))
@@ -123,11 +112,16 @@
 		encoded = append(encoded, r.encoded)
 	}
 	batchWrites.Update(float64(len(batch)))
+	sizes := sizesOf(kinds, encoded)
+	sizes.record()
 	startedAt := time.Now()
 	locations, err := s.journal.Append(encoded)
 	appendSeconds.UpdateDuration(startedAt)
 	if took := time.Since(startedAt); took > slowWrite {
-		s.Log.Write(event.StoreWriteSlow, event.Fields{"ms": took.Milliseconds(), "writes": len(batch), "bytes": encodedBytes(encoded)})
+		fields := sizes.fields()
+		fields["ms"], fields["writes"], fields["longestWaitMs"] = took.Milliseconds(), len(batch), longestWait(batch).Milliseconds()
+		fields["copyBound"], fields["copiesWaiting"] = s.diskTimes.bound, s.copies.queued()
+		s.Log.Write(event.StoreWriteSlow, fields)
 	}
 	if err != nil {
 		s.Log.Write(event.DiskIOFailed, event.Fields{"error": err.Error(), "records": len(encoded)})
@@ -141,7 +135,11 @@
 		}
 		s.mu.Unlock()
 	}
+	s.diskTimes.add(sizes.bytes[copyKind]+sizes.bytes[rewriteKind], time.Since(begun))
 	for _, w := range batch {
+		if w.kind == liveKind {
+			liveWriteSeconds.UpdateDuration(w.queuedAt)
+		}
 		w.done <- err
 	}
 	return err
@@ -150,19 +148,11 @@
 // slowWrite is how long a write of a batch takes at least to be logged.
 const slowWrite = 250 * time.Millisecond
 
-func encodedBytes(records [][]byte) (n int) {
-	for _, b := range records {
-		n += len(b)
-	}
-	return n
-}
-
-// recordsToWrite returns the records of a batch. Requests that are repeated while the
+// recordsToWrite returns the records of a batch, and the kind of each. Requests that are repeated while the
 // disk stalls wait for it together with the first ones: their turns are written once.
-func (s *Store) recordsToWrite(batch []pendingWrite) []record {
+func (s *Store) recordsToWrite(batch []pendingWrite) (records []record, kinds []writeKind) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	var records []record
 	added := map[turnKey]bool{}
 	for _, w := range batch {
 		for _, r := range w.records {
@@ -174,32 +164,8 @@
 				added[key] = true
 			}
 			records = append(records, r)
+			kinds = append(kinds, w.kind)
 		}
 	}
-	return records
-}
-
-// persist writes records to the journal and returns once they are durable.
-func (s *Store) persist(ctx context.Context, records ...record) error {
-	return s.enqueue(ctx, pendingWrite{records: records})
-}
-
-// enqueue queues a write and returns once it is durable.
-func (s *Store) enqueue(ctx context.Context, w pendingWrite) error {
-	done := make(chan error, 1)
-	w.done = done
-	select {
-	case s.queue <- w:
-	case <-ctx.Done():
-		return errOverloaded
-	}
-	select {
-	case err := <-done:
-		if err != nil {
-			return errDiskFailed
-		}
-		return nil
-	case <-ctx.Done():
-		return errOverloaded.WithRan(types.MayHaveRun)
-	}
+	return records, kinds
 }
--- a/wire/budget.go
+++ b/wire/budget.go
@@ -26,8 +26,9 @@
 	defaultQueueBudget = 128 << 20
 	// requestOverhead is the memory of a request besides its body: its goroutine and context.
 	requestOverhead = 4 << 10
-	// smallMessageBytes is the size up to which messages may also take the reserve of the queues,
-	// a quarter of their part, so that replies without a large body are sent in any case.
+	// smallMessageBytes is the size up to which messages may also take a reserve besides the part of the
+	// queues, a quarter of it, so that replies without a large body are sent in any case; and one
+	// besides the part of requests, so that others are served while one that exceeds the part is handled.
 	smallMessageBytes = 64 << 10
 	queueReserve      = 4
 	// requestReserve is the reserve for requests of that size without low precedence, as a divisor of the part
@@ -103,11 +104,15 @@
 // besides: the largest messages may exceed the limit of a small host.
 func (c *byteCounter) take(n, reserve int64) bool {
 	limit := c.limit.Load()
-	if used := c.used.Add(n); used > limit+reserve && used-n > limit/aloneShare {
-		c.used.Add(-n)
-		return false
+	for {
+		used := c.used.Load()
+		if used+n > limit+reserve && used > limit/aloneShare {
+			return false
+		}
+		if c.used.CompareAndSwap(used, used+n) {
+			return true
+		}
 	}
-	return true
 }
 
 func (c *byteCounter) release(n int64) { c.used.Add(-n) }
