--- a/limit/issuer.go
+++ b/limit/issuer.go
@@ -164,17 +164,6 @@
 	waiting     waitCounts // after the newest allotment
 }
 
-// waitCounts counts waiting requests by their precedence.
-type waitCounts [precedences]int
-
-// before returns how many requests precede new ones of precedence p.
-func (c waitCounts) before(p Precedence) (n int) {
-	for _, count := range c[:p+1] {
-		n += count
-	}
-	return n
-}
-
 // NewIssuer returns an issuer without a limit, created at now.
 func NewIssuer(now types.Mono) *Issuer {
 	return &Issuer{startedAt: now, updatedAt: now, outstanding: map[Holder]*outstandingAllotment{}, demandRate: map[Holder]types.PerSecond{}}
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -166,3 +166,14 @@
 	}
 	return q.Take(now)
 }
+
+// waitCounts counts waiting requests by their precedence.
+type waitCounts [precedences]int
+
+// before returns how many requests precede new ones of precedence p.
+func (c waitCounts) before(p Precedence) (n int) {
+	for _, count := range c[:p+1] {
+		n += count
+	}
+	return n
+}
