turns: one constant for the time of a reservation, and its reason

Cause: the constant stood twice under two names, and its comment named the wait for the limit as the longest, which the wait for a chain exceeds. Two methods had no doc comment. Change: names and comments only; no logic changes.

--- a/turns/held.go
+++ b/turns/held.go
@@ -7,9 +7,9 @@
 	"github.com/banyanspur/banyanspur/types"
 )
 
-// holdTime is how long a held claim counts after it was last requested. It covers the wait for the account's
-// limit, 1.2 s at most, which is the longest between a reservation and the time when a target gets the turn.
-const holdTime = 1500 * time.Millisecond
+// HoldTime is how long a reservation, which stores hold in memory, counts after it was last requested. It covers the wait for
+// the account's limit, 1.2 s at most. A turn that waits for longer, as for its chain, must be reserved again.
+const HoldTime = 1500 * time.Millisecond
 
 // heldClaim is a claim that counts until a time of the store's clock.
 type heldClaim struct {
@@ -20,7 +20,7 @@
 // heldClaims are the claims of a program's turns that no target has yet, in the order of their arrival. They
 // keep turns that are sent at the same time from exceeding the budget together. They are in memory only, so
 // that an attempt whose host is lost before a target has got it leaves nothing behind: its claim is forgotten
-// with the store, or after holdTime. No turn hands on anything without a durable claim besides.
+// with the store, or after HoldTime. No turn hands on anything without a durable claim besides.
 type heldClaims []heldClaim
 
 // hold adds a claim, or lets one that is held already count until the given time, in its new state.
@@ -69,7 +69,7 @@
 		program.held = program.held.without(claim.Attempt)
 		x.dropUnused(key, now)
 	default:
-		program.held = program.held.hold(claim, now.Add(holdTime))
+		program.held = program.held.hold(claim, now.Add(HoldTime))
 	}
 	return program
 }
--- a/turns/index.go
+++ b/turns/index.go
@@ -216,11 +216,11 @@
 const idleFactor = 2
 
 // evictIdlePrograms removes the programs that have no indexed turn and have not
-// been accessed for idleFactor times the retention, or for holdTime if they have no durable claim.
+// been accessed for idleFactor times the retention, or for HoldTime if they have no durable claim.
 func (x *index) evictIdlePrograms(now types.Mono, retention time.Duration) {
 	for key, program := range x.programs {
 		idle := now.Sub(program.lastAccess)
-		if x.programTurns[key] == 0 && (idle > idleFactor*retention || len(program.claims) == 0 && idle > holdTime) {
+		if x.programTurns[key] == 0 && (idle > idleFactor*retention || len(program.claims) == 0 && idle > HoldTime) {
 			x.claims -= len(program.claims)
 			delete(x.programs, key)
 		}
--- a/turns/lacking.go
+++ b/turns/lacking.go
@@ -46,8 +46,10 @@
 	lacking   []LackingStore
 }
 
+// Error returns the text of the fault alone, which callers get.
 func (e *quorumError) Error() string { return e.fault.Error() }
 
+// Unwrap returns the fault.
 func (e *quorumError) Unwrap() error { return e.fault }
 
 // QuorumFields returns the fields of a log event that tell which shard had no majority, its lists of stores, and
--- a/turns/reserve.go
+++ b/turns/reserve.go
@@ -186,15 +186,12 @@
 	return budgetExceeded(b, v.claims)
 }
 
-// HoldTime is how long a reservation counts. A turn that no target has got by then must be reserved again.
-const HoldTime = holdTime
-
 // withdraw withdraws a held claim in the background.
 func (c *Client) withdraw(ctx context.Context, b Budget) {
 	c.background.Go(func() error { return c.Withdraw(context.WithoutCancel(ctx), b) })
 }
 
-// withdrawTimeout limits the withdrawal of a held claim, which ends by itself after holdTime.
+// withdrawTimeout limits the withdrawal of a held claim, which ends by itself after HoldTime.
 const withdrawTimeout = 2 * time.Second
 
 // Withdraw lets the stores forget the claim of a turn that was reserved and not confirmed, and that no target gets. It
