turns: turns wait for open claims, and only settled ones spend the budget

What callers saw: sub-agents whose siblings went on were answered 402, which ends a program, though the siblings used a part of their maxima only.

Cause: a reservation was refused for good as soon as the durable claims exceeded the budget, whether or not they were settled. Claims that are only held were waited for; those of turns that a target has were not.

A turn is now told that the budget is spent only if the settled claims leave too little. It waits for all others as it does for held ones, and is answered 503 at the end of its time; for one second if only attempts that are over for their callers keep it out. A turn that waits and does not fit beside the durable claims keeps no smaller one from going on.

--- a/turns/claim_order_test.go
+++ b/turns/claim_order_test.go
@@ -106,6 +106,9 @@
 				b := turnOf(types.AttemptID(fmt.Sprint(i)), turns.Line(fmt.Sprint("helper ", i)), 600)
 				b.Program = types.ProgramID(fmt.Sprint("p", round))
 				err := claim(withTimeout(t, 4*time.Second), w, b)
+				if err == nil {
+					_ = w.Settle(withTimeout(t, stepTimeout), b, b.MaxTokens, nil) // Otherwise the others fail, too.
+				}
 				mu.Lock()
 				defer mu.Unlock()
 				switch {
--- a/turns/claim_test.go
+++ b/turns/claim_test.go
@@ -118,6 +118,7 @@
 					mu.Lock()
 					granted++
 					mu.Unlock()
+					return w.Settle(withTimeout(t, stepTimeout), b, b.MaxTokens, nil)
 				case !types.IsCode(err, types.CodeBudgetExceeded):
 					return err
 				}
--- a/turns/held.go
+++ b/turns/held.go
@@ -112,11 +112,15 @@
 	return c.Hold == HoldGranted || c.Hold == HoldPlaced && v.isBefore(c.Attempt, own)
 }
 
-// goesBefore reports whether a turn goes before that of own: it may have been granted, or it waits as well and has the
-// smaller ID. The order in which claims arrive would not do, since it differs between stores: three turns could each wait for
-// another one.
-func (v programView) goesBefore(c Claim, own types.AttemptID) bool {
-	return v.mayBeGranted(c, own) || c.Hold == HoldWaiting && c.Attempt < own
+// goesBefore reports whether a turn goes before that of b: it may have been granted, or it waits as well, has the
+// smaller ID, and fits beside the durable claims. The order in which claims arrive would not do, since it differs between stores:
+// three turns could each wait for another one.
+func (v programView) goesBefore(c Claim, b Budget) bool {
+	if v.mayBeGranted(c, b.Attempt) {
+		return true
+	}
+	own := Budget{Attempt: c.Attempt, Limit: b.Limit, MaxTokens: c.MaxTokens, Line: c.Line, At: c.At}
+	return c.Hold == HoldWaiting && c.Attempt < b.Attempt && v.chargeWith(nil, own) <= b.Limit
 }
 
 // isBefore reports whether the claim of one attempt has reached any of the stores before that of another.
--- a/turns/reserve.go
+++ b/turns/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -19,9 +20,9 @@
 // disk before it is sent.
 
 var (
-	// errAttemptsOpen is returned for a turn that the budget covers unless several attempts have handed on tokens that are over
-	// for their callers, and whose hosts are lost or are about to settle their claims. The client withdraws the claim.
-	errAttemptsOpen = types.NewFault(types.CodeUnavailable, "earlier attempts of the turn are not settled, which may have used the program's budget")
+	// errAttemptsOpen is returned for a turn that the budget covers beside what the program has used, but not beside the maxima of attempts
+	// whose claims are not settled: they go on, or their hosts are lost. The client withdraws the claim.
+	errAttemptsOpen = types.NewFault(types.CodeUnavailable, "other attempts of the program are not settled, which may use the rest of its budget")
 	// errClaimsAhead is returned for a turn that the budget covers unless targets get other turns of the program, whose
 	// claims were placed before. The client withdraws the claim.
 	errClaimsAhead = types.NewFault(types.CodeUnavailable, "other turns of the program that have not begun yet hold the rest of its budget")
@@ -68,9 +69,9 @@
 const forever = time.Hour
 
 // ReserveWithin claims a turn's part of its program's budget, before a target gets the turn. A majority of the stores
-// hold the claim in memory when it returns. If the budget does not cover the turn beside the claims that are durable,
+// hold the claim in memory when it returns. If the budget does not cover the turn beside the claims that are settled,
 // ReserveWithin withdraws the claim in the background and returns a budgetExceeded fault. Claims of other turns
-// that are held, and were placed before, are waited for: each one is soon durable, or withdrawn.
+// that are not settled, or that are held and were placed before, are waited for.
 //
 // While the stores are too slow, ReserveWithin returns an overloaded fault for which [NotSent] is
 // true: at once, or for a turn that continues another one after it has waited for a third of the time
@@ -135,38 +136,51 @@
 	return late
 }
 
+// settleWait is how long a reservation waits at most for attempts that are over for their callers. A host settles their claims in
+// one round trip to the stores, unless it was lost.
+const settleWait = time.Second
+
 // awaitGrant returns once a turn is granted whose claim was placed with the reply v. It is granted at once if the budget covers
 // it beside all claims that a majority of the stores know. Otherwise it waits until it is its turn, see [programView.goesBefore], and
 // is granted once no other that may have been granted meanwhile takes what it needs: two that were granted at the same time see
-// each other, and try again.
-func (c *Client) awaitGrant(ctx context.Context, b Budget, v programView) (err error) {
+// each other, and try again. Claims that are durable and not settled are waited for as well, since most turns use less than
+// their maximum. Only settled claims spend the budget.
+func (c *Client) awaitGrant(ctx context.Context, b Budget, v programView) error {
 	if v.chargeWith(v.others(b, func(Claim) bool { return true }), b) <= b.Limit {
 		return nil
 	}
+	begun := time.Now()
 	for delay := retryInterval; ; delay = min(2*delay, maxRetryInterval) {
-		if v.chargeWith(nil, b) > b.Limit {
+		if v.isSpent(b) {
 			c.withdraw(ctx, b)
-			return v.refusal(b)
+			return budgetExceeded(b, v.claims)
 		}
-		if v, err = c.hold(ctx, b, HoldWaiting); err != nil {
+		granted, seen, err := c.tryGrant(ctx, b)
+		if granted || err != nil {
 			return err
 		}
-		if v.chargeWith(v.others(b, func(o Claim) bool { return v.goesBefore(o, b.Attempt) }), b) <= b.Limit {
-			if v, err = c.hold(ctx, b, HoldGranted); err != nil {
-				return err
-			}
-			if v.chargeWith(v.others(b, func(o Claim) bool { return v.mayBeGranted(o, b.Attempt) }), b) <= b.Limit {
-				return nil
-			}
-		}
+		v = seen
 		claimsAwaited.Inc()
-		if !types.Sleep(ctx, delay/2+rand.N(delay)) {
+		if v.lacksOnlyOver(b) && time.Since(begun) > settleWait || !types.Sleep(ctx, delay/2+rand.N(delay)) {
 			c.withdraw(ctx, b)
-			return errClaimsAhead
+			return v.reasonToWait(b)
 		}
 	}
 }
 
+// tryGrant grants a turn that waits if it is its turn. It returns what the stores have replied last.
+func (c *Client) tryGrant(ctx context.Context, b Budget) (granted bool, v programView, err error) {
+	v, err = c.hold(ctx, b, HoldWaiting)
+	if err != nil || v.chargeWith(v.others(b, func(o Claim) bool { return v.goesBefore(o, b) }), b) > b.Limit {
+		return false, v, err
+	}
+	v, err = c.hold(ctx, b, HoldGranted)
+	if err != nil {
+		return false, v, err
+	}
+	return v.chargeWith(v.others(b, func(o Claim) bool { return v.mayBeGranted(o, b.Attempt) }), b) <= b.Limit, v, nil
+}
+
 // hold places a held claim in a state, and lets it count for longer.
 func (c *Client) hold(ctx context.Context, b Budget, state Hold) (programView, error) {
 	claim := b.claim()
@@ -177,13 +191,25 @@
 	return c.sendClaim(ctx, b.request(claim))
 }
 
-// refusal returns the fault of a turn that the budget does not cover beside the durable claims.
-func (v programView) refusal(b Budget) error {
-	v.claims.Merge(b.claim())
-	if v.claims.chargeWithoutOver(b) <= b.Limit {
+// isSpent reports whether the settled claims alone leave too little of the budget for the turn.
+func (v programView) isSpent(b Budget) bool {
+	settled := v.claims.settledCharge()
+	return settled > b.Limit || b.MaxTokens > b.Limit-settled
+}
+
+// lacksOnlyOver reports whether the budget would cover the turn without the claims of attempts that are over for their callers.
+func (v programView) lacksOnlyOver(b Budget) bool {
+	all := maps.Clone(v.claims)
+	all.Merge(b.claim())
+	return all.ChargeFor(b) > b.Limit && all.chargeWithoutOver(b) <= b.Limit
+}
+
+// reasonToWait returns the fault of a turn that has waited in vain for other claims.
+func (v programView) reasonToWait(b Budget) error {
+	if v.chargeWith(nil, b) > b.Limit {
 		return errAttemptsOpen
 	}
-	return budgetExceeded(b, v.claims)
+	return errClaimsAhead
 }
 
 // withdraw withdraws a held claim in the background.
--- a/turns/turn.go
+++ b/turns/turn.go
@@ -143,6 +143,17 @@
 	return c.chargeWithout(c.over(b), math.MaxInt64)
 }
 
+// settledCharge returns the number of tokens that the settled claims take from the budget.
+func (c Claims) settledCharge() types.Tokens {
+	settled := Claims{}
+	for id, claim := range c {
+		if claim.Settled {
+			settled[id] = claim
+		}
+	}
+	return settled.TotalCharge()
+}
+
 // chargeWithout leaves out so many tokens of the given claims.
 func (c Claims) chargeWithout(over map[types.AttemptID]bool, leftOut types.Tokens) types.Tokens {
 	var sum types.Tokens
