turns: a wait for other turns is not reported as a lack of stores

Cause: a reservation that waits for claims of its program asks the stores again until its time ends. The last question had just begun then, and its error was returned instead of the reason for the wait. No queue or admission was involved.

Measured: TestWaitForClaimsIsNoLackOfStores fails on (program 28 of 60: no majority of the shard's stores replied) and passes now.

--- a/turns/open_claim_test.go
+++ b/turns/open_claim_test.go
@@ -55,6 +55,32 @@
 	}
 }
 
+// TestWaitForClaimsIsNoLackOfStores guards against a turn whose time ends while it waits for others of its program, and that is
+// reported as one that the stores have not replied to: its last question to them had just begun.
+func TestWaitForClaimsIsNoLackOfStores(t *testing.T) {
+	c := newCluster(t, 3)
+	var g errgroup.Group
+	for i := range 60 {
+		w := c.client()
+		g.Go(func() error {
+			ctx := withTimeout(t, stepTimeout)
+			first, next := turnOf("first", "helper 1", 600), turnOf("next", "helper 2", 600)
+			first.Program = types.ProgramID(fmt.Sprint("p", i))
+			next.Program = first.Program
+			if err := w.Reserve(ctx, first); err != nil {
+				return err
+			}
+			if err := w.ReserveWithin(ctx, next, time.Duration(500+5*i)*time.Millisecond); !turns.Withdrawn(err) {
+				return fmt.Errorf("program %d: %w", i, err)
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestLargeTurnHoldsUpNoSmallerOne guards against a turn that waits until its time ends, though the budget covers it, for another one
 // that is larger than what the budget has left.
 func TestLargeTurnHoldsUpNoSmallerOne(t *testing.T) {
--- a/turns/reserve.go
+++ b/turns/reserve.go
@@ -140,6 +140,10 @@
 // one round trip to the stores, unless it was lost.
 const settleWait = time.Second
 
+// minQuorumWait is how long the stores have not replied at least when a reservation that has waited for other turns ends because
+// of them. Its time may end just after it has asked them again.
+const minQuorumWait = 2 * maxRetryInterval
+
 // awaitGrant returns once a turn is granted whose claim was placed with the reply v. It is granted at once if the budget covers
 // it beside all claims that a majority of the stores know. Otherwise it waits until it is its turn, see [programView.goesBefore], and
 // is granted once no other that may have been granted meanwhile takes what it needs: two that were granted at the same time see
@@ -150,16 +154,21 @@
 		return nil
 	}
 	begun := time.Now()
+	heardAt := begun
 	for delay := retryInterval; ; delay = min(2*delay, maxRetryInterval) {
 		if v.isSpent(b) {
 			c.withdraw(ctx, b)
 			return budgetExceeded(b, v.claims)
 		}
 		granted, seen, err := c.tryGrant(ctx, b)
-		if granted || err != nil {
+		switch {
+		case granted:
+			return nil
+		case err == nil:
+			v, heardAt = seen, time.Now()
+		case ctx.Err() == nil || time.Since(heardAt) > minQuorumWait: // The stores are the reason, and not the other turns.
 			return err
 		}
-		v = seen
 		claimsAwaited.Inc()
 		if v.lacksOnlyOver(b) && time.Since(begun) > settleWait || !types.Sleep(ctx, delay/2+rand.N(delay)) {
 			c.withdraw(ctx, b)
