soak, crash: the soak's own load is kept out of what it measures

Cause: three parts of the soak were in its figures. It read every stored chain (18,613 turns in 45 s) beside the recovery that it measured. Its recorder took each byte that a store wrote through a pipe of 64 KiB, and the store waited until the bytes were decoded. And at a loss of power it wrote all disks anew and read them twice before it started any host: 5.4 s without power instead of 0.3 s, in which callers were refused a connection and used up all their tries. "Of 665 open turns 646 were repeated, 0 reached a target" came from that.

Chains are read at 40 a second until the measured span ends, and at full pace after it, when the load has ended; tests of turns that are about to expire (TestDisksLostAtCatchUp) read them at once, as before. Pipes hold 1 MiB and are emptied before their content is decoded. A loss of power changes only the files that it takes something from, and files that only the program can have changed are compared by size. Fewer than four fifths of first turns served after the final fault fail a run, which held by default then.

--- a/crash/follow.go
+++ b/crash/follow.go
@@ -5,13 +5,13 @@
 	"io"
 	"os"
 	"os/exec"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sync/errgroup"
-
-	"github.com/banyanspur/banyanspur/store"
+	"golang.org/x/sys/unix"
 )
 
 // Follower follows the directory that one process after another uses, each with a
@@ -27,8 +27,23 @@
 	reading errgroup.Group
 	// unreported is [Loss.Unreported] until now.
 	unreported int
+	// endedAt is when the last process had ended, valid once reading has.
+	endedAt time.Time
+	// longestWait is [Follower.LongestWait] in nanoseconds.
+	longestWait atomic.Int64
 }
 
+const (
+	// pipeBytes is the size of the pipe in which a process reports its operations, the largest one that needs no privileges.
+	pipeBytes = 1 << 20
+	// timeMargin is by how much the times of files may be behind the clock, with a margin.
+	timeMargin = 50 * time.Millisecond
+)
+
+// LongestWait returns how long a process has waited at most to report an operation, before it went on. It may be called at
+// any time.
+func (f *Follower) LongestWait() time.Duration { return time.Duration(f.longestWait.Load()) }
+
 // Loss counts what a loss of power has met: writes and names that were not durable, and those
 // of them that were lost or torn.
 type Loss struct {
@@ -61,24 +76,48 @@
 		return errors.Wrap(err, "crash: create a pipe")
 	}
 	defer w.Close() // The process has its own.
+	if err := setPipeSize(w, pipeBytes); err != nil {
+		_ = r.Close() // Nothing has been written.
+		return err
+	}
 	cmd.Env = append(cmd.Env, fmt.Sprintf("%s=/dev/fd/%d", LogEnv, 3+len(cmd.ExtraFiles)), HangEnv+"="+f.hangFile(), SyncTimeEnv+"="+f.SyncTime.String())
 	cmd.ExtraFiles = append(cmd.ExtraFiles, w)
 	if err := cmd.Start(); err != nil {
 		_ = r.Close() // Nothing has been written.
 		return errors.Wrap(err, "crash: start process")
 	}
-	m := f.model
+	m, reports := f.model, newBacklog()
 	f.reading.Go(func() error {
 		defer r.Close()
-		return m.follow(r)
+		err := reports.fill(r)
+		f.endedAt = time.Now()
+		return err
 	})
+	f.reading.Go(func() error { return m.follow(reports, f.addWait) })
 	return nil
 }
 
-// follow observes the operations of a log until its end. The last one may be incomplete.
-func (m *Model) follow(r io.Reader) error {
+// setPipeSize sets the size of a pipe.
+func setPipeSize(w *os.File, bytes int) error {
+	c, err := w.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "crash: set the size of a pipe")
+	}
+	var sizeErr error
+	err = c.Control(func(fd uintptr) { _, sizeErr = unix.FcntlInt(fd, unix.F_SETPIPE_SZ, bytes) })
+	return errors.Wrap(errors.CombineErrors(err, sizeErr), "crash: set the size of a pipe")
+}
+
+// addWait records for how long a process has waited to report an operation.
+func (f *Follower) addWait(d time.Duration) {
+	f.longestWait.Store(max(f.longestWait.Load(), int64(d)))
+}
+
+// follow observes the operations of a log until its end. The last one may be incomplete. It calls waited with the time that
+// each report has taken the process.
+func (m *Model) follow(r io.Reader, waited func(time.Duration)) error {
 	for d := cbor.NewDecoder(r); ; {
-		var op store.Op
+		var op report
 		err := d.Decode(&op)
 		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 			return nil
@@ -86,7 +125,8 @@
 		if err != nil {
 			return errors.Wrap(err, "crash: read the log of operations")
 		}
-		m.Observe(op)
+		m.Observe(op.Op)
+		waited(op.Waited)
 	}
 }
 
@@ -116,6 +156,7 @@
 	if err := f.model.Err(); err != nil {
 		return err
 	}
+	f.model.observedUntil = f.endedAt.Add(-timeMargin)
 	n, err := f.model.Reconcile()
 	f.unreported = max(f.unreported, n)
 	return err
@@ -129,7 +170,8 @@
 	}
 	l := Loss{Unreported: f.unreported}
 	f.unreported = 0
-	err := f.model.LosePower(f.Dir, func(isName bool) Fate {
+	var err error
+	l.Details, err = f.model.LosePowerInPlace(func(isName bool) Fate {
 		x := fate(isName)
 		switch {
 		case isName:
@@ -142,11 +184,7 @@
 		}
 		return x
 	})
-	if err != nil {
-		return l, err
-	}
-	l.Details = f.model.String()
-	return l, f.model.Load()
+	return l, err
 }
 
 func btoi(b bool) int {
--- /dev/null
+++ b/crash/inplace.go
@@ -0,0 +1,71 @@
+package crash
+
+import (
+	"maps"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+// LosePowerInPlace is [Model.LosePower] for Root itself, which must hold the current content. All that is left is durable then, in the
+// model as well. It writes only what the loss changes, so that hosts with much on their disks are back soon. It returns what was
+// pending, as [Model.String] does.
+func (m *Model) LosePowerInPlace(fate func(isName bool) Fate) (pending string, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.decide(fate)
+	pending = m.pending()
+	if err := os.MkdirAll(m.Root, 0o700); err != nil {
+		return pending, errors.Wrap(err, "crash: create directory")
+	}
+	seen := map[*node]bool{}
+	if err := m.tree().settle(m.Root, seen); err != nil || !seen[nil] {
+		return pending, err
+	}
+	n, err := load(m.Root)
+	if err == nil {
+		m.root = n
+	}
+	return pending, err
+}
+
+// settle makes a node, and what its path holds, what a loss of power leaves. seen are the nodes that were settled; nil is one of them
+// if another one has two names.
+func (n *node) settle(path string, seen map[*node]bool) error {
+	if seen[n] {
+		seen[nil] = true
+		return n.writeTo(path)
+	}
+	seen[n] = true
+	if !n.isDir {
+		if len(n.writes) == 0 {
+			return nil
+		}
+		n.content, n.writes = n.written(func(w *write) Fate { return w.fate }), nil
+		n.size = int64(len(n.content))
+		return n.writeTo(path)
+	}
+	names := n.namesLeft()
+	for name, child := range n.current {
+		if names[name] == child {
+			continue
+		}
+		if err := os.RemoveAll(filepath.Join(path, name)); err != nil {
+			return errors.Wrap(err, "crash: remove what the loss takes")
+		}
+	}
+	for name, child := range names {
+		below := filepath.Join(path, name)
+		if n.current[name] != child {
+			if err := child.writeTo(below); err != nil {
+				return err
+			}
+		}
+		if err := child.settle(below, seen); err != nil {
+			return err
+		}
+	}
+	n.names, n.current, n.changes = names, maps.Clone(names), nil
+	return nil
+}
--- a/crash/model.go
+++ b/crash/model.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -23,6 +24,9 @@
 	mu   sync.Mutex
 	root *node
 	err  error // of the first operation that does not fit the state
+	// observedUntil is the time until which only operations that the model has observed changed files. It is zero if that
+	// is not known.
+	observedUntil time.Time
 }
 
 // node is a file or a directory.
@@ -275,6 +279,15 @@
 func (m *Model) LosePower(dir string, fate func(isName bool) Fate) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.decide(fate)
+	if err := os.RemoveAll(dir); err != nil {
+		return errors.Wrap(err, "crash: remove the former state")
+	}
+	return m.tree().writeTo(dir)
+}
+
+// decide sets the fates of all pending writes and names. The caller must hold mu.
+func (m *Model) decide(fate func(isName bool) Fate) {
 	for _, n := range m.nodes() {
 		for _, w := range n.writes {
 			w.fate = fate(false)
@@ -283,10 +296,17 @@
 			c.fate = fate(true)
 		}
 	}
-	if err := os.RemoveAll(dir); err != nil {
-		return errors.Wrap(err, "crash: remove the former state")
+}
+
+// namesLeft returns the names of a directory that a loss of power leaves.
+func (n *node) namesLeft() map[string]*node {
+	names := maps.Clone(n.names)
+	for _, c := range n.changes {
+		if c.fate != Lost {
+			c.applyTo(names)
+		}
 	}
-	return m.tree().writeTo(dir)
+	return names
 }
 
 func (n *node) writeTo(path string) error {
@@ -296,13 +316,7 @@
 	if err := os.MkdirAll(path, 0o700); err != nil {
 		return errors.Wrap(err, "crash: create directory")
 	}
-	names := maps.Clone(n.names)
-	for _, c := range n.changes {
-		if c.fate != Lost {
-			c.applyTo(names)
-		}
-	}
-	for name, child := range names {
+	for name, child := range n.namesLeft() {
 		if err := child.writeTo(filepath.Join(path, name)); err != nil {
 			return err
 		}
@@ -383,6 +397,11 @@
 func (m *Model) String() string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.pending()
+}
+
+// pending is String for a caller that holds mu.
+func (m *Model) pending() string {
 	s := ""
 	for _, n := range m.nodes() {
 		for _, w := range n.writes {
--- a/crash/reconcile.go
+++ b/crash/reconcile.go
@@ -61,12 +61,15 @@
 // reconcileFile reconciles a file in dir. It takes one of the names that are gone for the
 // file's former name if that had its content.
 func (m *Model) reconcileFile(dir *node, path string, gone map[string]*node) (int, error) {
+	n := dir.current[filepath.Base(path)]
+	if m.isKnown(n, path) {
+		return 0, nil
+	}
 	b, err := os.ReadFile(path)
 	if err != nil {
 		return 0, errors.Wrap(err, "crash: read file")
 	}
 	var have []byte
-	n := dir.current[filepath.Base(path)]
 	if n != nil {
 		if have = n.all(); bytes.Equal(have, b) {
 			return 0, nil
@@ -100,5 +103,15 @@
 	return len(ops), nil
 }
 
+// isKnown reports whether a file surely has the content of a node without a look into it. The program only appends to
+// files, or truncates them, so that an operation which it has not reported leaves another size.
+func (m *Model) isKnown(n *node, path string) bool {
+	if n == nil || n.isDir || len(n.writes) > 0 {
+		return false
+	}
+	info, err := os.Stat(path)
+	return err == nil && info.Size() == n.size && info.ModTime().Before(m.observedUntil)
+}
+
 // all returns the content of a file with all writes.
 func (n *node) all() []byte { return n.written(func(*write) Fate { return Kept }) }
--- a/crash/record.go
+++ b/crash/record.go
@@ -21,6 +21,13 @@
 	SyncTimeEnv = "BANYANSPUR_DISK_SYNC_TIME"
 )
 
+// report is an operation that a process reports.
+type report struct {
+	store.Op
+	// Waited is how long the report before has taken.
+	Waited time.Duration `json:"waited,omitempty"`
+}
+
 // hangInterval is how often a sync that hangs looks whether it may begin.
 const hangInterval = time.Millisecond
 
@@ -42,7 +49,8 @@
 			return store.Disk{}, errors.Wrap(err, "crash: "+SyncTimeEnv)
 		}
 	}
-	var mu sync.Mutex
+	var mu sync.Mutex // guards the encoder and waited
+	var waited time.Duration
 	e := cbor.NewEncoder(f)
 	hang := os.Getenv(HangEnv)
 	syncFile := func(f *os.File) error {
@@ -59,8 +67,10 @@
 	return store.Disk{Sync: syncFile, Observe: func(op store.Op) {
 		mu.Lock()
 		defer mu.Unlock()
-		if err := e.Encode(op); err != nil {
+		begun := time.Now()
+		if err := e.Encode(report{op, waited}); err != nil {
 			panic(errors.Wrap(err, "crash: write the log of operations")) // What follows would prove nothing.
 		}
+		waited = time.Since(begun)
 	}}, nil
 }
--- a/soak/agents_test.go
+++ b/soak/agents_test.go
@@ -215,8 +215,11 @@
 			struckAt = p.from
 		}
 	}
-	type count struct{ open, repeated, reached, refused int }
-	var agents, others count
+	type count struct {
+		open, repeated, reached, refused int
+		answers                          map[string]int // of the tries of turns that were repeated and reached no target
+	}
+	agents, others := count{answers: map[string]int{}}, count{answers: map[string]int{}}
 	for _, turns := range turnsByProgram(d.callers.attempts) {
 		for _, a := range turns {
 			if !a.sentAt.Before(struckAt) || !a.endedAt.After(struckAt) || a.complete {
@@ -233,6 +236,10 @@
 			}
 			if slices.ContainsFunc(later, func(b attempt) bool { return len(d.targets.runsOf(b.id)) > 0 }) {
 				n.reached++
+			} else {
+				for _, b := range later {
+					n.answers[fmt.Sprintf("%ds after: %d %.50s%s", int(b.sentAt.Sub(struckAt).Seconds()), b.status, strings.TrimSpace(b.responseBody), b.failure[strings.LastIndex(b.failure, ": ")+1:])]++
+				}
 			}
 			if slices.ContainsFunc(later, func(b attempt) bool { return b.status == http.StatusPaymentRequired }) {
 				n.refused++
@@ -240,6 +247,6 @@
 		}
 	}
 	for what, n := range map[string]count{"sub-agents": agents, "programs": others} {
-		d.t.Logf("turns of %s that were open when the final fault struck: %d, %d repeated, of these %d reached a target, %d refused for their budget", what, n.open, n.repeated, n.reached, n.refused)
+		d.t.Logf("turns of %s that were open when the final fault struck: %d, %d repeated, of these %d reached a target, %d refused for their budget; tries of those that reached none: %v", what, n.open, n.repeated, n.reached, n.refused, n.answers)
 	}
 }
--- a/soak/catchup_test.go
+++ b/soak/catchup_test.go
@@ -25,7 +25,7 @@
 func TestDisksLostAtCatchUp(t *testing.T) {
 	size := deploymentSizes[*sizeName]
 	size.fleet.syncTime = max(size.fleet.syncTime, *slowSyncs)
-	runDeployment(t, size, *first, faultPlan{(*deployment).loseOldestDisks, (*deployment).loseDisksAndPower, false})
+	runDeployment(t, size, *first, faultPlan{inject: (*deployment).loseOldestDisks, end: (*deployment).loseDisksAndPower, losesTurns: true})
 }
 
 // loseOldestDisks takes the oldest disks, as many as may be lost at once, and returns at the time
--- a/soak/continued_test.go
+++ b/soak/continued_test.go
@@ -176,6 +176,7 @@
 		d.reportUnreached(lateAfterFault, late)
 	} else {
 		d.listUnreached(lateInOutage, late)
+		d.t.Errorf("not measured: %d of %d first turns were served at the end, %.2f are needed to tell whether turns were late", served, first, continuedShare)
 	}
 	d.reportUnreached(noneAtEnd, lost)
 }
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -105,20 +105,23 @@
 	end    func(d *deployment) time.Time
 	// steady is set if callers neither press nor move meanwhile, so that there is a calm time without them.
 	steady bool
+	// losesTurns is set if turns may be lost that are about to expire: what is stored is then read as soon as the stores
+	// are back, beside the callers.
+	losesTurns bool
 }
 
 // The fault plans of long and short runs. A short run has a single burst of faults.
 var (
-	longRun = faultPlan{func(d *deployment) {
+	longRun = faultPlan{inject: func(d *deployment) {
 		d.replaceHosts()
 		d.retireStore()
 		d.injectSeries(*duration)
 		time.Sleep(calmTime + window)
-	}, (*deployment).injectFinalFault, false}
-	shortRun = faultPlan{func(d *deployment) {
+	}, end: (*deployment).injectFinalFault}
+	shortRun = faultPlan{inject: func(d *deployment) {
 		d.injectSeries(shortSeries)
 		time.Sleep(calmTime + window)
-	}, (*deployment).injectFinalFault, false}
+	}, end: (*deployment).injectFinalFault}
 )
 
 // runDeployment runs a deployment with faults that depend on a seed.
@@ -162,11 +165,16 @@
 	g.Go(func() error { d.hangUp(ctx, seed); return nil })
 	g.Go(func() error { d.continueTurns(ctx, seed); return nil })
 	var restartedAt time.Time
+	measured := make(chan struct{})
+	endMeasuring := sync.OnceFunc(func() { close(measured) })
+	var stored errgroup.Group
 	finish := sync.OnceFunc(func() {
 		cancel()
 		close(d.ended)
 		d.background.Wait()
 		_ = g.Wait() // All goroutines always return nil.
+		endMeasuring()
+		_ = stored.Wait() // The goroutine always returns nil.
 		d.report(restartedAt)
 	})
 	defer finish() // Also if a wait has timed out.
@@ -177,14 +185,18 @@
 	plan.inject(d)
 	allAtFault, atFault := d.completedTurns(math.MaxInt), d.completedTurns(maxSample)
 	restartedAt = plan.end(d)
-	g.Go(func() error { d.checkStored(allAtFault, restartedAt.Add(d.recoveryTime())); return nil })
+	if plan.losesTurns {
+		endMeasuring()
+	}
+	stored.Go(func() error { d.checkStored(allAtFault, restartedAt.Add(d.recoveryTime()), measured); return nil })
 	recovered := d.continueAfter(atFault, seed, restartedAt.Add(d.recoveryTime()))
 	types.Sleep(ctx, time.Until(restartedAt.Add(d.recoveryTime())))
 	d.checkTurns()
 	last := d.continueInLastSpan(d.completedTurns(maxSample), seed)
 	end := time.Now()
 	finish()
-	d.checkStored(d.completedTurns(math.MaxInt), time.Now())
+	d.reportOwnLoad()
+	d.checkStored(d.completedTurns(math.MaxInt), time.Now(), measured)
 	d.withoutBrokenOff(func() {
 		d.checkServed(restartedAt)
 		d.checkShares(restartedAt)
--- a/soak/silent_test.go
+++ b/soak/silent_test.go
@@ -32,7 +32,7 @@
 	}
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			runDeployment(t, size, seed, faultPlan{(*deployment).changeStores, (*deployment).losePowerSilently, true})
+			runDeployment(t, size, seed, faultPlan{inject: (*deployment).changeStores, end: (*deployment).losePowerSilently, steady: true})
 		})
 	}
 }
--- a/soak/stored_test.go
+++ b/soak/stored_test.go
@@ -16,6 +16,9 @@
 	// storedReaders is how many chains are read at the same time. More would take the processor time
 	// that the stores have.
 	storedReaders = 16
+	// storedRate is how many chains are read a second while callers are served and measured. They read some
+	// hundred a second themselves in a large deployment.
+	storedRate = 40
 	// storedTimeout is how long the stores have for one chain once they must have recovered.
 	storedTimeout = 10 * time.Second
 )
@@ -30,14 +33,23 @@
 // first, and checks that none is missing or lost. It leaves out those that were answered longer than
 // keptTime ago. The stores must have recovered by the given time. It finds turns that were lost one in ten
 // thousand, at a fraction of the load that continuing them is.
-func (d *deployment) checkStored(list []attempt, recoveredBy time.Time) {
+//
+// Until measured is closed, it reads storedRate chains a second only, so that the stores do not serve the test
+// instead of the callers whose requests it counts.
+func (d *deployment) checkStored(list []attempt, recoveredBy time.Time, measured <-chan struct{}) {
 	begin := time.Now()
 	client := &turns.Client{Peers: d.fleet.peers, Map: func() *turns.Map { return d.fleet.client.View().Map }}
 	slices.SortFunc(list, func(a, b attempt) int { return a.endedAt.Compare(b.endedAt) })
 	var stored storedTurns
 	var g errgroup.Group
 	g.SetLimit(storedReaders)
+	pace := time.NewTicker(time.Second / storedRate)
+	defer pace.Stop()
 	for _, a := range list {
+		select {
+		case <-measured:
+		case <-pace.C:
+		}
 		g.Go(func() error {
 			d.readStored(client, a, recoveredBy, &stored)
 			return nil
