--- a/store/journal.go
+++ b/store/journal.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"bytes"
 	"fmt"
 	"hash/crc32"
 	"os"
@@ -71,7 +72,7 @@
 }
 
 // OpenJournalOf opens the journal in directory dir, which it creates if needed, and
-// calls visit for each record found, in the order in which they were written. The first append
+// calls visit for each record found, in the order in which they were written; a record is valid until visit returns. The first append
 // starts a new segment, unless [Journal.Prepare] has, so that a journal can be read while the disk
 // refuses writes. It returns [ErrCorrupt] if a damaged frame is followed by an intact one in its
 // segment, if a segment is missing or shorter than it was, or if the journal belongs to another
@@ -108,13 +109,14 @@
 // start by many seconds.
 func (j *Journal) replayAll(segments []uint64, list segmentList, visit func(Location, []byte) error) error {
 	var unused []uint64
+	var buffer bytes.Buffer // Memory for each segment anew would let a host with little of it collect garbage half of the time.
 	for _, n := range segments {
 		j.segment = n
 		if list.removed(n) {
 			unused = append(unused, n)
 			continue
 		}
-		size, err := j.replay(n, visit)
+		size, err := j.replay(n, &buffer, visit)
 		if err == nil && size != list.durableSize(n) {
 			err = j.disk.syncPath(j.segmentPath(n))
 		}
@@ -134,12 +136,12 @@
 }
 
 // replay calls visit for the records of one segment, and returns the size of its frames. Only
-// its last frame may be incomplete, which is then skipped.
-func (j *Journal) replay(segment uint64, visit func(Location, []byte) error) (size int64, err error) {
-	b, err := os.ReadFile(j.segmentPath(segment))
-	if err != nil {
+// its last frame may be incomplete, which is then skipped. It replaces what buffer holds.
+func (j *Journal) replay(segment uint64, buffer *bytes.Buffer, visit func(Location, []byte) error) (size int64, err error) {
+	if err := readInto(buffer, j.segmentPath(segment)); err != nil {
 		return 0, errors.Wrap(err, "store: read segment")
 	}
+	b := buffer.Bytes()
 	rest := b
 	for len(rest) > 0 {
 		payload, next, err := readFrame(rest)
@@ -158,6 +160,21 @@
 	return int64(len(b) - len(rest)), nil
 }
 
+// readInto replaces what buffer holds by the content of a file.
+func readInto(buffer *bytes.Buffer, path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	buffer.Reset()
+	if info, err := f.Stat(); err == nil {
+		buffer.Grow(int(info.Size()) + bytes.MinRead) // Otherwise the end of the file is only seen once the buffer has grown.
+	}
+	_, err = buffer.ReadFrom(f)
+	return err
+}
+
 // forEachRecord calls visit for each record in a frame's payload, in which every
 // record is preceded by its length. payloadOffset is the offset of the payload
 // in its segment.
