--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -21,6 +21,8 @@
 var (
 	sizeName = flag.String("size", "small", "size of the deployment: small, orders, booking or grown")
 	rate     = flag.Float64("programs", 0, "programs that start each second; 0 means that of the size")
+	// storedAtOnce finds turns that are lost shortly before they expire, at the cost of what is served meanwhile.
+	storedAtOnce = flag.Bool("stored", false, "read all stored turns right after the final fault, beside the callers")
 )
 
 const (
@@ -185,7 +187,7 @@
 	plan.inject(d)
 	allAtFault, atFault := d.completedTurns(math.MaxInt), d.completedTurns(maxSample)
 	restartedAt = plan.end(d)
-	if plan.losesTurns {
+	if plan.losesTurns || *storedAtOnce {
 		endMeasuring()
 	}
 	stored.Go(func() error { d.checkStored(allAtFault, restartedAt.Add(d.recoveryTime()), measured); return nil })
