turns: stores do not write what hosts have given up

Cause: two stores, which held more shards than others while two disks were lost, fell behind and never caught up. Event 223: batches of 8 MiB of live turns that took up to 8.9 s each, whose oldest write had waited for 27 s, while hosts wait for 3 to 6 s. So all that they wrote was for nobody. What waited took their memory (event 110, 246 of 324 MB), so that the runtime collected garbage with the processor time that writes needed. Copies had little part in these batches (0.03 to 0.5 MB).

Hosts tell with each claim and each end of a turn how long they wait. A store leaves out what has not been begun by then. Nothing is acknowledged for it, so that what is promised stays the same; earlier builds send no time and are served as before. A metric counts the writes left out.

--- a/turns/batch.go
+++ b/turns/batch.go
@@ -27,6 +27,7 @@
 var (
 	batchBytes, batchRecords [writeKinds]*metrics.Histogram
 	liveWriteSeconds         = metrics.NewHistogram("banyanspur_turns_live_write_seconds")
+	expiredWrites            = metrics.NewCounter("banyanspur_turns_expired_writes_total")
 )
 
 func init() {
--- a/turns/client.go
+++ b/turns/client.go
@@ -94,7 +94,7 @@
 	}
 	replies, err := callShard[EmptyReply](ctx, c, req.Shard, KindClose, func(store StoreID, epoch Epoch) (head, tail []byte) {
 		to := req // Several stores are sent to at the same time.
-		to.To, to.Epoch = store, epoch
+		to.To, to.Epoch, to.Within = store, epoch, within(ctx)
 		return to.encode(turn)
 	}, memory)
 	if err == nil && t != nil {
--- a/turns/messages.go
+++ b/turns/messages.go
@@ -1,6 +1,7 @@
 package turns
 
 import (
+	"context"
 	"time"
 
 	"github.com/banyanspur/banyanspur/types"
@@ -36,6 +37,30 @@
 	Account types.AccountID `json:"account"`
 	Program types.ProgramID `json:"program"`
 	Claim   Claim           `json:"claim"`
+	// Within is how long the client waits. What the store has not begun to write by then, it does not write. The default, which
+	// earlier builds send, is no limit.
+	Within Millis `json:"within,omitempty"`
+}
+
+// Millis is a duration in milliseconds.
+type Millis int64
+
+// within returns for how long a store may take for a request of a client that waits until ctx ends, and for storeTimeout more
+// once other stores have replied.
+func within(ctx context.Context) Millis {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return Millis(max(0, time.Until(deadline))+storeTimeout) / Millis(time.Millisecond)
+}
+
+// limit returns ctx with the time that the client waits.
+func (m Millis) limit(ctx context.Context) (context.Context, context.CancelFunc) {
+	if m <= 0 {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, time.Duration(m)*time.Millisecond)
 }
 
 // ClaimReply lists all claims on the program's budget that the store has.
@@ -56,6 +81,7 @@
 	Program types.ProgramID `json:"program"`
 	Claim   Claim           `json:"claim"`
 	Turn    *Turn           `json:"turn,omitempty"`
+	Within  Millis          `json:"within,omitempty"` // as in ClaimRequest
 }
 
 // sharedTurnBytes is the size from which on a turn is encoded once for all stores.
@@ -70,6 +96,7 @@
 	Account types.AccountID  `json:"account"`
 	Program types.ProgramID  `json:"program"`
 	Claim   Claim            `json:"claim"`
+	Within  Millis           `json:"within,omitempty"`
 	Turn    types.RawMessage `json:"turn"`
 }
 
@@ -87,7 +114,7 @@
 		return types.Encode(r), nil
 	}
 	return types.EncodeHead(func(last types.RawMessage) closeHead {
-		return closeHead{To: r.To, Shard: r.Shard, Epoch: r.Epoch, Account: r.Account, Program: r.Program, Claim: r.Claim, Turn: last}
+		return closeHead{To: r.To, Shard: r.Shard, Epoch: r.Epoch, Account: r.Account, Program: r.Program, Claim: r.Claim, Within: r.Within, Turn: last}
 	}), turn
 }
 
--- a/turns/queue.go
+++ b/turns/queue.go
@@ -118,14 +118,25 @@
 	return n
 }
 
-// collectLive returns the given writes and the live ones in the queue, up to [maxBatchBytes].
-func (s *Store) collectLive(batch ...pendingWrite) []pendingWrite {
-	size := estimateBytes(batch)
+// collectLive returns the given writes and the live ones in the queue, up to [maxBatchBytes]. It leaves out those that nobody
+// waits for any longer: a store that writes them as well is later with each write that follows, and never in time again.
+func (s *Store) collectLive(first ...pendingWrite) (batch []pendingWrite) {
+	size := 0
+	add := func(w pendingWrite) {
+		if w.ctx.Err() != nil {
+			expiredWrites.Inc()
+			return
+		}
+		batch = append(batch, w)
+		size += w.bytes()
+	}
+	for _, w := range first {
+		add(w)
+	}
 	for size < maxBatchBytes {
 		select {
 		case w := <-s.queue:
-			batch = append(batch, w)
-			size += w.bytes()
+			add(w)
 		default:
 			return batch
 		}
@@ -141,7 +152,7 @@
 // enqueue queues a live write and returns once it is durable.
 func (s *Store) enqueue(ctx context.Context, w pendingWrite) error {
 	done := make(chan error, 1)
-	w.done, w.queuedAt = done, time.Now()
+	w.ctx, w.done, w.queuedAt = ctx, done, time.Now()
 	select {
 	case s.queue <- w:
 	case <-ctx.Done():
--- a/turns/reserve.go
+++ b/turns/reserve.go
@@ -304,7 +304,7 @@
 	v := programView{claims: Claims{}}
 	replies, err := callShard[ClaimReply](ctx, c, req.Shard, KindClaim, func(store StoreID, epoch Epoch) (head, tail []byte) {
 		to := req // Several stores are sent to at the same time.
-		to.To, to.Epoch = store, epoch
+		to.To, to.Epoch, to.Within = store, epoch, within(ctx)
 		return types.Encode(to), nil
 	}, nil)
 	for _, reply := range replies {
--- a/turns/serve.go
+++ b/turns/serve.go
@@ -30,6 +30,8 @@
 // the store had at that moment, including the new one. It replies once the new
 // claim is durable, or at once if it is held, but later requests read the claim as soon as it is added.
 func (s *Store) handleClaim(ctx context.Context, req ClaimRequest) (ClaimReply, error) {
+	ctx, cancel := req.Within.limit(ctx)
+	defer cancel()
 	s.awaitMap(ctx, req.To, req.Shard, req.Epoch)
 	key, claim := programKey{req.Account, req.Program}, req.Claim
 	var reply ClaimReply
@@ -54,6 +56,8 @@
 // while the turn waits for the disk, the index does not contain it, so the copies
 // of a move that has begun may lack it.
 func (s *Store) handleClose(ctx context.Context, req CloseRequest) (EmptyReply, error) {
+	ctx, cancel := req.Within.limit(ctx)
+	defer cancel()
 	s.awaitMap(ctx, req.To, req.Shard, req.Epoch)
 	records := []record{{Program: &Program{Account: req.Account, Program: req.Program, Claims: []Claim{req.Claim}}}}
 	s.mu.Lock()
--- a/turns/write.go
+++ b/turns/write.go
@@ -14,6 +14,8 @@
 // pendingWrite is a list of records that waits for the disk. The error of the
 // write, or nil, is sent to done.
 type pendingWrite struct {
+	// ctx ends when nobody waits for a live write any longer.
+	ctx      context.Context //nolint:containedctx // The write waits in a queue.
 	kind     writeKind
 	slack    slack // of the shard, for copies
 	queuedAt time.Time
