soak: turns that expire before the stores must be back count as too old

Cause: a turn that was 53 s old when it was first read, while stores were without power, is kept for 7 s more; the stores have 15 s to be back.

Such a turn counts as too old. One that is answered as not found or as perhaps lost still counts as lost, whatever its age is.

--- a/soak/stored_test.go
+++ b/soak/stored_test.go
@@ -80,6 +80,9 @@
 			stored.chains.Add(1)
 			stored.turns.Add(int64(len(chain)))
 			return
+		case !missing && time.Now().Before(recoveredBy) && time.Since(a.endedAt) > keptTime:
+			stored.expired.Add(1) // It need not be kept until the stores must have recovered.
+			return
 		case types.IsCode(err, types.CodeNotFound) || !types.Sleep(ctx, time.Second):
 			counter, what := &stored.unread, "is not read"
 			if missing {
