turns: the time that a host waits has a file of its own

Cause: its type and functions stood between a request and its reply.

Change: a move, without a change of the code.

--- a/turns/messages.go
+++ b/turns/messages.go
@@ -1,7 +1,6 @@
 package turns
 
 import (
-	"context"
 	"time"
 
 	"github.com/banyanspur/banyanspur/types"
@@ -42,27 +41,6 @@
 	Within Millis `json:"within,omitempty"`
 }
 
-// Millis is a duration in milliseconds.
-type Millis int64
-
-// within returns for how long a store may take for a request of a client that waits until ctx ends, and for storeTimeout more
-// once other stores have replied.
-func within(ctx context.Context) Millis {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return 0
-	}
-	return Millis(max(0, time.Until(deadline))+storeTimeout) / Millis(time.Millisecond)
-}
-
-// limit returns ctx with the time that the client waits.
-func (m Millis) limit(ctx context.Context) (context.Context, context.CancelFunc) {
-	if m <= 0 {
-		return ctx, func() {}
-	}
-	return context.WithTimeout(ctx, time.Duration(m)*time.Millisecond)
-}
-
 // ClaimReply lists all claims on the program's budget that the store has.
 type ClaimReply struct {
 	Claims []Claim `json:"claims"`
