crash: nodes with two names are told by a field

Cause: a loss of power in place marked them by a nil key among the nodes that were settled, which a reader has to guess.

Change: a type with both, and when it happens.

Measured: the tests of the package pass, TestLosePowerInPlace among them.

--- a/crash/loss.go
+++ b/crash/loss.go
@@ -69,8 +69,8 @@
 	if err := os.MkdirAll(m.Root, 0o700); err != nil {
 		return pending, errors.Wrap(err, "crash: create directory")
 	}
-	seen := map[*node]bool{}
-	if err := m.tree().settle(m.Root, seen); err != nil || !seen[nil] {
+	settled := settledNodes{nodes: map[*node]bool{}}
+	if err := m.tree().settle(m.Root, &settled); err != nil || !settled.shared {
 		return pending, err
 	}
 	n, err := load(m.Root)
@@ -80,14 +80,20 @@
 	return pending, err
 }
 
-// settle makes a node, and what its path holds, what a loss of power leaves. seen are the nodes that were settled; nil is one of them
-// if another one has two names.
-func (n *node) settle(path string, seen map[*node]bool) error {
-	if seen[n] {
-		seen[nil] = true
+// settledNodes are the nodes that hold what a loss of power has left. shared is set if one of them has two names, since a rename was lost
+// and a later one of the same file was not: these are two files from then on.
+type settledNodes struct {
+	nodes  map[*node]bool
+	shared bool
+}
+
+// settle makes a node, and what its path holds, what a loss of power leaves.
+func (n *node) settle(path string, settled *settledNodes) error {
+	if settled.nodes[n] {
+		settled.shared = true
 		return n.writeTo(path)
 	}
-	seen[n] = true
+	settled.nodes[n] = true
 	if !n.isDir {
 		if len(n.writes) == 0 {
 			return nil
@@ -112,7 +118,7 @@
 				return err
 			}
 		}
-		if err := child.settle(below, seen); err != nil {
+		if err := child.settle(below, settled); err != nil {
 			return err
 		}
 	}
